Add the design, the build, the base library and the module contracts

The build is CMake with ccache; scripts/test runs format, clang-tidy and ctest. base holds ids, time, the closed error table, hashes, the hybrid logical clock and numbered events. The headers in ports and adapters/http_*.h are the contract between modules that are written next.

--- /dev/null
+++ b/src/base/error.cc
@@ -0,0 +1,76 @@
+#include "base/error.h"
+
+namespace ebonylift {
+namespace {
+
+const std::vector<ErrorInfo>& Table() {
+  // clang-format off
+  static const std::vector<ErrorInfo> table = {
+      {ErrorKind::kBadRequest, "bad_request", 400, Run::kNotRun, 0, "The request is malformed."},
+      {ErrorKind::kBodyTooLarge, "body_too_large", 413, Run::kNotRun, 0, "The body is over the limit."},
+      {ErrorKind::kUnauthorized, "unauthorized", 401, Run::kNotRun, 0, "The key or token is missing or unknown."},
+      {ErrorKind::kForbidden, "forbidden", 403, Run::kNotRun, 0, "The key or token does not cover this resource."},
+      {ErrorKind::kUnknownPath, "unknown_path", 404, Run::kNotRun, 0, "No such path or configuration entry."},
+      {ErrorKind::kUnknownModel, "unknown_model", 404, Run::kNotRun, 0, "The team has no route for this model or service."},
+      {ErrorKind::kUnknownJob, "unknown_job", 404, Run::kNotRun, 0, "The team has no job with this id."},
+      {ErrorKind::kMethodNotAllowed, "method_not_allowed", 405, Run::kNotRun, 0, "The path does not support this method."},
+      {ErrorKind::kKeyConflict, "key_conflict", 422, Run::kNotRun, 0, "The idempotency key was used with another body."},
+      {ErrorKind::kInProgress, "in_progress", 409, Run::kMayHaveRun, 1000, "A request with this idempotency key is running."},
+      {ErrorKind::kOutcomeUnknown, "outcome_unknown", 409, Run::kMayHaveRun, 0, "A request with this idempotency key was dispatched and its outcome is unknown; it is never run again."},
+      {ErrorKind::kResidencyRefused, "residency_refused", 403, Run::kNotRun, 0, "The residency rule does not allow this region."},
+      {ErrorKind::kHopLimit, "hop_limit", 508, Run::kNotRun, 1000, "The request was forwarded too often."},
+      {ErrorKind::kForwardRefused, "forward_refused", 403, Run::kNotRun, 0, "The forwarding header of another host was not accepted."},
+      {ErrorKind::kRateLimited, "rate_limited", 429, Run::kNotRun, 1000, "The team is over its rate or concurrency limit."},
+      {ErrorKind::kOverloaded, "overloaded", 503, Run::kNotRun, 1000, "The queue or a store is full."},
+      {ErrorKind::kNoServer, "no_server", 503, Run::kNotRun, 2000, "No backend server that may run the request is known."},
+      {ErrorKind::kOwnerUnreachable, "owner_unreachable", 503, Run::kNotRun, 2000, "The host that owns the idempotency key cannot be reached."},
+      {ErrorKind::kRegionUnreachable, "region_unreachable", 503, Run::kNotRun, 2000, "No host of an allowed region can be reached."},
+      {ErrorKind::kServerRefused, "server_refused", 503, Run::kNotRun, 1000, "Every backend server tried refused the connection or the request."},
+      {ErrorKind::kServerFailed, "server_failed", 502, Run::kMayHaveRun, 1000, "The backend server failed after the request was sent."},
+      {ErrorKind::kServerError, "server_error", 502, Run::kRan, 0, "The backend server answered with an error."},
+      {ErrorKind::kStreamBroken, "stream_broken", 502, Run::kMayHaveRun, 1000, "The answer ended before it was complete."},
+      {ErrorKind::kDeadlineNotRun, "deadline_not_run", 504, Run::kNotRun, 1000, "The deadline passed before the request was dispatched."},
+      {ErrorKind::kDeadline, "deadline", 504, Run::kMayHaveRun, 1000, "The deadline passed after the request was dispatched."},
+      {ErrorKind::kPoison, "poison", 422, Run::kNotRun, 0, "This content has crashed backend servers and is not run again."},
+      {ErrorKind::kPoisonDetected, "poison_detected", 502, Run::kMayHaveRun, 0, "This request crashed the backend servers that ran it."},
+      {ErrorKind::kCancelled, "cancelled", 499, Run::kMayHaveRun, 0, "The request was cancelled."},
+      {ErrorKind::kDraining, "draining", 503, Run::kNotRun, 500, "This entry host is shutting down; use another one."},
+      {ErrorKind::kNotReady, "not_ready", 503, Run::kNotRun, 1000, "This entry host has no configuration yet."},
+      {ErrorKind::kStorageFailed, "storage_failed", 503, Run::kNotRun, 5000, "The record could not be written to disk."},
+      {ErrorKind::kConfigInvalid, "config_invalid", 422, Run::kNotRun, 0, "The value does not match the schema."},
+      {ErrorKind::kConfigConflict, "config_conflict", 409, Run::kNotRun, 0, "The path has a newer revision than the base of this change."},
+      {ErrorKind::kNoQuorum, "no_quorum", 503, Run::kNotRun, 2000, "The control hosts have no leader; the change was not proposed."},
+      {ErrorKind::kConfigUnknown, "config_unknown", 504, Run::kMayHaveRun, 1000, "The change was proposed and its outcome is unknown; resend it with the same request id."},
+      {ErrorKind::kNotFinished, "not_finished", 409, Run::kMayHaveRun, 1000, "The job has no result yet."},
+      {ErrorKind::kInternal, "internal", 500, Run::kMayHaveRun, 0, "An internal error."},
+  };
+  // clang-format on
+  return table;
+}
+
+}  // namespace
+
+const ErrorInfo& LookupError(ErrorKind kind) { return Table()[static_cast<size_t>(kind)]; }
+
+ErrorKind ErrorKindFromCode(const std::string& code) {
+  for (const ErrorInfo& info : Table()) {
+    if (code == info.code) return info.kind;
+  }
+  return ErrorKind::kInternal;
+}
+
+const std::vector<ErrorInfo>& AllErrors() { return Table(); }
+
+const char* RunName(Run run) {
+  switch (run) {
+    case Run::kNotRun:
+      return "not_run";
+    case Run::kMayHaveRun:
+      return "may_have_run";
+    case Run::kRan:
+      return "ran";
+  }
+  return "may_have_run";
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/src/base/event.cc
@@ -0,0 +1,171 @@
+#include "base/event.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <unordered_map>
+
+namespace ebonylift {
+namespace {
+
+constexpr size_t kMaxValueBytes = 256;
+
+const std::vector<EventInfo>& Table() {
+  // clang-format off
+  static const std::vector<EventInfo> table = {
+      {EventId::kStarted, 100, "started", "The daemon started: version, addresses, region, domain."},
+      {EventId::kReady, 101, "ready", "The daemon has a configuration and serves: revision, ms."},
+      {EventId::kDrainStarted, 102, "drain_started", "Graceful shutdown began: reason, open requests."},
+      {EventId::kStopped, 103, "stopped", "Graceful shutdown ended: ms."},
+      {EventId::kSettingsRefused, 104, "settings_refused", "A setting is invalid: key, value, allowed."},
+      {EventId::kThreadFailed, 105, "thread_failed", "A thread ended by an exception: thread, error."},
+      {EventId::kRequestReceived, 200, "request_received", "A request was accepted for processing: request_id, team, route, class, hops."},
+      {EventId::kRequestDispatched, 201, "request_dispatched", "A request was sent to a backend server: request_id, attempt, server."},
+      {EventId::kRequestAnswered, 202, "request_answered", "The whole answer was delivered: request_id, server, ms, bytes."},
+      {EventId::kRequestRefused, 203, "request_refused", "A request ended with an error: request_id, kind, run."},
+      {EventId::kRequestForwarded, 204, "request_forwarded", "A request was sent to another entry host: request_id, host, hops, crossed."},
+      {EventId::kAttemptFailed, 205, "attempt_failed", "An attempt failed: request_id, attempt, server, outcome."},
+      {EventId::kAttemptRetried, 206, "attempt_retried", "A failed attempt is repeated elsewhere: request_id, attempt."},
+      {EventId::kCallerGone, 207, "caller_gone", "The caller closed its connection before the end: request_id."},
+      {EventId::kStreamResumed, 208, "stream_resumed", "A broken stream was resumed: request_id, server, offset."},
+      {EventId::kLateDataDropped, 209, "late_data_dropped", "Data of an abandoned attempt was dropped: request_id, attempt."},
+      {EventId::kForwardRejected, 210, "forward_rejected", "A forwarding header was not accepted: from, reason."},
+      {EventId::kResidencyViolationRefused, 211, "residency_violation_refused", "A request of a region that is not allowed was refused: request_id, team, route, region."},
+      {EventId::kServerAnnounced, 300, "server_announced", "A backend server is new or has a new incarnation: server, incarnation, kind."},
+      {EventId::kServerExpired, 301, "server_expired", "A backend server was silent past its time to live: server."},
+      {EventId::kServerLeaving, 302, "server_leaving", "A backend server announced that it leaves: server."},
+      {EventId::kServerStaleAnnouncement, 303, "server_stale_announcement", "An announcement with an old incarnation was refused: server, incarnation, current."},
+      {EventId::kServerEjected, 304, "server_ejected", "A backend server gets no work for a time after failures: server, ms."},
+      {EventId::kServerOrderSent, 305, "server_order_sent", "An order was sent to a backend server: server, order, fencing."},
+      {EventId::kServerOrderRefused, 306, "server_order_refused", "An order was refused or withheld: server, order, reason."},
+      {EventId::kHostAlive, 400, "host_alive", "A host is reachable: host, incarnation."},
+      {EventId::kHostSuspected, 401, "host_suspected", "A host did not answer probes: host."},
+      {EventId::kHostFailed, 402, "host_failed", "A host is considered failed: host, ms."},
+      {EventId::kPeerConnected, 403, "peer_connected", "A peer logged in or was logged in to: host, direction."},
+      {EventId::kPeerLoginRefused, 404, "peer_login_refused", "A peer's login was refused: host, reason."},
+      {EventId::kPeerMessageRefused, 405, "peer_message_refused", "A peer's message was refused: host, reason."},
+      {EventId::kConfigApplied, 500, "config_applied", "A configuration revision is in force: revision, path, operator."},
+      {EventId::kConfigRefused, 501, "config_refused", "A configuration change was refused: path, kind."},
+      {EventId::kConfigSnapshotLoaded, 502, "config_snapshot_loaded", "A configuration snapshot was loaded: revision, source."},
+      {EventId::kConfigCaughtUp, 503, "config_caught_up", "The replica caught up with a peer: from, to, host."},
+      {EventId::kLeaderElected, 510, "leader_elected", "This voter became the leader: term."},
+      {EventId::kLeaderSteppedDown, 511, "leader_stepped_down", "This voter is no longer the leader: term, reason."},
+      {EventId::kTermChanged, 512, "term_changed", "The consensus term changed: term, leader."},
+      {EventId::kVoterChanged, 513, "voter_changed", "The set of voters changed: voters."},
+      {EventId::kJournalTornTail, 600, "journal_torn_tail", "An incomplete record at the end of a file was removed: file, bytes."},
+      {EventId::kJournalCorrupt, 601, "journal_corrupt", "A file is damaged before its end: file, offset."},
+      {EventId::kJournalWriteFailed, 602, "journal_write_failed", "A write or sync failed: file, error."},
+      {EventId::kJournalTruncated, 603, "journal_truncated", "A journal was compacted: file, records."},
+      {EventId::kRecordClaimed, 610, "record_claimed", "An idempotency key was claimed: request_id, team."},
+      {EventId::kRecordReplayed, 611, "record_replayed", "A stored answer was sent again: request_id, team."},
+      {EventId::kRecordRefused, 612, "record_refused", "A claim was refused: request_id, kind."},
+      {EventId::kRecordsRecovered, 613, "records_recovered", "Idempotency records were read at start: records, unfinished."},
+      {EventId::kJobAccepted, 620, "job_accepted", "A batch job is durable: job, team."},
+      {EventId::kJobFinished, 621, "job_finished", "A batch job has its final state: job, state."},
+      {EventId::kJobCancelled, 622, "job_cancelled", "A batch job was cancelled: job."},
+      {EventId::kJobsRecovered, 623, "jobs_recovered", "Batch jobs were read at start: jobs, open."},
+      {EventId::kSuspectRecorded, 700, "suspect_recorded", "A backend server was lost with this content in flight: content, server."},
+      {EventId::kPoisonCondemned, 701, "poison_condemned", "A content is refused from now on: content, servers."},
+      {EventId::kSuspectCleared, 702, "suspect_cleared", "A suspected content completed: content."},
+  };
+  // clang-format on
+  return table;
+}
+
+std::string& HostName() {
+  static std::string host;
+  return host;
+}
+
+void AppendJsonString(std::string* out, const std::string& text) {
+  out->push_back('"');
+  for (char c : text) {
+    if (c == '"' || c == '\\') {
+      out->push_back('\\');
+      out->push_back(c);
+    } else if (static_cast<unsigned char>(c) < 0x20) {
+      char buffer[8];
+      snprintf(buffer, sizeof(buffer), "\\u%04x", static_cast<unsigned>(c));
+      out->append(buffer);
+    } else {
+      out->push_back(c);
+    }
+  }
+  out->push_back('"');
+}
+
+bool HasRequestId(const Event& event, const std::string& request_id) {
+  return std::any_of(event.fields.begin(), event.fields.end(), [&](const EventField& field) {
+    return field.name == "request_id" && field.value == request_id;
+  });
+}
+
+}  // namespace
+
+const EventInfo& LookupEvent(EventId id) {
+  static const std::unordered_map<int, const EventInfo*>* index = [] {
+    auto* map = new std::unordered_map<int, const EventInfo*>();
+    for (const EventInfo& info : Table()) (*map)[info.number] = &info;
+    return map;
+  }();
+  return *index->at(static_cast<int>(id));
+}
+
+const std::vector<EventInfo>& AllEvents() { return Table(); }
+
+void EventRecord::Add(Event event) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (events_.size() >= kCapacity) events_.pop_front();
+  events_.push_back(std::move(event));
+}
+
+std::vector<Event> EventRecord::Read(HlcStamp since, const std::string& request_id,
+                                     size_t limit) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<Event> found;
+  for (const Event& event : events_) {
+    if (event.hlc <= since) continue;
+    if (!request_id.empty() && !HasRequestId(event, request_id)) continue;
+    found.push_back(event);
+    if (found.size() >= limit) break;
+  }
+  return found;
+}
+
+EventRecord& ProcessEvents() {
+  static EventRecord record;
+  return record;
+}
+
+void SetEventHost(const std::string& host) { HostName() = host; }
+
+std::string EventToJson(const Event& event) {
+  const EventInfo& info = LookupEvent(event.id);
+  std::string out = "{\"event\":" + std::to_string(info.number) + ",\"name\":\"" + info.name +
+                    "\",\"hlc\":" + std::to_string(event.hlc) + ",\"host\":";
+  AppendJsonString(&out, event.host);
+  for (const EventField& field : event.fields) {
+    out.push_back(',');
+    AppendJsonString(&out, field.name);
+    out.push_back(':');
+    AppendJsonString(&out, field.value);
+  }
+  out.push_back('}');
+  return out;
+}
+
+void LogEvent(EventId id, std::initializer_list<EventField> fields) {
+  Event event;
+  event.hlc = ProcessClock().Now();
+  event.id = id;
+  event.host = HostName();
+  event.fields = fields;
+  for (EventField& field : event.fields) {
+    if (field.value.size() > kMaxValueBytes) field.value.resize(kMaxValueBytes);
+  }
+  LOG(INFO) << EventToJson(event);
+  ProcessEvents().Add(std::move(event));
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/src/base/hash.cc
@@ -0,0 +1,77 @@
+#include "base/hash.h"
+
+#include <openssl/crypto.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+#include <openssl/sha.h>
+#include <xxhash.h>
+
+#include <array>
+#include <stdexcept>
+#include <vector>
+
+namespace ebonylift {
+namespace {
+
+std::string Hex(const unsigned char* data, size_t size) {
+  static const char kDigits[] = "0123456789abcdef";
+  std::string out;
+  out.reserve(size * 2);
+  for (size_t i = 0; i < size; ++i) {
+    out.push_back(kDigits[data[i] >> 4]);
+    out.push_back(kDigits[data[i] & 15]);
+  }
+  return out;
+}
+
+std::array<uint32_t, 256> MakeCrcTable() {
+  constexpr uint32_t kCastagnoli = 0x82f63b78;  // reversed polynomial
+  std::array<uint32_t, 256> table{};
+  for (uint32_t i = 0; i < 256; ++i) {
+    uint32_t crc = i;
+    for (int bit = 0; bit < 8; ++bit) crc = (crc & 1) ? (crc >> 1) ^ kCastagnoli : crc >> 1;
+    table[i] = crc;
+  }
+  return table;
+}
+
+}  // namespace
+
+uint64_t Hash64(std::string_view data, uint64_t seed) {
+  return XXH64(data.data(), data.size(), seed);
+}
+
+uint32_t Crc32c(std::string_view data) {
+  static const std::array<uint32_t, 256> table = MakeCrcTable();
+  uint32_t crc = 0xffffffff;
+  for (char c : data) crc = (crc >> 8) ^ table[(crc ^ static_cast<unsigned char>(c)) & 0xff];
+  return ~crc;
+}
+
+std::string Sha256Hex(std::string_view data) {
+  unsigned char digest[SHA256_DIGEST_LENGTH];
+  SHA256(reinterpret_cast<const unsigned char*>(data.data()), data.size(), digest);
+  return Hex(digest, sizeof(digest));
+}
+
+std::string HmacHex(std::string_view key, std::string_view data) {
+  unsigned char digest[EVP_MAX_MD_SIZE];
+  unsigned int size = 0;
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+       reinterpret_cast<const unsigned char*>(data.data()), data.size(), digest, &size);
+  return Hex(digest, size);
+}
+
+bool ConstantTimeEqual(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string RandomHex(size_t bytes) {
+  std::vector<unsigned char> data(bytes);
+  if (RAND_bytes(data.data(), static_cast<int>(bytes)) != 1) {
+    throw std::runtime_error("the system's random generator failed");
+  }
+  return Hex(data.data(), data.size());
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/src/ports/views.h
@@ -0,0 +1,190 @@
+#ifndef EBONYLIFT_PORTS_VIEWS_H_
+#define EBONYLIFT_PORTS_VIEWS_H_
+
+// Immutable snapshots that the control thread publishes to the traffic threads.
+//
+// A RoutingView and everything it refers to is never changed after publication, so any thread may
+// read it without a lock. Memory: one view holds the servers of the own failure domain only (at
+// most 4,096) and one summary row for each failure domain and model.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace ebonylift {
+
+enum class TrafficClass { kInteractive, kCheck, kChapter };
+enum class ServerKind { kModel, kService };
+
+// "interactive", "check" or "chapter".
+inline const char* TrafficClassName(TrafficClass traffic_class) {
+  switch (traffic_class) {
+    case TrafficClass::kInteractive:
+      return "interactive";
+    case TrafficClass::kCheck:
+      return "check";
+    case TrafficClass::kChapter:
+      return "chapter";
+  }
+  return "interactive";
+}
+
+// ---- configuration
+// -------------------------------------------------------------------------------
+
+struct RouteConfig {
+  TeamId team;
+  RouteId id;
+  ServerKind kind = ServerKind::kModel;
+  ModelId model;                  // kModel: the model name that callers send
+  std::string adapter;            // empty: any
+  std::string version;            // empty: any
+  std::string service;            // kService: the service name
+  std::vector<RegionId> regions;  // where the data may go; never empty
+  RegionId home;                  // one of `regions`; owns the idempotency records
+  TrafficClass traffic_class = TrafficClass::kInteractive;
+  bool idempotent = true;
+  bool key_from_body = false;  // derive an idempotency key from the body when none is given
+  Duration deadline = seconds(60);
+  bool send_away = true;        // may run outside the region of the entry host
+  double weight_latency = 1.0;  // cost of one second of waiting
+  double weight_cost = 1.0;     // cost of one second of backend server time
+  double weight_remote = 1.0;   // cost of being sent to another region
+};
+
+struct TeamLimits {
+  double requests_per_s = 0;  // 0: no limit; shared evenly by the live entry hosts of a region
+  int concurrency = 0;        // 0: no limit
+  int retry_percent = 10;     // retries allowed per 100 requests
+};
+
+struct TeamConfig {
+  TeamId id;
+  std::vector<RegionId> regions;  // residency; never empty
+  TeamLimits limits;
+  std::map<RouteId, RouteConfig> routes;
+};
+
+struct OperatorConfig {
+  std::string name;
+  std::string token_sha256;
+  std::vector<std::string> subtrees;  // path prefixes the operator may change
+};
+
+struct RegionConfig {
+  RegionId id;
+  std::vector<DomainId> domains;
+  std::vector<HostId> record_hosts;
+};
+
+struct ConfigView {
+  uint64_t revision = 0;
+  std::map<TeamId, TeamConfig> teams;
+  std::unordered_map<std::string, TeamId> keys;  // SHA-256 of a key to its team
+  std::map<RegionId, RegionConfig> regions;
+  std::vector<OperatorConfig> operators;
+};
+
+// ---- backend servers
+// -----------------------------------------------------------------------------
+
+struct ServedModel {
+  ModelId name;
+  std::vector<std::string> adapters;
+  std::string version;
+  friend bool operator==(const ServedModel& a, const ServedModel& b) {
+    return std::tie(a.name, a.adapters, a.version) == std::tie(b.name, b.adapters, b.version);
+  }
+};
+
+struct ServerLoad {
+  uint64_t seq = 0;  // grows with each report of one incarnation
+  int running = 0;
+  int waiting = 0;
+  int slots = 1;  // requests that one batch holds
+  int64_t prefill_tokens_waiting = 0;
+  friend bool operator==(const ServerLoad& a, const ServerLoad& b) {
+    return std::tie(a.seq, a.running, a.waiting, a.slots, a.prefill_tokens_waiting) ==
+           std::tie(b.seq, b.running, b.waiting, b.slots, b.prefill_tokens_waiting);
+  }
+};
+
+// What a backend server says of itself; the body of POST /v1/backend-servers/announce.
+struct Announcement {
+  ServerId id;
+  uint64_t incarnation = 0;  // larger after each restart of the server
+  uint64_t seq = 0;          // grows with each announcement of one incarnation (`load.seq`)
+  ServerKind kind = ServerKind::kModel;
+  DomainId domain;
+  RegionId region;
+  std::string address;  // host:port
+  std::vector<ServedModel> models;
+  std::vector<std::string> services;
+  std::string role;
+  std::vector<std::string> capabilities;  // resume, cancel, kv_export, kv_import, priorities
+  bool checks_fencing = false;
+  Duration ttl = milliseconds(2000);
+  bool leaving = false;
+  ServerLoad load;
+};
+
+struct BackendServer {
+  Announcement announced;
+  Time first_seen;   // of this incarnation; slow start counts from here
+  Time reported_at;  // when the newest announcement was sent, by this host's clock
+  Time expires_at;   // no new work from this time on
+};
+
+// ---- hosts
+// ---------------------------------------------------------------------------------------
+
+enum class HostStatus { kAlive, kSuspect, kFailed, kLeaving };
+
+struct HostEntry {
+  HostId id;
+  RegionId region;
+  DomainId domain;
+  std::string http_address;  // host:port, as this host reaches it
+  uint64_t incarnation = 0;
+  HostStatus status = HostStatus::kAlive;
+  bool overloaded = false;
+  bool has_disk = false;
+};
+
+// What one failure domain can run of one model or service, told to the other failure domains.
+struct DomainSummary {
+  DomainId domain;
+  RegionId region;
+  std::string served;  // model or service name
+  uint64_t version = 0;
+  int servers = 0;
+  int slots = 0;
+  int running = 0;
+  int waiting = 0;
+  Time reported_at;  // by this host's clock
+};
+
+struct Identity {
+  HostId host;
+  RegionId region;
+  DomainId domain;
+};
+
+struct RoutingView {
+  Identity self;
+  std::shared_ptr<const ConfigView> config;  // never null; revision 0 before the first one arrives
+  std::vector<BackendServer> servers;        // of the own failure domain, by id
+  std::vector<HostEntry> hosts;              // all known hosts, this one included, by id
+  std::vector<DomainSummary> summaries;      // all failure domains, the own one included
+};
+
+}  // namespace ebonylift
+
+#endif  // EBONYLIFT_PORTS_VIEWS_H_
