Add the contracts of the request decision logic

Each header states its contract, its order of calls and what bounds its memory.

Checked: each header compiles alone with -Wall -Wextra. There is no code yet.

--- /dev/null
+++ b/src/core/routing.h
@@ -0,0 +1,183 @@
+#ifndef EBONYLIFT_CORE_ROUTING_H_
+#define EBONYLIFT_CORE_ROUTING_H_
+
+// Chooses where a request runs: on a backend server of the own failure domain, on another host, in
+// the local queue, or nowhere.
+//
+// Contract of Choose():
+// - Residency. The request runs or travels only in regions that are both in `allowed_regions` and
+//   in the regions of the route. Anything unknown (no route, no regions, a server or host without a
+//   region) is refused, never guessed.
+// - Loops. A forward is chosen only while `hops` < kMaxHops; a forward to another region only while
+//   `crossed` is false and the route has `send_away`.
+// - Liveness. Servers that have expired or announced that they leave are never chosen. A forward
+//   goes only to a host that is alive, not overloaded, and whose failure domain reported servers
+//   for the model or service.
+// - Suspects run only on a server with no other work that this host knows of, which then gets no
+//   other work from this host until it is done.
+//
+// Cost of a server = weight_latency x wait seconds + weight_cost x service seconds. Wait is the
+// queue that the server reported plus what this host sent since that report. Service is the prefill
+// of the prompt without the predicted prefix hit. A failure domain elsewhere adds its round trip
+// and, in another region, weight_remote. A forward must be cheaper than home by a margin, so that
+// equal loads do not send requests back and forth.
+//
+// Not thread safe: the caller serialises all calls on one LocalLoad. No errors are thrown.
+// Memory: one ServerUse for each server of the view (4,096) after Prune(), at most kMaxSentTimes
+// times in each; the prefix index holds at most kMaxPrefixes hashes with kServersPerPrefix servers.
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/time.h"
+#include "ports/views.h"
+
+namespace ebonylift {
+
+constexpr int kMaxHops = 2;
+constexpr int64_t kPrefixBlockTokens = 128;  // tokens that each prefix hash adds to the one before
+constexpr size_t kMaxPrefixHashes = 64;      // hashes of one request that are looked at
+constexpr size_t kMaxPrefixes = 65'536;
+constexpr size_t kServersPerPrefix = 4;
+constexpr Duration kPrefixTtl = seconds(300);
+constexpr size_t kMaxSentTimes = 1'024;
+constexpr Duration kSlowStart = seconds(10);
+constexpr double kHysteresisShare = 0.2;
+constexpr Duration kHysteresisMin = milliseconds(50);
+constexpr double kPrefixGroupShare = 0.9;  // servers within 10% of the best predicted hit
+constexpr Duration kRegionRoundTrip = milliseconds(110);
+constexpr Duration kDomainRoundTrip = milliseconds(3);
+constexpr Duration kSummaryTtl = seconds(30);
+constexpr double kPrefillTokensPerSecond = 8'000;
+constexpr Duration kDefaultService = seconds(1);
+constexpr int kFailuresToEject = 3;
+constexpr Duration kEjectionMin = seconds(1);
+constexpr Duration kEjectionMax = seconds(30);
+constexpr double kMaxEjectedShare = 1.0 / 3;
+
+enum class RoutingPolicy { kRoundRobin, kLeastReported, kPowerOfTwo, kPrefixHash, kCost };
+
+// What is asked of Choose(). Pointers must outlive the call.
+struct RouteQuery {
+  TeamId team;
+  const RouteConfig* route = nullptr;
+  TrafficClass traffic_class = TrafficClass::kInteractive;
+  std::vector<RegionId> allowed_regions;  // see AllowedRegions()
+  int64_t prompt_tokens = 0;
+  std::vector<uint64_t> prefix_hashes;  // of growing prefixes, shortest first
+  uint64_t content = 0;
+  int hops = 0;          // host hops so far
+  bool crossed = false;  // a region was crossed so far
+  Time deadline;
+  std::vector<ServerId> avoid_servers;  // tried before
+  std::vector<HostId> avoid_hosts;      // the sender of a forward, hosts that refused
+  bool suspect = false;                 // needs a server without other work
+};
+
+// The regions that both the team's residency and the route allow, in the order of the route; empty
+// when the team is unknown, which Choose() refuses.
+std::vector<RegionId> AllowedRegions(const ConfigView& config, const RouteConfig& route);
+
+// What this host did with one server or with one other failure domain.
+struct ServerUse {
+  int in_flight = 0;         // sent by this host and not ended
+  std::vector<Time> sent;    // dispatch times of these, ascending; at most kMaxSentTimes
+  bool exclusive = false;    // runs a suspect alone
+  bool shared = false;       // other work was seen since the suspect was dispatched
+  int failures = 0;          // consecutive
+  int ejections = 0;         // consecutive, for the growing time
+  Time ejected_until;        // no work before, unless every server that could run it is ejected
+  Duration mean_service{0};  // 0: unknown
+  uint32_t cache_id = 0;     // names the server's prefix cache; a new one forgets the old cache
+  uint64_t cache_incarnation = 0;
+};
+
+// Which server's prefix cache probably holds which prefix.
+struct PrefixHolder {
+  uint32_t cache_id = 0;
+  Time expires_at;
+};
+struct PrefixIndex {
+  std::unordered_map<uint64_t, std::array<PrefixHolder, kServersPerPrefix>> holders;
+  std::deque<uint64_t> order;  // oldest hash first, for eviction
+};
+
+struct LocalLoad {
+  RoutingPolicy policy = RoutingPolicy::kCost;
+  std::unordered_map<ServerId, ServerUse> servers;
+  std::unordered_map<DomainId, ServerUse> domains;  // forwards, by failure domain
+  PrefixIndex prefixes;
+  size_t queue_length = 0;   // requests in the local queue, all classes; set by the caller
+  uint64_t round_robin = 0;  // advanced by OnDispatch()
+  uint32_t next_cache_id = 1;
+};
+
+enum class ChoiceKind { kLocal, kForward, kQueue, kRefuse };
+
+struct Choice {
+  ChoiceKind kind = ChoiceKind::kRefuse;
+  ServerId server;                         // kLocal
+  uint64_t incarnation = 0;                // kLocal
+  HostId host;                             // kForward
+  DomainId domain;                         // kForward; pass it to OnForward()
+  bool crosses = false;                    // kForward: to another region
+  ErrorKind error = ErrorKind::kNoServer;  // kRefuse
+  Duration retry_after{0};                 // kRefuse; 0: repeating does not help
+  double cost = 0;                         // of the chosen place, in weighted seconds
+  int64_t hit_tokens = 0;                  // kLocal: predicted prefix hit
+};
+
+// Decides. `load` isn't changed: report the dispatch with OnDispatch() or OnForward() before the
+// next call. kQueue means that servers exist and all are full (for a suspect: none is idle).
+Choice Choose(const RouteQuery& query, const RoutingView& view, const LocalLoad& load, Time now,
+              std::mt19937_64& rng);
+
+enum class ServerOutcome {
+  kOk,         // a complete answer, also one that says the request was wrong
+  kFailed,     // connection refused, reset, timeout or a 5xx answer: counts towards ejection
+  kCancelled,  // ended by the caller or this host: says nothing about the server
+};
+
+// Records that the request went to the server. `alone` for a suspect. The prefix hashes are
+// expected in the server's cache from now on.
+void OnDispatch(LocalLoad& load, const RouteQuery& query, const ServerId& server,
+                uint64_t incarnation, Time now);
+
+// Records the end of a dispatch. `dispatched_at` is the `now` of its OnDispatch(). Returns true
+// when the server was ejected by this call. At most kMaxEjectedShare of the view's live servers are
+// ejected at a time, so one fault of this host's network cannot remove all of them.
+bool OnServerOutcome(LocalLoad& load, const RoutingView& view, const ServerId& server,
+                     Time dispatched_at, ServerOutcome outcome, Time now);
+
+// The same for a forward to a failure domain.
+void OnForward(LocalLoad& load, const DomainId& domain, Time now);
+void OnForwardEnded(LocalLoad& load, const DomainId& domain, Time dispatched_at);
+
+// Whether the suspect that runs on `server` has had no company that this host knows of: nothing
+// else was sent from here and no report showed more than one request. Call before
+// OnServerOutcome(). Other hosts' requests that no report has shown yet are not seen; poison.h
+// corrects these cases.
+bool RanAlone(const LocalLoad& load, const BackendServer& server);
+
+// Call with each new view: marks exclusive servers that reported other work as shared, and forgets
+// servers and failure domains that the view no longer has and that have nothing in flight.
+void Prune(LocalLoad& load, const RoutingView& view);
+
+// Forgets the prefixes expected on a server: its cache events had a gap, or it evicted its cache.
+void ForgetPrefixes(LocalLoad& load, const ServerId& server);
+
+// True when the server may get new work of the route now: it serves the model and adapter and
+// version (or the service), belongs to the own failure domain, is not leaving and has not expired.
+bool CanServe(const BackendServer& server, const RouteConfig& route, const Identity& self,
+              Time now);
+
+}  // namespace ebonylift
+
+#endif  // EBONYLIFT_CORE_ROUTING_H_
