--- /dev/null
+++ b/src/daemon/answers.h
@@ -0,0 +1,36 @@
+#ifndef EBONYLIFT_DAEMON_ANSWERS_H_
+#define EBONYLIFT_DAEMON_ANSWERS_H_
+
+// Error answers: from an error kind to status, headers and body. All functions are thread safe.
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "adapters/http_server.h"
+#include "base/error.h"
+#include "base/ids.h"
+
+namespace ebonylift {
+
+// A answer or failure as the caller sees it.
+struct ErrorAnswer {
+  ErrorKind kind = ErrorKind::kInternal;
+  std::string message;
+  Duration retry_after{0};  // 0: the default of the kind
+  RequestId request;        // empty for requests that are not routed
+};
+
+// The `error` object of the body.
+nlohmann::json ErrorAnswerJson(const ErrorAnswer& answer);
+
+// The server-sent event that ends a broken stream; no `[DONE]` follows it.
+std::string ErrorAnswerEvent(const ErrorAnswer& answer);
+
+// Status, Retry-After (whole seconds, rounded up) and JSON body.
+void SendErrorAnswer(HttpResponder* responder, const ErrorAnswer& answer);
+
+void SendJson(HttpResponder* responder, int status, const nlohmann::json& body);
+
+}  // namespace ebonylift
+
+#endif  // EBONYLIFT_DAEMON_ANSWERS_H_
--- /dev/null
+++ b/src/daemon/dispatcher.cc
@@ -0,0 +1,229 @@
+#include "daemon/dispatcher.h"
+
+#include <algorithm>
+
+#include "base/event.h"
+
+namespace ebonylift {
+namespace {
+
+// Live entry hosts of the own region, this one included.
+int LiveEntryHosts(const RoutingView& view) {
+  int live = 0;
+  for (const HostEntry& host : view.hosts) {
+    bool usable = host.status == HostStatus::kAlive || host.id == view.self.host;
+    if (usable && host.region == view.self.region) ++live;
+  }
+  return std::max(live, 1);
+}
+
+Choice RefusedChoice(ErrorKind kind) {
+  Choice choice;
+  choice.kind = ChoiceKind::kRefuse;
+  choice.error = kind;
+  return choice;
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(ControlPort* control, RoutingPolicy policy, uint64_t seed)
+    : control_(control), rng_(seed) {
+  load_.policy = policy;
+}
+
+std::optional<Refusal> Dispatcher::Admit(const TeamId& team, const RoutingView& view, Time now) {
+  auto found = view.config->teams.find(team);
+  if (found == view.config->teams.end()) return Refusal{ErrorKind::kForbidden, Duration{0}};
+  std::lock_guard<std::mutex> lock(mutex_);
+  return ebonylift::Admit(admission_, team, found->second.limits, LiveEntryHosts(view), now);
+}
+
+void Dispatcher::Release(const TeamId& team) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ebonylift::Release(admission_, team);
+}
+
+void Dispatcher::RecordPlace(const Choice& choice, const RouteQuery& query, Time now) {
+  if (choice.kind == ChoiceKind::kLocal) {
+    OnDispatch(load_, query, choice.server, choice.incarnation, now);
+    running_[choice.server].push_back(query.content);
+  } else if (choice.kind == ChoiceKind::kForward) {
+    OnForward(load_, choice.domain, now);
+  }
+}
+
+Choice Dispatcher::Place(const RouteQuery& query, const RoutingView& view, Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  load_.queue_length = QueueLength(admission_);
+  Choice choice = Choose(query, view, load_, now, rng_);
+  RecordPlace(choice, query, now);
+  return choice;
+}
+
+std::optional<Refusal> Dispatcher::Enqueue(QueuedRequest request, RouteQuery query, Wake wake,
+                                           Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  RequestId id = request.id;
+  std::optional<Refusal> refusal = ebonylift::Enqueue(admission_, std::move(request), now);
+  if (refusal) return refusal;
+  waiting_[id] = Waiting{std::move(query), view_ ? view_->config : nullptr, std::move(wake)};
+  return std::nullopt;
+}
+
+bool Dispatcher::Remove(const RequestId& request) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (!ebonylift::Remove(admission_, request)) return false;
+  waiting_.erase(request);
+  return true;
+}
+
+void Dispatcher::PlaceWaiting(Time now, Wakes* wakes) {
+  if (!view_) return;
+  Choice choice;
+  auto can_run = [&](const QueuedRequest& request) {
+    load_.queue_length = QueueLength(admission_);
+    choice = Choose(waiting_.at(request.id).query, *view_, load_, now, rng_);
+    return choice.kind != ChoiceKind::kQueue;
+  };
+  while (std::optional<QueuedRequest> request = Pop(admission_, now, can_run)) {
+    auto entry = waiting_.find(request->id);
+    RecordPlace(choice, entry->second.query, now);
+    wakes->emplace_back(std::move(entry->second.wake), choice);
+    waiting_.erase(entry);
+  }
+}
+
+void Dispatcher::RunWakes(Wakes wakes) {
+  for (auto& [wake, choice] : wakes) wake(choice);
+}
+
+void Dispatcher::EndLocal(const ServerId& server, uint64_t content, Time dispatched_at,
+                          ServerOutcome outcome, Time now) {
+  Wakes wakes;
+  bool ejected = false;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    static const RoutingView kNoView;
+    ejected = OnServerOutcome(load_, view_ ? *view_ : kNoView, server, dispatched_at, outcome, now);
+    std::vector<uint64_t>& contents = running_[server];
+    auto found = std::find(contents.begin(), contents.end(), content);
+    if (found != contents.end()) contents.erase(found);
+    if (contents.empty()) running_.erase(server);
+    PlaceWaiting(now, &wakes);
+  }
+  if (ejected) LogEvent(EventId::kServerEjected, {{"server", server.value()}});
+  RunWakes(std::move(wakes));
+}
+
+void Dispatcher::EndForward(const DomainId& domain, Time dispatched_at, Time now) {
+  Wakes wakes;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    OnForwardEnded(load_, domain, dispatched_at);
+    PlaceWaiting(now, &wakes);
+  }
+  RunWakes(std::move(wakes));
+}
+
+LossEvidence Dispatcher::Evidence(const ServerId& server) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  LossEvidence evidence;
+  evidence.server = server;
+  auto contents = running_.find(server);
+  if (contents != running_.end()) evidence.contents = contents->second;
+  if (!view_) return evidence;
+  for (const BackendServer& known : view_->servers) {
+    if (known.announced.id == server) evidence.alone = RanAlone(load_, known);
+  }
+  return evidence;
+}
+
+void Dispatcher::OnLost(const LossEvidence& evidence, Time now) {
+  std::vector<PoisonVerdict> verdicts;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    verdicts = OnServerLost(poison_, evidence.server, evidence.contents, evidence.alone, now);
+  }
+  for (size_t i = 0; i < evidence.contents.size(); ++i) {
+    uint64_t content = evidence.contents[i];
+    bool condemned = verdicts[i] == PoisonVerdict::kCondemned;
+    LogEvent(condemned ? EventId::kPoisonCondemned : EventId::kSuspectRecorded,
+             {{"content", std::to_string(content)}, {"server", evidence.server.value()}});
+    control_->ReportSuspect(content, evidence.server, evidence.alone);
+  }
+}
+
+void Dispatcher::OnRemoteSuspect(uint64_t content, const ServerId& server, bool alone,
+                                 bool cleared) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (cleared) {
+    ebonylift::OnCompleted(poison_, content);
+  } else {
+    OnReport(poison_, server, content, alone, SteadyNow());
+  }
+}
+
+void Dispatcher::OnCompleted(uint64_t content) {
+  bool cleared = false;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    cleared = ebonylift::OnCompleted(poison_, content);
+  }
+  if (!cleared) return;
+  LogEvent(EventId::kSuspectCleared, {{"content", std::to_string(content)}});
+  control_->ClearSuspect(content);
+}
+
+PoisonVerdict Dispatcher::Verdict(uint64_t content, Time now) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return ebonylift::Verdict(poison_, content, now);
+}
+
+void Dispatcher::CountRequest(const TeamId& team, int retry_percent) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  OnRequest(BudgetOf(budgets_, team), retry_percent);
+}
+
+RetryVerdict Dispatcher::MayRetry(const TeamId& team, const RetryRule& rule, Run outcome,
+                                  Time deadline, Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return ebonylift::MayRetry(BudgetOf(budgets_, team), rule, outcome, deadline, now);
+}
+
+void Dispatcher::OnView(std::shared_ptr<const RoutingView> view, Time now) {
+  Wakes wakes;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    view_ = std::move(view);
+    Prune(load_, *view_);
+    PlaceWaiting(now, &wakes);
+  }
+  RunWakes(std::move(wakes));
+}
+
+void Dispatcher::Tick(Time now) {
+  Wakes wakes;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    for (const QueuedRequest& request : ebonylift::Expire(admission_, now)) {
+      auto entry = waiting_.find(request.id);
+      wakes.emplace_back(std::move(entry->second.wake), RefusedChoice(ErrorKind::kDeadlineNotRun));
+      waiting_.erase(entry);
+    }
+    ebonylift::Expire(poison_, now);
+    PlaceWaiting(now, &wakes);
+  }
+  RunWakes(std::move(wakes));
+}
+
+DispatcherStats Dispatcher::Stats() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  DispatcherStats stats;
+  stats.queued = QueueLength(admission_);
+  for (size_t i = 0; i < 3; ++i) stats.queued_by_class[i] = admission_.queues[i].size();
+  for (const auto& [server, contents] : running_) stats.in_flight += contents.size();
+  stats.suspects = poison_.suspects.size();
+  return stats;
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/src/daemon/exchange.h
@@ -0,0 +1,164 @@
+#ifndef EBONYLIFT_DAEMON_EXCHANGE_H_
+#define EBONYLIFT_DAEMON_EXCHANGE_H_
+
+// One request from arrival to its final answer.
+//
+// An Exchange lives in the ExchangeTable of one traffic thread and is addressed by its id: every
+// callback looks the id up again, so an answer that arrives after the end finds nothing. The stages
+// are: admit, claim the idempotency key (or forward to its owner), place, run, answer. Whatever
+// fails, exactly one final answer goes to the caller.
+//
+// Not thread safe: all methods run on the traffic thread. Memory of an exchange: the request body
+// (bounded by the HTTP limits), at most kMaxAnswerBuffer of a buffered answer, and at most
+// kMaxPendingBytes of a streamed answer that the caller has not read.
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "adapters/http_client.h"
+#include "adapters/http_server.h"
+#include "core/attempt.h"
+#include "daemon/answers.h"
+#include "daemon/dispatcher.h"
+#include "daemon/record_store.h"
+#include "daemon/request.h"
+#include "daemon/stream.h"
+#include "ports/control_port.h"
+
+namespace ebonylift {
+
+class ExchangeTable;
+
+// What the exchanges of one traffic thread share. Pointers outlive the table.
+struct ExchangeContext {
+  asio::io_context* io = nullptr;
+  HttpClient* client = nullptr;
+  Dispatcher* dispatcher = nullptr;
+  RecordStore* records = nullptr;
+  ControlPort* control = nullptr;
+  std::string cluster_key;
+  ExchangeTable* table = nullptr;
+};
+
+class Exchange {
+ public:
+  static constexpr size_t kMaxPendingBytes = 256u << 10;
+  static constexpr size_t kMaxAnswerBuffer = 16u << 20;
+
+  Exchange(uint64_t id, const ExchangeContext& context, RequestSpec spec,
+           std::shared_ptr<HttpResponder> responder);
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  // Begins; may end the exchange before it returns.
+  void Start();
+
+ private:
+  // Stages.
+  void ClaimKey();
+  void OnClaim(const ClaimResult& result, std::optional<ErrorKind> error);
+  void ForwardToOwner(const HostId& owner);
+  void Place();
+  bool RefreshView();
+  void OnPlace(const Choice& choice);
+  void Wait();
+  void OnWake(const Choice& choice);
+  void Run(const Choice& choice);
+  void Forward(const HostEntry& host, bool crosses, const DomainId& domain);
+
+  // Progress of the open attempt; late callbacks carry an older attempt number.
+  void OnHeaders(uint32_t attempt, int status, const HttpHeaders& headers);
+  bool OnData(uint32_t attempt, std::string_view data);
+  void OnDone(uint32_t attempt, const CallResult& result);
+  void OnComplete();
+  void OnAttemptFailed(const CallResult& result, ebonylift::Run run);
+  void ConfirmNotStarted(const CallResult& result);
+  void CheckServerLost(const CallResult& result, ebonylift::Run run);
+  void RetryOrRefuse(ebonylift::Run run);
+  bool TryResume();
+
+  // Ends.
+  void Deliver();
+  void RelayPeerError();
+  void RefuseOutcome();
+  void Refuse(ErrorKind kind, const std::string& message, Duration retry_after = Duration{0});
+  void OnCallerGone();
+  void EndAttempt(ServerOutcome outcome);
+  void CancelAttempt();
+  void Finish();
+
+  // Helpers.
+  bool NeedsRecord() const;
+  RouteQuery Query() const;
+  RecordKey Key() const;
+  HttpHeaders BackendHeaders() const;
+  HttpHeaders AnswerHeaders() const;
+  HttpCall NewCall(const std::string& url, uint32_t attempt);
+  void Relay(std::string_view data);
+  void BeginStream();
+  void RunLater(Duration delay, void (Exchange::*step)());
+  const BackendServer* FindServer(const ServerId& id) const;
+  const HostEntry* FindHost(const HostId& id) const;
+
+  const uint64_t id_;
+  const ExchangeContext context_;
+  RequestSpec spec_;
+  std::shared_ptr<HttpResponder> responder_;  // null after the caller has gone
+  asio::steady_timer timer_;
+
+  bool admitted_ = false;
+  bool waiting_ = false;
+  bool finished_ = false;
+  uint64_t claim_ = 0;  // 0: no claim of this exchange
+  bool claim_dispatched_ = false;
+
+  RequestAttempts attempts_;
+  uint32_t attempt_ = 0;  // the open attempt; 0: none
+  CallId call_ = 0;
+  Time dispatched_at_;
+  std::optional<ServerId> server_;  // of the open attempt, when it is local
+  std::string server_address_;
+  bool server_resumes_ = false;
+  bool server_cancels_ = false;
+  std::optional<DomainId> forward_domain_;  // of the open attempt, when it is a forward
+  bool forwarding_ = false;
+  bool to_owner_ = false;  // the forward is to the owner of the key
+  std::vector<ServerId> avoid_servers_;
+  std::vector<HostId> avoid_hosts_;
+
+  int status_ = 0;
+  HttpHeaders headers_;
+  std::string answer_;       // buffered answer, or what a stored answer needs of a stream
+  bool answer_kept_ = true;  // false: too large to store
+  bool streaming_ = false;   // Begin() was called on the responder
+  bool paused_ = false;
+  StreamTracker stream_;  // of a server-sent-event answer
+  bool resumed_ = false;
+};
+
+// The exchanges of one traffic thread, by id.
+class ExchangeTable {
+ public:
+  // Adds and starts an exchange.
+  void Start(const ExchangeContext& context, RequestSpec spec,
+             std::shared_ptr<HttpResponder> responder);
+  Exchange* Find(uint64_t id);
+  void Erase(uint64_t id);
+  size_t size() const { return size_; }  // thread safe
+
+ private:
+  uint64_t next_id_ = 1;
+  std::atomic<size_t> size_{0};
+  std::unordered_map<uint64_t, std::unique_ptr<Exchange>> exchanges_;
+};
+
+}  // namespace ebonylift
+
+#endif  // EBONYLIFT_DAEMON_EXCHANGE_H_
--- /dev/null
+++ b/src/daemon/job_api.cc
@@ -0,0 +1,356 @@
+#include "daemon/job_api.h"
+
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include "base/event.h"
+#include "base/hash.h"
+
+namespace ebonylift {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kJobsPath[] = "/v1/jobs";
+constexpr size_t kJobIdBytes = 12;
+constexpr WallMillis kRequeueDelayMs = 1000;
+constexpr Duration kForwardTimeout = seconds(10);
+
+struct JobCaller {
+  TeamId team;
+  std::optional<ForwardMark> mark;
+};
+
+ForwardBinding BindingOf(const HttpRequest& request) {
+  return ForwardBinding{request.method, request.path + "?" + request.query,
+                        FindHeader(request.headers, "idempotency-key"), Sha256Hex(request.body)};
+}
+
+JobCaller Authenticate(const HttpRequest& request, const ExchangeContext& context,
+                       const ConfigView& config) {
+  const std::string& forward = FindHeader(request.headers, kForwardHeader);
+  if (forward.empty()) return JobCaller{AuthenticateTeam(request.headers, config), std::nullopt};
+  ForwardMark mark = DecodeForward(forward, BindingOf(request), context.cluster_key, WallNow());
+  return JobCaller{mark.team, mark};
+}
+
+RegionId HomeOf(const JobId& id) {
+  size_t dot = id.value().find('.');
+  return RegionId(dot == std::string::npos ? "" : id.value().substr(dot + 1));
+}
+
+HostId OwnerOf(const JobId& id, const TeamId& team, const ConfigView& config) {
+  auto region = config.regions.find(HomeOf(id));
+  if (region == config.regions.end()) return HostId();
+  return Owner(RecordKey{team, id.value()}, region->second.record_hosts);
+}
+
+JobId NewJobId(const RequestSpec& spec) {
+  std::string name =
+      spec.idempotency_key.empty()
+          ? RandomHex(kJobIdBytes)
+          : Sha256Hex(spec.team.value() + "\n" + spec.idempotency_key).substr(0, 2 * kJobIdBytes);
+  return JobId("j-" + name + "." + spec.route->home.value());
+}
+
+json JobJson(const JobId& id, JobState state) {
+  return {{"id", id.value()}, {"state", JobStateName(state)}};
+}
+
+// The inner request of a submission, with the caller's headers.
+HttpRequest InnerRequest(const HttpRequest& request) {
+  json body = json::parse(request.body, nullptr, false);
+  bool valid = body.is_object() && body.contains("path") && body["path"].is_string() &&
+               body.contains("body") && body["body"].is_object();
+  if (!valid) throw Error(ErrorKind::kBadRequest, "the body must have path and body");
+  std::string path = body["path"];
+  if (path != "/v1/chat/completions" && path != "/v1/completions") {
+    throw Error(ErrorKind::kBadRequest, "path must be /v1/chat/completions or /v1/completions");
+  }
+  HttpRequest inner;
+  inner.method = "POST";
+  inner.path = path;
+  inner.headers = request.headers;
+  inner.body = body["body"].dump();
+  return inner;
+}
+
+HttpHeaders WithoutHeader(const HttpHeaders& headers, const std::string& name) {
+  HttpHeaders kept;
+  for (const auto& header : headers) {
+    if (FindHeader({header}, name).empty()) kept.push_back(header);
+  }
+  return kept;
+}
+
+}  // namespace
+
+// Takes the answer of an exchange in place of a caller.
+class JobApi::Capture : public HttpResponder {
+ public:
+  using Done = std::function<void(int, HttpHeaders, std::string)>;
+  explicit Capture(Done done) : done_(std::move(done)) {}
+
+  void Send(int status, const HttpHeaders& headers, std::string body) override {
+    Complete(status, headers, std::move(body));
+  }
+  void Begin(int status, const HttpHeaders& headers) override {
+    status_ = status;
+    headers_ = headers;
+  }
+  void Write(std::string chunk) override { body_ += chunk; }
+  void End() override { Complete(status_, headers_, std::move(body_)); }
+  void Abort() override { Complete(502, {}, ""); }
+  size_t PendingBytes() const override { return 0; }
+  void OnDrained(std::function<void()> /*fn*/) override {}
+  void OnClosed(std::function<void()> fn) override { closed_ = std::move(fn); }
+
+  // Tells the exchange that its caller is gone, which cancels the work.
+  void Close() {
+    done_ = nullptr;
+    if (closed_) closed_();
+  }
+
+ private:
+  void Complete(int status, HttpHeaders headers, std::string body) {
+    Done done = std::move(done_);
+    done_ = nullptr;
+    if (done) done(status, std::move(headers), std::move(body));
+  }
+
+  Done done_;
+  std::function<void()> closed_;
+  int status_ = 0;
+  HttpHeaders headers_;
+  std::string body_;
+};
+
+void JobApi::Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+  std::shared_ptr<const RoutingView> view = context_.control->View();
+  if (request.path == kJobsPath) {
+    if (request.method != "POST") throw Error(ErrorKind::kMethodNotAllowed, request.method);
+    Submit(std::move(request), std::move(responder));
+    return;
+  }
+  JobCaller caller = Authenticate(request, context_, *view->config);
+  std::string rest = request.path.substr(sizeof(kJobsPath));
+  size_t slash = rest.find('/');
+  JobId id(rest.substr(0, slash));
+  std::string verb = slash == std::string::npos ? "" : rest.substr(slash + 1);
+  HostId owner = OwnerOf(id, caller.team, *view->config);
+  if (owner.empty()) throw Error(ErrorKind::kUnknownJob, "");
+  if (owner == view->self.host) {
+    Answer(request, caller.team, id, verb, responder);
+  } else if (caller.mark) {
+    throw Error(ErrorKind::kHopLimit, "two hosts disagree on the owner of the job");
+  } else {
+    ForwardCall(request, caller.team, owner, std::move(responder));
+  }
+}
+
+void JobApi::Submit(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+  std::shared_ptr<const RoutingView> view = context_.control->View();
+  JobCaller caller = Authenticate(request, context_, *view->config);
+  HttpRequest inner = InnerRequest(request);
+  if (caller.mark) {
+    // The mark is bound to the submission; the inner request gets one of its own.
+    ForwardMark mark = *caller.mark;
+    inner.headers = WithoutHeader(inner.headers, kForwardHeader);
+    inner.headers.emplace_back(kForwardHeader,
+                               EncodeForward(mark, BindingOf(inner), context_.cluster_key));
+  }
+  RequestSpec spec = ParseRequest(inner, view, context_.cluster_key, SteadyNow());
+  JobId id = NewJobId(spec);
+  if (caller.mark) id = JobId(FindHeader(request.headers, "x-ebonylift-job-id"));
+  HostId owner = OwnerOf(id, spec.team, *view->config);
+  if (owner.empty()) {
+    throw Error(ErrorKind::kOwnerUnreachable, "the home region has no record host");
+  }
+  if (owner != view->self.host) {
+    if (caller.mark) {
+      throw Error(ErrorKind::kHopLimit, "two hosts disagree on the owner of the job");
+    }
+    request.headers.emplace_back("x-ebonylift-job-id", id.value());
+    request.headers.emplace_back("x-ebonylift-job-route", spec.route->id.value());
+    ForwardCall(request, spec.team, owner, std::move(responder));
+    return;
+  }
+  JobSpec job{id, spec.team, spec.route->id, inner.path, inner.body, spec.idempotent};
+  asio::io_context* io = context_.io;
+  context_.records->Submit(job, [=](SubmitKind kind, bool ok) {
+    asio::post(*io, [=] {
+      if (!ok) {
+        SendErrorAnswer(responder.get(), {ErrorKind::kStorageFailed, "", Duration{0}, RequestId()});
+      } else if (kind == SubmitKind::kConflict) {
+        SendErrorAnswer(responder.get(), {ErrorKind::kKeyConflict, "", Duration{0}, RequestId()});
+      } else if (kind == SubmitKind::kOverloaded) {
+        SendErrorAnswer(responder.get(), {ErrorKind::kOverloaded, "", Duration{0}, RequestId()});
+      } else {
+        LogEvent(EventId::kJobAccepted, {{"job", id.value()}, {"team", job.team.value()}});
+        SendJson(responder.get(), 202, JobJson(id, JobState::kQueued));
+      }
+    });
+  });
+}
+
+void JobApi::Answer(const HttpRequest& request, const TeamId& team, const JobId& id,
+                    const std::string& verb, const std::shared_ptr<HttpResponder>& responder) {
+  std::optional<Job> job = context_.records->FindJob(id);
+  if (!job || job->spec.team != team) throw Error(ErrorKind::kUnknownJob, "");
+  bool ended = job->state != JobState::kQueued && job->state != JobState::kRunning;
+  if (request.method == "GET" && verb.empty()) {
+    SendJson(responder.get(), 200, JobJson(id, job->state));
+  } else if (request.method == "GET" && verb == "result") {
+    if (!ended)
+      throw Error(ErrorKind::kNotFinished, "the job is " + std::string(JobStateName(job->state)));
+    if (job->state == JobState::kCancelled) throw Error(ErrorKind::kCancelled, "");
+    if (job->state == JobState::kOutcomeUnknown) throw Error(ErrorKind::kOutcomeUnknown, "");
+    responder->Send(job->result.status, job->result.headers, job->result.body);
+  } else if (request.method == "DELETE" && verb.empty()) {
+    context_.records->Cancel(id);
+    auto capture = captures_.find(id);
+    if (capture != captures_.end()) {
+      if (std::shared_ptr<Capture> running = capture->second.lock()) running->Close();
+      captures_.erase(capture);
+      if (running_ > 0) --running_;
+    }
+    SendJson(responder.get(), 200, JobJson(id, context_.records->FindJob(id)->state));
+  } else {
+    throw Error(ErrorKind::kMethodNotAllowed, request.method);
+  }
+}
+
+void JobApi::ForwardCall(const HttpRequest& request, const TeamId& team, const HostId& owner,
+                         std::shared_ptr<HttpResponder> responder) {
+  std::shared_ptr<const RoutingView> view = context_.control->View();
+  const HostEntry* host = nullptr;
+  for (const HostEntry& entry : view->hosts) {
+    if (entry.id == owner) host = &entry;
+  }
+  if (host == nullptr) throw Error(ErrorKind::kOwnerUnreachable, "");
+  ForwardMark mark;
+  mark.from = view->self.host;
+  mark.request = NewRequestId();
+  mark.hops = 1;
+  mark.crossed = host->region != view->self.region;
+  mark.deadline_ms = ToMillis(kForwardTimeout);
+  mark.team = team;
+  mark.route = RouteId(FindHeader(request.headers, "x-ebonylift-job-route"));
+  mark.revision = view->config->revision;
+  mark.time = WallNow();
+  HttpCall call;
+  call.method = request.method;
+  call.url = "http://" + host->http_address + request.path;
+  if (!request.query.empty()) call.url += "?" + request.query;
+  call.headers = EndToEndHeaders(request.headers);
+  call.headers.emplace_back("x-ebonylift-job-id",
+                            FindHeader(request.headers, "x-ebonylift-job-id"));
+  call.headers.emplace_back(kForwardHeader,
+                            EncodeForward(mark, BindingOf(request), context_.cluster_key));
+  call.body = request.body;
+  call.timeout = kForwardTimeout;
+  call.new_connection = request.method == "POST";
+  auto headers = std::make_shared<HttpHeaders>();
+  auto body = std::make_shared<std::string>();
+  call.on_headers = [headers](int, const HttpHeaders& received) {
+    *headers = EndToEndHeaders(received);
+  };
+  call.on_data = [body](std::string_view data) {
+    body->append(data);
+    return body->size() <= Exchange::kMaxAnswerBuffer;
+  };
+  call.on_done = [=](const CallResult& result) {
+    if (result.outcome == CallOutcome::kComplete) {
+      responder->Send(result.status, *headers, *body);
+      return;
+    }
+    bool not_run = result.outcome == CallOutcome::kNotConnected ||
+                   result.outcome == CallOutcome::kNothingWritten || request.method == "GET";
+    ErrorKind kind = not_run ? ErrorKind::kOwnerUnreachable : ErrorKind::kOutcomeUnknown;
+    SendErrorAnswer(responder.get(), {kind, "", Duration{0}, RequestId()});
+  };
+  context_.client->Start(std::move(call));
+}
+
+void JobApi::RunPending() {
+  while (running_ < kMaxRunning) {
+    asio::io_context* io = context_.io;
+    bool started = context_.records->StartNext([this, io](std::optional<JobSpec> job) {
+      asio::post(*io, [this, job] {
+        if (job) {
+          RunJob(*job);
+        } else {
+          --running_;
+        }
+      });
+    });
+    if (!started) return;
+    ++running_;
+  }
+}
+
+void JobApi::RunJob(const JobSpec& job) {
+  std::shared_ptr<const RoutingView> view = context_.control->View();
+  auto capture =
+      std::make_shared<Capture>([this, job](int status, HttpHeaders headers, std::string body) {
+        captures_.erase(job.id);
+        --running_;
+        OnJobAnswer(job, status, std::move(headers), std::move(body));
+      });
+  captures_[job.id] = capture;
+  ForwardMark mark;
+  mark.from = view->self.host;
+  mark.request = NewRequestId();
+  mark.claimed = true;  // the job's own record keeps it from running twice
+  mark.team = job.team;
+  mark.route = job.route;
+  mark.traffic_class = TrafficClass::kChapter;
+  mark.idempotent = job.idempotent;
+  mark.time = WallNow();
+  HttpRequest request;
+  request.method = "POST";
+  request.path = job.path;
+  request.body = job.body;
+  request.headers = {{"Content-Type", "application/json"}};
+  auto team = view->config->teams.find(job.team);
+  if (team != view->config->teams.end()) {
+    auto route = team->second.routes.find(job.route);
+    if (route != team->second.routes.end()) mark.deadline_ms = ToMillis(route->second.deadline);
+  }
+  request.headers.emplace_back(kForwardHeader,
+                               EncodeForward(mark, BindingOf(request), context_.cluster_key));
+  try {
+    RequestSpec spec = ParseRequest(std::move(request), view, context_.cluster_key, SteadyNow());
+    context_.table->Start(context_, std::move(spec), capture);
+  } catch (const Error& error) {
+    ErrorAnswer answer{error.kind(), error.what(), Duration{0}, RequestId()};
+    SendErrorAnswer(capture.get(), answer);
+  }
+}
+
+void JobApi::OnJobAnswer(const JobSpec& job, int status, HttpHeaders headers, std::string body) {
+  bool failed = status >= 400 || body.find("data: {\"error\"") != std::string::npos;
+  if (!failed) {
+    context_.records->Finish(job.id, JobState::kFinished,
+                             StoredAnswer{status, std::move(headers), std::move(body)});
+    return;
+  }
+  json parsed = json::parse(body, nullptr, false);
+  ErrorKind kind = ErrorKind::kStreamBroken;
+  if (parsed.is_object() && parsed.contains("error") && parsed["error"].is_object()) {
+    kind = ErrorKindFromCode(parsed["error"].value("code", ""));
+  }
+  const ErrorInfo& info = LookupError(kind);
+  bool not_run = info.run == Run::kNotRun;
+  bool again = info.retry_after_ms > 0 && (not_run || job.idempotent);
+  if (again) {
+    context_.records->Requeue(job.id, not_run, WallNow() + kRequeueDelayMs);
+  } else if (not_run || info.run == Run::kRan || job.idempotent) {
+    context_.records->Finish(job.id, JobState::kFailed,
+                             StoredAnswer{status, std::move(headers), std::move(body)});
+  } else {
+    context_.records->Finish(job.id, JobState::kOutcomeUnknown, StoredAnswer());
+  }
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/src/daemon/record_store.cc
@@ -0,0 +1,191 @@
+#include "daemon/record_store.h"
+
+#include "base/event.h"
+
+namespace ebonylift {
+namespace {
+
+// A journal is compacted when it has grown by this much since the last time.
+constexpr uint64_t kCompactBytes = 64u << 20;
+
+// A snapshot of both modules: the length of the first in decimal, ':', the first, the second.
+std::string JoinSnapshots(const std::string& records, const std::string& jobs) {
+  return "S" + std::to_string(records.size()) + ":" + records + jobs;
+}
+
+}  // namespace
+
+RecordStore::RecordStore(HostId self, std::shared_ptr<Journal> journal)
+    : self_(std::move(self)), journal_(std::move(journal)) {
+  records_.self = self_;
+}
+
+void RecordStore::Recover(WallMillis now) {
+  if (!journal_) return;
+  std::lock_guard<std::mutex> lock(mutex_);
+  auto apply = [this](std::string_view entry) {
+    if (Replay(records_, entry) || Replay(jobs_, entry)) return;
+    throw Error(ErrorKind::kStorageFailed, "an entry of the record journal is malformed");
+  };
+  journal_->Replay([&](std::string_view entry, bool is_snapshot) {
+    if (!is_snapshot) {
+      apply(entry);
+      return;
+    }
+    size_t colon = entry.find(':');
+    if (entry.empty() || entry[0] != 'S' || colon == std::string_view::npos) {
+      throw Error(ErrorKind::kStorageFailed, "the snapshot of the record journal is malformed");
+    }
+    size_t size = std::stoull(std::string(entry.substr(1, colon - 1)));
+    apply(entry.substr(colon + 1, size));
+    apply(entry.substr(colon + 1 + size));
+  });
+  ReplaySummary records = FinishReplay(records_, now);
+  JobsReplaySummary jobs = FinishReplay(jobs_, now);
+  LogEvent(EventId::kRecordsRecovered, {{"records", std::to_string(records.records)},
+                                        {"unfinished", std::to_string(records.unknown)}});
+  LogEvent(EventId::kJobsRecovered,
+           {{"jobs", std::to_string(jobs.jobs)}, {"open", std::to_string(jobs.open)}});
+}
+
+void RecordStore::AppendEntry(std::string entry, Journal::Done done) {
+  if (entry.empty()) return;
+  journal_->Append(std::move(entry), std::move(done));
+}
+
+void RecordStore::Claim(const RecordKey& key, uint64_t body_hash, ClaimDone done) {
+  if (!journal_) {
+    done(ClaimResult(), ErrorKind::kOwnerUnreachable);
+    return;
+  }
+  ClaimResult result;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    result = ebonylift::Claim(records_, key, body_hash, WallNow());
+    if (result.kind == ClaimKind::kNew) {
+      AppendEntry(result.entry, [this, key, result, done](bool ok) {
+        if (!ok) Release(key, result.claim, false);
+        done(result, ok ? std::nullopt : std::optional<ErrorKind>(ErrorKind::kStorageFailed));
+      });
+      return;
+    }
+  }
+  done(result, std::nullopt);
+}
+
+bool RecordStore::MarkDispatched(const RecordKey& key, uint64_t claim) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return ebonylift::MarkDispatched(records_, key, claim);
+}
+
+void RecordStore::Complete(const RecordKey& key, uint64_t claim, StoredAnswer answer,
+                           std::function<void(bool ok)> done) {
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    std::string entry = ebonylift::Complete(records_, key, claim, std::move(answer), WallNow());
+    if (!entry.empty()) {
+      AppendEntry(std::move(entry), std::move(done));
+      return;
+    }
+  }
+  done(false);
+}
+
+void RecordStore::MarkUnknown(const RecordKey& key, uint64_t claim) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ebonylift::MarkUnknown(records_, key, claim);
+}
+
+void RecordStore::Release(const RecordKey& key, uint64_t claim, bool confirmed_not_run) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  AppendEntry(ebonylift::Release(records_, key, claim, confirmed_not_run), [](bool) {});
+}
+
+void RecordStore::Submit(JobSpec spec, SubmitDone done) {
+  JobId id = spec.id;
+  SubmitResult result;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    result = ebonylift::Submit(jobs_, std::move(spec), WallNow());
+    if (result.kind == SubmitKind::kNew) {
+      AppendEntry(result.entry, [this, id, done](bool ok) {
+        {
+          std::lock_guard<std::mutex> inner(mutex_);
+          if (ok) {
+            Accept(jobs_, id);
+          } else {
+            AppendEntry(Withdraw(jobs_, id, WallNow()), [](bool) {});
+          }
+        }
+        done(SubmitKind::kNew, ok);
+      });
+      return;
+    }
+  }
+  done(result.kind, true);
+}
+
+std::optional<Job> RecordStore::FindJob(const JobId& id) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  const Job* job = ebonylift::FindJob(jobs_, id);
+  return job == nullptr ? std::nullopt : std::optional<Job>(*job);
+}
+
+bool RecordStore::StartNext(std::function<void(std::optional<JobSpec>)> done) {
+  if (!journal_) return false;
+  std::lock_guard<std::mutex> lock(mutex_);
+  std::optional<JobId> id = Next(jobs_, WallNow());
+  if (!id) return false;
+  JobSpec spec = ebonylift::FindJob(jobs_, *id)->spec;
+  AppendEntry(MarkRunning(jobs_, *id), [this, spec, done](bool ok) {
+    constexpr WallMillis kRetryMs = 1000;
+    if (!ok) Requeue(spec.id, true, WallNow() + kRetryMs);
+    done(ok ? std::optional<JobSpec>(spec) : std::nullopt);
+  });
+  return true;
+}
+
+void RecordStore::Requeue(const JobId& id, bool not_run, WallMillis not_before) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  AppendEntry(ebonylift::Requeue(jobs_, id, not_run, not_before), [](bool) {});
+}
+
+void RecordStore::Finish(const JobId& id, JobState state, StoredAnswer result) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  std::string entry = ebonylift::Finish(jobs_, id, state, std::move(result), WallNow());
+  AppendEntry(std::move(entry), [id, state](bool) {
+    LogEvent(EventId::kJobFinished, {{"job", id.value()}, {"state", JobStateName(state)}});
+  });
+}
+
+bool RecordStore::Cancel(const JobId& id) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  std::string entry = ebonylift::Cancel(jobs_, id, WallNow());
+  if (entry.empty()) return false;
+  AppendEntry(std::move(entry), [id](bool) {
+    LogEvent(EventId::kJobCancelled, {{"job", id.value()}});
+  });
+  return true;
+}
+
+size_t RecordStore::open_jobs() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return jobs_.open;
+}
+
+void RecordStore::Tick(WallMillis now) {
+  if (!journal_) return;
+  std::lock_guard<std::mutex> lock(mutex_);
+  Expire(records_, now);
+  Expire(jobs_, now);
+  if (compacting_ || journal_->SizeBytes() < size_after_compaction_ + kCompactBytes) return;
+  compacting_ = true;
+  journal_->Compact(JoinSnapshots(EncodeSnapshot(records_), EncodeSnapshot(jobs_)),
+                    [this](bool /*ok*/) {
+                      std::lock_guard<std::mutex> inner(mutex_);
+                      compacting_ = false;
+                      size_after_compaction_ = journal_->SizeBytes();
+                    });
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/src/daemon/serve.cc
@@ -0,0 +1,191 @@
+#include "daemon/serve.h"
+
+#include <glog/logging.h>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <iostream>
+#include <memory>
+#include <random>
+
+#include "adapters/file_journal.h"
+#include "base/error.h"
+#include "base/event.h"
+#include "daemon/control.h"
+#include "daemon/dispatcher.h"
+#include "daemon/record_store.h"
+#include "daemon/settings.h"
+#include "daemon/traffic.h"
+
+namespace ebonylift {
+namespace {
+
+// Callers with a list of entry hosts that is still valid may connect during this time.
+constexpr Duration kDrainGrace = milliseconds(1500);
+constexpr Duration kDrainPoll = milliseconds(20);
+// Sockets get this time to deliver the last answers after the last request has ended.
+constexpr Duration kFlushTime = milliseconds(200);
+
+// Runs the daemon's main thread: signals and the stages of the shutdown.
+class Daemon {
+ public:
+  explicit Daemon(const Settings& settings) : settings_(settings), signals_(io_), timer_(io_) {}
+
+  int Run() {
+    SetEventHost(settings_.host.value());
+    LogEvent(EventId::kStarted, {{"http_address", settings_.http_address},
+                                 {"peer_address", settings_.peer_address},
+                                 {"region", settings_.region.value()},
+                                 {"domain", settings_.domain.value()}});
+    started_ = SteadyNow();
+    OpenState();
+    StartThreads();
+    signals_.add(SIGTERM);
+    signals_.add(SIGINT);
+    signals_.async_wait([this](const asio::error_code& error, int /*signal*/) {
+      if (!error) BeginDrain("signal");
+    });
+    WaitForConfiguration();
+    io_.run();
+    traffic_->Stop();
+    control_.reset();
+    return exit_code_;
+  }
+
+ private:
+  void OpenState() {
+    std::shared_ptr<Journal> journal;
+    if (!settings_.data_dir.empty()) journal = OpenFileJournal(settings_.data_dir + "/records");
+    records_ = std::make_unique<RecordStore>(settings_.host, journal);
+    records_->Recover(WallNow());
+  }
+
+  void StartThreads() {
+    std::random_device seed;
+    ControlOptions options = MakeControlOptions();
+    control_ = StartControl(options);
+    dispatcher_ = std::make_unique<Dispatcher>(control_.get(), RoutingPolicy::kCost, seed());
+    ready_dispatcher_ = dispatcher_.get();
+    TrafficOptions traffic;
+    traffic.settings = settings_;
+    traffic.control = control_.get();
+    traffic.dispatcher = dispatcher_.get();
+    traffic.records = records_.get();
+    traffic.start_drain = [this] { asio::post(io_, [this] { BeginDrain("operator"); }); };
+    traffic_ = std::make_unique<Traffic>(traffic);
+    traffic_->Start();
+  }
+
+  ControlOptions MakeControlOptions() {
+    ControlOptions options;
+    options.self = Identity{settings_.host, settings_.region, settings_.domain};
+    options.incarnation = static_cast<uint64_t>(WallNow());
+    options.http_address = settings_.advertise_address;
+    options.peer_address = settings_.peer_address;
+    options.has_disk = !settings_.data_dir.empty();
+    for (const PeerSetting& peer : settings_.peers) {
+      ControlPeer known;
+      known.identity = Identity{peer.host, peer.region, peer.domain};
+      known.rpc_address = peer.rpc_address;
+      known.http_address = peer.http_address;
+      known.has_disk = peer.has_disk;
+      options.peers.push_back(known);
+    }
+    options.voters = settings_.voters;
+    options.cluster_key = settings_.cluster_key;
+    options.data_folder = settings_.data_dir;
+    options.on_suspect = [this](uint64_t content, const ServerId& server, bool alone,
+                                bool cleared) {
+      Dispatcher* dispatcher = ready_dispatcher_;
+      if (dispatcher != nullptr) dispatcher->OnRemoteSuspect(content, server, alone, cleared);
+    };
+    return options;
+  }
+
+  void WaitForConfiguration() {
+    uint64_t revision = control_->View()->config->revision;
+    if (revision > 0) {
+      LogEvent(EventId::kReady, {{"revision", std::to_string(revision)},
+                                 {"ms", std::to_string(ToMillis(SteadyNow() - started_))}});
+      return;
+    }
+    After(kDrainPoll, [this] {
+      if (!draining_) WaitForConfiguration();
+    });
+  }
+
+  void BeginDrain(const std::string& reason) {
+    if (draining_) return;
+    draining_ = true;
+    drain_started_ = SteadyNow();
+    LogEvent(EventId::kDrainStarted,
+             {{"reason", reason}, {"open", std::to_string(traffic_->open_requests())}});
+    control_->StartDrain();
+    traffic_->BeginDrain();
+    After(kDrainGrace, [this] {
+      traffic_->StopAccepting();
+      WaitForRequests();
+    });
+  }
+
+  void WaitForRequests() {
+    bool late = SteadyNow() - drain_started_ > settings_.drain_timeout;
+    if (traffic_->open_requests() > 0 && !late) {
+      After(kDrainPoll, [this] { WaitForRequests(); });
+      return;
+    }
+    exit_code_ = late ? 1 : 0;
+    After(kFlushTime, [this] {
+      LogEvent(EventId::kStopped, {{"ms", std::to_string(ToMillis(SteadyNow() - drain_started_))}});
+      io_.stop();
+    });
+  }
+
+  void After(Duration delay, std::function<void()> fn) {
+    timer_.expires_after(delay);
+    timer_.async_wait([fn = std::move(fn)](const asio::error_code& error) {
+      if (!error) fn();
+    });
+  }
+
+  const Settings settings_;
+  asio::io_context io_;
+  asio::signal_set signals_;
+  asio::steady_timer timer_;
+  std::unique_ptr<RecordStore> records_;
+  std::unique_ptr<ControlPort> control_;
+  std::unique_ptr<Dispatcher> dispatcher_;
+  std::atomic<Dispatcher*> ready_dispatcher_{nullptr};
+  std::unique_ptr<Traffic> traffic_;
+  Time started_;
+  Time drain_started_;
+  bool draining_ = false;
+  int exit_code_ = 0;
+};
+
+}  // namespace
+
+int RunServe(const std::vector<std::string>& args) {
+  std::vector<SettingIssue> issues;
+  Settings settings = ReadSettings(&issues);
+  std::vector<SettingIssue> checks = CheckSettings(settings);
+  issues.insert(issues.end(), checks.begin(), checks.end());
+  for (const std::string& argument : args) {
+    issues.push_back({"argument", argument, "none"});
+  }
+  for (const SettingIssue& issue : issues) {
+    LogEvent(EventId::kSettingsRefused,
+             {{"key", issue.key}, {"value", issue.value}, {"allowed", issue.allowed}});
+  }
+  if (!issues.empty()) return 2;
+  try {
+    return Daemon(settings).Run();
+  } catch (const Error& error) {
+    LOG(ERROR) << "the daemon cannot start: " << error.what();
+    return 1;
+  }
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/src/daemon/traffic.cc
@@ -0,0 +1,305 @@
+#include "daemon/traffic.h"
+
+#include <glog/logging.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "adapters/http_client.h"
+#include "adapters/http_server.h"
+#include "base/event.h"
+#include "base/hash.h"
+#include "core/entry_list.h"
+#include "daemon/announce.h"
+#include "daemon/exchange.h"
+#include "daemon/job_api.h"
+#include "daemon/operator_api.h"
+
+namespace ebonylift {
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kTickPeriod = milliseconds(20);
+constexpr Duration kRecordsPeriod = seconds(1);
+constexpr Duration kDirectoryPeriod = seconds(2);
+constexpr size_t kMaxRequestBytes = 8u << 20;
+// A host whose queue holds this many requests asks callers to use others.
+constexpr size_t kOverloadQueue = 500;
+
+json EntryListJson(const EntryList& list) {
+  json hosts = json::array();
+  for (const EntryHost& host : list.hosts) {
+    hosts.push_back({{"host", host.host.value()},
+                     {"address", host.address},
+                     {"region", host.region.value()},
+                     {"domain", host.domain.value()},
+                     {"weight", host.weight}});
+  }
+  return {{"ttl_ms", ToMillis(list.ttl)}, {"hosts", hosts}};
+}
+
+}  // namespace
+
+class TrafficThread {
+ public:
+  TrafficThread(const TrafficOptions& options, size_t index, const std::atomic<bool>* draining)
+      : options_(options),
+        index_(index),
+        draining_(draining),
+        work_(asio::make_work_guard(io_)),
+        client_(MakeHttpClient(io_)),
+        context_(MakeContext()),
+        jobs_(context_),
+        tick_timer_(io_) {
+    HttpLimits limits;
+    limits.max_body_bytes = kMaxRequestBytes;
+    server_ =
+        StartHttpServer(io_, options_.settings.http_address, limits,
+                        [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+                          Handle(std::move(request), std::move(responder));
+                        });
+  }
+
+  void Start() {
+    asio::post(io_, [this] { Tick(); });
+    thread_ = std::thread([this] { RunLoop(); });
+  }
+
+  void BeginDrain() {
+    asio::post(io_, [this] { server_->CloseAfterResponse(); });
+  }
+  void StopAccepting() {
+    asio::post(io_, [this] { server_->StopAccepting(); });
+  }
+  size_t open_requests() const { return table_.size(); }
+
+  void Stop() {
+    io_.stop();
+    if (thread_.joinable()) thread_.join();
+  }
+
+ private:
+  ExchangeContext MakeContext() {
+    ExchangeContext context;
+    context.io = &io_;
+    context.client = client_.get();
+    context.dispatcher = options_.dispatcher;
+    context.records = options_.records;
+    context.control = options_.control;
+    context.cluster_key = options_.settings.cluster_key;
+    context.table = &table_;
+    return context;
+  }
+
+  void RunLoop() {
+    try {
+      io_.run();
+    } catch (const std::exception& error) {
+      // The state of the requests of this thread is unknown, so the process ends and restarts.
+      LogEvent(EventId::kThreadFailed,
+               {{"thread", "traffic " + std::to_string(index_)}, {"error", error.what()}});
+      LOG(FATAL) << "a traffic thread failed: " << error.what();
+    }
+  }
+
+  void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+    try {
+      Route(std::move(request), responder);
+    } catch (const Error& error) {
+      if (error.kind() == ErrorKind::kForwardRefused) {
+        LogEvent(EventId::kForwardRejected, {{"reason", error.what()}});
+      }
+      SendErrorAnswer(responder.get(), {error.kind(), error.what(), Duration{0}, RequestId()});
+    } catch (const json::exception& error) {
+      SendErrorAnswer(responder.get(), {ErrorKind::kBadRequest, "the JSON has an unexpected type",
+                                        Duration{0}, RequestId()});
+    }
+  }
+
+  void Route(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+    const std::string& path = request.path;
+    if (path == "/v1/chat/completions" || path == "/v1/completions") {
+      if (request.method != "POST") throw Error(ErrorKind::kMethodNotAllowed, request.method);
+      StartExchange(std::move(request), responder);
+    } else if (path.rfind("/svc/", 0) == 0) {
+      StartExchange(std::move(request), responder);
+    } else if (path == "/v1/backend-servers/announce") {
+      Announce(request, responder);
+    } else if (path.rfind("/admin/v1/", 0) == 0) {
+      OperatorApiOptions operators{options_.control, options_.settings.operator_token_sha256,
+                                   options_.start_drain};
+      HandleOperatorRequest(io_, operators, std::move(request), responder);
+    } else if (path == "/v1/jobs" || path.rfind("/v1/jobs/", 0) == 0) {
+      jobs_.Handle(std::move(request), responder);
+    } else if (path == "/v1/models") {
+      ListModels(request, responder.get());
+    } else if (path == "/v1/entry-hosts") {
+      ListEntryHosts(request, responder.get());
+    } else if (path == "/healthz") {
+      SendJson(responder.get(), 200, {{"status", "ok"}});
+    } else if (path == "/readyz") {
+      AnswerReady(responder.get());
+    } else {
+      throw Error(ErrorKind::kUnknownPath, request.method + " " + path);
+    }
+  }
+
+  void StartExchange(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+    RequestSpec spec = ParseRequest(std::move(request), options_.control->View(),
+                                    options_.settings.cluster_key, SteadyNow());
+    table_.Start(context_, std::move(spec), responder);
+  }
+
+  void Announce(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+    std::string want = "Bearer " + options_.settings.platform_token;
+    if (!ConstantTimeEqual(FindHeader(request.headers, "authorization"), want)) {
+      throw Error(ErrorKind::kUnauthorized, "the platform token is wrong");
+    }
+    Announcement announcement = ParseAnnouncement(request.body);
+    options_.control->Announce(announcement, [this, responder](std::optional<Error> error) {
+      asio::post(io_, [responder, error] {
+        if (error) {
+          SendErrorAnswer(responder.get(),
+                          {error->kind(), error->what(), Duration{0}, RequestId()});
+        } else {
+          SendJson(responder.get(), 200, {{"accepted", true}});
+        }
+      });
+    });
+  }
+
+  void ListModels(const HttpRequest& request, HttpResponder* responder) {
+    std::shared_ptr<const RoutingView> view = options_.control->View();
+    TeamId team = AuthenticateTeam(request.headers, *view->config);
+    json models = json::array();
+    auto found = view->config->teams.find(team);
+    if (found != view->config->teams.end()) {
+      for (const auto& [id, route] : found->second.routes) {
+        if (route.kind != ServerKind::kModel) continue;
+        models.push_back({{"id", route.model.value()},
+                          {"object", "model"},
+                          {"created", 0},
+                          {"owned_by", team.value()}});
+      }
+    }
+    SendJson(responder, 200, {{"object", "list"}, {"data", models}});
+  }
+
+  void ListEntryHosts(const HttpRequest& request, HttpResponder* responder) {
+    std::shared_ptr<const RoutingView> view = options_.control->View();
+    TeamId team = AuthenticateTeam(request.headers, *view->config);
+    auto found = view->config->teams.find(team);
+    std::vector<RegionId> allowed;
+    if (found != view->config->teams.end()) allowed = found->second.regions;
+    RegionId region(QueryValue(request.query, "region"));
+    uint64_t spread = Hash64(request.remote_address);
+    SendJson(responder, 200, EntryListJson(EntryHosts(*view, allowed, region, spread)));
+  }
+
+  void AnswerReady(HttpResponder* responder) {
+    if (*draining_) throw Error(ErrorKind::kDraining, "");
+    uint64_t revision = options_.control->View()->config->revision;
+    if (revision == 0) throw Error(ErrorKind::kNotReady, "");
+    SendJson(responder, 200, {{"status", "ready"}, {"revision", revision}});
+  }
+
+  void Tick() {
+    tick_timer_.expires_after(kTickPeriod);
+    tick_timer_.async_wait([this](const asio::error_code& error) {
+      if (!error) Tick();
+    });
+    if (index_ != 0) return;
+    Time now = SteadyNow();
+    std::shared_ptr<const RoutingView> view = options_.control->View();
+    if (view != last_view_) {
+      last_view_ = view;
+      options_.dispatcher->OnView(view, now);
+    }
+    options_.dispatcher->Tick(now);
+    UpdateOverload();
+    if (!*draining_ && view->config->revision > 0) jobs_.RunPending();
+    if (now >= next_records_) {
+      next_records_ = now + kRecordsPeriod;
+      options_.records->Tick(WallNow());
+    }
+    if (!options_.settings.directory_address.empty() && now >= next_directory_) {
+      next_directory_ = now + kDirectoryPeriod;
+      PublishEntryHosts(*view);
+    }
+  }
+
+  void UpdateOverload() {
+    bool overloaded = options_.dispatcher->Stats().queued >= kOverloadQueue;
+    if (overloaded == overloaded_) return;
+    overloaded_ = overloaded;
+    options_.control->SetOverloaded(overloaded);
+  }
+
+  // A failed publication is repeated with the next one.
+  void PublishEntryHosts(const RoutingView& view) {
+    std::vector<RegionId> all;
+    for (const auto& [id, region] : view.config->regions) all.push_back(id);
+    HttpCall call;
+    call.method = "PUT";
+    call.url = "http://" + options_.settings.directory_address + "/directory/entry-hosts";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = EntryListJson(EntryHosts(view, all, RegionId())).dump();
+    call.timeout = kDirectoryPeriod;
+    client_->Start(std::move(call));
+  }
+
+  const TrafficOptions options_;
+  const size_t index_;
+  const std::atomic<bool>* const draining_;
+  asio::io_context io_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  std::unique_ptr<HttpClient> client_;
+  ExchangeTable table_;
+  ExchangeContext context_;
+  JobApi jobs_;
+  std::unique_ptr<HttpServer> server_;
+  asio::steady_timer tick_timer_;
+  std::shared_ptr<const RoutingView> last_view_;
+  Time next_records_;
+  Time next_directory_;
+  bool overloaded_ = false;
+  std::thread thread_;
+};
+
+Traffic::Traffic(const TrafficOptions& options) {
+  for (int i = 0; i < options.settings.traffic_threads; ++i) {
+    threads_.push_back(
+        std::make_unique<TrafficThread>(options, static_cast<size_t>(i), &draining_));
+  }
+}
+
+Traffic::~Traffic() { Stop(); }
+
+void Traffic::Start() {
+  for (auto& thread : threads_) thread->Start();
+}
+
+void Traffic::BeginDrain() {
+  draining_ = true;
+  for (auto& thread : threads_) thread->BeginDrain();
+}
+
+void Traffic::StopAccepting() {
+  for (auto& thread : threads_) thread->StopAccepting();
+}
+
+size_t Traffic::open_requests() const {
+  size_t open = 0;
+  for (const auto& thread : threads_) open += thread->open_requests();
+  return open;
+}
+
+void Traffic::Stop() {
+  for (auto& thread : threads_) thread->Stop();
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/src/daemon/traffic.h
@@ -0,0 +1,58 @@
+#ifndef EBONYLIFT_DAEMON_TRAFFIC_H_
+#define EBONYLIFT_DAEMON_TRAFFIC_H_
+
+// The traffic threads: each runs one HTTP server, one HTTP client and the exchanges of its
+// requests. Thread 0 also drives the timers of the shared state: queue deadlines, jobs, the client
+// directory.
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "daemon/dispatcher.h"
+#include "daemon/record_store.h"
+#include "daemon/settings.h"
+#include "ports/control_port.h"
+
+namespace ebonylift {
+
+class TrafficThread;
+
+struct TrafficOptions {
+  Settings settings;
+  ControlPort* control = nullptr;
+  Dispatcher* dispatcher = nullptr;
+  RecordStore* records = nullptr;
+  std::function<void()> start_drain;  // thread safe
+};
+
+class Traffic {
+ public:
+  // Binds the addresses; throws Error(kInternal) when one is taken. The pointers outlive the
+  // object.
+  explicit Traffic(const TrafficOptions& options);
+  ~Traffic();
+  Traffic(const Traffic&) = delete;
+  Traffic& operator=(const Traffic&) = delete;
+
+  // Starts the threads.
+  void Start();
+
+  // Graceful shutdown, in this order; each is thread safe and returns at once.
+  void BeginDrain();     // responses ask callers to close; no new jobs start; /readyz refuses
+  void StopAccepting();  // new connections are refused
+  size_t open_requests() const;
+
+  // Ends the threads and waits for them.
+  void Stop();
+
+ private:
+  std::vector<std::unique_ptr<TrafficThread>> threads_;
+  std::atomic<bool> draining_{false};
+};
+
+}  // namespace ebonylift
+
+#endif  // EBONYLIFT_DAEMON_TRAFFIC_H_
--- /dev/null
+++ b/tests/settings_test.cc
@@ -0,0 +1,70 @@
+#define BOOST_TEST_MODULE settings
+#include "daemon/settings.h"
+
+#include <boost/test/included/unit_test.hpp>
+#include <functional>
+
+namespace ebonylift {
+namespace {
+
+Settings Valid() {
+  Settings settings;
+  settings.host = HostId("este-1");
+  settings.region = RegionId("este");
+  settings.domain = DomainId("este-a");
+  settings.http_address = "127.0.0.1:8080";
+  settings.advertise_address = "127.0.0.1:8080";
+  settings.peer_address = "127.0.0.1:8081";
+  settings.voters = {HostId("este-1")};
+  settings.data_dir = "data";
+  settings.cluster_key = "0123456789abcdef";
+  settings.platform_token = "token";
+  settings.operator_token_sha256 = std::string(64, 'a');
+  return settings;
+}
+
+}  // namespace
+
+// Guards against a daemon that starts with a setting that can only fail later.
+BOOST_AUTO_TEST_CASE(EachWrongSettingNamesItsKey) {
+  BOOST_TEST(CheckSettings(Valid()).empty());
+  struct Case {
+    const char* key;
+    std::function<void(Settings*)> change;
+  };
+  const Case cases[] = {
+      {"host", [](Settings* s) { s->host = HostId("Este 1"); }},
+      {"region", [](Settings* s) { s->region = RegionId(""); }},
+      {"domain", [](Settings* s) { s->domain = DomainId("a;b"); }},
+      {"http_address", [](Settings* s) { s->http_address = "localhost:80"; }},
+      {"peer_address", [](Settings* s) { s->peer_address = "127.0.0.1:70000"; }},
+      {"directory_address", [](Settings* s) { s->directory_address = "x"; }},
+      {"cluster_key", [](Settings* s) { s->cluster_key = "short"; }},
+      {"platform_token", [](Settings* s) { s->platform_token = ""; }},
+      {"operator_token_sha256", [](Settings* s) { s->operator_token_sha256 = "abc"; }},
+      {"traffic_threads", [](Settings* s) { s->traffic_threads = 0; }},
+      {"drain_timeout_s", [](Settings* s) { s->drain_timeout = seconds(0); }},
+      {"voters", [](Settings* s) { s->voters.clear(); }},
+      {"voters", [](Settings* s) { s->voters = {HostId("unknown")}; }},
+      {"data_dir", [](Settings* s) { s->data_dir = ""; }},
+      {"peers",
+       [](Settings* s) {
+         s->peers.push_back(
+             {HostId("este-1"), DomainId("d"), RegionId("r"), "127.0.0.1:1", "127.0.0.1:2", false});
+       }},
+      {"peers",
+       [](Settings* s) {
+         s->peers.push_back(
+             {HostId("b"), DomainId("d"), RegionId("r"), "host:1", "127.0.0.1:2", false});
+       }},
+  };
+  for (const Case& item : cases) {
+    Settings settings = Valid();
+    item.change(&settings);
+    std::vector<SettingIssue> issues = CheckSettings(settings);
+    BOOST_REQUIRE(issues.size() >= 1);
+    BOOST_TEST(issues[0].key == item.key);
+  }
+}
+
+}  // namespace ebonylift
