--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -40,8 +40,9 @@
   size_t max_header_bytes = 16 << 10;  // one header value
   size_t max_headers = 100;
   size_t max_body_bytes = 8 << 20;
-  Duration read_timeout = seconds(10);  // for one whole message and for an idle connection
-  size_t max_connections = 4096;
+  Duration read_timeout = seconds(10);   // for one whole message and for an idle connection
+  size_t max_connections = 4096;         // one more gets `overloaded` and is closed
+  Duration write_timeout = seconds(60);  // for one write; a caller that reads nothing is closed
 };
 
 // The response to one request: either one Send(), or Begin(), any number of Write(), End().
