--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -15,6 +15,9 @@
 constexpr Duration kCancelTimeout = milliseconds(300);
 constexpr Duration kConnectTimeout = milliseconds(1000);
 constexpr int kMaxResumes = 3;
+constexpr Duration kWatchPeriod = milliseconds(250);
+// A server that stopped announcing and sent nothing for this long is given up for idempotent work.
+constexpr Duration kSilentServer = milliseconds(1500);
 
 bool Has(const std::vector<std::string>& list, const char* value) {
   return std::find(list.begin(), list.end(), value) != list.end();
@@ -88,7 +91,8 @@
       context_(context),
       spec_(std::move(spec)),
       responder_(std::move(responder)),
-      timer_(*context.io) {
+      timer_(*context.io),
+      watch_timer_(*context.io) {
   attempts_.id = spec_.id;
 }
 
@@ -420,6 +424,37 @@
   HttpCall call = NewCall(url, attempt_);
   call.headers = BackendHeaders();
   call_ = context_.client->Start(std::move(call));
+  last_byte_ = now;
+  if (spec_.idempotent) WatchServer(attempt_);
+}
+
+void Exchange::WatchServer(uint32_t attempt) {
+  watch_timer_.expires_after(kWatchPeriod);
+  ExchangeTable* table = context_.table;
+  watch_timer_.async_wait([table, attempt, id = id_](const asio::error_code& error) {
+    if (error) return;
+    if (Exchange* exchange = table->Find(id)) exchange->OnWatch(attempt);
+  });
+}
+
+// A frozen server keeps its connections open, so idempotent work would wait until its deadline.
+void Exchange::OnWatch(uint32_t attempt) {
+  if (attempt != attempt_ || !server_) return;
+  std::shared_ptr<const RoutingView> view = context_.control->View();
+  const Attempt* open = FindAttempt(attempts_, attempt);
+  bool live = false;
+  for (const BackendServer& server : view->servers) {
+    live = live || (server.announced.id == *server_ && server.expires_at > SteadyNow() &&
+                    server.announced.incarnation == open->incarnation);
+  }
+  bool silent = SteadyNow() - last_byte_ > kSilentServer;
+  if (live || !silent) {
+    WatchServer(attempt);
+    return;
+  }
+  CancelAttempt();
+  OnAttemptFailed(CallResult{CallOutcome::kTimedOut, 0, "the server stopped announcing", false},
+                  ebonylift::Run::kMayHaveRun);
 }
 
 void Exchange::Forward(const HostEntry& host, bool crosses, const DomainId& domain) {
@@ -509,6 +544,7 @@
              {{"request_id", spec_.id.value()}, {"attempt", std::to_string(attempt)}});
     return true;
   }
+  last_byte_ = SteadyNow();
   if (responder_ && streaming_ && responder_->PendingBytes() > kMaxPendingBytes) {
     paused_ = true;
     return false;
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -83,6 +83,8 @@
   void CheckServerLost(const CallResult& result, ebonylift::Run run);
   void RetryOrRefuse(ebonylift::Run run);
   bool TryResume();
+  void WatchServer(uint32_t attempt);
+  void OnWatch(uint32_t attempt);
 
   // Ends.
   void Deliver();
@@ -112,6 +114,8 @@
   RequestSpec spec_;
   std::shared_ptr<HttpResponder> responder_;  // null after the caller has gone
   asio::steady_timer timer_;
+  asio::steady_timer watch_timer_;
+  Time last_byte_;  // of the open attempt
 
   bool admitted_ = false;
   bool waiting_ = false;
