Add routing: residency, hop limits, cost choice, ejection and prefix index

Decided: the prefix group and the other servers each offer the cheaper of two random servers and the cheaper of both is taken, so a full prefix group does not attract more work. Slow start leaves a new server out of a shrinking share of the choices. A forwarded request is forwarded again only when no server here can run it. While suspects wait, all hosts keep the same server of a model free, because under load no server becomes idle by chance.

Ruled out: a share of ejected servers per model; with 3 servers of a model it would eject none. Instead the share counts all live servers and ejection is ignored when it leaves nothing.

--- /dev/null
+++ b/bench/routing_bench.cc
@@ -0,0 +1,81 @@
+// Time of one Choose() with its OnDispatch() and OnServerOutcome(), by number of servers.
+// Build with -DCMAKE_BUILD_TYPE=Release.
+
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+#include "core/routing.h"
+
+namespace ebonylift {
+namespace {
+
+constexpr int kRounds = 20'000;
+constexpr int kPrefixFamilies = 200;
+constexpr size_t kBlocks = 16;
+
+RoutingView MakeView(int servers, Time now) {
+  RoutingView view;
+  view.self = {HostId("entry-host-01"), RegionId("este"), DomainId("este-a")};
+  view.config = std::make_shared<ConfigView>();
+  for (int i = 0; i < servers; ++i) {
+    char id[32];
+    std::snprintf(id, sizeof(id), "este-a-engine-%05d", i);
+    BackendServer server;
+    server.announced.id = ServerId(id);
+    server.announced.incarnation = 1;
+    server.announced.domain = view.self.domain;
+    server.announced.region = view.self.region;
+    server.announced.models = {{ModelId("trail-summaries"), {}, "1"}};
+    server.announced.load.slots = 32;
+    server.announced.load.running = i % 24;
+    server.first_seen = now - seconds(100);
+    server.reported_at = now;
+    server.expires_at = now + seconds(1'000);
+    view.servers.push_back(server);
+  }
+  return view;
+}
+
+void Measure(int servers, RoutingPolicy policy, const char* name) {
+  Time now = SteadyNow();
+  RoutingView view = MakeView(servers, now);
+  RouteConfig route;
+  route.model = ModelId("trail-summaries");
+  route.regions = {view.self.region};
+  LocalLoad load;
+  load.policy = policy;
+  std::mt19937_64 rng(1);
+  Duration choosing{0};
+  Time start = SteadyNow();
+  for (int i = 0; i < kRounds; ++i) {
+    RouteQuery query;
+    query.route = &route;
+    query.allowed_regions = route.regions;
+    query.prompt_tokens = 2'500;
+    query.deadline = now + seconds(1'000);
+    for (size_t block = 0; block < kBlocks; ++block) {
+      query.prefix_hashes.push_back((i % kPrefixFamilies) * 1'000 + block + 1);
+    }
+    Choice choice = Choose(query, view, load, now, rng);
+    if (choice.kind != ChoiceKind::kLocal) std::abort();
+    OnDispatch(load, query, choice.server, choice.incarnation, now);
+    OnServerOutcome(load, view, choice.server, now, ServerOutcome::kOk, now + seconds(1));
+  }
+  choosing = SteadyNow() - start;
+  std::printf("%-14s %5d servers: %7.2f us per request\n", name, servers,
+              static_cast<double>(choosing.count()) / kRounds);
+}
+
+}  // namespace
+}  // namespace ebonylift
+
+int main() {
+  using ebonylift::RoutingPolicy;
+  for (int servers : {12, 120, 1'000}) {
+    ebonylift::Measure(servers, RoutingPolicy::kCost, "cost");
+    ebonylift::Measure(servers, RoutingPolicy::kPowerOfTwo, "power_of_two");
+    ebonylift::Measure(servers, RoutingPolicy::kRoundRobin, "round_robin");
+  }
+  return 0;
+}
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -33,6 +33,7 @@
 constexpr Duration kSuspectTtl = seconds(3600);
 constexpr size_t kMaxLosses = 4'096;
 constexpr Duration kSameLoss = seconds(5);
+constexpr Duration kSetAside = seconds(60);
 
 enum class PoisonVerdict {
   kClear,
@@ -79,6 +80,10 @@
 // What to do with a content that is about to be dispatched.
 PoisonVerdict Verdict(const Poison& poison, uint64_t content, Time now);
 
+// Until when a server is kept free for suspects: kSetAside after the newest loss. A copy goes to
+// LocalLoad::set_aside_until of routing.h.
+Time SetAsideUntil(const Poison& poison);
+
 // Drops what has expired. Returns how many contents.
 size_t Expire(Poison& poison, Time now);
 
--- /dev/null
+++ b/src/core/routing.cc
@@ -0,0 +1,660 @@
+#include "core/routing.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "base/hash.h"
+
+namespace ebonylift {
+namespace {
+
+constexpr double kInfinity = std::numeric_limits<double>::infinity();
+constexpr double kServiceSmoothing = 0.2;  // weight of the newest service time
+
+double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+template <typename T>
+bool Contains(const std::vector<T>& values, const T& value) {
+  return std::find(values.begin(), values.end(), value) != values.end();
+}
+
+Choice Refuse(ErrorKind error) {
+  Choice choice;
+  choice.kind = ChoiceKind::kRefuse;
+  choice.error = error;
+  choice.retry_after = milliseconds(LookupError(error).retry_after_ms);
+  return choice;
+}
+
+bool RegionAllowed(const RouteQuery& query, const RegionId& region) {
+  return !region.empty() && Contains(query.allowed_regions, region) &&
+         Contains(query.route->regions, region);
+}
+
+// False when the configuration lists the failure domains of the region and this one is not among
+// them: a host that claims the wrong region must not get the region's data.
+bool DomainBelongs(const RoutingView& view, const DomainId& domain, const RegionId& region) {
+  if (view.config == nullptr) return false;
+  auto found = view.config->regions.find(region);
+  if (found == view.config->regions.end() || found->second.domains.empty()) return true;
+  return Contains(found->second.domains, domain);
+}
+
+const std::string& Served(const RouteConfig& route) {
+  return route.kind == ServerKind::kModel ? route.model.value() : route.service;
+}
+
+bool ServesModel(const Announcement& server, const RouteConfig& route) {
+  for (const ServedModel& model : server.models) {
+    if (model.name != route.model) continue;
+    if (!route.version.empty() && model.version != route.version) continue;
+    if (route.adapter.empty() || Contains(model.adapters, route.adapter)) return true;
+  }
+  return false;
+}
+
+int SentSince(const ServerUse& use, Time since) {
+  return static_cast<int>(use.sent.end() -
+                          std::upper_bound(use.sent.begin(), use.sent.end(), since));
+}
+
+// Seconds until a new request starts, given how many are there already.
+double WaitSeconds(int present, int slots, double service_s) {
+  if (present < slots) return 0;
+  return (present - slots + 1) * service_s / slots;
+}
+
+struct Candidate {
+  const BackendServer* server = nullptr;
+  const ServerUse* use = nullptr;  // null: never used by this host
+  int present = 0;                 // reported, plus sent since the report
+  int sent = 0;
+  int slots = 1;
+  int64_t hit_tokens = 0;
+  double fill() const { return static_cast<double>(present) / slots; }
+};
+
+double ServiceSeconds(const ServerUse* use) {
+  if (use == nullptr || use->mean_service == Duration::zero()) return Seconds(kDefaultService);
+  return Seconds(use->mean_service);
+}
+
+double PrefillSeconds(int64_t tokens) {
+  return static_cast<double>(std::max<int64_t>(tokens, 0)) / kPrefillTokensPerSecond;
+}
+
+double Cost(const RouteQuery& query, const Candidate& candidate) {
+  double wait = WaitSeconds(candidate.present, candidate.slots, ServiceSeconds(candidate.use));
+  wait += PrefillSeconds(candidate.server->announced.load.prefill_tokens_waiting);
+  // What was sent since the report is taken to be as long as this request.
+  wait += candidate.sent * PrefillSeconds(query.prompt_tokens);
+  double service = PrefillSeconds(query.prompt_tokens - candidate.hit_tokens);
+  return query.route->weight_latency * wait + query.route->weight_cost * service;
+}
+
+// Longest predicted hit of each prefix cache that holds a part of the prompt.
+struct CacheHit {
+  uint32_t cache_id;
+  int64_t tokens;
+};
+
+std::vector<CacheHit> PredictHits(const RouteQuery& query, const LocalLoad& load, Time now) {
+  std::vector<CacheHit> hits;
+  size_t count = std::min(query.prefix_hashes.size(), kMaxPrefixHashes);
+  for (size_t i = count; i-- > 0;) {
+    auto found = load.prefixes.holders.find(query.prefix_hashes[i]);
+    if (found == load.prefixes.holders.end()) continue;
+    int64_t tokens =
+        std::min(static_cast<int64_t>(i + 1) * kPrefixBlockTokens, query.prompt_tokens);
+    for (const PrefixHolder& holder : found->second) {
+      if (holder.cache_id == 0 || holder.expires_at <= now) continue;
+      bool known = std::any_of(hits.begin(), hits.end(), [&](const CacheHit& hit) {
+        return hit.cache_id == holder.cache_id;
+      });
+      if (!known) hits.push_back({holder.cache_id, tokens});
+    }
+  }
+  return hits;
+}
+
+int64_t HitOf(const std::vector<CacheHit>& hits, const Candidate& candidate) {
+  if (hits.empty() || candidate.use == nullptr) return 0;
+  if (candidate.use->incarnation != candidate.server->announced.incarnation) return 0;
+  for (const CacheHit& hit : hits) {
+    if (hit.cache_id == candidate.use->cache_id) return hit.tokens;
+  }
+  return 0;
+}
+
+// The local servers that can run the request, in groups of decreasing preference.
+struct LocalServers {
+  std::vector<Candidate> open;     // have room
+  std::vector<Candidate> warming;  // have room, left out this time by slow start
+  std::vector<Candidate> ejected;  // have room, ejected
+  int healthy = 0;                 // not ejected, with room or not
+  int known = 0;                   // not avoided
+  int slots = 0;
+  double service_s = 0;  // sum over the known
+};
+
+bool Idle(const Candidate& candidate) {
+  const ServerLoad& report = candidate.server->announced.load;
+  return report.running + report.waiting == 0 && candidate.present == 0;
+}
+
+bool HasRoom(const Candidate& candidate) {
+  int backlog = std::max(1, static_cast<int>(candidate.slots * kServerBacklogShare));
+  return candidate.present < candidate.slots + backlog;
+}
+
+bool Ejected(const Candidate& candidate, Time now) {
+  return candidate.use != nullptr && now < candidate.use->ejected_until &&
+         candidate.use->incarnation == candidate.server->announced.incarnation;
+}
+
+// A new server takes part in a share of the choices that grows to all over kSlowStart.
+bool PassesSlowStart(const BackendServer& server, Time now, std::mt19937_64& rng) {
+  Duration age = now - server.first_seen;
+  if (age >= kSlowStart) return true;
+  return std::uniform_real_distribution<double>(0, 1)(rng) < Seconds(age) / Seconds(kSlowStart);
+}
+
+Candidate MakeCandidate(const BackendServer& server, const LocalLoad& load) {
+  Candidate candidate;
+  candidate.server = &server;
+  auto found = load.servers.find(server.announced.id);
+  const ServerLoad& report = server.announced.load;
+  candidate.slots = std::max(report.slots, 1);
+  candidate.present = std::max(report.running, 0) + std::max(report.waiting, 0);
+  if (found == load.servers.end()) return candidate;
+  candidate.use = &found->second;
+  candidate.sent = SentSince(found->second, server.reported_at);
+  candidate.present = std::max(candidate.present + candidate.sent, found->second.in_flight);
+  return candidate;
+}
+
+// The server that is kept free for suspects: the same on every host whose view has the same
+// servers. Null when too few serve the route.
+const BackendServer* SetAside(const RouteConfig& route, const RoutingView& view, Time now) {
+  const BackendServer* picked = nullptr;
+  uint64_t least = 0;
+  int serving = 0;
+  for (const BackendServer& server : view.servers) {
+    if (!CanServe(server, route, view.self, now)) continue;
+    ++serving;
+    uint64_t weight = Hash64(server.announced.id.value());
+    if (picked != nullptr && weight >= least) continue;
+    picked = &server;
+    least = weight;
+  }
+  return serving >= kMinServersToSetAside ? picked : nullptr;
+}
+
+LocalServers FindLocal(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
+                       Time now, std::mt19937_64& rng) {
+  LocalServers local;
+  const BackendServer* set_aside = nullptr;
+  if (!query.suspect && now < load.set_aside_until) set_aside = SetAside(*query.route, view, now);
+  for (const BackendServer& server : view.servers) {
+    if (!CanServe(server, *query.route, view.self, now) || &server == set_aside) continue;
+    if (Contains(query.avoid_servers, server.announced.id)) continue;
+    Candidate candidate = MakeCandidate(server, load);
+    ++local.known;
+    local.slots += candidate.slots;
+    local.service_s += ServiceSeconds(candidate.use);
+    bool ejected = Ejected(candidate, now);
+    if (!ejected) ++local.healthy;
+    if (candidate.use != nullptr && candidate.use->exclusive) continue;
+    if (query.suspect ? !Idle(candidate) : !HasRoom(candidate)) continue;
+    if (ejected) {
+      local.ejected.push_back(candidate);
+    } else if (PassesSlowStart(server, now, rng)) {
+      local.open.push_back(candidate);
+    } else {
+      local.warming.push_back(candidate);
+    }
+  }
+  return local;
+}
+
+size_t RandomIndex(size_t count, std::mt19937_64& rng) {
+  return std::uniform_int_distribution<size_t>(0, count - 1)(rng);
+}
+
+// The cheaper of two random candidates of a group; equal costs go to the emptier server.
+struct Priced {
+  const Candidate* candidate = nullptr;
+  double cost = kInfinity;
+};
+
+bool Cheaper(const Priced& a, const Priced& b) {
+  if (a.cost != b.cost) return a.cost < b.cost;
+  return a.candidate != nullptr &&
+         (b.candidate == nullptr || a.candidate->fill() < b.candidate->fill());
+}
+
+Priced CheaperOfTwo(const RouteQuery& query, const std::vector<const Candidate*>& group,
+                    std::mt19937_64& rng) {
+  if (group.empty()) return {};
+  size_t first = RandomIndex(group.size(), rng);
+  Priced best{group[first], Cost(query, *group[first])};
+  if (group.size() == 1) return best;
+  size_t second = RandomIndex(group.size() - 1, rng);
+  if (second >= first) ++second;
+  Priced other{group[second], Cost(query, *group[second])};
+  return Cheaper(other, best) ? other : best;
+}
+
+Priced PickByCost(const RouteQuery& query, const std::vector<Candidate>& candidates,
+                  std::mt19937_64& rng) {
+  int64_t best_hit = 0;
+  for (const Candidate& candidate : candidates) {
+    best_hit = std::max(best_hit, candidate.hit_tokens);
+  }
+  std::vector<const Candidate*> prefix_group;
+  std::vector<const Candidate*> others;
+  others.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    bool hit =
+        best_hit > 0 && static_cast<double>(candidate.hit_tokens) >= kPrefixGroupShare * best_hit;
+    (hit ? prefix_group : others).push_back(&candidate);
+  }
+  Priced a = CheaperOfTwo(query, prefix_group, rng);
+  Priced b = CheaperOfTwo(query, others, rng);
+  return Cheaper(b, a) ? b : a;
+}
+
+const Candidate* PickLeastReported(const std::vector<Candidate>& candidates) {
+  auto reported = [](const Candidate& candidate) {
+    const ServerLoad& report = candidate.server->announced.load;
+    return report.running + report.waiting;
+  };
+  return &*std::min_element(
+      candidates.begin(), candidates.end(),
+      [&](const Candidate& a, const Candidate& b) { return reported(a) < reported(b); });
+}
+
+const Candidate* PickPowerOfTwo(const std::vector<Candidate>& candidates, std::mt19937_64& rng) {
+  const Candidate& a = candidates[RandomIndex(candidates.size(), rng)];
+  const Candidate& b = candidates[RandomIndex(candidates.size(), rng)];
+  return b.fill() < a.fill() ? &b : &a;
+}
+
+const Candidate* PickPrefixHash(const RouteQuery& query, const std::vector<Candidate>& candidates) {
+  uint64_t key = query.prefix_hashes.empty() ? query.content : query.prefix_hashes.front();
+  const Candidate* best = nullptr;
+  uint64_t best_weight = 0;
+  for (const Candidate& candidate : candidates) {
+    uint64_t weight = Hash64(candidate.server->announced.id.value(), key);
+    if (best != nullptr && weight <= best_weight) continue;
+    best = &candidate;
+    best_weight = weight;
+  }
+  return best;
+}
+
+Priced Pick(const RouteQuery& query, const LocalLoad& load,
+            const std::vector<Candidate>& candidates, std::mt19937_64& rng) {
+  const Candidate* picked = nullptr;
+  switch (load.policy) {
+    case RoutingPolicy::kCost:
+      return PickByCost(query, candidates, rng);
+    case RoutingPolicy::kRoundRobin:
+      picked = &candidates[load.round_robin % candidates.size()];
+      break;
+    case RoutingPolicy::kLeastReported:
+      picked = PickLeastReported(candidates);
+      break;
+    case RoutingPolicy::kPowerOfTwo:
+      picked = PickPowerOfTwo(candidates, rng);
+      break;
+    case RoutingPolicy::kPrefixHash:
+      picked = PickPrefixHash(query, candidates);
+      break;
+  }
+  return {picked, Cost(query, *picked)};
+}
+
+// The cost of waiting in the local queue, where every server is full.
+double QueueCost(const RouteQuery& query, const LocalServers& local, const LocalLoad& load) {
+  double service_s = local.service_s / local.known;
+  double wait = (static_cast<double>(load.queue_length) + 1) * service_s / local.slots;
+  return query.route->weight_latency * wait +
+         query.route->weight_cost * PrefillSeconds(query.prompt_tokens);
+}
+
+Choice ChooseLocal(const RouteQuery& query, const LocalLoad& load, LocalServers& local, Time now,
+                   std::mt19937_64& rng) {
+  Choice choice;
+  choice.kind = ChoiceKind::kQueue;
+  std::vector<Candidate>* candidates = &local.open;
+  if (candidates->empty()) candidates = &local.warming;
+  // Ejection is a guess; when it leaves nothing, a server that may fail is better than a refusal.
+  if (candidates->empty() && local.healthy == 0) candidates = &local.ejected;
+  if (candidates->empty()) {
+    choice.cost = QueueCost(query, local, load);
+    return choice;
+  }
+  std::vector<CacheHit> hits = PredictHits(query, load, now);
+  for (Candidate& candidate : *candidates) candidate.hit_tokens = HitOf(hits, candidate);
+  Priced picked = Pick(query, load, *candidates, rng);
+  choice.kind = ChoiceKind::kLocal;
+  choice.server = picked.candidate->server->announced.id;
+  choice.incarnation = picked.candidate->server->announced.incarnation;
+  choice.cost = picked.cost;
+  choice.hit_tokens = picked.candidate->hit_tokens;
+  return choice;
+}
+
+bool MayGoTo(const RouteQuery& query, const RoutingView& view, const RegionId& region) {
+  if (query.hops >= kMaxHops || !RegionAllowed(query, region)) return false;
+  return region == view.self.region || (!query.crossed && query.route->send_away);
+}
+
+bool HostUsable(const RouteQuery& query, const RoutingView& view, const HostEntry& host) {
+  return host.status == HostStatus::kAlive && !host.overloaded && host.id != view.self.host &&
+         !host.region.empty() && !Contains(query.avoid_hosts, host.id);
+}
+
+// A random usable host of the failure domain. Null when there is none.
+const HostEntry* PickHost(const RouteQuery& query, const RoutingView& view,
+                          const DomainSummary& summary, std::mt19937_64& rng) {
+  const HostEntry* picked = nullptr;
+  size_t seen = 0;
+  for (const HostEntry& host : view.hosts) {
+    if (host.domain != summary.domain || host.region != summary.region) continue;
+    if (!HostUsable(query, view, host)) continue;
+    if (RandomIndex(++seen, rng) == 0) picked = &host;
+  }
+  return picked;
+}
+
+double RemoteCost(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
+                  const DomainSummary& summary) {
+  int present = std::max(summary.running, 0) + std::max(summary.waiting, 0);
+  const ServerUse* use = nullptr;
+  auto found = load.domains.find(summary.domain);
+  if (found != load.domains.end()) {
+    use = &found->second;
+    present += SentSince(*use, summary.reported_at);
+  }
+  bool crosses = summary.region != view.self.region;
+  double wait = WaitSeconds(present, std::max(summary.slots, 1), ServiceSeconds(use));
+  wait += Seconds(crosses ? kRegionRoundTrip : kDomainRoundTrip);
+  return query.route->weight_latency * wait +
+         query.route->weight_cost * PrefillSeconds(query.prompt_tokens) +
+         (crosses ? query.route->weight_remote : 0);
+}
+
+Choice ChooseRemote(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
+                    Time now, std::mt19937_64& rng) {
+  Choice best;
+  best.cost = kInfinity;
+  for (const DomainSummary& summary : view.summaries) {
+    if (summary.servers <= 0 || summary.served != Served(*query.route)) continue;
+    if (summary.domain.empty() || summary.domain == view.self.domain) continue;
+    if (now - summary.reported_at > kSummaryTtl) continue;
+    if (!MayGoTo(query, view, summary.region)) continue;
+    if (!DomainBelongs(view, summary.domain, summary.region)) continue;
+    double cost = RemoteCost(query, view, load, summary);
+    if (cost >= best.cost) continue;
+    const HostEntry* host = PickHost(query, view, summary, rng);
+    if (host == nullptr) continue;
+    best.kind = ChoiceKind::kForward;
+    best.host = host->id;
+    best.domain = summary.domain;
+    best.crosses = summary.region != view.self.region;
+    best.cost = cost;
+  }
+  return best;
+}
+
+double Margin(const RouteQuery& query, double home_cost) {
+  return std::max(kHysteresisShare * home_cost,
+                  query.route->weight_latency * Seconds(kHysteresisMin));
+}
+
+// The least that any forward costs; saves the scan of the summaries in the usual case.
+double RemoteCostFloor(const RouteQuery& query) {
+  return query.route->weight_latency * Seconds(kDomainRoundTrip) +
+         query.route->weight_cost * PrefillSeconds(query.prompt_tokens);
+}
+
+bool AnyAllowedHost(const RouteQuery& query, const RoutingView& view) {
+  return std::any_of(view.hosts.begin(), view.hosts.end(), [&](const HostEntry& host) {
+    return HostUsable(query, view, host) && RegionAllowed(query, host.region);
+  });
+}
+
+// Why nothing can run the request here and no other host may get it.
+ErrorKind NowhereToRun(const RouteQuery& query, const RoutingView& view, bool local_allowed) {
+  if (query.hops >= kMaxHops) return ErrorKind::kHopLimit;
+  if (local_allowed) return ErrorKind::kNoServer;
+  if (query.crossed) return ErrorKind::kHopLimit;
+  if (!query.route->send_away) return ErrorKind::kResidencyRefused;
+  return AnyAllowedHost(query, view) ? ErrorKind::kNoServer : ErrorKind::kRegionUnreachable;
+}
+
+bool AnyRegionAllowed(const RouteQuery& query) {
+  return std::any_of(query.allowed_regions.begin(), query.allowed_regions.end(),
+                     [&](const RegionId& region) { return RegionAllowed(query, region); });
+}
+
+void RemoveSent(ServerUse& use, Time dispatched_at) {
+  if (use.in_flight > 0) --use.in_flight;
+  auto found = std::lower_bound(use.sent.begin(), use.sent.end(), dispatched_at);
+  if (found != use.sent.end() && *found == dispatched_at) use.sent.erase(found);
+}
+
+void AddSent(ServerUse& use, Time now) {
+  ++use.in_flight;
+  if (use.sent.size() >= kMaxSentTimes) use.sent.erase(use.sent.begin());
+  use.sent.insert(std::upper_bound(use.sent.begin(), use.sent.end(), now), now);
+}
+
+void UpdateService(ServerUse& use, Duration service) {
+  if (use.mean_service == Duration::zero()) {
+    use.mean_service = service;
+    return;
+  }
+  double mean = (1 - kServiceSmoothing) * static_cast<double>(use.mean_service.count()) +
+                kServiceSmoothing * static_cast<double>(service.count());
+  use.mean_service = Duration(static_cast<int64_t>(mean));
+}
+
+void EvictOldestPrefix(PrefixIndex& index) {
+  index.holders.erase(index.order.front());
+  index.order.pop_front();
+}
+
+void ExpectPrefixes(LocalLoad& load, const RouteQuery& query, uint32_t cache_id, Time now) {
+  size_t count = std::min(query.prefix_hashes.size(), kMaxPrefixHashes);
+  for (size_t i = 0; i < count; ++i) {
+    auto [entry, added] = load.prefixes.holders.try_emplace(query.prefix_hashes[i]);
+    if (added) load.prefixes.order.push_back(query.prefix_hashes[i]);
+    auto& holders = entry->second;
+    auto slot = std::find_if(holders.begin(), holders.end(), [&](const PrefixHolder& holder) {
+      return holder.cache_id == cache_id;
+    });
+    if (slot == holders.end()) {
+      slot = std::min_element(
+          holders.begin(), holders.end(),
+          [](const PrefixHolder& a, const PrefixHolder& b) { return a.expires_at < b.expires_at; });
+    }
+    *slot = {cache_id, now + kPrefixTtl};
+    if (load.prefixes.holders.size() > kMaxPrefixes) EvictOldestPrefix(load.prefixes);
+  }
+}
+
+bool MayEjectOneMore(const LocalLoad& load, const RoutingView& view, Time now) {
+  int live = 0;
+  int ejected = 0;
+  for (const BackendServer& server : view.servers) {
+    if (server.announced.leaving || now >= server.expires_at) continue;
+    ++live;
+    auto found = load.servers.find(server.announced.id);
+    if (found != load.servers.end() && now < found->second.ejected_until) ++ejected;
+  }
+  return ejected + 1 <= kMaxEjectedShare * live;
+}
+
+Duration EjectionTime(int ejections) {
+  Duration time = kEjectionMin * (1 << std::min(ejections, 10));
+  return std::min(time, kEjectionMax);
+}
+
+bool EjectIfFailing(ServerUse& use, const LocalLoad& load, const RoutingView& view, Time now) {
+  if (use.failures < kFailuresToEject || now < use.ejected_until) return false;
+  if (!MayEjectOneMore(load, view, now)) return false;
+  use.ejected_until = now + EjectionTime(use.ejections);
+  ++use.ejections;
+  // The first failure after the ejection ejects again, for twice the time.
+  use.failures = kFailuresToEject - 1;
+  return true;
+}
+
+const BackendServer* FindServer(const RoutingView& view, const ServerId& id) {
+  auto found = std::lower_bound(
+      view.servers.begin(), view.servers.end(), id,
+      [](const BackendServer& server, const ServerId& key) { return server.announced.id < key; });
+  if (found == view.servers.end() || found->announced.id != id) return nullptr;
+  return &*found;
+}
+
+bool DomainKnown(const RoutingView& view, const DomainId& domain) {
+  return std::any_of(view.summaries.begin(), view.summaries.end(),
+                     [&](const DomainSummary& summary) { return summary.domain == domain; });
+}
+
+}  // namespace
+
+std::vector<RegionId> AllowedRegions(const ConfigView& config, const RouteConfig& route) {
+  std::vector<RegionId> allowed;
+  auto team = config.teams.find(route.team);
+  if (team == config.teams.end()) return allowed;
+  for (const RegionId& region : route.regions) {
+    if (Contains(team->second.regions, region)) allowed.push_back(region);
+  }
+  return allowed;
+}
+
+bool CanServe(const BackendServer& server, const RouteConfig& route, const Identity& self,
+              Time now) {
+  const Announcement& announced = server.announced;
+  if (announced.leaving || now >= server.expires_at || announced.kind != route.kind) return false;
+  if (announced.domain != self.domain || announced.region != self.region) return false;
+  if (route.kind == ServerKind::kModel) return ServesModel(announced, route);
+  return Contains(announced.services, route.service);
+}
+
+Choice Choose(const RouteQuery& query, const RoutingView& view, const LocalLoad& load, Time now,
+              std::mt19937_64& rng) {
+  if (query.route == nullptr || !AnyRegionAllowed(query)) {
+    return Refuse(ErrorKind::kResidencyRefused);
+  }
+  if (query.hops > kMaxHops) return Refuse(ErrorKind::kHopLimit);
+  if (now >= query.deadline) return Refuse(ErrorKind::kDeadlineNotRun);
+
+  bool local_allowed = RegionAllowed(query, view.self.region);
+  LocalServers local;
+  if (local_allowed) local = FindLocal(query, view, load, now, rng);
+  if (local.known == 0) {
+    Choice remote = ChooseRemote(query, view, load, now, rng);
+    if (remote.kind == ChoiceKind::kForward) return remote;
+    return Refuse(NowhereToRun(query, view, local_allowed));
+  }
+
+  Choice home = ChooseLocal(query, load, local, now, rng);
+  if (query.hops > 0 || query.suspect) return home;
+  double threshold = home.cost - Margin(query, home.cost);
+  if (RemoteCostFloor(query) >= threshold) return home;
+  Choice remote = ChooseRemote(query, view, load, now, rng);
+  return remote.kind == ChoiceKind::kForward && remote.cost < threshold ? remote : home;
+}
+
+void OnDispatch(LocalLoad& load, const RouteQuery& query, const ServerId& server,
+                uint64_t incarnation, Time now) {
+  ++load.round_robin;
+  ServerUse& use = load.servers[server];
+  if (use.cache_id == 0 || use.incarnation != incarnation) {
+    use.cache_id = load.next_cache_id++;
+    use.incarnation = incarnation;
+    use.incarnation_from = now;
+    use.failures = 0;
+    use.ejections = 0;
+    use.ejected_until = Time();
+  }
+  if (query.suspect) {
+    use.shared = use.in_flight > 0;
+    use.exclusive = true;
+  } else if (use.exclusive) {
+    use.shared = true;
+  }
+  AddSent(use, now);
+  ExpectPrefixes(load, query, use.cache_id, now);
+}
+
+bool OnServerOutcome(LocalLoad& load, const RoutingView& view, const ServerId& server,
+                     Time dispatched_at, ServerOutcome outcome, Time now) {
+  auto found = load.servers.find(server);
+  if (found == load.servers.end()) return false;
+  ServerUse& use = found->second;
+  RemoveSent(use, dispatched_at);
+  if (use.in_flight == 0) {
+    use.exclusive = false;
+    use.shared = false;
+  }
+  if (outcome == ServerOutcome::kCancelled) return false;
+  if (outcome == ServerOutcome::kOk) {
+    use.failures = 0;
+    use.ejections = 0;
+    UpdateService(use, now - dispatched_at);
+    return false;
+  }
+  if (dispatched_at < use.incarnation_from) return false;
+  ++use.failures;
+  return EjectIfFailing(use, load, view, now);
+}
+
+void OnForward(LocalLoad& load, const DomainId& domain, Time now) {
+  AddSent(load.domains[domain], now);
+}
+
+void OnForwardEnded(LocalLoad& load, const DomainId& domain, Time dispatched_at) {
+  auto found = load.domains.find(domain);
+  if (found != load.domains.end()) RemoveSent(found->second, dispatched_at);
+}
+
+bool RanAlone(const LocalLoad& load, const BackendServer& server) {
+  auto found = load.servers.find(server.announced.id);
+  if (found == load.servers.end()) return false;
+  const ServerUse& use = found->second;
+  const ServerLoad& report = server.announced.load;
+  return use.exclusive && !use.shared && use.in_flight == 1 && report.running + report.waiting <= 1;
+}
+
+void Prune(LocalLoad& load, const RoutingView& view) {
+  for (auto it = load.servers.begin(); it != load.servers.end();) {
+    const BackendServer* server = FindServer(view, it->first);
+    if (server == nullptr && it->second.in_flight == 0) {
+      it = load.servers.erase(it);
+      continue;
+    }
+    if (server != nullptr && it->second.exclusive) {
+      const ServerLoad& report = server->announced.load;
+      if (report.running + report.waiting > 1) it->second.shared = true;
+    }
+    ++it;
+  }
+  for (auto it = load.domains.begin(); it != load.domains.end();) {
+    bool gone = it->second.in_flight == 0 && !DomainKnown(view, it->first);
+    it = gone ? load.domains.erase(it) : std::next(it);
+  }
+}
+
+void ForgetPrefixes(LocalLoad& load, const ServerId& server) {
+  auto found = load.servers.find(server);
+  if (found != load.servers.end()) found->second.cache_id = load.next_cache_id++;
+}
+
+}  // namespace ebonylift
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -57,6 +57,11 @@
 constexpr Duration kSummaryTtl = seconds(30);
 constexpr double kPrefillTokensPerSecond = 8'000;
 constexpr Duration kDefaultService = seconds(1);
+constexpr double kServerBacklogShare = 0.25;  // waiting requests per slot until a server is full
+// While suspects wait, every host keeps ordinary work off the same one server of a model, so that
+// it becomes idle for them: under load no server would be idle by chance. Only where this many
+// serve it.
+constexpr int kMinServersToSetAside = 3;
 constexpr int kFailuresToEject = 3;
 constexpr Duration kEjectionMin = seconds(1);
 constexpr Duration kEjectionMax = seconds(30);
@@ -96,7 +101,8 @@
   Time ejected_until;        // no work before, unless every server that could run it is ejected
   Duration mean_service{0};  // 0: unknown
   uint32_t cache_id = 0;     // names the server's prefix cache; a new one forgets the old cache
-  uint64_t cache_incarnation = 0;
+  Time incarnation_from;     // first dispatch to this incarnation; older failures do not count
+  uint64_t incarnation = 0;  // of the server at the last dispatch; a newer one starts unejected
 };
 
 // Which server's prefix cache probably holds which prefix.
@@ -114,6 +120,7 @@
   std::unordered_map<ServerId, ServerUse> servers;
   std::unordered_map<DomainId, ServerUse> domains;  // forwards, by failure domain
   PrefixIndex prefixes;
+  Time set_aside_until;      // keep a server free for suspects; set from SetAsideUntil()
   size_t queue_length = 0;   // requests in the local queue, all classes; set by the caller
   uint64_t round_robin = 0;  // advanced by OnDispatch()
   uint32_t next_cache_id = 1;
@@ -134,6 +141,9 @@
   int64_t hit_tokens = 0;                  // kLocal: predicted prefix hit
 };
 
+// A request that was forwarded here is forwarded again only when no server here can run it, so two
+// loaded hosts do not pass requests to each other. A suspect is forwarded under the same condition.
+//
 // Decides. `load` isn't changed: report the dispatch with OnDispatch() or OnForward() before the
 // next call. kQueue means that servers exist and all are full (for a suspect: none is idle).
 Choice Choose(const RouteQuery& query, const RoutingView& view, const LocalLoad& load, Time now,
