Add the configuration tree, its schema and the typed view

The tree is the state machine of the consensus, so it checks only rules that cannot differ between versions of the program: base revisions, request ids and limits. The schema is checked before a put is proposed. Checking it while applying was ruled out: two versions of the schema on two voters would give two different trees.

A request id belongs to its operator and remembers the content it was given for; another content with the same id is refused instead of being answered with a foreign result. History and remembered answers are bounded in count and bytes, because 10,000 values of 64 KiB are 640 MB.

--- /dev/null
+++ b/src/core/config_tree.cc
@@ -0,0 +1,290 @@
+#include "core/config_tree.h"
+
+#include <utility>
+
+#include "base/hash.h"
+#include "core/codec.h"
+
+namespace ebonylift {
+namespace {
+
+constexpr uint8_t kSnapshotFormat = 1;
+
+size_t ChangeBytes(const ConfigChange& change) {
+  return sizeof(ConfigChange) + change.path.size() + (change.value ? change.value->size() : 0) +
+         change.operator_name.size();
+}
+
+size_t RequestBytes(const std::string& key, const RememberedPut& put) {
+  return sizeof(RememberedPut) + 2 * key.size() +
+         (put.result.current_value ? put.result.current_value->size() : 0);
+}
+
+// Request ids of different operators are kept apart.
+std::string RequestKey(const ConfigPut& put) {
+  std::string key = put.operator_name;
+  key.push_back('\0');
+  key += put.request_id;
+  return key;
+}
+
+uint64_t ContentHash(const ConfigPut& put) {
+  ByteWriter writer;
+  writer.Text(put.path);
+  writer.OptionalText(put.value);
+  writer.U64(put.base_revision);
+  return Hash64(writer.Take());
+}
+
+void AddHistory(ConfigTree* tree, ConfigChange change) {
+  tree->history_bytes += ChangeBytes(change);
+  tree->history.push_back(std::move(change));
+  while (tree->history.size() > kMaxHistory || tree->history_bytes > kMaxHistoryBytes) {
+    tree->history_bytes -= ChangeBytes(tree->history.front());
+    tree->history.pop_front();
+  }
+}
+
+void Remember(ConfigTree* tree, std::string key, RememberedPut put) {
+  tree->request_bytes += RequestBytes(key, put);
+  tree->requests[key] = std::move(put);
+  tree->request_order.push_back(std::move(key));
+  while (tree->request_order.size() > kMaxRequests || tree->request_bytes > kMaxRequestBytes) {
+    auto oldest = tree->requests.find(tree->request_order.front());
+    tree->request_bytes -= RequestBytes(oldest->first, oldest->second);
+    tree->requests.erase(oldest);
+    tree->request_order.pop_front();
+  }
+}
+
+void SetEntry(ConfigTree* tree, const std::string& path, const std::optional<std::string>& value) {
+  if (value) {
+    tree->entries[path] = TreeEntry{*value, tree->revision};
+  } else {
+    tree->entries.erase(path);
+  }
+}
+
+PutResult ApplyNew(ConfigTree* tree, const ConfigPut& put, WallMillis accepted_at) {
+  PutResult result;
+  auto current = tree->entries.find(put.path);
+  uint64_t path_revision = current == tree->entries.end() ? 0 : current->second.revision;
+  if (put.base_revision != path_revision) {
+    result.outcome = PutOutcome::kConflict;
+    result.revision = path_revision;
+    if (path_revision != 0) result.current_value = current->second.value;
+    return result;
+  }
+  bool too_large =
+      put.path.size() > kMaxPathBytes || (put.value && put.value->size() > kMaxValueBytes);
+  bool deletes_nothing = !put.value && path_revision == 0;
+  if (too_large || deletes_nothing) return result;
+  ++tree->revision;
+  SetEntry(tree, put.path, put.value);
+  AddHistory(tree, {tree->revision, put.path, put.value, put.operator_name, accepted_at});
+  result.outcome = PutOutcome::kApplied;
+  result.revision = tree->revision;
+  return result;
+}
+
+void WriteChange(ByteWriter* writer, const ConfigChange& change) {
+  writer->U64(change.revision);
+  writer->Text(change.path);
+  writer->OptionalText(change.value);
+  writer->Text(change.operator_name);
+  writer->I64(change.accepted_at);
+}
+
+ConfigChange ReadChange(ByteReader* reader) {
+  ConfigChange change;
+  change.revision = reader->U64();
+  change.path = reader->Text();
+  change.value = reader->OptionalText();
+  change.operator_name = reader->Text();
+  change.accepted_at = reader->I64();
+  return change;
+}
+
+void WriteResult(ByteWriter* writer, const PutResult& result) {
+  writer->U8(static_cast<uint8_t>(result.outcome));
+  writer->U8(static_cast<uint8_t>(result.first));
+  writer->U64(result.revision);
+  writer->OptionalText(result.current_value);
+}
+
+PutResult ReadResult(ByteReader* reader) {
+  PutResult result;
+  result.outcome = static_cast<PutOutcome>(reader->U8());
+  result.first = static_cast<PutOutcome>(reader->U8());
+  result.revision = reader->U64();
+  result.current_value = reader->OptionalText();
+  return result;
+}
+
+}  // namespace
+
+bool IsAtOrBelow(std::string_view path, std::string_view prefix) {
+  while (!prefix.empty() && prefix.back() == '/') prefix.remove_suffix(1);
+  if (path.substr(0, prefix.size()) != prefix) return false;
+  return path.size() == prefix.size() || path[prefix.size()] == '/';
+}
+
+std::optional<PutResult> FindRepeated(const ConfigTree& tree, const ConfigPut& put) {
+  if (put.request_id.empty()) return std::nullopt;
+  auto found = tree.requests.find(RequestKey(put));
+  if (found == tree.requests.end()) return std::nullopt;
+  PutResult result;
+  if (found->second.content != ContentHash(put)) {
+    result.outcome = PutOutcome::kIdReused;
+    return result;
+  }
+  result = found->second.result;
+  result.first = result.outcome;
+  result.outcome = PutOutcome::kRepeated;
+  return result;
+}
+
+PutResult ApplyPut(ConfigTree* tree, const ConfigPut& put, WallMillis accepted_at) {
+  if (std::optional<PutResult> repeated = FindRepeated(*tree, put)) return *repeated;
+  PutResult result = ApplyNew(tree, put, accepted_at);
+  if (!put.request_id.empty()) Remember(tree, RequestKey(put), {ContentHash(put), result});
+  return result;
+}
+
+uint64_t PathRevision(const ConfigTree& tree, const std::string& path) {
+  auto found = tree.entries.find(path);
+  return found == tree.entries.end() ? 0 : found->second.revision;
+}
+
+std::vector<ConfigEntry> ReadTree(const ConfigTree& tree, const std::string& path) {
+  std::vector<ConfigEntry> found;
+  std::string prefix = path;
+  while (!prefix.empty() && prefix.back() == '/') prefix.pop_back();
+  // Paths below the prefix are not contiguous with it in the map: "/a-b" sorts between "/a" and
+  // "/a/c". The loop ends at the first path that does not start with the prefix.
+  for (auto it = tree.entries.lower_bound(prefix); it != tree.entries.end(); ++it) {
+    if (it->first.compare(0, prefix.size(), prefix) != 0) break;
+    if (!IsAtOrBelow(it->first, prefix)) continue;
+    found.push_back({it->first, it->second.value, it->second.revision});
+  }
+  return found;
+}
+
+std::vector<ConfigChange> ReadHistory(const ConfigTree& tree, const std::string& path,
+                                      size_t limit) {
+  std::vector<ConfigChange> found;
+  for (auto it = tree.history.rbegin(); it != tree.history.rend() && found.size() < limit; ++it) {
+    if (IsAtOrBelow(it->path, path)) found.push_back(*it);
+  }
+  return found;
+}
+
+std::optional<std::vector<ConfigChange>> DeltasSince(const ConfigTree& tree, uint64_t revision,
+                                                     size_t max_bytes) {
+  if (revision > tree.revision) return std::nullopt;
+  uint64_t missing = tree.revision - revision;
+  if (missing > tree.history.size()) return std::nullopt;
+  std::vector<ConfigChange> found;
+  size_t bytes = 0;
+  for (size_t i = tree.history.size() - missing; i < tree.history.size(); ++i) {
+    bytes += ChangeBytes(tree.history[i]);
+    if (bytes > max_bytes && !found.empty()) break;
+    found.push_back(tree.history[i]);
+  }
+  return found;
+}
+
+bool ApplyChange(ConfigTree* tree, const ConfigChange& change) {
+  if (change.revision != tree->revision + 1) return false;
+  tree->revision = change.revision;
+  SetEntry(tree, change.path, change.value);
+  AddHistory(tree, change);
+  return true;
+}
+
+std::string ToSnapshot(const ConfigTree& tree) {
+  ByteWriter writer;
+  writer.U8(kSnapshotFormat);
+  writer.U64(tree.revision);
+  writer.U64(tree.entries.size());
+  for (const auto& [path, entry] : tree.entries) {
+    writer.Text(path);
+    writer.Text(entry.value);
+    writer.U64(entry.revision);
+  }
+  writer.U64(tree.history.size());
+  for (const ConfigChange& change : tree.history) WriteChange(&writer, change);
+  writer.U64(tree.request_order.size());
+  for (const std::string& key : tree.request_order) {
+    const RememberedPut& put = tree.requests.at(key);
+    writer.Text(key);
+    writer.U64(put.content);
+    WriteResult(&writer, put.result);
+  }
+  return writer.Take();
+}
+
+ConfigTree FromSnapshot(std::string_view bytes) {
+  ByteReader reader(bytes);
+  if (reader.U8() != kSnapshotFormat) {
+    throw Error(ErrorKind::kBadRequest, "unknown format of a configuration snapshot");
+  }
+  ConfigTree tree;
+  tree.revision = reader.U64();
+  for (uint64_t n = reader.U64(); n > 0; --n) {
+    std::string path = reader.Text();
+    TreeEntry entry;
+    entry.value = reader.Text();
+    entry.revision = reader.U64();
+    tree.entries.emplace_hint(tree.entries.end(), std::move(path), std::move(entry));
+  }
+  for (uint64_t n = reader.U64(); n > 0; --n) AddHistory(&tree, ReadChange(&reader));
+  for (uint64_t n = reader.U64(); n > 0; --n) {
+    std::string key = reader.Text();
+    RememberedPut put;
+    put.content = reader.U64();
+    put.result = ReadResult(&reader);
+    Remember(&tree, std::move(key), std::move(put));
+  }
+  if (!reader.AtEnd()) throw Error(ErrorKind::kBadRequest, "a configuration snapshot is too long");
+  return tree;
+}
+
+std::string EncodePut(const ConfigPut& put, WallMillis accepted_at) {
+  ByteWriter writer;
+  writer.Text(put.path);
+  writer.OptionalText(put.value);
+  writer.U64(put.base_revision);
+  writer.Text(put.request_id);
+  writer.Text(put.operator_name);
+  writer.I64(accepted_at);
+  return writer.Take();
+}
+
+std::pair<ConfigPut, WallMillis> DecodePut(std::string_view bytes) {
+  ByteReader reader(bytes);
+  ConfigPut put;
+  put.path = reader.Text();
+  put.value = reader.OptionalText();
+  put.base_revision = reader.U64();
+  put.request_id = reader.Text();
+  put.operator_name = reader.Text();
+  WallMillis accepted_at = reader.I64();
+  return {std::move(put), accepted_at};
+}
+
+std::string EncodeChanges(const std::vector<ConfigChange>& changes) {
+  ByteWriter writer;
+  writer.U64(changes.size());
+  for (const ConfigChange& change : changes) WriteChange(&writer, change);
+  return writer.Take();
+}
+
+std::vector<ConfigChange> DecodeChanges(std::string_view bytes) {
+  ByteReader reader(bytes);
+  std::vector<ConfigChange> changes;
+  for (uint64_t n = reader.U64(); n > 0; --n) changes.push_back(ReadChange(&reader));
+  return changes;
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/src/core/config_view.cc
@@ -0,0 +1,179 @@
+#include "core/config_view.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace ebonylift {
+namespace {
+
+using Json = nlohmann::json;
+
+template <typename IdType>
+std::vector<IdType> IdsOf(const Json& json, const char* key) {
+  std::vector<IdType> ids;
+  for (const Json& item : json.at(key)) ids.emplace_back(item.get<std::string>());
+  return ids;
+}
+
+TrafficClass ParseClass(const std::string& name) {
+  if (name == "check") return TrafficClass::kCheck;
+  if (name == "chapter") return TrafficClass::kChapter;
+  if (name == "interactive") return TrafficClass::kInteractive;
+  throw Error(ErrorKind::kConfigInvalid, "unknown class");
+}
+
+RouteConfig ParseRoute(const TeamId& team, const std::string& name, const Json& json) {
+  RouteConfig route;
+  route.team = team;
+  route.id = RouteId(name);
+  std::string kind = json.at("kind").get<std::string>();
+  if (kind != "model" && kind != "service") throw Error(ErrorKind::kConfigInvalid, "unknown kind");
+  route.kind = kind == "service" ? ServerKind::kService : ServerKind::kModel;
+  if (route.kind == ServerKind::kModel) {
+    route.model = ModelId(json.at("model").get<std::string>());
+  } else {
+    route.service = json.at("service").get<std::string>();
+  }
+  route.adapter = json.value("adapter", route.adapter);
+  route.version = json.value("version", route.version);
+  route.regions = IdsOf<RegionId>(json, "regions");
+  if (route.regions.empty()) throw Error(ErrorKind::kConfigInvalid, "no region");
+  route.home = *std::min_element(route.regions.begin(), route.regions.end());
+  if (json.contains("home")) route.home = RegionId(json["home"].get<std::string>());
+  route.traffic_class = ParseClass(json.value("class", "interactive"));
+  route.idempotent = json.value("idempotent", route.idempotent);
+  route.key_from_body = json.value("key_from_body", route.key_from_body);
+  route.deadline = milliseconds(json.value("deadline_ms", ToMillis(route.deadline)));
+  route.send_away = json.value("send_away", route.send_away);
+  route.weight_latency = json.value("weight_latency", route.weight_latency);
+  route.weight_cost = json.value("weight_cost", route.weight_cost);
+  route.weight_remote = json.value("weight_remote", route.weight_remote);
+  return route;
+}
+
+TeamLimits ParseLimits(const Json& json) {
+  TeamLimits limits;
+  limits.requests_per_s = json.value("requests_per_s", limits.requests_per_s);
+  limits.concurrency = json.value("concurrency", limits.concurrency);
+  limits.retry_percent = json.value("retry_percent", limits.retry_percent);
+  return limits;
+}
+
+RegionConfig ParseRegion(const std::string& name, const Json& json) {
+  RegionConfig region;
+  region.id = RegionId(name);
+  region.domains = IdsOf<DomainId>(json, "domains");
+  region.record_hosts = IdsOf<HostId>(json, "record_hosts");
+  region.takeover = json.value("takeover", false);
+  return region;
+}
+
+OperatorConfig ParseOperator(const std::string& name, const Json& json) {
+  OperatorConfig found;
+  found.name = name;
+  found.token_sha256 = json.at("token_sha256").get<std::string>();
+  found.subtrees = json.at("subtrees").get<std::vector<std::string>>();
+  return found;
+}
+
+std::vector<std::string> SplitPath(const std::string& path) {
+  std::vector<std::string> parts;
+  size_t start = 1;
+  while (start <= path.size()) {
+    size_t end = std::min(path.find('/', start), path.size());
+    parts.push_back(path.substr(start, end - start));
+    start = end + 1;
+  }
+  return parts;
+}
+
+TeamConfig& TeamOf(ConfigView* view, const std::string& name) {
+  TeamConfig& team = view->teams[TeamId(name)];
+  team.id = TeamId(name);
+  return team;
+}
+
+void AddTeamEntry(ConfigView* view, const std::vector<std::string>& parts, const Json& json) {
+  TeamId team(parts[1]);
+  if (parts.size() == 3 && parts[2] == "residency") {
+    TeamOf(view, parts[1]).regions = IdsOf<RegionId>(json, "regions");
+  } else if (parts.size() == 3 && parts[2] == "limits") {
+    TeamOf(view, parts[1]).limits = ParseLimits(json);
+  } else if (parts.size() == 4 && parts[2] == "keys") {
+    std::string hash = json.at("sha256").get<std::string>();
+    TeamOf(view, parts[1]);
+    view->keys[hash] = team;
+  } else if (parts.size() == 4 && parts[2] == "routes") {
+    RouteConfig route = ParseRoute(team, parts[3], json);
+    TeamOf(view, parts[1]).routes[route.id] = route;
+  }
+}
+
+void AddEntry(ConfigView* view, const std::string& path, const std::string& value) {
+  std::vector<std::string> parts = SplitPath(path);
+  try {
+    Json json = Json::parse(value);
+    if (parts.size() >= 3 && parts[0] == "teams") {
+      AddTeamEntry(view, parts, json);
+    } else if (parts.size() == 3 && parts[1] == "regions") {
+      view->regions[RegionId(parts[2])] = ParseRegion(parts[2], json);
+    } else if (parts.size() == 3 && parts[1] == "operators") {
+      view->operators.push_back(ParseOperator(parts[2], json));
+    }
+  } catch (const Json::exception&) {
+    return;
+  } catch (const Error&) {
+    return;
+  }
+}
+
+void AddSubtree(ConfigView* view, const ConfigTree& tree, const std::string& prefix) {
+  for (auto it = tree.entries.lower_bound(prefix); it != tree.entries.end(); ++it) {
+    if (it->first.compare(0, prefix.size(), prefix) != 0) break;
+    AddEntry(view, it->first, it->second.value);
+  }
+}
+
+void RemoveKeysOf(ConfigView* view, const std::set<TeamId>& teams) {
+  for (auto it = view->keys.begin(); it != view->keys.end();) {
+    it = teams.count(it->second) != 0 ? view->keys.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace
+
+ConfigView BuildConfigView(const ConfigTree& tree) {
+  ConfigView view;
+  view.revision = tree.revision;
+  AddSubtree(&view, tree, "/");
+  return view;
+}
+
+ConfigView UpdateConfigView(const ConfigView& view, const ConfigTree& tree,
+                            const std::vector<std::string>& changed_paths) {
+  ConfigView next = view;
+  next.revision = tree.revision;
+  std::set<TeamId> teams;
+  bool deployment = false;
+  for (const std::string& path : changed_paths) {
+    std::vector<std::string> parts = SplitPath(path);
+    if (parts.size() >= 2 && parts[0] == "teams") {
+      teams.insert(TeamId(parts[1]));
+    } else {
+      deployment = true;
+    }
+  }
+  if (deployment) {
+    next.regions.clear();
+    next.operators.clear();
+    AddSubtree(&next, tree, "/deployment/");
+  }
+  // All removals come first: a key may have moved from one changed team to another.
+  if (!teams.empty()) RemoveKeysOf(&next, teams);
+  for (const TeamId& team : teams) next.teams.erase(team);
+  for (const TeamId& team : teams) AddSubtree(&next, tree, "/teams/" + team.value() + "/");
+  return next;
+}
+
+}  // namespace ebonylift
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -82,6 +82,7 @@
   RegionId id;
   std::vector<DomainId> domains;
   std::vector<HostId> record_hosts;
+  bool takeover = false;  // new record hosts need not wait for the retention of the previous owners
 };
 
 struct ConfigView {
