Add the stand-ins of the platform and the test support

The gateway is verified with real processes against test servers of this repository. testing/ holds the engine (continuous batching, priorities, prefix cache, cancel, resume, orders with fencing, fault switches), a plain service, a rate-limited weight store, the client directory and a fault-injecting TCP proxy. tests/support holds FreePort, Process, WaitFor and a blocking HTTP client.

Nothing that uses a socket was run.

--- /dev/null
+++ b/testing/listener.cc
@@ -0,0 +1,61 @@
+#include "testing/listener.h"
+
+#include <algorithm>
+
+#include "testing/sockets.h"
+
+namespace ebonylift::standin {
+namespace {
+
+using asio::ip::tcp;
+
+HttpLimits StandinLimits() {
+  HttpLimits limits;
+  // An engine keeps idle connections longer than a gateway's connection pool does, so that the
+  // gateway rarely reuses a connection that is being closed.
+  limits.read_timeout = seconds(120);
+  limits.max_body_bytes = 64 << 20;
+  return limits;
+}
+
+}  // namespace
+
+Listener::Listener(asio::io_context& io, const std::string& address,
+                   const std::string& control_address, HttpHandler handler)
+    : io_(io), host_(address.substr(0, address.rfind(':'))), handler_(std::move(handler)) {
+  servers_.push_back(StartHttpServer(io_, address, StandinLimits(), handler_));
+  port_ = servers_.back()->port();
+  if (!control_address.empty()) {
+    control_ = StartHttpServer(io_, control_address, StandinLimits(), handler_);
+  }
+}
+
+Listener::~Listener() = default;
+
+std::string Listener::address() const { return host_ + ":" + std::to_string(port_); }
+
+void Listener::SetMode(ListenMode mode) {
+  if (mode == mode_) return;
+  if (mode_ == ListenMode::kServe) servers_.back()->StopAccepting();
+  resetting_.reset();
+  mode_ = mode;
+  if (mode == ListenMode::kServe) {
+    // Servers that stopped accepting stay until their connections have closed.
+    auto idle = [](const auto& server) { return server->connections() == 0; };
+    servers_.erase(std::remove_if(servers_.begin(), servers_.end(), idle), servers_.end());
+    servers_.push_back(StartHttpServer(io_, address(), StandinLimits(), handler_));
+  } else if (mode == ListenMode::kReset) {
+    resetting_ = std::make_unique<tcp::acceptor>(io_, ParseEndpoint(address()), true);
+    AcceptAndReset();
+  }
+}
+
+void Listener::AcceptAndReset() {
+  resetting_->async_accept([this](const asio::error_code& error, tcp::socket socket) {
+    if (error) return;
+    ResetSocket(socket);
+    AcceptAndReset();
+  });
+}
+
+}  // namespace ebonylift::standin
--- /dev/null
+++ b/testing/weight_store.cc
@@ -0,0 +1,73 @@
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "testing/commands.h"
+#include "testing/flags.h"
+#include "testing/standin_server.h"
+
+DEFINE_double(weights_per_s, 2, "weight files served per second");
+DEFINE_int64(weight_bytes, 4096, "size of each weight file");
+
+namespace ebonylift::standin {
+namespace {
+
+// Serves GET /weights/<model>/<version> with one token bucket for all callers; 429 above it.
+class WeightStore {
+ public:
+  explicit WeightStore(asio::io_context& io) : refilled_(SteadyNow()) {
+    StandinHooks hooks;
+    hooks.work = [this](const HttpRequest& request,
+                        const std::shared_ptr<HttpResponder>& responder) {
+      Handle(request, *responder);
+    };
+    hooks.state = [this] { return nlohmann::json({{"served", served_}, {"refused", refused_}}); };
+    server_ = std::make_unique<StandinServer>(io, std::move(hooks));
+  }
+
+  void Run() { server_->Run(); }
+
+ private:
+  bool TakeToken() {
+    Time now = SteadyNow();
+    double elapsed = std::chrono::duration<double>(now - refilled_).count();
+    refilled_ = now;
+    tokens_ = std::min(std::max(1.0, FLAGS_weights_per_s), tokens_ + elapsed * FLAGS_weights_per_s);
+    if (tokens_ < 1) return false;
+    tokens_ -= 1;
+    return true;
+  }
+
+  void Handle(const HttpRequest& request, HttpResponder& responder) {
+    uint64_t seq = server_->record().Add(EntryFromRequest(request));
+    if (!TakeToken()) {
+      ++refused_;
+      server_->record().Finish(seq, "rate_limited");
+      SendError(responder, 429, "rate_limited", "the weight store is over its rate");
+      return;
+    }
+    ++served_;
+    server_->record().Start(seq);
+    server_->record().Finish(seq, "completed");
+    responder.Send(200, {{"content-type", "application/octet-stream"}},
+                   std::string(FLAGS_weight_bytes, 'w'));
+  }
+
+  std::unique_ptr<StandinServer> server_;
+  double tokens_ = 1;
+  Time refilled_;
+  int64_t served_ = 0;
+  int64_t refused_ = 0;
+};
+
+}  // namespace
+
+int RunWeightStore() {
+  asio::io_context io;
+  WeightStore store(io);
+  store.Run();
+  return 0;
+}
+
+}  // namespace ebonylift::standin
