--- a/src/core/attempt.h
+++ b/src/core/attempt.h
@@ -37,6 +37,7 @@
   Time dispatched_at;
   AttemptState state = AttemptState::kOpen;
   Run run = Run::kMayHaveRun;  // as far as known; an open attempt may have run
+  bool produced = false;       // bytes arrived, so it cannot be kNotRun
   uint64_t bytes = 0;          // relayed to the caller
 };
 
@@ -67,7 +68,8 @@
 ChunkVerdict OnChunk(RequestAttempts& request, uint32_t attempt, uint64_t offset, uint64_t size);
 
 // The attempt failed; `run` is what is known of it. Ignored for an attempt that is not open, except
-// that a better statement replaces kMayHaveRun (an answer to a cancel that arrives late).
+// that a better statement replaces kMayHaveRun (an answer to a cancel that arrives late). kNotRun
+// is ignored for an attempt that produced bytes.
 void OnFailure(RequestAttempts& request, uint32_t attempt, Run run);
 
 // The attempt is given up: its later data is dropped. It may have run.
@@ -82,6 +84,10 @@
 // have, else kNotRun.
 Run RequestRun(const RequestAttempts& request);
 
+// Bytes that the caller has got. Above 0, a new attempt cannot serve the request: its bytes are
+// dropped. Only a resume of the relaying attempt can.
+uint64_t BytesRelayed(const RequestAttempts& request);
+
 // Null when there is no such attempt. The pointer is valid until the next OnDispatch().
 const Attempt* FindAttempt(const RequestAttempts& request, uint32_t attempt);
 
--- /dev/null
+++ b/tests/retry_test.cc
@@ -0,0 +1,95 @@
+#define BOOST_TEST_MODULE retry
+#include "core/retry.h"
+
+#include <algorithm>
+#include <boost/test/included/unit_test.hpp>
+#include <random>
+
+namespace ebonylift {
+namespace {
+
+const Time kNow(seconds(1'000));
+
+}  // namespace
+
+// Guards against a repetition of work that ran, or that may have run and must not be repeated (I6).
+BOOST_AUTO_TEST_CASE(OnlyWhatMayBeRepeated) {
+  struct Row {
+    bool idempotent;
+    Run outcome;
+    int attempts;
+    Duration left;
+    double tokens;
+    RetryVerdict expected;
+  };
+  const std::vector<Row> rows = {
+      {false, Run::kNotRun, 1, seconds(1), 1, RetryVerdict::kRetry},
+      {true, Run::kNotRun, 1, seconds(1), 1, RetryVerdict::kRetry},
+      {false, Run::kMayHaveRun, 1, seconds(1), 1, RetryVerdict::kRunForbids},
+      {true, Run::kMayHaveRun, 1, seconds(1), 1, RetryVerdict::kRetry},
+      {false, Run::kRan, 1, seconds(1), 1, RetryVerdict::kRunForbids},
+      {true, Run::kRan, 1, seconds(1), 1, RetryVerdict::kRunForbids},
+      {true, Run::kNotRun, kMaxAttempts - 1, seconds(1), 1, RetryVerdict::kRetry},
+      {true, Run::kNotRun, kMaxAttempts, seconds(1), 1, RetryVerdict::kAttemptsSpent},
+      {true, Run::kNotRun, 1, seconds(0), 1, RetryVerdict::kDeadlinePassed},
+      {true, Run::kNotRun, 1, seconds(-1), 1, RetryVerdict::kDeadlinePassed},
+      {true, Run::kNotRun, 2, milliseconds(20), 1, RetryVerdict::kDeadlinePassed},
+      {true, Run::kNotRun, 1, seconds(1), 0.99, RetryVerdict::kBudgetSpent},
+  };
+  for (size_t i = 0; i < rows.size(); ++i) {
+    const Row& row = rows[i];
+    RetryBudget budget;
+    budget.tokens = row.tokens;
+    RetryVerdict verdict =
+        MayRetry(budget, {row.idempotent, row.attempts}, row.outcome, kNow + row.left, kNow);
+    BOOST_TEST((verdict == row.expected), "row " << i);
+    double taken = verdict == RetryVerdict::kRetry ? 1 : 0;
+    BOOST_TEST(budget.tokens == row.tokens - taken, "row " << i);
+  }
+}
+
+// Guards against retries that multiply the load of a failing backend.
+BOOST_AUTO_TEST_CASE(RetriesStayWithinTheBudget) {
+  for (int percent : {0, 10, 50, 100, 1'000, -5}) {
+    RetryBudget budget;
+    int retries = 0;
+    constexpr int kRequests = 10'000;
+    for (int i = 0; i < kRequests; ++i) {
+      OnRequest(budget, percent);
+      for (int attempt = 1; attempt < kMaxAttempts; ++attempt) {
+        if (MayRetry(budget, {true, attempt}, Run::kNotRun, kNow + seconds(9), kNow) ==
+            RetryVerdict::kRetry) {
+          ++retries;
+        }
+      }
+    }
+    double share = std::min(std::max(percent, 0), 100) / 100.0;
+    BOOST_TEST(retries <= share * kRequests + kMaxRetryTokens, percent << " percent");
+    BOOST_TEST(retries >= share * kRequests - 1, percent << " percent");
+  }
+}
+
+// Guards against a budget that saves up without bound in quiet times.
+BOOST_AUTO_TEST_CASE(BudgetIsCapped) {
+  RetryBudget budget;
+  for (int i = 0; i < 10'000; ++i) OnRequest(budget, 100);
+  for (int i = 0; i < 10; ++i) ReturnToken(budget);
+  BOOST_TEST(budget.tokens == kMaxRetryTokens);
+}
+
+// Guards against memory that grows with the names of teams.
+BOOST_AUTO_TEST_CASE(TeamsAreBounded) {
+  RetryBudgets budgets;
+  for (size_t i = 0; i < kMaxRetryTeams + 100; ++i) BudgetOf(budgets, TeamId(std::to_string(i)));
+  BOOST_TEST(budgets.teams.size() == kMaxRetryTeams);
+  BOOST_TEST(&BudgetOf(budgets, TeamId("more")) == &budgets.overflow);
+  BOOST_TEST(&BudgetOf(budgets, TeamId("0")) != &budgets.overflow);
+}
+
+BOOST_AUTO_TEST_CASE(DelayDoubles) {
+  const std::vector<std::pair<int, int64_t>> rows = {{1, 0},   {2, 0},   {3, 25},  {4, 50},
+                                                     {5, 100}, {6, 200}, {50, 200}};
+  for (auto [attempt, expected] : rows) BOOST_TEST(ToMillis(RetryDelay(attempt)) == expected);
+}
+
+}  // namespace ebonylift
