Add poison: suspects by content hash

The incarnation tells two losses of a server that restarts at once apart; reports carry none, so they are compared by time. A completion clears a suspicion and not a condemnation.

--- /dev/null
+++ b/src/core/poison.cc
@@ -0,0 +1,133 @@
+#include "core/poison.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace ebonylift {
+namespace {
+
+bool Expired(const Suspect& suspect, Time now) { return now >= suspect.last_loss + kSuspectTtl; }
+
+Duration Apart(Time a, Time b) { return a > b ? a - b : b - a; }
+
+// Whether two observations are of one loss of a server: close in time, and not of two incarnations
+// that are known to differ.
+bool SameLoss(const ServerLoss& a, const ServerLoss& b) {
+  bool differ = a.incarnation != 0 && b.incarnation != 0 && a.incarnation != b.incarnation;
+  return a.server == b.server && !differ && Apart(a.at, b.at) <= kSameLoss;
+}
+
+bool Repeated(const Poison& poison, const ServerLoss& loss) {
+  return std::any_of(poison.losses.begin(), poison.losses.end(), [&](const ServerLoss& other) {
+    return other.content == loss.content && SameLoss(other, loss);
+  });
+}
+
+// Whether another content was on the server when it was lost.
+bool HadCompany(const Poison& poison, const ServerLoss& loss) {
+  return std::any_of(poison.losses.begin(), poison.losses.end(), [&](const ServerLoss& other) {
+    return other.content != loss.content && SameLoss(other, loss);
+  });
+}
+
+// Takes back the condemnation of other contents by the same loss: they were not alone.
+void Acquit(Poison& poison, const ServerLoss& loss) {
+  for (auto& [content, suspect] : poison.suspects) {
+    if (content == loss.content || !suspect.condemned) continue;
+    ServerLoss condemning{content, suspect.condemned_on, suspect.condemned_incarnation,
+                          suspect.condemned_at};
+    if (SameLoss(condemning, loss)) suspect.condemned = false;
+  }
+}
+
+void DropOne(Poison& poison) {
+  auto worse = [](const auto& a, const auto& b) {
+    if (a.second.condemned != b.second.condemned) return b.second.condemned;
+    return a.second.last_loss < b.second.last_loss;
+  };
+  poison.suspects.erase(std::min_element(poison.suspects.begin(), poison.suspects.end(), worse));
+}
+
+Suspect& FindOrAdd(Poison& poison, uint64_t content, Time now) {
+  auto found = poison.suspects.find(content);
+  if (found != poison.suspects.end()) {
+    if (Expired(found->second, now)) found->second = Suspect();
+    return found->second;
+  }
+  if (poison.suspects.size() >= kMaxSuspects) DropOne(poison);
+  return poison.suspects[content];
+}
+
+void Remember(Poison& poison, const ServerLoss& loss) {
+  poison.losses.push_back(loss);
+  if (poison.losses.size() > kMaxLosses) poison.losses.pop_front();
+}
+
+PoisonVerdict RecordLoss(Poison& poison, const ServerLoss& loss, bool alone) {
+  if (Repeated(poison, loss)) return Verdict(poison, loss.content, loss.at);
+  bool company = HadCompany(poison, loss);
+  Remember(poison, loss);
+  Acquit(poison, loss);
+  Suspect& suspect = FindOrAdd(poison, loss.content, loss.at);
+  if (suspect.losses > 0 && alone && !company && !suspect.condemned) {
+    suspect.condemned = true;
+    suspect.condemned_on = loss.server;
+    suspect.condemned_incarnation = loss.incarnation;
+    suspect.condemned_at = loss.at;
+  }
+  ++suspect.losses;
+  suspect.last_loss = loss.at;
+  return suspect.condemned ? PoisonVerdict::kCondemned : PoisonVerdict::kSuspect;
+}
+
+}  // namespace
+
+std::vector<PoisonVerdict> OnServerLost(Poison& poison, const ServerId& server,
+                                        const std::vector<uint64_t>& in_flight, bool alone,
+                                        Time now, uint64_t incarnation) {
+  std::vector<PoisonVerdict> verdicts;
+  verdicts.reserve(in_flight.size());
+  bool only_one = in_flight.size() == 1;
+  for (uint64_t content : in_flight) {
+    verdicts.push_back(RecordLoss(poison, {content, server, incarnation, now}, alone && only_one));
+  }
+  return verdicts;
+}
+
+PoisonVerdict OnReport(Poison& poison, const ServerId& server, uint64_t content, bool alone,
+                       Time now) {
+  return RecordLoss(poison, {content, server, 0, now}, alone);
+}
+
+bool OnCompleted(Poison& poison, uint64_t content) {
+  auto found = poison.suspects.find(content);
+  if (found == poison.suspects.end() || found->second.condemned) return false;
+  poison.suspects.erase(found);
+  return true;
+}
+
+PoisonVerdict Verdict(const Poison& poison, uint64_t content, Time now) {
+  auto found = poison.suspects.find(content);
+  if (found == poison.suspects.end() || Expired(found->second, now)) return PoisonVerdict::kClear;
+  return found->second.condemned ? PoisonVerdict::kCondemned : PoisonVerdict::kSuspect;
+}
+
+Time SetAsideUntil(const Poison& poison) {
+  if (poison.losses.empty() || poison.suspects.empty()) return Time();
+  return poison.losses.back().at + kSetAside;
+}
+
+size_t Expire(Poison& poison, Time now) {
+  size_t dropped = 0;
+  for (auto it = poison.suspects.begin(); it != poison.suspects.end();) {
+    bool expired = Expired(it->second, now);
+    it = expired ? poison.suspects.erase(it) : std::next(it);
+    if (expired) ++dropped;
+  }
+  while (!poison.losses.empty() && now - poison.losses.front().at > 2 * kSetAside) {
+    poison.losses.pop_front();
+  }
+  return dropped;
+}
+
+}  // namespace ebonylift
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -44,6 +44,7 @@
 struct Suspect {
   bool condemned = false;
   ServerId condemned_on;  // the server whose loss condemned it
+  uint64_t condemned_incarnation = 0;
   Time condemned_at;
   int losses = 0;
   Time last_loss;
@@ -52,6 +53,7 @@
 struct ServerLoss {
   uint64_t content = 0;
   ServerId server;
+  uint64_t incarnation = 0;  // 0: unknown, as in a report
   Time at;
 };
 
@@ -62,11 +64,12 @@
 
 // A server was lost while it ran `in_flight` (all contents that this host had on it). `alone` is
 // true when the one content ran as a suspect without company (RanAlone() of routing.h); it is
-// ignored unless exactly one content was in flight. Returns the verdict of each content, in order;
+// ignored unless exactly one request was in flight. `incarnation` (0: unknown) tells two losses of
+// a server that restarts within kSameLoss apart. Returns the verdict of each content, in order;
 // report each to the other hosts with ControlPort::ReportSuspect.
 std::vector<PoisonVerdict> OnServerLost(Poison& poison, const ServerId& server,
                                         const std::vector<uint64_t>& in_flight, bool alone,
-                                        Time now);
+                                        Time now, uint64_t incarnation = 0);
 
 // Another host reported one content of a loss. `alone` condemns as above. Repeated reports of one
 // loss have no further effect.
--- /dev/null
+++ b/tests/poison_test.cc
@@ -0,0 +1,206 @@
+#define BOOST_TEST_MODULE poison
+#include "core/poison.h"
+
+#include <algorithm>
+#include <boost/test/included/unit_test.hpp>
+#include <map>
+#include <random>
+
+namespace ebonylift {
+namespace {
+
+constexpr uint64_t kSeed = 20261203;
+const Time kNow(seconds(100'000));
+const ServerId kS1("s1");
+const ServerId kS2("s2");
+
+const char* Name(PoisonVerdict verdict) {
+  switch (verdict) {
+    case PoisonVerdict::kClear:
+      return "clear";
+    case PoisonVerdict::kSuspect:
+      return "suspect";
+    case PoisonVerdict::kCondemned:
+      return "condemned";
+  }
+  return "?";
+}
+
+struct Step {
+  char kind;  // l: lost here, r: reported, c: completed
+  const char* server;
+  std::vector<uint64_t> contents;
+  bool alone;
+  int64_t at_s;
+  uint64_t incarnation = 0;
+};
+
+struct Row {
+  const char* name;
+  std::vector<Step> steps;
+  const char* of_1;  // verdict of content 1 at the end
+  const char* of_2 = "clear";
+};
+
+}  // namespace
+
+// Guards against a crashing request that is run again and again, and against an innocent one that
+// is condemned because it shared a server.
+BOOST_AUTO_TEST_CASE(Verdicts) {
+  const std::vector<Row> rows = {
+      {"nothing", {}, "clear"},
+      {"first loss", {{'l', "s1", {1, 2}, false, 0}}, "suspect", "suspect"},
+      {"a first loss alone doesn't condemn", {{'l', "s1", {1}, true, 0}}, "suspect"},
+      {"second loss alone",
+       {{'l', "s1", {1, 2}, false, 0}, {'l', "s2", {1}, true, 60}},
+       "condemned",
+       "suspect"},
+      {"second loss with company",
+       {{'l', "s1", {1, 2}, false, 0}, {'l', "s2", {1, 2}, true, 60}},
+       "suspect",
+       "suspect"},
+      {"twice on one server at a time",
+       {{'l', "s1", {1, 1}, true, 0}, {'l', "s2", {1, 1}, true, 60}},
+       "suspect"},
+      {"many losses with company",
+       {{'l', "s1", {1, 2}, false, 0},
+        {'l', "s2", {1, 2}, false, 60},
+        {'l', "s1", {1}, false, 120},
+        {'l', "s2", {1}, false, 180}},
+       "suspect",
+       "suspect"},
+      {"completed", {{'l', "s1", {1}, false, 0}, {'c', "", {1}, false, 1}}, "clear"},
+      {"completed, then lost alone: a first loss again",
+       {{'l', "s1", {1}, false, 0}, {'c', "", {1}, false, 1}, {'l', "s2", {1}, true, 60}},
+       "suspect"},
+      {"a completion doesn't clear a condemnation",
+       {{'l', "s1", {1}, false, 0}, {'l', "s2", {1}, true, 60}, {'c', "", {1}, false, 61}},
+       "condemned"},
+      {"reported first loss, own loss alone",
+       {{'r', "s1", {1}, false, 0}, {'l', "s2", {1}, true, 60}},
+       "condemned"},
+      {"own first loss, reported loss alone",
+       {{'l', "s1", {1}, false, 0}, {'r', "s2", {1}, true, 60}},
+       "condemned"},
+      {"a report of the loss seen here is not a second loss",
+       {{'l', "s1", {1}, false, 0}, {'r', "s1", {1}, true, 1}},
+       "suspect"},
+      {"another host had work there, reported later",
+       {{'l', "s1", {1}, false, 0}, {'l', "s2", {1}, true, 60}, {'r', "s2", {2}, false, 61}},
+       "suspect",
+       "suspect"},
+      {"another host had work there, reported before",
+       {{'l', "s1", {1}, false, 0}, {'r', "s2", {2}, false, 59}, {'l', "s2", {1}, true, 60}},
+       "suspect",
+       "suspect"},
+      {"two hosts believed to be alone on one server",
+       {{'l', "s1", {1, 2}, false, 0}, {'l', "s2", {1}, true, 60}, {'r', "s2", {2}, true, 60}},
+       "suspect",
+       "suspect"},
+      {"a later loss of the server with other work",
+       {{'l', "s1", {1}, false, 0}, {'l', "s2", {1}, true, 60}, {'r', "s2", {2}, false, 90}},
+       "condemned",
+       "suspect"},
+      {"the server restarted at once and was lost again",
+       {{'l', "s1", {1, 2}, false, 0, 7}, {'l', "s1", {1}, true, 2, 8}},
+       "condemned",
+       "suspect"},
+      {"expired in between",
+       {{'l', "s1", {1}, false, 0}, {'l', "s2", {1}, true, 3'600}},
+       "suspect"},
+  };
+  for (const Row& row : rows) {
+    Poison poison;
+    Time now = kNow;
+    for (const Step& step : row.steps) {
+      now = kNow + seconds(step.at_s);
+      ServerId server(step.server);
+      if (step.kind == 'l') {
+        OnServerLost(poison, server, step.contents, step.alone, now, step.incarnation);
+      } else if (step.kind == 'r') {
+        OnReport(poison, server, step.contents[0], step.alone, now);
+      } else {
+        OnCompleted(poison, step.contents[0]);
+      }
+    }
+    BOOST_TEST(Name(Verdict(poison, 1, now)) == row.of_1, row.name);
+    BOOST_TEST(Name(Verdict(poison, 2, now)) == row.of_2, row.name);
+  }
+}
+
+// Guards against verdicts that never end and against servers kept free for nothing.
+BOOST_AUTO_TEST_CASE(VerdictsExpire) {
+  Poison poison;
+  BOOST_TEST((SetAsideUntil(poison) == Time()));
+  OnServerLost(poison, kS1, {1}, false, kNow);
+  BOOST_TEST((SetAsideUntil(poison) == kNow + kSetAside));
+  OnServerLost(poison, kS2, {1}, true, kNow + seconds(60));
+  Time last = kNow + seconds(60) + kSuspectTtl;
+  BOOST_TEST(Name(Verdict(poison, 1, last - seconds(1))) == "condemned");
+  BOOST_TEST(Name(Verdict(poison, 1, last)) == "clear");
+  BOOST_TEST(Expire(poison, last) == 1u);
+  BOOST_TEST(poison.suspects.empty());
+  BOOST_TEST(poison.losses.empty());
+
+  OnServerLost(poison, kS1, {1}, false, last);
+  OnCompleted(poison, 1);
+  BOOST_TEST((SetAsideUntil(poison) == Time()));
+}
+
+// Guards against memory that grows with the number of contents, and against a flood of suspects
+// that drops the condemned ones.
+BOOST_AUTO_TEST_CASE(MemoryIsBounded) {
+  Poison poison;
+  OnServerLost(poison, kS1, {1}, false, kNow);
+  OnServerLost(poison, kS2, {1}, true, kNow + seconds(60));
+  std::vector<uint64_t> many;
+  for (uint64_t i = 10; i < 10 + 2 * kMaxSuspects; ++i) many.push_back(i);
+  OnServerLost(poison, kS1, many, false, kNow + seconds(120));
+  BOOST_TEST(poison.suspects.size() == kMaxSuspects);
+  BOOST_TEST(poison.losses.size() <= kMaxLosses);
+  BOOST_TEST(Name(Verdict(poison, 1, kNow + seconds(121))) == "condemned");
+}
+
+// A region in which content 0 crashes each server, and which sends suspects alone: guards against
+// a rule that never condemns it, that condemns another, or that needs many servers.
+BOOST_AUTO_TEST_CASE(RandomTrafficCondemnsOnlyTheCulprit) {
+  std::mt19937_64 rng(kSeed);
+  for (int round = 0; round < 500; ++round) {
+    Poison poison;
+    Time now = kNow;
+    int lost = 0;
+    while (Verdict(poison, 0, now) != PoisonVerdict::kCondemned) {
+      now += seconds(10);
+      std::vector<uint64_t> batch = {rng() % 20, rng() % 20, rng() % 20};
+      if (rng() % 2 == 0) batch[rng() % 3] = 0;
+      std::vector<uint64_t> together;
+      for (uint64_t content : batch) {
+        PoisonVerdict verdict = Verdict(poison, content, now);
+        if (verdict == PoisonVerdict::kClear) together.push_back(content);
+        if (verdict != PoisonVerdict::kSuspect) continue;
+        now += seconds(10);
+        if (content == 0) {
+          OnServerLost(poison, kS2, {content}, true, now);
+          ++lost;
+        } else {
+          OnCompleted(poison, content);
+        }
+      }
+      bool crash = std::count(together.begin(), together.end(), 0u) > 0;
+      if (crash) {
+        OnServerLost(poison, kS1, together, false, now);
+        ++lost;
+      }
+      for (uint64_t content : together) {
+        if (!crash) OnCompleted(poison, content);
+      }
+      for (uint64_t content = 1; content < 20; ++content) {
+        BOOST_TEST_REQUIRE((Verdict(poison, content, now) != PoisonVerdict::kCondemned),
+                           "round " << round << ", seed " << kSeed);
+      }
+    }
+    BOOST_TEST_REQUIRE(lost == 2, "round " << round << ", seed " << kSeed);
+  }
+}
+
+}  // namespace ebonylift
