Add idempotency records and batch jobs

Decided: a claim has a number, so that a request of a released claim cannot act on a later one. A change of record_hosts is journalled, so that its refusals outlive a restart.

Ruled out: expiry by the steady clock, which does not survive a restart. Evicting stored answers to make room, since a finished key must get its answer.

--- /dev/null
+++ b/src/core/bytes.h
@@ -0,0 +1,72 @@
+#ifndef EBONYLIFT_CORE_BYTES_H_
+#define EBONYLIFT_CORE_BYTES_H_
+
+// Length-prefixed binary encoding of journal entries and snapshots.
+//
+// Integers are 8 bytes, little endian; strings are a length and their bytes. A reader never reads
+// past its input: after the first error, ok() is false and every further value is 0 or empty.
+// Memory: nothing beyond the values read; a length larger than the rest of the input is an error.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace ebonylift {
+
+inline void PutInt(std::string& out, uint64_t value) {
+  for (int shift = 0; shift < 64; shift += 8) out.push_back(static_cast<char>(value >> shift));
+}
+
+inline void PutString(std::string& out, std::string_view value) {
+  PutInt(out, value.size());
+  out.append(value);
+}
+
+class ByteReader {
+ public:
+  explicit ByteReader(std::string_view data) : rest_(data) {}
+
+  bool ok() const { return ok_; }
+  bool AtEnd() const { return rest_.empty(); }
+
+  char Byte() {
+    if (!Need(1)) return 0;
+    char value = rest_.front();
+    rest_.remove_prefix(1);
+    return value;
+  }
+
+  uint64_t Int() {
+    if (!Need(8)) return 0;
+    uint64_t value = 0;
+    for (int i = 0; i < 8; ++i) {
+      value |= static_cast<uint64_t>(static_cast<unsigned char>(rest_[i])) << (8 * i);
+    }
+    rest_.remove_prefix(8);
+    return value;
+  }
+
+  std::string String() { return std::string(Bytes()); }
+
+  // A view into the input.
+  std::string_view Bytes() {
+    uint64_t size = Int();
+    if (!Need(size)) return {};
+    std::string_view value = rest_.substr(0, size);
+    rest_.remove_prefix(size);
+    return value;
+  }
+
+ private:
+  bool Need(uint64_t size) {
+    ok_ = ok_ && size <= rest_.size();
+    return ok_;
+  }
+
+  std::string_view rest_;
+  bool ok_ = true;
+};
+
+}  // namespace ebonylift
+
+#endif  // EBONYLIFT_CORE_BYTES_H_
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -34,6 +34,8 @@
 namespace ebonylift {
 
 constexpr WallMillis kJobRetention = 24LL * 3600 * 1000;
+// A longer delay is not waited for: it can only come from a wall clock that was set back.
+constexpr WallMillis kMaxJobDelay = 60'000;
 constexpr size_t kMaxOpenJobs = 100'000;
 constexpr size_t kMaxJobs = 1'000'000;  // open and finished
 constexpr size_t kMaxJobBytes = 256u << 20;
@@ -57,9 +59,10 @@
 struct Job {
   JobSpec spec;
   JobState state = JobState::kQueued;
-  bool accepted = false;  // the submission is durable
-  uint64_t order = 0;     // of submission
-  uint32_t runs = 0;      // times it was started
+  bool accepted = false;   // the submission is durable
+  uint64_t body_hash = 0;  // the body itself is dropped when the job ends
+  uint64_t order = 0;      // of submission
+  uint32_t runs = 0;       // times it was started
   WallMillis submitted_at = 0;
   WallMillis not_before = 0;  // kQueued: a delay after a failed start
   WallMillis ended_at = 0;    // in a final state
@@ -83,16 +86,16 @@
   std::string entry;  // kNew: for the journal
 };
 
-// kRepeated: the same job was submitted before; kConflict: the id has another body or team.
+// kRepeated: the same job was submitted before; kConflict: the id has another team, path or body.
 SubmitResult Submit(Jobs& jobs, JobSpec spec, WallMillis now);
 
 // The entry of Submit() is durable: Next() may return the job.
 void Accept(Jobs& jobs, const JobId& id);
 
-// The entry of Submit() could not be written: forgets the job. If the entry appears in a later
-// replay, the job runs then although its caller was refused; send the returned cancel entry to the
-// journal to make that unlikely. Empty when the job is unknown or accepted.
-std::string Withdraw(Jobs& jobs, const JobId& id, WallMillis now);
+// The entry of Submit() could not be written: forgets the job. Returns an entry to journal; without
+// it, a submission that reached the disk all the same would run after a restart although its caller
+// was refused. Empty when the job is unknown or accepted.
+std::string Withdraw(Jobs& jobs, const JobId& id);
 
 // The oldest accepted job that may start now; doesn't change its state. `skip` lists jobs that
 // cannot start now for other reasons.
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -93,9 +93,11 @@
 struct Records {
   HostId self;
   std::unordered_map<RecordKey, Record, RecordKeyHash> records;
-  std::deque<std::pair<WallMillis, RecordKey>> expiry;  // ascending; stale pairs are skipped
-  std::vector<OwnershipChange> changes;                 // at most kMaxOwnershipChanges
-  WallMillis refuse_until = 0;                          // the disk was lost; see RefuseClaims()
+  // In the order of the claims; pairs of released claims are skipped and removed once they are as
+  // many as the records.
+  std::deque<std::pair<WallMillis, RecordKey>> expiry;
+  std::vector<OwnershipChange> changes;  // at most kMaxOwnershipChanges
+  WallMillis refuse_until = 0;           // the disk was lost; see RefuseClaims()
   uint64_t next_claim = 1;
   size_t answers_bytes = 0;
 };
@@ -152,7 +154,8 @@
 size_t Expire(Records& records, WallMillis now);
 
 // The configured record hosts changed. Claims of keys whose owner among `previous` was another host
-// are refused for kRecordRetention, unless `takeover`. Returns the journal entry.
+// are refused for kRecordRetention, unless `takeover`, which also ends an earlier refusal
+// because of the same `previous`. Returns the journal entry.
 std::string OnRecordHostsChanged(Records& records, const std::vector<HostId>& previous,
                                  bool takeover, WallMillis now);
 
@@ -176,6 +179,13 @@
 // The whole state as one entry for Journal::Compact(). Open claims are kept as claims.
 std::string EncodeSnapshot(const Records& records);
 
+// An answer in the form of the journal, for modules that store one. ReadAnswer: null when the input
+// says so or is malformed (see ByteReader::ok()).
+class ByteReader;
+void PutAnswer(std::string& out, const StoredAnswer* answer);
+std::shared_ptr<const StoredAnswer> ReadAnswer(ByteReader& in);
+size_t AnswerBytes(const StoredAnswer& answer);
+
 }  // namespace ebonylift
 
 #endif  // EBONYLIFT_CORE_RECORDS_H_
--- /dev/null
+++ b/tests/records_test.cc
@@ -0,0 +1,418 @@
+#define BOOST_TEST_MODULE records
+#include "core/records.h"
+
+#include <algorithm>
+#include <boost/test/included/unit_test.hpp>
+#include <map>
+#include <random>
+
+#include "core/bytes.h"
+
+namespace ebonylift {
+namespace {
+
+constexpr uint64_t kSeed = 20261203;
+constexpr WallMillis kNow = 1'800'000'000'000;
+const RecordKey kKey{TeamId("punjab"), "notice-7"};
+
+StoredAnswer Answer(const std::string& body) {
+  StoredAnswer answer;
+  answer.status = 200;
+  answer.headers = {{"content-type", "application/json"}};
+  answer.body = body;
+  return answer;
+}
+
+const char* Name(ClaimKind kind) {
+  switch (kind) {
+    case ClaimKind::kNew:
+      return "new";
+    case ClaimKind::kInProgress:
+      return "in_progress";
+    case ClaimKind::kCompleted:
+      return "completed";
+    case ClaimKind::kOutcomeUnknown:
+      return "outcome_unknown";
+    case ClaimKind::kKeyConflict:
+      return "key_conflict";
+    case ClaimKind::kOverloaded:
+      return "overloaded";
+    case ClaimKind::kNotOwned:
+      return "not_owned";
+    case ClaimKind::kInvalidKey:
+      return "invalid_key";
+  }
+  return "?";
+}
+
+std::string ClaimName(Records& records, uint64_t body = 1, WallMillis now = kNow) {
+  return Name(Claim(records, kKey, body, now).kind);
+}
+
+Records Restart(const std::vector<std::string>& journal, WallMillis now) {
+  Records records;
+  for (const std::string& entry : journal) BOOST_TEST_REQUIRE(Replay(records, entry));
+  FinishReplay(records, now);
+  return records;
+}
+
+}  // namespace
+
+// Guards against a claim that is answered as new while the work may run or has run (I6).
+BOOST_AUTO_TEST_CASE(ClaimsOfOneKey) {
+  struct Row {
+    const char* name;
+    // c: claim, d: dispatched, f: complete, u: unknown, x: release, X: release confirmed, r:
+    // restart
+    const char* steps;
+    const char* again;
+    Run run;
+  };
+  for (const Row& row : std::vector<Row>{
+           {"first", "", "new", Run::kNotRun},
+           {"claimed", "c", "in_progress", Run::kMayHaveRun},
+           {"dispatched", "cd", "in_progress", Run::kMayHaveRun},
+           {"completed", "cdf", "completed", Run::kRan},
+           {"completed without the mark", "cf", "completed", Run::kRan},
+           {"unknown", "cdu", "outcome_unknown", Run::kMayHaveRun},
+           {"unknown, then a late answer", "cduf", "completed", Run::kRan},
+           {"released", "cx", "new", Run::kNotRun},
+           {"a dispatched claim is not released", "cdx", "in_progress", Run::kMayHaveRun},
+           {"the server confirmed that it did not run", "cdX", "new", Run::kNotRun},
+           {"a completed claim is not released", "cdfX", "completed", Run::kRan},
+           {"restart after the claim", "cr", "outcome_unknown", Run::kMayHaveRun},
+           {"restart after the dispatch", "cdr", "outcome_unknown", Run::kMayHaveRun},
+           {"restart after completion", "cdfr", "completed", Run::kRan},
+           {"restart after release", "cxr", "new", Run::kNotRun},
+           {"released, claimed, restart", "cxcr", "outcome_unknown", Run::kMayHaveRun},
+           {"two restarts", "crr", "outcome_unknown", Run::kMayHaveRun},
+           {"snapshot of an open claim, restart", "cdsr", "outcome_unknown", Run::kMayHaveRun},
+           {"snapshot of a completed claim, restart", "cdfsr", "completed", Run::kRan},
+           {"snapshot of a released claim, restart", "cxsr", "new", Run::kNotRun},
+       }) {
+    Records records;
+    std::vector<std::string> journal;
+    uint64_t claim = 0;
+    auto append = [&](const std::string& entry) {
+      if (!entry.empty()) journal.push_back(entry);
+    };
+    for (const char* step = row.steps; *step != 0; ++step) {
+      if (*step == 'c') {
+        ClaimResult result = Claim(records, kKey, 1, kNow);
+        BOOST_TEST_REQUIRE(Name(result.kind) == "new", row.name);
+        claim = result.claim;
+        append(result.entry);
+      }
+      if (*step == 'd') BOOST_TEST_REQUIRE(MarkDispatched(records, kKey, claim), row.name);
+      if (*step == 'f') append(Complete(records, kKey, claim, Answer("done"), kNow));
+      if (*step == 'u') BOOST_TEST_REQUIRE(MarkUnknown(records, kKey, claim), row.name);
+      if (*step == 'x') append(Release(records, kKey, claim));
+      if (*step == 'X') append(Release(records, kKey, claim, true));
+      if (*step == 's') journal = {EncodeSnapshot(records)};
+      if (*step == 'r') records = Restart(journal, kNow);
+    }
+    ClaimResult again = Claim(records, kKey, 1, kNow);
+    BOOST_TEST(Name(again.kind) == row.again, row.name);
+    BOOST_TEST((again.run == row.run), row.name);
+    if (again.kind == ClaimKind::kCompleted) BOOST_TEST((*again.answer == Answer("done")));
+    if (again.kind != ClaimKind::kNew) {
+      BOOST_TEST(ClaimName(records, 2) == "key_conflict", row.name);
+      BOOST_TEST(Name(Claim(records, {TeamId("rocha"), kKey.key}, 2, kNow).kind) == "new");
+    }
+  }
+}
+
+// Guards against a request of an earlier claim that acts on a later one.
+BOOST_AUTO_TEST_CASE(OldClaimsAreIgnored) {
+  Records records;
+  uint64_t old_claim = Claim(records, kKey, 1, kNow).claim;
+  Release(records, kKey, old_claim);
+  uint64_t claim = Claim(records, kKey, 1, kNow).claim;
+  BOOST_TEST(claim != old_claim);
+  BOOST_TEST(!MarkDispatched(records, kKey, old_claim));
+  BOOST_TEST(Complete(records, kKey, old_claim, Answer("old"), kNow).empty());
+  BOOST_TEST(!MarkUnknown(records, kKey, old_claim));
+  BOOST_TEST(Release(records, kKey, old_claim, true).empty());
+  BOOST_TEST(MarkDispatched(records, kKey, claim));
+  BOOST_TEST(!MarkDispatched(records, kKey, claim));
+}
+
+// Guards against a record that ends before its retention, and against one that ends while its
+// request runs.
+BOOST_AUTO_TEST_CASE(Retention) {
+  Records records;
+  ClaimResult result = Claim(records, kKey, 1, kNow);
+  BOOST_TEST(result.expires_at == kNow + kRecordRetention);
+  WallMillis end = kNow + kRecordRetention;
+  BOOST_TEST(Expire(records, end + 1) == 0u);
+  BOOST_TEST(ClaimName(records, 1, end + 1) == "in_progress");
+  Complete(records, kKey, result.claim, Answer("done"), end + 1);
+  BOOST_TEST(ClaimName(records, 1, end + kRecordRetention) == "completed");
+  BOOST_TEST(ClaimName(records, 1, end + kRecordRetention + 1) == "new");
+
+  Records replayed = Restart({EncodeSnapshot(records)}, kNow);
+  BOOST_TEST(replayed.records.size() == 1u);
+  replayed = Restart({EncodeSnapshot(records)}, end + 3 * kRecordRetention);
+  BOOST_TEST(replayed.records.empty());
+  BOOST_TEST(replayed.expiry.empty());
+}
+
+// Guards against memory without bound and against an answer that is cut instead of not kept.
+BOOST_AUTO_TEST_CASE(AnswersAreBounded) {
+  Records records;
+  ClaimResult claim = Claim(records, kKey, 1, kNow);
+  std::string entry =
+      Complete(records, kKey, claim.claim, Answer(std::string(kMaxAnswerBytes + 1, 'x')), kNow);
+  ClaimResult again = Claim(records, kKey, 1, kNow);
+  BOOST_TEST(Name(again.kind) == "outcome_unknown");
+  BOOST_TEST((again.run == Run::kRan));
+  BOOST_TEST(records.answers_bytes == 0u);
+  Records replayed = Restart({claim.entry, entry}, kNow);
+  again = Claim(replayed, kKey, 1, kNow);
+  BOOST_TEST(Name(again.kind) == "outcome_unknown");
+  BOOST_TEST((again.run == Run::kRan));
+
+  // Fill the store with answers of 900,000 bytes.
+  std::string body(900'000, 'x');
+  int stored = 0;
+  while (true) {
+    RecordKey key{kKey.team, "k" + std::to_string(stored)};
+    claim = Claim(records, key, 1, kNow);
+    if (claim.kind != ClaimKind::kNew) break;
+    Complete(records, key, claim.claim, Answer(body), kNow);
+    ++stored;
+  }
+  BOOST_TEST(Name(claim.kind) == "overloaded");
+  BOOST_TEST(records.answers_bytes <= kMaxAnswersBytes);
+  BOOST_TEST(records.answers_bytes + kAnswersReserveBytes >= kMaxAnswersBytes);
+  BOOST_TEST(Name(Claim(records, {kKey.team, "k0"}, 1, kNow).kind) == "completed");
+  Expire(records, kNow + kRecordRetention);
+  BOOST_TEST(records.answers_bytes == 0u);
+  BOOST_TEST(ClaimName(records, 1, kNow + kRecordRetention) == "new");
+}
+
+// Guards against a store that takes more records than its bound or forgets one to make room.
+BOOST_AUTO_TEST_CASE(RecordsAreBounded) {
+  Records records;
+  Record record;
+  record.state = RecordState::kCompleted;
+  record.expires_at = kNow + 1'000;
+  for (size_t i = 0; i < kMaxRecords; ++i) {
+    records.records[{kKey.team, std::to_string(i)}] = record;
+    records.expiry.emplace_back(record.expires_at, RecordKey{kKey.team, std::to_string(i)});
+  }
+  BOOST_TEST(ClaimName(records) == "overloaded");
+  BOOST_TEST(records.records.size() == kMaxRecords);
+  BOOST_TEST(ClaimName(records, 1, kNow + 1'000) == "new");
+
+  for (size_t length : {size_t{0}, kMaxKeyBytes + 1}) {
+    ClaimResult result = Claim(records, {kKey.team, std::string(length, 'k')}, 1, kNow);
+    BOOST_TEST(Name(result.kind) == "invalid_key");
+  }
+  for (int i = 0; i < 100'000; ++i) {
+    Release(records, kKey, Claim(records, kKey, 1, kNow + 1'000).claim);
+  }
+  BOOST_TEST(records.expiry.size() < 10'000u, "pairs of released claims are removed");
+}
+
+// Guards against a key that runs again at a new owner (item 4 of section 9), and against claims
+// after the loss of a disk.
+BOOST_AUTO_TEST_CASE(ChangeOfRecordHosts) {
+  const std::vector<HostId> before = {HostId("a"), HostId("b")};
+  Records records;
+  records.self = HostId("c");
+  std::string entry = OnRecordHostsChanged(records, before, false, kNow);
+  ClaimResult refused = Claim(records, kKey, 1, kNow);
+  BOOST_TEST(Name(refused.kind) == "not_owned");
+  BOOST_TEST(refused.expires_at == kNow + kRecordRetention);
+  BOOST_TEST((ClaimError(refused.kind) == ErrorKind::kOwnerUnreachable));
+  BOOST_TEST(ClaimName(records, 1, kNow + kRecordRetention) == "new");
+
+  Records replayed = Restart({entry}, kNow);
+  replayed.self = HostId("c");
+  BOOST_TEST(ClaimName(replayed) == "not_owned", "the refusal outlives a restart");
+  OnRecordHostsChanged(replayed, before, true, kNow);
+  BOOST_TEST(ClaimName(replayed) == "new", "takeover");
+
+  Records owner;
+  owner.self = Owner(kKey, before);
+  OnRecordHostsChanged(owner, before, false, kNow);
+  BOOST_TEST(ClaimName(owner) == "new", "this host was the owner");
+
+  Records many;
+  many.self = HostId("c");
+  for (size_t i = 0; i < 3 * kMaxOwnershipChanges; ++i) {
+    OnRecordHostsChanged(many, {HostId("h" + std::to_string(i))}, false, kNow);
+  }
+  BOOST_TEST(many.changes.size() == kMaxOwnershipChanges);
+  BOOST_TEST(ClaimName(many) == "not_owned");
+
+  Records lost;
+  std::string loss = RefuseClaims(lost, kNow + kRecordRetention);
+  BOOST_TEST(ClaimName(lost) == "not_owned");
+  std::string confirmed = RefuseClaims(lost, 0);
+  BOOST_TEST(ClaimName(lost) == "new");
+  replayed = Restart({loss}, kNow);
+  BOOST_TEST(ClaimName(replayed) == "not_owned");
+  replayed = Restart({loss, confirmed}, kNow);
+  BOOST_TEST(ClaimName(replayed) == "new");
+}
+
+// Guards against owners that differ between hosts, that are unevenly loaded, or that change for
+// keys whose owner stays.
+BOOST_AUTO_TEST_CASE(OwnersAreStable) {
+  std::vector<HostId> hosts = {HostId("a"), HostId("b"), HostId("c"), HostId("d")};
+  std::vector<HostId> reversed(hosts.rbegin(), hosts.rend());
+  std::vector<HostId> fewer(hosts.begin(), hosts.end() - 1);
+  std::map<HostId, int> count;
+  for (int i = 0; i < 4'000; ++i) {
+    RecordKey key{kKey.team, std::to_string(i)};
+    HostId owner = Owner(key, hosts);
+    ++count[owner];
+    BOOST_TEST_REQUIRE((Owner(key, reversed) == owner));
+    if (owner != HostId("d")) BOOST_TEST_REQUIRE((Owner(key, fewer) == owner));
+  }
+  for (const HostId& host : hosts) BOOST_TEST(std::abs(count[host] - 1'000) < 150);
+  BOOST_TEST(Owner(kKey, {}).empty());
+}
+
+// Guards against a crash or an invented record on damaged input.
+BOOST_AUTO_TEST_CASE(DamagedEntriesAreRefused) {
+  Records records;
+  std::vector<std::string> entries;
+  ClaimResult claim = Claim(records, kKey, 1, kNow);
+  entries.push_back(claim.entry);
+  entries.push_back(Complete(records, kKey, claim.claim, Answer("done"), kNow));
+  claim = Claim(records, {kKey.team, "other"}, 1, kNow);
+  entries.push_back(Release(records, {kKey.team, "other"}, claim.claim));
+  entries.push_back(OnRecordHostsChanged(records, {HostId("a")}, false, kNow));
+  entries.push_back(RefuseClaims(records, kNow));
+  entries.push_back(EncodeSnapshot(records));
+  for (const std::string& entry : entries) {
+    for (size_t size = 0; size < entry.size(); ++size) {
+      Records target;
+      BOOST_TEST_REQUIRE(!Replay(target, std::string_view(entry).substr(0, size)));
+      BOOST_TEST_REQUIRE(target.records.empty());
+    }
+    Records target;
+    BOOST_TEST(!Replay(target, entry + "x"));
+    BOOST_TEST(Replay(target, entry));
+  }
+  std::mt19937_64 rng(kSeed);
+  for (int i = 0; i < 20'000; ++i) {
+    std::string entry = entries[rng() % entries.size()];
+    entry[rng() % entry.size()] = static_cast<char>(rng());
+    Records target;
+    Replay(target, entry);
+  }
+  Records target;
+  BOOST_TEST(!Replay(target, "J"));
+}
+
+// A host with a journal that may lose its unsynced tail, compacts and crashes at any moment, and
+// callers that resend the same few keys. Guards against a second run of a key (I6), against a
+// not_run answer for work that ran (I5), and against an answer of another run (I4).
+BOOST_AUTO_TEST_CASE(ExplorationRunsEachKeyAtMostOnce) {
+  struct Open {
+    RecordKey key;
+    uint64_t claim;
+    size_t position;  // of its claim in the journal
+    bool dispatched = false;
+  };
+  int total_runs = 0;
+  int total_crashes = 0;
+  int total_unknown = 0;
+  int total_completed = 0;
+  for (uint64_t seed = kSeed; seed < kSeed + 400; ++seed) {
+    std::mt19937_64 rng(seed);
+    Records records;
+    std::vector<std::string> journal;
+    size_t synced = 0;
+    std::vector<Open> open;
+    std::map<std::string, int> runs;
+    std::map<std::string, std::string> answers;
+    auto append = [&](std::string entry) {
+      if (!entry.empty()) journal.push_back(std::move(entry));
+      return journal.size();
+    };
+    for (int step = 0; step < 300; ++step) {
+      switch (rng() % 10) {
+        case 0:
+        case 1:
+        case 2: {
+          RecordKey key{kKey.team, std::to_string(rng() % 6)};
+          ClaimResult result = Claim(records, key, 1, kNow);
+          if (result.kind == ClaimKind::kNew) {
+            BOOST_TEST_REQUIRE(runs[key.key] == 0, "seed " << seed << ", step " << step);
+            open.push_back({key, result.claim, append(result.entry)});
+          } else if (result.kind == ClaimKind::kCompleted) {
+            ++total_completed;
+            BOOST_TEST_REQUIRE(result.answer->body == answers[key.key], "seed " << seed);
+          } else if (result.kind == ClaimKind::kOutcomeUnknown) {
+            ++total_unknown;
+          }
+          if (runs[key.key] > 0) BOOST_TEST_REQUIRE((result.run != Run::kNotRun), "seed " << seed);
+          break;
+        }
+        case 3:
+        case 4:
+          synced = journal.size();
+          break;
+        case 5:
+        case 6:
+          for (Open& request : open) {
+            if (request.dispatched || request.position > synced) continue;
+            if (!MarkDispatched(records, request.key, request.claim)) continue;
+            request.dispatched = true;
+            if (rng() % 8 == 0) {
+              // The server refuses the connection.
+              append(Release(records, request.key, request.claim, true));
+              request.claim = 0;
+              continue;
+            }
+            ++total_runs;
+            BOOST_TEST_REQUIRE(++runs[request.key.key] == 1, "seed " << seed << ", step " << step);
+          }
+          break;
+        case 7: {
+          if (open.empty()) break;
+          Open request = open[rng() % open.size()];
+          std::string body = "answer " + std::to_string(step);
+          if (request.dispatched && rng() % 4 != 0) {
+            std::string entry = Complete(records, request.key, request.claim, Answer(body), kNow);
+            if (!entry.empty()) answers[request.key.key] = body;
+            append(entry);
+          } else if (request.dispatched) {
+            MarkUnknown(records, request.key, request.claim);
+          } else {
+            // The caller has gone, or the claim could not be written.
+            append(Release(records, request.key, request.claim));
+          }
+          break;
+        }
+        case 8:
+          if (rng() % 3 != 0) break;
+          journal = {EncodeSnapshot(records)};
+          synced = 1;
+          for (Open& request : open) request.position = 1;
+          break;
+        default: {
+          if (rng() % 3 != 0) break;
+          ++total_crashes;
+          journal.resize(synced + rng() % (journal.size() - synced + 1));
+          synced = journal.size();
+          open.clear();
+          records = Restart(journal, kNow);
+        }
+      }
+    }
+  }
+  BOOST_TEST(total_runs > 500);
+  BOOST_TEST(total_crashes > 1'000);
+  BOOST_TEST(total_unknown > 1'000);
+  BOOST_TEST(total_completed > 1'000);
+  BOOST_TEST_MESSAGE("seeds from " << kSeed << ": runs " << total_runs << ", crashes "
+                                   << total_crashes);
+}
+
+}  // namespace ebonylift
