Add the consensus as a pure state machine

A voter with an empty disk must not vote: it may have acknowledged entries that only one other host has. Peers' memory of a host was ruled out as the only sign, because a new deployment looks the same from a fresh host. Each disk therefore has a random name; the first start needs an answer from every voter, and a lost disk is confirmed again by a committed entry that names the new disk and whose commit did not count it.

--- /dev/null
+++ b/src/core/consensus.cc
@@ -0,0 +1,1181 @@
+#include "core/consensus.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/codec.h"
+
+namespace ebonylift {
+namespace {
+
+constexpr char kRejoinedPrefix[] = "rejoined:";
+constexpr Duration kRejoinRetry = milliseconds(2'000);
+constexpr Duration kFirstElectionSpread = milliseconds(400);
+constexpr uint64_t kMaxSnapshotBytes = 256 << 20;
+
+struct Context {
+  Consensus& s;
+  Time now;
+  std::mt19937_64& rng;
+  Ready& ready;
+};
+
+// ---- the log
+
+std::optional<uint64_t> TermAt(const Consensus& s, uint64_t index) {
+  if (index == s.base_index) return s.base_term;
+  if (index < s.base_index || index > s.base_index + s.log.size()) return std::nullopt;
+  return s.log[index - s.base_index - 1].term;
+}
+
+uint64_t LastTerm(const Consensus& s) { return s.log.empty() ? s.base_term : s.log.back().term; }
+
+MemberSet MembersAt(const Consensus& s, uint64_t index) {
+  for (auto it = s.log.rbegin(); it != s.log.rend(); ++it) {
+    if (it->index <= index && it->kind == EntryKind::kMembers) return DecodeMembers(it->data);
+  }
+  return s.base_members;
+}
+
+void RefreshMembers(Consensus* s) {
+  s->members = s->base_members;
+  s->members_index = s->base_index;
+  for (auto it = s->log.rbegin(); it != s->log.rend(); ++it) {
+    if (it->kind != EntryKind::kMembers) continue;
+    s->members = DecodeMembers(it->data);
+    s->members_index = it->index;
+    return;
+  }
+}
+
+std::string MembersText(const MemberSet& members) {
+  std::string text;
+  for (const HostId& host : members.voters) text += (text.empty() ? "" : ",") + host.value();
+  for (const HostId& host : members.learners) text += "," + host.value() + "(learner)";
+  return text;
+}
+
+bool IsMember(const MemberSet& members, const HostId& host) {
+  return members.voters.count(host) != 0 || members.learners.count(host) != 0;
+}
+
+size_t QuorumSize(const Consensus& s) { return s.members.voters.size() / 2 + 1; }
+
+void Note(Context& c, NoticeKind kind, std::string text) {
+  c.ready.notices.push_back({kind, std::move(text)});
+}
+
+void UpdateProgressHosts(Context& c) {
+  for (const std::set<HostId>* hosts : {&c.s.members.voters, &c.s.members.learners}) {
+    for (const HostId& host : *hosts) {
+      if (host == c.s.self) continue;
+      auto [it, added] = c.s.progress.try_emplace(host);
+      if (added) it->second.next = LastIndex(c.s) + 1;
+      it->second.removed_at.reset();
+    }
+  }
+  for (auto& [host, progress] : c.s.progress) {
+    if (!IsMember(c.s.members, host) && !progress.removed_at) progress.removed_at = c.now;
+  }
+}
+
+void MembersChanged(Context& c) {
+  MemberSet before = c.s.members;
+  RefreshMembers(&c.s);
+  if (before == c.s.members) return;
+  Note(c, NoticeKind::kMembersChanged, MembersText(c.s.members));
+  if (c.s.role == Role::kLeader) UpdateProgressHosts(c);
+}
+
+void AppendEntry(Context& c, LogEntry entry) {
+  bool members = entry.kind == EntryKind::kMembers;
+  c.ready.append.push_back(entry);
+  c.s.log.push_back(std::move(entry));
+  if (members) MembersChanged(c);
+}
+
+LogEntry& AppendOwn(Context& c, EntryKind kind, std::string data) {
+  LogEntry entry;
+  entry.index = LastIndex(c.s) + 1;
+  entry.term = c.s.hard.term;
+  entry.kind = kind;
+  entry.data = std::move(data);
+  AppendEntry(c, std::move(entry));
+  return c.s.log.back();
+}
+
+void TruncateFrom(Context& c, uint64_t index) {
+  if (index <= c.s.hard.commit) {
+    throw Error(ErrorKind::kInternal, "a leader would replace a committed log entry");
+  }
+  c.s.log.resize(index - c.s.base_index - 1);
+  c.s.durable = std::min(c.s.durable, index - 1);
+  MembersChanged(c);
+}
+
+// ---- sending
+
+template <typename Body>
+void SendAs(Context& c, const HostId& to, uint64_t term, Body body) {
+  ConsensusMessage message;
+  message.from = c.s.self;
+  message.to = to;
+  message.term = term;
+  message.body = std::move(body);
+  c.ready.send.push_back(std::move(message));
+}
+
+template <typename Body>
+void Send(Context& c, const HostId& to, Body body) {
+  SendAs(c, to, c.s.hard.term, std::move(body));
+}
+
+void SendSnapshotPart(Context& c, const HostId& to, Progress* progress) {
+  SnapshotPart part;
+  part.index = c.s.snapshot_index;
+  part.snapshot_term = *TermAt(c.s, c.s.snapshot_index);
+  part.members = MembersAt(c.s, c.s.snapshot_index);
+  part.total = c.s.snapshot->size();
+  part.offset = std::min<uint64_t>(progress->snapshot_offset, part.total);
+  part.data = c.s.snapshot->substr(part.offset, kSnapshotPartBytes);
+  part.sent_at = c.now;
+  progress->snapshot_sent = c.now;
+  Send(c, to, std::move(part));
+}
+
+void SendHeartbeatOnly(Context& c, const HostId& to) {
+  AppendRequest request;  // an empty log precedes everything, so that this never fails to match
+  request.sent_at = c.now;
+  Send(c, to, std::move(request));
+}
+
+void SendAppend(Context& c, const HostId& to, Progress* progress) {
+  if (progress->next <= c.s.base_index && c.s.snapshot) {
+    bool resend = c.now - progress->snapshot_sent >= kSnapshotResend;
+    if (!progress->in_snapshot) {
+      progress->in_snapshot = true;
+      progress->snapshot_offset = 0;
+      resend = true;
+    }
+    if (resend) {
+      SendSnapshotPart(c, to, progress);
+    } else {
+      SendHeartbeatOnly(c, to);
+    }
+    return;
+  }
+  progress->in_snapshot = false;
+  AppendRequest request;
+  request.prev_index = progress->next - 1;
+  request.prev_term = *TermAt(c.s, request.prev_index);
+  request.commit = c.s.hard.commit;
+  request.sent_at = c.now;
+  size_t bytes = 0;
+  bool may_send = progress->next <= progress->match + kMaxUnacknowledged;
+  for (uint64_t i = progress->next; may_send && i <= LastIndex(c.s); ++i) {
+    const LogEntry& entry = c.s.log[i - c.s.base_index - 1];
+    bytes += entry.data.size() + sizeof(LogEntry);
+    bool full = bytes > kMaxAppendBytes || request.entries.size() >= kMaxAppendEntries;
+    if (full && !request.entries.empty()) break;
+    request.entries.push_back(entry);
+  }
+  progress->next += request.entries.size();
+  Send(c, to, std::move(request));
+}
+
+void Broadcast(Context& c) {
+  for (auto& [host, progress] : c.s.progress) SendAppend(c, host, &progress);
+}
+
+// ---- time
+
+Time NextElection(Context& c) {
+  std::uniform_int_distribution<int64_t> spread(
+      0, (kMaxElectionTimeout - kMinElectionTimeout).count());
+  return c.now + kMinElectionTimeout + microseconds(spread(c.rng));
+}
+
+// The newest time that a quorum has passed: this host now, the others when the newest message that
+// they acknowledged was sent, at least `baseline`.
+Time QuorumTime(const Consensus& s, Time now, Time baseline) {
+  std::vector<Time> times;
+  for (const HostId& host : s.members.voters) {
+    if (host == s.self) {
+      times.push_back(now);
+      continue;
+    }
+    auto found = s.progress.find(host);
+    times.push_back(found == s.progress.end() ? baseline
+                                              : std::max(baseline, found->second.acknowledged));
+  }
+  if (times.empty()) return baseline;
+  std::sort(times.begin(), times.end(), std::greater<Time>());
+  return times[QuorumSize(s) - 1];
+}
+
+bool LeaderHasQuorum(const Consensus& s, Time now) {
+  return QuorumTime(s, now, s.leader_since) + kMinElectionTimeout > now;
+}
+
+// ---- commit
+
+void StepDown(Context& c, const std::string& reason) {
+  if (c.s.role == Role::kLeader) {
+    Note(c, NoticeKind::kSteppedDown, reason);
+    // The host heard no other leader while it was one; it need not wait to vote.
+    c.s.progress.clear();
+  }
+  c.s.role = Role::kFollower;
+  c.s.leader = HostId();
+  c.s.granted.clear();
+  c.s.election_due = NextElection(c);
+}
+
+void SetCommit(Context& c, uint64_t commit) {
+  if (commit <= c.s.hard.commit) return;
+  c.s.hard.commit = commit;
+  c.ready.hard_changed = true;
+}
+
+void MaybeCommit(Context& c) {
+  if (c.s.role != Role::kLeader || c.s.members.voters.empty()) return;
+  std::vector<uint64_t> matches;
+  for (const HostId& host : c.s.members.voters) {
+    if (host == c.s.self) {
+      matches.push_back(c.s.durable);
+      continue;
+    }
+    auto found = c.s.progress.find(host);
+    matches.push_back(found == c.s.progress.end() ? 0 : found->second.confirmed_match);
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<uint64_t>());
+  uint64_t commit = std::min(matches[QuorumSize(c.s) - 1], LastIndex(c.s));
+  // Only entries of the own term are committed by counting; earlier ones are with them. (An entry
+  // of an earlier term on a quorum can still be replaced by another leader.)
+  if (commit <= c.s.hard.commit || TermAt(c.s, commit) != c.s.hard.term) return;
+  SetCommit(c, commit);
+  Broadcast(c);
+  bool removed = c.s.members_index <= commit && !IsMember(c.s.members, c.s.self);
+  if (removed) StepDown(c, "removed from the voters");
+}
+
+void ApplyRejoin(Context& c, const LogEntry& entry) {
+  ByteReader reader(entry.data);
+  HostId host(reader.Text());
+  std::string disk = reader.Text();
+  if (host != c.s.self) {
+    c.s.hard.disks[host] = kRejoinedPrefix + disk;
+    c.ready.hard_changed = true;
+  } else if (disk == c.s.hard.disk && !c.s.hard.confirmed) {
+    c.s.hard.confirmed = true;
+    c.s.disk_lost = false;
+    c.ready.hard_changed = true;
+    Note(c, NoticeKind::kConfirmed, "caught up with index " + std::to_string(entry.index));
+  }
+}
+
+void HandOut(Context& c) {
+  if (c.s.restore_pending) {
+    if (c.s.durable_commit < c.s.snapshot_index) return;
+    c.ready.restored = c.s.snapshot;
+    c.s.handed_out = c.s.snapshot_index;
+    c.s.restore_pending = false;
+  }
+  uint64_t end = std::min(c.s.durable_commit, LastIndex(c.s));
+  while (c.s.handed_out < end) {
+    const LogEntry& entry = c.s.log[c.s.handed_out - c.s.base_index];
+    ++c.s.handed_out;
+    if (entry.kind == EntryKind::kRejoin) ApplyRejoin(c, entry);
+    c.ready.committed.push_back(entry);
+  }
+}
+
+// ---- roles
+
+void BecomeFollower(Context& c, uint64_t term, const HostId& leader) {
+  if (c.s.role == Role::kLeader) StepDown(c, "another host has a newer term");
+  c.s.role = Role::kFollower;
+  c.s.granted.clear();
+  bool changed = term != c.s.hard.term || leader != c.s.leader;
+  if (term != c.s.hard.term) {
+    c.s.hard.term = term;
+    c.s.hard.voted_for = HostId();
+    c.ready.hard_changed = true;
+  }
+  c.s.leader = leader;
+  if (changed) {
+    Note(c, NoticeKind::kTermChanged,
+         std::to_string(term) + " " + (leader.empty() ? "unknown" : leader.value()));
+  }
+}
+
+void BecomeLeader(Context& c) {
+  c.s.role = Role::kLeader;
+  c.s.leader = c.s.self;
+  c.s.leader_since = c.now;
+  c.s.heartbeat_due = c.now + kHeartbeatInterval;
+  c.s.progress.clear();
+  UpdateProgressHosts(c);
+  c.s.term_start = AppendOwn(c, EntryKind::kMembers, EncodeMembers(c.s.members)).index;
+  Note(c, NoticeKind::kElected, std::to_string(c.s.hard.term));
+  Broadcast(c);
+}
+
+void RequestVotes(Context& c, bool pre, uint64_t term) {
+  for (const HostId& host : c.s.members.voters) {
+    if (host == c.s.self) continue;
+    VoteRequest request;
+    request.pre = pre;
+    request.last_index = LastIndex(c.s);
+    request.last_term = LastTerm(c.s);
+    SendAs(c, host, term, request);
+  }
+}
+
+void StartElection(Context& c) {
+  c.s.role = Role::kCandidate;
+  ++c.s.hard.term;
+  c.s.hard.voted_for = c.s.self;
+  c.ready.hard_changed = true;
+  c.s.granted = {c.s.self};
+  c.s.election_due = NextElection(c);
+  if (c.s.granted.size() >= QuorumSize(c.s)) {
+    BecomeLeader(c);
+    return;
+  }
+  RequestVotes(c, /*pre=*/false, c.s.hard.term);
+}
+
+void StartPreVote(Context& c) {
+  c.s.role = Role::kPreCandidate;
+  c.s.leader = HostId();
+  c.s.granted = {c.s.self};
+  c.s.election_due = NextElection(c);
+  if (c.s.granted.size() >= QuorumSize(c.s)) {
+    StartElection(c);
+    return;
+  }
+  RequestVotes(c, /*pre=*/true, c.s.hard.term + 1);
+}
+
+// ---- lost disks
+
+void SendHellos(Context& c) {
+  if (c.now < c.s.hello_due) return;
+  c.s.hello_due = c.now + kHelloInterval;
+  std::set<HostId> hosts = c.s.members.voters;
+  if (!c.s.leader.empty()) hosts.insert(c.s.leader);
+  for (const HostId& host : hosts) {
+    if (host != c.s.self) Send(c, host, Hello{c.s.hard.disk});
+  }
+}
+
+// Confirms the disk at the first start of a deployment.
+void MaybeFound(Context& c) {
+  if (c.s.hard.confirmed || !c.s.hard.may_found || LastIndex(c.s) != 0) return;
+  if (c.s.members.voters.count(c.s.self) == 0) return;
+  for (const HostId& host : c.s.members.voters) {
+    if (host == c.s.self) continue;
+    auto found = c.s.hello_replies.find(host);
+    if (found == c.s.hello_replies.end()) return;
+    if (!found->second.fresh && found->second.known_disk != c.s.hard.disk) return;
+  }
+  c.s.hard.confirmed = true;
+  for (const auto& [host, reply] : c.s.hello_replies) c.s.hard.disks[host] = reply.disk;
+  c.ready.hard_changed = true;
+  // No leader was ever elected with the help of this disk.
+  c.s.last_heard = c.now - kMinElectionTimeout;
+  std::uniform_int_distribution<int64_t> spread(0, kFirstElectionSpread.count());
+  c.s.election_due = c.now + microseconds(spread(c.rng));
+  Note(c, NoticeKind::kConfirmed, "first start");
+}
+
+void MaybeProposeRejoin(Context& c, const HostId& host, const std::string& disk) {
+  if (c.s.role != Role::kLeader || !CanPropose(c.s) || !IsMember(c.s.members, host)) return;
+  auto found = c.s.progress.find(host);
+  if (found == c.s.progress.end()) return;
+  Progress& progress = found->second;
+  // A host far behind would get the entry within a snapshot, where it does not see it.
+  if (progress.confirmed || progress.match + kMaxAppendEntries < c.s.hard.commit) return;
+  if (progress.match < c.s.base_index) return;
+  bool recent =
+      progress.rejoin_proposed != Time() && c.now - progress.rejoin_proposed < kRejoinRetry;
+  if (recent) return;
+  progress.rejoin_proposed = c.now;
+  ByteWriter writer;
+  writer.Text(host.value());
+  writer.Text(disk);
+  AppendOwn(c, EntryKind::kRejoin, writer.Take());
+  Broadcast(c);
+}
+
+// ---- messages
+
+bool IsUpToDate(const Consensus& s, const VoteRequest& request) {
+  return std::make_pair(request.last_term, request.last_index) >=
+         std::make_pair(LastTerm(s), LastIndex(s));
+}
+
+// True while this host must not help to replace a leader that may hold a lease.
+bool MustKeepLeader(const Consensus& s, Time now) {
+  if (s.role == Role::kLeader) return LeaderHasQuorum(s, now);
+  return now - s.last_heard < kMinElectionTimeout;
+}
+
+void OnVoteRequest(Context& c, const ConsensusMessage& m, const VoteRequest& request) {
+  bool keep = MustKeepLeader(c.s, c.now);
+  if (request.pre) {
+    bool granted =
+        c.s.hard.confirmed && m.term > c.s.hard.term && IsUpToDate(c.s, request) && !keep;
+    SendAs(c, m.from, granted ? m.term : c.s.hard.term, VoteReply{true, granted});
+    return;
+  }
+  if (m.term > c.s.hard.term) {
+    if (keep) return;
+    BecomeFollower(c, m.term, HostId());
+  }
+  bool free = c.s.hard.voted_for.empty() || c.s.hard.voted_for == m.from;
+  bool granted = m.term == c.s.hard.term && c.s.hard.confirmed && free && IsUpToDate(c.s, request);
+  if (granted && c.s.hard.voted_for != m.from) {
+    c.s.hard.voted_for = m.from;
+    c.ready.hard_changed = true;
+  }
+  if (granted) c.s.election_due = NextElection(c);
+  Send(c, m.from, VoteReply{false, granted});
+}
+
+void OnVoteReply(Context& c, const ConsensusMessage& m, const VoteReply& reply) {
+  if (!reply.granted || c.s.members.voters.count(m.from) == 0) return;
+  if (reply.pre) {
+    if (c.s.role != Role::kPreCandidate || m.term != c.s.hard.term + 1) return;
+    c.s.granted.insert(m.from);
+    if (c.s.granted.size() >= QuorumSize(c.s)) StartElection(c);
+    return;
+  }
+  if (c.s.role != Role::kCandidate || m.term != c.s.hard.term) return;
+  c.s.granted.insert(m.from);
+  if (c.s.granted.size() >= QuorumSize(c.s)) BecomeLeader(c);
+}
+
+void HeardFromLeader(Context& c, const HostId& leader) {
+  BecomeFollower(c, c.s.hard.term, leader);
+  c.s.last_heard = c.now;
+  c.s.election_due = NextElection(c);
+}
+
+void ReplyAppend(Context& c, const HostId& to, const AppendRequest& request, bool ok,
+                 uint64_t match) {
+  AppendReply reply;
+  reply.ok = ok;
+  reply.match = match;
+  reply.confirmed = c.s.hard.confirmed;
+  reply.sent_at = request.sent_at;
+  Send(c, to, reply);
+}
+
+// Where the leader should look for the last equal entry: before the run of entries of the term that
+// does not match.
+uint64_t ConflictHint(const Consensus& s, uint64_t prev_index) {
+  if (prev_index > LastIndex(s)) return LastIndex(s);
+  uint64_t term = *TermAt(s, prev_index);
+  uint64_t hint = prev_index;
+  while (hint > s.base_index && hint > s.hard.commit && TermAt(s, hint) == term) --hint;
+  return hint;
+}
+
+void OnAppendRequest(Context& c, const ConsensusMessage& m, const AppendRequest& request) {
+  if (m.term < c.s.hard.term) {
+    ReplyAppend(c, m.from, request, false, 0);  // the newer term deposes the sender
+    return;
+  }
+  HeardFromLeader(c, m.from);
+  if (request.prev_index >= c.s.base_index &&
+      TermAt(c.s, request.prev_index) != request.prev_term) {
+    ReplyAppend(c, m.from, request, false, ConflictHint(c.s, request.prev_index));
+    return;
+  }
+  for (const LogEntry& entry : request.entries) {
+    if (entry.index <= c.s.base_index) continue;  // committed, therefore equal
+    if (entry.index <= LastIndex(c.s)) {
+      if (TermAt(c.s, entry.index) == entry.term) continue;
+      TruncateFrom(c, entry.index);
+    }
+    AppendEntry(c, entry);
+  }
+  uint64_t match = std::max(c.s.base_index, request.prev_index + request.entries.size());
+  SetCommit(c, std::min(request.commit, match));
+  ReplyAppend(c, m.from, request, true, match);
+}
+
+void Acknowledge(Context& c, Progress* progress, bool confirmed, Time sent_at) {
+  progress->confirmed = confirmed;
+  // An unconfirmed host promises nothing that a lease could rest on.
+  if (confirmed && sent_at <= c.now) {
+    progress->acknowledged = std::max(progress->acknowledged, sent_at);
+  }
+}
+
+void AdvanceMatch(Context& c, Progress* progress, uint64_t match, bool confirmed) {
+  progress->match = std::max(progress->match, match);
+  progress->next = std::max(progress->next, progress->match + 1);
+  if (confirmed) progress->confirmed_match = std::max(progress->confirmed_match, match);
+  MaybeCommit(c);
+}
+
+void OnAppendReply(Context& c, const ConsensusMessage& m, const AppendReply& reply) {
+  auto found = c.s.progress.find(m.from);
+  if (c.s.role != Role::kLeader || found == c.s.progress.end()) return;
+  Progress& progress = found->second;
+  Acknowledge(c, &progress, reply.confirmed, reply.sent_at);
+  if (!reply.ok) {
+    // The host may have lost its disk: what it acknowledged before says nothing about its log now.
+    if (!reply.confirmed) progress.match = std::min(progress.match, reply.match);
+    uint64_t next = std::max(progress.match, reply.match) + 1;
+    if (next >= progress.next) return;  // an old reply
+    progress.next = next;
+    SendAppend(c, m.from, &progress);
+    return;
+  }
+  AdvanceMatch(c, &progress, reply.match, reply.confirmed);
+  found = c.s.progress.find(m.from);  // MaybeCommit() may have stepped down
+  if (found != c.s.progress.end() && found->second.next <= LastIndex(c.s) &&
+      found->second.next > c.s.base_index) {
+    SendAppend(c, m.from, &found->second);
+  }
+}
+
+void InstallSnapshot(Context& c, const SnapshotPart& part) {
+  bool keep_log = TermAt(c.s, part.index) == part.snapshot_term;
+  if (keep_log) {
+    while (!c.s.log.empty() && c.s.log.front().index <= part.index) c.s.log.pop_front();
+  } else {
+    c.s.log.clear();
+  }
+  c.s.base_index = part.index;
+  c.s.base_term = part.snapshot_term;
+  c.s.base_members = part.members;
+  c.s.snapshot_index = part.index;
+  c.s.snapshot = std::make_shared<const std::string>(std::move(c.s.receiving));
+  c.s.receiving.clear();
+  c.s.restore_pending = true;
+  c.s.durable = keep_log ? std::max(c.s.durable, part.index) : part.index;
+  c.ready.install = true;
+  SetCommit(c, part.index);
+  MembersChanged(c);
+}
+
+void OnSnapshotPart(Context& c, const ConsensusMessage& m, const SnapshotPart& part) {
+  if (m.term < c.s.hard.term) {
+    AppendRequest request;
+    request.sent_at = part.sent_at;
+    ReplyAppend(c, m.from, request, false, 0);
+    return;
+  }
+  HeardFromLeader(c, m.from);
+  SnapshotReply reply;
+  reply.index = part.index;
+  reply.sent_at = part.sent_at;
+  reply.confirmed = c.s.hard.confirmed;
+  if (part.index <= c.s.hard.commit) {
+    reply.next_offset = part.total;
+    c.s.receiving.clear();
+    Send(c, m.from, reply);
+    return;
+  }
+  bool same = c.s.receiving_index == part.index && c.s.receiving_term == part.snapshot_term;
+  if (!same || part.offset == 0) {
+    c.s.receiving.clear();
+    c.s.receiving_index = part.index;
+    c.s.receiving_term = part.snapshot_term;
+  }
+  bool fits = part.total <= kMaxSnapshotBytes && part.offset == c.s.receiving.size() &&
+              part.data.size() <= part.total - part.offset;
+  if (fits) c.s.receiving += part.data;
+  reply.next_offset = c.s.receiving.size();
+  if (fits && c.s.receiving.size() == part.total) InstallSnapshot(c, part);
+  Send(c, m.from, reply);
+}
+
+void OnSnapshotReply(Context& c, const ConsensusMessage& m, const SnapshotReply& reply) {
+  auto found = c.s.progress.find(m.from);
+  if (c.s.role != Role::kLeader || found == c.s.progress.end()) return;
+  Progress& progress = found->second;
+  Acknowledge(c, &progress, reply.confirmed, reply.sent_at);
+  if (!progress.in_snapshot || !c.s.snapshot) return;
+  if (reply.index != c.s.snapshot_index) {
+    progress.snapshot_offset = 0;  // the snapshot was replaced by a newer one
+    SendSnapshotPart(c, m.from, &progress);
+    return;
+  }
+  if (reply.next_offset < c.s.snapshot->size()) {
+    // A repeated reply; the part it asks for is on its way.
+    bool sent = reply.next_offset == progress.snapshot_offset &&
+                c.now - progress.snapshot_sent < kSnapshotResend;
+    if (sent) return;
+    progress.snapshot_offset = reply.next_offset;
+    SendSnapshotPart(c, m.from, &progress);
+    return;
+  }
+  progress.in_snapshot = false;
+  progress.next = std::max(progress.next, reply.index + 1);
+  AdvanceMatch(c, &progress, reply.index, reply.confirmed);
+  found = c.s.progress.find(m.from);
+  if (found != c.s.progress.end()) SendAppend(c, m.from, &found->second);
+}
+
+void OnHello(Context& c, const ConsensusMessage& m, const Hello& hello) {
+  HelloReply reply;
+  reply.asked_disk = hello.disk;
+  reply.disk = c.s.hard.disk;
+  reply.fresh = !c.s.hard.confirmed && LastIndex(c.s) == 0 && c.s.hard.may_found;
+  auto known = c.s.hard.disks.find(m.from);
+  if (known != c.s.hard.disks.end()) reply.known_disk = known->second;
+  Send(c, m.from, reply);
+  MaybeProposeRejoin(c, m.from, hello.disk);
+}
+
+void OnHelloReply(Context& c, const ConsensusMessage& m, const HelloReply& reply) {
+  if (c.s.hard.confirmed || reply.asked_disk != c.s.hard.disk) return;
+  c.s.hello_replies[m.from] = reply;
+  bool other_disk = !reply.known_disk.empty() && reply.known_disk != c.s.hard.disk &&
+                    reply.known_disk != kRejoinedPrefix + c.s.hard.disk;
+  if (other_disk && !c.s.disk_lost) {
+    c.s.disk_lost = true;
+    Note(c, NoticeKind::kDiskLost, "known to " + m.from.value());
+  }
+  MaybeFound(c);
+}
+
+// Returns false when the message is to be ignored. Takes over a newer term.
+bool AcceptTerm(Context& c, const ConsensusMessage& m) {
+  bool is_hello =
+      std::holds_alternative<Hello>(m.body) || std::holds_alternative<HelloReply>(m.body);
+  bool is_vote_request = std::holds_alternative<VoteRequest>(m.body);
+  if (is_hello || is_vote_request) return true;  // handled by the message itself
+  if (const auto* reply = std::get_if<VoteReply>(&m.body)) {
+    if (reply->pre && reply->granted) return true;  // carries the term that would be started
+  }
+  bool from_leader =
+      std::holds_alternative<AppendRequest>(m.body) || std::holds_alternative<SnapshotPart>(m.body);
+  if (m.term > c.s.hard.term) BecomeFollower(c, m.term, from_leader ? m.from : HostId());
+  return from_leader || m.term == c.s.hard.term;
+}
+
+void Dispatch(Context& c, const ConsensusMessage& m) {
+  if (const auto* vote = std::get_if<VoteRequest>(&m.body)) OnVoteRequest(c, m, *vote);
+  if (const auto* vote = std::get_if<VoteReply>(&m.body)) OnVoteReply(c, m, *vote);
+  if (const auto* append = std::get_if<AppendRequest>(&m.body)) OnAppendRequest(c, m, *append);
+  if (const auto* append = std::get_if<AppendReply>(&m.body)) OnAppendReply(c, m, *append);
+  if (const auto* part = std::get_if<SnapshotPart>(&m.body)) OnSnapshotPart(c, m, *part);
+  if (const auto* part = std::get_if<SnapshotReply>(&m.body)) OnSnapshotReply(c, m, *part);
+  if (const auto* hello = std::get_if<Hello>(&m.body)) OnHello(c, m, *hello);
+  if (const auto* hello = std::get_if<HelloReply>(&m.body)) OnHelloReply(c, m, *hello);
+}
+
+void Finish(Context& c) {
+  HandOut(c);
+  c.ready.mark = {LastIndex(c.s), LastTerm(c.s), c.s.hard.commit};
+}
+
+// ---- the leader's periodic work
+
+void PromoteLearners(Context& c) {
+  if (!CanPropose(c.s) || c.s.members_index > c.s.hard.commit) return;
+  for (const HostId& host : c.s.members.learners) {
+    const Progress& progress = c.s.progress.at(host);
+    if (!progress.confirmed || progress.confirmed_match < c.s.hard.commit) continue;
+    MemberSet next = c.s.members;
+    next.learners.erase(host);
+    next.voters.insert(host);
+    AppendOwn(c, EntryKind::kMembers, EncodeMembers(next));
+    Broadcast(c);
+    return;
+  }
+}
+
+void DropRemovedHosts(Context& c) {
+  for (auto it = c.s.progress.begin(); it != c.s.progress.end();) {
+    bool over = it->second.removed_at && c.now - *it->second.removed_at > kRemovedMemberTime;
+    it = over ? c.s.progress.erase(it) : std::next(it);
+  }
+}
+
+void TickLeader(Context& c) {
+  if (!LeaderHasQuorum(c.s, c.now)) {
+    StepDown(c, "no quorum for an election timeout");
+    return;
+  }
+  DropRemovedHosts(c);
+  PromoteLearners(c);
+  if (c.now < c.s.heartbeat_due) return;
+  c.s.heartbeat_due = c.now + kHeartbeatInterval;
+  Broadcast(c);
+}
+
+// ---- encoding
+
+void WriteTime(ByteWriter* writer, Time time) { writer->I64(time.time_since_epoch().count()); }
+Time ReadTime(ByteReader* reader) { return Time(microseconds(reader->I64())); }
+
+void WriteHosts(ByteWriter* writer, const std::set<HostId>& hosts) {
+  writer->U32(static_cast<uint32_t>(hosts.size()));
+  for (const HostId& host : hosts) writer->Text(host.value());
+}
+
+std::set<HostId> ReadHosts(ByteReader* reader) {
+  std::set<HostId> hosts;
+  for (uint32_t n = reader->U32(); n > 0; --n) hosts.insert(HostId(reader->Text()));
+  return hosts;
+}
+
+void WriteMembers(ByteWriter* writer, const MemberSet& members) {
+  WriteHosts(writer, members.voters);
+  WriteHosts(writer, members.learners);
+}
+
+MemberSet ReadMembers(ByteReader* reader) {
+  MemberSet members;
+  members.voters = ReadHosts(reader);
+  members.learners = ReadHosts(reader);
+  return members;
+}
+
+void WriteEntries(ByteWriter* writer, const std::vector<LogEntry>& entries) {
+  writer->U32(static_cast<uint32_t>(entries.size()));
+  for (const LogEntry& entry : entries) {
+    writer->U64(entry.index);
+    writer->U64(entry.term);
+    writer->U8(static_cast<uint8_t>(entry.kind));
+    writer->Text(entry.data);
+  }
+}
+
+std::vector<LogEntry> ReadEntries(ByteReader* reader) {
+  std::vector<LogEntry> entries;
+  for (uint32_t n = reader->U32(); n > 0; --n) {
+    LogEntry entry;
+    entry.index = reader->U64();
+    entry.term = reader->U64();
+    entry.kind = static_cast<EntryKind>(reader->U8());
+    entry.data = reader->Text();
+    entries.push_back(std::move(entry));
+  }
+  return entries;
+}
+
+void WriteHard(ByteWriter* writer, const HardState& hard) {
+  writer->U64(hard.term);
+  writer->Text(hard.voted_for.value());
+  writer->U64(hard.commit);
+  writer->Text(hard.disk);
+  writer->Bool(hard.confirmed);
+  writer->Bool(hard.may_found);
+  writer->U32(static_cast<uint32_t>(hard.disks.size()));
+  for (const auto& [host, disk] : hard.disks) {
+    writer->Text(host.value());
+    writer->Text(disk);
+  }
+}
+
+HardState ReadHard(ByteReader* reader) {
+  HardState hard;
+  hard.term = reader->U64();
+  hard.voted_for = HostId(reader->Text());
+  hard.commit = reader->U64();
+  hard.disk = reader->Text();
+  hard.confirmed = reader->Bool();
+  hard.may_found = reader->Bool();
+  for (uint32_t n = reader->U32(); n > 0; --n) {
+    HostId host(reader->Text());
+    hard.disks[host] = reader->Text();
+  }
+  return hard;
+}
+
+struct BodyWriter {
+  ByteWriter* w;
+  void operator()(const VoteRequest& b) const {
+    w->Bool(b.pre);
+    w->U64(b.last_index);
+    w->U64(b.last_term);
+  }
+  void operator()(const VoteReply& b) const {
+    w->Bool(b.pre);
+    w->Bool(b.granted);
+  }
+  void operator()(const AppendRequest& b) const {
+    w->U64(b.prev_index);
+    w->U64(b.prev_term);
+    w->U64(b.commit);
+    WriteTime(w, b.sent_at);
+    WriteEntries(w, b.entries);
+  }
+  void operator()(const AppendReply& b) const {
+    w->Bool(b.ok);
+    w->U64(b.match);
+    w->Bool(b.confirmed);
+    WriteTime(w, b.sent_at);
+  }
+  void operator()(const SnapshotPart& b) const {
+    w->U64(b.index);
+    w->U64(b.snapshot_term);
+    WriteMembers(w, b.members);
+    w->U64(b.offset);
+    w->U64(b.total);
+    WriteTime(w, b.sent_at);
+    w->Text(b.data);
+  }
+  void operator()(const SnapshotReply& b) const {
+    w->U64(b.index);
+    w->U64(b.next_offset);
+    w->Bool(b.confirmed);
+    WriteTime(w, b.sent_at);
+  }
+  void operator()(const Hello& b) const { w->Text(b.disk); }
+  void operator()(const HelloReply& b) const {
+    w->Text(b.asked_disk);
+    w->Bool(b.fresh);
+    w->Text(b.disk);
+    w->Text(b.known_disk);
+  }
+};
+
+VoteRequest ReadVoteRequest(ByteReader* r) {
+  VoteRequest b;
+  b.pre = r->Bool();
+  b.last_index = r->U64();
+  b.last_term = r->U64();
+  return b;
+}
+VoteReply ReadVoteReply(ByteReader* r) {
+  VoteReply b;
+  b.pre = r->Bool();
+  b.granted = r->Bool();
+  return b;
+}
+AppendRequest ReadAppendRequest(ByteReader* r) {
+  AppendRequest b;
+  b.prev_index = r->U64();
+  b.prev_term = r->U64();
+  b.commit = r->U64();
+  b.sent_at = ReadTime(r);
+  b.entries = ReadEntries(r);
+  // The log relies on consecutive indexes.
+  for (size_t i = 0; i < b.entries.size(); ++i) {
+    if (b.entries[i].index == b.prev_index + 1 + i) continue;
+    throw Error(ErrorKind::kBadRequest, "log entries are not consecutive");
+  }
+  return b;
+}
+AppendReply ReadAppendReply(ByteReader* r) {
+  AppendReply b;
+  b.ok = r->Bool();
+  b.match = r->U64();
+  b.confirmed = r->Bool();
+  b.sent_at = ReadTime(r);
+  return b;
+}
+SnapshotPart ReadSnapshotPart(ByteReader* r) {
+  SnapshotPart b;
+  b.index = r->U64();
+  b.snapshot_term = r->U64();
+  b.members = ReadMembers(r);
+  b.offset = r->U64();
+  b.total = r->U64();
+  b.sent_at = ReadTime(r);
+  b.data = r->Text();
+  return b;
+}
+SnapshotReply ReadSnapshotReply(ByteReader* r) {
+  SnapshotReply b;
+  b.index = r->U64();
+  b.next_offset = r->U64();
+  b.confirmed = r->Bool();
+  b.sent_at = ReadTime(r);
+  return b;
+}
+HelloReply ReadHelloReply(ByteReader* r) {
+  HelloReply b;
+  b.asked_disk = r->Text();
+  b.fresh = r->Bool();
+  b.disk = r->Text();
+  b.known_disk = r->Text();
+  return b;
+}
+
+}  // namespace
+
+// ---- public functions
+
+uint64_t LastIndex(const Consensus& state) { return state.base_index + state.log.size(); }
+
+bool IsVoter(const Consensus& state) {
+  return state.hard.confirmed && state.members.voters.count(state.self) != 0;
+}
+
+bool CanPropose(const Consensus& state) {
+  return state.role == Role::kLeader && state.hard.commit >= state.term_start;
+}
+
+bool LeaseValid(const Consensus& state, Time now) {
+  return CanPropose(state) && QuorumTime(state, now, Time()) + kLease > now;
+}
+
+uint64_t ReadIndex(const Consensus& state) { return state.hard.commit; }
+
+Consensus NewConsensus(const HostId& self, const std::set<HostId>& voters, const std::string& disk,
+                       bool may_found, Time now, std::mt19937_64& rng) {
+  Consensus state;
+  state.self = self;
+  state.base_members.voters = voters;
+  state.hard.disk = disk;
+  state.hard.may_found = may_found;
+  RefreshMembers(&state);
+  Ready ignored;
+  Context c{state, now, rng, ignored};
+  state.last_heard = now;
+  state.election_due = NextElection(c);
+  // Without peers there is nobody who could know another disk.
+  if (voters.size() == 1) MaybeFound(c);
+  return state;
+}
+
+Consensus RestoreConsensus(const HostId& self, PersistedState persisted, Time now,
+                           std::mt19937_64& rng) {
+  Consensus state;
+  state.self = self;
+  state.hard = std::move(persisted.hard);
+  state.base_index = persisted.base_index;
+  state.base_term = persisted.base_term;
+  state.base_members = std::move(persisted.base_members);
+  state.snapshot_index = persisted.snapshot_index;
+  state.snapshot = std::move(persisted.snapshot);
+  state.log.assign(std::make_move_iterator(persisted.log.begin()),
+                   std::make_move_iterator(persisted.log.end()));
+  RefreshMembers(&state);
+  state.durable = LastIndex(state);
+  state.durable_commit = state.hard.commit;
+  state.handed_out = state.snapshot_index;
+  Ready ignored;
+  Context c{state, now, rng, ignored};
+  state.last_heard = now;
+  state.election_due = NextElection(c);
+  return state;
+}
+
+Ready Step(Consensus* state, const ConsensusMessage& message, Time now, std::mt19937_64& rng) {
+  Ready ready;
+  Context c{*state, now, rng, ready};
+  if (message.to == state->self && message.from != state->self && AcceptTerm(c, message)) {
+    Dispatch(c, message);
+  }
+  Finish(c);
+  return ready;
+}
+
+Ready Tick(Consensus* state, Time now, std::mt19937_64& rng) {
+  Ready ready;
+  Context c{*state, now, rng, ready};
+  if (state->role == Role::kLeader) {
+    TickLeader(c);
+  } else if (!state->hard.confirmed) {
+    if (IsMember(state->members, state->self)) SendHellos(c);
+  } else if (IsVoter(*state)) {
+    // A single voter has nobody to wait for.
+    if (now >= state->election_due || state->members.voters.size() == 1) StartPreVote(c);
+  }
+  Finish(c);
+  return ready;
+}
+
+Ready OnPersisted(Consensus* state, const PersistMark& mark, Time now, std::mt19937_64& rng) {
+  Ready ready;
+  Context c{*state, now, rng, ready};
+  if (TermAt(*state, mark.last_index) == mark.last_term) {
+    state->durable = std::max(state->durable, mark.last_index);
+  }
+  state->durable_commit = std::max(state->durable_commit, mark.commit);
+  MaybeCommit(c);
+  Finish(c);
+  return ready;
+}
+
+std::optional<Proposal> Propose(Consensus* state, EntryKind kind, std::string data, Time now) {
+  if (!CanPropose(*state)) return std::nullopt;
+  Proposal proposal;
+  std::mt19937_64 unused;  // proposing draws no random number
+  Context c{*state, now, unused, proposal.ready};
+  proposal.index = AppendOwn(c, kind, std::move(data)).index;
+  proposal.term = state->hard.term;
+  Broadcast(c);
+  Finish(c);
+  return proposal;
+}
+
+std::optional<Proposal> ProposeMembers(Consensus* state, const MemberSet& members, Time now) {
+  if (!CanPropose(*state) || state->members_index > state->hard.commit) return std::nullopt;
+  std::vector<HostId> difference;
+  std::set_symmetric_difference(members.voters.begin(), members.voters.end(),
+                                state->members.voters.begin(), state->members.voters.end(),
+                                std::back_inserter(difference));
+  // Quorums of two sets that differ by one host have a host in common; those of sets that differ by
+  // more may not.
+  if (difference.size() > 1 || members.voters.empty()) return std::nullopt;
+  return Propose(state, EntryKind::kMembers, EncodeMembers(members), now);
+}
+
+void TakeSnapshot(Consensus* state, uint64_t index, std::shared_ptr<const std::string> snapshot,
+                  uint64_t keep) {
+  bool usable = index <= state->handed_out && index > state->snapshot_index;
+  if (!usable || state->restore_pending) return;
+  uint64_t base = std::max(state->base_index, index > keep ? index - keep : 0);
+  MemberSet members = MembersAt(*state, base);
+  uint64_t base_term = *TermAt(*state, base);
+  while (!state->log.empty() && state->log.front().index <= base) state->log.pop_front();
+  state->base_index = base;
+  state->base_term = base_term;
+  state->base_members = std::move(members);
+  state->snapshot_index = index;
+  state->snapshot = std::move(snapshot);
+}
+
+void ForgetLog(Consensus* state, const std::string& disk) {
+  state->log.clear();
+  state->base_index = 0;
+  state->base_term = 0;
+  state->base_members = state->members;
+  state->snapshot_index = 0;
+  state->snapshot.reset();
+  state->restore_pending = false;
+  state->durable = 0;
+  state->durable_commit = 0;
+  state->handed_out = 0;
+  state->hard.commit = 0;
+  state->hard.confirmed = false;
+  state->hard.disk = disk;
+  state->hard.may_found = false;
+  state->role = Role::kFollower;
+  state->progress.clear();
+  RefreshMembers(state);
+}
+
+PersistedState ToPersisted(const Consensus& state) {
+  PersistedState persisted;
+  persisted.hard = state.hard;
+  persisted.base_index = state.base_index;
+  persisted.base_term = state.base_term;
+  persisted.base_members = state.base_members;
+  persisted.snapshot_index = state.snapshot_index;
+  persisted.snapshot = state.snapshot;
+  persisted.log.assign(state.log.begin(), state.log.end());
+  return persisted;
+}
+
+std::string EncodeMessage(const ConsensusMessage& message) {
+  ByteWriter writer;
+  writer.Text(message.from.value());
+  writer.Text(message.to.value());
+  writer.U64(message.term);
+  writer.U8(static_cast<uint8_t>(message.body.index()));
+  std::visit(BodyWriter{&writer}, message.body);
+  return writer.Take();
+}
+
+ConsensusMessage DecodeMessage(std::string_view bytes) {
+  ByteReader reader(bytes);
+  ConsensusMessage message;
+  message.from = HostId(reader.Text());
+  message.to = HostId(reader.Text());
+  message.term = reader.U64();
+  switch (reader.U8()) {
+    case 0:
+      message.body = ReadVoteRequest(&reader);
+      break;
+    case 1:
+      message.body = ReadVoteReply(&reader);
+      break;
+    case 2:
+      message.body = ReadAppendRequest(&reader);
+      break;
+    case 3:
+      message.body = ReadAppendReply(&reader);
+      break;
+    case 4:
+      message.body = ReadSnapshotPart(&reader);
+      break;
+    case 5:
+      message.body = ReadSnapshotReply(&reader);
+      break;
+    case 6:
+      message.body = Hello{reader.Text()};
+      break;
+    case 7:
+      message.body = ReadHelloReply(&reader);
+      break;
+    default:
+      throw Error(ErrorKind::kBadRequest, "unknown consensus message");
+  }
+  if (!reader.AtEnd()) throw Error(ErrorKind::kBadRequest, "a consensus message is too long");
+  return message;
+}
+
+std::string EncodeMembers(const MemberSet& members) {
+  ByteWriter writer;
+  WriteMembers(&writer, members);
+  return writer.Take();
+}
+
+MemberSet DecodeMembers(std::string_view bytes) {
+  ByteReader reader(bytes);
+  return ReadMembers(&reader);
+}
+
+std::string EncodeHard(const HardState& hard) {
+  ByteWriter writer;
+  WriteHard(&writer, hard);
+  return writer.Take();
+}
+
+HardState DecodeHard(std::string_view bytes) {
+  ByteReader reader(bytes);
+  return ReadHard(&reader);
+}
+
+std::string EncodeEntries(const std::vector<LogEntry>& entries) {
+  ByteWriter writer;
+  WriteEntries(&writer, entries);
+  return writer.Take();
+}
+
+std::vector<LogEntry> DecodeEntries(std::string_view bytes) {
+  ByteReader reader(bytes);
+  return ReadEntries(&reader);
+}
+
+std::string EncodePersisted(const PersistedState& state) {
+  ByteWriter writer;
+  WriteHard(&writer, state.hard);
+  writer.U64(state.base_index);
+  writer.U64(state.base_term);
+  WriteMembers(&writer, state.base_members);
+  writer.U64(state.snapshot_index);
+  writer.Bool(state.snapshot != nullptr);
+  if (state.snapshot) writer.Text(*state.snapshot);
+  WriteEntries(&writer, state.log);
+  return writer.Take();
+}
+
+PersistedState DecodePersisted(std::string_view bytes) {
+  ByteReader reader(bytes);
+  PersistedState state;
+  state.hard = ReadHard(&reader);
+  state.base_index = reader.U64();
+  state.base_term = reader.U64();
+  state.base_members = ReadMembers(&reader);
+  state.snapshot_index = reader.U64();
+  if (reader.Bool()) state.snapshot = std::make_shared<const std::string>(reader.Text());
+  state.log = ReadEntries(&reader);
+  return state;
+}
+
+}  // namespace ebonylift
