Give no time credit to an idle engine stand-in

A step after an idle period started up to 5 ms in the past, so that five tokens of 2 ms took 5 ms. The allowance for a late timer now applies between the steps of one busy period only.

--- a/testing/engine.cc
+++ b/testing/engine.cc
@@ -233,10 +233,16 @@
 void Engine::Advance() {
   if (stepping_) return;
   for (const BatchJob& job : AdmitWaiting(batch_)) OnStarted(job);
-  if (batch_.running.empty()) return;
+  if (batch_.running.empty()) {
+    idle_ = true;
+    return;
+  }
   BatchStep step = PlanStep(batch_);
   auto duration = Duration(static_cast<int64_t>(step.duration.count() * server_->faults().slow));
-  step_due_ = std::max(step_due_, SteadyNow() - kMaxCatchUp) + duration;
+  Time now = SteadyNow();
+  Time start = idle_ ? now : std::max(step_due_, now - kMaxCatchUp);
+  step_due_ = start + duration;
+  idle_ = false;
   stepping_ = true;
   step_timer_.expires_at(step_due_);
   step_timer_.async_wait([this, step](const asio::error_code& error) {
--- a/testing/engine.h
+++ b/testing/engine.h
@@ -113,6 +113,7 @@
   asio::steady_timer step_timer_;
   Time step_due_;
   bool stepping_ = false;
+  bool idle_ = true;  // the last step ended with an empty batch
   uint64_t next_id_ = 1;
   std::unordered_map<uint64_t, GenerationPtr> generations_;
   std::unordered_map<std::string, uint64_t> ids_by_key_;
