--- a/src/daemon/record_store.cc
+++ b/src/daemon/record_store.cc
@@ -40,6 +40,10 @@
     apply(entry.substr(colon + 1, size));
     apply(entry.substr(colon + 1 + size));
   });
+  if (journal_->LostContents()) {
+    // The lost journal may have held claims of any key, so no key may be claimed within the retention.
+    AppendEntry(RefuseClaims(records_, now + kRecordRetention), [](bool) {});
+  }
   ReplaySummary records = FinishReplay(records_, now);
   JobsReplaySummary jobs = FinishReplay(jobs_, now);
   LogEvent(EventId::kRecordsRecovered, {{"records", std::to_string(records.records)},
@@ -114,7 +118,7 @@
           if (ok) {
             Accept(jobs_, id);
           } else {
-            AppendEntry(Withdraw(jobs_, id, WallNow()), [](bool) {});
+            AppendEntry(Withdraw(jobs_, id), [](bool) {});
           }
         }
         done(SubmitKind::kNew, ok);
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -57,7 +57,9 @@
  private:
   void OpenState() {
     std::shared_ptr<Journal> journal;
-    if (!settings_.data_dir.empty()) journal = OpenFileJournal(settings_.data_dir + "/records");
+    if (!settings_.data_dir.empty()) {
+      journal = std::make_shared<FileJournal>(settings_.data_dir, "records");
+    }
     records_ = std::make_unique<RecordStore>(settings_.host, journal);
     records_->Recover(WallNow());
   }
