--- a/src/ports/journal.h
+++ b/src/ports/journal.h
@@ -31,6 +31,10 @@
   // Thread safe; `done` runs on the journal thread.
   virtual void Compact(std::string snapshot, Done done) = 0;
 
+  // True when the journal was set up before and its contents are gone. Precondition: after
+  // Replay().
+  virtual bool LostContents() const { return false; }
+
   // Bytes in the files now. Thread safe.
   virtual uint64_t SizeBytes() const = 0;
 };
