--- /dev/null
+++ b/schema/peer.capnp
@@ -0,0 +1,148 @@
+@0xec3d7c1752191d3e;
+
+# What daemons say to each other on --peer_address. Every request and every answer carries `hlc`, the
+# sender's hybrid logical clock. A message is at most 8 MiB.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("ebonylift::wire");
+
+# The bootstrap interface. A connection has exactly one nonce, and one login.
+interface Gate {
+  challenge @0 (hlc :UInt64) -> (hlc :UInt64, host :Text, nonce :Text);
+
+  # `mac` is the HMAC with the cluster key over the label "login", the nonce, the id of the host
+  # that is logged in to, the own id and the incarnation. `nonce` is the caller's; `proof` is the
+  # HMAC over the label "proof", that nonce and the id of the answering host.
+  login @1 (hlc :UInt64, host :Text, incarnation :UInt64, mac :Text, nonce :Text)
+      -> (hlc :UInt64, peer :Peer, proof :Text);
+}
+
+interface Peer {
+  # A probe and an exchange of membership rows. With `target`, the receiver probes that host and
+  # `reached` tells the result (an indirect probe).
+  gossip @0 (hlc :UInt64, digest :Digest, target :Text)
+      -> (hlc :UInt64, digest :Digest, reached :Bool);
+
+  announce @1 (hlc :UInt64, sentAtMicros :Int64, announcements :List(Relayed)) -> (hlc :UInt64);
+
+  # An opaque consensus message between voters.
+  consensus @2 (hlc :UInt64, message :Data) -> (hlc :UInt64);
+
+  # A part of what the caller lacks: the changes after `revision`, or a part of a snapshot that
+  # starts at byte `offset`. The configuration replica reads and writes `data`.
+  configSince @3 (hlc :UInt64, revision :UInt64, offset :UInt64) -> (hlc :UInt64, data :Data);
+
+  # Proposes a configuration change to this host. `hops` counts how often it was forwarded before.
+  proposePut @4 (hlc :UInt64, put :Put, hops :UInt32) -> (hlc :UInt64, answer :PutAnswer);
+
+  suspect @5 (hlc :UInt64, notes :List(SuspectNote)) -> (hlc :UInt64);
+
+  timeline @6 (hlc :UInt64, since :UInt64, requestId :Text, limit :UInt32)
+      -> (hlc :UInt64, events :List(EventEntry), more :Bool);
+}
+
+enum HostStatus {
+  alive @0;
+  suspect @1;
+  failed @2;
+  leaving @3;
+}
+
+struct HostRow {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  version @2 :UInt32;
+  status @3 :HostStatus;
+  overloaded @4 :Bool;
+}
+
+struct SummaryRow {
+  domain @0 :Text;
+  region @1 :Text;
+  served @2 :Text;
+  version @3 :UInt64;
+  reporter @4 :Text;
+  servers @5 :Int32;
+  slots @6 :Int32;
+  running @7 :Int32;
+  waiting @8 :Int32;
+  ageMillis @9 :UInt32;
+}
+
+struct Digest {
+  hostsHash @0 :UInt64;
+  revision @1 :UInt64;
+  newestRevision @2 :UInt64;
+  newestHolder @3 :Text;
+  hosts @4 :List(HostRow);
+  summaries @5 :List(SummaryRow);
+}
+
+struct ServedModel {
+  name @0 :Text;
+  adapters @1 :List(Text);
+  version @2 :Text;
+}
+
+struct Announcement {
+  id @0 :Text;
+  incarnation @1 :UInt64;
+  seq @2 :UInt64;
+  isService @3 :Bool;
+  domain @4 :Text;
+  region @5 :Text;
+  address @6 :Text;
+  models @7 :List(ServedModel);
+  services @8 :List(Text);
+  role @9 :Text;
+  capabilities @10 :List(Text);
+  checksFencing @11 :Bool;
+  ttlMicros @12 :UInt64;
+  leaving @13 :Bool;
+  loadSeq @14 :UInt64;
+  running @15 :Int32;
+  waiting @16 :Int32;
+  slots @17 :Int32;
+  prefillTokensWaiting @18 :Int64;
+}
+
+struct Relayed {
+  announcement @0 :Announcement;
+  ageMicros @1 :UInt64;  # elapsed since the server sent it, at `sentAtMicros`
+}
+
+struct Put {
+  path @0 :Text;
+  hasValue @1 :Bool;
+  value @2 :Text;
+  baseRevision @3 :UInt64;
+  requestId @4 :Text;
+  operatorName @5 :Text;
+}
+
+struct PutAnswer {
+  errorCode @0 :Text;  # empty: applied
+  message @1 :Text;
+  revision @2 :UInt64;
+  hasCurrent @3 :Bool;
+  current @4 :Text;
+}
+
+struct SuspectNote {
+  content @0 :UInt64;
+  server @1 :Text;
+  alone @2 :Bool;
+  cleared @3 :Bool;
+}
+
+struct EventField {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct EventEntry {
+  hlc @0 :UInt64;
+  event @1 :Int32;
+  host @2 :Text;
+  fields @3 :List(EventField);
+}
--- /dev/null
+++ b/src/adapters/peer_codec.cc
@@ -0,0 +1,270 @@
+#include "adapters/peer_codec.h"
+
+#include <algorithm>
+
+#include "core/registry.h"
+
+namespace ebonylift {
+namespace {
+
+std::string Str(capnp::Text::Reader text) { return std::string(text.cStr(), text.size()); }
+
+wire::HostStatus ToWire(HostStatus status) {
+  switch (status) {
+    case HostStatus::kAlive:
+      return wire::HostStatus::ALIVE;
+    case HostStatus::kSuspect:
+      return wire::HostStatus::SUSPECT;
+    case HostStatus::kFailed:
+      return wire::HostStatus::FAILED;
+    case HostStatus::kLeaving:
+      return wire::HostStatus::LEAVING;
+  }
+  return wire::HostStatus::SUSPECT;
+}
+
+HostStatus FromWire(wire::HostStatus status) {
+  switch (status) {
+    case wire::HostStatus::ALIVE:
+      return HostStatus::kAlive;
+    case wire::HostStatus::SUSPECT:
+      return HostStatus::kSuspect;
+    case wire::HostStatus::FAILED:
+      return HostStatus::kFailed;
+    case wire::HostStatus::LEAVING:
+      return HostStatus::kLeaving;
+  }
+  // A status of a newer version: not trusted with work.
+  return HostStatus::kSuspect;
+}
+
+void WriteTexts(const std::vector<std::string>& texts, capnp::List<capnp::Text>::Builder out) {
+  for (uint32_t i = 0; i < out.size(); ++i) out.set(i, texts[i]);
+}
+
+std::vector<std::string> ReadTexts(capnp::List<capnp::Text>::Reader in) {
+  std::vector<std::string> texts;
+  texts.reserve(in.size());
+  for (capnp::Text::Reader text : in) texts.push_back(Str(text));
+  return texts;
+}
+
+uint32_t Count(size_t size) { return static_cast<uint32_t>(size); }
+
+void WriteHostRow(const HostRow& row, wire::HostRow::Builder out) {
+  out.setHost(row.id.value());
+  out.setIncarnation(row.incarnation);
+  out.setVersion(row.version);
+  out.setStatus(ToWire(row.status));
+  out.setOverloaded(row.overloaded);
+}
+
+HostRow ReadHostRow(wire::HostRow::Reader in) {
+  HostRow row;
+  row.id = HostId(Str(in.getHost()));
+  row.incarnation = in.getIncarnation();
+  row.version = in.getVersion();
+  row.status = FromWire(in.getStatus());
+  row.overloaded = in.getOverloaded();
+  return row;
+}
+
+void WriteSummary(const SummaryRow& row, Time now, wire::SummaryRow::Builder out) {
+  const DomainSummary& summary = row.summary;
+  out.setDomain(summary.domain.value());
+  out.setRegion(summary.region.value());
+  out.setServed(summary.served);
+  out.setVersion(summary.version);
+  out.setReporter(row.reporter.value());
+  out.setServers(summary.servers);
+  out.setSlots(summary.slots);
+  out.setRunning(summary.running);
+  out.setWaiting(summary.waiting);
+  out.setAgeMillis(
+      static_cast<uint32_t>(std::max<int64_t>(0, ToMillis(now - summary.reported_at))));
+}
+
+SummaryRow ReadSummary(wire::SummaryRow::Reader in, Time now) {
+  SummaryRow row;
+  row.summary.domain = DomainId(Str(in.getDomain()));
+  row.summary.region = RegionId(Str(in.getRegion()));
+  row.summary.served = Str(in.getServed());
+  row.summary.version = in.getVersion();
+  row.summary.servers = in.getServers();
+  row.summary.slots = in.getSlots();
+  row.summary.running = in.getRunning();
+  row.summary.waiting = in.getWaiting();
+  row.summary.reported_at = now - milliseconds(in.getAgeMillis());
+  row.reporter = HostId(Str(in.getReporter()));
+  return row;
+}
+
+}  // namespace
+
+void WriteDigest(const GossipMessage& message, Time now, wire::Digest::Builder out) {
+  out.setHostsHash(message.hosts_hash);
+  out.setRevision(message.revision);
+  out.setNewestRevision(message.newest_revision);
+  out.setNewestHolder(message.newest_holder.value());
+  auto hosts = out.initHosts(Count(message.hosts.size()));
+  for (uint32_t i = 0; i < hosts.size(); ++i) WriteHostRow(message.hosts[i], hosts[i]);
+  auto summaries = out.initSummaries(Count(message.summaries.size()));
+  for (uint32_t i = 0; i < summaries.size(); ++i) {
+    WriteSummary(message.summaries[i], now, summaries[i]);
+  }
+}
+
+GossipMessage ReadDigest(wire::Digest::Reader in, Time now) {
+  GossipMessage message;
+  message.hosts_hash = in.getHostsHash();
+  message.revision = in.getRevision();
+  message.newest_revision = in.getNewestRevision();
+  message.newest_holder = HostId(Str(in.getNewestHolder()));
+  for (wire::HostRow::Reader row : in.getHosts()) message.hosts.push_back(ReadHostRow(row));
+  for (wire::SummaryRow::Reader row : in.getSummaries()) {
+    message.summaries.push_back(ReadSummary(row, now));
+  }
+  return message;
+}
+
+void WriteAnnouncement(const Announcement& announcement, wire::Announcement::Builder out) {
+  out.setId(announcement.id.value());
+  out.setIncarnation(announcement.incarnation);
+  out.setSeq(announcement.seq);
+  out.setIsService(announcement.kind == ServerKind::kService);
+  out.setDomain(announcement.domain.value());
+  out.setRegion(announcement.region.value());
+  out.setAddress(announcement.address);
+  auto models = out.initModels(Count(announcement.models.size()));
+  for (uint32_t i = 0; i < models.size(); ++i) {
+    const ServedModel& model = announcement.models[i];
+    models[i].setName(model.name.value());
+    WriteTexts(model.adapters, models[i].initAdapters(Count(model.adapters.size())));
+    models[i].setVersion(model.version);
+  }
+  WriteTexts(announcement.services, out.initServices(Count(announcement.services.size())));
+  out.setRole(announcement.role);
+  WriteTexts(announcement.capabilities,
+             out.initCapabilities(Count(announcement.capabilities.size())));
+  out.setChecksFencing(announcement.checks_fencing);
+  out.setTtlMicros(static_cast<uint64_t>(std::max(announcement.ttl, Duration(0)).count()));
+  out.setLeaving(announcement.leaving);
+  out.setLoadSeq(announcement.load.seq);
+  out.setRunning(announcement.load.running);
+  out.setWaiting(announcement.load.waiting);
+  out.setSlots(announcement.load.slots);
+  out.setPrefillTokensWaiting(announcement.load.prefill_tokens_waiting);
+}
+
+Announcement ReadAnnouncement(wire::Announcement::Reader in) {
+  Announcement announcement;
+  announcement.id = ServerId(Str(in.getId()));
+  announcement.incarnation = in.getIncarnation();
+  announcement.seq = in.getSeq();
+  announcement.kind = in.getIsService() ? ServerKind::kService : ServerKind::kModel;
+  announcement.domain = DomainId(Str(in.getDomain()));
+  announcement.region = RegionId(Str(in.getRegion()));
+  announcement.address = Str(in.getAddress());
+  for (wire::ServedModel::Reader row : in.getModels()) {
+    ServedModel model;
+    model.name = ModelId(Str(row.getName()));
+    model.adapters = ReadTexts(row.getAdapters());
+    model.version = Str(row.getVersion());
+    announcement.models.push_back(model);
+  }
+  announcement.services = ReadTexts(in.getServices());
+  announcement.role = Str(in.getRole());
+  announcement.capabilities = ReadTexts(in.getCapabilities());
+  announcement.checks_fencing = in.getChecksFencing();
+  announcement.ttl = Duration(static_cast<int64_t>(
+      std::min<uint64_t>(in.getTtlMicros(), static_cast<uint64_t>(kMaxServerTtl.count()))));
+  announcement.leaving = in.getLeaving();
+  announcement.load.seq = in.getLoadSeq();
+  announcement.load.running = in.getRunning();
+  announcement.load.waiting = in.getWaiting();
+  announcement.load.slots = in.getSlots();
+  announcement.load.prefill_tokens_waiting = in.getPrefillTokensWaiting();
+  return announcement;
+}
+
+void WritePut(const ConfigPut& put, wire::Put::Builder out) {
+  out.setPath(put.path);
+  out.setHasValue(put.value.has_value());
+  if (put.value) out.setValue(*put.value);
+  out.setBaseRevision(put.base_revision);
+  out.setRequestId(put.request_id);
+  out.setOperatorName(put.operator_name);
+}
+
+ConfigPut ReadPut(wire::Put::Reader in) {
+  ConfigPut put;
+  put.path = Str(in.getPath());
+  if (in.getHasValue()) put.value = Str(in.getValue());
+  put.base_revision = in.getBaseRevision();
+  put.request_id = Str(in.getRequestId());
+  put.operator_name = Str(in.getOperatorName());
+  return put;
+}
+
+void WritePutAnswer(const PutAnswer& answer, wire::PutAnswer::Builder out) {
+  if (answer.error) out.setErrorCode(LookupError(*answer.error).code);
+  out.setMessage(answer.message);
+  out.setRevision(answer.revision);
+  out.setHasCurrent(answer.current_value.has_value());
+  if (answer.current_value) out.setCurrent(*answer.current_value);
+}
+
+PutAnswer ReadPutAnswer(wire::PutAnswer::Reader in) {
+  PutAnswer answer;
+  std::string code = Str(in.getErrorCode());
+  if (!code.empty()) answer.error = ErrorKindFromCode(code);
+  answer.message = Str(in.getMessage());
+  answer.revision = in.getRevision();
+  if (in.getHasCurrent()) answer.current_value = Str(in.getCurrent());
+  return answer;
+}
+
+void WriteNote(const SuspectNote& note, wire::SuspectNote::Builder out) {
+  out.setContent(note.content);
+  out.setServer(note.server.value());
+  out.setAlone(note.alone);
+  out.setCleared(note.cleared);
+}
+
+SuspectNote ReadNote(wire::SuspectNote::Reader in) {
+  SuspectNote note;
+  note.content = in.getContent();
+  note.server = ServerId(Str(in.getServer()));
+  note.alone = in.getAlone();
+  note.cleared = in.getCleared();
+  return note;
+}
+
+void WriteEvent(const Event& event, wire::EventEntry::Builder out) {
+  out.setHlc(event.hlc);
+  out.setEvent(static_cast<int32_t>(event.id));
+  out.setHost(event.host);
+  auto fields = out.initFields(Count(event.fields.size()));
+  for (uint32_t i = 0; i < fields.size(); ++i) {
+    fields[i].setName(event.fields[i].name);
+    fields[i].setValue(event.fields[i].value);
+  }
+}
+
+Event ReadEvent(wire::EventEntry::Reader in) {
+  Event event;
+  event.hlc = in.getHlc();
+  event.id = static_cast<EventId>(in.getEvent());
+  event.host = Str(in.getHost());
+  for (wire::EventField::Reader field : in.getFields()) {
+    event.fields.push_back({Str(field.getName()), Str(field.getValue())});
+  }
+  return event;
+}
+
+bool IsKnownEvent(EventId id) {
+  const std::vector<EventInfo>& all = AllEvents();
+  return std::any_of(all.begin(), all.end(), [&](const EventInfo& info) { return info.id == id; });
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/src/core/membership.cc
@@ -0,0 +1,525 @@
+#include "core/membership.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace ebonylift {
+namespace {
+
+// Suspicion and failure override the row they are about; only a larger version overrides them.
+int StatusRank(HostStatus status) {
+  switch (status) {
+    case HostStatus::kAlive:
+    case HostStatus::kLeaving:
+      return 0;
+    case HostStatus::kSuspect:
+      return 1;
+    case HostStatus::kFailed:
+      return 2;
+  }
+  return 0;
+}
+
+bool Newer(const HostRow& a, const HostRow& b) {
+  return std::make_tuple(a.incarnation, a.version, StatusRank(a.status)) >
+         std::make_tuple(b.incarnation, b.version, StatusRank(b.status));
+}
+
+bool IsLive(HostStatus status) {
+  return status == HostStatus::kAlive || status == HostStatus::kLeaving;
+}
+
+// Encoded size with some slack for pointers.
+size_t RowBytes(const HostRow& row) { return 48 + row.id.value().size(); }
+
+size_t RowBytes(const SummaryRow& row) {
+  const DomainSummary& summary = row.summary;
+  return 96 + summary.domain.value().size() + summary.region.value().size() +
+         summary.served.size() + row.reporter.value().size();
+}
+
+MemberHost& Self(Membership* state) { return state->hosts.at(state->self.host); }
+
+int SendLimit(const Membership& state) {
+  int doublings = 0;
+  for (size_t n = state.hosts.size(); n > 1; n /= 2) ++doublings;
+  return std::max(state.params.min_sends, state.params.sends_per_log2 * doublings);
+}
+
+void NoteChange(Membership* state, const MemberHost& host, Time now) {
+  StatusChange change;
+  change.host = host.row.id;
+  change.status = host.row.status;
+  change.incarnation = host.row.incarnation;
+  if (host.heard) change.silent = now - host.heard_at;
+  state->changes.push_back(change);
+}
+
+void SetRow(Membership* state, MemberHost* host, const HostRow& row, Time now) {
+  HostStatus before = host->row.status;
+  bool first = host->row.incarnation == 0;
+  host->row = row;
+  host->sends = 0;
+  ++state->changed;
+  if (row.status == HostStatus::kSuspect && before != HostStatus::kSuspect) {
+    host->suspected_at = now;
+  }
+  if (row.status != before || first) NoteChange(state, *host, now);
+}
+
+void SetStatus(Membership* state, MemberHost* host, HostStatus status, Time now) {
+  HostRow row = host->row;
+  row.status = status;
+  SetRow(state, host, row, now);
+}
+
+// The own row with a version above `row`, so that it overrides `row` everywhere.
+void Refute(Membership* state, const HostRow& row) {
+  MemberHost& self = Self(state);
+  self.row.incarnation = std::max(self.row.incarnation, row.incarnation);
+  self.row.version = std::max(self.row.version, row.version) + 1;
+  self.sends = 0;
+  ++state->changed;
+}
+
+void MergeHost(Membership* state, const HostRow& row, Time now) {
+  if (row.id == state->self.host) {
+    if (Newer(row, Self(state).row)) Refute(state, row);
+    return;
+  }
+  auto it = state->hosts.find(row.id);
+  if (it == state->hosts.end()) return;
+  if (Newer(row, it->second.row)) SetRow(state, &it->second, row, now);
+}
+
+bool NewerSummary(const SummaryRow& a, const SummaryRow& b) {
+  return std::tie(a.summary.version, a.reporter) > std::tie(b.summary.version, b.reporter);
+}
+
+void MergeSummary(Membership* state, const SummaryRow& row, Time now) {
+  auto key = std::make_pair(row.summary.domain, row.summary.served);
+  auto it = state->summaries.find(key);
+  if (it != state->summaries.end() && !NewerSummary(row, it->second.row)) return;
+  if (now - row.summary.reported_at >= state->params.summary_lifetime) return;
+  if (it == state->summaries.end()) {
+    if (state->summaries.size() >= kMaxSummaries) return;
+    it = state->summaries.emplace(key, MemberSummary()).first;
+  }
+  it->second.row = row;
+  it->second.learned_at = now;
+  it->second.sends = 0;
+  ++state->changed;
+}
+
+void Merge(Membership* state, const HostId& from, const GossipMessage& message, Time now) {
+  for (const HostRow& row : message.hosts) MergeHost(state, row, now);
+  for (const SummaryRow& row : message.summaries) MergeSummary(state, row, now);
+  if (message.newest_revision > state->newest_revision) {
+    state->newest_revision = message.newest_revision;
+    state->newest_holder = message.newest_holder;
+  }
+  if (message.revision >= state->newest_revision && message.revision > 0) {
+    state->newest_revision = message.revision;
+    state->newest_holder = from;
+  }
+}
+
+// Takes a direct message: a request or an answer.
+void Receive(Membership* state, const HostId& from, const GossipMessage& message, Time now) {
+  auto it = state->hosts.find(from);
+  if (it == state->hosts.end()) return;
+  MemberHost& host = it->second;
+  host.heard = true;
+  host.heard_at = now;
+  host.revision = std::max(host.revision, message.revision);
+  if (host.unreachable) ++state->changed;
+  host.unreachable = false;
+  Merge(state, from, message, now);
+  host.differs = message.hosts_hash != HostsHash(*state);
+}
+
+bool SameDomain(const Membership& state, const MemberHost& host) {
+  return host.configured.domain == state.self.domain;
+}
+
+std::vector<HostId> Others(const Membership& state, bool same_domain) {
+  std::vector<HostId> ids;
+  for (const auto& [id, host] : state.hosts) {
+    if (id != state.self.host && SameDomain(state, host) == same_domain) ids.push_back(id);
+  }
+  return ids;
+}
+
+// The next member of the shuffled round, so that every member is probed once per round.
+std::optional<HostId> NextMember(Membership* state, std::mt19937_64& rng) {
+  if (state->ring.empty()) {
+    state->ring = Others(*state, true);
+    std::shuffle(state->ring.begin(), state->ring.end(), rng);
+  }
+  if (state->ring.empty()) return std::nullopt;
+  HostId next = state->ring.back();
+  state->ring.pop_back();
+  return next;
+}
+
+SendProbe StartProbe(Membership* state, const HostId& to, const HostId& target, ProbeKind kind,
+                     Time now, std::mt19937_64& rng) {
+  SendProbe send;
+  send.token = state->next_token++;
+  send.to = to;
+  if (kind == ProbeKind::kIndirect) send.target = target;
+  send.timeout = kind == ProbeKind::kRemote ? state->params.remote_timeout : state->params.period;
+  send.message = MakeGossip(state, to, rng);
+  PendingProbe probe;
+  probe.target = target;
+  probe.via = to;
+  probe.kind = kind;
+  probe.started = now;
+  state->probes.emplace(send.token, probe);
+  return send;
+}
+
+void StartPeriod(Membership* state, Time now, std::mt19937_64& rng, std::vector<SendProbe>* out) {
+  std::optional<HostId> member = NextMember(state, rng);
+  if (member) out->push_back(StartProbe(state, *member, *member, ProbeKind::kDirect, now, rng));
+  std::vector<HostId> remote = Others(*state, false);
+  std::shuffle(remote.begin(), remote.end(), rng);
+  size_t count = std::min<size_t>(remote.size(), static_cast<size_t>(state->params.remote_probes));
+  for (size_t i = 0; i < count; ++i) {
+    out->push_back(StartProbe(state, remote[i], remote[i], ProbeKind::kRemote, now, rng));
+  }
+}
+
+void StartIndirect(Membership* state, const HostId& target, Time now, std::mt19937_64& rng,
+                   std::vector<SendProbe>* out) {
+  std::vector<HostId> helpers;
+  for (const HostId& id : Others(*state, true)) {
+    if (id != target && IsLive(state->hosts.at(id).row.status)) helpers.push_back(id);
+  }
+  std::shuffle(helpers.begin(), helpers.end(), rng);
+  size_t limit = static_cast<size_t>(state->params.indirect_probes);
+  if (helpers.size() > limit) helpers.resize(limit);
+  for (const HostId& helper : helpers) {
+    out->push_back(StartProbe(state, helper, target, ProbeKind::kIndirect, now, rng));
+  }
+}
+
+void Suspect(Membership* state, const HostId& id, Time now) {
+  MemberHost& host = state->hosts.at(id);
+  if (IsLive(host.row.status)) SetStatus(state, &host, HostStatus::kSuspect, now);
+}
+
+// Starts indirect probes for late answers and suspects hosts that no probe reached.
+void CheckProbes(Membership* state, Time now, std::mt19937_64& rng, std::vector<SendProbe>* out) {
+  std::vector<HostId> late;
+  for (auto it = state->probes.begin(); it != state->probes.end();) {
+    PendingProbe& probe = it->second;
+    Duration waited = now - probe.started;
+    bool direct = probe.kind == ProbeKind::kDirect;
+    if (direct && !probe.answered && !probe.indirect_started &&
+        (probe.failed || waited >= state->params.ack_timeout)) {
+      probe.indirect_started = true;
+      late.push_back(probe.target);
+    }
+    bool over = waited >= state->params.period;
+    if (direct && over && !probe.answered) Suspect(state, probe.target, now);
+    bool remote_over = waited >= state->params.remote_timeout + state->params.period;
+    bool erase = direct ? over : remote_over;
+    it = erase ? state->probes.erase(it) : std::next(it);
+  }
+  for (const HostId& target : late) StartIndirect(state, target, now, rng, out);
+}
+
+void EndSuspicions(Membership* state, Time now) {
+  for (auto& [id, host] : state->hosts) {
+    if (host.row.status != HostStatus::kSuspect) continue;
+    if (now - host.suspected_at < state->params.suspicion_timeout) continue;
+    // Only members of the failure domain probe a host closely enough to say that it failed.
+    if (SameDomain(*state, host)) SetStatus(state, &host, HostStatus::kFailed, now);
+  }
+}
+
+void ForgetProbes(Membership* state, Time now) {
+  state->probes.clear();
+  for (auto& [id, host] : state->hosts) {
+    if (host.row.status == HostStatus::kSuspect) host.suspected_at = now;
+  }
+}
+
+void DropOldSummaries(Membership* state, Time now) {
+  for (auto it = state->summaries.begin(); it != state->summaries.end();) {
+    bool old = now - it->second.row.summary.reported_at >= state->params.summary_lifetime;
+    if (old) ++state->changed;
+    it = old ? state->summaries.erase(it) : std::next(it);
+  }
+}
+
+void AddHostRows(Membership* state, const HostId& to, bool differs, size_t budget,
+                 std::mt19937_64& rng, GossipMessage* message) {
+  struct Candidate {
+    int sends;
+    uint64_t shuffle;
+    MemberHost* host;
+  };
+  std::vector<Candidate> candidates;
+  int limit = SendLimit(*state);
+  for (auto& [id, host] : state->hosts) {
+    if (id == state->self.host || host.row.incarnation == 0) continue;
+    // A host that is believed suspected or failed must learn it in order to refute it.
+    bool about_receiver = id == to;
+    if (about_receiver && IsLive(host.row.status)) continue;
+    if (!about_receiver && !differs && host.sends >= limit) continue;
+    candidates.push_back({about_receiver ? -1 : host.sends, rng(), &host});
+  }
+  std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+    return std::tie(a.sends, a.shuffle) < std::tie(b.sends, b.shuffle);
+  });
+  size_t used = 0;
+  for (const Candidate& candidate : candidates) {
+    used += RowBytes(candidate.host->row);
+    if (used > budget) break;
+    message->hosts.push_back(candidate.host->row);
+    ++candidate.host->sends;
+  }
+}
+
+void AddSummaries(Membership* state, size_t budget, GossipMessage* message) {
+  std::vector<MemberSummary*> candidates;
+  int limit = SendLimit(*state);
+  for (auto& [key, summary] : state->summaries) {
+    if (summary.sends < limit) candidates.push_back(&summary);
+  }
+  std::stable_sort(
+      candidates.begin(), candidates.end(),
+      [](const MemberSummary* a, const MemberSummary* b) { return a->sends < b->sends; });
+  size_t used = 0;
+  for (MemberSummary* candidate : candidates) {
+    used += RowBytes(candidate->row);
+    if (used > budget) break;
+    message->summaries.push_back(candidate->row);
+    ++candidate->sends;
+  }
+}
+
+size_t HostBytes(const GossipMessage& message) {
+  size_t bytes = 0;
+  for (const HostRow& row : message.hosts) bytes += RowBytes(row);
+  return bytes;
+}
+
+bool SameLoad(const DomainSummary& a, const DomainSummary& b) {
+  return std::tie(a.servers, a.slots, a.running, a.waiting) ==
+         std::tie(b.servers, b.slots, b.running, b.waiting);
+}
+
+void ReportSummary(Membership* state, const DomainSummary& row, uint64_t stamp, Time now) {
+  auto it = state->summaries.find({row.domain, row.served});
+  if (it != state->summaries.end()) {
+    const DomainSummary& last = it->second.row.summary;
+    Duration since = now - last.reported_at;
+    bool same = SameLoad(last, row);
+    // A change of the number of servers is reported at once.
+    if (same && since < state->params.summary_refresh) return;
+    if (last.servers == row.servers && since < state->params.summary_interval) return;
+    if (last.version >= stamp) stamp = last.version + 1;
+  }
+  SummaryRow report;
+  report.summary = row;
+  report.summary.version = stamp;
+  report.summary.reported_at = now;
+  report.reporter = state->self.host;
+  MergeSummary(state, report, now);
+}
+
+}  // namespace
+
+Membership MakeMembership(const HostEntry& self, const std::vector<HostEntry>& peers,
+                          const MembershipParams& params) {
+  Membership state;
+  state.self = {self.id, self.region, self.domain};
+  state.params = params;
+  for (const HostEntry& peer : peers) {
+    MemberHost host;
+    host.configured = peer;
+    host.row.id = peer.id;
+    state.hosts[peer.id] = host;
+  }
+  MemberHost own;
+  own.configured = self;
+  own.row.id = self.id;
+  own.row.incarnation = self.incarnation;
+  own.row.version = 1;
+  own.row.status = HostStatus::kAlive;
+  state.hosts[self.id] = own;
+  return state;
+}
+
+std::vector<SendProbe> Tick(Membership* state, Time now, std::mt19937_64& rng) {
+  std::vector<SendProbe> out;
+  if (now - state->last_tick > state->params.period) ForgetProbes(state, now);
+  state->last_tick = now;
+  CheckProbes(state, now, rng, &out);
+  EndSuspicions(state, now);
+  if (now >= state->next_period) {
+    DropOldSummaries(state, now);
+    StartPeriod(state, now, rng, &out);
+    state->next_period = now + state->params.period;
+  }
+  return out;
+}
+
+GossipMessage MakeGossip(Membership* state, const HostId& to, std::mt19937_64& rng) {
+  auto receiver = state->hosts.find(to);
+  bool differs = receiver != state->hosts.end() && receiver->second.differs;
+  GossipMessage message;
+  message.hosts_hash = HostsHash(*state);
+  message.revision = state->revision;
+  message.newest_revision = state->newest_revision;
+  message.newest_holder = state->newest_holder;
+  message.hosts.push_back(Self(state).row);
+  size_t budget = state->params.message_bytes;
+  AddHostRows(state, to, differs, budget - std::min(budget, HostBytes(message)), rng, &message);
+  AddSummaries(state, budget - std::min(budget, HostBytes(message)), &message);
+  return message;
+}
+
+GossipMessage OnGossip(Membership* state, const HostId& from, const GossipMessage& message,
+                       Time now, std::mt19937_64& rng) {
+  Receive(state, from, message, now);
+  return MakeGossip(state, from, rng);
+}
+
+void OnAck(Membership* state, uint64_t token, const HostId& from, const GossipMessage& message,
+           bool reached, Time now) {
+  Receive(state, from, message, now);
+  auto it = state->probes.find(token);
+  if (it == state->probes.end()) return;
+  if (it->second.kind == ProbeKind::kIndirect && !reached) return;
+  HostId target = it->second.target;
+  for (auto& [other, probe] : state->probes) {
+    if (probe.kind == ProbeKind::kDirect && probe.target == target) probe.answered = true;
+  }
+}
+
+void OnProbeFailed(Membership* state, uint64_t token, Time now) {
+  auto it = state->probes.find(token);
+  if (it == state->probes.end()) return;
+  it->second.failed = true;
+  if (it->second.kind == ProbeKind::kRemote) OnConnection(state, it->second.target, false, now);
+}
+
+void OnConnection(Membership* state, const HostId& host, bool connected, Time now) {
+  (void)now;
+  auto it = state->hosts.find(host);
+  if (it == state->hosts.end() || it->second.unreachable == !connected) return;
+  it->second.unreachable = !connected;
+  ++state->changed;
+}
+
+void SetLeaving(Membership* state) {
+  MemberHost& self = Self(state);
+  if (self.row.status == HostStatus::kLeaving) return;
+  self.row.status = HostStatus::kLeaving;
+  ++self.row.version;
+  ++state->changed;
+}
+
+void SetOverloaded(Membership* state, bool overloaded) {
+  MemberHost& self = Self(state);
+  if (self.row.overloaded == overloaded) return;
+  self.row.overloaded = overloaded;
+  ++self.row.version;
+  ++state->changed;
+}
+
+void SetRevision(Membership* state, uint64_t revision) {
+  state->revision = revision;
+  Self(state).revision = revision;
+  if (revision < state->newest_revision) return;
+  state->newest_revision = revision;
+  state->newest_holder = state->self.host;
+}
+
+bool IsReporter(const Membership& state) {
+  for (const auto& [id, host] : state.hosts) {
+    if (!SameDomain(state, host) || !IsLive(host.row.status)) continue;
+    return id == state.self.host;
+  }
+  return false;
+}
+
+void ReportSummaries(Membership* state, const std::vector<DomainSummary>& rows, uint64_t stamp,
+                     Time now) {
+  for (const DomainSummary& row : rows) ReportSummary(state, row, stamp, now);
+  std::vector<DomainSummary> ended;
+  for (const auto& [key, summary] : state->summaries) {
+    const DomainSummary& known = summary.row.summary;
+    if (known.domain != state->self.domain || known.servers == 0) continue;
+    bool listed = std::any_of(rows.begin(), rows.end(),
+                              [&](const DomainSummary& row) { return row.served == known.served; });
+    if (listed) continue;
+    DomainSummary empty;
+    empty.domain = known.domain;
+    empty.region = known.region;
+    empty.served = known.served;
+    ended.push_back(empty);
+  }
+  for (const DomainSummary& row : ended) ReportSummary(state, row, stamp, now);
+}
+
+std::optional<HostId> PullTarget(const Membership& state, std::mt19937_64& rng) {
+  if (state.newest_revision <= state.revision) return std::nullopt;
+  std::vector<HostId> near;
+  std::vector<HostId> far;
+  for (const auto& [id, host] : state.hosts) {
+    if (id == state.self.host || host.revision <= state.revision) continue;
+    if (host.unreachable || !IsLive(host.row.status)) continue;
+    (SameDomain(state, host) ? near : far).push_back(id);
+  }
+  const std::vector<HostId>& from = near.empty() ? far : near;
+  if (!from.empty()) return from[rng() % from.size()];
+  if (state.newest_holder.empty() || state.newest_holder == state.self.host) return std::nullopt;
+  return state.newest_holder;
+}
+
+std::vector<HostEntry> HostEntries(const Membership& state) {
+  std::vector<HostEntry> entries;
+  entries.reserve(state.hosts.size());
+  for (const auto& [id, host] : state.hosts) {
+    HostEntry entry = host.configured;
+    entry.incarnation = host.row.incarnation;
+    entry.status = host.row.status;
+    entry.overloaded = host.row.overloaded;
+    if (host.unreachable && IsLive(entry.status)) entry.status = HostStatus::kSuspect;
+    entries.push_back(entry);
+  }
+  return entries;
+}
+
+std::vector<DomainSummary> Summaries(const Membership& state) {
+  std::vector<DomainSummary> rows;
+  rows.reserve(state.summaries.size());
+  for (const auto& [key, summary] : state.summaries) rows.push_back(summary.row.summary);
+  return rows;
+}
+
+std::vector<StatusChange> TakeChanges(Membership* state) {
+  return std::exchange(state->changes, {});
+}
+
+uint64_t HostsHash(const Membership& state) {
+  uint64_t hash = 0;
+  for (const auto& [id, host] : state.hosts) {
+    const HostRow& row = host.row;
+    if (row.incarnation == 0) continue;
+    std::string text = id.value() + '/' + std::to_string(row.incarnation) + '/' +
+                       std::to_string(row.version) + '/' + std::to_string(StatusRank(row.status));
+    hash ^= Hash64(text);
+  }
+  return hash;
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/src/core/registry.cc
@@ -0,0 +1,88 @@
+#include "core/registry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ebonylift {
+namespace {
+
+std::pair<uint64_t, uint64_t> Order(const Announcement& announcement) {
+  return {announcement.incarnation, announcement.seq};
+}
+
+// Removes the entry that ended first. False when all are live.
+bool MakeRoom(Registry* registry) {
+  auto oldest = registry->entries.end();
+  for (auto it = registry->entries.begin(); it != registry->entries.end(); ++it) {
+    if (it->second.live) continue;
+    if (oldest == registry->entries.end() || it->second.ended_at < oldest->second.ended_at) {
+      oldest = it;
+    }
+  }
+  if (oldest == registry->entries.end()) return false;
+  registry->entries.erase(oldest);
+  return true;
+}
+
+void Store(RegistryEntry* entry, const Announcement& announcement, Time sent, Time now) {
+  bool same_run = entry->live && entry->server.announced.incarnation == announcement.incarnation;
+  if (!same_run) entry->server.first_seen = now;
+  entry->server.announced = announcement;
+  entry->server.reported_at = sent;
+  entry->server.expires_at = sent + std::clamp(announcement.ttl, Duration(0), kMaxServerTtl);
+  entry->live = !announcement.leaving && now < entry->server.expires_at;
+  if (!entry->live) entry->ended_at = now;
+}
+
+}  // namespace
+
+AnnounceResult OnAnnouncement(Registry* registry, const Announcement& announcement, Duration age,
+                              Time now) {
+  if (announcement.domain != registry->domain) return AnnounceResult::kOtherDomain;
+  if (announcement.id.empty() || announcement.address.empty()) return AnnounceResult::kInvalid;
+  auto it = registry->entries.find(announcement.id);
+  bool known = it != registry->entries.end();
+  if (known) {
+    const Announcement& current = it->second.server.announced;
+    if (announcement.incarnation < current.incarnation) return AnnounceResult::kOldIncarnation;
+    if (Order(announcement) <= Order(current)) return AnnounceResult::kDuplicate;
+  } else {
+    if (registry->entries.size() >= kMaxServers && !MakeRoom(registry)) {
+      return AnnounceResult::kFull;
+    }
+    it = registry->entries.emplace(announcement.id, RegistryEntry()).first;
+  }
+  bool was_live = it->second.live;
+  uint64_t old_incarnation = it->second.server.announced.incarnation;
+  Store(&it->second, announcement, now - std::max(age, Duration(0)), now);
+  if (announcement.leaving) return was_live ? AnnounceResult::kLeft : AnnounceResult::kGone;
+  if (!it->second.live) return AnnounceResult::kTooOld;
+  if (!was_live) return AnnounceResult::kNew;
+  return announcement.incarnation == old_incarnation ? AnnounceResult::kRefreshed
+                                                     : AnnounceResult::kNewIncarnation;
+}
+
+std::vector<ServerId> Expire(Registry* registry, Time now) {
+  std::vector<ServerId> expired;
+  for (auto it = registry->entries.begin(); it != registry->entries.end();) {
+    RegistryEntry& entry = it->second;
+    if (entry.live && now >= entry.server.expires_at) {
+      entry.live = false;
+      entry.ended_at = now;
+      expired.push_back(it->first);
+    }
+    bool forget = !entry.live && now - entry.ended_at >= kForgetAfter;
+    it = forget ? registry->entries.erase(it) : std::next(it);
+  }
+  return expired;
+}
+
+std::vector<BackendServer> LiveServers(const Registry& registry) {
+  std::vector<BackendServer> servers;
+  for (const auto& [id, entry] : registry.entries) {
+    if (entry.live) servers.push_back(entry.server);
+  }
+  return servers;
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/src/core/registry.h
@@ -0,0 +1,66 @@
+#ifndef EBONYLIFT_CORE_REGISTRY_H_
+#define EBONYLIFT_CORE_REGISTRY_H_
+
+// The backend servers of the own failure domain.
+//
+// An announcement is newer than another of the same server if its (incarnation, seq) is larger.
+// Only a newer announcement changes an entry, so an announcement that is relayed twice or late
+// extends nothing. An entry expires at `sent + ttl`, where `sent` is the time of receipt minus the
+// age that came with the announcement, wherever relaying stops.
+//
+// The registry keeps the (incarnation, seq) of a server that expired or left for kForgetAfter;
+// until then only a newer announcement brings the server back. Memory: at most kMaxServers entries,
+// remembered ones included.
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "ports/views.h"
+
+namespace ebonylift {
+
+constexpr size_t kMaxServers = 4096;
+constexpr Duration kMaxServerTtl = seconds(2);
+constexpr Duration kForgetAfter = seconds(600);
+
+enum class AnnounceResult {
+  kNew,             // an unknown server, or one that came back
+  kNewIncarnation,  // a restarted server
+  kRefreshed,       // newer announcement of a live server
+  kLeft,            // the server announced that it leaves and gets no new work
+  kGone,            // leaves or left before; newer, so it is remembered
+  kDuplicate,       // not newer than the known one of this incarnation; nothing changed
+  kOldIncarnation,  // refused
+  kTooOld,          // older than its time to live on arrival; remembered, not live
+  kOtherDomain,     // refused
+  kInvalid,         // refused: no id or no address
+  kFull,            // refused: kMaxServers live servers are known
+};
+
+struct RegistryEntry {
+  BackendServer server;
+  bool live = false;
+  Time ended_at;  // when it expired or left; meaningless while live
+};
+
+struct Registry {
+  DomainId domain;
+  std::map<ServerId, RegistryEntry> entries;
+};
+
+// `age`: time since the server sent the announcement; negative values count as 0.
+AnnounceResult OnAnnouncement(Registry* registry, const Announcement& announcement, Duration age,
+                              Time now);
+
+// Ends the servers whose time to live is over and returns them.
+std::vector<ServerId> Expire(Registry* registry, Time now);
+
+// By id. A server is live until it expires or leaves.
+std::vector<BackendServer> LiveServers(const Registry& registry);
+
+}  // namespace ebonylift
+
+#endif  // EBONYLIFT_CORE_REGISTRY_H_
--- /dev/null
+++ b/tests/control_test.cc
@@ -0,0 +1,433 @@
+#define BOOST_TEST_MODULE control
+#include "daemon/control.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/test/included/unit_test.hpp>
+#include <future>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+
+#include "adapters/rpc.h"
+#include "base/hash.h"
+
+// Several control threads in one process talk over loopback TCP.
+
+namespace ebonylift {
+namespace {
+
+constexpr Duration kWait = seconds(20);  // for things that must happen, on a busy machine
+
+bool WaitFor(const std::function<bool()>& condition, Duration timeout = kWait) {
+  Time deadline = SteadyNow() + timeout;
+  while (!condition()) {
+    if (SteadyNow() >= deadline) return false;
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  return true;
+}
+
+// Listens on a port of 127.0.0.1 below the range for outgoing connections; the port stays free
+// after Close().
+class TestListener {
+ public:
+  TestListener() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    static std::mt19937 rng(std::random_device{}());
+    int on = 1;
+    setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    do {
+      port_ = static_cast<uint16_t>(10'000 + rng() % 22'000);
+      address.sin_port = htons(port_);
+    } while (bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0);
+    listen(fd_, 64);
+  }
+  ~TestListener() { Close(); }
+  TestListener(const TestListener&) = delete;
+  TestListener& operator=(const TestListener&) = delete;
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  void Close() {
+    if (fd_ >= 0) close(fd_);
+    fd_ = -1;
+  }
+
+ private:
+  int fd_;
+  uint16_t port_ = 0;
+};
+
+std::string FreeAddress() { return TestListener().address(); }
+
+int ConnectTo(const std::string& address) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  to.sin_port = htons(static_cast<uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
+  if (connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to)) != 0) {
+    close(fd);
+    return -1;
+  }
+  return fd;
+}
+
+struct TestHost {
+  std::string id;
+  std::string domain = "d1";
+  std::string region = "r1";
+  std::string address = FreeAddress();
+  std::string key = "cluster key";
+  uint64_t incarnation = 1;
+  std::function<void(uint64_t, const ServerId&, bool, bool)> on_suspect;
+  std::shared_ptr<ControlPort> port;
+};
+
+ControlPeer PeerOf(const TestHost& host) {
+  ControlPeer peer;
+  peer.identity = {HostId(host.id), RegionId(host.region), DomainId(host.domain)};
+  peer.rpc_address = host.address;
+  peer.http_address = host.id + ":80";
+  return peer;
+}
+
+class Cluster {
+ public:
+  explicit Cluster(std::vector<TestHost> hosts) : hosts_(std::move(hosts)) {
+    for (size_t i = 0; i < hosts_.size(); ++i) Start(i);
+  }
+
+  void Start(size_t i) {
+    TestHost& host = hosts_[i];
+    ControlOptions options;
+    options.self = PeerOf(host).identity;
+    options.incarnation = host.incarnation;
+    options.peer_address = host.address;
+    options.http_address = host.id + ":80";
+    options.cluster_key = host.key;
+    options.on_suspect = host.on_suspect;
+    for (const TestHost& peer : hosts_) {
+      if (peer.id != host.id) options.peers.push_back(PeerOf(peer));
+    }
+    host.port = StartControl(std::move(options));
+  }
+
+  void Stop(size_t i) { hosts_[i].port.reset(); }
+  TestHost& host(size_t i) { return hosts_[i]; }
+  ControlPort* port(size_t i) { return hosts_[i].port.get(); }
+
+ private:
+  std::vector<TestHost> hosts_;
+};
+
+TestHost Named(const std::string& id, const std::string& domain = "d1",
+               const std::string& region = "r1") {
+  TestHost host;
+  host.id = id;
+  host.domain = domain;
+  host.region = region;
+  return host;
+}
+
+HostStatus StatusOf(ControlPort* port, const std::string& id) {
+  for (const HostEntry& host : port->View()->hosts) {
+    if (host.id.value() == id) return host.status;
+  }
+  return HostStatus::kFailed;
+}
+
+bool Sees(ControlPort* port, const std::string& id) {
+  return StatusOf(port, id) == HostStatus::kAlive;
+}
+
+bool HasServer(ControlPort* port, const std::string& id) {
+  for (const BackendServer& server : port->View()->servers) {
+    if (server.announced.id.value() == id) return true;
+  }
+  return false;
+}
+
+Announcement Server(const std::string& id, uint64_t incarnation, uint64_t seq) {
+  Announcement announcement;
+  announcement.id = ServerId(id);
+  announcement.incarnation = incarnation;
+  announcement.seq = seq;
+  announcement.domain = DomainId("d1");
+  announcement.region = RegionId("r1");
+  announcement.address = "10.0.0.1:80";
+  ServedModel model;
+  model.name = ModelId("m1");
+  announcement.models.push_back(model);
+  announcement.load.slots = 8;
+  return announcement;
+}
+
+std::optional<Error> AnnounceTo(ControlPort* port, const Announcement& announcement) {
+  auto answer = std::make_shared<std::promise<std::optional<Error>>>();
+  port->Announce(announcement,
+                 [answer](std::optional<Error> error) { answer->set_value(std::move(error)); });
+  return answer->get_future().get();
+}
+
+std::string StatusText(ControlPort* port) {
+  auto answer = std::make_shared<std::promise<std::string>>();
+  port->Status([answer](std::string status) { answer->set_value(std::move(status)); });
+  return answer->get_future().get();
+}
+
+// Whether an event with this number and this field value was logged since `since`.
+bool Logged(EventId id, HlcStamp since, const std::string& value) {
+  for (const Event& event : ProcessEvents().Read(since, "", EventRecord::kCapacity)) {
+    if (event.id != id) continue;
+    for (const EventField& field : event.fields) {
+      if (field.value.find(value) != std::string::npos) return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+// Guards against an announcement that only the host that received it knows.
+BOOST_AUTO_TEST_CASE(AnnouncementReachesHostsOfTheFailureDomain) {
+  Cluster cluster({Named("a"), Named("b"), Named("c", "d2", "r2")});
+  BOOST_TEST_REQUIRE(WaitFor([&]() {
+    return Sees(cluster.port(0), "b") && Sees(cluster.port(1), "a") && Sees(cluster.port(0), "c");
+  }));
+  BOOST_TEST(!AnnounceTo(cluster.port(0), Server("s1", 1, 1)).has_value());
+  BOOST_TEST(WaitFor([&]() { return HasServer(cluster.port(1), "s1"); }));
+  BOOST_TEST(HasServer(cluster.port(0), "s1"));
+  BOOST_TEST(!HasServer(cluster.port(2), "s1"));
+  // The other failure domain learns the summary.
+  BOOST_TEST(WaitFor([&]() {
+    for (const DomainSummary& row : cluster.port(2)->View()->summaries) {
+      if (row.served == "m1" && row.slots == 8 && row.domain.value() == "d1") return true;
+    }
+    return false;
+  }));
+  BOOST_TEST((AnnounceTo(cluster.port(0), Server("s1", 0, 9))->kind() == ErrorKind::kBadRequest));
+  Announcement foreign = Server("s2", 1, 1);
+  foreign.domain = DomainId("d2");
+  BOOST_TEST((AnnounceTo(cluster.port(0), foreign)->kind() == ErrorKind::kForbidden));
+  BOOST_TEST(StatusText(cluster.port(0)).find("\"server\":\"s1\"") != std::string::npos);
+}
+
+// Guards against a server that gets work from some host more than 2 s after its last announcement
+// (the publication interval and the machine's noise come on top).
+BOOST_AUTO_TEST_CASE(ServerExpiresAfterRelayStops) {
+  Cluster cluster({Named("a"), Named("b")});
+  BOOST_TEST_REQUIRE(
+      WaitFor([&]() { return Sees(cluster.port(0), "b") && Sees(cluster.port(1), "a"); }));
+  Time last;
+  for (uint64_t seq = 1; seq <= 3; ++seq) {
+    last = SteadyNow();
+    AnnounceTo(cluster.port(0), Server("s1", 1, seq));
+    BOOST_TEST_REQUIRE(WaitFor([&]() { return HasServer(cluster.port(1), "s1"); }));
+  }
+  // The host that received the announcements is gone: nobody can tell the other one.
+  cluster.Stop(0);
+  for (const BackendServer& server : cluster.port(1)->View()->servers) {
+    BOOST_TEST((server.expires_at <= last + milliseconds(2200)));
+  }
+  BOOST_TEST(WaitFor([&]() { return !HasServer(cluster.port(1), "s1"); }));
+  BOOST_TEST(ToMillis(SteadyNow() - last) < 3000);
+}
+
+// Guards against a host that takes part without the cluster key.
+BOOST_AUTO_TEST_CASE(WrongKeyIsRefused) {
+  HlcStamp since = ProcessClock().Now();
+  std::vector<TestHost> hosts = {Named("a"), Named("b"), Named("x")};
+  hosts[2].key = "another key";
+  Cluster cluster(std::move(hosts));
+  BOOST_TEST_REQUIRE(WaitFor([&]() { return Sees(cluster.port(0), "b"); }));
+  BOOST_TEST(WaitFor([&]() { return Logged(EventId::kPeerLoginRefused, since, "wrong mac"); }));
+  AnnounceTo(cluster.port(2), Server("s1", 1, 1));
+  BOOST_TEST(!Sees(cluster.port(0), "x"));
+  BOOST_TEST(!Sees(cluster.port(2), "a"));
+  BOOST_TEST(!HasServer(cluster.port(0), "s1"));
+}
+
+// Guards against a hole in the message bound: a header that claims 16 MiB must close the connection
+// before anything is read, and other peers must not notice.
+BOOST_AUTO_TEST_CASE(OversizedMessageIsRefused) {
+  HlcStamp since = ProcessClock().Now();
+  Cluster cluster({Named("a"), Named("b")});
+  BOOST_TEST_REQUIRE(WaitFor([&]() { return Sees(cluster.port(0), "b"); }));
+  int fd = ConnectTo(cluster.host(0).address);
+  BOOST_TEST_REQUIRE(fd >= 0);
+  const uint32_t header[2] = {0, (16u << 20) / 8};  // one segment, its size in words
+  BOOST_TEST(write(fd, header, sizeof(header)) == static_cast<ssize_t>(sizeof(header)));
+  BOOST_TEST(WaitFor([&]() { return Logged(EventId::kPeerMessageRefused, since, ""); }));
+  // The peer may send an abort message before it closes.
+  char byte = 0;
+  ssize_t got = 0;
+  do {
+    got = read(fd, &byte, 1);
+  } while (got > 0);
+  BOOST_TEST(got <= 0);
+  close(fd);
+  BOOST_TEST(Sees(cluster.port(0), "b"));
+}
+
+// Guards against connections that never log in and stay open.
+BOOST_AUTO_TEST_CASE(ConnectionWithoutLoginIsClosed) {
+  HlcStamp since = ProcessClock().Now();
+  Cluster cluster({Named("a")});
+  int fd = ConnectTo(cluster.host(0).address);
+  BOOST_TEST_REQUIRE(fd >= 0);
+  char byte = 0;
+  BOOST_TEST(read(fd, &byte, 1) <= 0);
+  close(fd);
+  BOOST_TEST(WaitFor([&]() { return Logged(EventId::kPeerLoginRefused, since, "no login"); }));
+}
+
+// Guards against a peer that accepts connections and never answers, and one that is not there,
+// blocking the control thread.
+BOOST_AUTO_TEST_CASE(SilentPeerDoesNotBlock) {
+  TestListener silent;  // the kernel accepts; nobody reads
+  std::vector<TestHost> hosts = {Named("a"), Named("b")};
+  ControlOptions options;
+  options.self = PeerOf(hosts[0]).identity;
+  options.incarnation = 1;
+  options.peer_address = hosts[0].address;
+  options.cluster_key = hosts[0].key;
+  options.peers = {PeerOf(hosts[1]), PeerOf(Named("gone")), PeerOf(Named("silent"))};
+  options.peers[2].rpc_address = silent.address();
+  Cluster other({hosts[1], hosts[0]});
+  other.Stop(1);
+  std::unique_ptr<ControlPort> port = StartControl(std::move(options));
+  BOOST_TEST_REQUIRE(WaitFor([&]() { return Sees(port.get(), "b"); }));
+  Duration longest{0};
+  for (uint64_t seq = 1; seq <= 100; ++seq) {
+    Time start = SteadyNow();
+    AnnounceTo(port.get(), Server("s1", 1, seq));
+    longest = std::max(longest, SteadyNow() - start);
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  BOOST_TEST_MESSAGE("longest call: " << ToMillis(longest) << " ms");
+  BOOST_TEST(ToMillis(longest) < 500);
+  BOOST_TEST(Sees(port.get(), "b"));
+}
+
+// Guards against a host that leaves and still gets callers, and a restarted host that stays out.
+BOOST_AUTO_TEST_CASE(DrainIsSeenAndRestartComesBack) {
+  Cluster cluster({Named("a"), Named("b"), Named("c", "d2", "r2")});
+  BOOST_TEST_REQUIRE(
+      WaitFor([&]() { return Sees(cluster.port(0), "b") && Sees(cluster.port(2), "b"); }));
+  Time start = SteadyNow();
+  cluster.port(1)->StartDrain();
+  for (size_t i : {0, 1, 2}) {
+    BOOST_TEST(WaitFor([&]() { return StatusOf(cluster.port(i), "b") == HostStatus::kLeaving; }));
+  }
+  BOOST_TEST_MESSAGE("drain seen after " << ToMillis(SteadyNow() - start) << " ms");
+  BOOST_TEST(ToMillis(SteadyNow() - start) < 3000);
+  cluster.Stop(1);
+  BOOST_TEST(WaitFor([&]() { return StatusOf(cluster.port(0), "b") == HostStatus::kFailed; }));
+  cluster.host(1).incarnation = 2;
+  cluster.Start(1);
+  BOOST_TEST(WaitFor([&]() { return Sees(cluster.port(0), "b") && Sees(cluster.port(2), "b"); }));
+}
+
+// Guards against an overloaded host that stays in the entry lists of others.
+BOOST_AUTO_TEST_CASE(OverloadIsSeen) {
+  Cluster cluster({Named("a"), Named("b")});
+  BOOST_TEST_REQUIRE(WaitFor([&]() { return Sees(cluster.port(0), "b"); }));
+  for (bool overloaded : {true, false}) {
+    cluster.port(1)->SetOverloaded(overloaded);
+    BOOST_TEST(WaitFor([&]() {
+      for (const HostEntry& host : cluster.port(0)->View()->hosts) {
+        if (host.id.value() == "b") return host.overloaded == overloaded;
+      }
+      return false;
+    }));
+  }
+}
+
+// Guards against suspects that stay on one host, that leave the region, or that a host misses which
+// was away when they were reported.
+BOOST_AUTO_TEST_CASE(SuspectsStayInTheRegion) {
+  struct Received {
+    std::mutex mutex;
+    std::set<std::string> notes;
+    bool Has(const std::string& note) {
+      std::lock_guard<std::mutex> lock(mutex);
+      return notes.count(note) > 0;
+    }
+  };
+  Received near;
+  Received far;
+  auto take = [](Received* to) {
+    return [to](uint64_t content, const ServerId& server, bool alone, bool cleared) {
+      std::lock_guard<std::mutex> lock(to->mutex);
+      to->notes.insert(std::to_string(content) + server.value() + (alone ? "!" : "") +
+                       (cleared ? "-" : ""));
+    };
+  };
+  std::vector<TestHost> hosts = {Named("a"), Named("b", "d2", "r1"), Named("c", "d3", "r2")};
+  hosts[1].on_suspect = take(&near);
+  hosts[2].on_suspect = take(&far);
+  Cluster cluster(std::move(hosts));
+  BOOST_TEST_REQUIRE(
+      WaitFor([&]() { return Sees(cluster.port(0), "b") && Sees(cluster.port(0), "c"); }));
+  cluster.port(0)->ReportSuspect(7, ServerId("s1"), true);
+  BOOST_TEST(WaitFor([&]() { return near.Has("7s1!"); }));
+  cluster.port(0)->ClearSuspect(7);
+  BOOST_TEST(WaitFor([&]() { return near.Has("7-"); }));
+  cluster.Stop(1);
+  cluster.port(0)->ReportSuspect(8, ServerId("s2"), false);
+  cluster.host(1).incarnation = 2;
+  cluster.Start(1);
+  BOOST_TEST(WaitFor([&]() { return near.Has("8s2"); }));
+  BOOST_TEST(far.notes.empty());
+}
+
+// Guards against a timeline that is not in one order or waits for a daemon that is gone.
+BOOST_AUTO_TEST_CASE(TimelineIsMergedInOrder) {
+  Cluster cluster({Named("a"), Named("b"), Named("c", "d2", "r2")});
+  BOOST_TEST_REQUIRE(
+      WaitFor([&]() { return Sees(cluster.port(0), "b") && Sees(cluster.port(0), "c"); }));
+  HlcStamp since = ProcessClock().Now();
+  for (int i = 0; i < 10; ++i) {
+    LogEvent(EventId::kRequestReceived, {{"request_id", "q" + std::to_string(i % 2)}});
+  }
+  cluster.Stop(2);
+  auto answer = std::make_shared<std::promise<std::vector<Event>>>();
+  cluster.port(0)->Timeline(since, "q1", 100, [answer](std::vector<Event> events) {
+    answer->set_value(std::move(events));
+  });
+  std::vector<Event> events = answer->get_future().get();
+  // The daemons of one process share the record, so each event arrives twice and is kept once.
+  BOOST_TEST(events.size() == 5u);
+  BOOST_TEST(std::is_sorted(events.begin(), events.end(),
+                            [](const Event& a, const Event& b) { return a.hlc < b.hlc; }));
+}
+
+// Guards against a missing option that only shows later.
+BOOST_AUTO_TEST_CASE(RefusesIncompleteOptions) {
+  ControlOptions options;
+  options.self.host = HostId("a");
+  options.incarnation = 1;
+  options.cluster_key = "key";
+  options.peer_address = "127.0.0.1:0";
+  StartControl(options);
+  ControlOptions no_key = options;
+  no_key.cluster_key.clear();
+  BOOST_CHECK_THROW(StartControl(no_key), Error);
+  ControlOptions no_incarnation = options;
+  no_incarnation.incarnation = 0;
+  BOOST_CHECK_THROW(StartControl(no_incarnation), Error);
+  TestListener taken;
+  ControlOptions no_port = options;
+  no_port.peer_address = taken.address();
+  BOOST_CHECK_THROW(StartControl(no_port), Error);
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/tests/entry_list_test.cc
@@ -0,0 +1,98 @@
+#define BOOST_TEST_MODULE entry_list
+#include "core/entry_list.h"
+
+#include <algorithm>
+#include <boost/test/included/unit_test.hpp>
+#include <set>
+
+namespace ebonylift {
+namespace {
+
+HostEntry Host(const std::string& id, const std::string& region, HostStatus status,
+               bool overloaded = false) {
+  HostEntry host;
+  host.id = HostId(id);
+  host.region = RegionId(region);
+  host.domain = DomainId(region + "-a");
+  host.http_address = id + ":80";
+  host.status = status;
+  host.overloaded = overloaded;
+  return host;
+}
+
+RoutingView View() {
+  RoutingView view;
+  view.self.region = RegionId("r1");
+  view.hosts = {Host("a", "r1", HostStatus::kAlive),   Host("b", "r1", HostStatus::kAlive),
+                Host("c", "r1", HostStatus::kSuspect), Host("d", "r1", HostStatus::kFailed),
+                Host("e", "r1", HostStatus::kLeaving), Host("f", "r1", HostStatus::kAlive, true),
+                Host("g", "r2", HostStatus::kAlive),   Host("h", "r3", HostStatus::kAlive)};
+  return view;
+}
+
+std::vector<RegionId> Regions(const std::vector<std::string>& names) {
+  std::vector<RegionId> regions;
+  for (const std::string& name : names) regions.emplace_back(name);
+  return regions;
+}
+
+// The ids of the list, each block of equal weight in order of id, blocks separated by '|'.
+std::string Blocks(const EntryList& list) {
+  std::string out;
+  for (size_t i = 0; i < list.hosts.size();) {
+    size_t end = i;
+    std::set<std::string> block;
+    while (end < list.hosts.size() && list.hosts[end].weight == list.hosts[i].weight) {
+      block.insert(list.hosts[end++].host.value());
+    }
+    if (i > 0) out += '|';
+    for (const std::string& id : block) out += id;
+    i = end;
+  }
+  return out;
+}
+
+struct Case {
+  const char* what;
+  std::vector<std::string> allowed;
+  std::string caller;
+  std::string want;
+};
+
+}  // namespace
+
+// Guards against a list that sends a caller out of the regions of its team or to a host that does
+// not take requests.
+BOOST_AUTO_TEST_CASE(ListsUsableHostsOfAllowedRegions) {
+  const std::vector<Case> cases = {
+      {"home region only", {"r1"}, "r1", "ab"},
+      {"own region when the caller's is not known", {"r1", "r2"}, "", "ab|g"},
+      {"caller's region first", {"r1", "r2"}, "r2", "g|ab"},
+      {"caller in a region that is not allowed", {"r1", "r3"}, "r2", "abh"},
+      {"nothing allowed", {}, "r1", ""},
+      {"unknown region", {"r9"}, "r1", ""},
+  };
+  for (const Case& row : cases) {
+    BOOST_TEST_CONTEXT(row.what) {
+      EntryList list = EntryHosts(View(), Regions(row.allowed), RegionId(row.caller));
+      BOOST_TEST(Blocks(list) == row.want);
+      BOOST_TEST((list.ttl == kEntryListTtl));
+    }
+  }
+}
+
+// Guards against all callers starting at the same host, and against a list that changes from call
+// to call for one caller.
+BOOST_AUTO_TEST_CASE(SpreadsCallersOverEqualHosts) {
+  std::map<std::string, int> first;
+  for (uint64_t caller = 0; caller < 1000; ++caller) {
+    EntryList list = EntryHosts(View(), Regions({"r1"}), RegionId("r1"), caller);
+    EntryList again = EntryHosts(View(), Regions({"r1"}), RegionId("r1"), caller);
+    BOOST_TEST((list.hosts == again.hosts));
+    ++first[list.hosts.at(0).host.value()];
+  }
+  BOOST_TEST(first["a"] > 400);
+  BOOST_TEST(first["b"] > 400);
+}
+
+}  // namespace ebonylift
--- /dev/null
+++ b/tests/registry_test.cc
@@ -0,0 +1,140 @@
+#define BOOST_TEST_MODULE registry
+#include "core/registry.h"
+
+#include <boost/test/included/unit_test.hpp>
+
+namespace ebonylift {
+namespace {
+
+Announcement Make(const std::string& id, uint64_t incarnation, uint64_t seq, bool leaving = false) {
+  Announcement announcement;
+  announcement.id = ServerId(id);
+  announcement.incarnation = incarnation;
+  announcement.seq = seq;
+  announcement.domain = DomainId("d1");
+  announcement.address = "10.0.0.1:80";
+  announcement.leaving = leaving;
+  return announcement;
+}
+
+Time At(int64_t ms) { return Time(milliseconds(ms)); }
+
+Registry Empty() {
+  Registry registry;
+  registry.domain = DomainId("d1");
+  return registry;
+}
+
+struct Step {
+  const char* what;
+  int64_t at_ms;
+  uint64_t incarnation;
+  uint64_t seq;
+  bool leaving;
+  int64_t age_ms;
+  AnnounceResult result;
+  bool live;  // after the step
+};
+
+}  // namespace
+
+// Guards against a server that gets work after it left, expired or was replaced, and against a late
+// or repeated announcement that extends its life.
+BOOST_AUTO_TEST_CASE(OrderAndLifeOfOneServer) {
+  const std::vector<Step> steps = {
+      {"first", 0, 5, 10, false, 0, AnnounceResult::kNew, true},
+      {"repeated", 100, 5, 10, false, 0, AnnounceResult::kDuplicate, true},
+      {"overtaken", 110, 5, 9, false, 0, AnnounceResult::kDuplicate, true},
+      {"old incarnation, larger seq", 120, 4, 99, false, 0, AnnounceResult::kOldIncarnation, true},
+      {"newer", 700, 5, 11, false, 0, AnnounceResult::kRefreshed, true},
+      {"restarted, smaller seq", 800, 6, 1, false, 0, AnnounceResult::kNewIncarnation, true},
+      {"leaves", 900, 6, 2, true, 0, AnnounceResult::kLeft, false},
+      {"still leaves", 950, 6, 3, true, 0, AnnounceResult::kGone, false},
+      {"late copy from before it left", 1000, 6, 2, false, 0, AnnounceResult::kDuplicate, false},
+      {"stays after all", 1100, 6, 4, false, 0, AnnounceResult::kNew, true},
+      {"silent for 2 s, then a repeated one", 3100, 6, 4, false, 0, AnnounceResult::kDuplicate,
+       false},
+      {"newer but too old on arrival", 3200, 6, 5, false, 2000, AnnounceResult::kTooOld, false},
+      {"the same again, younger", 3300, 6, 5, false, 0, AnnounceResult::kDuplicate, false},
+      {"newer", 3400, 6, 6, false, 500, AnnounceResult::kNew, true},
+      {"negative age", 3500, 6, 7, false, -9000, AnnounceResult::kRefreshed, true},
+  };
+  Registry registry = Empty();
+  for (const Step& step : steps) {
+    BOOST_TEST_CONTEXT(step.what) {
+      Expire(&registry, At(step.at_ms));
+      AnnounceResult result =
+          OnAnnouncement(&registry, Make("s1", step.incarnation, step.seq, step.leaving),
+                         milliseconds(step.age_ms), At(step.at_ms));
+      BOOST_TEST((result == step.result));
+      BOOST_TEST(LiveServers(registry).size() == (step.live ? 1u : 0u));
+    }
+  }
+}
+
+// Guards against a relayed announcement that lives longer than 2 s after the server sent it.
+BOOST_AUTO_TEST_CASE(ExpiryCountsFromTheServer) {
+  for (int64_t ttl_ms : {500, 2000, 60'000}) {
+    for (int64_t age_ms : {0, 400}) {
+      Registry registry = Empty();
+      Announcement announcement = Make("s1", 1, 1);
+      announcement.ttl = milliseconds(ttl_ms);
+      OnAnnouncement(&registry, announcement, milliseconds(age_ms), At(1000));
+      int64_t end = 1000 - age_ms + std::min<int64_t>(ttl_ms, 2000);
+      BOOST_TEST(Expire(&registry, At(end - 1)).empty());
+      BOOST_TEST(Expire(&registry, At(end)).size() == 1u);
+      BOOST_TEST(LiveServers(registry).empty());
+    }
+  }
+}
+
+// Guards against slow start that begins again with each announcement, or not at a restart.
+BOOST_AUTO_TEST_CASE(FirstSeenFollowsIncarnation) {
+  Registry registry = Empty();
+  OnAnnouncement(&registry, Make("s1", 1, 1), Duration(0), At(0));
+  OnAnnouncement(&registry, Make("s1", 1, 2), Duration(0), At(700));
+  BOOST_TEST((LiveServers(registry)[0].first_seen == At(0)));
+  OnAnnouncement(&registry, Make("s1", 2, 1), Duration(0), At(900));
+  BOOST_TEST((LiveServers(registry)[0].first_seen == At(900)));
+  Expire(&registry, At(2900));
+  OnAnnouncement(&registry, Make("s1", 2, 2), Duration(0), At(3000));
+  BOOST_TEST((LiveServers(registry)[0].first_seen == At(3000)));
+}
+
+// Guards against announcements that the registry must not take at all.
+BOOST_AUTO_TEST_CASE(RefusesForeignAndIncomplete) {
+  Registry registry = Empty();
+  Announcement foreign = Make("s1", 1, 1);
+  foreign.domain = DomainId("d2");
+  Announcement nameless = Make("", 1, 1);
+  Announcement no_address = Make("s1", 1, 1);
+  no_address.address.clear();
+  BOOST_TEST(
+      (OnAnnouncement(&registry, foreign, Duration(0), At(0)) == AnnounceResult::kOtherDomain));
+  BOOST_TEST((OnAnnouncement(&registry, nameless, Duration(0), At(0)) == AnnounceResult::kInvalid));
+  BOOST_TEST(
+      (OnAnnouncement(&registry, no_address, Duration(0), At(0)) == AnnounceResult::kInvalid));
+  BOOST_TEST(registry.entries.empty());
+}
+
+// Guards against growth without bound, and against a live server that a new one pushes out.
+BOOST_AUTO_TEST_CASE(BoundKeepsLiveServers) {
+  Registry registry = Empty();
+  for (size_t i = 0; i < kMaxServers; ++i) {
+    OnAnnouncement(&registry, Make("s" + std::to_string(i), 1, 1), Duration(0), At(0));
+  }
+  BOOST_TEST(
+      (OnAnnouncement(&registry, Make("x", 1, 1), Duration(0), At(1)) == AnnounceResult::kFull));
+  OnAnnouncement(&registry, Make("s7", 1, 2, true), Duration(0), At(2));
+  OnAnnouncement(&registry, Make("s9", 1, 2, true), Duration(0), At(3));
+  BOOST_TEST(
+      (OnAnnouncement(&registry, Make("x", 1, 1), Duration(0), At(4)) == AnnounceResult::kNew));
+  BOOST_TEST(registry.entries.size() == kMaxServers);
+  BOOST_TEST(registry.entries.count(ServerId("s7")) == 0u);
+  BOOST_TEST(registry.entries.count(ServerId("s9")) == 1u);
+  Expire(&registry, At(2010));
+  Expire(&registry, At(2010) + kForgetAfter);
+  BOOST_TEST(registry.entries.empty());
+}
+
+}  // namespace ebonylift
