Test the membership against a simulated network

Twelve hosts and more exchange messages with delay, loss, cut links and stopped processes in simulated time. The hash over the host rows is kept up to date with each change of a row instead of being computed for each message.

Ruled out: a sleep-based test with real processes, which cannot show 390 hosts.

--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -32,13 +32,10 @@
   return status == HostStatus::kAlive || status == HostStatus::kLeaving;
 }
 
-// Encoded size with some slack for pointers.
-size_t RowBytes(const HostRow& row) { return 48 + row.id.value().size(); }
-
-size_t RowBytes(const SummaryRow& row) {
-  const DomainSummary& summary = row.summary;
-  return 96 + summary.domain.value().size() + summary.region.value().size() +
-         summary.served.size() + row.reporter.value().size();
+uint64_t RowHash(const HostRow& row) {
+  if (row.incarnation == 0) return 0;
+  return Hash64(row.id.value() + '/' + std::to_string(row.incarnation) + '/' +
+                std::to_string(row.version) + '/' + std::to_string(StatusRank(row.status)));
 }
 
 MemberHost& Self(Membership* state) { return state->hosts.at(state->self.host); }
@@ -58,12 +55,18 @@
   state->changes.push_back(change);
 }
 
-void SetRow(Membership* state, MemberHost* host, const HostRow& row, Time now) {
-  HostStatus before = host->row.status;
-  bool first = host->row.incarnation == 0;
+// Every change of a row goes through here, so that the hash over all rows stays right.
+void ReplaceRow(Membership* state, MemberHost* host, const HostRow& row) {
+  state->hosts_hash ^= RowHash(host->row) ^ RowHash(row);
   host->row = row;
   host->sends = 0;
   ++state->changed;
+}
+
+void SetRow(Membership* state, MemberHost* host, const HostRow& row, Time now) {
+  HostStatus before = host->row.status;
+  bool first = host->row.incarnation == 0;
+  ReplaceRow(state, host, row);
   if (row.status == HostStatus::kSuspect && before != HostStatus::kSuspect) {
     host->suspected_at = now;
   }
@@ -78,11 +81,10 @@
 
 // The own row with a version above `row`, so that it overrides `row` everywhere.
 void Refute(Membership* state, const HostRow& row) {
-  MemberHost& self = Self(state);
-  self.row.incarnation = std::max(self.row.incarnation, row.incarnation);
-  self.row.version = std::max(self.row.version, row.version) + 1;
-  self.sends = 0;
-  ++state->changed;
+  HostRow own = Self(state).row;
+  own.incarnation = std::max(own.incarnation, row.incarnation);
+  own.version = std::max(own.version, row.version) + 1;
+  ReplaceRow(state, &Self(state), own);
 }
 
 void MergeHost(Membership* state, const HostRow& row, Time now) {
@@ -138,7 +140,7 @@
   if (host.unreachable) ++state->changed;
   host.unreachable = false;
   Merge(state, from, message, now);
-  host.differs = message.hosts_hash != HostsHash(*state);
+  host.differs = message.hosts_hash != state->hosts_hash;
 }
 
 bool SameDomain(const Membership& state, const MemberHost& host) {
@@ -350,10 +352,11 @@
   MemberHost own;
   own.configured = self;
   own.row.id = self.id;
+  state.hosts[self.id] = own;
   own.row.incarnation = self.incarnation;
   own.row.version = 1;
   own.row.status = HostStatus::kAlive;
-  state.hosts[self.id] = own;
+  ReplaceRow(&state, &Self(&state), own.row);
   return state;
 }
 
@@ -375,7 +378,7 @@
   auto receiver = state->hosts.find(to);
   bool differs = receiver != state->hosts.end() && receiver->second.differs;
   GossipMessage message;
-  message.hosts_hash = HostsHash(*state);
+  message.hosts_hash = state->hosts_hash;
   message.revision = state->revision;
   message.newest_revision = state->newest_revision;
   message.newest_holder = state->newest_holder;
@@ -420,19 +423,19 @@
 }
 
 void SetLeaving(Membership* state) {
-  MemberHost& self = Self(state);
-  if (self.row.status == HostStatus::kLeaving) return;
-  self.row.status = HostStatus::kLeaving;
-  ++self.row.version;
-  ++state->changed;
+  HostRow own = Self(state).row;
+  if (own.status == HostStatus::kLeaving) return;
+  own.status = HostStatus::kLeaving;
+  ++own.version;
+  ReplaceRow(state, &Self(state), own);
 }
 
 void SetOverloaded(Membership* state, bool overloaded) {
-  MemberHost& self = Self(state);
-  if (self.row.overloaded == overloaded) return;
-  self.row.overloaded = overloaded;
-  ++self.row.version;
-  ++state->changed;
+  HostRow own = Self(state).row;
+  if (own.overloaded == overloaded) return;
+  own.overloaded = overloaded;
+  ++own.version;
+  ReplaceRow(state, &Self(state), own);
 }
 
 void SetRevision(Membership* state, uint64_t revision) {
@@ -510,16 +513,13 @@
   return std::exchange(state->changes, {});
 }
 
-uint64_t HostsHash(const Membership& state) {
-  uint64_t hash = 0;
-  for (const auto& [id, host] : state.hosts) {
-    const HostRow& row = host.row;
-    if (row.incarnation == 0) continue;
-    std::string text = id.value() + '/' + std::to_string(row.incarnation) + '/' +
-                       std::to_string(row.version) + '/' + std::to_string(StatusRank(row.status));
-    hash ^= Hash64(text);
-  }
-  return hash;
+// Encoded size with some slack for pointers.
+size_t RowBytes(const HostRow& row) { return 48 + row.id.value().size(); }
+
+size_t RowBytes(const SummaryRow& row) {
+  const DomainSummary& summary = row.summary;
+  return 96 + summary.domain.value().size() + summary.region.value().size() +
+         summary.served.size() + row.reporter.value().size();
 }
 
 }  // namespace ebonylift
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -136,6 +136,7 @@
   uint64_t newest_revision = 0;
   HostId newest_holder;
   std::vector<StatusChange> changes;  // since the last TakeChanges()
+  uint64_t hosts_hash = 0;            // over all host rows; equal where the same rows are known
   uint64_t changed = 0;               // grows with each change that a view shows
 };
 
@@ -190,8 +191,9 @@
 
 std::vector<StatusChange> TakeChanges(Membership* state);
 
-// Hash over all host rows, equal on hosts that know the same rows.
-uint64_t HostsHash(const Membership& state);
+// The size that a row is expected to have in a message; `message_bytes` counts it.
+size_t RowBytes(const HostRow& row);
+size_t RowBytes(const SummaryRow& row);
 
 }  // namespace ebonylift
 
--- a/src/core/registry.cc
+++ b/src/core/registry.cc
@@ -77,6 +77,24 @@
   return expired;
 }
 
+Duration TransitExcess(TransitMeter* meter, Duration sent_at, Time now) {
+  Duration offset = now.time_since_epoch() - sent_at;
+  if (meter->known) {
+    int64_t elapsed = std::chrono::duration_cast<seconds>(now - meter->at).count();
+    Duration smallest = meter->smallest + Duration(elapsed * kClockDriftMicrosPerSecond);
+    if (offset >= smallest) {
+      if (elapsed == 0) return offset - smallest;
+      meter->smallest = smallest;
+      meter->at = now;
+      return offset - smallest;
+    }
+  }
+  meter->known = true;
+  meter->smallest = offset;
+  meter->at = now;
+  return Duration(0);
+}
+
 std::vector<BackendServer> LiveServers(const Registry& registry) {
   std::vector<BackendServer> servers;
   for (const auto& [id, entry] : registry.entries) {
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -61,6 +61,24 @@
 // By id. A server is live until it expires or leaves.
 std::vector<BackendServer> LiveServers(const Registry& registry);
 
+// How long relayed announcements of one host wait on the way. The difference between the own clock
+// at receipt and the sender's clock at sending is a constant plus the time on the way; what exceeds
+// the smallest difference seen is waiting time, for example in the buffers of a process that was
+// stopped. Both clocks are steady clocks, so steps of the wall clock do not matter.
+struct TransitMeter {
+  uint64_t incarnation = 0;  // of the sender; its clock starts again when its machine boots
+  bool known = false;
+  Duration smallest{0};
+  Time at;  // when `smallest` was last set
+};
+
+// By how much the clocks of two machines may drift apart.
+constexpr int64_t kClockDriftMicrosPerSecond = 200;
+
+// The waiting time of a message that was sent at `sent_at` by the sender's steady clock. The first
+// message counts as not waiting.
+Duration TransitExcess(TransitMeter* meter, Duration sent_at, Time now);
+
 }  // namespace ebonylift
 
 #endif  // EBONYLIFT_CORE_REGISTRY_H_
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -39,42 +39,11 @@
 constexpr size_t kTimelineEvents = 50'000;
 constexpr size_t kMinTimelinePage = 100;
 constexpr size_t kTimelinePageBytes = 4 << 20;
-// By how much the clocks of two machines may drift apart.
-constexpr int64_t kClockDriftMicrosPerSecond = 200;
 // Announcements relayed in one message; far below the message limit.
 constexpr size_t kMaxRelayBatch = 256;
 
 kj::Duration ToKj(Duration duration) { return duration.count() * kj::MICROSECONDS; }
 
-// How long messages of one peer wait on the way. The difference between the own clock at receipt
-// and the peer's clock at sending is a constant plus the transit time; what exceeds the smallest
-// difference seen is waiting time, for example in the buffers of a process that was stopped.
-struct TransitMeter {
-  uint64_t incarnation = 0;
-  bool known = false;
-  Duration smallest{0};
-  Time at;
-};
-
-Duration TransitExcess(TransitMeter* meter, Duration sent_at, Time now) {
-  Duration offset = now.time_since_epoch() - sent_at;
-  if (meter->known) {
-    int64_t elapsed_seconds = std::chrono::duration_cast<seconds>(now - meter->at).count();
-    Duration aged = meter->smallest + Duration(elapsed_seconds * kClockDriftMicrosPerSecond);
-    if (offset >= aged) {
-      if (elapsed_seconds > 0) {
-        meter->smallest = aged;
-        meter->at = now;
-      }
-      return offset - aged;
-    }
-  }
-  meter->known = true;
-  meter->smallest = offset;
-  meter->at = now;
-  return Duration(0);
-}
-
 HostEntry SelfEntry(const ControlOptions& options) {
   HostEntry entry;
   entry.id = options.self.host;
--- /dev/null
+++ b/tests/membership_test.cc
@@ -0,0 +1,519 @@
+#define BOOST_TEST_MODULE membership
+#include "core/membership.h"
+
+#include <algorithm>
+#include <boost/test/included/unit_test.hpp>
+#include <functional>
+#include <queue>
+#include <set>
+
+namespace ebonylift {
+namespace {
+
+constexpr uint64_t kSeed = 20'261'203;
+
+// Carries the messages of many membership state machines with delay, loss and cut links. Time moves
+// in steps of 10 ms.
+class Network {
+ public:
+  Network(int domains, int hosts_per_domain, uint64_t seed = kSeed,
+          const MembershipParams& params = MembershipParams())
+      : rng_(seed) {
+    std::vector<HostEntry> all;
+    for (int d = 0; d < domains; ++d) {
+      for (int h = 0; h < hosts_per_domain; ++h) all.push_back(Entry(d, h));
+    }
+    for (const HostEntry& self : all) {
+      std::vector<HostEntry> peers;
+      for (const HostEntry& peer : all) {
+        if (!(peer.id == self.id)) peers.push_back(peer);
+      }
+      nodes_[self.id] = {MakeMembership(self, peers, params), true, 0};
+    }
+  }
+
+  static HostId Id(int domain, int host) {
+    return HostId("d" + std::to_string(domain) + "h" + std::to_string(host));
+  }
+
+  Membership& at(int domain, int host) { return nodes_.at(Id(domain, host)).state; }
+  Time now() const { return now_; }
+  std::mt19937_64& rng() { return rng_; }
+  std::vector<HostId> ids() const {
+    std::vector<HostId> ids;
+    for (const auto& [id, node] : nodes_) ids.push_back(id);
+    return ids;
+  }
+  Membership& state(const HostId& id) { return nodes_.at(id).state; }
+  uint64_t sent(const HostId& id) const { return nodes_.at(id).sent; }
+  size_t largest_message() const { return largest_; }
+  const std::vector<StatusChange>& changes() const { return changes_; }
+  void ClearChanges() { changes_.clear(); }
+
+  void SetRunning(const HostId& id, bool running) { nodes_.at(id).running = running; }
+  // True for a pair of hosts whose messages are dropped.
+  void Cut(std::function<bool(const HostId&, const HostId&)> cut) { cut_ = std::move(cut); }
+  void SetLoss(double loss) { loss_ = loss; }
+
+  void Run(Duration duration) {
+    for (Time end = now_ + duration; now_ < end; now_ += milliseconds(10)) Step();
+  }
+
+  // The time until the condition holds, at most `limit`.
+  std::optional<Duration> RunUntil(const std::function<bool()>& condition, Duration limit) {
+    Time start = now_;
+    while (now_ - start <= limit) {
+      if (condition()) return now_ - start;
+      Run(milliseconds(50));
+    }
+    return std::nullopt;
+  }
+
+  bool AllSee(const HostId& about, HostStatus status) {
+    for (auto& [id, node] : nodes_) {
+      if (!node.running || id == about) continue;
+      if (node.state.hosts.at(about).row.status != status) return false;
+    }
+    return true;
+  }
+
+  bool Converged() {
+    for (const HostId& id : ids()) {
+      if (!AllSee(id, HostStatus::kAlive)) return false;
+    }
+    return true;
+  }
+
+  void Converge() {
+    BOOST_TEST_REQUIRE(RunUntil([this]() { return Converged(); }, seconds(60)).has_value());
+    Run(milliseconds(100));  // so that every host has passed on its changes
+  }
+
+ private:
+  struct Node {
+    Membership state;
+    bool running = true;
+    uint64_t sent = 0;
+  };
+  struct Delivery {
+    Time at;
+    uint64_t order;
+    std::function<void()> run;
+    friend bool operator<(const Delivery& a, const Delivery& b) {
+      return std::tie(b.at, b.order) < std::tie(a.at, a.order);
+    }
+  };
+
+  static HostEntry Entry(int domain, int host) {
+    HostEntry entry;
+    entry.id = Id(domain, host);
+    entry.domain = DomainId("d" + std::to_string(domain));
+    entry.region = RegionId("r" + std::to_string(domain / 2));
+    entry.incarnation = 100;
+    return entry;
+  }
+
+  bool Arrives(const HostId& from, const HostId& to) {
+    if (!nodes_.at(to).running) return false;
+    if (cut_ && cut_(from, to)) return false;
+    return std::uniform_real_distribution<double>(0, 1)(rng_) >= loss_;
+  }
+
+  Duration DelayBetween(const HostId& from, const HostId& to) {
+    bool near = nodes_.at(from).state.self.domain == nodes_.at(to).state.self.domain;
+    return near ? milliseconds(1) : milliseconds(55);
+  }
+
+  void Later(Duration delay, std::function<void()> run) {
+    queue_.push({now_ + delay, order_++, std::move(run)});
+  }
+
+  void Measure(const HostId& from, const GossipMessage& message) {
+    ++nodes_.at(from).sent;
+    size_t bytes = 0;
+    for (const HostRow& row : message.hosts) bytes += RowBytes(row);
+    for (const SummaryRow& row : message.summaries) bytes += RowBytes(row);
+    largest_ = std::max(largest_, bytes);
+  }
+
+  using Answered = std::function<void(std::optional<GossipMessage>, bool reached)>;
+
+  // One call from `from` to `to` and back.
+  void Call(const HostId& from, const HostId& to, const GossipMessage& message,
+            const HostId& target, Duration timeout, const Answered& done) {
+    Measure(from, message);
+    auto finished = std::make_shared<bool>(false);
+    auto finish = [finished, done](std::optional<GossipMessage> reply, bool reached) {
+      if (*finished) return;
+      *finished = true;
+      done(std::move(reply), reached);
+    };
+    Later(timeout, [finish]() { finish(std::nullopt, false); });
+    if (!Arrives(from, to)) return;
+    Later(DelayBetween(from, to), [=]() {
+      if (!nodes_.at(to).running) return;
+      GossipMessage reply = OnGossip(&nodes_.at(to).state, from, message, now_, rng_);
+      auto answer = [=](bool reached) {
+        Measure(to, reply);
+        if (!Arrives(to, from)) return;
+        Later(DelayBetween(to, from), [=]() { finish(reply, reached); });
+      };
+      if (target.empty()) return answer(false);
+      Call(to, target, MakeGossip(&nodes_.at(to).state, target, rng_), HostId(), milliseconds(250),
+           [=](std::optional<GossipMessage> probed, bool) {
+             if (probed) OnAck(&nodes_.at(to).state, 0, target, *probed, false, now_);
+             answer(probed.has_value());
+           });
+    });
+  }
+
+  void Step() {
+    while (!queue_.empty() && queue_.top().at <= now_) {
+      auto run = queue_.top().run;
+      queue_.pop();
+      run();
+    }
+    for (auto& [id, node] : nodes_) {
+      if (!node.running || now_.time_since_epoch() % milliseconds(50) != Duration(0)) continue;
+      for (const SendProbe& probe : Tick(&node.state, now_, rng_)) {
+        Membership* state = &node.state;
+        uint64_t token = probe.token;
+        HostId to = probe.to;
+        Call(id, to, probe.message, probe.target, probe.timeout,
+             [this, state, token, to](std::optional<GossipMessage> reply, bool reached) {
+               if (reply) return OnAck(state, token, to, *reply, reached, now_);
+               OnProbeFailed(state, token, now_);
+             });
+      }
+      for (const StatusChange& change : TakeChanges(&node.state)) changes_.push_back(change);
+    }
+  }
+
+  std::map<HostId, Node> nodes_;
+  std::priority_queue<Delivery> queue_;
+  std::mt19937_64 rng_;
+  Time now_ = Time(seconds(1000));
+  uint64_t order_ = 0;
+  double loss_ = 0;
+  size_t largest_ = 0;
+  std::function<bool(const HostId&, const HostId&)> cut_;
+  std::vector<StatusChange> changes_;
+};
+
+HostEntry OneHost(const std::string& id, const std::string& domain = "d0") {
+  HostEntry entry;
+  entry.id = HostId(id);
+  entry.domain = DomainId(domain);
+  entry.region = RegionId("r0");
+  entry.incarnation = 100;
+  return entry;
+}
+
+DomainSummary Summary(const Membership& state, const std::string& served, int servers,
+                      int running) {
+  DomainSummary row;
+  row.domain = state.self.domain;
+  row.region = state.self.region;
+  row.served = served;
+  row.servers = servers;
+  row.slots = servers * 8;
+  row.running = running;
+  return row;
+}
+
+}  // namespace
+
+// Guards against a row that a smaller version replaces: every pair of rows is merged in both orders
+// and must end at the larger one of a reference order.
+BOOST_AUTO_TEST_CASE(LargerRowWinsInEveryOrder) {
+  std::vector<HostRow> rows;
+  for (uint64_t incarnation : {100, 101}) {
+    for (uint32_t version : {1, 2}) {
+      for (HostStatus status : {HostStatus::kAlive, HostStatus::kSuspect, HostStatus::kFailed}) {
+        rows.push_back({HostId("b"), incarnation, version, status, false});
+      }
+    }
+  }
+  std::mt19937_64 rng(kSeed);
+  for (size_t i = 0; i < rows.size(); ++i) {
+    for (size_t j = 0; j < rows.size(); ++j) {
+      Membership state = MakeMembership(OneHost("a"), {OneHost("b"), OneHost("c")}, {});
+      GossipMessage message;
+      message.hosts = {rows[i], rows[j]};
+      OnGossip(&state, HostId("c"), message, Time(seconds(1)), rng);
+      const HostRow& want = rows[std::max(i, j)];  // rows are listed in the reference order
+      const HostRow& got = state.hosts.at(HostId("b")).row;
+      BOOST_TEST(got.incarnation == want.incarnation);
+      BOOST_TEST(got.version == want.version);
+      BOOST_TEST((got.status == want.status));
+    }
+  }
+}
+
+// Guards against rows about unknown hosts that fill the memory.
+BOOST_AUTO_TEST_CASE(UnknownHostsAreIgnored) {
+  Membership state = MakeMembership(OneHost("a"), {OneHost("b")}, {});
+  std::mt19937_64 rng(kSeed);
+  GossipMessage message;
+  message.hosts = {{HostId("x"), 1, 1, HostStatus::kAlive, false}};
+  OnGossip(&state, HostId("y"), message, Time(seconds(1)), rng);
+  BOOST_TEST(state.hosts.size() == 2u);
+}
+
+// Guards against hosts that never learn of each other.
+BOOST_AUTO_TEST_CASE(HostsFindEachOther) {
+  Network network(3, 4);
+  network.Converge();
+  BOOST_TEST(network.Converged());
+}
+
+// Guards against a dead host that stays in the lists, and against innocent hosts that are dropped.
+BOOST_AUTO_TEST_CASE(DeadHostIsSuspectedThenFailed) {
+  Network network(3, 5);
+  network.Converge();
+  network.ClearChanges();
+  HostId dead = Network::Id(1, 2);
+  network.SetRunning(dead, false);
+  auto suspected = network.RunUntil(
+      [&]() {
+        for (int h : {0, 1, 3, 4}) {
+          if (network.at(1, h).hosts.at(dead).row.status != HostStatus::kAlive) continue;
+          return false;
+        }
+        return true;
+      },
+      seconds(5));
+  BOOST_TEST(suspected.has_value());
+  auto failed =
+      network.RunUntil([&]() { return network.AllSee(dead, HostStatus::kFailed); }, seconds(20));
+  BOOST_TEST(failed.has_value());
+  BOOST_TEST_MESSAGE("suspected in the failure domain after "
+                     << ToMillis(suspected.value_or(Duration(0))) << " ms, failed everywhere "
+                     << ToMillis(failed.value_or(Duration(0))) << " ms later");
+  for (const StatusChange& change : network.changes()) BOOST_TEST((change.host == dead));
+}
+
+// Guards against a host that was stopped for a moment and stays suspected or failed.
+BOOST_AUTO_TEST_CASE(StoppedHostRefutes) {
+  for (Duration stop : {Duration(milliseconds(1500)), Duration(seconds(10))}) {
+    Network network(2, 4);
+    network.Converge();
+    HostId host = Network::Id(0, 1);
+    network.SetRunning(host, false);
+    network.Run(stop);
+    bool lost = network.at(0, 0).hosts.at(host).row.status != HostStatus::kAlive;
+    network.SetRunning(host, true);
+    BOOST_TEST(lost);
+    network.ClearChanges();
+    BOOST_TEST(network.RunUntil([&]() { return network.Converged(); }, seconds(15)).has_value());
+    BOOST_TEST(network.state(host).hosts.at(host).row.version > 1u);
+    // The stopped host must not blame the others for its own silence.
+    for (const StatusChange& change : network.changes()) BOOST_TEST((change.host == host));
+  }
+}
+
+// Guards against a host that loses its standing because one link of the failure domain is cut.
+BOOST_AUTO_TEST_CASE(IndirectProbesBridgeOneCutLink) {
+  Network network(1, 5);
+  network.Converge();
+  network.ClearChanges();
+  HostId a = Network::Id(0, 0);
+  HostId b = Network::Id(0, 1);
+  network.Cut(
+      [=](const HostId& x, const HostId& y) { return (x == a && y == b) || (x == b && y == a); });
+  network.Run(seconds(30));
+  BOOST_TEST(network.changes().empty());
+}
+
+// Guards against losses on a bad network that end in a failure verdict.
+BOOST_AUTO_TEST_CASE(LossDoesNotFailHosts) {
+  for (uint64_t seed = kSeed; seed < kSeed + 5; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      Network network(2, 6, seed);
+      network.Converge();
+      network.ClearChanges();
+      network.SetLoss(0.1);
+      network.Run(seconds(60));
+      int failed = 0;
+      for (const StatusChange& change : network.changes()) {
+        if (change.status == HostStatus::kFailed) ++failed;
+      }
+      BOOST_TEST(failed == 0);
+    }
+  }
+}
+
+// Guards against rows that changed during a partition and stay different after it.
+BOOST_AUTO_TEST_CASE(PartitionHeals) {
+  Network network(4, 3);
+  network.Converge();
+  network.Cut([](const HostId& x, const HostId& y) {
+    return (x.value()[1] == '0') != (y.value()[1] == '0');
+  });
+  SetLeaving(&network.at(0, 1));
+  network.SetRunning(Network::Id(2, 2), false);
+  network.Run(seconds(60));
+  BOOST_TEST((network.at(0, 0).hosts.at(Network::Id(0, 1)).row.status == HostStatus::kLeaving));
+  BOOST_TEST((network.at(1, 0).hosts.at(Network::Id(0, 1)).row.status == HostStatus::kAlive));
+  // A cut-off failure domain is shown as suspected here, and its rows are left alone.
+  for (const HostEntry& entry : HostEntries(network.at(1, 0))) {
+    if (entry.domain.value() == "d0") BOOST_TEST((entry.status == HostStatus::kSuspect));
+  }
+  network.Cut(nullptr);
+  BOOST_TEST(network
+                 .RunUntil(
+                     [&]() {
+                       return network.AllSee(Network::Id(0, 1), HostStatus::kLeaving) &&
+                              network.AllSee(Network::Id(2, 2), HostStatus::kFailed);
+                     },
+                     seconds(20))
+                 .has_value());
+}
+
+// Guards against a process that was stopped and then suspects everybody else.
+BOOST_AUTO_TEST_CASE(OwnStopIsNotBlamedOnOthers) {
+  Membership state = MakeMembership(OneHost("a"), {OneHost("b"), OneHost("c")}, {});
+  std::mt19937_64 rng(kSeed);
+  Time now = Time(seconds(10));
+  GossipMessage message;
+  message.hosts = {{HostId("b"), 1, 1, HostStatus::kAlive, false},
+                   {HostId("c"), 1, 1, HostStatus::kAlive, false}};
+  OnGossip(&state, HostId("b"), message, now, rng);
+  TakeChanges(&state);
+  Tick(&state, now, rng);
+  now += seconds(30);
+  Tick(&state, now, rng);
+  BOOST_TEST(TakeChanges(&state).empty());
+}
+
+// Guards against gossip that grows with the number of hosts, at the size of the design. A revision
+// must be known everywhere in time for it to be in force within 7 s.
+BOOST_AUTO_TEST_CASE(CostAndSpreadAtFullSize) {
+  struct Row {
+    int domains;
+    int hosts;
+  };
+  std::vector<double> rates;
+  for (const Row& row : {Row{6, 10}, Row{39, 10}}) {
+    Network network(row.domains, row.hosts);
+    network.Run(seconds(30));
+    uint64_t before = 0;
+    for (const HostId& id : network.ids()) before += network.sent(id);
+    SetRevision(&network.at(3, 3), 7);
+    auto spread = network.RunUntil(
+        [&]() {
+          for (const HostId& id : network.ids()) {
+            if (network.state(id).newest_revision != 7) return false;
+          }
+          return true;
+        },
+        seconds(10));
+    BOOST_TEST(spread.has_value());
+    BOOST_TEST(ToMillis(spread.value_or(seconds(10))) <= 6000);
+    network.Run(seconds(10));
+    uint64_t sent = 0;
+    for (const HostId& id : network.ids()) sent += network.sent(id);
+    double time_s = static_cast<double>((spread.value_or(seconds(10)) + seconds(10)).count()) / 1e6;
+    rates.push_back(static_cast<double>(sent - before) / static_cast<double>(network.ids().size()) /
+                    time_s);
+    BOOST_TEST(network.largest_message() <= MembershipParams().message_bytes + 64);
+    BOOST_TEST_MESSAGE(row.domains * row.hosts
+                       << " hosts: revision known everywhere after "
+                       << ToMillis(spread.value_or(Duration(0))) << " ms, " << rates.back()
+                       << " messages and answers per host and second, largest "
+                       << network.largest_message() << " bytes of rows");
+  }
+  BOOST_TEST(rates[1] < rates[0] * 1.1);
+}
+
+// Guards against pulling from a host that is far, behind, or not there.
+BOOST_AUTO_TEST_CASE(PullPrefersOwnFailureDomain) {
+  Membership state =
+      MakeMembership(OneHost("a"), {OneHost("b"), OneHost("c", "d1"), OneHost("e", "d1")}, {});
+  std::mt19937_64 rng(kSeed);
+  Time now = Time(seconds(1));
+  auto hear = [&](const std::string& id, uint64_t revision) {
+    GossipMessage message;
+    message.revision = revision;
+    message.newest_revision = 9;
+    message.newest_holder = HostId("e");
+    message.hosts = {{HostId(id), 1, 1, HostStatus::kAlive, false}};
+    OnGossip(&state, HostId(id), message, now, rng);
+  };
+  BOOST_TEST(!PullTarget(state, rng).has_value());
+  hear("b", 0);
+  BOOST_TEST((PullTarget(state, rng) == HostId("e")));  // heard of, not heard from
+  hear("c", 9);
+  BOOST_TEST((PullTarget(state, rng) == HostId("c")));
+  hear("b", 8);
+  BOOST_TEST((PullTarget(state, rng) == HostId("b")));
+  OnConnection(&state, HostId("b"), false, now);
+  BOOST_TEST((PullTarget(state, rng) == HostId("c")));
+  SetRevision(&state, 9);
+  BOOST_TEST(!PullTarget(state, rng).has_value());
+}
+
+// Guards against two reporters, none, and summaries that stay after the servers or the reporter
+// are gone.
+BOOST_AUTO_TEST_CASE(SummariesFollowTheReporter) {
+  Network network(2, 3);
+  network.Converge();
+  auto report = [&](int servers) {
+    int reporters = 0;
+    for (const HostId& id : network.ids()) {
+      Membership& state = network.state(id);
+      if (!IsReporter(state)) continue;
+      ++reporters;
+      std::vector<DomainSummary> rows;
+      if (servers > 0) rows.push_back(Summary(state, "m1", servers, 1));
+      ReportSummaries(&state, rows, static_cast<uint64_t>(network.now().time_since_epoch().count()),
+                      network.now());
+    }
+    return reporters;
+  };
+  auto seen = [&](int servers) {
+    return network
+        .RunUntil(
+            [&]() {
+              for (int h : {0, 1, 2}) {
+                bool found = false;
+                for (const DomainSummary& row : Summaries(network.at(1, h))) {
+                  if (row.domain.value() == "d0") found = row.servers == servers;
+                }
+                if (!found) return false;
+              }
+              return true;
+            },
+            seconds(15))
+        .has_value();
+  };
+  BOOST_TEST(report(4) == 2);
+  BOOST_TEST(seen(4));
+  BOOST_TEST(report(0) == 2);
+  BOOST_TEST(seen(0));
+  network.SetRunning(Network::Id(0, 0), false);
+  network.Run(seconds(20));
+  BOOST_TEST(IsReporter(network.at(0, 1)));
+  BOOST_TEST(!IsReporter(network.at(0, 2)));
+  BOOST_TEST(report(5) >= 2);
+  BOOST_TEST(seen(5));
+  network.Run(MembershipParams().summary_lifetime + seconds(1));
+  BOOST_TEST(Summaries(network.at(1, 1)).empty());
+}
+
+// Guards against a summary that is sent for each small change of the load.
+BOOST_AUTO_TEST_CASE(SummaryReportsAreLimited) {
+  Membership state = MakeMembership(OneHost("a"), {OneHost("b")}, {});
+  int reports = 0;
+  uint64_t last = 0;
+  for (int i = 0; i < 200; ++i) {  // 100 s at 500 ms, the load always changes
+    ReportSummaries(&state, {Summary(state, "m1", 4, i)}, static_cast<uint64_t>(i + 1),
+                    Time(seconds(100) + milliseconds(500 * i)));
+    uint64_t version = Summaries(state).at(0).version;
+    if (version != last) ++reports;
+    last = version;
+  }
+  BOOST_TEST(reports == 50);
+}
+
+}  // namespace ebonylift
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -2,6 +2,7 @@
 #include "core/registry.h"
 
 #include <boost/test/included/unit_test.hpp>
+#include <cstdlib>
 
 namespace ebonylift {
 namespace {
@@ -137,4 +138,35 @@
   BOOST_TEST(registry.entries.empty());
 }
 
+// Guards against an announcement that waited in the buffers of a stopped process and then counts as
+// fresh, and against clock drift or a reboot of the sender that counts as waiting.
+BOOST_AUTO_TEST_CASE(TransitExcessIsWaitingTime) {
+  struct Row {
+    const char* what;
+    int64_t sent_ms;  // the sender's clock
+    int64_t received_ms;
+    int64_t want_ms;
+  };
+  const std::vector<Row> rows = {
+      {"first", 5000, 100'003, 0},          {"as fast", 6000, 101'003, 0},
+      {"faster", 7000, 102'001, 0},         {"2 ms slower", 8000, 103'003, 2},
+      {"stopped 9 s", 9000, 113'001, 9000}, {"the next is on time", 18'000, 113'001, 0},
+  };
+  TransitMeter meter;
+  for (const Row& row : rows) {
+    BOOST_TEST_CONTEXT(row.what) {
+      Duration excess = TransitExcess(&meter, milliseconds(row.sent_ms), At(row.received_ms));
+      BOOST_TEST(std::abs((excess - milliseconds(row.want_ms)).count()) <= 5000);
+    }
+  }
+  // The receiver's clock runs 100 us per second faster for a day.
+  TransitMeter drift;
+  int64_t largest = 0;
+  for (int64_t s = 0; s < 86'400; s += 7) {
+    Time now = Time(microseconds(s * 1'000'100));
+    largest = std::max<int64_t>(largest, TransitExcess(&drift, seconds(s), now).count());
+  }
+  BOOST_TEST(largest <= 5000);
+}
+
 }  // namespace ebonylift
