--- a/scripts/check_events.py
+++ b/scripts/check_events.py
@@ -26,7 +26,7 @@
     text = (ROOT / 'src/base/event.cc').read_text()
     rows = sorted((int(n), name, joined(text_)) for n, name, text_ in EVENT.findall(text))
     lines = ['# Log events', '',
-             'Each log line is one JSON object: `event` (number), `name`, `hlc`, `host` and the fields',
+             'Each log line is one JSON object: `event` (number), `name`, `hlc`, `daemon` and the fields',
              'of the event. `scripts/check_events.py --write` writes this page from the code; CI',
              'compares the two.', '', '| Number | Name | Meaning and fields |', '| --- | --- | --- |']
     lines += [f'| {n} | `{name}` | {text_} |' for n, name, text_ in rows]
--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -143,7 +143,7 @@
 std::string EventToJson(const Event& event) {
   const EventInfo& info = LookupEvent(event.id);
   std::string out = "{\"event\":" + std::to_string(info.number) + ",\"name\":\"" + info.name +
-                    "\",\"hlc\":" + std::to_string(event.hlc) + ",\"host\":";
+                    "\",\"hlc\":" + std::to_string(event.hlc) + ",\"daemon\":";
   AppendJsonString(&out, event.host);
   for (const EventField& field : event.fields) {
     out.push_back(',');
--- a/src/cli/host_commands.cc
+++ b/src/cli/host_commands.cc
@@ -58,13 +58,13 @@
   for (const json& event : events) {
     std::string fields;
     for (const auto& [key, value] : event.items()) {
-      if (key == "hlc" || key == "host" || key == "name" || key == "event") continue;
+      if (key == "hlc" || key == "daemon" || key == "name" || key == "event") continue;
       fields += (fields.empty() ? "" : " ") + key + "=" + ToText(value);
     }
-    rows.push_back({FormatStamp(event["hlc"].get<HlcStamp>()), ToText(event["host"]),
+    rows.push_back({FormatStamp(event["hlc"].get<HlcStamp>()), ToText(event["daemon"]),
                     ToText(event["event"]), ToText(event["name"]), fields});
   }
-  PrintTable({"TIME", "HOST", "EVENT", "NAME", "FIELDS"}, rows);
+  PrintTable({"TIME", "DAEMON", "EVENT", "NAME", "FIELDS"}, rows);
 }
 
 int Usage(const char* text) {
