--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -442,7 +442,7 @@
     std::string input;
     const char* answer;
   } cases[] = {
-      {"garbage", std::string("\x16\x03\x01\x00\x00garbage\r\n\r\n", 17), bad},
+      {"garbage", std::string("\x16\x03\x01\x00\x00garbage\r\n\r\n", 16), bad},
       {"unknown method", "FROB / HTTP/1.1\r\n\r\n", bad},
       {"bad version", "GET / HTTP/x\r\n\r\n", bad},
       {"no colon", "GET / HTTP/1.1\r\nbroken header\r\n\r\n", bad},
@@ -703,7 +703,8 @@
   for (int i = 0; i < 64; ++i) {
     HttpCall call = Get(Url("/"));
     call.new_connection = true;
-    BOOST_TEST(Fetch(std::move(call)).status == 200);
+    Reply reply = Fetch(std::move(call));
+    BOOST_TEST(reply.status == 200);
   }
   BOOST_TEST(counts[0] + counts[1] == 64);
   BOOST_TEST(counts[0] > 0);
--- /dev/null
+++ b/tests/metrics_test.cc
@@ -0,0 +1,76 @@
+#define BOOST_TEST_MODULE metrics
+#include "adapters/metrics.h"
+
+#include <boost/test/included/unit_test.hpp>
+#include <cmath>
+#include <thread>
+#include <vector>
+
+namespace ebonylift {
+namespace {
+
+bool Has(const std::string& text, const std::string& line) {
+  return ("\n" + text).find("\n" + line + "\n") != std::string::npos;
+}
+
+}  // namespace
+
+// Guards against a method that changes another metric or label than its own.
+BOOST_AUTO_TEST_CASE(EachMethodChangesItsOwnSeries) {
+  Metrics metrics;
+  metrics.CountRequest(TrafficClass::kInteractive);
+  metrics.CountRequest(TrafficClass::kInteractive);
+  metrics.CountRefusal(ErrorKind::kPoison);
+  metrics.CountSentAway(TrafficClass::kCheck);
+  metrics.CountRetry(TrafficClass::kChapter);
+  metrics.AddCostUnits(TrafficClass::kChapter, 2.5);
+  metrics.AddCostUnits(TrafficClass::kChapter, -1);
+  metrics.AddCostUnits(TrafficClass::kChapter, std::nan(""));
+  metrics.ObserveFirstToken(TrafficClass::kCheck, milliseconds(1400));
+  metrics.ObserveTokenGap(TrafficClass::kCheck, milliseconds(33));
+  metrics.SetQueueDepth(TrafficClass::kInteractive, 7);
+  metrics.SetLiveHosts(6);
+  metrics.SetLiveServers(18);
+  metrics.SetConfigRevision(4300);
+  std::string text = metrics.Render();
+  for (const char* line : {
+           R"(ebonylift_requests_total{class="interactive"} 2)",
+           R"(ebonylift_requests_total{class="check"} 0)",
+           R"(ebonylift_refusals_total{code="poison",run="not_run"} 1)",
+           R"(ebonylift_refusals_total{code="poison_detected",run="may_have_run"} 0)",
+           R"(ebonylift_sent_away_total{class="check"} 1)",
+           R"(ebonylift_retries_total{class="chapter"} 1)",
+           R"(ebonylift_cost_units_total{class="chapter"} 2.5)",
+           R"(ebonylift_first_token_seconds_bucket{class="check",le="1"} 0)",
+           R"(ebonylift_first_token_seconds_bucket{class="check",le="1.4"} 1)",
+           R"(ebonylift_token_gap_seconds_bucket{class="check",le="0.02"} 0)",
+           R"(ebonylift_token_gap_seconds_bucket{class="check",le="0.033"} 1)",
+           R"(ebonylift_queue_depth{class="interactive"} 7)",
+           R"(ebonylift_live_hosts 6)",
+           R"(ebonylift_live_servers 18)",
+           R"(ebonylift_config_revision 4300)",
+       }) {
+    BOOST_TEST(Has(text, line), line << " is missing in\n" << text);
+  }
+}
+
+// Guards against counts that are lost when several threads change a metric while it is rendered.
+BOOST_AUTO_TEST_CASE(CountsOfSeveralThreadsAddUp) {
+  Metrics metrics;
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 4; ++i) {
+    threads.emplace_back([&metrics] {
+      for (int j = 0; j < 20'000; ++j) {
+        metrics.CountRequest(TrafficClass::kCheck);
+        metrics.ObserveTokenGap(TrafficClass::kCheck, milliseconds(1));
+      }
+    });
+  }
+  for (int i = 0; i < 20; ++i) BOOST_TEST(!metrics.Render().empty());
+  for (std::thread& thread : threads) thread.join();
+  std::string text = metrics.Render();
+  BOOST_TEST(Has(text, R"(ebonylift_requests_total{class="check"} 80000)"));
+  BOOST_TEST(Has(text, R"(ebonylift_token_gap_seconds_count{class="check"} 80000)"));
+}
+
+}  // namespace ebonylift
