--- a/src/base/event.h
+++ b/src/base/event.h
@@ -63,6 +63,8 @@
   kLeaderSteppedDown = 511,
   kTermChanged = 512,
   kVoterChanged = 513,
+  kVoterDiskLost = 514,
+  kVoterConfirmed = 515,
 
   kJournalTornTail = 600,
   kJournalCorrupt = 601,
--- a/src/core/config_schema.cc
+++ b/src/core/config_schema.cc
@@ -416,6 +416,7 @@
 void CheckDomainsFree(const TreeReader& tree, const std::string& own_path, const Json& json,
                       std::vector<SchemaIssue>* issues) {
   std::set<std::string> own = StringsOf(json, "domains");
+  if (own.empty()) return;
   tree.Visit("/deployment/regions", [&](const std::string& path, const std::string& value) {
     if (path == own_path) return;
     for (const std::string& domain : StringsOf(ParseStored(value), "domains")) {
--- a/src/core/config_tree.cc
+++ b/src/core/config_tree.cc
@@ -202,7 +202,7 @@
   return true;
 }
 
-std::string ToSnapshot(const ConfigTree& tree) {
+std::string ToSnapshot(const ConfigTree& tree, bool with_requests) {
   ByteWriter writer;
   writer.U8(kSnapshotFormat);
   writer.U64(tree.revision);
@@ -214,7 +214,8 @@
   }
   writer.U64(tree.history.size());
   for (const ConfigChange& change : tree.history) WriteChange(&writer, change);
-  writer.U64(tree.request_order.size());
+  writer.U64(with_requests ? tree.request_order.size() : 0);
+  if (!with_requests) return writer.Take();
   for (const std::string& key : tree.request_order) {
     const RememberedPut& put = tree.requests.at(key);
     writer.Text(key);
--- a/src/core/config_tree.h
+++ b/src/core/config_tree.h
@@ -99,8 +99,9 @@
 // the revision after that of the tree.
 bool ApplyChange(ConfigTree* tree, const ConfigChange& change);
 
-// Deterministic: equal trees give equal bytes.
-std::string ToSnapshot(const ConfigTree& tree);
+// Deterministic: equal trees give equal bytes. Hosts that only serve the tree do not need the
+// remembered request ids.
+std::string ToSnapshot(const ConfigTree& tree, bool with_requests = true);
 
 // Throws Error(kBadRequest) on malformed bytes.
 ConfigTree FromSnapshot(std::string_view bytes);
--- a/src/core/config_view.cc
+++ b/src/core/config_view.cc
@@ -135,6 +135,23 @@
   }
 }
 
+void UpdateDeploymentEntry(ConfigView* view, const ConfigTree& tree, const std::string& path,
+                           const std::vector<std::string>& parts) {
+  if (parts.size() != 3) return;
+  std::vector<OperatorConfig>& operators = view->operators;
+  if (parts[1] == "regions") view->regions.erase(RegionId(parts[2]));
+  if (parts[1] == "operators") {
+    operators.erase(std::remove_if(operators.begin(), operators.end(),
+                                   [&](const OperatorConfig& o) { return o.name == parts[2]; }),
+                    operators.end());
+  }
+  auto entry = tree.entries.find(path);
+  if (entry == tree.entries.end()) return;
+  AddEntry(view, path, entry->second.value);
+  std::sort(operators.begin(), operators.end(),
+            [](const OperatorConfig& a, const OperatorConfig& b) { return a.name < b.name; });
+}
+
 void RemoveKeysOf(ConfigView* view, const std::set<TeamId>& teams) {
   for (auto it = view->keys.begin(); it != view->keys.end();) {
     it = teams.count(it->second) != 0 ? view->keys.erase(it) : std::next(it);
@@ -155,20 +172,14 @@
   ConfigView next = view;
   next.revision = tree.revision;
   std::set<TeamId> teams;
-  bool deployment = false;
   for (const std::string& path : changed_paths) {
     std::vector<std::string> parts = SplitPath(path);
     if (parts.size() >= 2 && parts[0] == "teams") {
       teams.insert(TeamId(parts[1]));
     } else {
-      deployment = true;
+      UpdateDeploymentEntry(&next, tree, path, parts);
     }
   }
-  if (deployment) {
-    next.regions.clear();
-    next.operators.clear();
-    AddSubtree(&next, tree, "/deployment/");
-  }
   // All removals come first: a key may have moved from one changed team to another.
   if (!teams.empty()) RemoveKeysOf(&next, teams);
   for (const TeamId& team : teams) next.teams.erase(team);
--- a/src/core/consensus.cc
+++ b/src/core/consensus.cc
@@ -1039,26 +1039,6 @@
   state->snapshot = std::move(snapshot);
 }
 
-void ForgetLog(Consensus* state, const std::string& disk) {
-  state->log.clear();
-  state->base_index = 0;
-  state->base_term = 0;
-  state->base_members = state->members;
-  state->snapshot_index = 0;
-  state->snapshot.reset();
-  state->restore_pending = false;
-  state->durable = 0;
-  state->durable_commit = 0;
-  state->handed_out = 0;
-  state->hard.commit = 0;
-  state->hard.confirmed = false;
-  state->hard.disk = disk;
-  state->hard.may_found = false;
-  state->role = Role::kFollower;
-  state->progress.clear();
-  RefreshMembers(state);
-}
-
 PersistedState ToPersisted(const Consensus& state) {
   PersistedState persisted;
   persisted.hard = state.hard;
--- a/src/core/consensus.h
+++ b/src/core/consensus.h
@@ -309,10 +309,6 @@
 void TakeSnapshot(Consensus* state, uint64_t index, std::shared_ptr<const std::string> snapshot,
                   uint64_t keep);
 
-// Forgets log and snapshot. For a host that is no longer a member and gets its revisions otherwise.
-// `disk` is a new name: what this disk acknowledged is gone.
-void ForgetLog(Consensus* state, const std::string& disk);
-
 PersistedState ToPersisted(const Consensus& state);
 
 std::string EncodeMembers(const MemberSet& members);
--- a/src/daemon/config_replica.h
+++ b/src/daemon/config_replica.h
@@ -21,6 +21,9 @@
 // its peers know it, so it does not vote until it has caught up (see core/consensus.h). A voter
 // that has lost its disk in this way reports DiskLost().
 //
+// Disks. A failed write takes the host out of the consensus until a retry (every 5 s) has written
+// the whole state; meanwhile it pulls revisions as other hosts do and keeps them in memory only.
+//
 // Memory: one tree, one cached snapshot, the consensus log since the last snapshot (at most
 // kMaxLogBytes plus what is not committed), at most kMaxPendingPuts open changes.
 
@@ -121,7 +124,8 @@
   // disk not across restarts either once it was served. 0 before the first configuration.
   uint64_t revision() const;
 
-  // True on hosts that get their revisions by Since()/ApplySince() instead of consensus.
+  // True on hosts that get their revisions by Since()/ApplySince() instead of consensus: hosts that
+  // are not voters, voters that have lost their disk and voters whose writes fail.
   bool NeedsPull() const;
 
   // A part of what a peer at `revision` lacks: deltas, or a part of a snapshot from `offset` on.
--- a/tests/config_schema_test.cc
+++ b/tests/config_schema_test.cc
@@ -260,7 +260,9 @@
           {team + "/residency", regions},
           {team + "/keys/k" + digit, "{\"sha256\":\"" + team + digit + "\"}"},
           {team + "/routes/r" + digit, R"({"kind":"model","model":"m","regions":["r1"]})"},
-          {"/deployment/regions/r" + digit, region}};
+          {"/deployment/regions/r" + digit, region},
+          {"/deployment/operators/o" + digit,
+           std::string(R"({"token_sha256":")") + kHash + R"(","subtrees":[]})"}};
       auto [path, value] = puts[rng() % puts.size()];
       bool remove = rng() % 3 == 0;
       Set(&tree, path, remove ? std::nullopt : std::optional<std::string>(value));
