Refuse to call a host reachable because its own messages arrive

A request from a host showed it as reachable although the own messages to it were dropped. Only an answer or an opened connection counts now, and each period probes one host of another failure domain that did not answer before, since the random choice comes back to one of 380 hosts only after minutes. The status shows the bytes sent to peers. Replayed and repeated logins are tested with a client of their own.

Ruled out: clearing the mark on any message (a one-way cut then alternates between alive and suspected; OneWayCutIsShown fails on it).

--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -84,8 +84,9 @@
  public:
   using Refused = std::function<void(const std::string& reason)>;
 
-  BoundedStream(kj::AsyncIoStream& stream, Refused refused)
-      : inner_(stream), refused_(std::move(refused)) {}
+  // Adds the bytes of sent messages to `sent_bytes`, which outlives this object.
+  BoundedStream(kj::AsyncIoStream& stream, uint64_t* sent_bytes, Refused refused)
+      : inner_(stream), sent_bytes_(sent_bytes), refused_(std::move(refused)) {}
 
   kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> tryReadMessage(
       kj::ArrayPtr<kj::AutoCloseFd> fd_space, capnp::ReaderOptions options,
@@ -101,11 +102,13 @@
   kj::Promise<void> writeMessage(
       kj::ArrayPtr<const int> fds,
       kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) override {
+    Count(segments);
     return inner_.writeMessage(fds, segments);
   }
 
   kj::Promise<void> writeMessages(
       kj::ArrayPtr<kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>>> messages) override {
+    for (auto& message : messages) Count(message);
     return inner_.writeMessages(messages);
   }
 
@@ -113,7 +116,14 @@
   kj::Promise<void> end() override { return inner_.end(); }
 
  private:
+  void Count(kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) {
+    // The table of segment sizes, as the serialisation pads it.
+    *sent_bytes_ += (segments.size() / 2 + 1) * sizeof(capnp::word);
+    for (auto& segment : segments) *sent_bytes_ += segment.size() * sizeof(capnp::word);
+  }
+
   capnp::AsyncIoMessageStream inner_;
+  uint64_t* sent_bytes_;
   Refused refused_;
 };
 
@@ -170,8 +180,7 @@
         tasks(*this) {}
 
   void taskFailed(kj::Exception&& e) override {
-    LogEvent(EventId::kPeerMessageRefused,
-             {{"host", ""}, {"reason", std::string("task: ") + e.getDescription().cStr()}});
+    LogEvent(EventId::kThreadFailed, {{"thread", "control"}, {"error", e.getDescription().cStr()}});
   }
 
   kj::Timer& timer() { return io->provider->getTimer(); }
@@ -211,6 +220,7 @@
   std::map<HostId, Outgoing> outgoing;
   size_t connections = 0;
   size_t pending_logins = 0;
+  uint64_t sent_bytes = 0;
   uint32_t port = 0;
   kj::Own<kj::ConnectionReceiver> receiver;
   kj::TaskSet tasks;  // destroyed first: its tasks use everything above
@@ -426,7 +436,8 @@
   auto session = std::make_shared<Session>();
   session->nonce = RandomHex(kNonceBytes);
   session->pending = CountPendingLogin();
-  in->messages = kj::heap<BoundedStream>(*in->stream, [session](const std::string& reason) {
+  in->messages = kj::heap<
+      BoundedStream>(*in->stream, &sent_bytes, [session](const std::string& reason) {
     LogEvent(EventId::kPeerMessageRefused, {{"host", session->host.value()}, {"reason", reason}});
   });
   in->network = kj::heap<capnp::TwoPartyVatNetwork>(*in->messages, Side::SERVER, Limits());
@@ -491,9 +502,10 @@
         auto link = std::make_shared<Link>();
         link->stream = kj::mv(stream);
         std::string name = out->peer.host.value();
-        link->messages = kj::heap<BoundedStream>(*link->stream, [name](const std::string& reason) {
-          LogEvent(EventId::kPeerMessageRefused, {{"host", name}, {"reason", reason}});
-        });
+        link->messages =
+            kj::heap<BoundedStream>(*link->stream, &sent_bytes, [name](const std::string& reason) {
+              LogEvent(EventId::kPeerMessageRefused, {{"host", name}, {"reason", reason}});
+            });
         link->network =
             kj::heap<capnp::TwoPartyVatNetwork>(*link->messages, Side::CLIENT, Limits());
         link->system = kj::heap(capnp::makeRpcClient(*link->network));
@@ -616,6 +628,8 @@
   for (auto& [host, out] : impl_->outgoing) impl_->tasks.add(impl_->ConnectLoop(&out));
 }
 
+uint64_t Rpc::sent_bytes() const { return impl_->sent_bytes; }
+
 uint32_t Rpc::port() const { return impl_->port; }
 
 bool Rpc::IsConnected(const HostId& host) const {
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -137,8 +137,6 @@
   host.heard = true;
   host.heard_at = now;
   host.revision = std::max(host.revision, message.revision);
-  if (host.unreachable) ++state->changed;
-  host.unreachable = false;
   Merge(state, from, message, now);
   host.differs = message.hosts_hash != state->hosts_hash;
 }
@@ -193,6 +191,14 @@
   for (size_t i = 0; i < count; ++i) {
     out->push_back(StartProbe(state, remote[i], remote[i], ProbeKind::kRemote, now, rng));
   }
+  // Without this probe a host that missed one exchange would be shown as suspected until the random
+  // choice comes back to it.
+  for (size_t i = count; i < remote.size(); ++i) {
+    const MemberHost& host = state->hosts.at(remote[i]);
+    if (!host.unreachable || !IsLive(host.row.status)) continue;
+    out->push_back(StartProbe(state, remote[i], remote[i], ProbeKind::kRemote, now, rng));
+    break;
+  }
 }
 
 void StartIndirect(Membership* state, const HostId& target, Time now, std::mt19937_64& rng,
@@ -398,6 +404,8 @@
 void OnAck(Membership* state, uint64_t token, const HostId& from, const GossipMessage& message,
            bool reached, Time now) {
   Receive(state, from, message, now);
+  // Only an answer shows that this host reaches the other one; a request shows the other direction.
+  OnConnection(state, from, true, now);
   auto it = state->probes.find(token);
   if (it == state->probes.end()) return;
   if (it->second.kind == ProbeKind::kIndirect && !reached) return;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -10,9 +10,9 @@
 // failed host that learns of it raises its own version, which overrides the row everywhere.
 //
 // Between failure domains each host exchanges rows with a fixed number of random hosts per period,
-// so the traffic of a host does not grow with the number of hosts. A host of another failure domain
-// that does not answer this host is shown as suspected here only; its row is not changed, because
-// other hosts may reach it.
+// and with one that did not answer before, so the traffic of a host does not grow with the number
+// of hosts. A host of another failure domain that does not answer this host is shown as suspected
+// here only; its row is not changed, because other hosts may reach it.
 //
 // Rows carry versions and the larger version wins, so rows may arrive twice, late and in any order.
 // A changed row is sent first and a bounded number of times. Rows that are missed after that are
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -16,6 +16,7 @@
 #include <thread>
 #include <utility>
 
+#include "adapters/file_journal.h"
 #include "adapters/rpc.h"
 #include "base/hash.h"
 #include "core/registry.h"
@@ -306,6 +307,9 @@
   ConfigReplica::Options replica;
   replica.self = options_->self.host;
   replica.voters = options_->voters;
+  if (!options_->data_folder.empty()) {
+    replica.journal = std::make_shared<FileJournal>(options_->data_folder, "config");
+  }
   replica.seed = rng_();
   replica.send = [this](const HostId& to, const std::string& bytes) { rpc_.Consensus(to, bytes); };
   Mailbox* mailbox = mailbox_;
@@ -766,7 +770,8 @@
                  {"is_leader", replica_.IsLeader()},
                  {"is_voter", replica_.IsVoter()},
                  {"disk_lost", replica_.DiskLost()},
-                 {"storage_ok", replica_.StorageOk()}};
+                 {"storage_ok", replica_.StorageOk()},
+                 {"peer_sent_bytes", rpc_.sent_bytes()}};
   std::optional<HostId> leader = replica_.Leader();
   status["leader"] = leader ? json(leader->value()) : json(nullptr);
   status["voters"] = json::array();
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -2,12 +2,15 @@
 #include "daemon/control.h"
 
 #include <arpa/inet.h>
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
 #include <boost/test/included/unit_test.hpp>
+#include <filesystem>
 #include <future>
 #include <mutex>
 #include <random>
@@ -16,6 +19,7 @@
 
 #include "adapters/rpc.h"
 #include "base/hash.h"
+#include "peer.capnp.h"
 
 // Several control threads in one process talk over loopback TCP.
 
@@ -87,6 +91,8 @@
   std::string address = FreeAddress();
   std::string key = "cluster key";
   uint64_t incarnation = 1;
+  std::string data_folder;
+  bool voter = false;
   std::function<void(uint64_t, const ServerId&, bool, bool)> on_suspect;
   std::shared_ptr<ControlPort> port;
 };
@@ -114,7 +120,9 @@
     options.http_address = host.id + ":80";
     options.cluster_key = host.key;
     options.on_suspect = host.on_suspect;
+    options.data_folder = host.data_folder;
     for (const TestHost& peer : hosts_) {
+      if (peer.voter) options.voters.emplace_back(peer.id);
       if (peer.id != host.id) options.peers.push_back(PeerOf(peer));
     }
     host.port = StartControl(std::move(options));
@@ -177,6 +185,37 @@
   return answer->get_future().get();
 }
 
+ConfigPut RegionPut(const std::string& region, const std::string& request_id, uint64_t base) {
+  ConfigPut put;
+  put.path = "/deployment/regions/" + region;
+  put.value = R"({"domains":["d1"],"record_hosts":["a"]})";
+  put.request_id = request_id;
+  put.base_revision = base;
+  put.operator_name = "test";
+  return put;
+}
+
+PutAnswer PutTo(ControlPort* port, const ConfigPut& put) {
+  auto answer = std::make_shared<std::promise<PutAnswer>>();
+  port->Put(put, [answer](PutAnswer result) { answer->set_value(std::move(result)); });
+  return answer->get_future().get();
+}
+
+class TempFolder {
+ public:
+  TempFolder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "control-XXXXXX").string();
+    path_ = mkdtemp(pattern.data());
+  }
+  ~TempFolder() { std::filesystem::remove_all(path_); }
+  TempFolder(const TempFolder&) = delete;
+  TempFolder& operator=(const TempFolder&) = delete;
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
 std::string StatusText(ControlPort* port) {
   auto answer = std::make_shared<std::promise<std::string>>();
   port->Status([answer](std::string status) { answer->set_value(std::move(status)); });
@@ -194,6 +233,45 @@
   return false;
 }
 
+// A connection to the Gate of a host.
+class GateClient {
+ public:
+  GateClient(kj::AsyncIoContext* io, const std::string& address)
+      : io_(io),
+        stream_(io->provider->getNetwork()
+                    .parseAddress(address.c_str())
+                    .wait(io->waitScope)
+                    ->connect()
+                    .wait(io->waitScope)),
+        client_(*stream_),
+        gate_(client_.bootstrap().castAs<wire::Gate>()) {
+    auto answer = gate_.challengeRequest().send().wait(io->waitScope);
+    nonce_ = answer.getNonce().cStr();
+  }
+
+  const std::string& nonce() const { return nonce_; }
+
+  bool LogIn(const std::string& host, const std::string& mac) {
+    auto request = gate_.loginRequest();
+    request.setHost(host);
+    request.setIncarnation(1);
+    request.setMac(mac);
+    try {
+      request.send().wait(io_->waitScope);
+    } catch (const kj::Exception&) {
+      return false;
+    }
+    return true;
+  }
+
+ private:
+  kj::AsyncIoContext* io_;
+  kj::Own<kj::AsyncIoStream> stream_;
+  capnp::TwoPartyClient client_;
+  wire::Gate::Client gate_;
+  std::string nonce_;
+};
+
 }  // namespace
 
 // Guards against an announcement that only the host that received it knows.
@@ -255,6 +333,30 @@
   BOOST_TEST(!HasServer(cluster.port(0), "s1"));
 }
 
+// Guards against a login that was recorded and is sent again on another connection, or twice on
+// one, and against a valid login of a host that is not configured.
+BOOST_AUTO_TEST_CASE(ReplayedLoginIsRefused) {
+  HlcStamp since = ProcessClock().Now();
+  Cluster cluster({Named("a"), Named("b")});
+  kj::AsyncIoContext io = kj::setupAsyncIo();
+  const std::string key = cluster.host(0).key;
+  auto mac = [&](const std::string& nonce, const std::string& host) {
+    return HmacHex(key, "login\n" + nonce + "\na\n" + host + "\n1");
+  };
+  GateClient first(&io, cluster.host(0).address);
+  GateClient second(&io, cluster.host(0).address);
+  GateClient third(&io, cluster.host(0).address);
+  std::string recorded = mac(first.nonce(), "b");
+  BOOST_TEST(first.nonce() != second.nonce());
+  BOOST_TEST(!second.LogIn("b", recorded));
+  BOOST_TEST(Logged(EventId::kPeerLoginRefused, since, "wrong mac"));
+  BOOST_TEST(first.LogIn("b", recorded));
+  BOOST_TEST(!first.LogIn("b", recorded));
+  BOOST_TEST(Logged(EventId::kPeerLoginRefused, since, "second login"));
+  BOOST_TEST(!third.LogIn("z", mac(third.nonce(), "z")));
+  BOOST_TEST(Logged(EventId::kPeerLoginRefused, since, "unknown host"));
+}
+
 // Guards against a hole in the message bound: a header that claims 16 MiB must close the connection
 // before anything is read, and other peers must not notice.
 BOOST_AUTO_TEST_CASE(OversizedMessageIsRefused) {
@@ -410,6 +512,76 @@
                             [](const Event& a, const Event& b) { return a.hlc < b.hlc; }));
 }
 
+// Guards against a change that only voters can make, that stays on the voters, that two operators
+// can both win, or that is gone after a restart.
+BOOST_AUTO_TEST_CASE(PutThroughNonVoterIsInForceEverywhere) {
+  TempFolder folder;
+  std::vector<TestHost> hosts = {Named("a"), Named("b", "d2", "r2"), Named("c", "d3", "r3"),
+                                 Named("e"), Named("f", "d3", "r3")};
+  for (size_t i : {0, 1, 2}) {
+    hosts[i].voter = true;
+    hosts[i].data_folder = folder.path() + "/" + hosts[i].id;
+  }
+  Cluster cluster(std::move(hosts));
+  ConfigPut put = RegionPut("r1", "put-1", 0);
+  PutAnswer answer;
+  BOOST_TEST_REQUIRE(WaitFor([&]() {
+    answer = PutTo(cluster.port(3), put);
+    return !answer.error.has_value();
+  }));
+  Time accepted = SteadyNow();
+  BOOST_TEST(answer.revision > 0u);
+  for (size_t i = 0; i < 5; ++i) {
+    BOOST_TEST_CONTEXT("host " << i) {
+      BOOST_TEST(WaitFor([&]() {
+        std::shared_ptr<const RoutingView> view = cluster.port(i)->View();
+        return view->config->revision >= answer.revision &&
+               view->config->regions.count(RegionId("r1")) == 1;
+      }));
+    }
+  }
+  BOOST_TEST_MESSAGE("in force everywhere after " << ToMillis(SteadyNow() - accepted) << " ms");
+  BOOST_TEST(ToMillis(SteadyNow() - accepted) < 7000);
+  // The same change again gets the same answer; another one on the old base gets a conflict.
+  BOOST_TEST(PutTo(cluster.port(4), put).revision == answer.revision);
+  PutAnswer conflict = PutTo(cluster.port(4), RegionPut("r1", "put-2", 0));
+  BOOST_TEST((conflict.error == ErrorKind::kConfigConflict));
+  BOOST_TEST(conflict.current_value.has_value());
+  for (size_t i : {0, 1, 2}) cluster.Stop(i);
+  BOOST_TEST(PutTo(cluster.port(3), RegionPut("r2", "put-3", 0)).error.has_value());
+  BOOST_TEST(cluster.port(3)->View()->config->revision >= answer.revision);
+  for (size_t i : {0, 1, 2}) {
+    cluster.host(i).incarnation = 2;
+    cluster.Start(i);
+    BOOST_TEST(cluster.port(i)->View()->config->revision >= answer.revision);
+  }
+  BOOST_TEST(WaitFor(
+      [&]() { return !PutTo(cluster.port(3), RegionPut("r2", "put-3", 0)).error.has_value(); }));
+}
+
+// Guards against a host that starts later and stays behind.
+BOOST_AUTO_TEST_CASE(LateHostCatchesUp) {
+  TempFolder folder;
+  std::vector<TestHost> hosts = {Named("a"), Named("b"), Named("c", "d2", "r2")};
+  hosts[0].voter = true;
+  hosts[0].data_folder = folder.path() + "/a";
+  Cluster cluster(std::move(hosts));
+  cluster.Stop(2);
+  uint64_t revision = 0;
+  for (int i = 0; i < 30; ++i) {
+    std::string name = "r" + std::to_string(i);
+    BOOST_TEST_REQUIRE(WaitFor([&]() {
+      PutAnswer answer = PutTo(cluster.port(0), RegionPut(name, "put-" + name, 0));
+      revision = answer.revision;
+      return !answer.error.has_value();
+    }));
+  }
+  cluster.host(2).incarnation = 2;
+  cluster.Start(2);
+  BOOST_TEST(WaitFor([&]() { return cluster.port(2)->View()->config->revision == revision; }));
+  BOOST_TEST(cluster.port(2)->View()->config->regions.size() == 30u);
+}
+
 // Guards against a missing option that only shows later.
 BOOST_AUTO_TEST_CASE(RefusesIncompleteOptions) {
   ControlOptions options;
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -426,6 +426,32 @@
   BOOST_TEST(rates[1] < rates[0] * 1.1);
 }
 
+// Guards against a host that cannot be reached and is shown as alive because its own messages still
+// arrive.
+BOOST_AUTO_TEST_CASE(OneWayCutIsShown) {
+  Network network(2, 2);
+  network.Converge();
+  HostId from = Network::Id(0, 0);
+  HostId to = Network::Id(1, 0);
+  auto shown = [&]() {
+    for (const HostEntry& entry : HostEntries(network.state(from))) {
+      if (entry.id == to) return entry.status;
+    }
+    return HostStatus::kFailed;
+  };
+  network.Cut([=](const HostId& x, const HostId& y) { return x == from && y == to; });
+  BOOST_TEST(
+      network.RunUntil([&]() { return shown() == HostStatus::kSuspect; }, seconds(30)).has_value());
+  for (int i = 0; i < 100; ++i) {
+    network.Run(milliseconds(100));
+    BOOST_TEST((shown() == HostStatus::kSuspect));
+  }
+  BOOST_TEST(network.AllSee(to, HostStatus::kAlive));
+  network.Cut(nullptr);
+  BOOST_TEST(
+      network.RunUntil([&]() { return shown() == HostStatus::kAlive; }, seconds(5)).has_value());
+}
+
 // Guards against pulling from a host that is far, behind, or not there.
 BOOST_AUTO_TEST_CASE(PullPrefersOwnFailureDomain) {
   Membership state =
