Adapt the load tool to the command table and test the stand-ins' faults

Hosts of a Cluster advertise their callers' link.

The new integration test drives engine and proxy as processes: resume at a byte offset, cuts that hold bytes back, a record that outlives a crash, a planned stop during a stream, and a cancel before the attempt arrives.

--- a/src/cli/load.cc
+++ b/src/cli/load.cc
@@ -14,6 +14,7 @@
 
 #include "adapters/http_client.h"
 #include "base/error.h"
+#include "cli/command.h"
 #include "cli/load_report.h"
 #include "cli/load_trace.h"
 
@@ -29,7 +30,6 @@
 DEFINE_int32(stream_percent, 50, "load: share of generated requests that stream");
 DEFINE_int32(max_open, 20000, "load: open requests; further ones are counted as not sent");
 DEFINE_int64(call_timeout_ms, 60000, "load: time limit of one request");
-DEFINE_bool(json, false, "print JSON instead of a table");
 DEFINE_string(plot, "", "load: write an SVG plot of the latencies to this file");
 
 namespace ebonylift {
@@ -228,9 +228,9 @@
       return "status " + std::to_string(status) + "/unknown";
     }
     const json& error = body["error"];
-    auto text = [&error](const char* name) {
-      return error.contains(name) && error[name].is_string() ? error[name].get<std::string>()
-                                                             : std::string("unknown");
+    auto text = [&error](const char* name) -> std::string {
+      if (!error.contains(name) || !error[name].is_string()) return "unknown";
+      return error[name].get<std::string>();
     };
     return text("code") + "/" + text("run");
   }
@@ -269,24 +269,23 @@
 
 }  // namespace
 
-int RunLoad(int argc, char** argv) {
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
+int RunLoad(const std::vector<std::string>& args) {
   std::vector<Target> targets = ParseTargets(FLAGS_targets);
-  if (targets.empty()) {
-    std::cerr << "load: --targets=[region=]host:port,... is needed\n";
-    return 2;
+  if (targets.empty() || !args.empty()) {
+    std::cerr << "usage: ebonylift load --targets=[region=]ip:port,... [--flag=value ...]\n";
+    return kExitUsage;
   }
   std::vector<LoadItem> items;
   try {
     items = ItemsFromFlags(targets);
   } catch (const Error& error) {
     std::cerr << "load: " << error.what() << "\n";
-    return 2;
+    return kExitUsage;
   }
   LoadReport report = LoadRun(std::move(items), targets).Run();
-  std::cout << (FLAGS_json ? ReportJson(report) + "\n" : ReportTable(report));
+  std::cout << (WantsJson() ? ReportJson(report) + "\n" : ReportTable(report));
   if (!FLAGS_plot.empty()) std::ofstream(FLAGS_plot) << ReportSvg(report);
-  return 0;
+  return kExitOk;
 }
 
 }  // namespace ebonylift
--- a/src/cli/load.h
+++ b/src/cli/load.h
@@ -1,6 +1,9 @@
 #ifndef EBONYLIFT_CLI_LOAD_H_
 #define EBONYLIFT_CLI_LOAD_H_
 
+#include <string>
+#include <vector>
+
 namespace ebonylift {
 
 // `ebonylift load`: sends requests to entry hosts at their intended times, whether earlier ones are
@@ -8,8 +11,9 @@
 // of the gateway or of this tool shows in it. Uses one thread.
 //
 // --targets=[region=]host:port,... A request of a region goes to the hosts of that region first and
-// to the others when they cannot be reached. Returns 0 when the run ended, 2 for wrong flags.
-int RunLoad(int argc, char** argv);
+// to the others when they cannot be reached. Returns kExitOk when the run ended and kExitUsage for
+// wrong flags. Precondition: the flags are parsed; `args` must be empty.
+int RunLoad(const std::vector<std::string>& args);
 
 }  // namespace ebonylift
 
--- /dev/null
+++ b/tests/integration/standin_faults_test.cc
@@ -0,0 +1,183 @@
+#define BOOST_TEST_MODULE standin_faults
+#include <boost/test/included/unit_test.hpp>
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "testing/answer.h"
+#include "tests/support/free_port.h"
+#include "tests/support/process.h"
+#include "tests/support/test_client.h"
+#include "tests/support/wait_for.h"
+
+// The stand-ins as processes: the tests of the gateway rely on these faults being what they say.
+
+namespace ebonylift::test {
+namespace {
+
+using nlohmann::json;
+
+const char kBody[] =
+    R"({"model":"m","stream":true,"max_tokens":40,"messages":[{"role":"user","content":"a"}]})";
+
+std::vector<json> Lines(const std::string& text) {
+  std::vector<json> lines;
+  std::istringstream stream(text);
+  for (std::string line; std::getline(stream, line);) lines.push_back(json::parse(line));
+  return lines;
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+// One engine behind one link of the proxy.
+class EngineBehindProxy {
+ public:
+  EngineBehindProxy() {
+    StartEngine();
+    ProcessOptions options;
+    options.binary = StandinBinary();
+    options.arguments = {"proxy", "--listen=" + proxy_,
+                         "--links=a," + link_ + "," + engine_ + ",5"};
+    options.log_file = dir_.path() + "/proxy.log";
+    proxy_process_.emplace(options);
+    BOOST_REQUIRE(WaitFor(
+        [this] {
+          return Get("http://" + proxy_ + "/proxy/links").status == 200 &&
+                 Get("http://" + engine_ + "/healthz").status == 200;
+        },
+        seconds(10)));
+  }
+
+  void StartEngine() {
+    ProcessOptions options;
+    options.binary = StandinBinary();
+    options.arguments = {"engine",     "--id=e1",       "--listen=" + engine_,
+                         "--models=m", "--leave_ms=10", "--record_file=" + record_file()};
+    options.log_file = dir_.path() + "/engine.log";
+    engine_process_.emplace(options);
+  }
+
+  TestResponse Ask(const std::string& address, const std::string& body,
+                   const std::string& request_id = "") {
+    std::vector<std::pair<std::string, std::string>> headers;
+    if (!request_id.empty()) {
+      headers = {{"x-ebonylift-request-id", request_id}, {"x-ebonylift-attempt", "1"}};
+    }
+    return PostJson("http://" + address + "/v1/chat/completions", body, headers);
+  }
+
+  json Post(const std::string& address, const std::string& path, const json& body) {
+    TestResponse response = PostJson("http://" + address + path, body.dump());
+    BOOST_REQUIRE_MESSAGE(response.status == 200, response.body + response.error);
+    return json::parse(response.body, nullptr, false);
+  }
+
+  void SetLink(json faults) {
+    faults["links"] = "a";
+    Post(proxy_, "/proxy/set", faults);
+  }
+
+  const std::string& engine() const { return engine_; }
+  const std::string& link() const { return link_; }
+  Process& engine_process() { return *engine_process_; }
+  std::string record_file() const { return dir_.path() + "/record"; }
+
+ private:
+  TempDir dir_;
+  std::string engine_ = FreeAddress();
+  std::string proxy_ = FreeAddress();
+  std::string link_ = FreeAddress();
+  std::optional<Process> engine_process_;
+  std::optional<Process> proxy_process_;
+};
+
+}  // namespace
+
+// Guards against a resume that repeats or skips text and against a record that counts it as a
+// second run.
+BOOST_AUTO_TEST_CASE(BrokenStreamIsResumedAtItsOffset) {
+  EngineBehindProxy system;
+  system.Post(system.engine(), "/standin/fault", {{"break_after", 7}, {"times", 1}});
+  TestResponse broken = system.Ask(system.link(), kBody, "r1");
+  BOOST_TEST(!broken.complete);
+  SseText first = ParseSse(broken.body);
+  BOOST_TEST(!first.done);
+  json resume = {{"request_id", "r1"}, {"attempt", 1}, {"offset", first.text.size()}};
+  TestResponse rest = PostJson("http://" + system.link() + "/v1/resume", resume.dump());
+  SseText second = ParseSse(rest.body);
+  BOOST_TEST(second.done);
+  BOOST_TEST(first.text + second.text == standin::AnswerTextForBody(kBody));
+  std::vector<json> record = Lines(Get("http://" + system.engine() + "/standin/record").body);
+  BOOST_TEST(record.size() == 1u);
+  BOOST_TEST(record[0]["outcome"] == "completed");
+}
+
+// Guards against a cut that loses bytes or lets them through.
+BOOST_AUTO_TEST_CASE(CutHoldsBytesBackAndDeliversThemLater) {
+  EngineBehindProxy system;
+  for (const char* drop : {"both", "to_target", "to_client"}) {
+    system.SetLink({{"drop", drop}});
+    TestResponse answer;
+    std::thread caller([&] { answer = system.Ask(system.link(), kBody); });
+    std::this_thread::sleep_for(milliseconds(300));
+    system.SetLink({{"drop", "none"}});
+    caller.join();
+    BOOST_TEST(answer.complete);
+    BOOST_TEST(ParseSse(answer.body).text == standin::AnswerTextForBody(kBody));
+    BOOST_TEST(answer.first_byte.count() >= 300'000);
+  }
+}
+
+// Guards against a record that is lost with the process: the tests count runs after kills.
+BOOST_AUTO_TEST_CASE(RecordOutlivesACrash) {
+  EngineBehindProxy system;
+  std::string poison = R"({"model":"m","messages":[{"role":"user","content":"x crash-server x"}]})";
+  BOOST_TEST(!system.Ask(system.link(), poison, "p").complete);
+  BOOST_TEST(system.engine_process().Wait(seconds(5)).value_or(0) == 70);
+  std::vector<json> record = Lines(ReadFile(system.record_file()));
+  BOOST_TEST(record.size() == 1u);
+  BOOST_TEST(record[0]["request_id"] == "p");
+  BOOST_TEST(record[0]["outcome"] == "running");
+  // A stopped target is refused by the link as it would be without a proxy.
+  BOOST_TEST(WaitFor(
+      [&] { return system.Ask(system.link(), kBody).error == "Couldn't connect to server"; },
+      seconds(5)));
+  system.StartEngine();
+  BOOST_TEST(WaitFor([&] { return system.Ask(system.link(), kBody).complete; }, seconds(5)));
+}
+
+// Guards against a planned stop that cuts a stream off (I8 is counted with these engines).
+BOOST_AUTO_TEST_CASE(TerminationFinishesTheStream) {
+  EngineBehindProxy system;
+  std::string body =
+      R"({"model":"m","stream":true,"max_tokens":300,"messages":[{"role":"user","content":"a"}]})";
+  TestResponse answer;
+  std::thread caller([&] { answer = system.Ask(system.link(), body); });
+  BOOST_TEST(WaitFor(
+      [&] {
+        json state = json::parse(Get("http://" + system.engine() + "/standin/state").body);
+        return state["running"] == 1;
+      },
+      seconds(5)));
+  system.engine_process().Terminate();
+  caller.join();
+  BOOST_TEST(ParseSse(answer.body).done);
+  BOOST_TEST(system.engine_process().Wait(seconds(5)).value_or(-1) == 0);
+}
+
+// Guards against a cancel whose `started: false` is followed by a run.
+BOOST_AUTO_TEST_CASE(CancelledAttemptDoesNotStartLater) {
+  EngineBehindProxy system;
+  json cancelled =
+      system.Post(system.engine(), "/v1/cancel", {{"request_id", "r"}, {"attempt", 1}});
+  BOOST_TEST(cancelled["started"] == false);
+  BOOST_TEST(system.Ask(system.engine(), kBody, "r").status == 409);
+  std::vector<json> record = Lines(Get("http://" + system.engine() + "/standin/record").body);
+  BOOST_TEST(record[0]["started"] == 0);
+}
+
+}  // namespace ebonylift::test
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -242,6 +242,7 @@
                                         "--region=" + host.region,
                                         "--domain=" + host.domain,
                                         "--http_address=" + host.http_address,
+                                        "--advertise_address=" + host.client_address,
                                         "--peer_address=" + host.peer_address,
                                         "--peers=" + PeersOf(host),
                                         "--voters=" + Joined(voters),
