--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -121,6 +121,7 @@
       return;
     }
     admitted_ = true;
+    context_.metrics->CountRequest(spec_.traffic_class);
     const TeamConfig& team = spec_.view->config->teams.at(spec_.team);
     context_.dispatcher->CountRequest(spec_.team, team.limits.retry_percent);
   }
@@ -477,6 +478,7 @@
                                         {"host", host.id.value()},
                                         {"hops", std::to_string(spec_.hops + 1)},
                                         {"crossed", crosses ? "1" : "0"}});
+  if (crosses) context_.metrics->CountSentAway(spec_.traffic_class);
   ForwardMark mark;
   mark.from = spec_.view->self.host;
   mark.request = spec_.id;
@@ -538,17 +540,28 @@
   if (responder_) responder_->Write(std::move(events));
 }
 
+void Exchange::CountByte() {
+  Time now = SteadyNow();
+  if (!first_byte_seen_) {
+    context_.metrics->ObserveFirstToken(spec_.traffic_class, now - spec_.arrived);
+  } else if (streaming_) {
+    context_.metrics->ObserveTokenGap(spec_.traffic_class, now - last_byte_);
+  }
+  first_byte_seen_ = true;
+  last_byte_ = now;
+}
+
 bool Exchange::OnData(uint32_t attempt, std::string_view data) {
   if (attempt != attempt_) {
     LogEvent(EventId::kLateDataDropped,
              {{"request_id", spec_.id.value()}, {"attempt", std::to_string(attempt)}});
     return true;
   }
-  last_byte_ = SteadyNow();
   if (responder_ && streaming_ && responder_->PendingBytes() > kMaxPendingBytes) {
     paused_ = true;
     return false;
   }
+  CountByte();
   bool events = FindHeader(headers_, "content-type").rfind("text/event-stream", 0) == 0;
   if (events && status_ == 200) {
     Relay(data);
@@ -741,6 +754,7 @@
     RefuseOutcome();
     return;
   }
+  context_.metrics->CountRetry(spec_.traffic_class);
   LogEvent(EventId::kAttemptRetried,
            {{"request_id", spec_.id.value()}, {"attempt", std::to_string(rule.attempts + 1)}});
   answer_.clear();
@@ -797,6 +811,11 @@
   std::string server = server_ ? server_->value() : FindHeader(headers, "x-ebonylift-server");
   ebonylift::Finish(attempts_, attempt_);
   bool local = server_.has_value();
+  if (local) {
+    // One cost unit is one second of a place in a backend server's batch.
+    double units = std::chrono::duration<double>(SteadyNow() - dispatched_at_).count();
+    context_.metrics->AddCostUnits(spec_.traffic_class, units);
+  }
   EndAttempt(ServerOutcome::kOk);
   if (local) context_.dispatcher->OnCompleted(spec_.content);
   LogEvent(EventId::kRequestAnswered,
@@ -850,6 +869,7 @@
   LogEvent(EventId::kRequestRefused, {{"request_id", spec_.id.value()},
                                       {"kind", LookupError(kind).code},
                                       {"run", RunName(LookupError(kind).run)}});
+  context_.metrics->CountRefusal(kind);
   if (responder_) {
     ErrorAnswer answer{kind, message, retry_after, spec_.id};
     if (streaming_) {
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -23,6 +23,7 @@
 
 #include "adapters/http_client.h"
 #include "adapters/http_server.h"
+#include "adapters/metrics.h"
 #include "core/attempt.h"
 #include "daemon/answers.h"
 #include "daemon/dispatcher.h"
@@ -42,6 +43,7 @@
   Dispatcher* dispatcher = nullptr;
   RecordStore* records = nullptr;
   ControlPort* control = nullptr;
+  Metrics* metrics = nullptr;
   std::string cluster_key;
   ExchangeTable* table = nullptr;
 };
@@ -105,6 +107,7 @@
   HttpCall NewCall(const std::string& url, uint32_t attempt);
   void Relay(std::string_view data);
   void BeginStream();
+  void CountByte();
   void RunLater(Duration delay, void (Exchange::*step)());
   const BackendServer* FindServer(const ServerId& id) const;
   const HostEntry* FindHost(const HostId& id) const;
@@ -116,6 +119,7 @@
   asio::steady_timer timer_;
   asio::steady_timer watch_timer_;
   Time last_byte_;  // of the open attempt
+  bool first_byte_seen_ = false;
 
   bool admitted_ = false;
   bool waiting_ = false;
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -11,6 +11,7 @@
 #include <random>
 
 #include "adapters/file_journal.h"
+#include "adapters/metrics.h"
 #include "base/error.h"
 #include "base/event.h"
 #include "daemon/control.h"
@@ -75,6 +76,7 @@
     traffic.control = control_.get();
     traffic.dispatcher = dispatcher_.get();
     traffic.records = records_.get();
+    traffic.metrics = &metrics_;
     traffic.start_drain = [this] { asio::post(io_, [this] { BeginDrain("operator"); }); };
     traffic_ = std::make_unique<Traffic>(traffic);
     traffic_->Start();
@@ -156,6 +158,7 @@
   asio::io_context io_;
   asio::signal_set signals_;
   asio::steady_timer timer_;
+  Metrics metrics_;
   std::unique_ptr<RecordStore> records_;
   std::unique_ptr<ControlPort> control_;
   std::unique_ptr<Dispatcher> dispatcher_;
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -90,6 +90,7 @@
     context.dispatcher = options_.dispatcher;
     context.records = options_.records;
     context.control = options_.control;
+    context.metrics = options_.metrics;
     context.cluster_key = options_.settings.cluster_key;
     context.table = &table_;
     return context;
@@ -141,6 +142,9 @@
       ListEntryHosts(request, responder.get());
     } else if (path == "/healthz") {
       SendJson(responder.get(), 200, {{"status", "ok"}});
+    } else if (path == "/metrics") {
+      responder->Send(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                      options_.metrics->Render());
     } else if (path == "/readyz") {
       AnswerReady(responder.get());
     } else {
@@ -218,6 +222,7 @@
     if (view != last_view_) {
       last_view_ = view;
       options_.dispatcher->OnView(view, now);
+      ShowView(*view);
     }
     options_.dispatcher->Tick(now);
     UpdateOverload();
@@ -232,8 +237,22 @@
     }
   }
 
+  void ShowView(const RoutingView& view) {
+    size_t live = 0;
+    for (const HostEntry& host : view.hosts) {
+      if (host.status == HostStatus::kAlive) ++live;
+    }
+    options_.metrics->SetLiveHosts(live);
+    options_.metrics->SetLiveServers(view.servers.size());
+    options_.metrics->SetConfigRevision(view.config->revision);
+  }
+
   void UpdateOverload() {
-    bool overloaded = options_.dispatcher->Stats().queued >= kOverloadQueue;
+    DispatcherStats stats = options_.dispatcher->Stats();
+    for (size_t i = 0; i < stats.queued_by_class.size(); ++i) {
+      options_.metrics->SetQueueDepth(static_cast<TrafficClass>(i), stats.queued_by_class[i]);
+    }
+    bool overloaded = stats.queued >= kOverloadQueue;
     if (overloaded == overloaded_) return;
     overloaded_ = overloaded;
     options_.control->SetOverloaded(overloaded);
--- a/src/daemon/traffic.h
+++ b/src/daemon/traffic.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "adapters/metrics.h"
 #include "daemon/dispatcher.h"
 #include "daemon/record_store.h"
 #include "daemon/settings.h"
@@ -25,6 +26,7 @@
   ControlPort* control = nullptr;
   Dispatcher* dispatcher = nullptr;
   RecordStore* records = nullptr;
+  Metrics* metrics = nullptr;
   std::function<void()> start_drain;  // thread safe
 };
 
