Rename the entry reader and the answer encoder of records

PutAnswer also hid the struct of ports/control_port.h in files that include both headers.

Ruled out: using the reader of codec.h; it throws on a short entry, and Replay() here returns false.

--- a/src/core/bytes.h
+++ b/src/core/bytes.h
@@ -22,9 +22,10 @@
   out.append(value);
 }
 
-class ByteReader {
+// Unlike ByteReader of codec.h, it does not throw; the names differ because both are inline.
+class EntryReader {
  public:
-  explicit ByteReader(std::string_view data) : rest_(data) {}
+  explicit EntryReader(std::string_view data) : rest_(data) {}
 
   bool ok() const { return ok_; }
   bool AtEnd() const { return rest_.empty(); }
--- a/src/core/jobs.cc
+++ b/src/core/jobs.cc
@@ -42,10 +42,10 @@
   PutInt(out, static_cast<uint64_t>(job.submitted_at));
   PutInt(out, static_cast<uint64_t>(job.not_before));
   PutInt(out, static_cast<uint64_t>(job.ended_at));
-  PutAnswer(out, &job.result);
+  AppendAnswer(out, &job.result);
 }
 
-Job ReadJob(ByteReader& in) {
+Job ReadJob(EntryReader& in) {
   Job job;
   job.spec.id = JobId(in.String());
   job.spec.team = TeamId(in.String());
@@ -130,7 +130,7 @@
   PutString(entry, job.spec.id.value());
   PutInt(entry, static_cast<uint64_t>(job.state));
   PutInt(entry, static_cast<uint64_t>(job.ended_at));
-  PutAnswer(entry, &job.result);
+  AppendAnswer(entry, &job.result);
   return entry;
 }
 
@@ -151,21 +151,21 @@
   return job.not_before <= now || job.not_before > now + kMaxJobDelay;
 }
 
-bool ReplaySubmit(Jobs& jobs, ByteReader& in) {
+bool ReplaySubmit(Jobs& jobs, EntryReader& in) {
   Job job = ReadJob(in);
   if (!in.ok() || !in.AtEnd()) return false;
   if (Find(jobs, job.spec.id) == nullptr) Add(jobs, std::move(job));
   return true;
 }
 
-bool ReplayWithdraw(Jobs& jobs, ByteReader& in) {
+bool ReplayWithdraw(Jobs& jobs, EntryReader& in) {
   JobId id(in.String());
   if (!in.ok() || !in.AtEnd()) return false;
   if (Find(jobs, id) != nullptr) Erase(jobs, id);
   return true;
 }
 
-bool ReplayRun(Jobs& jobs, ByteReader& in) {
+bool ReplayRun(Jobs& jobs, EntryReader& in) {
   JobId id(in.String());
   if (!in.ok() || !in.AtEnd()) return false;
   Job* job = Find(jobs, id);
@@ -173,7 +173,7 @@
   return true;
 }
 
-bool ReplayRequeue(Jobs& jobs, ByteReader& in) {
+bool ReplayRequeue(Jobs& jobs, EntryReader& in) {
   JobId id(in.String());
   auto not_before = static_cast<WallMillis>(in.Int());
   if (!in.ok() || !in.AtEnd()) return false;
@@ -182,7 +182,7 @@
   return true;
 }
 
-bool ReplayEnd(Jobs& jobs, ByteReader& in) {
+bool ReplayEnd(Jobs& jobs, EntryReader& in) {
   JobId id(in.String());
   uint64_t state = in.Int();
   auto ended_at = static_cast<WallMillis>(in.Int());
@@ -197,7 +197,7 @@
   return true;
 }
 
-bool ReplaySnapshot(Jobs& jobs, ByteReader& in) {
+bool ReplaySnapshot(Jobs& jobs, EntryReader& in) {
   Jobs loaded;
   loaded.next_order = in.Int();
   uint64_t count = in.Int();
@@ -330,7 +330,7 @@
 }
 
 bool Replay(Jobs& jobs, std::string_view entry) {
-  ByteReader in(entry);
+  EntryReader in(entry);
   if (in.Byte() != kModule) return false;
   switch (in.Byte()) {
     case kSubmitEntry:
--- a/src/core/records.cc
+++ b/src/core/records.cc
@@ -28,7 +28,7 @@
   PutString(out, key.key);
 }
 
-RecordKey ReadKey(ByteReader& in) {
+RecordKey ReadKey(EntryReader& in) {
   RecordKey key;
   key.team = TeamId(in.String());
   key.key = in.String();
@@ -40,7 +40,7 @@
   for (const HostId& host : hosts) PutString(out, host.value());
 }
 
-std::vector<HostId> ReadHosts(ByteReader& in) {
+std::vector<HostId> ReadHosts(EntryReader& in) {
   std::vector<HostId> hosts;
   uint64_t count = in.Int();
   for (uint64_t i = 0; i < count && in.ok(); ++i) hosts.emplace_back(in.String());
@@ -54,10 +54,10 @@
   PutInt(out, record.claim);
   PutInt(out, static_cast<uint64_t>(record.expires_at));
   PutInt(out, record.answer_hash);
-  PutAnswer(out, record.answer.get());
+  AppendAnswer(out, record.answer.get());
 }
 
-Record ReadRecord(ByteReader& in) {
+Record ReadRecord(EntryReader& in) {
   Record record;
   uint64_t state = in.Int();
   // An unknown state is taken as one that is never run again.
@@ -77,7 +77,7 @@
   PutHosts(out, change.previous);
 }
 
-OwnershipChange ReadChange(ByteReader& in) {
+OwnershipChange ReadChange(EntryReader& in) {
   OwnershipChange change;
   change.refuse_until = static_cast<WallMillis>(in.Int());
   change.previous = ReadHosts(in);
@@ -212,7 +212,7 @@
   records.changes.push_back(std::move(change));
 }
 
-bool ReplayRecord(Records& records, ByteReader& in) {
+bool ReplayRecord(Records& records, EntryReader& in) {
   RecordKey key = ReadKey(in);
   Record record = ReadRecord(in);
   if (!in.ok() || !in.AtEnd()) return false;
@@ -220,7 +220,7 @@
   return true;
 }
 
-bool ReplayRelease(Records& records, ByteReader& in) {
+bool ReplayRelease(Records& records, EntryReader& in) {
   RecordKey key = ReadKey(in);
   uint64_t claim = in.Int();
   if (!in.ok() || !in.AtEnd()) return false;
@@ -229,21 +229,21 @@
   return true;
 }
 
-bool ReplayChange(Records& records, ByteReader& in) {
+bool ReplayChange(Records& records, EntryReader& in) {
   OwnershipChange change = ReadChange(in);
   if (!in.ok() || !in.AtEnd()) return false;
   AddChange(records, std::move(change));
   return true;
 }
 
-bool ReplayRefuse(Records& records, ByteReader& in) {
+bool ReplayRefuse(Records& records, EntryReader& in) {
   auto until = static_cast<WallMillis>(in.Int());
   if (!in.ok() || !in.AtEnd()) return false;
   records.refuse_until = until;
   return true;
 }
 
-bool ReplaySnapshot(Records& records, ByteReader& in) {
+bool ReplaySnapshot(Records& records, EntryReader& in) {
   Records loaded;
   loaded.self = records.self;
   loaded.next_claim = in.Int();
@@ -277,7 +277,7 @@
   return bytes;
 }
 
-void PutAnswer(std::string& out, const StoredAnswer* answer) {
+void AppendAnswer(std::string& out, const StoredAnswer* answer) {
   PutInt(out, answer == nullptr ? 0 : 1);
   if (answer == nullptr) return;
   PutInt(out, static_cast<uint64_t>(answer->status));
@@ -289,7 +289,7 @@
   PutString(out, answer->body);
 }
 
-std::shared_ptr<const StoredAnswer> ReadAnswer(ByteReader& in) {
+std::shared_ptr<const StoredAnswer> ReadAnswer(EntryReader& in) {
   if (in.Int() == 0) return nullptr;
   auto answer = std::make_shared<StoredAnswer>();
   answer->status = static_cast<int>(in.Int());
@@ -441,7 +441,7 @@
 }
 
 bool Replay(Records& records, std::string_view entry) {
-  ByteReader in(entry);
+  EntryReader in(entry);
   if (in.Byte() != kModule) return false;
   switch (in.Byte()) {
     case kClaimEntry:
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -180,10 +180,10 @@
 std::string EncodeSnapshot(const Records& records);
 
 // An answer in the form of the journal, for modules that store one. ReadAnswer: null when the input
-// says so or is malformed (see ByteReader::ok()).
-class ByteReader;
-void PutAnswer(std::string& out, const StoredAnswer* answer);
-std::shared_ptr<const StoredAnswer> ReadAnswer(ByteReader& in);
+// says so or is malformed (see EntryReader::ok()).
+class EntryReader;
+void AppendAnswer(std::string& out, const StoredAnswer* answer);
+std::shared_ptr<const StoredAnswer> ReadAnswer(EntryReader& in);
 size_t AnswerBytes(const StoredAnswer& answer);
 
 }  // namespace ebonylift
--- a/tests/records_test.cc
+++ b/tests/records_test.cc
@@ -6,8 +6,6 @@
 #include <map>
 #include <random>
 
-#include "core/bytes.h"
-
 namespace ebonylift {
 namespace {
 
