--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -32,7 +32,7 @@
   Time deadline = SteadyNow() + timeout;
   while (!condition()) {
     if (SteadyNow() >= deadline) return false;
-    std::this_thread::sleep_for(milliseconds(5));
+    std::this_thread::sleep_for(milliseconds(20));
   }
   return true;
 }
@@ -188,7 +188,7 @@
 ConfigPut RegionPut(const std::string& region, const std::string& request_id, uint64_t base) {
   ConfigPut put;
   put.path = "/deployment/regions/" + region;
-  put.value = R"({"domains":["d1"],"record_hosts":["a"]})";
+  put.value = R"({"domains":["domain-of-)" + region + R"("],"record_hosts":["a"]})";
   put.request_id = request_id;
   put.base_revision = base;
   put.operator_name = "test";
@@ -198,7 +198,12 @@
 PutAnswer PutTo(ControlPort* port, const ConfigPut& put) {
   auto answer = std::make_shared<std::promise<PutAnswer>>();
   port->Put(put, [answer](PutAnswer result) { answer->set_value(std::move(result)); });
-  return answer->get_future().get();
+  PutAnswer result = answer->get_future().get();
+  if (result.error) {
+    BOOST_TEST_MESSAGE(put.request_id << ": " << LookupError(*result.error).code << ", "
+                                      << result.message);
+  }
+  return result;
 }
 
 class TempFolder {
