Test a control thread that stops for seconds

The callback of one host blocks its control thread while another host relays announcements to it. The others must answer at once and consider it failed; when it resumes, what waited in its buffers must not bring back a server that is gone.

--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -424,6 +424,46 @@
   BOOST_TEST(Sees(port.get(), "b"));
 }
 
+// Guards against a stopped host that blocks the others, and against announcements that waited in
+// its buffers and bring back servers that are gone.
+BOOST_AUTO_TEST_CASE(StoppedHostDoesNotBlockAndForgetsOldServers) {
+  std::vector<TestHost> hosts = {Named("a"), Named("b"), Named("c")};
+  std::promise<void> resume;
+  std::shared_future<void> resumed = resume.get_future().share();
+  std::atomic<bool> stopped{false};
+  // The callback runs on the control thread of b and stops it.
+  hosts[1].on_suspect = [&stopped, resumed](uint64_t, const ServerId&, bool, bool) {
+    stopped = true;
+    resumed.wait();
+  };
+  Cluster cluster(std::move(hosts));
+  BOOST_TEST_REQUIRE(WaitFor([&]() {
+    return Sees(cluster.port(0), "b") && Sees(cluster.port(1), "a") && Sees(cluster.port(2), "b");
+  }));
+  AnnounceTo(cluster.port(0), Server("s1", 1, 1));
+  BOOST_TEST_REQUIRE(WaitFor([&]() { return HasServer(cluster.port(1), "s1"); }));
+  cluster.port(0)->ReportSuspect(1, ServerId("s9"), false);
+  BOOST_TEST_REQUIRE(WaitFor([&]() { return stopped.load(); }));
+  // These reach only the socket buffers of b.
+  Duration longest{0};
+  for (uint64_t seq = 2; seq <= 50; ++seq) {
+    Time start = SteadyNow();
+    AnnounceTo(cluster.port(0), Server("s1", 1, seq));
+    longest = std::max(longest, SteadyNow() - start);
+  }
+  BOOST_TEST(ToMillis(longest) < 500);
+  BOOST_TEST(WaitFor([&]() { return StatusOf(cluster.port(0), "b") == HostStatus::kFailed; }));
+  BOOST_TEST(Sees(cluster.port(0), "c"));
+  BOOST_TEST(WaitFor([&]() { return !HasServer(cluster.port(0), "s1"); }));
+  HlcStamp before = ProcessClock().Now();
+  resume.set_value();
+  BOOST_TEST(WaitFor([&]() { return Sees(cluster.port(0), "b") && Sees(cluster.port(2), "b"); }));
+  BOOST_TEST(!HasServer(cluster.port(1), "s1"));
+  BOOST_TEST(!Logged(EventId::kServerAnnounced, before, "s1"));
+  BOOST_TEST(!AnnounceTo(cluster.port(0), Server("s1", 1, 51)).has_value());
+  BOOST_TEST(WaitFor([&]() { return HasServer(cluster.port(1), "s1"); }));
+}
+
 // Guards against a host that leaves and still gets callers, and a restarted host that stays out.
 BOOST_AUTO_TEST_CASE(DrainIsSeenAndRestartComesBack) {
   Cluster cluster({Named("a"), Named("b"), Named("c", "d2", "r2")});
