Relay load reports in larger batches and measure the idle cost

A new bench, control_bench, shows what the control thread sends while nothing fails. Load reports now wait up to 100 ms for others; new, restarted and leaving servers are still relayed after 20 ms.

--- /dev/null
+++ b/bench/control_bench.cc
@@ -0,0 +1,122 @@
+// What the control thread costs while nothing fails: bytes sent to peers, CPU time and views.
+//
+// Starts hosts of three failure domains in one process; in each failure domain some backend servers
+// announce themselves every 700 ms. Usage: control_bench [hosts per domain] [servers per domain]
+// [seconds].
+
+#include <glog/logging.h>
+#include <sys/resource.h>
+
+#include <cstdlib>
+#include <future>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "daemon/control.h"
+
+namespace ebonylift {
+namespace {
+
+constexpr int kDomains = 3;
+constexpr int kFirstPort = 21'000;
+
+ControlPeer Peer(int index, int hosts) {
+  int domain = index / hosts;
+  ControlPeer peer;
+  peer.identity.host = HostId("host-" + std::to_string(index));
+  peer.identity.domain = DomainId("domain-" + std::to_string(domain));
+  peer.identity.region = RegionId("region-" + std::to_string(domain));
+  peer.rpc_address = "127.0.0.1:" + std::to_string(kFirstPort + index);
+  peer.http_address = "127.0.0.1:80";
+  return peer;
+}
+
+std::vector<std::unique_ptr<ControlPort>> StartAll(int hosts) {
+  std::vector<std::unique_ptr<ControlPort>> ports;
+  for (int i = 0; i < hosts * kDomains; ++i) {
+    ControlOptions options;
+    options.self = Peer(i, hosts).identity;
+    options.incarnation = 1;
+    options.peer_address = Peer(i, hosts).rpc_address;
+    options.http_address = Peer(i, hosts).http_address;
+    options.cluster_key = "bench";
+    for (int j = 0; j < hosts * kDomains; ++j) {
+      if (j != i) options.peers.push_back(Peer(j, hosts));
+    }
+    ports.push_back(StartControl(std::move(options)));
+  }
+  return ports;
+}
+
+void AnnounceAll(const std::vector<std::unique_ptr<ControlPort>>& ports, int hosts, int servers,
+                 uint64_t seq) {
+  for (int domain = 0; domain < kDomains; ++domain) {
+    for (int i = 0; i < servers; ++i) {
+      int host = domain * hosts + i % hosts;
+      Announcement announcement;
+      announcement.id = ServerId("server-" + std::to_string(domain) + "-" + std::to_string(i));
+      announcement.incarnation = 1;
+      announcement.seq = seq;
+      announcement.domain = Peer(host, hosts).identity.domain;
+      announcement.region = Peer(host, hosts).identity.region;
+      announcement.address = "10.0.0.1:8000";
+      ServedModel model;
+      model.name = ModelId("model-" + std::to_string(i % 2));
+      announcement.models.push_back(model);
+      announcement.load.slots = 8;
+      announcement.load.running = static_cast<int>(seq % 8);
+      ports[static_cast<size_t>(host)]->Announce(announcement, [](std::optional<Error>) {});
+    }
+  }
+}
+
+uint64_t SentBytes(ControlPort* port) {
+  auto answer = std::make_shared<std::promise<std::string>>();
+  port->Status([answer](std::string status) { answer->set_value(std::move(status)); });
+  return nlohmann::json::parse(answer->get_future().get()).at("peer_sent_bytes").get<uint64_t>();
+}
+
+double CpuSeconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  auto time = [](const timeval& value) {
+    return static_cast<double>(value.tv_sec) + static_cast<double>(value.tv_usec) / 1e6;
+  };
+  return time(usage.ru_utime) + time(usage.ru_stime);
+}
+
+void Measure(int hosts, int servers, int run_seconds) {
+  auto ports = StartAll(hosts);
+  uint64_t seq = 0;
+  auto announce_for = [&](Duration duration) {
+    for (Time end = SteadyNow() + duration; SteadyNow() < end;) {
+      AnnounceAll(ports, hosts, servers, ++seq);
+      std::this_thread::sleep_for(milliseconds(700));
+    }
+  };
+  announce_for(seconds(10));  // until every host knows every other one
+  uint64_t bytes = 0;
+  for (const auto& port : ports) bytes -= SentBytes(port.get());
+  double cpu = -CpuSeconds();
+  Time start = SteadyNow();
+  announce_for(seconds(run_seconds));
+  double elapsed = static_cast<double>((SteadyNow() - start).count()) / 1e6;
+  for (const auto& port : ports) bytes += SentBytes(port.get());
+  cpu += CpuSeconds();
+  double per_host = elapsed * static_cast<double>(ports.size());
+  std::cout << ports.size() << " hosts, " << servers
+            << " servers per domain: " << static_cast<double>(bytes) / per_host << " bytes/s and "
+            << 100 * cpu / per_host << "% of a core per host\n";
+}
+
+}  // namespace
+}  // namespace ebonylift
+
+int main(int argc, char** argv) {
+  int hosts = argc > 1 ? std::atoi(argv[1]) : 6;
+  int servers = argc > 2 ? std::atoi(argv[2]) : 0;
+  int run_seconds = argc > 3 ? std::atoi(argv[3]) : 20;
+  FLAGS_minloglevel = google::GLOG_ERROR;
+  ebonylift::Measure(hosts, servers, run_seconds);
+}
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -28,6 +28,9 @@
 constexpr Duration kTickInterval = milliseconds(50);
 constexpr Duration kSummaryInterval = milliseconds(500);
 constexpr Duration kRelayInterval = milliseconds(20);
+// A longer wait puts the load reports of more servers into one message; the age that is sent along
+// keeps the expiry right.
+constexpr Duration kLoadRelayInterval = milliseconds(100);
 constexpr Duration kIndirectTimeout = milliseconds(250);
 constexpr Duration kPushTimeout = seconds(1);
 constexpr Duration kPullTimeout = seconds(5);
@@ -260,7 +263,7 @@
   void OnTick(Time now);
   void SendProbes(Time now);
   void PushGossip(const HostId& to);
-  void Relay(const Announcement& announcement, Time sent);
+  void Relay(const Announcement& announcement, Time sent, Duration within);
   void FlushRelay();
   void SendServers(const HostId& host, Time now);
   AnnounceResult Register(const Announcement& announcement, Duration age, Time now);
@@ -287,6 +290,7 @@
   Membership membership_;
   uint64_t seen_change_ = 0;
   std::vector<std::pair<Announcement, Time>> relay_;  // with the time of sending
+  Duration relay_within_{0};  // of the flush that is due, while `relay_` is not empty
   std::map<HostId, TransitMeter> transit_;
   std::deque<std::pair<SuspectNote, Time>> notes_;
   Time next_summary_;
@@ -476,7 +480,8 @@
 void ControlLoop::Announce(const Announcement& announcement,
                            const std::function<void(std::optional<Error>)>& done) {
   Time now = SteadyNow();
-  switch (Register(announcement, Duration(0), now)) {
+  AnnounceResult result = Register(announcement, Duration(0), now);
+  switch (result) {
     case AnnounceResult::kOtherDomain:
       return done(Error(ErrorKind::kForbidden,
                         "this host serves failure domain " + options_->self.domain.value()));
@@ -490,16 +495,18 @@
     case AnnounceResult::kTooOld:
       return done(std::nullopt);
     default:
-      Relay(announcement, now);
+      Relay(announcement, now,
+            result == AnnounceResult::kRefreshed ? kLoadRelayInterval : kRelayInterval);
       return done(std::nullopt);
   }
 }
 
-void ControlLoop::Relay(const Announcement& announcement, Time sent) {
+void ControlLoop::Relay(const Announcement& announcement, Time sent, Duration within) {
   relay_.emplace_back(announcement, sent);
   if (relay_.size() >= kMaxRelayBatch) return FlushRelay();
-  if (relay_.size() > 1) return;
-  tasks_.add(timer().afterDelay(ToKj(kRelayInterval)).then([this]() { FlushRelay(); }));
+  if (relay_.size() > 1 && within >= relay_within_) return;
+  relay_within_ = within;
+  tasks_.add(timer().afterDelay(ToKj(within)).then([this]() { FlushRelay(); }));
 }
 
 void ControlLoop::FlushRelay() {
