--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -32,7 +32,7 @@
   Time deadline = SteadyNow() + timeout;
   while (!condition()) {
     if (SteadyNow() >= deadline) return false;
-    std::this_thread::sleep_for(milliseconds(5));
+    std::this_thread::sleep_for(milliseconds(20));
   }
   return true;
 }
@@ -188,7 +188,7 @@
 ConfigPut RegionPut(const std::string& region, const std::string& request_id, uint64_t base) {
   ConfigPut put;
   put.path = "/deployment/regions/" + region;
-  put.value = R"({"domains":["d1"],"record_hosts":["a"]})";
+  put.value = R"({"domains":["domain-of-)" + region + R"("],"record_hosts":["a"]})";
   put.request_id = request_id;
   put.base_revision = base;
   put.operator_name = "test";
@@ -198,7 +198,12 @@
 PutAnswer PutTo(ControlPort* port, const ConfigPut& put) {
   auto answer = std::make_shared<std::promise<PutAnswer>>();
   port->Put(put, [answer](PutAnswer result) { answer->set_value(std::move(result)); });
-  return answer->get_future().get();
+  PutAnswer result = answer->get_future().get();
+  if (result.error) {
+    BOOST_TEST_MESSAGE(put.request_id << ": " << LookupError(*result.error).code << ", "
+                                      << result.message);
+  }
+  return result;
 }
 
 class TempFolder {
@@ -419,6 +424,46 @@
   BOOST_TEST(Sees(port.get(), "b"));
 }
 
+// Guards against a stopped host that blocks the others, and against announcements that waited in
+// its buffers and bring back servers that are gone.
+BOOST_AUTO_TEST_CASE(StoppedHostDoesNotBlockAndForgetsOldServers) {
+  std::vector<TestHost> hosts = {Named("a"), Named("b"), Named("c")};
+  std::promise<void> resume;
+  std::shared_future<void> resumed = resume.get_future().share();
+  std::atomic<bool> stopped{false};
+  // The callback runs on the control thread of b and stops it.
+  hosts[1].on_suspect = [&stopped, resumed](uint64_t, const ServerId&, bool, bool) {
+    stopped = true;
+    resumed.wait();
+  };
+  Cluster cluster(std::move(hosts));
+  BOOST_TEST_REQUIRE(WaitFor([&]() {
+    return Sees(cluster.port(0), "b") && Sees(cluster.port(1), "a") && Sees(cluster.port(2), "b");
+  }));
+  AnnounceTo(cluster.port(0), Server("s1", 1, 1));
+  BOOST_TEST_REQUIRE(WaitFor([&]() { return HasServer(cluster.port(1), "s1"); }));
+  cluster.port(0)->ReportSuspect(1, ServerId("s9"), false);
+  BOOST_TEST_REQUIRE(WaitFor([&]() { return stopped.load(); }));
+  // These reach only the socket buffers of b.
+  Duration longest{0};
+  for (uint64_t seq = 2; seq <= 50; ++seq) {
+    Time start = SteadyNow();
+    AnnounceTo(cluster.port(0), Server("s1", 1, seq));
+    longest = std::max(longest, SteadyNow() - start);
+  }
+  BOOST_TEST(ToMillis(longest) < 500);
+  BOOST_TEST(WaitFor([&]() { return StatusOf(cluster.port(0), "b") == HostStatus::kFailed; }));
+  BOOST_TEST(Sees(cluster.port(0), "c"));
+  BOOST_TEST(WaitFor([&]() { return !HasServer(cluster.port(0), "s1"); }));
+  HlcStamp before = ProcessClock().Now();
+  resume.set_value();
+  BOOST_TEST(WaitFor([&]() { return Sees(cluster.port(0), "b") && Sees(cluster.port(2), "b"); }));
+  BOOST_TEST(!HasServer(cluster.port(1), "s1"));
+  BOOST_TEST(!Logged(EventId::kServerAnnounced, before, "s1"));
+  BOOST_TEST(!AnnounceTo(cluster.port(0), Server("s1", 1, 51)).has_value());
+  BOOST_TEST(WaitFor([&]() { return HasServer(cluster.port(1), "s1"); }));
+}
+
 // Guards against a host that leaves and still gets callers, and a restarted host that stays out.
 BOOST_AUTO_TEST_CASE(DrainIsSeenAndRestartComesBack) {
   Cluster cluster({Named("a"), Named("b"), Named("c", "d2", "r2")});
