Refuse keys of previous record hosts and forward the idempotence of jobs

Cause: a job that a caller marked as not to be repeated ran twice when it was submitted at a host that does not own it, because the forwarded submission did not carry the mark. Changes of record_hosts were never told to the records, so a new owner could run a key that the previous owner had run. A change made while the host is down is noticed because the last known hosts are journalled.

--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -133,7 +133,9 @@
   if (contents != running_.end()) evidence.contents = contents->second;
   if (!view_) return evidence;
   for (const BackendServer& known : view_->servers) {
-    if (known.announced.id == server) evidence.alone = RanAlone(load_, known);
+    if (known.announced.id != server) continue;
+    evidence.alone = RanAlone(load_, known);
+    evidence.incarnation = known.announced.incarnation;
   }
   return evidence;
 }
@@ -142,7 +144,9 @@
   std::vector<PoisonVerdict> verdicts;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    verdicts = OnServerLost(poison_, evidence.server, evidence.contents, evidence.alone, now);
+    verdicts = OnServerLost(poison_, evidence.server, evidence.contents, evidence.alone, now,
+                            evidence.incarnation);
+    load_.set_aside_until = SetAsideUntil(poison_);
   }
   for (size_t i = 0; i < evidence.contents.size(); ++i) {
     uint64_t content = evidence.contents[i];
@@ -160,6 +164,7 @@
     ebonylift::OnCompleted(poison_, content);
   } else {
     OnReport(poison_, server, content, alone, SteadyNow());
+    load_.set_aside_until = SetAsideUntil(poison_);
   }
 }
 
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -28,6 +28,7 @@
 // What ran on a server when it was suspected to be lost.
 struct LossEvidence {
   ServerId server;
+  uint64_t incarnation = 0;
   std::vector<uint64_t> contents;
   bool alone = false;
 };
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -144,7 +144,7 @@
   } else if (caller.mark) {
     throw Error(ErrorKind::kHopLimit, "two hosts disagree on the owner of the job");
   } else {
-    ForwardCall(request, caller.team, owner, std::move(responder));
+    ForwardCall(request, caller.team, owner, true, std::move(responder));
   }
 }
 
@@ -172,7 +172,7 @@
     }
     request.headers.emplace_back("x-ebonylift-job-id", id.value());
     request.headers.emplace_back("x-ebonylift-job-route", spec.route->id.value());
-    ForwardCall(request, spec.team, owner, std::move(responder));
+    ForwardCall(request, spec.team, owner, spec.idempotent, std::move(responder));
     return;
   }
   JobSpec job{id, spec.team, spec.route->id, inner.path, inner.body, spec.idempotent};
@@ -221,7 +221,7 @@
 }
 
 void JobApi::ForwardCall(const HttpRequest& request, const TeamId& team, const HostId& owner,
-                         std::shared_ptr<HttpResponder> responder) {
+                         bool idempotent, std::shared_ptr<HttpResponder> responder) {
   std::shared_ptr<const RoutingView> view = context_.control->View();
   const HostEntry* host = nullptr;
   for (const HostEntry& entry : view->hosts) {
@@ -235,6 +235,7 @@
   mark.crossed = host->region != view->self.region;
   mark.deadline_ms = ToMillis(kForwardTimeout);
   mark.team = team;
+  mark.idempotent = idempotent;
   mark.route = RouteId(FindHeader(request.headers, "x-ebonylift-job-route"));
   mark.revision = view->config->revision;
   mark.time = WallNow();
--- a/src/daemon/job_api.h
+++ b/src/daemon/job_api.h
@@ -34,7 +34,7 @@
   void Answer(const HttpRequest& request, const TeamId& team, const JobId& id,
               const std::string& verb, const std::shared_ptr<HttpResponder>& responder);
   void ForwardCall(const HttpRequest& request, const TeamId& team, const HostId& owner,
-                   std::shared_ptr<HttpResponder> responder);
+                   bool idempotent, std::shared_ptr<HttpResponder> responder);
   void RunJob(const JobSpec& job);
   void OnJobAnswer(const JobSpec& job, int status, HttpHeaders headers, std::string body);
 
--- a/src/daemon/record_store.cc
+++ b/src/daemon/record_store.cc
@@ -13,6 +13,23 @@
   return "S" + std::to_string(records.size()) + ":" + records + jobs;
 }
 
+constexpr char kHostsEntry = 'H';
+
+std::string EncodeHosts(const std::vector<HostId>& hosts) {
+  std::string entry(1, kHostsEntry);
+  for (const HostId& host : hosts) entry += host.value() + ",";
+  return entry;
+}
+
+std::vector<HostId> DecodeHosts(std::string_view entry) {
+  std::vector<HostId> hosts;
+  size_t start = 1;
+  for (size_t end = 0; (end = entry.find(',', start)) != std::string_view::npos; start = end + 1) {
+    hosts.push_back(HostId(std::string(entry.substr(start, end - start))));
+  }
+  return hosts;
+}
+
 }  // namespace
 
 RecordStore::RecordStore(HostId self, std::shared_ptr<Journal> journal)
@@ -24,6 +41,10 @@
   if (!journal_) return;
   std::lock_guard<std::mutex> lock(mutex_);
   auto apply = [this](std::string_view entry) {
+    if (!entry.empty() && entry[0] == kHostsEntry) {
+      record_hosts_ = DecodeHosts(entry);
+      return;
+    }
     if (Replay(records_, entry) || Replay(jobs_, entry)) return;
     throw Error(ErrorKind::kStorageFailed, "an entry of the record journal is malformed");
   };
@@ -78,6 +99,19 @@
   done(result, std::nullopt);
 }
 
+void RecordStore::SetRecordHosts(const std::vector<HostId>& hosts, bool takeover) {
+  if (!journal_) return;
+  std::lock_guard<std::mutex> lock(mutex_);
+  bool changed = record_hosts_ && *record_hosts_ != hosts;
+  if (record_hosts_ == hosts) return;
+  if (changed) {
+    AppendEntry(OnRecordHostsChanged(records_, *record_hosts_, takeover, WallNow()), [](bool) {});
+  }
+  record_hosts_ = hosts;
+  // Written so that a change that is made while this host is down is noticed after its restart.
+  AppendEntry(EncodeHosts(hosts), [](bool) {});
+}
+
 bool RecordStore::MarkDispatched(const RecordKey& key, uint64_t claim) {
   std::lock_guard<std::mutex> lock(mutex_);
   return ebonylift::MarkDispatched(records_, key, claim);
@@ -191,6 +225,7 @@
                       compacting_ = false;
                       size_after_compaction_ = journal_->SizeBytes();
                     });
+  if (record_hosts_) AppendEntry(EncodeHosts(*record_hosts_), [](bool) {});
 }
 
 }  // namespace ebonylift
--- a/src/daemon/record_store.h
+++ b/src/daemon/record_store.h
@@ -28,6 +28,10 @@
   // Reads the journal. Throws Error(kStorageFailed) when it is damaged. Call once, first.
   void Recover(WallMillis now);
 
+  // The record hosts of this host's region are configured as `hosts`. After a change, keys of which
+  // another host was the owner are refused for the retention, unless `takeover`.
+  void SetRecordHosts(const std::vector<HostId>& hosts, bool takeover);
+
   bool has_disk() const { return journal_ != nullptr; }
 
   // Claims a key. For kNew, `done` runs after the claim is synced; `error` is kStorageFailed when
@@ -71,6 +75,7 @@
   mutable std::mutex mutex_;
   Records records_;
   Jobs jobs_;
+  std::optional<std::vector<HostId>> record_hosts_;  // as last configured; unknown at start
   bool compacting_ = false;
   uint64_t size_after_compaction_ = 0;
 };
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -223,6 +223,10 @@
       last_view_ = view;
       options_.dispatcher->OnView(view, now);
       ShowView(*view);
+      auto region = view->config->regions.find(view->self.region);
+      if (region != view->config->regions.end()) {
+        options_.records->SetRecordHosts(region->second.record_hosts, region->second.takeover);
+      }
     }
     options_.dispatcher->Tick(now);
     UpdateOverload();
