Join the writes of one callback; run no callback after the server is gone

A relayed short response was three writes (headers, chunk, end).

The first bench run with this change crashed at its end. Its relay callbacks use a client that is destroyed with the server, and an OnClosed callback that was already queued still ran. That this was the cause of that crash is inferred, no stack was taken.

--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -2,7 +2,8 @@
 #define EBONYLIFT_ADAPTERS_HTTP_CLIENT_H_
 
 // HTTP/1.1 client: libcurl's multi interface driven by one Asio io_context. No thread per call, no
-// blocking call. All methods and callbacks run on the thread that runs `io`.
+// blocking call. All methods and callbacks run on the thread that runs `io`. A callback may call
+// any method, but on_headers and on_data must not destroy the client.
 
 #include <asio/io_context.hpp>
 #include <cstdint>
@@ -42,6 +43,7 @@
   Duration idle_timeout{0};        // fail when no byte arrives for this long; 0: no limit
   // libcurl silently repeats a request when a reused connection turns out to be closed, so a call
   // that must not be repeated uses a new connection.
+  // Such a connection is not kept afterwards.
   bool new_connection = false;
 
   std::function<void(int status, const HttpHeaders&)> on_headers;
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -234,6 +234,7 @@
   enum class Framing { kChunked, kUntilClose, kNoBody };
 
   bool Start(int status, const HttpHeaders& headers);
+  void FlushSoon();
   void Flush();
   void OnWritten(const asio::error_code& error, bool final);
 
@@ -249,6 +250,7 @@
   bool started_ = false;
   bool ended_ = false;
   bool writing_ = false;
+  bool flush_posted_ = false;
   bool end_written_ = false;
   bool closed_ = false;
   std::string head_;
@@ -337,6 +339,12 @@
   bool closes_after_response() const { return close_after_response_; }
   size_t connections() const { return connections_.size(); }
   void Post(std::function<void()> fn) { asio::post(io_, std::move(fn)); }
+  // `fn` does not run after the server was destroyed.
+  void PostCallback(std::function<void()> fn) {
+    Post([self = shared_from_this(), fn = std::move(fn)] {
+      if (self->handler_) fn();
+    });
+  }
 
  private:
   using Factory = restinio::impl::connection_factory_t<Traits>;
@@ -401,7 +409,7 @@
     framing_ = Framing::kChunked;
     head_ += "Transfer-Encoding: chunked\r\n";
   }
-  Flush();
+  FlushSoon();
 }
 
 void Stream::Write(std::string chunk) {
@@ -411,7 +419,19 @@
   } else {
     queue_ += chunk;
   }
-  Flush();
+  FlushSoon();
+}
+
+// Flushes after the callback in progress: a relay often begins, writes and ends a short response in
+// one callback, which is then one write instead of three.
+void Stream::FlushSoon() {
+  std::shared_ptr<Server> server = connection_->server.lock();
+  if (flush_posted_ || writing_ || !server) return;
+  flush_posted_ = true;
+  server->Post([self = shared_from_this()] {
+    self->flush_posted_ = false;
+    if (!self->head_.empty() || !self->queue_.empty()) self->Flush();
+  });
 }
 
 void Stream::End() {
@@ -505,7 +525,7 @@
   std::function<void()> fn = std::move(on_closed_);
   on_closed_ = nullptr;
   std::shared_ptr<Server> server = connection_->server.lock();
-  if (fn && server) server->Post(std::move(fn));
+  if (fn && server) server->PostCallback(std::move(fn));
 }
 
 // --- Connection
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -55,7 +55,8 @@
   // Sends a whole response. Content-Length is added.
   virtual void Send(int status, const HttpHeaders& headers, std::string body) = 0;
 
-  // Starts a response with chunked transfer encoding.
+  // Starts a response with chunked transfer encoding. What is written within one callback is sent
+  // together after it; while the socket is busy, chunks are joined.
   virtual void Begin(int status, const HttpHeaders& headers) = 0;
   virtual void Write(std::string chunk) = 0;
   virtual void End() = 0;
@@ -69,7 +70,9 @@
   // `fn` runs each time pending bytes were written to the socket.
   virtual void OnDrained(std::function<void()> fn) = 0;
 
-  // `fn` runs once if the connection closes before the response is complete.
+  // `fn` runs once if the connection closes before the response is complete, except by this
+  // responder's Abort(). It runs from the event loop, and not after the server was destroyed. A
+  // caller that closes only its sending side counts as closed.
   virtual void OnClosed(std::function<void()> fn) = 0;
 };
 
@@ -82,10 +85,12 @@
   // The port in use; differs from the requested one when that was 0.
   virtual uint16_t port() const = 0;
 
-  // From now on every response carries `Connection: close`.
+  // From now on every response carries `Connection: close`, unless a later request of the same
+  // connection is already in progress; that one's response carries it.
   virtual void CloseAfterResponse() = 0;
 
-  // Stops accepting connections; open requests go on.
+  // Stops accepting connections; open requests go on. Connections that the kernel has accepted are
+  // served, as closing the listening socket would reset them.
   virtual void StopAccepting() = 0;
 
   // Connections that are open now.
