--- a/src/cli/load.cc
+++ b/src/cli/load.cc
@@ -177,8 +177,10 @@
     if (end == std::string::npos) return;
     std::string events = request.tail.substr(0, end + 2);
     request.tail.erase(0, end + 2);
-    for (size_t at = 0; at < events.size(); at = events.find("\n\n", at) + 2) {
-      std::string_view event = std::string_view(events).substr(at, events.find("\n\n", at) - at);
+    std::string_view rest = events;
+    while (!rest.empty()) {
+      std::string_view event = rest.substr(0, rest.find("\n\n"));
+      rest.remove_prefix(event.size() + 2);
       if (event == kDone) {
         request.done_seen = true;
       } else if (event.find(kLastChunk) == std::string_view::npos) {
--- a/src/daemon/record_store.cc
+++ b/src/daemon/record_store.cc
@@ -41,7 +41,8 @@
     apply(entry.substr(colon + 1 + size));
   });
   if (journal_->LostContents()) {
-    // The lost journal may have held claims of any key, so no key may be claimed within the retention.
+    // The lost journal may have held claims of any key, so no key may be claimed within the
+    // retention.
     AppendEntry(RefuseClaims(records_, now + kRecordRetention), [](bool) {});
   }
   ReplaySummary records = FinishReplay(records_, now);
--- /dev/null
+++ b/tests/integration/job_idempotency_test.cc
@@ -0,0 +1,64 @@
+#define BOOST_TEST_MODULE job_idempotency
+#include <boost/test/included/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "tests/support/cluster.h"
+#include "tests/support/wait_for.h"
+
+namespace ebonylift::test {
+namespace {
+
+using nlohmann::json;
+
+const char kUser[] = "chapter";
+
+int Runs(const Cluster& cluster) {
+  int runs = 0;
+  for (const json& entry : cluster.Records()) {
+    runs += entry["user"] == kUser && entry["started"] != 0 ? 1 : 0;
+  }
+  return runs;
+}
+
+}  // namespace
+
+// Guards I6 for a job that is submitted at a host that does not own it: the owner must not run it
+// again after the server that ran it is gone, because its caller marked it as not repeatable.
+BOOST_AUTO_TEST_CASE(NonIdempotentJobRunsOnceAfterItsServerIsLost) {
+  ClusterSpec spec = SmallSpec(2, 2);
+  spec.engine_arguments = {"--decode_us_per_token=100000"};
+  Cluster cluster(spec);
+  cluster.Start(seconds(60));
+  std::string key = "Bearer " + spec.teams.front().key;
+  std::string base = "http://" + cluster.host("este-a-2").client_address;
+  json job = {{"path", "/v1/chat/completions"},
+              {"body",
+               {{"model", spec.model},
+                {"user", kUser},
+                {"max_tokens", 20},
+                {"messages", json::array({{{"role", "user"}, {"content", "Chapter 1"}}})}}}};
+  TestResponse accepted = PostJson(
+      base + "/v1/jobs", job.dump(),
+      {{"authorization", key}, {"x-ebonylift-idempotent", "false"}, {"idempotency-key", "k1"}});
+  BOOST_REQUIRE_MESSAGE(accepted.status == 202, accepted.body + accepted.error);
+  std::string id = json::parse(accepted.body)["id"];
+  BOOST_REQUIRE(WaitFor([&] { return Runs(cluster) == 1; }, seconds(10)));
+  for (const json& entry : cluster.Records()) {
+    if (entry["user"] == kUser) cluster.KillServer(entry["server"]);
+  }
+  std::string state;
+  BOOST_TEST(WaitFor(
+      [&] {
+        TestCall call;
+        call.url = base + "/v1/jobs/" + id;
+        call.headers = {{"authorization", key}};
+        state = json::parse(Call(call).body).value("state", "");
+        return state != "queued" && state != "running";
+      },
+      seconds(20)));
+  BOOST_TEST(state == "outcome_unknown");
+  BOOST_TEST(Runs(cluster) == 1);
+}
+
+}  // namespace ebonylift::test
