Report a lost disk only on voters

The new test also covers that a known loss survives the restart of the host and is no first start of a deployment.

--- a/src/daemon/config_replica.cc
+++ b/src/daemon/config_replica.cc
@@ -1072,6 +1072,7 @@
 
 bool ConfigReplica::DiskLost() const {
   if (!impl_->state || impl_->state->hard.confirmed) return false;
+  if (impl_->state->members.voters.count(impl_->options.self) == 0) return false;
   return impl_->state->disk_lost || !impl_->state->hard.may_found;
 }
 
--- a/tests/config_replica_test.cc
+++ b/tests/config_replica_test.cc
@@ -22,6 +22,7 @@
   std::optional<std::string> snapshot;
   std::vector<std::string> records;
   bool failing = false;
+  bool lost = false;
 };
 
 class MemoryJournal : public Journal {
@@ -47,6 +48,7 @@
       done(!disk_->failing);
     });
   }
+  bool LostContents() const override { return disk_->lost; }
   uint64_t SizeBytes() const override { return 0; }
 
   // Writes up to `count` of the open requests.
@@ -198,7 +200,7 @@
   }
 
   ConfigReplica& At(const std::string& name) { return *hosts_.at(name).replica; }
-  Disk& DiskOf(const std::string& name) { return hosts_.at(name).disk; }
+  Disk& DiskOf(const std::string& name) { return hosts_[name].disk; }
   Time now() const { return now_; }
 
   std::set<std::string> cut;  // hosts without any connection
@@ -459,6 +461,28 @@
   BOOST_TEST(cluster.At(wiped).IsVoter());
 }
 
+// Guards against a first start with a voter that knows that its disk was lost, also after its
+// restart, and against a host that is not a voter and reports a loss for ever.
+BOOST_AUTO_TEST_CASE(KnownLossIsNoFirstStart) {
+  Cluster cluster({"a", "b", "c"});
+  for (const char* name : {"a", "b", "c"}) cluster.Crash(name);
+  for (const char* name : {"a", "b", "c"}) {
+    cluster.DiskOf(name) = Disk();
+    cluster.DiskOf(name).lost = std::string(name) == "c";
+    cluster.Start(name);
+  }
+  cluster.Run(seconds(2));
+  cluster.DiskOf("c").lost = false;  // the journal exists again
+  cluster.Restart("c");
+  cluster.Run(seconds(20));
+  BOOST_TEST(cluster.Leader().empty());
+  BOOST_TEST(cluster.At("c").DiskLost());
+  cluster.DiskOf("d").lost = true;
+  cluster.Start("d");
+  cluster.Run(seconds(1));
+  BOOST_TEST(!cluster.At("d").DiskLost());
+}
+
 // Guards against changes lost when a second host fails right after a voter was replaced.
 BOOST_AUTO_TEST_CASE(SecondFailureAfterReplacementLosesNothing) {
   Cluster cluster({"a", "b", "c"});
