--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -548,8 +548,9 @@
       int reports = 0;
       uint64_t last = 0;
       for (int i = 0; i < 200; ++i) {
-        ReportSummaries(&state, {Summary(state, "m1", row.servers(i), row.running(i))},
-                        static_cast<uint64_t>(i + 1), Time(seconds(100) + milliseconds(500 * i)));
+        DomainSummary summary = Summary(state, "m1", row.servers(i), row.running(i));
+        uint64_t stamp = last + 1;
+        ReportSummaries(&state, {summary}, stamp, Time(seconds(100) + milliseconds(500 * i)));
         uint64_t version = Summaries(state).at(0).version;
         if (version != last) ++reports;
         last = version;
