Refuse connections through the links to a killed process

A link accepted the first connection after its target was killed and reset it then. A caller saw a loss after sending (may_have_run) where the kernel of a real host would refuse (not_run). Cluster and demo now set the links to refuse before the kill; the load tool reports why requests are broken.

Ruled out: probing every target all the time, which would add hundreds of stray connections a second to the processes under test.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -359,6 +359,15 @@
                 print(last.status, last.body.decode(errors='replace'), last.error, file=sys.stderr)
                 raise
 
+    def kill(self, name):
+        """SIGKILL. The links refuse connections as the kernel of the killed machine would."""
+        for pattern in [f'*>{name}'] + [f'*>{name}/*'] * (name in self.hosts):
+            reply = call(self.proxy_address, 'POST', '/proxy/set',
+                         json.dumps({'links': pattern, 'refuse': True}))
+            if reply.status != 200:
+                sys.exit(f'demo: the proxy refused: {reply.body.decode(errors="replace")}')
+        self.processes.kill(name)
+
     def records(self):
         """All runs by the backend servers' own account, newest state of each."""
         runs = {}
@@ -753,7 +762,7 @@
 
     def kill(name):
         print(f'demo: killing {name}')
-        processes.kill(name)
+        deployment.kill(name)
 
     profile = deployment.profile
     day = Day(deployment, options.seconds)
--- a/src/cli/load.cc
+++ b/src/cli/load.cc
@@ -217,6 +217,7 @@
       ++report_.refused[RefusalOf(request, result.status)];
     } else if (!whole || (request.item->stream && !request.done_seen)) {
       ++report_.broken;
+      ++report_.broken_by[whole ? "stream without [DONE]" : BrokenReason(result)];
     } else {
       ++report_.answered;
       report_.total.Add(SteadyNow() - request.intended);
@@ -224,6 +225,23 @@
     }
   }
 
+  static std::string BrokenReason(const CallResult& result) {
+    switch (result.outcome) {
+      case CallOutcome::kComplete:
+        return "complete";
+      case CallOutcome::kNotConnected:
+        return "no entry host reachable";
+      case CallOutcome::kNothingWritten:
+        return "closed before sending";
+      case CallOutcome::kFailed:
+        return std::string(result.status == 0 ? "lost before status: " : "lost after status: ") +
+               result.error;
+      case CallOutcome::kTimedOut:
+        return "timed out";
+    }
+    return "unknown";
+  }
+
   static std::string RefusalOf(const OpenRequest& request, int status) {
     json body = json::parse(request.kept_body, nullptr, false);
     if (!body.is_object() || !body.contains("error") || !body["error"].is_object()) {
--- a/src/cli/load_report.cc
+++ b/src/cli/load_report.cc
@@ -158,8 +158,12 @@
     out << "  " << std::left << std::setw(32) << code << std::right << std::setw(8) << count
         << "\n";
   }
-  out << "broken     " << report.broken << "\n"
-      << "not sent   " << report.not_sent << "\n"
+  out << "broken     " << report.broken << "\n";
+  for (const auto& [reason, count] : report.broken_by) {
+    out << "  " << std::left << std::setw(32) << reason << std::right << std::setw(8) << count
+        << "\n";
+  }
+  out << "not sent   " << report.not_sent << "\n"
       << "failovers  " << report.failovers << "\n\n";
   out << std::left << std::setw(26) << "latency (ms)" << std::right;
   for (const char* column : {"count", "p50", "p95", "p99", "max"}) out << std::setw(11) << column;
@@ -186,6 +190,7 @@
               {"answered", report.answered},
               {"refused", report.refused},
               {"broken", report.broken},
+              {"broken_by", report.broken_by},
               {"not_sent", report.not_sent},
               {"failovers", report.failovers},
               {"regions", report.regions},
--- a/src/cli/load_report.h
+++ b/src/cli/load_report.h
@@ -35,11 +35,12 @@
   uint64_t broken = 0;     // connection lost, timed out, or a stream without [DONE]
   uint64_t not_sent = 0;   // over the limit of open requests
   uint64_t failovers = 0;  // sent to the next entry host because one could not be reached
-  std::map<std::string, uint64_t> refused;  // by "code/run"
-  std::map<std::string, uint64_t> regions;  // answered, by "caller region>serving region"
-  LatencyHistogram first_token;             // from the intended send time
-  LatencyHistogram total;                   // from the intended send time
-  LatencyHistogram between_tokens;          // of streams
+  std::map<std::string, uint64_t> broken_by;  // `broken` by reason
+  std::map<std::string, uint64_t> refused;    // by "code/run"
+  std::map<std::string, uint64_t> regions;    // answered, by "caller region>serving region"
+  LatencyHistogram first_token;               // from the intended send time
+  LatencyHistogram total;                     // from the intended send time
+  LatencyHistogram between_tokens;            // of streams
   LatencyHistogram late;  // actual minus intended send time: delay of this tool itself
   Duration elapsed{0};
 };
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -16,6 +16,7 @@
 
 const char kProbeUser[] = "cluster-probe";
 constexpr size_t kTokenBytes = 16;
+constexpr Duration kRestartTime = seconds(15);
 
 std::string LinkName(const std::string& from, const std::string& to) { return from + ">" + to; }
 
@@ -329,15 +330,35 @@
   }
 }
 
-void Cluster::KillHost(const std::string& id) { host(id).process->Kill(); }
+void Cluster::RefuseLinksTo(const std::string& id, bool refuse) {
+  SetLinks(LinkName("*", id), {{"refuse", refuse}});
+  if (hosts_.count(id) > 0) SetLinks(LinkName("*", id) + "/*", {{"refuse", refuse}});
+}
+
+void Cluster::KillHost(const std::string& id) {
+  RefuseLinksTo(id, true);
+  host(id).process->Kill();
+}
+
 void Cluster::RestartHost(const std::string& id) {
   KillHost(id);
   StartHost(host(id));
+  std::string url = "http://" + host(id).http_address + "/healthz";
+  if (!WaitFor([&url] { return Answers(url); }, kRestartTime)) Fail(id + " did not restart");
+  RefuseLinksTo(id, false);
 }
-void Cluster::KillServer(const std::string& id) { server(id).process->Kill(); }
+
+void Cluster::KillServer(const std::string& id) {
+  RefuseLinksTo(id, true);
+  server(id).process->Kill();
+}
+
 void Cluster::RestartServer(const std::string& id) {
   KillServer(id);
   StartServer(server(id));
+  std::string url = "http://" + server(id).control + "/standin/state";
+  if (!WaitFor([&url] { return Answers(url); }, kRestartTime)) Fail(id + " did not restart");
+  RefuseLinksTo(id, false);
 }
 
 std::vector<std::string> Cluster::HostIds() const {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -124,8 +124,9 @@
   ServerHandle& server(const std::string& id);
   const ClusterSpec& spec() const { return spec_; }
 
-  // SIGKILL and start again with the same addresses and data directory. A restarted server has a
-  // new incarnation.
+  // SIGKILL, and start again with the same addresses and data directory; a restart returns when the
+  // process listens. A restarted server has a new incarnation. The links to a killed process refuse
+  // connections, as the kernel of its machine would.
   void KillHost(const std::string& id);
   void RestartHost(const std::string& id);
   void KillServer(const std::string& id);
@@ -169,6 +170,7 @@
                  const std::string& log_file) const;
   void StartHost(HostHandle& host);
   void StartServer(ServerHandle& server);
+  void RefuseLinksTo(const std::string& id, bool refuse);
   void PostProxy(const std::string& path, const nlohmann::json& body) const;
   void SetBetween(const std::string& a, const std::string& b, const nlohmann::json& a_to_b,
                   const nlohmann::json& b_to_a);
