Tell resends of a key their own ids and the key's retention

Ruled out: the record itself; the body of a replay was the same through each of three hosts. Conclusion: the headers that describe a record come from its owner and are set anew for each request.

--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -18,6 +18,10 @@
 constexpr Duration kWatchPeriod = milliseconds(250);
 // A server that stopped announcing and sent nothing for this long is given up for idempotent work.
 constexpr Duration kSilentServer = milliseconds(1500);
+const char kReplayedHeader[] = "x-ebonylift-replayed";
+const char kKeyExpiresHeader[] = "x-ebonylift-key-expires-ms";
+const char kRequestIdHeader[] = "x-ebonylift-request-id";
+const char kCallerIdHeader[] = "x-request-id";
 
 bool Has(const std::vector<std::string>& list, const char* value) {
   return std::find(list.begin(), list.end(), value) != list.end();
@@ -57,6 +61,21 @@
 
 ErrorKind ErrorForClaim(const ClaimResult& result) { return ClaimError(result.kind); }
 
+// Replaces all headers of this name; an empty value only removes them.
+void SetHeader(HttpHeaders* headers, const std::string& name, const std::string& value) {
+  auto same_name = [&name](const auto& header) {
+    return header.first.size() == name.size() &&
+           std::equal(name.begin(), name.end(), header.first.begin(),
+                      [](unsigned char a, unsigned char b) { return a == std::tolower(b); });
+  };
+  headers->erase(std::remove_if(headers->begin(), headers->end(), same_name), headers->end());
+  if (!value.empty()) headers->emplace_back(name, value);
+}
+
+std::string MillisUntil(WallMillis time) {
+  return std::to_string(std::max<WallMillis>(0, time - WallNow()));
+}
+
 }  // namespace
 
 // ---- table
@@ -180,6 +199,7 @@
   }
   if (result.kind == ClaimKind::kNew) {
     claim_ = result.claim;
+    key_expires_at_ = result.expires_at;
     LogEvent(EventId::kRecordClaimed,
              {{"request_id", spec_.id.value()}, {"team", spec_.team.value()}});
     Place();
@@ -189,7 +209,11 @@
     LogEvent(EventId::kRecordReplayed,
              {{"request_id", spec_.id.value()}, {"team", spec_.team.value()}});
     HttpHeaders headers = result.answer->headers;
-    headers.emplace_back("x-ebonylift-replayed", "true");
+    // What belongs to the first request and not to its answer.
+    SetHeader(&headers, kRequestIdHeader, spec_.id.value());
+    SetHeader(&headers, kCallerIdHeader, spec_.caller_request_id);
+    SetHeader(&headers, kReplayedHeader, "true");
+    SetHeader(&headers, kKeyExpiresHeader, MillisUntil(result.expires_at));
     if (responder_) responder_->Send(result.answer->status, headers, result.answer->body);
     Finish();
     return;
@@ -362,7 +386,7 @@
 HttpHeaders Exchange::BackendHeaders() const {
   HttpHeaders headers = spec_.headers;
   int64_t left = std::max<int64_t>(1, ToMillis(spec_.deadline - SteadyNow()));
-  headers.emplace_back("x-ebonylift-request-id", spec_.id.value());
+  headers.emplace_back(kRequestIdHeader, spec_.id.value());
   headers.emplace_back("x-ebonylift-attempt", std::to_string(attempt_));
   headers.emplace_back("x-ebonylift-team", spec_.team.value());
   headers.emplace_back("x-ebonylift-priority",
@@ -778,9 +802,15 @@
 
 HttpHeaders Exchange::AnswerHeaders() const {
   HttpHeaders headers = EndToEndHeaders(headers_);
-  headers.emplace_back("x-ebonylift-request-id", spec_.id.value());
+  headers.emplace_back(kRequestIdHeader, spec_.id.value());
+  // A peer has added the caller's id already.
   if (!spec_.caller_request_id.empty()) {
-    headers.emplace_back("x-request-id", spec_.caller_request_id);
+    SetHeader(&headers, kCallerIdHeader, spec_.caller_request_id);
+  }
+  if (key_expires_at_ != 0) SetHeader(&headers, kKeyExpiresHeader, MillisUntil(key_expires_at_));
+  if (to_owner_) {
+    SetHeader(&headers, kReplayedHeader, FindHeader(headers_, kReplayedHeader));
+    SetHeader(&headers, kKeyExpiresHeader, FindHeader(headers_, kKeyExpiresHeader));
   }
   // A forwarded request ran where the peer says.
   std::string region = FindHeader(headers_, "x-ebonylift-region");
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -126,6 +126,7 @@
   bool finished_ = false;
   uint64_t claim_ = 0;  // 0: no claim of this exchange
   bool claim_dispatched_ = false;
+  WallMillis key_expires_at_ = 0;  // of the claim
 
   RequestAttempts attempts_;
   uint32_t attempt_ = 0;  // the open attempt; 0: none
