--- /dev/null
+++ b/tests/support/requests.cc
@@ -0,0 +1,97 @@
+#include "tests/support/requests.h"
+
+#include "testing/answer.h"
+#include "tests/support/wait_for.h"
+
+namespace ebonylift::test {
+
+using nlohmann::json;
+
+std::string AskBody(const Cluster& cluster, const Ask& ask) {
+  json body = {{"model", cluster.spec().model},
+               {"user", ask.user},
+               {"max_tokens", ask.tokens},
+               {"stream", ask.stream},
+               {"messages", json::array({{{"role", "user"}, {"content", ask.prompt}}})}};
+  return body.dump();
+}
+
+TestCall AskCall(Cluster& cluster, const Ask& ask) {
+  constexpr Duration kMargin = seconds(5);
+  TestCall call;
+  call.method = "POST";
+  call.url = "http://" + cluster.host(ask.host).client_address + "/v1/chat/completions";
+  call.headers = {{"content-type", "application/json"},
+                  {"authorization", "Bearer " + cluster.spec().teams.at(ask.team).key},
+                  {"x-ebonylift-idempotent", ask.idempotent ? "true" : "false"},
+                  {"x-ebonylift-deadline-ms", std::to_string(ToMillis(ask.deadline))}};
+  if (!ask.key.empty()) call.headers.emplace_back("idempotency-key", ask.key);
+  call.body = AskBody(cluster, ask);
+  call.timeout = ask.deadline + kMargin;
+  return call;
+}
+
+TestResponse Send(Cluster& cluster, const Ask& ask) { return Call(AskCall(cluster, ask)); }
+
+bool IsWholeAnswer(const Cluster& cluster, const Ask& ask, const TestResponse& response) {
+  if (!response.complete || response.status != 200) return false;
+  std::string expected = standin::AnswerTextForBody(AskBody(cluster, ask));
+  if (!ask.stream) return AnswerOf(response.body) == expected;
+  SseText text = ParseSse(response.body);
+  return text.done && text.errors.empty() && text.text == expected;
+}
+
+Refusal RefusalOf(const TestResponse& response) {
+  json body = json::parse(response.body, nullptr, false);
+  if (!body.is_object()) {
+    SseText text = ParseSse(response.body);
+    if (text.errors.empty()) return {};
+    body = json::parse(text.errors.back(), nullptr, false);
+  }
+  if (!body.is_object() || !body.contains("error") || !body["error"].is_object()) return {};
+  const json& error = body["error"];
+  return {error.value("code", ""), error.value("run", ""),
+          error.value("retry_after_ms", int64_t{0})};
+}
+
+std::string Describe(const TestResponse& response) {
+  constexpr size_t kShown = 300;
+  return "status " + std::to_string(response.status) + " after " +
+         std::to_string(ToMillis(response.total)) + " ms " + response.error + " " +
+         response.body.substr(0, kShown);
+}
+
+std::vector<json> RecordsOf(const Cluster& cluster, const std::string& user) {
+  std::vector<json> entries;
+  for (json& entry : cluster.Records()) {
+    if (entry["user"] == user) entries.push_back(std::move(entry));
+  }
+  return entries;
+}
+
+int RunsOf(const Cluster& cluster, const std::string& user) {
+  int runs = 0;
+  for (const json& entry : RecordsOf(cluster, user)) runs += entry["started"] != 0 ? 1 : 0;
+  return runs;
+}
+
+bool WaitForRuns(const Cluster& cluster, const std::string& user, int count) {
+  return WaitFor([&] { return RunsOf(cluster, user) >= count; }, seconds(10));
+}
+
+bool WaitServerReachable(Cluster& cluster, const std::string& id) {
+  if (cluster.server(id).service) return true;  // its state does not tell the proxy's address
+  std::string control = "http://" + cluster.server(id).control + "/standin/state";
+  return WaitFor(
+      [&] {
+        std::string address = json::parse(Get(control).body).at("announcement").at("address");
+        return Get("http://" + address + "/healthz").status == 200;
+      },
+      seconds(10));
+}
+
+void SetAllServerFaults(Cluster& cluster, const json& faults) {
+  for (const std::string& id : cluster.ServerIds()) cluster.SetServerFaults(id, faults);
+}
+
+}  // namespace ebonylift::test
