Add the desired state of models and the orderer entry to the configuration

/deployment/models/<model> holds the version and adapters that the servers of a model are brought to, and the pace. /deployment/orderers/<domain> names the host that orders in a failure domain; its revision is the fencing token. ConfigView grows by two maps at its end; existing code is unaffected.

min_available_percent ends at 99: with 100 no server could ever load. Operators, the root operator included, cannot write the orderer entry, because successors compute from it when a lease ends.

--- a/src/core/config_schema.cc
+++ b/src/core/config_schema.cc
@@ -18,8 +18,10 @@
 constexpr double kMaxRequestsPerS = 1e6;
 constexpr int64_t kMaxConcurrency = 1'000'000;
 constexpr int64_t kMaxDeadlineMs = 86'400'000;
+constexpr int64_t kMaxLoading = 4096;
+constexpr int64_t kMaxLeaseMs = 3'600'000;
 
-enum class PathKind { kRegion, kOperator, kKey, kResidency, kLimits, kRoute };
+enum class PathKind { kRegion, kOperator, kModel, kOrderer, kKey, kResidency, kLimits, kRoute };
 
 enum class ValueType {
   kName,    // a path part
@@ -60,6 +62,17 @@
        {"deployment", "operators", "*"},
        {{"token_sha256", ValueType::kSha256, true, 0},
         {"subtrees", ValueType::kSubtrees, true, 0}}},
+      {PathKind::kModel,
+       {"deployment", "models", "*"},
+       {{"version", ValueType::kText, true, 0},
+        {"adapters", ValueType::kNames, false, 0},
+        // With 100 no server could ever be taken out of service to load.
+        {"min_available_percent", ValueType::kCount, false, 99},
+        {"max_loading", ValueType::kPositive, false, kMaxLoading}}},
+      {PathKind::kOrderer,
+       {"deployment", "orderers", "*"},
+       {{"host", ValueType::kName, true, 0},
+        {"lease_ms", ValueType::kPositive, true, kMaxLeaseMs}}},
       {PathKind::kKey, {"teams", "*", "keys", "*"}, {{"sha256", ValueType::kSha256, true, 0}}},
       {PathKind::kResidency,
        {"teams", "*", "residency"},
@@ -519,6 +532,8 @@
       if (value) CheckRouteInTree(tree, parts[1], json, &issues);
       break;
     case PathKind::kOperator:
+    case PathKind::kModel:
+    case PathKind::kOrderer:
     case PathKind::kLimits:
       break;
   }
--- a/src/core/config_schema.h
+++ b/src/core/config_schema.h
@@ -8,6 +8,8 @@
 //
 //   /deployment/regions/<region>    domains, record_hosts, takeover
 //   /deployment/operators/<name>    token_sha256, subtrees
+//   /deployment/models/<model>      version, adapters, min_available_percent, max_loading
+//   /deployment/orderers/<domain>   host, lease_ms; written by the hosts, not by operators
 //   /teams/<team>/keys/<name>       sha256
 //   /teams/<team>/residency         regions
 //   /teams/<team>/limits            requests_per_s, concurrency, retry_percent
--- a/src/core/config_view.cc
+++ b/src/core/config_view.cc
@@ -77,6 +77,24 @@
   return found;
 }
 
+DesiredModel ParseModel(uint64_t revision, const Json& json) {
+  DesiredModel model;
+  model.revision = revision;
+  model.version = json.at("version").get<std::string>();
+  model.adapters = json.value("adapters", model.adapters);
+  model.min_available_percent = json.value("min_available_percent", model.min_available_percent);
+  model.max_loading = json.value("max_loading", model.max_loading);
+  return model;
+}
+
+OrdererEntry ParseOrderer(uint64_t revision, const Json& json) {
+  OrdererEntry entry;
+  entry.revision = revision;
+  entry.host = HostId(json.at("host").get<std::string>());
+  entry.lease = milliseconds(json.at("lease_ms").get<int64_t>());
+  return entry;
+}
+
 std::vector<std::string> SplitPath(const std::string& path) {
   std::vector<std::string> parts;
   size_t start = 1;
@@ -110,16 +128,20 @@
   }
 }
 
-void AddEntry(ConfigView* view, const std::string& path, const std::string& value) {
+void AddEntry(ConfigView* view, const std::string& path, const TreeEntry& entry) {
   std::vector<std::string> parts = SplitPath(path);
   try {
-    Json json = Json::parse(value);
+    Json json = Json::parse(entry.value);
     if (parts.size() >= 3 && parts[0] == "teams") {
       AddTeamEntry(view, parts, json);
     } else if (parts.size() == 3 && parts[1] == "regions") {
       view->regions[RegionId(parts[2])] = ParseRegion(parts[2], json);
     } else if (parts.size() == 3 && parts[1] == "operators") {
       view->operators.push_back(ParseOperator(parts[2], json));
+    } else if (parts.size() == 3 && parts[1] == "models") {
+      view->models[ModelId(parts[2])] = ParseModel(entry.revision, json);
+    } else if (parts.size() == 3 && parts[1] == "orderers") {
+      view->orderers[DomainId(parts[2])] = ParseOrderer(entry.revision, json);
     }
   } catch (const Json::exception&) {
     return;
@@ -131,7 +153,7 @@
 void AddSubtree(ConfigView* view, const ConfigTree& tree, const std::string& prefix) {
   for (auto it = tree.entries.lower_bound(prefix); it != tree.entries.end(); ++it) {
     if (it->first.compare(0, prefix.size(), prefix) != 0) break;
-    AddEntry(view, it->first, it->second.value);
+    AddEntry(view, it->first, it->second);
   }
 }
 
@@ -140,6 +162,8 @@
   if (parts.size() != 3) return;
   std::vector<OperatorConfig>& operators = view->operators;
   if (parts[1] == "regions") view->regions.erase(RegionId(parts[2]));
+  if (parts[1] == "models") view->models.erase(ModelId(parts[2]));
+  if (parts[1] == "orderers") view->orderers.erase(DomainId(parts[2]));
   if (parts[1] == "operators") {
     operators.erase(std::remove_if(operators.begin(), operators.end(),
                                    [&](const OperatorConfig& o) { return o.name == parts[2]; }),
@@ -147,7 +171,7 @@
   }
   auto entry = tree.entries.find(path);
   if (entry == tree.entries.end()) return;
-  AddEntry(view, path, entry->second.value);
+  AddEntry(view, path, entry->second);
   std::sort(operators.begin(), operators.end(),
             [](const OperatorConfig& a, const OperatorConfig& b) { return a.name < b.name; });
 }
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -103,6 +103,12 @@
     LogEvent(EventId::kConfigRefused, {{"path", put.path}, {"kind", "forbidden"}});
     throw Error(ErrorKind::kForbidden, "the token does not cover " + put.path);
   }
+  // A successor computes from this entry when the previous lease ends; an entry that an operator
+  // changed or deleted could end it too early.
+  if (IsBelow(put.path, "/deployment/orderers")) {
+    LogEvent(EventId::kConfigRefused, {{"path", put.path}, {"kind", "forbidden"}});
+    throw Error(ErrorKind::kForbidden, put.path + " is written by the entry hosts only");
+  }
   call.control->Put(put, [call](const PutAnswer& answer) { ReplyPut(call, answer); });
 }
 
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -85,12 +85,30 @@
   bool takeover = false;  // new record hosts need not wait for the retention of the previous owners
 };
 
+// The desired state of a model; the orderer of each failure domain brings the servers to it.
+struct DesiredModel {
+  uint64_t revision = 0;  // of the configuration path; part of the order ids
+  std::string version;
+  std::vector<std::string> adapters;
+  int min_available_percent = 75;
+  int max_loading = 1;
+};
+
+// The newest lease on sending orders in a failure domain. The revision is the fencing token.
+struct OrdererEntry {
+  uint64_t revision = 0;
+  HostId host;
+  Duration lease{0};
+};
+
 struct ConfigView {
   uint64_t revision = 0;
   std::map<TeamId, TeamConfig> teams;
   std::unordered_map<std::string, TeamId> keys;  // SHA-256 of a key to its team
   std::map<RegionId, RegionConfig> regions;
   std::vector<OperatorConfig> operators;
+  std::map<ModelId, DesiredModel> models;
+  std::map<DomainId, OrdererEntry> orderers;
 };
 
 // ---- backend servers
--- a/tests/config_schema_test.cc
+++ b/tests/config_schema_test.cc
@@ -45,6 +45,9 @@
   Set(&tree, "/deployment/regions/norte", R"({"domains":["norte-a"],"record_hosts":[]})");
   Set(&tree, "/deployment/operators/ana",
       std::string(R"({"token_sha256":")") + kHash + R"(","subtrees":["/teams/rocha"]})");
+  Set(&tree, "/deployment/models/sum",
+      R"({"version":"2","adapters":["rural"],"min_available_percent":60,"max_loading":3})");
+  Set(&tree, "/deployment/orderers/este-a", R"({"host":"h1","lease_ms":30000})");
   Set(&tree, "/teams/rocha/residency", R"({"regions":["este","norte"]})");
   Set(&tree, "/teams/rocha/limits", R"({"requests_per_s":10.5,"concurrency":4})");
   Set(&tree, "/teams/rocha/keys/k1", HashJson("sha256"));
@@ -83,6 +86,14 @@
     out << found.name << found.token_sha256;
     for (const std::string& subtree : found.subtrees) out << " " << subtree;
   }
+  for (const auto& [id, model] : view.models) {
+    out << id << model.revision << model.version << model.min_available_percent << " "
+        << model.max_loading;
+    for (const std::string& adapter : model.adapters) out << " " << adapter;
+  }
+  for (const auto& [id, entry] : view.orderers) {
+    out << id << entry.revision << entry.host << entry.lease.count();
+  }
   return out.str();
 }
 
@@ -109,6 +120,16 @@
       {"/deployment/operators/ana",
        std::string(R"({"subtrees":["teams/x"],"token_sha256":")") + kHash + "\"}", "subtrees"},
       {"/deployment/operators/ana", R"({"subtrees":[],"token_sha256":"abc"})", "token_sha256"},
+      {"/deployment/models/sum",
+       R"({"version":"2","adapters":[],"min_available_percent":99,"max_loading":2})", "-"},
+      {"/deployment/models/sum", R"({"version":"2"})", "-"},
+      {"/deployment/models/sum", R"({"adapters":[]})", "version"},
+      {"/deployment/models/sum", R"({"version":"2","min_available_percent":100})",
+       "min_available_percent"},
+      {"/deployment/models/sum", R"({"version":"2","max_loading":0})", "max_loading"},
+      {"/deployment/orderers/este-a", R"({"host":"h1","lease_ms":300000})", "-"},
+      {"/deployment/orderers/este-a", R"({"host":"h1","lease_ms":3600001})", "lease_ms"},
+      {"/deployment/orderers/este-a", R"({"lease_ms":5000})", "host"},
       {"/teams/rocha/keys/k1", HashJson("sha256"), "-"},
       {"/teams/rocha/keys/k1", HashJson("sha265"), "sha265"},
       {"/teams/rocha/residency", R"({"regions":["este"]})", "-"},
@@ -217,7 +238,7 @@
 
 BOOST_AUTO_TEST_CASE(ViewHasTypedValuesAndDefaults) {
   ConfigView view = BuildConfigView(ExampleTree());
-  BOOST_TEST(view.revision == 7u);
+  BOOST_TEST(view.revision == 9u);
   const TeamConfig& team = view.teams.at(TeamId("rocha"));
   BOOST_TEST(team.limits.requests_per_s == 10.5);
   BOOST_TEST(team.limits.retry_percent == 10);
@@ -230,6 +251,12 @@
   BOOST_TEST(view.keys.at(kHash) == TeamId("rocha"));
   BOOST_TEST(view.regions.at(RegionId("este")).record_hosts.size() == 2u);
   BOOST_TEST(view.operators.at(0).subtrees.at(0) == "/teams/rocha");
+  const DesiredModel& model = view.models.at(ModelId("sum"));
+  BOOST_TEST(model.revision == 4u);
+  BOOST_TEST(model.min_available_percent == 60);
+  BOOST_TEST(model.adapters.at(0) == "rural");
+  BOOST_TEST(view.orderers.at(DomainId("este-a")).revision == 5u);
+  BOOST_TEST(ToMillis(view.orderers.at(DomainId("este-a")).lease) == 30'000);
 }
 
 // Guards against one unreadable value that hides the rest of the configuration.
@@ -261,6 +288,8 @@
           {team + "/keys/k" + digit, "{\"sha256\":\"" + team + digit + "\"}"},
           {team + "/routes/r" + digit, R"({"kind":"model","model":"m","regions":["r1"]})"},
           {"/deployment/regions/r" + digit, region},
+          {"/deployment/models/m" + digit, "{\"version\":\"" + team + digit + "\"}"},
+          {"/deployment/orderers/d" + digit, R"({"host":"h","lease_ms":1)" + digit + "}"},
           {"/deployment/operators/o" + digit,
            std::string(R"({"token_sha256":")") + kHash + R"(","subtrees":[]})"}};
       auto [path, value] = puts[rng() % puts.size()];
