Make the engine stand-in check tokens of repeated orders and relay 429

A repeated order id was answered before its token was looked at, so a repetition with a higher token did not raise the highest token seen and a later order with a lower one was executed. The token is now checked first. The record of an order has its token, so that tests can compare the sequence.

unload with an adapter removes the adapter only; it removed the whole model.

--- a/testing/engine.cc
+++ b/testing/engine.cc
@@ -105,7 +105,7 @@
     } else if (request.path == "/v1/resume") {
       HandleResume(request, responder);
     } else if (request.path == "/v1/orders") {
-      HandleOrder(request, *responder);
+      HandleOrder(request, responder);
     } else if (request.path == "/v1/cache-events") {
       HandleCacheEvents(request, *responder);
     } else if (request.path == "/v1/models") {
@@ -397,78 +397,102 @@
 
 // ---- orders
 
-void Engine::HandleOrder(const HttpRequest& request, HttpResponder& responder) {
+void Engine::HandleOrder(const HttpRequest& request,
+                         const std::shared_ptr<HttpResponder>& responder) {
   json order = json::parse(request.body, nullptr, false);
   if (!order.is_object() || Field(order, "order_id").empty()) {
     throw Error(ErrorKind::kBadRequest, "order_id is needed");
   }
   std::string id = Field(order, "order_id");
-  auto known = orders_.find(id);
-  json answer = known != orders_.end() ? known->second : Execute(order);
-  bool accepted = answer["accepted"];
-  if (known == orders_.end() && accepted) {
-    orders_[id] = answer;
-    order_ids_.push_back(id);
-    if (order_ids_.size() > kOrders) {
-      orders_.erase(order_ids_.front());
-      order_ids_.pop_front();
-    }
-  }
-  RunEntry entry = EntryFromRequest(request);
-  entry.idempotency_key = id;
-  uint64_t seq = server_->record().Add(std::move(entry));
-  server_->record().Finish(seq, known != orders_.end() ? "order_repeated"
-                                : accepted             ? "order_accepted"
-                                                       : "order_refused");
-  SendJson(responder, accepted ? 202 : 409, answer);
-}
-
-json Engine::Execute(const json& order) {
   uint64_t fencing = order.contains("fencing") && order["fencing"].is_number_unsigned()
                          ? order["fencing"].get<uint64_t>()
                          : 0;
+  RunEntry entry = EntryFromRequest(request);
+  entry.idempotency_key = id;
+  entry.fencing = fencing;
+  uint64_t seq = server_->record().Add(std::move(entry));
+  OrderAnswer answer = [this, seq, id, responder](int status, const std::string& outcome) {
+    server_->record().Finish(seq, outcome);
+    SendJson(*responder, status,
+             {{"accepted", status == 202},
+              {"order_id", id},
+              {"outcome", outcome},
+              {"highest", highest_fencing_}});
+  };
   if (settings_.checks_fencing && fencing < highest_fencing_) {
-    return {{"accepted", false}, {"reason", "stale_fencing"}, {"highest", highest_fencing_}};
+    answer(409, "order_refused");
+    return;
   }
   highest_fencing_ = std::max(highest_fencing_, fencing);
+  if (fetching_.count(id) > 0) {
+    answer(503, "order_pending");
+  } else if (orders_.count(id) > 0) {
+    answer(202, "order_repeated");
+  } else {
+    Execute(order, answer);
+  }
+}
+
+void Engine::Execute(const json& order, const OrderAnswer& answer) {
   std::string action = Field(order, "action");
   if (action == "load") {
-    LoadModel(order);
+    ++loading_;
+    if (!settings_.weight_store.empty()) {
+      fetching_.insert(Field(order, "order_id"));
+      FetchWeights(order, answer);
+      return;
+    }
+    LoadAfterDelay(order);
   } else if (action == "unload") {
-    settings_.models.erase(Field(order, "model"));
-    server_->announcer().AnnounceNow();
+    UnloadModel(order);
   } else if (action == "role") {
     settings_.role = Field(order, "role");
     server_->announcer().AnnounceNow();
   } else {
-    return {{"accepted", false}, {"reason", "unknown_action"}};
+    answer(409, "order_refused");
+    return;
   }
-  return {{"accepted", true}, {"order_id", Field(order, "order_id")}};
+  RememberOrder(Field(order, "order_id"));
+  answer(202, "order_accepted");
 }
 
-void Engine::LoadModel(const json& order) {
-  ++loading_;
-  if (settings_.weight_store.empty()) {
-    After(settings_.load_time, [this, order] { InstallModel(order); });
-  } else {
-    FetchWeights(order);
-  }
+void Engine::RememberOrder(const std::string& id) {
+  if (!orders_.insert(id).second) return;
+  order_ids_.push_back(id);
+  if (order_ids_.size() <= kOrders) return;
+  orders_.erase(order_ids_.front());
+  order_ids_.pop_front();
 }
 
-void Engine::FetchWeights(const json& order) {
+void Engine::FetchWeights(const json& order, const OrderAnswer& answer) {
   HttpCall call;
   call.url = "http://" + settings_.weight_store + "/weights/" + Field(order, "model") + "/" +
              Field(order, "version");
-  call.on_done = [this, order](const CallResult& result) {
+  call.on_done = [this, order, answer](const CallResult& result) {
+    bool first = answer != nullptr;
+    fetching_.erase(Field(order, "order_id"));
+    if (first && result.status == 429) {
+      --loading_;
+      answer(429, "order_busy");
+      return;
+    }
+    if (first) {
+      RememberOrder(Field(order, "order_id"));
+      answer(202, "order_accepted");
+    }
     if (result.outcome == CallOutcome::kComplete && result.status == 200) {
-      After(settings_.load_time, [this, order] { InstallModel(order); });
+      LoadAfterDelay(order);
     } else {
-      After(kWeightRetry, [this, order] { FetchWeights(order); });
+      After(kWeightRetry, [this, order] { FetchWeights(order, nullptr); });
     }
   };
   client_->Start(std::move(call));
 }
 
+void Engine::LoadAfterDelay(const json& order) {
+  After(settings_.load_time, [this, order] { InstallModel(order); });
+}
+
 void Engine::InstallModel(const json& order) {
   --loading_;
   EngineModel& model = settings_.models[Field(order, "model")];
@@ -477,6 +501,16 @@
   server_->announcer().AnnounceNow();
 }
 
+void Engine::UnloadModel(const json& order) {
+  auto model = settings_.models.find(Field(order, "model"));
+  if (model != settings_.models.end() && !Field(order, "adapter").empty()) {
+    model->second.adapters.erase(Field(order, "adapter"));
+  } else if (model != settings_.models.end()) {
+    settings_.models.erase(model);
+  }
+  server_->announcer().AnnounceNow();
+}
+
 // ---- state
 
 void Engine::NoteCacheChanges(const std::vector<CacheChange>& changes) {
--- a/testing/engine.h
+++ b/testing/engine.h
@@ -10,6 +10,12 @@
 // A stream whose connection closes goes on for `resume_window`, so that it can be resumed, and is
 // then cancelled. A request without `stream` is cancelled at once.
 //
+// Orders. An order id is executed once; a repetition is accepted without effect. With
+// `checks_fencing`, any order with a token below the highest one seen is refused with 409. A load
+// that the weight store refuses with 429 is answered with 429 and not remembered. The record has
+// one entry for each order: order_accepted (executed), order_repeated, order_refused, order_busy,
+// order_pending.
+//
 // Memory is bounded: the batch by its own limits, ended generations, tombstones of cancelled
 // attempts, cache events and orders by the constants in engine.cc.
 
@@ -70,7 +76,7 @@
                         const std::shared_ptr<HttpResponder>& responder);
   void HandleCancel(const HttpRequest& request, HttpResponder& responder);
   void HandleResume(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
-  void HandleOrder(const HttpRequest& request, HttpResponder& responder);
+  void HandleOrder(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
   void HandleCacheEvents(const HttpRequest& request, HttpResponder& responder);
   void HandleModels(HttpResponder& responder);
 
@@ -90,10 +96,14 @@
   void BreakStream(const GenerationPtr& generation);
 
   // Orders.
-  nlohmann::json Execute(const nlohmann::json& order);
-  void LoadModel(const nlohmann::json& order);
-  void FetchWeights(const nlohmann::json& order);
+  using OrderAnswer = std::function<void(int status, const std::string& outcome)>;
+  void Execute(const nlohmann::json& order, const OrderAnswer& answer);
+  void RememberOrder(const std::string& id);
+  // `answer` may be empty: the order was answered before.
+  void FetchWeights(const nlohmann::json& order, const OrderAnswer& answer);
+  void LoadAfterDelay(const nlohmann::json& order);
   void InstallModel(const nlohmann::json& order);
+  void UnloadModel(const nlohmann::json& order);
 
   void NoteCacheChanges(const std::vector<CacheChange>& changes);
   nlohmann::json Describe() const;
@@ -123,8 +133,9 @@
   std::deque<CacheEvent> cache_events_;
   uint64_t cache_seq_ = 0;
   uint64_t highest_fencing_ = 0;
-  std::map<std::string, nlohmann::json> orders_;  // answers by order id
+  std::set<std::string> orders_;  // ids of accepted orders
   std::deque<std::string> order_ids_;
+  std::set<std::string> fetching_;  // ids of orders whose first answer of the weight store is due
   int loading_ = 0;
   bool leaving_ = false;
 };
--- a/testing/run_record.cc
+++ b/testing/run_record.cc
@@ -82,6 +82,7 @@
                          {"finished", entry.finished},
                          {"outcome", entry.outcome},
                          {"tokens", entry.tokens}};
+  if (entry.path == "/v1/orders") line["fencing"] = entry.fencing;
   return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
 }
 
--- a/testing/run_record.h
+++ b/testing/run_record.h
@@ -36,6 +36,7 @@
   WallMillis started = 0;   // 0: never started
   WallMillis finished = 0;  // 0: still running
   std::string outcome;      // waiting, running, completed, cancelled, detached, fault names
+  uint64_t fencing = 0;     // of an order; written for POST /v1/orders only
   int64_t tokens = 0;       // generated
 };
 
