--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -1,6 +1,7 @@
 #include "adapters/http_client.h"
 
 #include <curl/curl.h>
+#include <netinet/tcp.h>
 #include <strings.h>
 
 #include <algorithm>
@@ -95,6 +96,7 @@
   static int OnTimer(CURLM* multi, long timeout_ms, void* client);
   static curl_socket_t OpenSocket(void* client, curlsocktype purpose, curl_sockaddr* address);
   static int CloseSocket(void* client, curl_socket_t fd);
+  static int SetSocketOptions(void* call, curl_socket_t fd, curlsocktype purpose);
 
   void Configure(Call& call);
   void Add(CallId id);
@@ -232,6 +234,10 @@
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Client::CloseSocket);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+  if (http.unacknowledged_timeout.count() > 0) {
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Client::SetSocketOptions);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &call);
+  }
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Client::OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &call);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Client::OnBody);
@@ -326,6 +332,13 @@
   return fd;
 }
 
+int Client::SetSocketOptions(void* pointer, curl_socket_t fd, curlsocktype) {
+  const Call& call = *static_cast<Call*>(pointer);
+  auto timeout_ms = static_cast<unsigned>(Millis(call.call.unacknowledged_timeout));
+  int result = setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+  return result == 0 ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
 int Client::CloseSocket(void* pointer, curl_socket_t fd) {
   Client& client = *static_cast<Client*>(pointer);
   auto it = client.sockets_.find(fd);
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -40,6 +40,10 @@
   Duration connect_timeout = seconds(1);
   Duration timeout = seconds(60);  // for the whole call
   Duration idle_timeout{0};        // fail when no byte arrives for this long; 0: no limit
+  // The kernel gives up the connection when sent bytes stay unacknowledged for this long, also
+  // while this process is stopped and cannot apply `timeout`. 0: the default of the system. Applies
+  // to connections that the call opens, so it is used together with `new_connection`.
+  Duration unacknowledged_timeout{0};
   // libcurl silently repeats a request when a reused connection turns out to be closed, so a call
   // that must not be repeated uses a new connection.
   bool new_connection = false;
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -47,6 +47,10 @@
   kServerEjected = 304,
   kServerOrderSent = 305,
   kServerOrderRefused = 306,
+  kServerOrderDone = 307,
+  kServerOrderStuck = 308,
+  kOrdererLeaseTaken = 309,
+  kOrdererLeaseEnded = 310,
 
   kHostAlive = 400,
   kHostSuspected = 401,
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -9,6 +9,8 @@
 #include <set>
 #include <sstream>
 
+#include "core/orders.h"
+
 DEFINE_string(host, "", "name of this host, unique in the deployment");
 DEFINE_string(region, "", "region of this host");
 DEFINE_string(domain, "", "failure domain of this host");
@@ -25,6 +27,9 @@
 DEFINE_string(operator_token_sha256, "", "SHA-256 of the root operator's token, hexadecimal");
 DEFINE_string(directory_address, "", "ip:port of the client directory; empty for none");
 DEFINE_int32(traffic_threads, 2, "threads that serve requests, 1 to 16");
+DEFINE_int32(orderer_lease_ms, 300000,
+             "milliseconds for which a host that orders backend servers holds the lease, 2000 to "
+             "3600000");
 DEFINE_int32(drain_timeout_s, 120, "seconds that a shutdown waits for open requests, 1 to 3600");
 
 namespace ebonylift {
@@ -35,6 +40,7 @@
 constexpr size_t kMaxPeers = 1024;
 constexpr int kMaxTrafficThreads = 16;
 constexpr int kMaxDrainSeconds = 3600;
+constexpr Duration kMaxOrdererLease = seconds(3600);
 
 std::vector<std::string> Split(const std::string& text, char separator) {
   std::vector<std::string> parts;
@@ -177,6 +183,7 @@
   settings.directory_address = FLAGS_directory_address;
   settings.traffic_threads = FLAGS_traffic_threads;
   settings.drain_timeout = seconds(FLAGS_drain_timeout_s);
+  settings.orderer_lease = milliseconds(FLAGS_orderer_lease_ms);
   return settings;
 }
 
@@ -215,6 +222,10 @@
     issues.push_back(
         {"drain_timeout_s", std::to_string(ToMillis(settings.drain_timeout) / 1000), "1 to 3600"});
   }
+  if (settings.orderer_lease < kMinLease || settings.orderer_lease > kMaxOrdererLease) {
+    issues.push_back(
+        {"orderer_lease_ms", std::to_string(ToMillis(settings.orderer_lease)), "2000 to 3600000"});
+  }
   CheckPeers(settings, &issues);
   CheckVoters(settings, &issues);
   return issues;
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -42,6 +42,7 @@
   std::string directory_address;  // empty: no client directory
   int traffic_threads = 2;
   Duration drain_timeout = seconds(120);
+  Duration orderer_lease = seconds(300);
 };
 
 struct SettingIssue {
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -17,6 +17,7 @@
 #include "daemon/exchange.h"
 #include "daemon/job_api.h"
 #include "daemon/operator_api.h"
+#include "daemon/orderer.h"
 
 namespace ebonylift {
 namespace {
@@ -54,6 +55,7 @@
         client_(MakeHttpClient(io_)),
         context_(MakeContext()),
         jobs_(context_),
+        orderer_(&io_, client_.get(), options_.control, options_.settings),
         tick_timer_(io_) {
     HttpLimits limits;
     limits.max_body_bytes = kMaxRequestBytes;
@@ -227,6 +229,7 @@
     options_.dispatcher->Tick(now);
     UpdateOverload();
     if (!*draining_ && view->config->revision > 0) jobs_.RunPending();
+    if (!*draining_) orderer_.Tick(*view, now);
     if (now >= next_records_) {
       next_records_ = now + kRecordsPeriod;
       options_.records->Tick(WallNow());
@@ -280,6 +283,7 @@
   ExchangeTable table_;
   ExchangeContext context_;
   JobApi jobs_;
+  Orderer orderer_;  // used by thread 0 only
   std::unique_ptr<HttpServer> server_;
   asio::steady_timer tick_timer_;
   std::shared_ptr<const RoutingView> last_view_;
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -44,6 +44,7 @@
       {"operator_token_sha256", [](Settings* s) { s->operator_token_sha256 = "abc"; }},
       {"traffic_threads", [](Settings* s) { s->traffic_threads = 0; }},
       {"drain_timeout_s", [](Settings* s) { s->drain_timeout = seconds(0); }},
+      {"orderer_lease_ms", [](Settings* s) { s->orderer_lease = milliseconds(1999); }},
       {"voters", [](Settings* s) { s->voters.clear(); }},
       {"voters", [](Settings* s) { s->voters = {HostId("unknown")}; }},
       {"data_dir", [](Settings* s) { s->data_dir = ""; }},
