Stop counting ended requests as waiting on a server

Cause: the dispatcher notes the time of the choice, the exchange passes the time at which it sends, a few microseconds later, and RemoveSent() looked for an equal time. Ended requests thus stayed in the list until the next load report, and a server got at most slots plus backlog (10 in the tests) from each host between two reports; further requests waited in the queue although every server was idle.

Ruled out: slow start itself (the age and the share it computes were right in a trace); the share of a new server was full at once because the others had 'no room' and it was the last resort.

The new unit test fails without the change.

Conclusion: the newest time up to the given one is removed, which needs no exact match.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -440,10 +440,12 @@
                      [&](const RegionId& region) { return RegionAllowed(query, region); });
 }
 
+// The caller reads the clock again after the choice, so its time is that of the choice or slightly
+// later; the newest time up to it is at most that much off.
 void RemoveSent(ServerUse& use, Time dispatched_at) {
   if (use.in_flight > 0) --use.in_flight;
-  auto found = std::lower_bound(use.sent.begin(), use.sent.end(), dispatched_at);
-  if (found != use.sent.end() && *found == dispatched_at) use.sent.erase(found);
+  auto after = std::upper_bound(use.sent.begin(), use.sent.end(), dispatched_at);
+  if (after != use.sent.begin()) use.sent.erase(std::prev(after));
 }
 
 void AddSent(ServerUse& use, Time now) {
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -452,6 +452,26 @@
 }
 
 // Guards against a policy that does not follow its own rule.
+// Guards against ended requests that count as waiting until the next report: a server then gets no
+// more requests between two reports than it has places, and the others wait.
+BOOST_AUTO_TEST_CASE(EndedRequestsNoLongerCount) {
+  LocalLoad load;
+  RouteQuery query;
+  ServerId server("s1");
+  RoutingView view;
+  for (int i = 0; i < 100; ++i) {
+    Time placed = kNow + milliseconds(i);
+    OnDispatch(load, query, server, 1, placed);
+    Time dispatched = placed + Duration(i % 3);  // the caller's clock is read later
+    OnServerOutcome(load, view, server, dispatched, ServerOutcome::kOk, placed + milliseconds(1));
+  }
+  BOOST_TEST(load.servers.at(server).sent.empty());
+  BOOST_TEST(load.servers.at(server).in_flight == 0);
+  OnForward(load, DomainId("d2"), kNow);
+  OnForwardEnded(load, DomainId("d2"), kNow + Duration(1));
+  BOOST_TEST(load.domains.at(DomainId("d2")).sent.empty());
+}
+
 BOOST_AUTO_TEST_CASE(Policies) {
   World w;
   w.AddServer("s1", 5);
