Count the time that announcements were held up before they are read

A server that had been silent for seconds came back for its whole time to live when the link healed.

Ruled out: relayed announcements (their age and the waiting time at the receiver are counted) and the registry (its order of announcements is right; the late one was the newest).

The clocks of servers need not agree; the first announcement that a host gets from a server is compared by wall clocks, as there is nothing else to compare with.

Conclusion: the time to live is shortened by the time on the way, in the traffic thread, so neither the control thread nor the messages between daemons change.

--- a/src/daemon/announce.cc
+++ b/src/daemon/announce.cc
@@ -77,12 +77,50 @@
   return load;
 }
 
+// An announcement is on pace when the time since the previous one differs from the time between
+// their sending by less than this; a held-up batch arrives faster than it was sent.
+constexpr Duration kPaceTolerance = milliseconds(300);
+
 }  // namespace
 
-Announcement ParseAnnouncement(const std::string& text) {
+Duration AnnouncementAges::Age(const ServerId& server, WallMillis sent_at, Time now,
+                               WallMillis wall_now) {
+  if (sent_at <= 0) return Duration(0);
+  Duration sent = milliseconds(sent_at);
+  std::lock_guard<std::mutex> lock(mutex_);
+  auto it = entries_.find(server);
+  if (it == entries_.end()) {
+    if (entries_.size() >= kMaxServers) {
+      entries_.erase(std::min_element(entries_.begin(), entries_.end(), [](auto& a, auto& b) {
+        return a.second.last_at < b.second.last_at;
+      }));
+    }
+    Entry& entry = entries_[server];
+    TransitExcess(&entry.meter, sent, now);
+    entry.last_sent = sent;
+    entry.last_at = now;
+    return std::max(Duration(milliseconds(wall_now - sent_at)), Duration(0));
+  }
+  Entry& entry = it->second;
+  Duration excess = TransitExcess(&entry.meter, sent, now);
+  Duration sent_gap = sent - entry.last_sent;
+  Duration pace = (now - entry.last_at) - sent_gap;
+  bool on_pace = sent_gap > kPaceTolerance && std::abs(pace.count()) < kPaceTolerance.count();
+  if (on_pace && excess > kPaceTolerance) {
+    entry.meter = TransitMeter();
+    excess = TransitExcess(&entry.meter, sent, now);
+  }
+  entry.last_sent = sent;
+  entry.last_at = now;
+  return excess;
+}
+
+ReceivedAnnouncement ParseAnnouncement(const std::string& text) {
   json body = json::parse(text, nullptr, false);
   if (!body.is_object()) throw Error(ErrorKind::kBadRequest, "announcement: not a JSON object");
-  Announcement out;
+  ReceivedAnnouncement received;
+  received.sent_at = Number(body, "sent_at", 0, 0);
+  Announcement& out = received.announcement;
   out.id = ServerId(Text(body, "id", true));
   out.incarnation = static_cast<uint64_t>(Number(body, "incarnation", 0, 0));
   std::string kind = Text(body, "kind", true);
@@ -102,7 +140,7 @@
   out.seq = out.load.seq;
   Duration ttl = milliseconds(Number(body, "ttl_ms", ToMillis(kMaxAnnouncementTtl), 1));
   out.ttl = std::min(ttl, kMaxAnnouncementTtl);
-  return out;
+  return received;
 }
 
 }  // namespace ebonylift
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -46,10 +46,12 @@
 
 class TrafficThread {
  public:
-  TrafficThread(const TrafficOptions& options, size_t index, const std::atomic<bool>* draining)
+  TrafficThread(const TrafficOptions& options, size_t index, const std::atomic<bool>* draining,
+                AnnouncementAges* ages)
       : options_(options),
         index_(index),
         draining_(draining),
+        ages_(ages),
         work_(asio::make_work_guard(io_)),
         client_(MakeHttpClient(io_)),
         context_(MakeContext()),
@@ -163,7 +165,10 @@
     if (!ConstantTimeEqual(FindHeader(request.headers, "authorization"), want)) {
       throw Error(ErrorKind::kUnauthorized, "the platform token is wrong");
     }
-    Announcement announcement = ParseAnnouncement(request.body);
+    ReceivedAnnouncement received = ParseAnnouncement(request.body);
+    Announcement announcement = std::move(received.announcement);
+    // A held-up announcement extends the server's time by what is left of it, possibly nothing.
+    announcement.ttl -= ages_->Age(announcement.id, received.sent_at, SteadyNow(), WallNow());
     options_.control->Announce(announcement, [this, responder](std::optional<Error> error) {
       asio::post(io_, [responder, error] {
         if (error) {
@@ -278,6 +283,7 @@
   const TrafficOptions options_;
   const size_t index_;
   const std::atomic<bool>* const draining_;
+  AnnouncementAges* const ages_;
   asio::io_context io_;
   asio::executor_work_guard<asio::io_context::executor_type> work_;
   std::unique_ptr<HttpClient> client_;
@@ -293,10 +299,10 @@
   std::thread thread_;
 };
 
-Traffic::Traffic(const TrafficOptions& options) {
+Traffic::Traffic(const TrafficOptions& options) : ages_(std::make_unique<AnnouncementAges>()) {
   for (int i = 0; i < options.settings.traffic_threads; ++i) {
     threads_.push_back(
-        std::make_unique<TrafficThread>(options, static_cast<size_t>(i), &draining_));
+        std::make_unique<TrafficThread>(options, static_cast<size_t>(i), &draining_, ages_.get()));
   }
 }
 
--- a/src/daemon/traffic.h
+++ b/src/daemon/traffic.h
@@ -19,6 +19,7 @@
 
 namespace ebonylift {
 
+class AnnouncementAges;
 class TrafficThread;
 
 struct TrafficOptions {
@@ -51,6 +52,7 @@
   void Stop();
 
  private:
+  std::unique_ptr<AnnouncementAges> ages_;
   std::vector<std::unique_ptr<TrafficThread>> threads_;
   std::atomic<bool> draining_{false};
 };
