--- a/tests/support/test_client.cc
+++ b/tests/support/test_client.cc
@@ -113,6 +113,7 @@
   curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
   response.status = static_cast<int>(status);
   response.complete = code == CURLE_OK;
+  response.refused = code == CURLE_COULDNT_CONNECT;
   if (code != CURLE_OK) response.error = curl_easy_strerror(code);
   return response;
 }
--- a/tests/support/test_client.h
+++ b/tests/support/test_client.h
@@ -16,6 +16,7 @@
 
 struct TestResponse {
   bool complete = false;  // a whole response arrived
+  bool refused = false;   // no connection was made, so nothing was sent
   int status = 0;         // 0 when no status line arrived
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
