--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -47,10 +48,12 @@
 
 class TrafficThread {
  public:
-  TrafficThread(const TrafficOptions& options, size_t index, const std::atomic<bool>* draining)
+  TrafficThread(const TrafficOptions& options, size_t index, const std::atomic<bool>* draining,
+                AnnouncementAges* ages)
       : options_(options),
         index_(index),
         draining_(draining),
+        ages_(ages),
         work_(asio::make_work_guard(io_)),
         client_(MakeHttpClient(io_)),
         context_(MakeContext()),
@@ -75,9 +78,13 @@
     asio::post(io_, [this] { server_->CloseAfterResponse(); });
   }
   void StopAccepting() {
-    asio::post(io_, [this] { server_->StopAccepting(); });
+    asio::post(io_, [this] {
+      server_->StopAccepting();
+      CountOpen();
+    });
   }
-  size_t open_requests() const { return table_.size(); }
+  size_t open_requests() const { return std::max<size_t>(table_.size(), answers_due_); }
+  size_t open_connections() const { return connections_; }
 
   void Stop() {
     io_.stop();
@@ -109,7 +116,21 @@
     }
   }
 
+  // A request without an exchange, such as a submission of a job or a configuration change, is open
+  // as long as something holds its responder.
+  void CountOpen() {
+    auto answered = [](const std::weak_ptr<HttpResponder>& responder) {
+      return responder.expired();
+    };
+    responders_.erase(std::remove_if(responders_.begin(), responders_.end(), answered),
+                      responders_.end());
+    answers_due_ = responders_.size();
+    connections_ = server_->connections();
+  }
+
   void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+    responders_.push_back(responder);
+    answers_due_ = responders_.size();
     try {
       Route(std::move(request), responder);
     } catch (const Error& error) {
@@ -165,7 +186,10 @@
     if (!ConstantTimeEqual(FindHeader(request.headers, "authorization"), want)) {
       throw Error(ErrorKind::kUnauthorized, "the platform token is wrong");
     }
-    Announcement announcement = ParseAnnouncement(request.body);
+    ReceivedAnnouncement received = ParseAnnouncement(request.body);
+    Announcement announcement = std::move(received.announcement);
+    // A held-up announcement extends the server's time by what is left of it, possibly nothing.
+    announcement.ttl -= ages_->Age(announcement.id, received.sent_at, SteadyNow(), WallNow());
     options_.control->Announce(announcement, [this, responder](std::optional<Error> error) {
       asio::post(io_, [responder, error] {
         if (error) {
@@ -218,6 +242,7 @@
     tick_timer_.async_wait([this](const asio::error_code& error) {
       if (!error) Tick();
     });
+    CountOpen();
     if (index_ != 0) return;
     Time now = SteadyNow();
     std::shared_ptr<const RoutingView> view = options_.control->View();
@@ -281,6 +306,7 @@
   const TrafficOptions options_;
   const size_t index_;
   const std::atomic<bool>* const draining_;
+  AnnouncementAges* const ages_;
   asio::io_context io_;
   asio::executor_work_guard<asio::io_context::executor_type> work_;
   std::unique_ptr<HttpClient> client_;
@@ -290,6 +316,9 @@
   Orderer orderer_;  // used by thread 0 only
   std::unique_ptr<HttpServer> server_;
   asio::steady_timer tick_timer_;
+  std::vector<std::weak_ptr<HttpResponder>> responders_;  // bounded by open requests and one tick
+  std::atomic<size_t> answers_due_{0};
+  std::atomic<size_t> connections_{0};
   std::shared_ptr<const RoutingView> last_view_;
   Time next_records_;
   Time next_directory_;
@@ -297,10 +326,10 @@
   std::thread thread_;
 };
 
-Traffic::Traffic(const TrafficOptions& options) {
+Traffic::Traffic(const TrafficOptions& options) : ages_(std::make_unique<AnnouncementAges>()) {
   for (int i = 0; i < options.settings.traffic_threads; ++i) {
     threads_.push_back(
-        std::make_unique<TrafficThread>(options, static_cast<size_t>(i), &draining_));
+        std::make_unique<TrafficThread>(options, static_cast<size_t>(i), &draining_, ages_.get()));
   }
 }
 
@@ -325,6 +354,12 @@
   return open;
 }
 
+size_t Traffic::open_connections() const {
+  size_t open = 0;
+  for (const auto& thread : threads_) open += thread->open_connections();
+  return open;
+}
+
 void Traffic::Stop() {
   for (auto& thread : threads_) thread->Stop();
 }
