--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -101,6 +101,10 @@
       Gauge("ebonylift_live_servers", "Backend servers that are announced and not expired.");
   prometheus::Gauge* config_revision =
       Gauge("ebonylift_config_revision", "Configuration revision in force.");
+  prometheus::Gauge* peer_sent =
+      Gauge("ebonylift_peer_sent_bytes", "Bytes of messages to other daemons since the start.");
+  prometheus::Gauge* peer_received = Gauge("ebonylift_peer_received_bytes",
+                                           "Bytes of messages from other daemons since the start.");
 };
 
 Metrics::Metrics() : families_(std::make_unique<Families>()) {}
@@ -148,6 +152,11 @@
   families_->config_revision->Set(static_cast<double>(revision));
 }
 
+void Metrics::SetPeerBytes(uint64_t sent, uint64_t received) {
+  families_->peer_sent->Set(static_cast<double>(sent));
+  families_->peer_received->Set(static_cast<double>(received));
+}
+
 std::string Metrics::Render() const {
   std::ostringstream out;
   prometheus::TextSerializer().Serialize(out, families_->registry.Collect());
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -51,6 +51,9 @@
   void SetLiveServers(size_t servers);
   void SetConfigRevision(uint64_t revision);
 
+  // Bytes of messages to and from other daemons since the start, without TCP and IP headers.
+  void SetPeerBytes(uint64_t sent, uint64_t received);
+
   // All metrics in the Prometheus text format, version 0.0.4.
   std::string Render() const;
 
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -79,19 +79,46 @@
   return options;
 }
 
+// Bytes of messages, as the serialisation writes them.
+struct ByteCounts {
+  uint64_t sent = 0;
+  uint64_t received = 0;
+};
+
+// The table of segment sizes with its padding.
+size_t TableBytes(size_t segments) { return (segments / 2 + 1) * sizeof(capnp::word); }
+
+uint64_t MessageBytes(capnp::MessageReader& message) {
+  uint32_t segments = 0;
+  uint64_t bytes = 0;
+  while (true) {
+    auto segment = message.getSegment(segments);
+    if (segment == nullptr) break;
+    bytes += segment.size() * sizeof(capnp::word);
+    ++segments;
+  }
+  return bytes + TableBytes(segments);
+}
+
 // Reports why a message was refused; the RPC system itself would only close the connection.
 class BoundedStream final : public capnp::MessageStream {
  public:
   using Refused = std::function<void(const std::string& reason)>;
 
-  // Adds the bytes of sent messages to `sent_bytes`, which outlives this object.
-  BoundedStream(kj::AsyncIoStream& stream, uint64_t* sent_bytes, Refused refused)
-      : inner_(stream), sent_bytes_(sent_bytes), refused_(std::move(refused)) {}
+  // Adds the bytes of messages to `counts`, which outlives this object.
+  BoundedStream(kj::AsyncIoStream& stream, ByteCounts* counts, Refused refused)
+      : inner_(stream), counts_(counts), refused_(std::move(refused)) {}
 
   kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> tryReadMessage(
       kj::ArrayPtr<kj::AutoCloseFd> fd_space, capnp::ReaderOptions options,
       kj::ArrayPtr<capnp::word> scratch) override {
     return inner_.tryReadMessage(fd_space, options, scratch)
+        .then([this](kj::Maybe<capnp::MessageReaderAndFds>&& message) {
+          KJ_IF_MAYBE (read, message) {
+            counts_->received += MessageBytes(*read->reader);
+          }
+          return kj::mv(message);
+        })
         .catch_([this](kj::Exception&& e) -> kj::Maybe<capnp::MessageReaderAndFds> {
           // FAILED is a malformed or oversized message; a lost connection has another type.
           if (e.getType() == kj::Exception::Type::FAILED) refused_(e.getDescription().cStr());
@@ -117,13 +144,12 @@
 
  private:
   void Count(kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) {
-    // The table of segment sizes, as the serialisation pads it.
-    *sent_bytes_ += (segments.size() / 2 + 1) * sizeof(capnp::word);
-    for (auto& segment : segments) *sent_bytes_ += segment.size() * sizeof(capnp::word);
+    counts_->sent += TableBytes(segments.size());
+    for (auto& segment : segments) counts_->sent += segment.size() * sizeof(capnp::word);
   }
 
   capnp::AsyncIoMessageStream inner_;
-  uint64_t* sent_bytes_;
+  ByteCounts* counts_;
   Refused refused_;
 };
 
@@ -220,7 +246,7 @@
   std::map<HostId, Outgoing> outgoing;
   size_t connections = 0;
   size_t pending_logins = 0;
-  uint64_t sent_bytes = 0;
+  ByteCounts bytes;
   uint32_t port = 0;
   kj::Own<kj::ConnectionReceiver> receiver;
   kj::TaskSet tasks;  // destroyed first: its tasks use everything above
@@ -436,8 +462,7 @@
   auto session = std::make_shared<Session>();
   session->nonce = RandomHex(kNonceBytes);
   session->pending = CountPendingLogin();
-  in->messages = kj::heap<
-      BoundedStream>(*in->stream, &sent_bytes, [session](const std::string& reason) {
+  in->messages = kj::heap<BoundedStream>(*in->stream, &bytes, [session](const std::string& reason) {
     LogEvent(EventId::kPeerMessageRefused, {{"host", session->host.value()}, {"reason", reason}});
   });
   in->network = kj::heap<capnp::TwoPartyVatNetwork>(*in->messages, Side::SERVER, Limits());
@@ -503,7 +528,7 @@
         link->stream = kj::mv(stream);
         std::string name = out->peer.host.value();
         link->messages =
-            kj::heap<BoundedStream>(*link->stream, &sent_bytes, [name](const std::string& reason) {
+            kj::heap<BoundedStream>(*link->stream, &bytes, [name](const std::string& reason) {
               LogEvent(EventId::kPeerMessageRefused, {{"host", name}, {"reason", reason}});
             });
         link->network =
@@ -628,7 +653,9 @@
   for (auto& [host, out] : impl_->outgoing) impl_->tasks.add(impl_->ConnectLoop(&out));
 }
 
-uint64_t Rpc::sent_bytes() const { return impl_->sent_bytes; }
+uint64_t Rpc::sent_bytes() const { return impl_->bytes.sent; }
+
+uint64_t Rpc::received_bytes() const { return impl_->bytes.received; }
 
 uint32_t Rpc::port() const { return impl_->port; }
 
--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -128,8 +128,9 @@
   // The port that is listened on.
   uint32_t port() const;
 
-  // Bytes of all messages sent, without TCP and IP headers.
+  // Bytes of all messages sent to and received from peers, without TCP and IP headers.
   uint64_t sent_bytes() const;
+  uint64_t received_bytes() const;
 
   bool IsConnected(const HostId& host) const;
   std::vector<HostId> Connected() const;
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -294,6 +294,7 @@
   std::map<HostId, TransitMeter> transit_;
   std::deque<std::pair<SuspectNote, Time>> notes_;
   Time next_summary_;
+  Time next_count_;
   bool pulling_ = false;
   Time next_pull_;
   Time last_publish_;
@@ -360,6 +361,10 @@
   }
   PullConfig(now);
   TakeChanged();
+  if (options_->on_peer_bytes && now >= next_count_) {
+    next_count_ = now + kCountInterval;
+    options_->on_peer_bytes(rpc_.sent_bytes(), rpc_.received_bytes());
+  }
 }
 
 void ControlLoop::SendProbes(Time now) {
@@ -778,7 +783,8 @@
                  {"is_voter", replica_.IsVoter()},
                  {"disk_lost", replica_.DiskLost()},
                  {"storage_ok", replica_.StorageOk()},
-                 {"peer_sent_bytes", rpc_.sent_bytes()}};
+                 {"peer_sent_bytes", rpc_.sent_bytes()},
+                 {"peer_received_bytes", rpc_.received_bytes()}};
   std::optional<HostId> leader = replica_.Leader();
   status["leader"] = leader ? json(leader->value()) : json(nullptr);
   status["voters"] = json::array();
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -30,6 +30,7 @@
 
 constexpr Duration kPublishInterval = milliseconds(20);
 constexpr Duration kLoadPublishInterval = milliseconds(100);
+constexpr Duration kCountInterval = seconds(1);
 constexpr size_t kMaxRecentNotes = 256;
 
 // Another host, as this host reaches it.
@@ -56,6 +57,10 @@
   // on the control thread.
   std::function<void(uint64_t content, const ServerId& server, bool alone, bool cleared)>
       on_suspect;
+
+  // The bytes sent to and received from other daemons so far, every kCountInterval. Called on the
+  // control thread.
+  std::function<void(uint64_t sent, uint64_t received)> on_peer_bytes;
 };
 
 // Throws Error(kInternal) when the peer address cannot be used or an option is missing, and
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -105,6 +105,9 @@
       Dispatcher* dispatcher = ready_dispatcher_;
       if (dispatcher != nullptr) dispatcher->OnRemoteSuspect(content, server, alone, cleared);
     };
+    options.on_peer_bytes = [this](uint64_t sent, uint64_t received) {
+      metrics_.SetPeerBytes(sent, received);
+    };
     return options;
   }
 
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -32,6 +32,7 @@
   metrics.SetLiveHosts(6);
   metrics.SetLiveServers(18);
   metrics.SetConfigRevision(4300);
+  metrics.SetPeerBytes(1500, 2500);
   std::string text = metrics.Render();
   for (const char* line : {
            R"(ebonylift_requests_total{class="interactive"} 2)",
@@ -48,6 +49,8 @@
            R"(ebonylift_queue_depth{class="interactive"} 7)",
            R"(ebonylift_live_hosts 6)",
            R"(ebonylift_live_servers 18)",
+           R"(ebonylift_peer_sent_bytes 1500)",
+           R"(ebonylift_peer_received_bytes 2500)",
            R"(ebonylift_config_revision 4300)",
        }) {
     BOOST_TEST(Has(text, line), line << " is missing in\n" << text);
