Share unchanged teams between the views of two revisions

Cause: each change copied the whole view. At 28,000 teams that took 19 ms and 49.5 MB for a second view (config_bench); with 5,000 teams a change cost a voter 25 ms of CPU, and puts fell from 690/s to 387/s.

Ruled out: shared pointers to teams in one map, because copying 28,000 nodes remains and every user of a team would change.

--- a/src/core/config_view.cc
+++ b/src/core/config_view.cc
@@ -153,9 +153,11 @@
 }
 
 void RemoveKeysOf(ConfigView* view, const std::set<TeamId>& teams) {
-  for (auto it = view->keys.begin(); it != view->keys.end();) {
-    it = teams.count(it->second) != 0 ? view->keys.erase(it) : std::next(it);
+  std::vector<std::string> removed;
+  for (const auto& [key, team] : view->keys) {
+    if (teams.count(team) != 0) removed.push_back(key);
   }
+  for (const std::string& key : removed) view->keys.erase(key);
 }
 
 }  // namespace
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -12,10 +12,10 @@
 #include <memory>
 #include <string>
 #include <tuple>
-#include <unordered_map>
 #include <vector>
 
 #include "base/ids.h"
+#include "base/shared_map.h"
 #include "base/time.h"
 
 namespace ebonylift {
@@ -87,8 +87,9 @@
 
 struct ConfigView {
   uint64_t revision = 0;
-  std::map<TeamId, TeamConfig> teams;
-  std::unordered_map<std::string, TeamId> keys;  // SHA-256 of a key to its team
+  // Views of two revisions share the teams and keys that did not change.
+  SharedMap<TeamId, TeamConfig> teams;
+  SharedMap<std::string, TeamId> keys;  // SHA-256 of a key to its team
   std::map<RegionId, RegionConfig> regions;
   std::vector<OperatorConfig> operators;
 };
