--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -13,6 +13,7 @@
 #include <random>
 #include <utility>
 
+#include "adapters/packed_stream.h"
 #include "adapters/peer_codec.h"
 #include "base/hash.h"
 
@@ -84,9 +85,9 @@
  public:
   using Refused = std::function<void(const std::string& reason)>;
 
-  // Adds the bytes of sent messages to `sent_bytes`, which outlives this object.
-  BoundedStream(kj::AsyncIoStream& stream, uint64_t* sent_bytes, Refused refused)
-      : inner_(stream), sent_bytes_(sent_bytes), refused_(std::move(refused)) {}
+  // `counts` outlives this object.
+  BoundedStream(kj::AsyncIoStream& stream, ByteCounts* counts, Refused refused)
+      : inner_(stream, counts), refused_(std::move(refused)) {}
 
   kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> tryReadMessage(
       kj::ArrayPtr<kj::AutoCloseFd> fd_space, capnp::ReaderOptions options,
@@ -102,13 +103,11 @@
   kj::Promise<void> writeMessage(
       kj::ArrayPtr<const int> fds,
       kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) override {
-    Count(segments);
     return inner_.writeMessage(fds, segments);
   }
 
   kj::Promise<void> writeMessages(
       kj::ArrayPtr<kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>>> messages) override {
-    for (auto& message : messages) Count(message);
     return inner_.writeMessages(messages);
   }
 
@@ -116,14 +115,7 @@
   kj::Promise<void> end() override { return inner_.end(); }
 
  private:
-  void Count(kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) {
-    // The table of segment sizes, as the serialisation pads it.
-    *sent_bytes_ += (segments.size() / 2 + 1) * sizeof(capnp::word);
-    for (auto& segment : segments) *sent_bytes_ += segment.size() * sizeof(capnp::word);
-  }
-
-  capnp::AsyncIoMessageStream inner_;
-  uint64_t* sent_bytes_;
+  PackedStream inner_;
   Refused refused_;
 };
 
@@ -220,7 +212,7 @@
   std::map<HostId, Outgoing> outgoing;
   size_t connections = 0;
   size_t pending_logins = 0;
-  uint64_t sent_bytes = 0;
+  ByteCounts bytes;
   uint32_t port = 0;
   kj::Own<kj::ConnectionReceiver> receiver;
   kj::TaskSet tasks;  // destroyed first: its tasks use everything above
@@ -263,8 +255,13 @@
           row.getAgeMicros(), static_cast<uint64_t>(seconds(3600).count()) * 1'000'000)));
       announcements.push_back(std::move(relayed));
     }
-    handler_->OnPeerAnnounce(session_->host, Duration(params.getSentAtMicros()), announcements);
-    context.getResults().setHlc(ProcessClock().Now());
+    std::vector<uint64_t> unknown =
+        handler_->OnPeerAnnounce(session_->host, Duration(params.getSentAtMicros()), announcements,
+                                 ReadRefreshes(Str(params.getRefreshes())));
+    auto results = context.getResults();
+    results.setHlc(ProcessClock().Now());
+    auto keys = results.initUnknown(static_cast<uint32_t>(unknown.size()));
+    for (uint32_t i = 0; i < keys.size(); ++i) keys.set(i, unknown[i]);
     return kj::READY_NOW;
   }
 
@@ -436,8 +433,7 @@
   auto session = std::make_shared<Session>();
   session->nonce = RandomHex(kNonceBytes);
   session->pending = CountPendingLogin();
-  in->messages = kj::heap<
-      BoundedStream>(*in->stream, &sent_bytes, [session](const std::string& reason) {
+  in->messages = kj::heap<BoundedStream>(*in->stream, &bytes, [session](const std::string& reason) {
     LogEvent(EventId::kPeerMessageRefused, {{"host", session->host.value()}, {"reason", reason}});
   });
   in->network = kj::heap<capnp::TwoPartyVatNetwork>(*in->messages, Side::SERVER, Limits());
@@ -503,7 +499,7 @@
         link->stream = kj::mv(stream);
         std::string name = out->peer.host.value();
         link->messages =
-            kj::heap<BoundedStream>(*link->stream, &sent_bytes, [name](const std::string& reason) {
+            kj::heap<BoundedStream>(*link->stream, &bytes, [name](const std::string& reason) {
               LogEvent(EventId::kPeerMessageRefused, {{"host", name}, {"reason", reason}});
             });
         link->network =
@@ -628,7 +624,9 @@
   for (auto& [host, out] : impl_->outgoing) impl_->tasks.add(impl_->ConnectLoop(&out));
 }
 
-uint64_t Rpc::sent_bytes() const { return impl_->sent_bytes; }
+uint64_t Rpc::sent_bytes() const { return impl_->bytes.sent; }
+
+uint64_t Rpc::received_bytes() const { return impl_->bytes.received; }
 
 uint32_t Rpc::port() const { return impl_->port; }
 
@@ -662,19 +660,40 @@
   impl_->Call<GossipReply>(link, kj::mv(request), timeout, true, convert, std::move(done));
 }
 
-void Rpc::Announce(const HostId& to, const std::vector<RelayedAnnouncement>& announcements) {
+void Rpc::Announce(const HostId& to, const std::vector<RelayedAnnouncement>& announcements,
+                   std::function<void(std::optional<std::vector<uint64_t>>)> done) {
   std::shared_ptr<Link> link = impl_->UsableLink(to, 0);
   if (link == nullptr) return;
+  std::vector<const RelayedAnnouncement*> whole;
+  std::vector<ServerRefresh> refreshes;
+  for (const RelayedAnnouncement& relayed : announcements) {
+    if (!relayed.refresh) {
+      whole.push_back(&relayed);
+      continue;
+    }
+    ServerRefresh refresh;
+    refresh.key = AnnouncementKey(relayed.announcement);
+    refresh.seq = relayed.announcement.seq;
+    refresh.load = relayed.announcement.load;
+    refresh.age = relayed.age;
+    refreshes.push_back(refresh);
+  }
   auto request = KJ_ASSERT_NONNULL(link->peer).announceRequest();
   request.setHlc(ProcessClock().Now());
   request.setSentAtMicros(SteadyNow().time_since_epoch().count());
-  auto rows = request.initAnnouncements(static_cast<uint32_t>(announcements.size()));
+  auto rows = request.initAnnouncements(static_cast<uint32_t>(whole.size()));
   for (uint32_t i = 0; i < rows.size(); ++i) {
-    WriteAnnouncement(announcements[i].announcement, rows[i].initAnnouncement());
-    rows[i].setAgeMicros(static_cast<uint64_t>(std::max<int64_t>(0, announcements[i].age.count())));
+    WriteAnnouncement(whole[i]->announcement, rows[i].initAnnouncement());
+    rows[i].setAgeMicros(static_cast<uint64_t>(std::max<int64_t>(0, whole[i]->age.count())));
   }
-  impl_->Call<bool>(
-      link, kj::mv(request), kOneWayTimeout, true, [](auto&) { return true; }, nullptr);
+  request.setRefreshes(ToData(WriteRefreshes(refreshes)));
+  auto convert = [](auto& response) {
+    std::vector<uint64_t> unknown;
+    for (uint64_t key : response.getUnknown()) unknown.push_back(key);
+    return unknown;
+  };
+  impl_->Call<std::vector<uint64_t>>(link, kj::mv(request), kOneWayTimeout, true, convert,
+                                     std::move(done));
 }
 
 void Rpc::Consensus(const HostId& to, const std::string& message) {
