--- a/src/cli/load.cc
+++ b/src/cli/load.cc
@@ -30,6 +30,7 @@
 DEFINE_int32(stream_percent, 50, "load: share of generated requests that stream");
 DEFINE_int32(max_open, 20000, "load: open requests; further ones are counted as not sent");
 DEFINE_int64(call_timeout_ms, 60000, "load: time limit of one request");
+DEFINE_string(samples, "", "load: write one JSON object for each request to this file");
 DEFINE_string(plot, "", "load: write an SVG plot of the latencies to this file");
 
 namespace ebonylift {
@@ -76,6 +77,10 @@
   bool success_status = false;
   bool done_seen = false;
   std::optional<Time> last_event;
+  std::optional<Duration> first_token;
+  Duration between_sum{0};
+  Duration between_max{0};
+  int events = 0;
 };
 
 class LoadRun {
@@ -84,7 +89,9 @@
       : items_(std::move(items)),
         targets_(std::move(targets)),
         client_(MakeHttpClient(io_)),
-        timer_(io_) {}
+        timer_(io_) {
+    if (!FLAGS_samples.empty()) samples_.open(FLAGS_samples);
+  }
 
   LoadReport Run() {
     start_ = SteadyNow();
@@ -191,10 +198,15 @@
 
   void NoteEvent(OpenRequest& request, Time now) {
     if (request.last_event) {
-      report_.between_tokens.Add(now - *request.last_event);
+      Duration between = now - *request.last_event;
+      report_.between_tokens.Add(between);
+      request.between_sum += between;
+      request.between_max = std::max(request.between_max, between);
     } else {
-      report_.first_token.Add(now - request.intended);
+      request.first_token = now - request.intended;
+      report_.first_token.Add(*request.first_token);
     }
+    ++request.events;
     request.last_event = now;
   }
 
@@ -214,17 +226,45 @@
   void Count(const OpenRequest& request, const CallResult& result) {
     bool whole = result.outcome == CallOutcome::kComplete;
     if (whole && result.status >= kFirstErrorStatus) {
-      ++report_.refused[RefusalOf(request, result.status)];
+      std::string refusal = RefusalOf(request, result.status);
+      ++report_.refused[refusal];
+      WriteSample(request, "refused", refusal);
     } else if (!whole || (request.item->stream && !request.done_seen)) {
       ++report_.broken;
-      ++report_.broken_by[whole ? "stream without [DONE]" : BrokenReason(result)];
+      std::string reason = whole ? "stream without [DONE]" : BrokenReason(result);
+      ++report_.broken_by[reason];
+      WriteSample(request, "broken", reason);
     } else {
       ++report_.answered;
       report_.total.Add(SteadyNow() - request.intended);
       ++report_.regions[request.item->region + ">" + request.serving_region];
+      WriteSample(request, "answered", "");
     }
   }
 
+  // One line of --samples. `first_token_ms` is null without a stream.
+  void WriteSample(const OpenRequest& request, const char* outcome, const std::string& reason) {
+    if (!samples_.is_open()) return;
+    auto millis = [](Duration value) { return static_cast<double>(value.count()) / 1000.0; };
+    const LoadItem& item = *request.item;
+    json sample = {{"index", request.index},
+                   {"at_ms", item.at_ms},
+                   {"region", item.region},
+                   {"serving_region", request.serving_region},
+                   {"model", item.model},
+                   {"class", item.traffic_class},
+                   {"outcome", outcome},
+                   {"reason", reason},
+                   {"output_tokens", item.output_tokens},
+                   {"total_ms", millis(SteadyNow() - request.intended)},
+                   {"first_token_ms", nullptr},
+                   {"between_count", std::max(0, request.events - 1)},
+                   {"between_sum_ms", millis(request.between_sum)},
+                   {"between_max_ms", millis(request.between_max)}};
+    if (request.first_token) sample["first_token_ms"] = millis(*request.first_token);
+    samples_ << sample.dump() << "\n";
+  }
+
   static std::string BrokenReason(const CallResult& result) {
     switch (result.outcome) {
       case CallOutcome::kComplete:
@@ -263,6 +303,7 @@
   Time start_;
   size_t next_ = 0;
   int open_ = 0;
+  std::ofstream samples_;
   LoadReport report_;
 };
 
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -1,6 +1,7 @@
 #include "core/routing.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "base/hash.h"
@@ -282,9 +283,18 @@
 
 const Candidate* PickPrefixHash(const RouteQuery& query, const std::vector<Candidate>& candidates) {
   uint64_t key = query.prefix_hashes.empty() ? query.content : query.prefix_hashes.front();
+  double present = 0;
+  double slots = 0;
+  for (const Candidate& candidate : candidates) {
+    present += candidate.present;
+    slots += candidate.slots;
+  }
   const Candidate* best = nullptr;
   uint64_t best_weight = 0;
   for (const Candidate& candidate : candidates) {
+    // The bound counts the new request, so at least one candidate is always below it.
+    double bound = std::ceil(kPrefixHashBound * (present + 1) * candidate.slots / slots);
+    if (candidate.present + 1 > bound) continue;
     uint64_t weight = Hash64(candidate.server->announced.id.value(), key);
     if (best != nullptr && weight <= best_weight) continue;
     best = &candidate;
@@ -528,6 +538,19 @@
 
 }  // namespace
 
+std::optional<RoutingPolicy> ParseRoutingPolicy(std::string_view name) {
+  constexpr std::pair<std::string_view, RoutingPolicy> kNames[] = {
+      {"cost", RoutingPolicy::kCost},
+      {"round_robin", RoutingPolicy::kRoundRobin},
+      {"least_reported", RoutingPolicy::kLeastReported},
+      {"power_of_two", RoutingPolicy::kPowerOfTwo},
+      {"prefix_hash", RoutingPolicy::kPrefixHash}};
+  for (const auto& [known, policy] : kNames) {
+    if (known == name) return policy;
+  }
+  return std::nullopt;
+}
+
 std::vector<RegionId> AllowedRegions(const ConfigView& config, const RouteConfig& route) {
   std::vector<RegionId> allowed;
   auto team = config.teams.find(route.team);
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -29,8 +29,10 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -52,6 +54,8 @@
 constexpr double kHysteresisShare = 0.2;
 constexpr Duration kHysteresisMin = milliseconds(50);
 constexpr double kPrefixGroupShare = 0.9;  // servers within 10% of the best predicted hit
+// prefix_hash: a server may hold this multiple of the mean fill of the servers with room.
+constexpr double kPrefixHashBound = 1.25;
 constexpr Duration kRegionRoundTrip = milliseconds(110);
 constexpr Duration kDomainRoundTrip = milliseconds(3);
 constexpr Duration kSummaryTtl = seconds(30);
@@ -67,8 +71,20 @@
 constexpr Duration kEjectionMax = seconds(30);
 constexpr double kMaxEjectedShare = 1.0 / 3;
 
+// How a local server is picked among those with room. Only kCost predicts prefix hits. The forward
+// to another failure domain is decided by cost under every policy.
+// - kRoundRobin: in turn.
+// - kLeastReported: fewest requests in the newest reports, without what was sent since.
+// - kPowerOfTwo: the less filled of two random servers.
+// - kPrefixHash: rendezvous hash of the first prefix block over the servers below
+//   kPrefixHashBound times the mean fill, so that a popular prefix spills to the next server.
 enum class RoutingPolicy { kRoundRobin, kLeastReported, kPowerOfTwo, kPrefixHash, kCost };
 
+// cost, round_robin, least_reported, power_of_two or prefix_hash.
+constexpr char kRoutingPolicyNames[] =
+    "cost, round_robin, least_reported, power_of_two, prefix_hash";
+std::optional<RoutingPolicy> ParseRoutingPolicy(std::string_view name);
+
 // What is asked of Choose(). Pointers must outlive the call.
 struct RouteQuery {
   TeamId team;
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -69,7 +69,8 @@
     std::random_device seed;
     ControlOptions options = MakeControlOptions();
     control_ = StartControl(options);
-    dispatcher_ = std::make_unique<Dispatcher>(control_.get(), RoutingPolicy::kCost, seed());
+    dispatcher_ = std::make_unique<Dispatcher>(
+        control_.get(), ParseRoutingPolicy(settings_.routing_policy).value(), seed());
     ready_dispatcher_ = dispatcher_.get();
     TrafficOptions traffic;
     traffic.settings = settings_;
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -9,6 +9,8 @@
 #include <set>
 #include <sstream>
 
+#include "core/routing.h"
+
 DEFINE_string(host, "", "name of this host, unique in the deployment");
 DEFINE_string(region, "", "region of this host");
 DEFINE_string(domain, "", "failure domain of this host");
@@ -24,6 +26,9 @@
 DEFINE_string(platform_token, "", "token that backend servers present");
 DEFINE_string(operator_token_sha256, "", "SHA-256 of the root operator's token, hexadecimal");
 DEFINE_string(directory_address, "", "ip:port of the client directory; empty for none");
+DEFINE_string(routing_policy, "cost",
+              "how a backend server is picked: cost, round_robin, least_reported, power_of_two, "
+              "prefix_hash");
 DEFINE_int32(traffic_threads, 2, "threads that serve requests, 1 to 16");
 DEFINE_int32(drain_timeout_s, 120, "seconds that a shutdown waits for open requests, 1 to 3600");
 
@@ -175,6 +180,7 @@
   settings.platform_token = FLAGS_platform_token;
   settings.operator_token_sha256 = FLAGS_operator_token_sha256;
   settings.directory_address = FLAGS_directory_address;
+  settings.routing_policy = FLAGS_routing_policy;
   settings.traffic_threads = FLAGS_traffic_threads;
   settings.drain_timeout = seconds(FLAGS_drain_timeout_s);
   return settings;
@@ -208,6 +214,9 @@
     issues.push_back(
         {"operator_token_sha256", settings.operator_token_sha256, "64 hexadecimal characters"});
   }
+  if (!ParseRoutingPolicy(settings.routing_policy)) {
+    issues.push_back({"routing_policy", settings.routing_policy, kRoutingPolicyNames});
+  }
   if (settings.traffic_threads < 1 || settings.traffic_threads > kMaxTrafficThreads) {
     issues.push_back({"traffic_threads", std::to_string(settings.traffic_threads), "1 to 16"});
   }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -39,7 +39,8 @@
   std::string cluster_key;
   std::string platform_token;
   std::string operator_token_sha256;
-  std::string directory_address;  // empty: no client directory
+  std::string directory_address;        // empty: no client directory
+  std::string routing_policy = "cost";  // see ParseRoutingPolicy()
   int traffic_threads = 2;
   Duration drain_timeout = seconds(120);
 };
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -470,7 +470,9 @@
   std::vector<std::string> expected = {"s1", "s2", "s3", "s1"};
   BOOST_TEST(order == expected, boost::test_tools::per_element());
 
+  // Equal loads: a server above the load bound gets no prefix.
   w.load = LocalLoad();
+  for (BackendServer& server : w.view.servers) server.announced.load.running = 3;
   w.load.policy = RoutingPolicy::kPrefixHash;
   std::map<uint64_t, std::string> homes;
   std::set<std::string> used;
@@ -486,6 +488,20 @@
     if (home != "s1") BOOST_TEST(w.Run().server.value() == home);
   }
 
+  // A popular prefix must not fill its server while the other one is idle.
+  w.load = LocalLoad();
+  w.load.policy = RoutingPolicy::kPrefixHash;
+  std::map<std::string, int> share;
+  w.query.prefix_hashes = {1};
+  for (int i = 0; i < 6; ++i) {
+    Choice choice = w.Run();
+    ++share[choice.server.value()];
+    w.Dispatch(choice);
+  }
+  BOOST_TEST(share.size() == 2u);
+
+  w.load = LocalLoad();
+  w.view.servers[0].announced.load.running = 1;
   w.load.policy = RoutingPolicy::kPowerOfTwo;
   int emptier = 0;
   for (int i = 0; i < 1'000; ++i) emptier += w.Run().server.value() == "s2" ? 1 : 0;
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -42,6 +42,7 @@
       {"cluster_key", [](Settings* s) { s->cluster_key = "short"; }},
       {"platform_token", [](Settings* s) { s->platform_token = ""; }},
       {"operator_token_sha256", [](Settings* s) { s->operator_token_sha256 = "abc"; }},
+      {"routing_policy", [](Settings* s) { s->routing_policy = "fastest"; }},
       {"traffic_threads", [](Settings* s) { s->traffic_threads = 0; }},
       {"drain_timeout_s", [](Settings* s) { s->drain_timeout = seconds(0); }},
       {"voters", [](Settings* s) { s->voters.clear(); }},
