Refuse claims on a host whose disk was lost until an operator confirms

Peers know a voter by the name of its disk, so the control thread learns of the loss before it has a configuration; the records then refuse claims for the retention. ebonylift accept-claims ends the refusal. Ruled out: a marker file alone, which is lost with the folder. Record hosts that are not voters are not covered.

--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -48,6 +48,7 @@
 int RunConfig(const std::vector<std::string>& args);
 int RunStatus(const std::vector<std::string>& args);
 int RunDrain(const std::vector<std::string>& args);
+int RunAcceptClaims(const std::vector<std::string>& args);
 int RunTimeline(const std::vector<std::string>& args);
 int RunCheckSettings(const std::vector<std::string>& args);
 
--- a/src/cli/host_commands.cc
+++ b/src/cli/host_commands.cc
@@ -94,6 +94,16 @@
   return kExitOk;
 }
 
+int RunAcceptClaims(const std::vector<std::string>& args) {
+  if (!args.empty()) {
+    return Usage("usage: ebonylift accept-claims --server=ADDRESS --token=TOKEN\n");
+  }
+  AdminReply reply = CallAdmin("POST", "/admin/v1/accept-claims", "{}");
+  if (int code = ReportFailure(reply)) return code;
+  printf("the host takes idempotency keys again\n");
+  return kExitOk;
+}
+
 int RunTimeline(const std::vector<std::string>& args) {
   if (!args.empty()) return Usage("usage: ebonylift timeline [--request_id=ID] [--since_s=N]\n");
   std::string path = "/admin/v1/timeline?request_id=" + EncodeQuery(FLAGS_request_id);
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -308,6 +308,7 @@
   Time next_pull_;
   Time last_publish_;
   std::optional<Time> publish_due_;
+  bool disk_was_lost_ = false;
   uint64_t publish_order_ = 0;
   kj::Own<kj::AsyncInputStream> wake_;
   char wake_buffer_[64] = {};
@@ -363,6 +364,7 @@
     Dirty(kPublishInterval);
   }
   replica_.Tick(now);
+  disk_was_lost_ = disk_was_lost_ || replica_.DiskLost();
   SendProbes(now);
   if (now >= next_summary_) {
     next_summary_ = now + kSummaryInterval;
@@ -451,6 +453,9 @@
   view->servers = LiveServers(registry_);
   view->hosts = HostEntries(membership_);
   view->summaries = Summaries(membership_);
+  // A view with a configuration comes after the peers have said whether they know this disk.
+  disk_was_lost_ = disk_was_lost_ || replica_.DiskLost();
+  view->disk_was_lost = disk_was_lost_;
   last_publish_ = SteadyNow();
   publish_due_.reset();
   publish_(std::move(view));
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -171,6 +171,14 @@
     options.start_drain();
     return;
   }
+  if (call.request.method == "POST" && call.request.path == "/admin/v1/accept-claims") {
+    if (!whole_deployment) {
+      throw Error(ErrorKind::kForbidden, "the token does not cover /deployment");
+    }
+    options.accept_claims();
+    SendJson(call.responder.get(), 200, {{"accepted", true}});
+    return;
+  }
   bool path_known = false;
   for (const Handler& handler : kHandlers) {
     if (call.request.path != handler.path) continue;
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -35,7 +35,8 @@
 struct OperatorApiOptions {
   ControlPort* control = nullptr;
   std::string root_token_sha256;
-  std::function<void()> start_drain;  // shuts the daemon down gracefully
+  std::function<void()> start_drain;    // shuts the daemon down gracefully
+  std::function<void()> accept_claims;  // takes idempotency keys again after a lost disk
 };
 
 // Answers a request below /admin/v1/ on the thread that runs `io`. Thread safe.
--- a/src/daemon/record_store.cc
+++ b/src/daemon/record_store.cc
@@ -49,6 +49,7 @@
     throw Error(ErrorKind::kStorageFailed, "an entry of the record journal is malformed");
   };
   journal_->Replay([&](std::string_view entry, bool is_snapshot) {
+    empty_at_start_ = false;
     if (!is_snapshot) {
       apply(entry);
       return;
@@ -112,6 +113,20 @@
   AppendEntry(EncodeHosts(hosts), [](bool) {});
 }
 
+void RecordStore::OnDiskLost() {
+  if (!journal_) return;
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (disk_lost_ || !empty_at_start_) return;
+  disk_lost_ = true;
+  AppendEntry(RefuseClaims(records_, WallNow() + kRecordRetention), [](bool) {});
+}
+
+void RecordStore::AcceptClaims() {
+  if (!journal_) return;
+  std::lock_guard<std::mutex> lock(mutex_);
+  AppendEntry(RefuseClaims(records_, 0), [](bool) {});
+}
+
 bool RecordStore::MarkDispatched(const RecordKey& key, uint64_t claim) {
   std::lock_guard<std::mutex> lock(mutex_);
   return ebonylift::MarkDispatched(records_, key, claim);
--- a/src/daemon/record_store.h
+++ b/src/daemon/record_store.h
@@ -32,6 +32,13 @@
   // another host was the owner are refused for the retention, unless `takeover`.
   void SetRecordHosts(const std::vector<HostId>& hosts, bool takeover);
 
+  // The disk of this host was lost: refuses claims for the retention, because the lost journal may
+  // have held claims of any key. Nothing happens when this journal held records at the start.
+  void OnDiskLost();
+
+  // An operator confirmed that no key of the lost journal is used again: takes claims now.
+  void AcceptClaims();
+
   bool has_disk() const { return journal_ != nullptr; }
 
   // Claims a key. For kNew, `done` runs after the claim is synced; `error` is kStorageFailed when
@@ -76,6 +83,8 @@
   Records records_;
   Jobs jobs_;
   std::optional<std::vector<HostId>> record_hosts_;  // as last configured; unknown at start
+  bool empty_at_start_ = true;
+  bool disk_lost_ = false;
   bool compacting_ = false;
   uint64_t size_after_compaction_ = 0;
 };
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -155,7 +155,8 @@
       Announce(request, responder);
     } else if (path.rfind("/admin/v1/", 0) == 0) {
       OperatorApiOptions operators{options_.control, options_.settings.operator_token_sha256,
-                                   options_.start_drain};
+                                   options_.start_drain,
+                                   [records = options_.records] { records->AcceptClaims(); }};
       HandleOperatorRequest(io_, operators, std::move(request), responder);
     } else if (path == "/v1/jobs" || path.rfind("/v1/jobs/", 0) == 0) {
       jobs_.Handle(std::move(request), responder);
@@ -250,6 +251,7 @@
       last_view_ = view;
       options_.dispatcher->OnView(view, now);
       ShowView(*view);
+      if (view->disk_was_lost) options_.records->OnDiskLost();
       auto region = view->config->regions.find(view->self.region);
       if (region != view->config->regions.end()) {
         options_.records->SetRecordHosts(region->second.record_hosts, region->second.takeover);
--- a/tests/record_store_test.cc
+++ b/tests/record_store_test.cc
@@ -119,4 +119,18 @@
   BOOST_TEST((ClaimNow(&store, journal.get(), "k").kind == ClaimKind::kNotOwned));
 }
 
+// Guards against a host whose whole folder was lost, which its own files cannot show.
+BOOST_AUTO_TEST_CASE(DiskLostByPeersWordRefusesUntilConfirmed) {
+  auto journal = std::make_shared<FakeJournal>();
+  RecordStore store(kSelf, journal);
+  store.Recover(WallNow());
+  store.OnDiskLost();
+  BOOST_TEST((ClaimNow(&store, journal.get(), "k").kind == ClaimKind::kNotOwned));
+  RecordStore restarted(kSelf, journal);
+  restarted.Recover(WallNow());
+  BOOST_TEST((ClaimNow(&restarted, journal.get(), "k").kind == ClaimKind::kNotOwned));
+  restarted.AcceptClaims();
+  BOOST_TEST((ClaimNow(&restarted, journal.get(), "k").kind == ClaimKind::kNew));
+}
+
 }  // namespace ebonylift
