--- a/tests/integration/orders_test.cc
+++ b/tests/integration/orders_test.cc
@@ -155,7 +155,8 @@
                        "--weights_per_s=1"};
   Process weight_store(options);
   ClusterSpec spec = SmallSpec(2, 6);
-  spec.engine_arguments = {"--load_ms=400", "--weight_store=" + store};
+  // Longer than the weight store needs for the next server, so that loads overlap.
+  spec.engine_arguments = {"--load_ms=2500", "--weight_store=" + store};
   spec.daemon_arguments = {"--orderer_lease_ms=10000"};
   Cluster cluster(spec);
   cluster.Start();
@@ -187,8 +188,7 @@
             << " servers loading, weight store refused " << weights["refused"] << ", answered "
             << load.answered() << ", failed " << load.failed() << ", lease puts "
             << history["changes"].size() << "\n";
-  BOOST_TEST(most >= 1);
-  BOOST_TEST(most <= kMaxLoading);
+  BOOST_TEST(most == kMaxLoading);
   BOOST_TEST(load.failed() == 0);
   BOOST_TEST(load.answered() > 20);
   BOOST_TEST(weights["refused"].get<int>() > 0);
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -64,7 +64,7 @@
     Settings settings = Valid();
     item.change(&settings);
     std::vector<SettingIssue> issues = CheckSettings(settings);
-    BOOST_REQUIRE(issues.size() >= 1);
+    BOOST_REQUIRE(!issues.empty());
     BOOST_TEST(issues[0].key == item.key);
   }
 }
