Group the summaries of a failure domain in gossip messages

Cause: with 21 models in one failure domain a host of another one sent 4.1 KB/s, mostly summary rows of about 70 packed bytes, each with the names of its failure domain, region and reporter. Rows of one failure domain now share these, and a row is about 20 bytes. The old rows are still read.

A view never shows servers that have expired by the time it is published: after the change of the message encoding control_test StoppedHostDoesNotBlockAndForgetsOldServers failed in 2 of 5 runs, because a host that had been stopped published before its next tick.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -73,13 +73,25 @@
   ageMillis @9 :UInt32;
 }
 
+# Summaries of one failure domain by one reporter. `rows` has, for each, the served name with its
+# length, `newestVersion` minus the version, servers, slots, running, waiting and the age in
+# milliseconds, as numbers of variable length.
+struct SummaryGroup {
+  domain @0 :Text;
+  region @1 :Text;
+  reporter @2 :Text;
+  newestVersion @3 :UInt64;
+  rows @4 :Data;
+}
+
 struct Digest {
   hostsHash @0 :UInt64;
   revision @1 :UInt64;
   newestRevision @2 :UInt64;
   newestHolder @3 :Text;
   hosts @4 :List(HostRow);
-  summaries @5 :List(SummaryRow);
+  summaries @5 :List(SummaryRow);  # read only; earlier versions sent it
+  groups @6 :List(SummaryGroup);
 }
 
 struct ServedModel {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -49,6 +49,7 @@
 CAPNP_DECLARE_ENUM(HostStatus, 94bb95454c725273);
 CAPNP_DECLARE_SCHEMA(841697e41116852e);
 CAPNP_DECLARE_SCHEMA(84309d295dcb1e94);
+CAPNP_DECLARE_SCHEMA(9b1e4819551e826d);
 CAPNP_DECLARE_SCHEMA(d5ee934a3f6406b2);
 CAPNP_DECLARE_SCHEMA(9b680adbb44b4a2b);
 CAPNP_DECLARE_SCHEMA(aab5e7ca71489683);
@@ -419,6 +420,21 @@
   };
 };
 
+struct SummaryGroup {
+  SummaryGroup() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9b1e4819551e826d, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Digest {
   Digest() = delete;
 
@@ -427,7 +443,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5ee934a3f6406b2, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d5ee934a3f6406b2, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2569,6 +2585,122 @@
 };
 #endif  // !CAPNP_LITE
 
+class SummaryGroup::Reader {
+public:
+  typedef SummaryGroup Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
+  inline bool hasReporter() const;
+  inline  ::capnp::Text::Reader getReporter() const;
+
+  inline  ::uint64_t getNewestVersion() const;
+
+  inline bool hasRows() const;
+  inline  ::capnp::Data::Reader getRows() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SummaryGroup::Builder {
+public:
+  typedef SummaryGroup Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+  inline bool hasReporter();
+  inline  ::capnp::Text::Builder getReporter();
+  inline void setReporter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReporter(unsigned int size);
+  inline void adoptReporter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReporter();
+
+  inline  ::uint64_t getNewestVersion();
+  inline void setNewestVersion( ::uint64_t value);
+
+  inline bool hasRows();
+  inline  ::capnp::Data::Builder getRows();
+  inline void setRows( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRows(unsigned int size);
+  inline void adoptRows(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRows();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SummaryGroup::Pipeline {
+public:
+  typedef SummaryGroup Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Digest::Reader {
 public:
   typedef Digest Reads;
@@ -2601,6 +2733,9 @@
   inline bool hasSummaries() const;
   inline  ::capnp::List< ::ebonylift::wire::SummaryRow,  ::capnp::Kind::STRUCT>::Reader getSummaries() const;
 
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2659,6 +2794,13 @@
   inline void adoptSummaries(::capnp::Orphan< ::capnp::List< ::ebonylift::wire::SummaryRow,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::SummaryRow,  ::capnp::Kind::STRUCT>> disownSummaries();
 
+  inline bool hasGroups();
+  inline  ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>> disownGroups();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5049,6 +5191,156 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SummaryGroup::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SummaryGroup::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SummaryGroup::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SummaryGroup::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SummaryGroup::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SummaryGroup::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SummaryGroup::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SummaryGroup::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SummaryGroup::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SummaryGroup::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SummaryGroup::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SummaryGroup::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SummaryGroup::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SummaryGroup::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SummaryGroup::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SummaryGroup::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool SummaryGroup::Reader::hasReporter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SummaryGroup::Builder::hasReporter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SummaryGroup::Reader::getReporter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SummaryGroup::Builder::getReporter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SummaryGroup::Builder::setReporter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SummaryGroup::Builder::initReporter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SummaryGroup::Builder::adoptReporter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SummaryGroup::Builder::disownReporter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SummaryGroup::Reader::getNewestVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SummaryGroup::Builder::getNewestVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SummaryGroup::Builder::setNewestVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SummaryGroup::Reader::hasRows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool SummaryGroup::Builder::hasRows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader SummaryGroup::Reader::getRows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder SummaryGroup::Builder::getRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void SummaryGroup::Builder::setRows( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder SummaryGroup::Builder::initRows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void SummaryGroup::Builder::adoptRows(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> SummaryGroup::Builder::disownRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Digest::Reader::getHostsHash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5193,6 +5485,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Digest::Reader::hasGroups() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasGroups() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setGroups( ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Digest::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>> Digest::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::SummaryGroup,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool ServedModel::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <tuple>
 
 #include "core/registry.h"
 
@@ -100,21 +102,6 @@
   return row;
 }
 
-void WriteSummary(const SummaryRow& row, Time now, wire::SummaryRow::Builder out) {
-  const DomainSummary& summary = row.summary;
-  out.setDomain(summary.domain.value());
-  out.setRegion(summary.region.value());
-  out.setServed(summary.served);
-  out.setVersion(summary.version);
-  out.setReporter(row.reporter.value());
-  out.setServers(summary.servers);
-  out.setSlots(summary.slots);
-  out.setRunning(summary.running);
-  out.setWaiting(summary.waiting);
-  out.setAgeMillis(
-      static_cast<uint32_t>(std::max<int64_t>(0, ToMillis(now - summary.reported_at))));
-}
-
 SummaryRow ReadSummary(wire::SummaryRow::Reader in, Time now) {
   SummaryRow row;
   row.summary.domain = DomainId(Str(in.getDomain()));
@@ -130,6 +117,71 @@
   return row;
 }
 
+using GroupKey = std::tuple<std::string, std::string, std::string>;
+
+std::map<GroupKey, std::vector<const SummaryRow*>> GroupSummaries(
+    const std::vector<SummaryRow>& rows) {
+  std::map<GroupKey, std::vector<const SummaryRow*>> groups;
+  for (const SummaryRow& row : rows) {
+    groups[{row.summary.domain.value(), row.summary.region.value(), row.reporter.value()}]
+        .push_back(&row);
+  }
+  return groups;
+}
+
+void WriteGroup(const GroupKey& key, const std::vector<const SummaryRow*>& rows, Time now,
+                wire::SummaryGroup::Builder out) {
+  uint64_t newest = 0;
+  for (const SummaryRow* row : rows) newest = std::max(newest, row->summary.version);
+  std::string bytes;
+  for (const SummaryRow* row : rows) {
+    const DomainSummary& summary = row->summary;
+    AppendVarint(summary.served.size(), &bytes);
+    bytes += summary.served;
+    AppendVarint(newest - summary.version, &bytes);
+    AppendVarint(NotNegative(summary.servers), &bytes);
+    AppendVarint(NotNegative(summary.slots), &bytes);
+    AppendVarint(NotNegative(summary.running), &bytes);
+    AppendVarint(NotNegative(summary.waiting), &bytes);
+    AppendVarint(NotNegative(ToMillis(now - summary.reported_at)), &bytes);
+  }
+  out.setDomain(std::get<0>(key));
+  out.setRegion(std::get<1>(key));
+  out.setReporter(std::get<2>(key));
+  out.setNewestVersion(newest);
+  out.setRows(capnp::Data::Reader(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+}
+
+// Ignores what follows a malformed row.
+void ReadGroup(wire::SummaryGroup::Reader in, Time now, std::vector<SummaryRow>* out) {
+  constexpr size_t kNumbers = 6;
+  auto rows = in.getRows();
+  std::string_view bytes(reinterpret_cast<const char*>(rows.begin()), rows.size());
+  while (!bytes.empty()) {
+    std::optional<uint64_t> length = TakeVarint(&bytes);
+    if (!length || *length > bytes.size()) return;
+    SummaryRow row;
+    row.summary.served = std::string(bytes.substr(0, *length));
+    bytes.remove_prefix(*length);
+    uint64_t numbers[kNumbers];
+    for (uint64_t& number : numbers) {
+      std::optional<uint64_t> value = TakeVarint(&bytes);
+      if (!value) return;
+      number = *value;
+    }
+    row.summary.domain = DomainId(Str(in.getDomain()));
+    row.summary.region = RegionId(Str(in.getRegion()));
+    row.reporter = HostId(Str(in.getReporter()));
+    row.summary.version = in.getNewestVersion() - numbers[0];
+    row.summary.servers = ToInt(numbers[1]);
+    row.summary.slots = ToInt(numbers[2]);
+    row.summary.running = ToInt(numbers[3]);
+    row.summary.waiting = ToInt(numbers[4]);
+    row.summary.reported_at = now - milliseconds(std::min<uint64_t>(numbers[5], kMaxAgeMillis));
+    out->push_back(std::move(row));
+  }
+}
+
 }  // namespace
 
 void WriteDigest(const GossipMessage& message, Time now, wire::Digest::Builder out) {
@@ -139,10 +191,10 @@
   out.setNewestHolder(message.newest_holder.value());
   auto hosts = out.initHosts(Count(message.hosts.size()));
   for (uint32_t i = 0; i < hosts.size(); ++i) WriteHostRow(message.hosts[i], hosts[i]);
-  auto summaries = out.initSummaries(Count(message.summaries.size()));
-  for (uint32_t i = 0; i < summaries.size(); ++i) {
-    WriteSummary(message.summaries[i], now, summaries[i]);
-  }
+  auto summaries = GroupSummaries(message.summaries);
+  auto groups = out.initGroups(Count(summaries.size()));
+  uint32_t next = 0;
+  for (const auto& [key, rows] : summaries) WriteGroup(key, rows, now, groups[next++]);
 }
 
 GossipMessage ReadDigest(wire::Digest::Reader in, Time now) {
@@ -155,6 +207,9 @@
   for (wire::SummaryRow::Reader row : in.getSummaries()) {
     message.summaries.push_back(ReadSummary(row, now));
   }
+  for (wire::SummaryGroup::Reader group : in.getGroups()) {
+    ReadGroup(group, now, &message.summaries);
+  }
   return message;
 }
 
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -532,9 +532,8 @@
 size_t RowBytes(const HostRow& row) { return 48 + row.id.value().size(); }
 
 size_t RowBytes(const SummaryRow& row) {
-  const DomainSummary& summary = row.summary;
-  return 96 + summary.domain.value().size() + summary.region.value().size() +
-         summary.served.size() + row.reporter.value().size();
+  // The rows of one failure domain share its names in a message.
+  return 24 + row.summary.served.size();
 }
 
 }  // namespace ebonylift
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -281,6 +281,7 @@
   void TakeChanged();
   void Dirty(Duration within);
   void PublishNow();
+  bool ExpireServers(Time now);
   std::vector<HostId> PeersWhere(const std::function<bool(const Identity&)>& match) const;
   static void AddPage(Merge* merge, TimelinePage page);
   static void FinishMerge(Merge* merge);
@@ -358,10 +359,7 @@
 }
 
 void ControlLoop::OnTick(Time now) {
-  for (const ServerId& id : Expire(&registry_, now)) {
-    LogEvent(EventId::kServerExpired, {{"server", id.value()}});
-    Dirty(kPublishInterval);
-  }
+  if (ExpireServers(now)) Dirty(kPublishInterval);
   replica_.Tick(now);
   SendProbes(now);
   if (now >= next_summary_) {
@@ -444,7 +442,15 @@
   }));
 }
 
+bool ControlLoop::ExpireServers(Time now) {
+  std::vector<ServerId> expired = Expire(&registry_, now);
+  for (const ServerId& id : expired) LogEvent(EventId::kServerExpired, {{"server", id.value()}});
+  return !expired.empty();
+}
+
 void ControlLoop::PublishNow() {
+  // A process that was stopped may publish before its next tick.
+  ExpireServers(SteadyNow());
   auto view = std::make_shared<RoutingView>();
   view->self = options_->self;
   view->config = replica_.View();
--- a/tests/packed_stream_test.cc
+++ b/tests/packed_stream_test.cc
@@ -5,6 +5,7 @@
 #include <kj/async-io.h>
 
 #include <boost/test/included/unit_test.hpp>
+#include <set>
 #include <string>
 
 #include "adapters/peer_codec.h"
@@ -123,5 +124,45 @@
   BOOST_TEST(WriteRefreshes({sent[0]}).size() <= 16u);
 }
 
+// Guards against a field of a summary that a message loses, and against rows that end up in another
+// failure domain than their own.
+BOOST_AUTO_TEST_CASE(SummariesKeepTheirFields) {
+  GossipMessage sent;
+  Time now(seconds(1000));
+  for (int i = 0; i < 12; ++i) {
+    SummaryRow row;
+    row.summary.domain = DomainId("d" + std::to_string(i % 3));
+    row.summary.region = RegionId("r" + std::to_string(i % 2));
+    row.summary.served = "model-" + std::string(static_cast<size_t>(i) * 20, 'm');
+    row.summary.version = (uint64_t{1} << 60) + static_cast<uint64_t>(i * i * 1000);
+    row.summary.servers = i;
+    row.summary.slots = 100 * i;
+    row.summary.running = 7 * i;
+    row.summary.waiting = 1000 * i;
+    row.summary.reported_at = now - milliseconds(100 * i);
+    row.reporter = HostId("h" + std::to_string(i % 4));
+    sent.summaries.push_back(row);
+  }
+  capnp::MallocMessageBuilder message;
+  WriteDigest(sent, now, message.initRoot<wire::Digest>());
+  GossipMessage read = ReadDigest(message.getRoot<wire::Digest>().asReader(), now);
+  auto text = [](const SummaryRow& row) {
+    const DomainSummary& s = row.summary;
+    std::string all = s.domain.value() + "/" + s.region.value() + "/" + s.served + "/" +
+                      row.reporter.value() + "/" + std::to_string(s.version);
+    for (int64_t number : {int64_t{s.servers}, int64_t{s.slots}, int64_t{s.running},
+                           int64_t{s.waiting}, int64_t{s.reported_at.time_since_epoch().count()}}) {
+      all += "/" + std::to_string(number);
+    }
+    return all;
+  };
+  std::set<std::string> expected;
+  std::set<std::string> found;
+  for (const SummaryRow& row : sent.summaries) expected.insert(text(row));
+  for (const SummaryRow& row : read.summaries) found.insert(text(row));
+  BOOST_TEST(found == expected, boost::test_tools::per_element());
+  BOOST_TEST(read.summaries.size() == sent.summaries.size());
+}
+
 }  // namespace
 }  // namespace ebonylift
