--- a/src/base/shared_map.h
+++ b/src/base/shared_map.h
@@ -32,7 +32,7 @@
   using value_type = typename Shard::value_type;
   static constexpr size_t kShards = 256;
 
-  class const_iterator {
+  class Iterator {
    public:
     using iterator_category = std::forward_iterator_tag;
     using value_type = typename Shard::value_type;
@@ -40,28 +40,28 @@
     using pointer = const value_type*;
     using reference = const value_type&;
 
-    const_iterator() = default;
+    Iterator() = default;
     reference operator*() const { return *entry_; }
     pointer operator->() const { return &*entry_; }
-    const_iterator& operator++() {
+    Iterator& operator++() {
       ++entry_;
       SkipToEntry();
       return *this;
     }
-    const_iterator operator++(int) {
-      const_iterator before = *this;
+    Iterator operator++(int) {
+      Iterator before = *this;
       ++*this;
       return before;
     }
-    friend bool operator==(const const_iterator& a, const const_iterator& b) {
+    friend bool operator==(const Iterator& a, const Iterator& b) {
       return a.shard_ == b.shard_ && (a.shard_ == kShards || a.entry_ == b.entry_);
     }
-    friend bool operator!=(const const_iterator& a, const const_iterator& b) { return !(a == b); }
+    friend bool operator!=(const Iterator& a, const Iterator& b) { return !(a == b); }
 
    private:
     friend class SharedMap;
-    const_iterator(const SharedMap* map, size_t shard) : map_(map), shard_(shard) {}
-    const_iterator(const SharedMap* map, size_t shard, typename Shard::const_iterator entry)
+    Iterator(const SharedMap* map, size_t shard) : map_(map), shard_(shard) {}
+    Iterator(const SharedMap* map, size_t shard, typename Shard::const_iterator entry)
         : map_(map), shard_(shard), entry_(entry) {}
 
     // Goes on to the next shard at the end of one.
@@ -78,29 +78,29 @@
     typename Shard::const_iterator entry_;
   };
 
-  const_iterator begin() const {
-    const_iterator it(this, 0);
+  Iterator begin() const {
+    Iterator it(this, 0);
     if (shards_[0]) it.entry_ = shards_[0]->begin();
     it.SkipToEntry();
     return it;
   }
-  const_iterator end() const { return const_iterator(this, kShards); }
+  Iterator end() const { return Iterator(this, kShards); }
 
   size_t size() const { return size_; }
   bool empty() const { return size_ == 0; }
   size_t count(const Key& key) const { return find(key) == end() ? 0 : 1; }
 
-  const_iterator find(const Key& key) const {
+  Iterator find(const Key& key) const {
     size_t shard = ShardOf(key);
     if (!shards_[shard]) return end();
     auto entry = shards_[shard]->find(key);
     if (entry == shards_[shard]->end()) return end();
-    return const_iterator(this, shard, entry);
+    return Iterator(this, shard, entry);
   }
 
   // Throws std::out_of_range when the key does not exist.
   const Value& at(const Key& key) const {
-    const_iterator entry = find(key);
+    Iterator entry = find(key);
     if (entry == end()) throw std::out_of_range("no such key");
     return entry->second;
   }
