Keep requests at home between full regions and slots free of chapters

A full region now attracts work only when none can run at home, what this host sent counts for each live host of its failure domain, and the queue price counts only the requests ahead. (3) Chapters filled all slots; they now leave a quarter, at least one slot, while other classes were dispatched within 2 s.

LocalLoad::queue_length is now queued_ahead; only the dispatcher used it.

--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -70,22 +70,6 @@
   return &use;
 }
 
-// Requests that are served before a new one of this class. A class above the chapters also waits
-// for their share of its own pops; the chapters wait for all others, but not longer than their
-// share takes.
-size_t Ahead(const Admission& admission, TrafficClass traffic_class) {
-  size_t ahead = 0;
-  for (TrafficClass each : kByPriority) {
-    ahead += admission.queues[Index(each)].size();
-    if (each == traffic_class) break;
-  }
-  size_t chapters = admission.queues[Index(TrafficClass::kChapter)].size();
-  if (traffic_class == TrafficClass::kChapter) {
-    return std::min(ahead, (chapters + 1) * kChapterEvery);
-  }
-  return ahead + std::min(chapters, ahead / kChapterEvery);
-}
-
 // Measures the drain rate only over intervals in which requests waited: the time between pops of an
 // empty queue says how seldom requests arrive, not how fast they are served.
 void MeasureDrain(Admission& admission, Time now) {
@@ -203,9 +187,24 @@
 
 size_t QueueLength(const Admission& admission) { return admission.queued.size(); }
 
+// A class above the chapters also waits for their share of its own pops; the chapters wait for all
+// others, but not longer than their share takes.
+size_t QueuedAhead(const Admission& admission, TrafficClass traffic_class) {
+  size_t ahead = 0;
+  for (TrafficClass each : kByPriority) {
+    ahead += admission.queues[Index(each)].size();
+    if (each == traffic_class) break;
+  }
+  size_t chapters = admission.queues[Index(TrafficClass::kChapter)].size();
+  if (traffic_class == TrafficClass::kChapter) {
+    return std::min(ahead, (chapters + 1) * kChapterEvery);
+  }
+  return ahead + std::min(chapters, ahead / kChapterEvery);
+}
+
 Duration ExpectedWait(const Admission& admission, TrafficClass traffic_class) {
   if (admission.drain_per_s <= 0) return Duration::zero();
-  size_t ahead = Ahead(admission, traffic_class);
+  size_t ahead = QueuedAhead(admission, traffic_class);
   return FromSeconds(static_cast<double>(ahead) / admission.drain_per_s);
 }
 
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -100,6 +100,9 @@
 // Requests in all queues.
 size_t QueueLength(const Admission& admission);
 
+// Requests that are served before a new one of this class.
+size_t QueuedAhead(const Admission& admission, TrafficClass traffic_class);
+
 // The expected wait of a new request of this class; 0 while the drain rate is unknown.
 Duration ExpectedWait(const Admission& admission, TrafficClass traffic_class);
 
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -143,7 +143,16 @@
   return report.running + report.waiting == 0 && candidate.present == 0;
 }
 
-bool HasRoom(const Candidate& candidate) {
+// Chapters are sent to a server that holds fewer requests than this while slots are reserved.
+int ChapterLimit(int slots) {
+  if (slots < kMinSlotsToReserve) return slots;
+  return slots - std::max(1, static_cast<int>(slots * kReservedShare));
+}
+
+bool HasRoom(const RouteQuery& query, const LocalLoad& load, const Candidate& candidate, Time now) {
+  if (query.traffic_class == TrafficClass::kChapter && now < load.reserved_until) {
+    return candidate.present < ChapterLimit(candidate.slots);
+  }
   int backlog = std::max(1, static_cast<int>(candidate.slots * kServerBacklogShare));
   return candidate.present < candidate.slots + backlog;
 }
@@ -206,7 +215,7 @@
     bool ejected = Ejected(candidate, now);
     if (!ejected) ++local.healthy;
     if (candidate.use != nullptr && candidate.use->exclusive) continue;
-    if (query.suspect ? !Idle(candidate) : !HasRoom(candidate)) continue;
+    if (query.suspect ? !Idle(candidate) : !HasRoom(query, load, candidate, now)) continue;
     if (ejected) {
       local.ejected.push_back(candidate);
     } else if (PassesSlowStart(server, now, rng)) {
@@ -328,7 +337,7 @@
 // The cost of waiting in the local queue, where every server is full.
 double QueueCost(const RouteQuery& query, const LocalServers& local, const LocalLoad& load) {
   double service_s = local.service_s / local.known;
-  double wait = (static_cast<double>(load.queue_length) + 1) * service_s / local.slots;
+  double wait = (static_cast<double>(load.queued_ahead) + 1) * service_s / local.slots;
   return query.route->weight_latency * wait +
          query.route->weight_cost * PrefillSeconds(query.prompt_tokens);
 }
@@ -379,15 +388,26 @@
   return picked;
 }
 
-double RemoteCost(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
-                  const DomainSummary& summary) {
+// Requests in the failure domain by its summary and by what was sent since. The other live hosts of
+// the own failure domain see the same load at home and are taken to have sent as much.
+int PresentAt(const RoutingView& view, const LocalLoad& load, const DomainSummary& summary) {
   int present = std::max(summary.running, 0) + std::max(summary.waiting, 0);
-  const ServerUse* use = nullptr;
   auto found = load.domains.find(summary.domain);
-  if (found != load.domains.end()) {
-    use = &found->second;
-    present += SentSince(*use, summary.reported_at);
+  if (found == load.domains.end()) return present;
+  int sent = SentSince(found->second, summary.reported_at);
+  if (sent == 0) return present;
+  int hosts = 1;
+  for (const HostEntry& host : view.hosts) {
+    if (host.domain != view.self.domain || host.id == view.self.host) continue;
+    if (host.status == HostStatus::kAlive) ++hosts;
   }
+  return present + sent * hosts;
+}
+
+double RemoteCost(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
+                  const DomainSummary& summary, int present) {
+  auto found = load.domains.find(summary.domain);
+  const ServerUse* use = found == load.domains.end() ? nullptr : &found->second;
   bool crosses = summary.region != view.self.region;
   double wait = WaitSeconds(present, std::max(summary.slots, 1), ServiceSeconds(use));
   wait += Seconds(crosses ? kRegionRoundTrip : kDomainRoundTrip);
@@ -397,7 +417,7 @@
 }
 
 Choice ChooseRemote(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
-                    Time now, std::mt19937_64& rng) {
+                    Time now, bool only_free, std::mt19937_64& rng) {
   Choice best;
   best.cost = kInfinity;
   for (const DomainSummary& summary : view.summaries) {
@@ -406,7 +426,9 @@
     if (now - summary.reported_at > kSummaryTtl) continue;
     if (!MayGoTo(query, view, summary.region)) continue;
     if (!DomainBelongs(view, summary.domain, summary.region)) continue;
-    double cost = RemoteCost(query, view, load, summary);
+    int present = PresentAt(view, load, summary);
+    if (only_free && present >= summary.slots) continue;
+    double cost = RemoteCost(query, view, load, summary, present);
     if (cost >= best.cost) continue;
     const HostEntry* host = PickHost(query, view, summary, rng);
     if (host == nullptr) continue;
@@ -582,7 +604,7 @@
   LocalServers local;
   if (local_allowed) local = FindLocal(query, view, load, now, rng);
   if (local.known == 0) {
-    Choice remote = ChooseRemote(query, view, load, now, rng);
+    Choice remote = ChooseRemote(query, view, load, now, false, rng);
     if (remote.kind == ChoiceKind::kForward) return remote;
     return Refuse(NowhereToRun(query, view, local_allowed));
   }
@@ -591,13 +613,14 @@
   if (query.hops > 0 || query.suspect) return home;
   double threshold = home.cost - Margin(query, home.cost);
   if (RemoteCostFloor(query) >= threshold) return home;
-  Choice remote = ChooseRemote(query, view, load, now, rng);
+  Choice remote = ChooseRemote(query, view, load, now, true, rng);
   return remote.kind == ChoiceKind::kForward && remote.cost < threshold ? remote : home;
 }
 
 void OnDispatch(LocalLoad& load, const RouteQuery& query, const ServerId& server,
                 uint64_t incarnation, Time now) {
   ++load.round_robin;
+  if (query.traffic_class != TrafficClass::kChapter) load.reserved_until = now + kReserveFor;
   ServerUse& use = load.servers[server];
   if (use.cache_id == 0 || use.incarnation != incarnation) {
     use.cache_id = load.next_cache_id++;
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -62,6 +62,11 @@
 constexpr double kPrefillTokensPerSecond = 8'000;
 constexpr Duration kDefaultService = seconds(1);
 constexpr double kServerBacklogShare = 0.25;  // waiting requests per slot until a server is full
+// Chapters run for seconds. While other classes were dispatched from this host within kReserveFor,
+// they leave this share of each server's slots, at least one, to them and use no backlog.
+constexpr double kReservedShare = 0.25;
+constexpr int kMinSlotsToReserve = 2;
+constexpr Duration kReserveFor = seconds(2);
 // While suspects wait, every host keeps ordinary work off the same one server of a model, so that
 // it becomes idle for them: under load no server would be idle by chance. Only where this many
 // serve it.
@@ -136,8 +141,9 @@
   std::unordered_map<ServerId, ServerUse> servers;
   std::unordered_map<DomainId, ServerUse> domains;  // forwards, by failure domain
   PrefixIndex prefixes;
+  Time reserved_until;       // chapters leave slots free; set by OnDispatch()
   Time set_aside_until;      // keep a server free for suspects; set from SetAsideUntil()
-  size_t queue_length = 0;   // requests in the local queue, all classes; set by the caller
+  size_t queued_ahead = 0;   // requests that the local queue serves first; set by the caller
   uint64_t round_robin = 0;  // advanced by OnDispatch()
   uint32_t next_cache_id = 1;
 };
@@ -157,6 +163,10 @@
   int64_t hit_tokens = 0;                  // kLocal: predicted prefix hit
 };
 
+// A failure domain whose summary shows no free slot gets forwards only when no server here can run
+// the request: summaries do not show the queues of its gateways, so a full one would always look
+// cheaper than the queue at home, and equally loaded regions would exchange their requests.
+//
 // A request that was forwarded here is forwarded again only when no server here can run it, so two
 // loaded hosts do not pass requests to each other. A suspect is forwarded under the same condition.
 //
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -54,7 +54,7 @@
 
 Choice Dispatcher::Place(const RouteQuery& query, const RoutingView& view, Time now) {
   std::lock_guard<std::mutex> lock(mutex_);
-  load_.queue_length = QueueLength(admission_);
+  load_.queued_ahead = QueuedAhead(admission_, query.traffic_class);
   Choice choice = Choose(query, view, load_, now, rng_);
   RecordPlace(choice, query, now);
   return choice;
@@ -80,8 +80,11 @@
 void Dispatcher::PlaceWaiting(Time now, Wakes* wakes) {
   if (!view_) return;
   Choice choice;
+  // Pop() offers requests in the order in which they are served, so those that it offered before
+  // are ahead of the next one.
+  size_t offered = 0;
   auto can_run = [&](const QueuedRequest& request) {
-    load_.queue_length = QueueLength(admission_);
+    load_.queued_ahead = offered++;
     choice = Choose(waiting_.at(request.id).query, *view_, load_, now, rng_);
     return choice.kind != ChoiceKind::kQueue;
   };
@@ -90,6 +93,7 @@
     RecordPlace(choice, entry->second.query, now);
     wakes->emplace_back(std::move(entry->second.wake), choice);
     waiting_.erase(entry);
+    offered = 0;
   }
 }
 
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -349,32 +349,54 @@
       {"home waits longer", "forward h1",
        [&](World& w) {
          busy(w, 100);
-         w.load.queue_length = 4;
+         w.load.queued_ahead = 4;
        }},
       {"may not be sent away", "queue",
        [&](World& w) {
          busy(w, 100);
-         w.load.queue_length = 4;
+         w.load.queued_ahead = 4;
          w.route.send_away = false;
        }},
       {"remote weight keeps it at home", "queue",
        [&](World& w) {
          busy(w, 100);
-         w.load.queue_length = 4;
+         w.load.queued_ahead = 4;
          w.route.weight_remote = 10;
        }},
       {"the other side is as busy", "queue",
        [&](World& w) {
          busy(w, 100);
-         w.load.queue_length = 4;
+         w.load.queued_ahead = 4;
          w.view.summaries[0].running = 100;
        }},
+      // Guards against equally loaded regions that exchange their requests: the summary does not
+      // show the queue of the other gateways.
+      {"the other side has no free slot", "queue",
+       [&](World& w) {
+         busy(w, 100);
+         w.load.queued_ahead = 400;
+         w.view.summaries[0].running = 8;
+       }},
       {"what was sent there since its report counts", "queue",
        [&](World& w) {
          busy(w, 100);
-         w.load.queue_length = 4;
+         w.load.queued_ahead = 4;
          for (int i = 0; i < 100; ++i) OnForward(w.load, DomainId("norte-a"), kNow + seconds(1));
        }},
+      // Guards against chapters that fill all slots, which made interactive requests wait seconds.
+      {"a chapter leaves slots to recent interactive requests", "queue",
+       [&](World& w) {
+         busy(w, 6);
+         w.route.send_away = false;
+         w.query.traffic_class = TrafficClass::kChapter;
+         w.load.reserved_until = kNow + seconds(1);
+       }},
+      {"a chapter takes all slots without recent interactive requests", "local s1",
+       [&](World& w) {
+         busy(w, 6);
+         w.route.send_away = false;
+         w.query.traffic_class = TrafficClass::kChapter;
+       }},
       {"no server here", "forward h1",
        [&](World& w) {
          busy(w, 0);
@@ -721,7 +743,7 @@
     w.query.suspect = pick(6) == 0;
     w.route.send_away = pick(3) != 0;
     w.route.weight_remote = pick(2);
-    w.load.queue_length = static_cast<size_t>(pick(50));
+    w.load.queued_ahead = static_cast<size_t>(pick(50));
     w.load.policy = static_cast<RoutingPolicy>(pick(5));
     for (int i = pick(4); i > 0; --i) {
       BackendServer& server = w.AddServer("s" + std::to_string(i), pick(14) - 2);
