Let refusals cover all attempts and retry past a failed region

Ruled out: the peer, whose statements about its own attempts were right. Not watched: requests that are not idempotent; their answer may still come.

--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -16,7 +16,10 @@
 constexpr Duration kConnectTimeout = milliseconds(1000);
 constexpr int kMaxResumes = 3;
 constexpr Duration kWatchPeriod = milliseconds(250);
-// A server that stopped announcing and sent nothing for this long is given up for idempotent work.
+// A call may time out up to a millisecond before the deadline, because libcurl counts whole ones.
+constexpr Duration kTimeoutRounding = milliseconds(2);
+// A server that stopped announcing, or a host that failed, and that sent nothing for this long is
+// given up for idempotent work.
 constexpr Duration kSilentServer = milliseconds(1500);
 const char kReplayedHeader[] = "x-ebonylift-replayed";
 const char kKeyExpiresHeader[] = "x-ebonylift-key-expires-ms";
@@ -43,11 +46,11 @@
   return "failed";
 }
 
-// A peer refused before dispatch for a reason that another host may not have.
+// A peer refused for a reason that another host may not have; the retry rule decides on the run.
 bool AnotherHostMayAccept(ErrorKind kind) {
   return kind == ErrorKind::kDraining || kind == ErrorKind::kNoServer ||
          kind == ErrorKind::kOverloaded || kind == ErrorKind::kNotReady ||
-         kind == ErrorKind::kServerRefused;
+         kind == ErrorKind::kServerRefused || kind == ErrorKind::kServerFailed;
 }
 
 // The error kind in a peer's answer; nullopt when the body is not in the error format.
@@ -450,10 +453,10 @@
   call.headers = BackendHeaders();
   call_ = context_.client->Start(std::move(call));
   last_byte_ = now;
-  if (spec_.idempotent) WatchServer(attempt_);
+  if (spec_.idempotent) WatchAttempt(attempt_);
 }
 
-void Exchange::WatchServer(uint32_t attempt) {
+void Exchange::WatchAttempt(uint32_t attempt) {
   watch_timer_.expires_after(kWatchPeriod);
   ExchangeTable* table = context_.table;
   watch_timer_.async_wait([table, attempt, id = id_](const asio::error_code& error) {
@@ -462,23 +465,33 @@
   });
 }
 
-// A frozen server keeps its connections open, so idempotent work would wait until its deadline.
-void Exchange::OnWatch(uint32_t attempt) {
-  if (attempt != attempt_ || !server_) return;
+// By the newest view: the server announces, or the host of a forward answers probes.
+bool Exchange::TargetLive(const Attempt& attempt) const {
   std::shared_ptr<const RoutingView> view = context_.control->View();
-  const Attempt* open = FindAttempt(attempts_, attempt);
-  bool live = false;
   for (const BackendServer& server : view->servers) {
-    live = live || (server.announced.id == *server_ && server.expires_at > SteadyNow() &&
-                    server.announced.incarnation == open->incarnation);
+    if (server_ && server.announced.id == *server_) {
+      return server.expires_at > SteadyNow() && server.announced.incarnation == attempt.incarnation;
+    }
+  }
+  for (const HostEntry& host : view->hosts) {
+    if (!forwarding_ || host.id != forward_host_) continue;
+    // A host of another failure domain is never declared failed from here, only suspected.
+    return host.status != HostStatus::kSuspect && host.status != HostStatus::kFailed;
   }
+  return false;
+}
+
+// A frozen server or a silent partition keeps connections open, so idempotent work would wait until
+// its deadline.
+void Exchange::OnWatch(uint32_t attempt) {
+  if (attempt != attempt_) return;
   bool silent = SteadyNow() - last_byte_ > kSilentServer;
-  if (live || !silent) {
-    WatchServer(attempt);
+  if (!silent || TargetLive(*FindAttempt(attempts_, attempt))) {
+    WatchAttempt(attempt);
     return;
   }
   CancelAttempt();
-  OnAttemptFailed(CallResult{CallOutcome::kTimedOut, 0, "the server stopped announcing", false},
+  OnAttemptFailed(CallResult{CallOutcome::kTimedOut, 0, "the server or host is gone", false},
                   ebonylift::Run::kMayHaveRun);
 }
 
@@ -486,6 +499,7 @@
   Time now = SteadyNow();
   dispatched_at_ = now;
   forwarding_ = true;
+  forward_host_ = host.id;
   // A forward to the owner is not a placement, so it was not counted as one.
   if (!to_owner_) forward_domain_ = domain;
   avoid_hosts_.push_back(host.id);
@@ -524,6 +538,8 @@
   call.headers = spec_.headers;
   call.headers.emplace_back(kForwardHeader, EncodeForward(mark, binding, context_.cluster_key));
   call_ = context_.client->Start(std::move(call));
+  last_byte_ = now;
+  if (spec_.idempotent) WatchAttempt(attempt_);
 }
 
 void Exchange::OnHeaders(uint32_t attempt, int status, const HttpHeaders& headers) {
@@ -620,7 +636,7 @@
       return;
     case CallOutcome::kFailed:
       if (server_) {
-        CheckServerLost(result, ebonylift::Run::kMayHaveRun);
+        CheckServerLost(result);
       } else {
         OnAttemptFailed(result, ebonylift::Run::kMayHaveRun);
       }
@@ -635,7 +651,7 @@
     if (stream_.done() || stream_.error()) {
       Deliver();
     } else if (server_) {
-      CheckServerLost(broken, ebonylift::Run::kMayHaveRun);
+      CheckServerLost(broken);
     } else {
       OnAttemptFailed(broken, ebonylift::Run::kMayHaveRun);
     }
@@ -645,7 +661,7 @@
     std::optional<ErrorKind> kind = PeerErrorKind(answer_);
     if (kind && !to_owner_ && AnotherHostMayAccept(*kind)) {
       OnAttemptFailed(CallResult{CallOutcome::kComplete, status_, LookupError(*kind).code, true},
-                      ebonylift::Run::kNotRun);
+                      LookupError(*kind).run);
     } else if (kind) {
       RelayPeerError();
     } else {
@@ -698,8 +714,11 @@
 
 // After a lost connection: a server that does not answer a probe was lost while it ran this
 // request, which makes the content a suspect.
-void Exchange::CheckServerLost(const CallResult& result, ebonylift::Run run) {
-  LossEvidence evidence = context_.dispatcher->Evidence(*server_);
+void Exchange::CheckServerLost(const CallResult& result) {
+  ProbeServer(context_.dispatcher->Evidence(*server_), result, false);
+}
+
+void Exchange::ProbeServer(const LossEvidence& evidence, const CallResult& result, bool again) {
   HttpCall call;
   call.url = "http://" + server_address_ + "/healthz";
   call.timeout = kProbeTimeout;
@@ -708,8 +727,19 @@
   ExchangeTable* table = context_.table;
   Dispatcher* dispatcher = context_.dispatcher;
   call.on_done = [=, id = id_](const CallResult& probe) {
-    if (probe.outcome != CallOutcome::kComplete) dispatcher->OnLost(evidence, SteadyNow());
-    if (Exchange* exchange = table->Find(id)) exchange->OnAttemptFailed(result, run);
+    Exchange* exchange = table->Find(id);
+    // A server that accepts connections and ends them has not crashed. A relay in front of a
+    // crashed one does so for the first connection only.
+    bool accepted =
+        probe.outcome == CallOutcome::kFailed || probe.outcome == CallOutcome::kNothingWritten;
+    if (accepted && !again && exchange != nullptr) {
+      exchange->ProbeServer(evidence, result, true);
+      return;
+    }
+    if (probe.outcome != CallOutcome::kComplete && !accepted) {
+      dispatcher->OnLost(evidence, SteadyNow());
+    }
+    if (exchange != nullptr) exchange->OnAttemptFailed(result, ebonylift::Run::kMayHaveRun);
   };
   call_ = context_.client->Start(std::move(call));
 }
@@ -773,7 +803,8 @@
   RetryRule rule;
   rule.idempotent = spec_.idempotent;
   rule.attempts = static_cast<int>(attempts_.attempts.size());
-  RetryVerdict verdict = context_.dispatcher->MayRetry(spec_.team, rule, run, spec_.deadline, now);
+  RetryVerdict verdict =
+      context_.dispatcher->MayRetry(spec_.team, rule, run, spec_.deadline - kTimeoutRounding, now);
   if (verdict != RetryVerdict::kRetry) {
     RefuseOutcome();
     return;
@@ -825,12 +856,18 @@
 }
 
 void Exchange::RelayPeerError() {
-  // The peer's statement covers its attempts; it is the last one, so nothing else ran.
-  OnFailure(attempts_, attempt_, LookupError(*PeerErrorKind(answer_)).run);
+  ErrorKind kind = *PeerErrorKind(answer_);
+  OnFailure(attempts_, attempt_, LookupError(kind).run);
+  // The peer's statement covers its own attempts only.
+  if (Covering(kind) != kind) {
+    EndAttempt(ServerOutcome::kOk);
+    Refuse(kind, "");
+    return;
+  }
   HttpHeaders headers = AnswerHeaders();
   EndAttempt(ServerOutcome::kOk);
   LogEvent(EventId::kRequestRefused, {{"request_id", spec_.id.value()},
-                                      {"kind", LookupError(*PeerErrorKind(answer_)).code},
+                                      {"kind", LookupError(kind).code},
                                       {"run", RunName(RequestRun(attempts_))}});
   if (responder_) responder_->Send(status_, headers, answer_);
   Finish();
@@ -886,7 +923,7 @@
 
 void Exchange::RefuseOutcome() {
   ebonylift::Run run = RequestRun(attempts_);
-  bool late = SteadyNow() >= spec_.deadline;
+  bool late = SteadyNow() + kTimeoutRounding >= spec_.deadline;
   bool not_run = run == ebonylift::Run::kNotRun;
   ErrorKind kind = not_run ? ErrorKind::kServerRefused : ErrorKind::kServerFailed;
   if (to_owner_) kind = not_run ? ErrorKind::kOwnerUnreachable : ErrorKind::kOutcomeUnknown;
@@ -895,7 +932,17 @@
   Refuse(kind, "");
 }
 
+// A kind that says not_run, replaced when an earlier attempt of this request may have run.
+ErrorKind Exchange::Covering(ErrorKind kind) const {
+  bool covers = LookupError(kind).run != ebonylift::Run::kNotRun ||
+                RequestRun(attempts_) == ebonylift::Run::kNotRun;
+  if (covers) return kind;
+  if (kind == ErrorKind::kPoison) return ErrorKind::kPoisonDetected;
+  return kind == ErrorKind::kDeadlineNotRun ? ErrorKind::kDeadline : ErrorKind::kServerFailed;
+}
+
 void Exchange::Refuse(ErrorKind kind, const std::string& message, Duration retry_after) {
+  kind = Covering(kind);
   LogEvent(EventId::kRequestRefused, {{"request_id", spec_.id.value()},
                                       {"kind", LookupError(kind).code},
                                       {"run", RunName(LookupError(kind).run)}});
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -82,16 +82,19 @@
   void OnComplete();
   void OnAttemptFailed(const CallResult& result, ebonylift::Run run);
   void ConfirmNotStarted(const CallResult& result);
-  void CheckServerLost(const CallResult& result, ebonylift::Run run);
+  void CheckServerLost(const CallResult& result);
+  void ProbeServer(const LossEvidence& evidence, const CallResult& result, bool again);
   void RetryOrRefuse(ebonylift::Run run);
   bool TryResume();
-  void WatchServer(uint32_t attempt);
+  void WatchAttempt(uint32_t attempt);
   void OnWatch(uint32_t attempt);
+  bool TargetLive(const Attempt& attempt) const;
 
   // Ends.
   void Deliver();
   void RelayPeerError();
   void RefuseOutcome();
+  ErrorKind Covering(ErrorKind kind) const;
   void Refuse(ErrorKind kind, const std::string& message, Duration retry_after = Duration{0});
   void OnCallerGone();
   void EndAttempt(ServerOutcome outcome);
@@ -138,6 +141,7 @@
   bool server_cancels_ = false;
   std::optional<DomainId> forward_domain_;  // of the open attempt, when it is a forward
   bool forwarding_ = false;
+  HostId forward_host_;    // of the open attempt, when it is a forward
   bool to_owner_ = false;  // the forward is to the owner of the key
   std::vector<ServerId> avoid_servers_;
   std::vector<HostId> avoid_hosts_;
