--- a/tests/integration/leaving_test.cc
+++ b/tests/integration/leaving_test.cc
@@ -234,7 +234,7 @@
   cluster.Start(seconds(40));
   Callers callers(cluster);
   WaitAllInUse(cluster);
-  const std::string gone = kEngines[0];
+  const std::string& gone = kEngines[0];
   cluster.SetLinks("servers-este-a>*", {{"drop", "both"}});
   // The first announcement that gets no answer is on its way when the server falls silent.
   uint64_t sent = AnnouncerOf(cluster, gone)["seq"];
@@ -268,7 +268,7 @@
   Cluster cluster(LeavingSpec());
   cluster.Start(seconds(40));
   Callers callers(cluster);
-  const std::string back = kEngines[0];
+  const std::string& back = kEngines[0];
   WaitAllInUse(cluster);
   // The other servers have passed their own slow start.
   int64_t newest = 0;
