Let a chapter whose turn has come use the reserved slots

While interactive requests wait, every freed slot went to one of them and chapters, limited to three quarters of the slots, could not take their turn of one pop in 16. IsChapterTurn() now lifts the reserve for that pop.

--- a/scripts/experiment.py
+++ b/scripts/experiment.py
@@ -30,8 +30,7 @@
 PREFILL_US = 125  # per prompt token, as routing.h assumes
 SLOTS = 4
 CACHE_TOKENS = 20000
-DAEMON_TARGET_S = 1.4
-BETWEEN_TARGET_MS = 33
+FIRST_TOKEN_TARGET_S = 1.4
 
 # ---- the trace
 
@@ -380,7 +379,7 @@
                                                           share / 100)
         if KINDS[kind][4]:
             row[f'{kind}_first_in_target_share'] = (
-                sum(f <= DAEMON_TARGET_S * 1000 for f in first) / max(1, len(first)))
+                sum(f <= FIRST_TOKEN_TARGET_S * 1000 for f in first) / max(1, len(first)))
         row[f'{kind}_refused_share'] = 1 - len(of_kind) / max(
             1, sum(s['class'] == kind for s in samples))
     for share in (50, 95, 99):
--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -152,7 +152,7 @@
                                  const std::function<bool(const QueuedRequest&)>& can_run) {
   std::optional<QueuedRequest> popped;
   bool chapters_wait = !admission.queues[Index(TrafficClass::kChapter)].empty();
-  if (chapters_wait && admission.pops_since_chapter >= kChapterEvery - 1) {
+  if (IsChapterTurn(admission)) {
     popped = PopClass(admission, TrafficClass::kChapter, now, can_run);
   }
   for (TrafficClass each : kByPriority) {
@@ -165,6 +165,11 @@
   return popped;
 }
 
+bool IsChapterTurn(const Admission& admission) {
+  return !admission.queues[Index(TrafficClass::kChapter)].empty() &&
+         admission.pops_since_chapter >= kChapterEvery - 1;
+}
+
 std::vector<QueuedRequest> Expire(Admission& admission, Time now) {
   std::vector<QueuedRequest> expired;
   for (auto& queue : admission.queues) {
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -91,6 +91,9 @@
 std::optional<QueuedRequest> Pop(Admission& admission, Time now,
                                  const std::function<bool(const QueuedRequest&)>& can_run = {});
 
+// True when the next Pop() offers a chapter first.
+bool IsChapterTurn(const Admission& admission);
+
 // Removes and returns the requests whose deadline has passed; answer them with kDeadlineNotRun.
 std::vector<QueuedRequest> Expire(Admission& admission, Time now);
 
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -150,7 +150,8 @@
 }
 
 bool HasRoom(const RouteQuery& query, const LocalLoad& load, const Candidate& candidate, Time now) {
-  if (query.traffic_class == TrafficClass::kChapter && now < load.reserved_until) {
+  if (query.traffic_class == TrafficClass::kChapter && !query.uses_reserve &&
+      now < load.reserved_until) {
     return candidate.present < ChapterLimit(candidate.slots);
   }
   int backlog = std::max(1, static_cast<int>(candidate.slots * kServerBacklogShare));
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -85,7 +85,7 @@
 //   kPrefixHashBound times the mean fill, so that a popular prefix spills to the next server.
 enum class RoutingPolicy { kRoundRobin, kLeastReported, kPowerOfTwo, kPrefixHash, kCost };
 
-// cost, round_robin, least_reported, power_of_two or prefix_hash.
+// The names that ParseRoutingPolicy() accepts.
 constexpr char kRoutingPolicyNames[] =
     "cost, round_robin, least_reported, power_of_two, prefix_hash";
 std::optional<RoutingPolicy> ParseRoutingPolicy(std::string_view name);
@@ -105,6 +105,7 @@
   std::vector<ServerId> avoid_servers;  // tried before
   std::vector<HostId> avoid_hosts;      // the sender of a forward, hosts that refused
   bool suspect = false;                 // needs a server without other work
+  bool uses_reserve = false;            // a chapter whose turn has come, see kReservedShare
 };
 
 // The regions that both the team's residency and the route allow, in the order of the route; empty
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -85,7 +85,10 @@
   size_t offered = 0;
   auto can_run = [&](const QueuedRequest& request) {
     load_.queued_ahead = offered++;
-    choice = Choose(waiting_.at(request.id).query, *view_, load_, now, rng_);
+    RouteQuery& query = waiting_.at(request.id).query;
+    // Without this, chapters would not run while interactive requests fill the reserved slots.
+    query.uses_reserve = IsChapterTurn(admission_);
+    choice = Choose(query, *view_, load_, now, rng_);
     return choice.kind != ChoiceKind::kQueue;
   };
   while (std::optional<QueuedRequest> request = Pop(admission_, now, can_run)) {
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -391,6 +391,14 @@
          w.query.traffic_class = TrafficClass::kChapter;
          w.load.reserved_until = kNow + seconds(1);
        }},
+      {"a chapter whose turn has come uses them", "local s1",
+       [&](World& w) {
+         busy(w, 6);
+         w.route.send_away = false;
+         w.query.traffic_class = TrafficClass::kChapter;
+         w.query.uses_reserve = true;
+         w.load.reserved_until = kNow + seconds(1);
+       }},
       {"a chapter takes all slots without recent interactive requests", "local s1",
        [&](World& w) {
          busy(w, 6);
