--- a/src/daemon/config_replica.cc
+++ b/src/daemon/config_replica.cc
@@ -1076,6 +1076,8 @@
   return impl_->state->disk_lost || !impl_->state->hard.may_found;
 }
 
+bool ConfigReplica::DiskConfirmed() const { return !impl_->state || impl_->state->hard.confirmed; }
+
 bool ConfigReplica::StorageOk() const { return impl_->storage_ok; }
 
 }  // namespace ebonylift
--- a/src/daemon/config_replica.h
+++ b/src/daemon/config_replica.h
@@ -150,6 +150,10 @@
   // the replica has caught up.
   bool DiskLost() const;
 
+  // False on a voter until the consensus has accepted its disk: at the first start of a deployment
+  // that is the first election, after a lost disk the end of the catch-up. True on other hosts.
+  bool DiskConfirmed() const;
+
   // False after a failed write until a retry succeeds; the host takes no part in consensus then.
   bool StorageOk() const;
 
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -310,6 +310,7 @@
   Time last_publish_;
   std::optional<Time> publish_due_;
   bool disk_was_lost_ = false;
+  bool disk_confirmed_ = false;  // as published
   uint64_t publish_order_ = 0;
   kj::Own<kj::AsyncInputStream> wake_;
   char wake_buffer_[64] = {};
@@ -363,6 +364,7 @@
   if (ExpireServers(now)) Dirty(kPublishInterval);
   replica_.Tick(now);
   disk_was_lost_ = disk_was_lost_ || replica_.DiskLost();
+  if (replica_.DiskConfirmed() != disk_confirmed_) Dirty(kPublishInterval);
   SendProbes(now);
   if (now >= next_summary_) {
     next_summary_ = now + kSummaryInterval;
@@ -462,6 +464,8 @@
   // A view with a configuration comes after the peers have said whether they know this disk.
   disk_was_lost_ = disk_was_lost_ || replica_.DiskLost();
   view->disk_was_lost = disk_was_lost_;
+  disk_confirmed_ = replica_.DiskConfirmed();
+  view->disk_confirmed = disk_confirmed_;
   last_publish_ = SteadyNow();
   publish_due_.reset();
   publish_(std::move(view));
--- a/src/daemon/record_store.cc
+++ b/src/daemon/record_store.cc
@@ -87,7 +87,12 @@
   }
   ClaimResult result;
   {
-    std::lock_guard<std::mutex> lock(mutex_);
+    std::unique_lock<std::mutex> lock(mutex_);
+    if (empty_at_start_ && !disk_confirmed_) {
+      lock.unlock();
+      done(ClaimResult(), ErrorKind::kOwnerUnreachable);
+      return;
+    }
     result = ebonylift::Claim(records_, key, body_hash, WallNow());
     if (result.kind == ClaimKind::kNew) {
       AppendEntry(result.entry, [this, key, result, done](bool ok) {
@@ -113,6 +118,11 @@
   AppendEntry(EncodeHosts(hosts), [](bool) {});
 }
 
+void RecordStore::OnDiskConfirmed() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  disk_confirmed_ = true;
+}
+
 void RecordStore::OnDiskLost() {
   if (!journal_) return;
   std::lock_guard<std::mutex> lock(mutex_);
--- a/src/daemon/record_store.h
+++ b/src/daemon/record_store.h
@@ -32,6 +32,10 @@
   // another host was the owner are refused for the retention, unless `takeover`.
   void SetRecordHosts(const std::vector<HostId>& hosts, bool takeover);
 
+  // The peers know this host's disk, and it was not lost, or OnDiskLost() was called before. Until
+  // then a journal that was empty at the start takes no claims: it may be a lost one.
+  void OnDiskConfirmed();
+
   // The disk of this host was lost: refuses claims for the retention, because the lost journal may
   // have held claims of any key. Nothing happens when this journal held records at the start.
   void OnDiskLost();
@@ -84,6 +88,7 @@
   Jobs jobs_;
   std::optional<std::vector<HostId>> record_hosts_;  // as last configured; unknown at start
   bool empty_at_start_ = true;
+  bool disk_confirmed_ = false;
   bool disk_lost_ = false;
   bool compacting_ = false;
   uint64_t size_after_compaction_ = 0;
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -252,6 +252,7 @@
       options_.dispatcher->OnView(view, now);
       ShowView(*view);
       if (view->disk_was_lost) options_.records->OnDiskLost();
+      if (view->disk_confirmed) options_.records->OnDiskConfirmed();
       auto region = view->config->regions.find(view->self.region);
       if (region != view->config->regions.end()) {
         options_.records->SetRecordHosts(region->second.record_hosts, region->second.takeover);
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -203,6 +203,7 @@
   std::vector<BackendServer> servers;        // of the own failure domain, by id
   std::vector<HostEntry> hosts;              // all known hosts, this one included, by id
   std::vector<DomainSummary> summaries;      // all failure domains, the own one included
+  bool disk_confirmed = false;               // the peers know this host's disk; see ConfigReplica
   bool disk_was_lost = false;  // peers know this voter with another disk, since the process started
 };
 
--- a/tests/record_store_test.cc
+++ b/tests/record_store_test.cc
@@ -66,10 +66,12 @@
   {
     RecordStore store(kSelf, journal);
     store.Recover(WallNow());
+    store.OnDiskConfirmed();
     BOOST_TEST((ClaimNow(&store, journal.get(), "k").kind == ClaimKind::kNew));
   }
   RecordStore restarted(kSelf, journal);
   restarted.Recover(WallNow());
+  restarted.OnDiskConfirmed();
   BOOST_TEST((ClaimNow(&restarted, journal.get(), "k").kind == ClaimKind::kOutcomeUnknown));
 }
 
@@ -78,6 +80,7 @@
   auto journal = std::make_shared<FakeJournal>();
   RecordStore store(kSelf, journal);
   store.Recover(WallNow());
+  store.OnDiskConfirmed();
   BOOST_TEST((ClaimNow(&store, journal.get(), "k", false).error == ErrorKind::kStorageFailed));
   BOOST_TEST((ClaimNow(&store, journal.get(), "k").kind == ClaimKind::kNew));
 }
@@ -96,11 +99,13 @@
     auto journal = std::make_shared<FakeJournal>();
     auto store = std::make_unique<RecordStore>(kSelf, journal);
     store->Recover(WallNow());
+    store->OnDiskConfirmed();
     store->SetRecordHosts(before, false);
     journal->Sync();
     if (restart) {
       store = std::make_unique<RecordStore>(kSelf, journal);
       store->Recover(WallNow());
+      store->OnDiskConfirmed();
     }
     store->SetRecordHosts(after, false);
     BOOST_TEST((ClaimNow(store.get(), journal.get(), foreign).kind == ClaimKind::kNotOwned));
@@ -116,6 +121,7 @@
   journal->set_lost(true);
   RecordStore store(kSelf, journal);
   store.Recover(WallNow());
+  store.OnDiskConfirmed();
   BOOST_TEST((ClaimNow(&store, journal.get(), "k").kind == ClaimKind::kNotOwned));
 }
 
@@ -124,13 +130,25 @@
   auto journal = std::make_shared<FakeJournal>();
   RecordStore store(kSelf, journal);
   store.Recover(WallNow());
+  store.OnDiskConfirmed();
   store.OnDiskLost();
   BOOST_TEST((ClaimNow(&store, journal.get(), "k").kind == ClaimKind::kNotOwned));
   RecordStore restarted(kSelf, journal);
   restarted.Recover(WallNow());
+  restarted.OnDiskConfirmed();
   BOOST_TEST((ClaimNow(&restarted, journal.get(), "k").kind == ClaimKind::kNotOwned));
   restarted.AcceptClaims();
   BOOST_TEST((ClaimNow(&restarted, journal.get(), "k").kind == ClaimKind::kNew));
 }
 
+// Guards against claims between the start on an empty disk and the peers' word on that disk.
+BOOST_AUTO_TEST_CASE(EmptyJournalWaitsForConfirmation) {
+  auto journal = std::make_shared<FakeJournal>();
+  RecordStore store(kSelf, journal);
+  store.Recover(WallNow());
+  BOOST_TEST((ClaimNow(&store, journal.get(), "k").error == ErrorKind::kOwnerUnreachable));
+  store.OnDiskConfirmed();
+  BOOST_TEST((ClaimNow(&store, journal.get(), "k").kind == ClaimKind::kNew));
+}
+
 }  // namespace ebonylift
