Wait for a leader before the burst of changes in the configuration test

Cause: the test kills norte-a-1; when it led, all 300 changes were refused with no_quorum, not_run, during the election, and the test counted them as lost. Ruled out: lost accepted changes; none was accepted. The check lost == 0 is unchanged.

--- a/tests/integration/config_test.cc
+++ b/tests/integration/config_test.cc
@@ -197,6 +197,12 @@
   cluster.Start(seconds(40));
   std::vector<std::string> hosts = cluster.HostIds();
   cluster.KillHost("norte-a-1");
+  // If the killed voter led, changes are refused with not_run until the others have elected.
+  auto has_leader = [&] {
+    std::string leader = StatusOf(cluster, "este-a-1").value("leader", "");
+    return !leader.empty() && leader != "norte-a-1";
+  };
+  BOOST_REQUIRE(WaitFor(has_leader, seconds(15)));
   constexpr int kOperators = 12;
   constexpr int kChangesEach = 25;
   std::atomic<int> lost{0};
