Test what refusals say of the run

Ruled out: failures of the third-region case with an empty retry budget; the case fills it first. Idempotent requests on connections that were open before a refusal may succeed.

--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -382,6 +382,19 @@
   }
 }
 
+uint64_t Cluster::RevisionOf(const std::string& path) const {
+  TestCall call;
+  call.url = "http://" + hosts_.begin()->second.http_address + "/admin/v1/config?path=" + path;
+  call.headers = {{"authorization", "Bearer " + operator_token_}};
+  TestResponse response = Call(call);
+  json body = json::parse(response.body, nullptr, false);
+  if (response.status != 200) Fail("no revision of " + path + ": " + response.body);
+  for (const json& entry : body["entries"]) {
+    if (entry["path"] == path) return entry["revision"];
+  }
+  Fail("no entry " + path);
+}
+
 void Cluster::PutConfiguration(Duration timeout) {
   std::map<std::string, json> regions;
   for (const DomainSpec& domain : spec_.domains) {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -118,6 +118,9 @@
   void PutConfig(const std::string& path, const nlohmann::json& value, uint64_t base_revision = 0,
                  const std::string& host = "", Duration timeout = seconds(10));
 
+  // The revision of a path, for `base_revision`. Throws std::runtime_error when there is none.
+  uint64_t RevisionOf(const std::string& path) const;
+
   std::vector<std::string> HostIds() const;
   std::vector<std::string> ServerIds() const;
   HostHandle& host(const std::string& id);
--- a/tests/support/keyed_deployment.h
+++ b/tests/support/keyed_deployment.h
@@ -53,9 +53,7 @@
   return ask;
 }
 
-inline std::future<TestResponse> SendLater(const Ask& ask) {
-  return std::async(std::launch::async, [ask] { return Send(Shared(), ask); });
-}
+inline std::future<TestResponse> SendLater(const Ask& ask) { return SendLater(Shared(), ask); }
 
 inline TestResponse Resend(Ask ask, const std::string& host) {
   ask.host = host;
--- a/tests/support/requests.cc
+++ b/tests/support/requests.cc
@@ -1,5 +1,7 @@
 #include "tests/support/requests.h"
 
+#include <algorithm>
+
 #include "testing/answer.h"
 #include "tests/support/wait_for.h"
 
@@ -33,6 +35,10 @@
 
 TestResponse Send(Cluster& cluster, const Ask& ask) { return Call(AskCall(cluster, ask)); }
 
+std::future<TestResponse> SendLater(Cluster& cluster, const Ask& ask) {
+  return std::async(std::launch::async, [&cluster, ask] { return Send(cluster, ask); });
+}
+
 bool IsWholeAnswer(const Cluster& cluster, const Ask& ask, const TestResponse& response) {
   if (!response.complete || response.status != 200) return false;
   std::string expected = standin::AnswerTextForBody(AskBody(cluster, ask));
@@ -79,15 +85,52 @@
   return WaitFor([&] { return RunsOf(cluster, user) >= count; }, seconds(10));
 }
 
+namespace {
+
+// A probe of the engine at the address that it announces, which is a link of the proxy.
+TestResponse ProbeThroughProxy(Cluster& cluster, const std::string& id) {
+  std::string control = "http://" + cluster.server(id).control + "/standin/state";
+  std::string address = json::parse(Get(control).body).at("announcement").at("address");
+  return Get("http://" + address + "/healthz");
+}
+
+}  // namespace
+
 bool WaitServerReachable(Cluster& cluster, const std::string& id) {
   if (cluster.server(id).service) return true;  // its state does not tell the proxy's address
-  std::string control = "http://" + cluster.server(id).control + "/standin/state";
-  return WaitFor(
-      [&] {
-        std::string address = json::parse(Get(control).body).at("announcement").at("address");
-        return Get("http://" + address + "/healthz").status == 200;
-      },
-      seconds(10));
+  return WaitFor([&] { return ProbeThroughProxy(cluster, id).status == 200; }, seconds(10));
+}
+
+bool WaitAllReachable(Cluster& cluster) {
+  std::vector<std::string> ids = cluster.ServerIds();
+  return std::all_of(ids.begin(), ids.end(),
+                     [&](const std::string& id) { return WaitServerReachable(cluster, id); });
+}
+
+bool WaitServerRefuses(Cluster& cluster, const std::string& id) {
+  if (cluster.server(id).service) return true;
+  auto refused = [&] {
+    return ProbeThroughProxy(cluster, id).error.find("onnect to server") != std::string::npos;
+  };
+  return WaitFor(refused, seconds(10));
+}
+
+ClusterSpec ThreeRegionsSpec() {
+  ClusterSpec spec = SmallSpec(1, 1);
+  DomainSpec domain = spec.domains.front();
+  domain.services = 0;
+  spec.domains.clear();
+  for (const char* region : {"este", "centro", "norte"}) {
+    domain.id = std::string(region) + "-a";
+    domain.region = region;
+    spec.domains.push_back(domain);
+  }
+  TeamSpec& team = spec.teams.front();
+  team.regions = {"este", "centro", "norte"};
+  team.limits = {{"retry_percent", 100}};
+  team.routes.resize(1);
+  team.routes[0].value["regions"] = team.regions;
+  return spec;
 }
 
 void SetAllServerFaults(Cluster& cluster, const json& faults) {
--- a/tests/support/requests.h
+++ b/tests/support/requests.h
@@ -5,7 +5,7 @@
 // are safe to call from several threads.
 
 #include <cstdint>
-#include <functional>
+#include <future>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,6 +16,10 @@
 
 namespace ebonylift::test {
 
+// Regions este, centro and norte with one host and one engine each, no delays, and a team whose
+// retry budget grows by one retry with each request.
+ClusterSpec ThreeRegionsSpec();
+
 struct Ask {
   std::string host;  // entry host; the caller's link is used
   std::string user;  // tags the request in the records
@@ -31,6 +35,7 @@
 std::string AskBody(const Cluster& cluster, const Ask& ask);
 TestCall AskCall(Cluster& cluster, const Ask& ask);
 TestResponse Send(Cluster& cluster, const Ask& ask);
+std::future<TestResponse> SendLater(Cluster& cluster, const Ask& ask);
 
 // True when the answer is whole and the one that the request must get.
 bool IsWholeAnswer(const Cluster& cluster, const Ask& ask, const TestResponse& response);
@@ -59,6 +64,12 @@
 // refusal.
 bool WaitServerReachable(Cluster& cluster, const std::string& id);
 
+bool WaitAllReachable(Cluster& cluster);
+
+// Waits until connections through the proxy to the engine are refused: the first one after a stop
+// is reset, which looks like a crash.
+bool WaitServerRefuses(Cluster& cluster, const std::string& id);
+
 // Applies the faults to all backend servers.
 void SetAllServerFaults(Cluster& cluster, const nlohmann::json& faults);
 
