Run suspects of different hosts on different servers that are kept free

Cause: a crashing request, sent again through three hosts beside innocent work, took 4 to 6 of 6 servers, and innocent requests were refused as poison. Each host knew only its own work on a server, so suspects had company, and reports that take a condemnation back arrived after the answer. Now each host of a failure domain has its own server set aside, uses it for suspects only after a report that is newer than the loss shows no work, and waits 250 ms for reports of others before it answers poison_detected.

Ruled out: late propagation alone; with the wait and without the separate servers 6 of 6 servers were lost.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "base/hash.h"
+#include "core/poison.h"
 
 namespace ebonylift {
 namespace {
@@ -184,30 +185,56 @@
   return candidate;
 }
 
-// The server that is kept free for suspects: the same on every host whose view has the same
-// servers. Null when too few serve the route.
-const BackendServer* SetAside(const RouteConfig& route, const RoutingView& view, Time now) {
-  const BackendServer* picked = nullptr;
-  uint64_t least = 0;
-  int serving = 0;
+// The servers that are kept free for suspects, one for each host of the failure domain where half
+// of the servers are enough for that. They are the same on every host whose view has the same
+// servers, so no host sends other work to the server on which another one runs a suspect. Empty
+// when too few serve the route.
+std::vector<const BackendServer*> SetAside(const RouteConfig& route, const RoutingView& view,
+                                           Time now) {
+  std::vector<std::pair<uint64_t, const BackendServer*>> serving;
   for (const BackendServer& server : view.servers) {
-    if (!CanServe(server, route, view.self, now)) continue;
-    ++serving;
-    uint64_t weight = Hash64(server.announced.id.value());
-    if (picked != nullptr && weight >= least) continue;
-    picked = &server;
-    least = weight;
+    if (CanServe(server, route, view.self, now)) {
+      serving.emplace_back(Hash64(server.announced.id.value()), &server);
+    }
+  }
+  std::vector<const BackendServer*> picked;
+  if (serving.size() < static_cast<size_t>(kMinServersToSetAside)) return picked;
+  std::sort(serving.begin(), serving.end());
+  size_t hosts = 0;
+  for (const HostEntry& host : view.hosts) hosts += host.domain == view.self.domain ? 1 : 0;
+  size_t count = std::min(std::max<size_t>(hosts, 1), (serving.size() + 1) / 2);
+  for (size_t i = 0; i < count; ++i) picked.push_back(serving[i].second);
+  return picked;
+}
+
+// Of the servers set aside, the one on which this host runs its suspects.
+const BackendServer* OwnSetAside(const std::vector<const BackendServer*>& set_aside,
+                                 const RoutingView& view) {
+  size_t rank = 0;
+  for (const HostEntry& host : view.hosts) {
+    if (host.domain == view.self.domain && host.id < view.self.host) ++rank;
   }
-  return serving >= kMinServersToSetAside ? picked : nullptr;
+  return set_aside.empty() ? nullptr : set_aside[rank % set_aside.size()];
+}
+
+// A suspect runs where nothing else does: when all hosts have had time to hear of the newest loss
+// and a report after that shows no work, the server that is set aside has none.
+bool MayRunSuspect(const BackendServer& server, const BackendServer* own, const LocalLoad& load) {
+  if (own == nullptr) return true;
+  Time newest_loss = load.set_aside_until - kSetAside;
+  return &server == own && server.reported_at >= newest_loss + kSetAsideSettle;
 }
 
 LocalServers FindLocal(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
                        Time now, std::mt19937_64& rng) {
   LocalServers local;
-  const BackendServer* set_aside = nullptr;
-  if (!query.suspect && now < load.set_aside_until) set_aside = SetAside(*query.route, view, now);
+  std::vector<const BackendServer*> set_aside;
+  if (now < load.set_aside_until) set_aside = SetAside(*query.route, view, now);
+  const BackendServer* own = OwnSetAside(set_aside, view);
   for (const BackendServer& server : view.servers) {
-    if (!CanServe(server, *query.route, view.self, now) || &server == set_aside) continue;
+    if (!CanServe(server, *query.route, view.self, now)) continue;
+    bool kept_free = std::find(set_aside.begin(), set_aside.end(), &server) != set_aside.end();
+    if (kept_free && !query.suspect) continue;
     if (Contains(query.avoid_servers, server.announced.id)) continue;
     Candidate candidate = MakeCandidate(server, load);
     ++local.known;
@@ -216,7 +243,9 @@
     bool ejected = Ejected(candidate, now);
     if (!ejected) ++local.healthy;
     if (candidate.use != nullptr && candidate.use->exclusive) continue;
-    if (query.suspect ? !Idle(candidate) : !HasRoom(query, load, candidate, now)) continue;
+    bool fits = query.suspect ? Idle(candidate) && MayRunSuspect(server, own, load)
+                              : HasRoom(query, load, candidate, now);
+    if (!fits) continue;
     if (ejected) {
       local.ejected.push_back(candidate);
     } else if (PassesSlowStart(server, now, rng)) {
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -71,6 +71,7 @@
 // it becomes idle for them: under load no server would be idle by chance. Only where this many
 // serve it.
 constexpr int kMinServersToSetAside = 3;
+constexpr Duration kSetAsideSettle = milliseconds(300);  // for hosts to hear of a loss
 constexpr int kFailuresToEject = 3;
 constexpr Duration kEjectionMin = seconds(1);
 constexpr Duration kEjectionMax = seconds(30);
@@ -143,7 +144,7 @@
   std::unordered_map<DomainId, ServerUse> domains;  // forwards, by failure domain
   PrefixIndex prefixes;
   Time reserved_until;       // chapters leave slots free; set by OnDispatch()
-  Time set_aside_until;      // keep a server free for suspects; set from SetAsideUntil()
+  Time set_aside_until;      // keep servers free for suspects; set from SetAsideUntil()
   size_t queued_ahead = 0;   // requests that the local queue serves first; set by the caller
   uint64_t round_robin = 0;  // advanced by OnDispatch()
   uint32_t next_cache_id = 1;
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -15,6 +15,7 @@
 constexpr Duration kCancelTimeout = milliseconds(300);
 constexpr Duration kConnectTimeout = milliseconds(1000);
 constexpr int kMaxResumes = 3;
+constexpr Duration kCondemnationCheck = milliseconds(250);
 constexpr Duration kWatchPeriod = milliseconds(250);
 // A call may time out up to a millisecond before the deadline, because libcurl counts whole ones.
 constexpr Duration kTimeoutRounding = milliseconds(2);
@@ -789,9 +790,19 @@
   return true;
 }
 
+// The content may have shared the lost server with work of other hosts. Their reports, which take a
+// condemnation back, arrive within this time.
+void Exchange::CheckCondemnation() { RetryOrRefuse(failed_run_); }
+
 void Exchange::RetryOrRefuse(ebonylift::Run run) {
   Time now = SteadyNow();
   if (context_.dispatcher->Verdict(spec_.content, now) == PoisonVerdict::kCondemned) {
+    if (!condemnation_checked_) {
+      condemnation_checked_ = true;
+      failed_run_ = run;
+      RunLater(kCondemnationCheck, &Exchange::CheckCondemnation);
+      return;
+    }
     bool not_run = RequestRun(attempts_) == ebonylift::Run::kNotRun;
     Refuse(not_run ? ErrorKind::kPoison : ErrorKind::kPoisonDetected, "");
     return;
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -85,6 +85,7 @@
   void CheckServerLost(const CallResult& result);
   void ProbeServer(const LossEvidence& evidence, const CallResult& result, bool again);
   void RetryOrRefuse(ebonylift::Run run);
+  void CheckCondemnation();
   bool TryResume();
   void WatchAttempt(uint32_t attempt);
   void OnWatch(uint32_t attempt);
@@ -123,6 +124,8 @@
   asio::steady_timer watch_timer_;
   Time last_byte_;  // of the open attempt
   bool first_byte_seen_ = false;
+  bool condemnation_checked_ = false;
+  ebonylift::Run failed_run_ = ebonylift::Run::kMayHaveRun;  // of the attempt being checked
 
   bool admitted_ = false;
   bool waiting_ = false;
