--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -14,7 +14,8 @@
 //   goes only to a host that is alive, not overloaded, and whose failure domain reported servers
 //   for the model or service.
 // - Suspects run only on a server with no other work that this host knows of, which then gets no
-//   other work from this host until it is done.
+//   other work from this host until it is done. Where enough servers serve the route, that is the
+//   server set aside for this host, after a report newer than the last loss shows no work.
 //
 // Cost of a server = weight_latency x wait seconds + weight_cost x service seconds. Wait is the
 // queue that the server reported plus what this host sent since that report. Service is the prefill
@@ -67,9 +68,9 @@
 constexpr double kReservedShare = 0.25;
 constexpr int kMinSlotsToReserve = 2;
 constexpr Duration kReserveFor = seconds(2);
-// While suspects wait, every host keeps ordinary work off the same one server of a model, so that
-// it becomes idle for them: under load no server would be idle by chance. Only where this many
-// serve it.
+// While suspects wait, every host keeps ordinary work off the same servers of a model, one for each
+// host of the failure domain, so that they become idle for them: under load no server would be idle
+// by chance. Only where this many serve it, and at most half of them.
 constexpr int kMinServersToSetAside = 3;
 constexpr Duration kSetAsideSettle = milliseconds(300);  // for hosts to hear of a loss
 constexpr int kFailuresToEject = 3;
