--- a/src/daemon/answers.cc
+++ b/src/daemon/answers.cc
@@ -1,5 +1,8 @@
 #include "daemon/answers.h"
 
+#include <algorithm>
+#include <cctype>
+
 namespace ebonylift {
 namespace {
 
@@ -10,6 +13,28 @@
 
 }  // namespace
 
+void SetHeader(HttpHeaders* headers, const std::string& name, const std::string& value) {
+  auto same_name = [&name](const auto& header) {
+    return header.first.size() == name.size() &&
+           std::equal(name.begin(), name.end(), header.first.begin(),
+                      [](unsigned char a, unsigned char b) { return a == std::tolower(b); });
+  };
+  headers->erase(std::remove_if(headers->begin(), headers->end(), same_name), headers->end());
+  if (!value.empty()) headers->emplace_back(name, value);
+}
+
+std::string MillisUntilText(WallMillis time) {
+  return std::to_string(std::max<WallMillis>(0, time - WallNow()));
+}
+
+std::optional<ErrorKind> ErrorKindOfBody(const std::string& body) {
+  nlohmann::json parsed = nlohmann::json::parse(body, nullptr, false);
+  if (!parsed.is_object() || !parsed.contains("error") || !parsed["error"].is_object()) {
+    return std::nullopt;
+  }
+  return ErrorKindFromCode(parsed["error"].value("code", ""));
+}
+
 nlohmann::json ErrorAnswerJson(const ErrorAnswer& answer) {
   const ErrorInfo& info = LookupError(answer.kind);
   return {{"error",
--- a/src/daemon/answers.h
+++ b/src/daemon/answers.h
@@ -4,6 +4,7 @@
 // Error answers: from an error kind to status, headers and body. All functions are thread safe.
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "adapters/http_server.h"
@@ -12,7 +13,19 @@
 
 namespace ebonylift {
 
-// A answer or failure as the caller sees it.
+// Response headers of routed requests.
+inline constexpr char kRequestIdHeader[] = "x-ebonylift-request-id";
+inline constexpr char kCallerIdHeader[] = "x-request-id";          // the caller's own, echoed
+inline constexpr char kReplayedHeader[] = "x-ebonylift-replayed";  // a stored answer
+inline constexpr char kKeyExpiresHeader[] = "x-ebonylift-key-expires-ms";
+
+// Replaces all headers of this name, which is in lower case; an empty value only removes them.
+void SetHeader(HttpHeaders* headers, const std::string& name, const std::string& value);
+
+// Whole milliseconds until `time`, at least 0, as text.
+std::string MillisUntilText(WallMillis time);
+
+// A refusal or failure as the caller sees it.
 struct ErrorAnswer {
   ErrorKind kind = ErrorKind::kInternal;
   std::string message;
@@ -23,6 +36,9 @@
 // The `error` object of the body.
 nlohmann::json ErrorAnswerJson(const ErrorAnswer& answer);
 
+// The kind in a body of the error format; nullopt for another body.
+std::optional<ErrorKind> ErrorKindOfBody(const std::string& body);
+
 // The server-sent event that ends a broken stream; no `[DONE]` follows it.
 std::string ErrorAnswerEvent(const ErrorAnswer& answer);
 
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -156,7 +156,7 @@
   bool streaming_ = false;   // Begin() was called on the responder
   bool paused_ = false;
   StreamTracker stream_;  // of a server-sent-event answer
-  bool resumed_ = false;
+  int resumes_ = 0;       // of the stream of the open attempt
 };
 
 // The exchanges of one traffic thread, by id.
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -336,11 +336,7 @@
                              StoredAnswer{status, std::move(headers), std::move(body)});
     return;
   }
-  json parsed = json::parse(body, nullptr, false);
-  ErrorKind kind = ErrorKind::kStreamBroken;
-  if (parsed.is_object() && parsed.contains("error") && parsed["error"].is_object()) {
-    kind = ErrorKindFromCode(parsed["error"].value("code", ""));
-  }
+  ErrorKind kind = ErrorKindOfBody(body).value_or(ErrorKind::kStreamBroken);
   const ErrorInfo& info = LookupError(kind);
   bool not_run = info.run == Run::kNotRun;
   bool again = info.retry_after_ms > 0 && (not_run || job.idempotent);
