--- a/tests/integration/config_test.cc
+++ b/tests/integration/config_test.cc
@@ -294,7 +294,7 @@
     stream.seekp(middle);
     stream.put(static_cast<char>(byte ^ 0x55));
   }
-  cluster.RestartHost("norte-a-1");
+  cluster.LaunchHost("norte-a-1");
   std::optional<int> code = cluster.host("norte-a-1").process->Wait(seconds(10));
   BOOST_TEST(code.value_or(0) != 0);
   BOOST_TEST(logged("journal_corrupt"));
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -340,9 +340,13 @@
   host(id).process->Kill();
 }
 
-void Cluster::RestartHost(const std::string& id) {
+void Cluster::LaunchHost(const std::string& id) {
   KillHost(id);
   StartHost(host(id));
+}
+
+void Cluster::RestartHost(const std::string& id) {
+  LaunchHost(id);
   std::string url = "http://" + host(id).http_address + "/healthz";
   if (!WaitFor([&url] { return Answers(url); }, kRestartTime)) Fail(id + " did not restart");
   RefuseLinksTo(id, false);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -132,6 +132,8 @@
   // connections, as the kernel of its machine would.
   void KillHost(const std::string& id);
   void RestartHost(const std::string& id);
+  // The same without waiting: for a host that is expected to refuse to start.
+  void LaunchHost(const std::string& id);
   void KillServer(const std::string& id);
   void RestartServer(const std::string& id);
 
