Use one function to split configuration paths

The schema and the view each had a copy of SplitPath; the view now calls that of the schema. Behaviour is unchanged. Ran: config_schema_test, config_tree_test, config_replica_test and integration/path_test pass, the linter is clean.

--- a/src/core/config_schema.cc
+++ b/src/core/config_schema.cc
@@ -142,17 +142,6 @@
   return true;
 }
 
-std::vector<std::string> SplitPath(const std::string& path) {
-  std::vector<std::string> parts;
-  size_t start = 1;
-  while (start <= path.size()) {
-    size_t end = std::min(path.find('/', start), path.size());
-    parts.push_back(path.substr(start, end - start));
-    start = end + 1;
-  }
-  return parts;
-}
-
 // The number of leading parts that the rule accepts.
 size_t MatchingParts(const PathRule& rule, const std::vector<std::string>& parts) {
   size_t n = 0;
@@ -453,6 +442,17 @@
 
 }  // namespace
 
+std::vector<std::string> SplitPath(const std::string& path) {
+  std::vector<std::string> parts;
+  size_t start = 1;
+  while (start <= path.size()) {
+    size_t end = std::min(path.find('/', start), path.size());
+    parts.push_back(path.substr(start, end - start));
+    start = end + 1;
+  }
+  return parts;
+}
+
 std::string NearestWord(const std::string& word, const std::vector<std::string>& known) {
   std::string best;
   size_t best_distance = 1 + std::max<size_t>(2, word.size() / 3);
--- a/src/core/config_schema.h
+++ b/src/core/config_schema.h
@@ -38,6 +38,9 @@
   }
 };
 
+// The parts of a path between its slashes. Precondition: the path starts with '/'.
+std::vector<std::string> SplitPath(const std::string& path);
+
 // Checks a path and its value without looking at other paths. Empty: valid.
 std::vector<SchemaIssue> Validate(const std::string& path, std::string_view json);
 
--- a/src/core/config_view.cc
+++ b/src/core/config_view.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "core/config_schema.h"
+
 namespace ebonylift {
 namespace {
 
@@ -95,17 +97,6 @@
   return entry;
 }
 
-std::vector<std::string> SplitPath(const std::string& path) {
-  std::vector<std::string> parts;
-  size_t start = 1;
-  while (start <= path.size()) {
-    size_t end = std::min(path.find('/', start), path.size());
-    parts.push_back(path.substr(start, end - start));
-    start = end + 1;
-  }
-  return parts;
-}
-
 TeamConfig& TeamOf(ConfigView* view, const std::string& name) {
   TeamConfig& team = view->teams[TeamId(name)];
   team.id = TeamId(name);
