--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -58,6 +58,18 @@
   version @2 :UInt32;
   status @3 :HostStatus;
   overloaded @4 :Bool;
+  place @5 :HostPlace;  # absent where every daemon is configured with all others
+}
+
+# Where a host is and how it is reached.
+struct HostPlace {
+  domain @0 :Text;
+  region @1 :Text;
+  rpcAddress @2 :Text;
+  httpAddress @3 :Text;
+  callerAddress @4 :Text;
+  operatorAddress @5 :Text;
+  hasDisk @6 :Bool;
 }
 
 struct SummaryRow {
@@ -120,6 +132,7 @@
   waiting @16 :Int32;
   slots @17 :Int32;
   prefillTokensWaiting @18 :Int64;
+  coldMicros @19 :UInt64;
 }
 
 struct Relayed {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -48,6 +48,7 @@
 };
 CAPNP_DECLARE_ENUM(HostStatus, 94bb95454c725273);
 CAPNP_DECLARE_SCHEMA(841697e41116852e);
+CAPNP_DECLARE_SCHEMA(8f055b440c248126);
 CAPNP_DECLARE_SCHEMA(84309d295dcb1e94);
 CAPNP_DECLARE_SCHEMA(9b1e4819551e826d);
 CAPNP_DECLARE_SCHEMA(d5ee934a3f6406b2);
@@ -398,7 +399,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(841697e41116852e, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(841697e41116852e, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HostPlace {
+  HostPlace() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8f055b440c248126, 1, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -473,7 +489,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aab5e7ca71489683, 7, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(aab5e7ca71489683, 8, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2371,6 +2387,9 @@
 
   inline bool getOverloaded() const;
 
+  inline bool hasPlace() const;
+  inline  ::ebonylift::wire::HostPlace::Reader getPlace() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2418,6 +2437,13 @@
   inline bool getOverloaded();
   inline void setOverloaded(bool value);
 
+  inline bool hasPlace();
+  inline  ::ebonylift::wire::HostPlace::Builder getPlace();
+  inline void setPlace( ::ebonylift::wire::HostPlace::Reader value);
+  inline  ::ebonylift::wire::HostPlace::Builder initPlace();
+  inline void adoptPlace(::capnp::Orphan< ::ebonylift::wire::HostPlace>&& value);
+  inline ::capnp::Orphan< ::ebonylift::wire::HostPlace> disownPlace();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2436,6 +2462,143 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ebonylift::wire::HostPlace::Pipeline getPlace();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HostPlace::Reader {
+public:
+  typedef HostPlace Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
+  inline bool hasRpcAddress() const;
+  inline  ::capnp::Text::Reader getRpcAddress() const;
+
+  inline bool hasHttpAddress() const;
+  inline  ::capnp::Text::Reader getHttpAddress() const;
+
+  inline bool hasCallerAddress() const;
+  inline  ::capnp::Text::Reader getCallerAddress() const;
+
+  inline bool hasOperatorAddress() const;
+  inline  ::capnp::Text::Reader getOperatorAddress() const;
+
+  inline bool getHasDisk() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HostPlace::Builder {
+public:
+  typedef HostPlace Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+  inline bool hasRpcAddress();
+  inline  ::capnp::Text::Builder getRpcAddress();
+  inline void setRpcAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRpcAddress(unsigned int size);
+  inline void adoptRpcAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRpcAddress();
+
+  inline bool hasHttpAddress();
+  inline  ::capnp::Text::Builder getHttpAddress();
+  inline void setHttpAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHttpAddress(unsigned int size);
+  inline void adoptHttpAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHttpAddress();
+
+  inline bool hasCallerAddress();
+  inline  ::capnp::Text::Builder getCallerAddress();
+  inline void setCallerAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCallerAddress(unsigned int size);
+  inline void adoptCallerAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCallerAddress();
+
+  inline bool hasOperatorAddress();
+  inline  ::capnp::Text::Builder getOperatorAddress();
+  inline void setOperatorAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOperatorAddress(unsigned int size);
+  inline void adoptOperatorAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOperatorAddress();
+
+  inline bool getHasDisk();
+  inline void setHasDisk(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HostPlace::Pipeline {
+public:
+  typedef HostPlace Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2992,6 +3155,8 @@
 
   inline  ::int64_t getPrefillTokensWaiting() const;
 
+  inline  ::uint64_t getColdMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3111,6 +3276,9 @@
   inline  ::int64_t getPrefillTokensWaiting();
   inline void setPrefillTokensWaiting( ::int64_t value);
 
+  inline  ::uint64_t getColdMicros();
+  inline void setColdMicros( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4971,6 +5139,263 @@
       ::capnp::bounded<112>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HostRow::Reader::hasPlace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostRow::Builder::hasPlace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ebonylift::wire::HostPlace::Reader HostRow::Reader::getPlace() const {
+  return ::capnp::_::PointerHelpers< ::ebonylift::wire::HostPlace>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::ebonylift::wire::HostPlace::Builder HostRow::Builder::getPlace() {
+  return ::capnp::_::PointerHelpers< ::ebonylift::wire::HostPlace>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ebonylift::wire::HostPlace::Pipeline HostRow::Pipeline::getPlace() {
+  return  ::ebonylift::wire::HostPlace::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void HostRow::Builder::setPlace( ::ebonylift::wire::HostPlace::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonylift::wire::HostPlace>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::ebonylift::wire::HostPlace::Builder HostRow::Builder::initPlace() {
+  return ::capnp::_::PointerHelpers< ::ebonylift::wire::HostPlace>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HostRow::Builder::adoptPlace(
+    ::capnp::Orphan< ::ebonylift::wire::HostPlace>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonylift::wire::HostPlace>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ebonylift::wire::HostPlace> HostRow::Builder::disownPlace() {
+  return ::capnp::_::PointerHelpers< ::ebonylift::wire::HostPlace>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool HostPlace::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostPlace::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HostPlace::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HostPlace::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HostPlace::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HostPlace::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HostPlace::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HostPlace::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HostPlace::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostPlace::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HostPlace::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HostPlace::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HostPlace::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HostPlace::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void HostPlace::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HostPlace::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool HostPlace::Reader::hasRpcAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostPlace::Builder::hasRpcAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HostPlace::Reader::getRpcAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HostPlace::Builder::getRpcAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HostPlace::Builder::setRpcAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HostPlace::Builder::initRpcAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void HostPlace::Builder::adoptRpcAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HostPlace::Builder::disownRpcAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool HostPlace::Reader::hasHttpAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostPlace::Builder::hasHttpAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HostPlace::Reader::getHttpAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HostPlace::Builder::getHttpAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void HostPlace::Builder::setHttpAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HostPlace::Builder::initHttpAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void HostPlace::Builder::adoptHttpAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HostPlace::Builder::disownHttpAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool HostPlace::Reader::hasCallerAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostPlace::Builder::hasCallerAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HostPlace::Reader::getCallerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HostPlace::Builder::getCallerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void HostPlace::Builder::setCallerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HostPlace::Builder::initCallerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void HostPlace::Builder::adoptCallerAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HostPlace::Builder::disownCallerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool HostPlace::Reader::hasOperatorAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostPlace::Builder::hasOperatorAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HostPlace::Reader::getOperatorAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HostPlace::Builder::getOperatorAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void HostPlace::Builder::setOperatorAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HostPlace::Builder::initOperatorAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void HostPlace::Builder::adoptOperatorAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HostPlace::Builder::disownOperatorAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool HostPlace::Reader::getHasDisk() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool HostPlace::Builder::getHasDisk() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HostPlace::Builder::setHasDisk(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SummaryRow::Reader::hasDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6059,6 +6484,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Announcement::Reader::getColdMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Announcement::Builder::getColdMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Announcement::Builder::setColdMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Relayed::Reader::hasAnnouncement() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -84,12 +84,36 @@
 
 uint32_t Count(size_t size) { return static_cast<uint32_t>(size); }
 
+void WritePlace(const HostEntry& place, wire::HostPlace::Builder out) {
+  out.setDomain(place.domain.value());
+  out.setRegion(place.region.value());
+  out.setRpcAddress(place.rpc_address);
+  out.setHttpAddress(place.http_address);
+  out.setCallerAddress(place.caller_address);
+  out.setOperatorAddress(place.operator_address);
+  out.setHasDisk(place.has_disk);
+}
+
+HostEntry ReadPlace(const HostId& id, wire::HostPlace::Reader in) {
+  HostEntry place;
+  place.id = id;
+  place.domain = DomainId(Str(in.getDomain()));
+  place.region = RegionId(Str(in.getRegion()));
+  place.rpc_address = Str(in.getRpcAddress());
+  place.http_address = Str(in.getHttpAddress());
+  place.caller_address = Str(in.getCallerAddress());
+  place.operator_address = Str(in.getOperatorAddress());
+  place.has_disk = in.getHasDisk();
+  return place;
+}
+
 void WriteHostRow(const HostRow& row, wire::HostRow::Builder out) {
   out.setHost(row.id.value());
   out.setIncarnation(row.incarnation);
   out.setVersion(row.version);
   out.setStatus(ToWire(row.status));
   out.setOverloaded(row.overloaded);
+  if (row.place) WritePlace(*row.place, out.initPlace());
 }
 
 HostRow ReadHostRow(wire::HostRow::Reader in) {
@@ -99,6 +123,7 @@
   row.version = in.getVersion();
   row.status = FromWire(in.getStatus());
   row.overloaded = in.getOverloaded();
+  if (in.hasPlace()) row.place = ReadPlace(row.id, in.getPlace());
   return row;
 }
 
@@ -240,6 +265,7 @@
   out.setWaiting(announcement.load.waiting);
   out.setSlots(announcement.load.slots);
   out.setPrefillTokensWaiting(announcement.load.prefill_tokens_waiting);
+  out.setColdMicros(NotNegative(announcement.cold_for.count()));
 }
 
 Announcement ReadAnnouncement(wire::Announcement::Reader in) {
@@ -263,13 +289,15 @@
   announcement.capabilities = ReadTexts(in.getCapabilities());
   announcement.checks_fencing = in.getChecksFencing();
   announcement.ttl = Duration(static_cast<int64_t>(
-      std::min<uint64_t>(in.getTtlMicros(), static_cast<uint64_t>(kMaxServerTtl.count()))));
+      std::min<uint64_t>(in.getTtlMicros(), static_cast<uint64_t>(kMaxAnyServerTtl.count()))));
   announcement.leaving = in.getLeaving();
   announcement.load.seq = in.getLoadSeq();
   announcement.load.running = in.getRunning();
   announcement.load.waiting = in.getWaiting();
   announcement.load.slots = in.getSlots();
   announcement.load.prefill_tokens_waiting = in.getPrefillTokensWaiting();
+  announcement.cold_for = Duration(static_cast<int64_t>(
+      std::min<uint64_t>(in.getColdMicros(), static_cast<uint64_t>(kMaxColdTime.count()))));
   return announcement;
 }
 
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -420,7 +420,9 @@
   LogEvent(EventId::kPeerLoginRefused, {{"host", host}, {"reason", reason}});
 }
 
-bool Rpc::Impl::KnownPeer(const HostId& host) const { return outgoing.count(host) > 0; }
+bool Rpc::Impl::KnownPeer(const HostId& host) const {
+  return options.open || outgoing.count(host) > 0;
+}
 
 void Rpc::Impl::Accept(kj::Own<kj::AsyncIoStream> stream) {
   if (connections >= kMaxConnections || pending_logins >= kMaxPendingLogins) {
@@ -615,13 +617,17 @@
 Rpc::~Rpc() = default;
 
 void Rpc::Start() {
-  for (const RpcPeer& peer : impl_->options.peers) {
-    Outgoing out;
-    out.peer = peer;
-    impl_->outgoing.emplace(peer.host, std::move(out));
-  }
   impl_->tasks.add(impl_->AcceptLoop());
-  for (auto& [host, out] : impl_->outgoing) impl_->tasks.add(impl_->ConnectLoop(&out));
+  for (const RpcPeer& peer : impl_->options.peers) AddPeer(peer);
+}
+
+void Rpc::AddPeer(const RpcPeer& peer) {
+  if (peer.host == impl_->options.self || peer.address.empty()) return;
+  Outgoing out;
+  out.peer = peer;
+  auto [entry, added] = impl_->outgoing.emplace(peer.host, std::move(out));
+  // A pointer into the map stays valid: no peer is removed.
+  if (added) impl_->tasks.add(impl_->ConnectLoop(&entry->second));
 }
 
 uint64_t Rpc::sent_bytes() const { return impl_->bytes.sent; }
--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -13,6 +13,8 @@
 // waiting for this peer. A connection on which `max_timeouts` counted calls in a row got no answer
 // is closed and opened again, which frees what was queued for a frozen peer.
 //
+// A host that is not among the peers is refused unless `open` is set; AddPeer() connects back to it.
+//
 // Refused, with events kPeerLoginRefused or kPeerMessageRefused: a wrong MAC, a second login on a
 // connection, an unknown host, no login within `login_timeout`, and a message over
 // kMaxMessageBytes. All of them close the connection.
@@ -58,6 +60,7 @@
   std::string listen_address;
   std::string cluster_key;
   std::vector<RpcPeer> peers;
+  bool open = false;  // hosts that are not known yet may log in with the cluster key
   Duration connect_timeout = seconds(3);
   Duration login_timeout = seconds(3);
   Duration min_backoff = milliseconds(100);
@@ -128,6 +131,9 @@
   // Starts to accept and to connect.
   void Start();
 
+  // Connects to a host that was found. Does nothing when it is known. Precondition: Start() ran.
+  void AddPeer(const RpcPeer& peer);
+
   // The port that is listened on.
   uint32_t port() const;
 
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -26,6 +26,7 @@
   kStopped = 103,
   kSettingsRefused = 104,
   kThreadFailed = 105,
+  kReloadRequested = 106,
 
   kRequestReceived = 200,
   kRequestDispatched = 201,
@@ -51,6 +52,7 @@
   kServerOrderStuck = 308,
   kOrdererLeaseTaken = 309,
   kOrdererLeaseEnded = 310,
+  kAnnouncementRefused = 311,
 
   kHostAlive = 400,
   kHostSuspected = 401,
@@ -58,6 +60,7 @@
   kPeerConnected = 403,
   kPeerLoginRefused = 404,
   kPeerMessageRefused = 405,
+  kHostFound = 406,
 
   kConfigApplied = 500,
   kConfigRefused = 501,
--- a/src/core/config_schema.cc
+++ b/src/core/config_schema.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "core/ingress.h"
+
 namespace ebonylift {
 namespace {
 
@@ -21,7 +23,18 @@
 constexpr int64_t kMaxLoading = 4096;
 constexpr int64_t kMaxLeaseMs = 3'600'000;
 
-enum class PathKind { kRegion, kOperator, kModel, kOrderer, kKey, kResidency, kLimits, kRoute };
+enum class PathKind {
+  kRegion,
+  kOperator,
+  kModel,
+  kOrderer,
+  kIngress,
+  kEvacuation,
+  kKey,
+  kResidency,
+  kLimits,
+  kRoute
+};
 
 enum class ValueType {
   kName,    // a path part
@@ -73,6 +86,11 @@
        {"deployment", "orderers", "*"},
        {{"host", ValueType::kName, true, 0},
         {"lease_ms", ValueType::kPositive, true, kMaxLeaseMs}}},
+      // ValidateIngress() checks the keys.
+      {PathKind::kIngress, {"deployment", "ingress"}, {}},
+      {PathKind::kEvacuation,
+       {"deployment", "evacuations", "*"},
+       {{"evacuated", ValueType::kBool, true, 0}}},
       {PathKind::kKey, {"teams", "*", "keys", "*"}, {{"sha256", ValueType::kSha256, true, 0}}},
       {PathKind::kResidency,
        {"teams", "*", "residency"},
@@ -497,12 +515,15 @@
 std::vector<SchemaIssue> Validate(const std::string& path, std::string_view json) {
   std::vector<SchemaIssue> issues = ValidatePath(path);
   if (!issues.empty()) return issues;
-  if (json.size() > kMaxValueBytes) {
-    return {{"", std::to_string(json.size()) + " bytes", "a value of at most 65536 bytes", ""}};
+  size_t limit = MaxValueBytes(path);
+  if (json.size() > limit) {
+    return {{"", std::to_string(json.size()) + " bytes",
+             "a value of at most " + std::to_string(limit) + " bytes", ""}};
   }
   std::optional<Json> value = ParseObject(json, &issues);
   if (!value) return issues;
   const PathRule* rule = FindRule(SplitPath(path));
+  if (rule->kind == PathKind::kIngress) return ValidateIngress(*value);
   CheckKeys(*rule, *value, &issues);
   if (issues.empty() && rule->kind == PathKind::kRoute) CheckRoute(*value, &issues);
   return issues;
@@ -534,6 +555,8 @@
     case PathKind::kOperator:
     case PathKind::kModel:
     case PathKind::kOrderer:
+    case PathKind::kIngress:
+    case PathKind::kEvacuation:
     case PathKind::kLimits:
       break;
   }
--- a/src/core/config_tree.cc
+++ b/src/core/config_tree.cc
@@ -76,7 +76,7 @@
     return result;
   }
   bool too_large =
-      put.path.size() > kMaxPathBytes || (put.value && put.value->size() > kMaxValueBytes);
+      put.path.size() > kMaxPathBytes || (put.value && put.value->size() > MaxValueBytes(put.path));
   bool deletes_nothing = !put.value && path_revision == 0;
   if (too_large || deletes_nothing) return result;
   ++tree->revision;
@@ -123,6 +123,10 @@
 
 }  // namespace
 
+size_t MaxValueBytes(std::string_view path) {
+  return path == kIngressPath ? kMaxDocumentBytes : kMaxValueBytes;
+}
+
 bool IsAtOrBelow(std::string_view path, std::string_view prefix) {
   while (!prefix.empty() && prefix.back() == '/') prefix.remove_suffix(1);
   if (path.substr(0, prefix.size()) != prefix) return false;
--- a/src/core/config_tree.h
+++ b/src/core/config_tree.h
@@ -8,7 +8,7 @@
 // equal sequences of puts give equal trees. The schema is therefore not checked here: two versions
 // of the program could disagree on it. The leader checks it before it proposes a put.
 //
-// Memory: the entries (kMaxValueBytes each); at most kMaxHistory changes and kMaxHistoryBytes; at
+// Memory: the entries (MaxValueBytes() each); at most kMaxHistory changes and kMaxHistoryBytes; at
 // most kMaxRequests answers and kMaxRequestBytes. The oldest are dropped first.
 
 #include <cstdint>
@@ -24,8 +24,11 @@
 
 namespace ebonylift {
 
+// The value of this path is one document with its own size limit; see core/ingress.h.
+inline constexpr char kIngressPath[] = "/deployment/ingress";
 constexpr size_t kMaxPathBytes = 512;
 constexpr size_t kMaxValueBytes = 64 << 10;
+constexpr size_t kMaxDocumentBytes = 4 << 20;  // of a value that holds a whole document
 constexpr size_t kMaxHistory = 10'000;
 constexpr size_t kMaxHistoryBytes = 32 << 20;
 constexpr size_t kMaxRequests = 10'000;
@@ -73,6 +76,9 @@
   size_t request_bytes = 0;
 };
 
+// The largest value that `path` may have.
+size_t MaxValueBytes(std::string_view path);
+
 // Whether `path` is `prefix` or below it. "/" and "" are above every path.
 bool IsAtOrBelow(std::string_view path, std::string_view prefix);
 
--- a/src/core/config_view.cc
+++ b/src/core/config_view.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "core/config_schema.h"
+#include "core/ingress.h"
 
 namespace ebonylift {
 namespace {
@@ -119,12 +120,28 @@
   }
 }
 
+void AddIngress(ConfigView* view, const Json& json) {
+  auto ingress = std::make_shared<const IngressConfig>(ParseIngress(json));
+  TeamConfig& team = TeamOf(view, kIngressTeam);
+  team.regions = ingress->regions;
+  team.routes = ingress->route_configs;
+  view->ingress = std::move(ingress);
+}
+
+void AddEvacuation(ConfigView* view, const std::string& domain, const Json& json) {
+  if (json.at("evacuated").get<bool>()) view->evacuated.insert(DomainId(domain));
+}
+
 void AddEntry(ConfigView* view, const std::string& path, const TreeEntry& entry) {
   std::vector<std::string> parts = SplitPath(path);
   try {
     Json json = Json::parse(entry.value);
     if (parts.size() >= 3 && parts[0] == "teams") {
       AddTeamEntry(view, parts, json);
+    } else if (path == kIngressPath) {
+      AddIngress(view, json);
+    } else if (parts.size() == 3 && parts[1] == "evacuations") {
+      AddEvacuation(view, parts[2], json);
     } else if (parts.size() == 3 && parts[1] == "regions") {
       view->regions[RegionId(parts[2])] = ParseRegion(parts[2], json);
     } else if (parts.size() == 3 && parts[1] == "operators") {
@@ -150,14 +167,21 @@
 
 void UpdateDeploymentEntry(ConfigView* view, const ConfigTree& tree, const std::string& path,
                            const std::vector<std::string>& parts) {
-  if (parts.size() != 3) return;
+  if (path == kIngressPath) {
+    view->teams.erase(TeamId(kIngressTeam));
+    view->ingress = nullptr;
+  } else if (parts.size() != 3) {
+    return;
+  }
   std::vector<OperatorConfig>& operators = view->operators;
-  if (parts[1] == "regions") view->regions.erase(RegionId(parts[2]));
-  if (parts[1] == "models") view->models.erase(ModelId(parts[2]));
-  if (parts[1] == "orderers") view->orderers.erase(DomainId(parts[2]));
+  std::string name = parts.size() == 3 ? parts[2] : "";
+  if (parts[1] == "regions") view->regions.erase(RegionId(name));
+  if (parts[1] == "models") view->models.erase(ModelId(name));
+  if (parts[1] == "orderers") view->orderers.erase(DomainId(name));
+  if (parts[1] == "evacuations") view->evacuated.erase(DomainId(name));
   if (parts[1] == "operators") {
     operators.erase(std::remove_if(operators.begin(), operators.end(),
-                                   [&](const OperatorConfig& o) { return o.name == parts[2]; }),
+                                   [&](const OperatorConfig& o) { return o.name == name; }),
                     operators.end());
   }
   auto entry = tree.entries.find(path);
--- a/src/core/entry_list.cc
+++ b/src/core/entry_list.cc
@@ -40,4 +40,35 @@
   return list;
 }
 
+std::vector<EntryHost> NearestEntryHosts(const RoutingView& view, const DomainId& domain,
+                                         const RegionId& region, size_t limit) {
+  std::vector<EntryHost> hosts;
+  int best = 0;
+  for (const HostEntry& host : view.hosts) {
+    if (host.status != HostStatus::kAlive || host.caller_address.empty()) continue;
+    // The distance in the order of preference; an overloaded host is as bad as a far one.
+    int rank = host.domain == domain ? 3 : host.region == region ? 2 : 1;
+    if (host.overloaded) rank = 1;
+    if (rank < best) continue;
+    if (rank > best) hosts.clear();
+    best = rank;
+    EntryHost entry = MakeEntry(host, region);
+    entry.address = host.caller_address;
+    if (hosts.size() < limit) hosts.push_back(entry);
+  }
+  return hosts;
+}
+
+std::string NearestOperatorAddress(const RoutingView& view, const DomainId& domain,
+                                   const RegionId& region) {
+  std::string address;
+  for (const HostEntry& host : view.hosts) {
+    bool usable = host.status == HostStatus::kAlive && !host.operator_address.empty();
+    if (!usable || host.region != region) continue;
+    if (host.domain == domain) return host.operator_address;
+    address = host.operator_address;
+  }
+  return address;
+}
+
 }  // namespace ebonylift
--- a/src/core/entry_list.h
+++ b/src/core/entry_list.h
@@ -43,6 +43,17 @@
 EntryList EntryHosts(const RoutingView& view, const std::vector<RegionId>& allowed,
                      const RegionId& caller_region, uint64_t spread = 0);
 
+// The hosts that callers at this place are told to use: those of the failure domain, else those of
+// the region, else all. Only hosts with an address for callers; overloaded ones only when there is no
+// other. At most `limit`; the address is the one for callers.
+std::vector<EntryHost> NearestEntryHosts(const RoutingView& view, const DomainId& domain,
+                                         const RegionId& region, size_t limit);
+
+// The address for operators of a live host near this place, of the failure domain or else of the
+// region; empty when there is none.
+std::string NearestOperatorAddress(const RoutingView& view, const DomainId& domain,
+                                   const RegionId& region);
+
 }  // namespace ebonylift
 
 #endif  // EBONYLIFT_CORE_ENTRY_LIST_H_
--- /dev/null
+++ b/src/core/ingress.cc
@@ -0,0 +1,260 @@
+#include "core/ingress.h"
+
+#include <algorithm>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+namespace ebonylift {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int64_t kMaxDeadlineMs = 86'400'000;
+constexpr int64_t kMaxWeight = 1'000'000;
+constexpr int64_t kMaxCount = 1'000'000;
+
+using Issues = std::vector<SchemaIssue>;
+
+void AddIssue(Issues* issues, const std::string& key, const Json& value, const char* allowed) {
+  constexpr size_t kMaxShownBytes = 100;
+  std::string text = value.dump(-1, ' ', false, Json::error_handler_t::replace);
+  issues->push_back({key, text.substr(0, kMaxShownBytes), allowed, ""});
+}
+
+const Json& Member(const Json& object, const char* key) {
+  static const Json missing;
+  auto found = object.find(key);
+  return found == object.end() ? missing : *found;
+}
+
+bool IsWhole(const Json& value, int64_t min, int64_t max) {
+  if (!value.is_number_integer()) return false;
+  if (value.is_number_unsigned() && value.get<uint64_t>() > static_cast<uint64_t>(max)) {
+    return false;
+  }
+  return value.get<int64_t>() >= min && value.get<int64_t>() <= max;
+}
+
+void RequireWhole(const Json& object, const std::string& where, const char* key, int64_t min,
+                  int64_t max, const char* allowed, Issues* issues) {
+  const Json& value = Member(object, key);
+  if (!IsWhole(value, min, max)) AddIssue(issues, where + key, value, allowed);
+}
+
+void RequireBool(const Json& object, const std::string& where, const char* key, Issues* issues) {
+  const Json& value = Member(object, key);
+  if (!value.is_boolean()) AddIssue(issues, where + key, value, "true or false");
+}
+
+void RequireName(const Json& object, const std::string& where, const char* key, Issues* issues) {
+  const Json& value = Member(object, key);
+  if (!value.is_string() || value.get_ref<const std::string&>().empty()) {
+    AddIssue(issues, where + key, value, "text that is not empty");
+  }
+}
+
+bool IsPrefix(const Json& value) {
+  if (!value.is_string()) return false;
+  const std::string& text = value.get_ref<const std::string&>();
+  return !text.empty() && text.front() == '/' && text.back() == '/';
+}
+
+void CheckBackends(const Json& route, const std::string& where,
+                   const std::set<std::string>& services, Issues* issues) {
+  const Json& backends = Member(route, "backends");
+  if (!backends.is_array() || backends.empty()) {
+    AddIssue(issues, where + "backends", backends, "a list that is not empty");
+    return;
+  }
+  int64_t sum = 0;
+  for (const Json& backend : backends) {
+    const Json& service = Member(backend, "service");
+    bool known = service.is_string() && services.count(service.get<std::string>()) != 0;
+    if (!known) AddIssue(issues, where + "service", service, "the id of a service of the document");
+    const Json& weight = Member(backend, "weight");
+    if (IsWhole(weight, 0, kMaxWeight)) {
+      sum += weight.get<int64_t>();
+    } else {
+      AddIssue(issues, where + "weight", weight, "a whole number from 0 to 1000000");
+    }
+  }
+  if (sum == 0) AddIssue(issues, where + "weight", sum, "weights that add up to more than 0");
+}
+
+void CheckRegions(const Json& route, const std::string& where, Issues* issues) {
+  const Json& regions = Member(route, "regions");
+  bool valid = regions.is_array() && !regions.empty() &&
+               std::all_of(regions.begin(), regions.end(),
+                           [](const Json& region) { return region.is_string(); });
+  if (!valid) AddIssue(issues, where + "regions", regions, "a list of regions, not empty");
+}
+
+void CheckRoute(const Json& route, const std::set<std::string>& services, Issues* issues) {
+  if (!route.is_object()) {
+    AddIssue(issues, "routes", route, "objects");
+    return;
+  }
+  const Json& id = Member(route, "id");
+  std::string where = "routes." + (id.is_string() ? id.get<std::string>() : "") + ".";
+  RequireName(route, where, "id", issues);
+  RequireName(route, where, "host", issues);
+  if (!IsPrefix(Member(route, "path_prefix"))) {
+    AddIssue(issues, where + "path_prefix", Member(route, "path_prefix"),
+             "a path that starts and ends with a slash");
+  }
+  RequireBool(route, where, "idempotent", issues);
+  RequireBool(route, where, "resumable", issues);
+  RequireWhole(route, where, "deadline_ms", 1, kMaxDeadlineMs, "1 to 86400000", issues);
+  RequireWhole(route, where, "first_byte_target_ms", 0, kMaxDeadlineMs, "0 to 86400000", issues);
+  RequireWhole(route, where, "rank", 0, kMaxCount, "0 to 1000000", issues);
+  RequireWhole(route, where, "max_attempts", 1, kMaxCount, "1 to 1000000", issues);
+  CheckRegions(route, where, issues);
+  CheckBackends(route, where, services, issues);
+}
+
+void CheckService(const Json& service, std::set<std::string>* names, Issues* issues) {
+  if (!service.is_object()) {
+    AddIssue(issues, "services", service, "objects");
+    return;
+  }
+  RequireName(service, "services.", "id", issues);
+  RequireName(service, "services.", "health_path", issues);
+  RequireWhole(service, "services.", "max_connections", 0, kMaxCount, "0 to 1000000", issues);
+  RequireWhole(service, "services.", "cold_start_ms", 0, kMaxDeadlineMs, "0 to 86400000", issues);
+  const Json& rate = Member(service, "cold_per_s");
+  if (!rate.is_number() || rate.get<double>() < 0) {
+    AddIssue(issues, "services.cold_per_s", rate, "a number of at least 0");
+  }
+  const Json& id = Member(service, "id");
+  if (id.is_string() && !names->insert(id.get<std::string>()).second) {
+    AddIssue(issues, "services.id", id, "each id once");
+  }
+}
+
+void CheckUniquePrefixes(const Json& routes, Issues* issues) {
+  std::set<std::pair<std::string, std::string>> seen;
+  for (const Json& route : routes) {
+    const Json& host = Member(route, "host");
+    const Json& prefix = Member(route, "path_prefix");
+    if (!host.is_string() || !prefix.is_string()) continue;
+    if (!seen.insert({host.get<std::string>(), prefix.get<std::string>()}).second) {
+      AddIssue(issues, "routes.path_prefix", prefix, "each pair of host and prefix once");
+    }
+  }
+}
+
+RouteConfig ParseRouteConfig(const Json& json, const std::string& service) {
+  RouteConfig route;
+  route.team = TeamId(kIngressTeam);
+  route.id = RouteId(json.at("id").get<std::string>() + "/" + service);
+  route.kind = ServerKind::kService;
+  route.service = service;
+  for (const Json& region : json.at("regions")) {
+    route.regions.emplace_back(region.get<std::string>());
+  }
+  route.home = *std::min_element(route.regions.begin(), route.regions.end());
+  route.rank = json.at("rank").get<int>();
+  route.traffic_class =
+      route.rank == kUrgentRank ? TrafficClass::kInteractive : TrafficClass::kCheck;
+  route.idempotent = json.at("idempotent").get<bool>();
+  route.resumable = json.at("resumable").get<bool>();
+  route.deadline = milliseconds(json.at("deadline_ms").get<int64_t>());
+  route.first_byte_target = milliseconds(json.at("first_byte_target_ms").get<int64_t>());
+  route.max_attempts = json.at("max_attempts").get<int>();
+  // The cost of another region is its round trip, which routing adds in any case.
+  route.weight_remote = 0;
+  return route;
+}
+
+IngressService ParseService(const Json& json) {
+  IngressService service;
+  service.name = json.at("id").get<std::string>();
+  service.health_path = json.at("health_path").get<std::string>();
+  service.max_connections = json.at("max_connections").get<int>();
+  service.cold_start = milliseconds(json.at("cold_start_ms").get<int64_t>());
+  service.cold_per_s = json.at("cold_per_s").get<double>();
+  return service;
+}
+
+void AddRoute(const Json& json, IngressConfig* config) {
+  IngressRoute route;
+  route.host = json.at("host").get<std::string>();
+  route.path_prefix = json.at("path_prefix").get<std::string>();
+  for (const Json& item : json.at("backends")) {
+    RouteConfig route_config = ParseRouteConfig(json, item.at("service").get<std::string>());
+    route.backends.push_back(
+        {route_config.id, route_config.service, item.at("weight").get<int64_t>()});
+    config->route_configs[route_config.id] = std::move(route_config);
+  }
+  config->routes[route.host].push_back(std::move(route));
+}
+
+}  // namespace
+
+std::vector<SchemaIssue> ValidateIngress(const Json& document) {
+  Issues issues;
+  RequireWhole(document, "", "version", 1, std::numeric_limits<int64_t>::max(),
+               "a whole number of at least 1", &issues);
+  const Json& routes = Member(document, "routes");
+  const Json& services = Member(document, "services");
+  if (!routes.is_array()) AddIssue(&issues, "routes", routes, "a list");
+  if (!services.is_array()) AddIssue(&issues, "services", services, "a list");
+  if (!issues.empty()) return issues;
+  std::set<std::string> names;
+  for (const Json& service : services) CheckService(service, &names, &issues);
+  for (const Json& route : routes) CheckRoute(route, names, &issues);
+  CheckUniquePrefixes(routes, &issues);
+  return issues;
+}
+
+IngressConfig ParseIngress(const Json& document) {
+  IngressConfig config;
+  config.version = document.at("version").get<uint64_t>();
+  for (const Json& item : document.at("services")) {
+    IngressService service = ParseService(item);
+    config.services[service.name] = std::move(service);
+  }
+  for (const Json& item : document.at("routes")) AddRoute(item, &config);
+  for (auto& [host, routes] : config.routes) {
+    std::sort(routes.begin(), routes.end(), [](const IngressRoute& a, const IngressRoute& b) {
+      return a.path_prefix.size() > b.path_prefix.size();
+    });
+  }
+  std::set<RegionId> regions;
+  for (const auto& [id, route] : config.route_configs) {
+    regions.insert(route.regions.begin(), route.regions.end());
+  }
+  config.regions.assign(regions.begin(), regions.end());
+  return config;
+}
+
+uint64_t IngressVersion(std::string_view value) {
+  Json document = Json::parse(value, nullptr, /*allow_exceptions=*/false);
+  const Json& version = document.is_object() ? Member(document, "version") : document;
+  return version.is_number_unsigned() ? version.get<uint64_t>() : 0;
+}
+
+const IngressRoute* FindIngressRoute(const IngressConfig& config, const std::string& host,
+                                     std::string_view path) {
+  auto routes = config.routes.find(host);
+  if (routes == config.routes.end()) return nullptr;
+  for (const IngressRoute& route : routes->second) {
+    if (path.substr(0, route.path_prefix.size()) == route.path_prefix) return &route;
+  }
+  return nullptr;
+}
+
+const IngressBackend& PickBackend(const IngressRoute& route, uint64_t spread) {
+  int64_t sum = 0;
+  for (const IngressBackend& backend : route.backends) sum += backend.weight;
+  int64_t place = sum > 0 ? static_cast<int64_t>(spread % static_cast<uint64_t>(sum)) : 0;
+  for (const IngressBackend& backend : route.backends) {
+    if (place < backend.weight) return backend;
+    place -= backend.weight;
+  }
+  return route.backends.front();
+}
+
+}  // namespace ebonylift
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -88,11 +88,34 @@
   ReplaceRow(state, &Self(state), own);
 }
 
+bool SamePlace(const HostEntry& a, const HostEntry& b) {
+  return std::tie(a.domain, a.region, a.rpc_address, a.http_address, a.caller_address,
+                  a.operator_address, a.has_disk) ==
+         std::tie(b.domain, b.region, b.rpc_address, b.http_address, b.caller_address,
+                  b.operator_address, b.has_disk);
+}
+
+// Takes the place of a host from its row: it is new, or only its address was known.
+void LearnPlace(Membership* state, const HostRow& row) {
+  if (!state->params.find_hosts || !row.place || row.id.empty()) return;
+  auto it = state->hosts.find(row.id);
+  if (it == state->hosts.end()) {
+    if (state->hosts.size() >= kMaxHosts) return;
+    it = state->hosts.emplace(row.id, MemberHost()).first;
+    it->second.row.id = row.id;
+    state->found.push_back(*row.place);
+  }
+  if (SamePlace(it->second.configured, *row.place)) return;
+  it->second.configured = *row.place;
+  ++state->changed;
+}
+
 void MergeHost(Membership* state, const HostRow& row, Time now) {
   if (row.id == state->self.host) {
     if (Newer(row, Self(state).row)) Refute(state, row);
     return;
   }
+  LearnPlace(state, row);
   auto it = state->hosts.find(row.id);
   if (it == state->hosts.end()) return;
   if (Newer(row, it->second.row)) SetRow(state, &it->second, row, now);
@@ -132,6 +155,9 @@
 
 // Takes a direct message: a request or an answer.
 void Receive(Membership* state, const HostId& from, const GossipMessage& message, Time now) {
+  for (const HostRow& row : message.hosts) {
+    if (row.id == from) LearnPlace(state, row);
+  }
   auto it = state->hosts.find(from);
   if (it == state->hosts.end()) return;
   MemberHost& host = it->second;
@@ -369,6 +395,7 @@
   own.row.incarnation = self.incarnation;
   own.row.version = 1;
   own.row.status = HostStatus::kAlive;
+  if (params.find_hosts) own.row.place = self;
   ReplaceRow(&state, &Self(&state), own.row);
   return state;
 }
@@ -528,8 +555,17 @@
   return std::exchange(state->changes, {});
 }
 
+std::vector<HostEntry> TakeFound(Membership* state) { return std::exchange(state->found, {}); }
+
 // Encoded size with some slack for pointers.
-size_t RowBytes(const HostRow& row) { return 48 + row.id.value().size(); }
+size_t RowBytes(const HostRow& row) {
+  size_t bytes = 48 + row.id.value().size();
+  if (!row.place) return bytes;
+  const HostEntry& place = *row.place;
+  return bytes + 64 + place.domain.value().size() + place.region.value().size() +
+         place.rpc_address.size() + place.http_address.size() + place.caller_address.size() +
+         place.operator_address.size();
+}
 
 size_t RowBytes(const SummaryRow& row) {
   // The rows of one failure domain share its names in a message.
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -19,8 +19,11 @@
 // repaired through the hash over the host rows: while two hosts differ, they send each other all
 // host rows in turn. Summaries are reported again at least every `summary_refresh`.
 //
-// Memory: one row per configured host, at most kMaxSummaries summaries, and one record per probe of
-// the last two periods. Rows of hosts that are not configured are ignored.
+// Rows of hosts that are not configured are ignored, except with `find_hosts`: rows then carry the
+// place of their host, and a row of an unknown host adds it. At most kMaxHosts hosts are known.
+//
+// Memory: one row per known host, at most kMaxSummaries summaries, and one record per probe of the
+// last two periods.
 
 #include <cstdint>
 #include <map>
@@ -36,6 +39,7 @@
 namespace ebonylift {
 
 constexpr size_t kMaxSummaries = 4096;
+constexpr size_t kMaxHosts = 2048;
 
 struct MembershipParams {
   Duration period = milliseconds(500);
@@ -55,6 +59,7 @@
   Duration summary_slow_interval = seconds(10);  // for smaller changes
   Duration summary_refresh = seconds(30);        // an unchanged summary is reported again
   Duration summary_lifetime = seconds(90);       // a summary that nobody reports is dropped
+  bool find_hosts = false;                       // hosts that are not configured join by their rows
 };
 
 // One host as its newest known row says.
@@ -64,6 +69,7 @@
   uint32_t version = 0;      // raised by the host itself: changed flags, or a refutation
   HostStatus status = HostStatus::kFailed;
   bool overloaded = false;
+  std::optional<HostEntry> place;  // identity and addresses; the other fields are unused
 };
 
 struct SummaryRow {
@@ -141,6 +147,7 @@
   uint64_t newest_revision = 0;
   HostId newest_holder;
   std::vector<StatusChange> changes;  // since the last TakeChanges()
+  std::vector<HostEntry> found;       // hosts that joined since the last TakeFound()
   uint64_t hosts_hash = 0;            // over all host rows; equal where the same rows are known
   uint64_t changed = 0;               // grows with each change that a view shows
 };
@@ -198,6 +205,9 @@
 
 std::vector<StatusChange> TakeChanges(Membership* state);
 
+// The hosts that joined by their rows since the last call.
+std::vector<HostEntry> TakeFound(Membership* state);
+
 // The size that a row is expected to have in a message; `message_bytes` counts it.
 size_t RowBytes(const HostRow& row);
 size_t RowBytes(const SummaryRow& row);
--- a/src/core/registry.cc
+++ b/src/core/registry.cc
@@ -44,12 +44,13 @@
   registry->by_key[key] = announcement.id;
 }
 
-void Store(RegistryEntry* entry, const Announcement& announcement, Time sent, Time now) {
+void Store(RegistryEntry* entry, const Announcement& announcement, Duration max_ttl, Time sent,
+           Time now) {
   bool same_run = entry->live && entry->server.announced.incarnation == announcement.incarnation;
   if (!same_run) entry->server.first_seen = now;
   entry->server.announced = announcement;
   entry->server.reported_at = sent;
-  entry->server.expires_at = sent + std::clamp(announcement.ttl, Duration(0), kMaxServerTtl);
+  entry->server.expires_at = sent + std::clamp(announcement.ttl, Duration(0), max_ttl);
   entry->live = !announcement.leaving && now < entry->server.expires_at;
   if (!entry->live) entry->ended_at = now;
 }
@@ -84,9 +85,26 @@
   add_number(announcement.checks_fencing ? 1 : 0);
   add_number(announcement.leaving ? 1 : 0);
   add_number(static_cast<uint64_t>(announcement.ttl.count()));
+  // A cold server counts down, so its announcements are relayed whole until it is warm.
+  add_number(static_cast<uint64_t>(announcement.cold_for.count()));
   return Hash64(bytes) & kKeyMask;
 }
 
+AnnounceResult OnLeave(Registry* registry, const ServerId& id, uint64_t incarnation, Time now) {
+  auto it = registry->entries.find(id);
+  if (it == registry->entries.end()) return AnnounceResult::kDuplicate;
+  RegistryEntry& entry = it->second;
+  if (incarnation != 0 && incarnation != entry.server.announced.incarnation) {
+    return AnnounceResult::kDuplicate;
+  }
+  bool was_live = entry.live;
+  entry.server.announced.leaving = true;
+  SetKey(registry, &entry, entry.server.announced);
+  entry.live = false;
+  if (was_live) entry.ended_at = now;
+  return was_live ? AnnounceResult::kLeft : AnnounceResult::kGone;
+}
+
 std::optional<Announcement> ApplyRefresh(const Registry& registry, const ServerRefresh& refresh) {
   auto id = registry.by_key.find(refresh.key);
   if (id == registry.by_key.end()) return std::nullopt;
@@ -100,7 +118,9 @@
 
 AnnounceResult OnAnnouncement(Registry* registry, const Announcement& announcement, Duration age,
                               Time now) {
-  if (announcement.domain != registry->domain) return AnnounceResult::kOtherDomain;
+  if (!InScope(registry->self, registry->scope, announcement.domain, announcement.region)) {
+    return AnnounceResult::kOtherDomain;
+  }
   if (announcement.id.empty() || announcement.address.empty()) return AnnounceResult::kInvalid;
   auto it = registry->entries.find(announcement.id);
   bool known = it != registry->entries.end();
@@ -108,6 +128,8 @@
     const Announcement& current = it->second.server.announced;
     if (announcement.incarnation < current.incarnation) return AnnounceResult::kOldIncarnation;
     if (Order(announcement) <= Order(current)) return AnnounceResult::kDuplicate;
+    bool left = registry->leaving_is_final && current.leaving && !announcement.leaving;
+    if (left && announcement.incarnation == current.incarnation) return AnnounceResult::kDuplicate;
   } else {
     if (registry->entries.size() >= kMaxServers && !MakeRoom(registry)) {
       return AnnounceResult::kFull;
@@ -117,7 +139,7 @@
   bool was_live = it->second.live;
   uint64_t old_incarnation = it->second.server.announced.incarnation;
   SetKey(registry, &it->second, announcement);
-  Store(&it->second, announcement, now - std::max(age, Duration(0)), now);
+  Store(&it->second, announcement, registry->max_ttl, now - std::max(age, Duration(0)), now);
   if (announcement.leaving) return was_live ? AnnounceResult::kLeft : AnnounceResult::kGone;
   if (!it->second.live) return AnnounceResult::kTooOld;
   if (!was_live) return AnnounceResult::kNew;
@@ -159,6 +181,15 @@
   return Duration(0);
 }
 
+std::vector<BackendServer> RecentlyLeft(const Registry& registry, Duration within, Time now) {
+  std::vector<BackendServer> servers;
+  for (const auto& [id, entry] : registry.entries) {
+    bool left = !entry.live && entry.server.announced.leaving;
+    if (left && now - entry.ended_at < within) servers.push_back(entry.server);
+  }
+  return servers;
+}
+
 std::vector<BackendServer> LiveServers(const Registry& registry) {
   std::vector<BackendServer> servers;
   for (const auto& [id, entry] : registry.entries) {
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -1,7 +1,7 @@
 #ifndef EBONYLIFT_CORE_REGISTRY_H_
 #define EBONYLIFT_CORE_REGISTRY_H_
 
-// The backend servers of the own failure domain.
+// The backend servers of the own failure domain or region.
 //
 // An announcement is newer than another of the same server if its (incarnation, seq) is larger.
 // Only a newer announcement changes an entry, so an announcement that is relayed twice or late
@@ -24,7 +24,9 @@
 namespace ebonylift {
 
 constexpr size_t kMaxServers = 4096;
-constexpr Duration kMaxServerTtl = seconds(2);
+constexpr Duration kMaxServerTtl = seconds(2);  // unless the registry allows more
+constexpr Duration kMaxAnyServerTtl = seconds(30);
+constexpr Duration kMaxColdTime = seconds(3600);
 constexpr Duration kForgetAfter = seconds(600);
 
 enum class AnnounceResult {
@@ -61,7 +63,12 @@
 };
 
 struct Registry {
-  DomainId domain;
+  Identity self;
+  ServerScope scope = ServerScope::kDomain;
+  Duration max_ttl = kMaxServerTtl;
+  // A server that said that it leaves never comes back in the same incarnation: a later announcement
+  // of it was sent before or is repeated by somebody else.
+  bool leaving_is_final = false;
   std::map<ServerId, RegistryEntry> entries;
   std::map<uint64_t, ServerId> by_key;
 };
@@ -70,6 +77,10 @@
 AnnounceResult OnAnnouncement(Registry* registry, const Announcement& announcement, Duration age,
                               Time now);
 
+// The server says that it leaves, in a message without an announcement. `incarnation` 0 stands for
+// the one that is known. Returns kLeft, kGone, or kDuplicate when no such server is known.
+AnnounceResult OnLeave(Registry* registry, const ServerId& id, uint64_t incarnation, Time now);
+
 // The whole announcement, or nullopt when no known server has the key.
 std::optional<Announcement> ApplyRefresh(const Registry& registry, const ServerRefresh& refresh);
 
@@ -79,6 +90,9 @@
 // By id. A server is live until it expires or leaves.
 std::vector<BackendServer> LiveServers(const Registry& registry);
 
+// Servers that left less than `within` ago, for hosts that may have missed it.
+std::vector<BackendServer> RecentlyLeft(const Registry& registry, Duration within, Time now);
+
 // How long relayed announcements of one host wait on the way. The difference between the own clock
 // at receipt and the sender's clock at sending is a constant plus the time on the way; what exceeds
 // the smallest difference seen is waiting time, for example in the buffers of a process that was
--- a/src/core/retry.cc
+++ b/src/core/retry.cc
@@ -31,6 +31,8 @@
                       Time now) {
   if (!RunAllows(rule.idempotent, outcome)) return RetryVerdict::kRunForbids;
   if (rule.attempts >= kMaxAttempts) return RetryVerdict::kAttemptsSpent;
+  // One more attempt could run once more.
+  if (rule.runs >= rule.max_runs) return RetryVerdict::kAttemptsSpent;
   if (now + RetryDelay(rule.attempts + 1) >= deadline) return RetryVerdict::kDeadlinePassed;
   if (budget.tokens < 1) return RetryVerdict::kBudgetSpent;
   budget.tokens -= 1;
--- a/src/core/retry.h
+++ b/src/core/retry.h
@@ -37,6 +37,8 @@
 struct RetryRule {
   bool idempotent = false;
   int attempts = 1;  // made so far, the failed one included
+  int runs = 0;      // of these, the ones that ran or may have run
+  int max_runs = kMaxAttempts;
 };
 
 enum class RetryVerdict { kRetry, kRunForbids, kAttemptsSpent, kDeadlinePassed, kBudgetSpent };
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -42,6 +42,10 @@
   return Contains(found->second.domains, domain);
 }
 
+bool Evacuated(const RoutingView& view, const DomainId& domain) {
+  return view.config != nullptr && view.config->evacuated.count(domain) != 0;
+}
+
 const std::string& Served(const RouteConfig& route) {
   return route.kind == ServerKind::kModel ? route.model.value() : route.service;
 }
@@ -106,8 +110,10 @@
   for (size_t i = count; i-- > 0;) {
     auto found = load.prefixes.holders.find(query.prefix_hashes[i]);
     if (found == load.prefixes.holders.end()) continue;
-    int64_t tokens =
-        std::min(static_cast<int64_t>(i + 1) * kPrefixBlockTokens, query.prompt_tokens);
+    int64_t tokens = i < query.prefix_tokens.size()
+                         ? query.prefix_tokens[i]
+                         : static_cast<int64_t>(i + 1) * kPrefixBlockTokens;
+    tokens = std::min(tokens, query.prompt_tokens);
     for (const PrefixHolder& holder : found->second) {
       if (holder.cache_id == 0 || holder.expires_at <= now) continue;
       bool known = std::any_of(hits.begin(), hits.end(), [&](const CacheHit& hit) {
@@ -193,7 +199,7 @@
                                            Time now) {
   std::vector<std::pair<uint64_t, const BackendServer*>> serving;
   for (const BackendServer& server : view.servers) {
-    if (CanServe(server, route, view.self, now)) {
+    if (CanServe(server, route, view, now)) {
       serving.emplace_back(Hash64(server.announced.id.value()), &server);
     }
   }
@@ -232,7 +238,7 @@
   if (now < load.set_aside_until) set_aside = SetAside(*query.route, view, now);
   const BackendServer* own = OwnSetAside(set_aside, view);
   for (const BackendServer& server : view.servers) {
-    if (!CanServe(server, *query.route, view.self, now)) continue;
+    if (!CanServe(server, *query.route, view, now)) continue;
     bool kept_free = std::find(set_aside.begin(), set_aside.end(), &server) != set_aside.end();
     if (kept_free && !query.suspect) continue;
     if (Contains(query.avoid_servers, server.announced.id)) continue;
@@ -452,7 +458,8 @@
   best.cost = kInfinity;
   for (const DomainSummary& summary : view.summaries) {
     if (summary.servers <= 0 || summary.served != Served(*query.route)) continue;
-    if (summary.domain.empty() || summary.domain == view.self.domain) continue;
+    if (summary.domain.empty() || Evacuated(view, summary.domain)) continue;
+    if (InScope(view.self, view.server_scope, summary.domain, summary.region)) continue;
     if (now - summary.reported_at > kSummaryTtl) continue;
     if (!MayGoTo(query, view, summary.region)) continue;
     if (!DomainBelongs(view, summary.domain, summary.region)) continue;
@@ -615,11 +622,12 @@
   return allowed;
 }
 
-bool CanServe(const BackendServer& server, const RouteConfig& route, const Identity& self,
+bool CanServe(const BackendServer& server, const RouteConfig& route, const RoutingView& view,
               Time now) {
   const Announcement& announced = server.announced;
   if (announced.leaving || now >= server.expires_at || announced.kind != route.kind) return false;
-  if (announced.domain != self.domain || announced.region != self.region) return false;
+  if (!InScope(view.self, view.server_scope, announced.domain, announced.region)) return false;
+  if (Evacuated(view, announced.domain)) return false;
   if (route.kind == ServerKind::kModel) return ServesModel(announced, route);
   return Contains(announced.services, route.service);
 }
--- a/src/daemon/config_replica.cc
+++ b/src/daemon/config_replica.cc
@@ -935,7 +935,8 @@
       if (lost) LogEvent(EventId::kVoterDiskLost, {{"reason", "the journal's folder is empty"}});
       std::set<HostId> voters(options.voters.begin(), options.voters.end());
       // The name must differ from that of a lost disk, so it does not come from the seed.
-      state = NewConsensus(options.self, voters, RandomHex(8), !lost, now, rng);
+      bool may_found = options.may_found && !lost;
+      state = NewConsensus(options.self, voters, RandomHex(8), may_found, now, rng);
       Outgoing item;
       item.write = next_write++;
       uint64_t write = item.write;
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -45,6 +45,12 @@
 constexpr size_t kTimelinePageBytes = 4 << 20;
 // Announcements relayed in one message; far below the message limit.
 constexpr size_t kMaxRelayBatch = 256;
+// The leader tells this many hosts of a new revision at once; the others hear of it by gossip.
+constexpr size_t kMaxRevisionPushes = 128;
+// A host that was away learns which servers left meanwhile.
+constexpr Duration kLeftRepeatedFor = seconds(60);
+// With hosts that are found, a host must learn soon after a partition what it missed.
+constexpr Duration kFoundPeerBackoff = seconds(1);
 
 kj::Duration ToKj(Duration duration) { return duration.count() * kj::MICROSECONDS; }
 
@@ -56,6 +62,9 @@
   entry.http_address = options.http_address;
   entry.incarnation = options.incarnation;
   entry.has_disk = options.has_disk;
+  entry.rpc_address = options.peer_address;
+  entry.caller_address = options.caller_address;
+  entry.operator_address = options.operator_address;
   return entry;
 }
 
@@ -68,6 +77,7 @@
     entry.domain = peer.identity.domain;
     entry.http_address = peer.http_address;
     entry.has_disk = peer.has_disk;
+    entry.rpc_address = peer.rpc_address;
     entries.push_back(entry);
   }
   return entries;
@@ -79,12 +89,33 @@
   rpc.incarnation = options.incarnation;
   rpc.listen_address = options.peer_address;
   rpc.cluster_key = options.cluster_key;
+  rpc.open = options.find_hosts;
+  if (options.find_hosts) rpc.max_backoff = kFoundPeerBackoff;
   for (const ControlPeer& peer : options.peers) {
     rpc.peers.push_back({peer.identity.host, peer.rpc_address});
   }
   return rpc;
 }
 
+MembershipParams MakeMembershipParams(const ControlOptions& options) {
+  MembershipParams params = options.membership;
+  params.find_hosts = options.find_hosts;
+  return params;
+}
+
+Registry MakeRegistry(const ControlOptions& options) {
+  Registry registry;
+  registry.self = options.self;
+  registry.scope = options.server_scope;
+  registry.max_ttl = options.max_server_ttl;
+  registry.leaving_is_final = options.leaving_is_final;
+  return registry;
+}
+
+bool IsLeaveNotice(const Announcement& announcement) {
+  return announcement.leaving && announcement.address.empty();
+}
+
 const char* StatusName(HostStatus status) {
   switch (status) {
     case HostStatus::kAlive:
@@ -182,14 +213,13 @@
         mailbox_(mailbox),
         publish_(std::move(publish)),
         rng_(Hash64(options->self.host.value() + RandomHex(8))),
-        membership_(
-            MakeMembership(SelfEntry(*options), PeerEntries(*options), options->membership)),
+        registry_(MakeRegistry(*options)),
+        membership_(MakeMembership(SelfEntry(*options), PeerEntries(*options),
+                                   MakeMembershipParams(*options))),
         rpc_(io, MakeRpcOptions(*options), this),
         replica_(MakeReplicaOptions()),
         stop_(kj::newPromiseAndFulfiller<void>()),
-        tasks_(*this) {
-    registry_.domain = options->self.domain;
-  }
+        tasks_(*this) {}
 
   // KJ types have destructors that may throw; the base class does not allow it.
   ~ControlLoop() noexcept override {}
@@ -214,7 +244,9 @@
   // ---- requests of the traffic threads ----
   void Announce(const Announcement& announcement,
                 const std::function<void(std::optional<Error>)>& done);
+  void Leave(const ServerId& server, uint64_t incarnation, const std::function<void()>& done);
   void Put(const ConfigPut& put, uint32_t hops, const std::function<void(PutAnswer)>& done);
+  void ReadNewest(const std::string& path, const std::function<void(NewestRead)>& done);
   void Suspect(const SuspectNote& note);
   void Timeline(HlcStamp since, const std::string& request_id, size_t limit,
                 std::function<void(std::vector<Event>)> done);
@@ -267,6 +299,8 @@
   void Relay(const Announcement& announcement, Time sent, bool refresh);
   bool KnowsAllButLoad(const Announcement& announcement) const;
   void FlushRelay();
+  void RelayTo(const HostId& host, const std::vector<RelayedAnnouncement>& batch);
+  bool IsNear(const Identity& host) const;
   void SendServers(const HostId& host, Time now);
   void SendUnknown(const HostId& host, const std::vector<uint64_t>& keys);
   void SendInFull(const HostId& host, const std::vector<const BackendServer*>& servers, Time now);
@@ -324,6 +358,7 @@
   ConfigReplica::Options replica;
   replica.self = options_->self.host;
   replica.voters = options_->voters;
+  replica.may_found = options_->may_found;
   if (!options_->data_folder.empty()) {
     replica.journal = std::make_shared<FileJournal>(options_->data_folder, "config");
   }
@@ -405,6 +440,12 @@
 
 void ControlLoop::TakeChanged() {
   LogChanges();
+  for (const HostEntry& host : TakeFound(&membership_)) {
+    LogEvent(EventId::kHostFound, {{"host", host.id.value()},
+                                   {"domain", host.domain.value()},
+                                   {"address", host.rpc_address}});
+    rpc_.AddPeer({host.id, host.rpc_address});
+  }
   if (membership_.changed == seen_change_) return;
   seen_change_ = membership_.changed;
   Dirty(kPublishInterval);
@@ -457,6 +498,7 @@
   ExpireServers(SteadyNow());
   auto view = std::make_shared<RoutingView>();
   view->self = options_->self;
+  view->server_scope = options_->server_scope;
   view->config = replica_.View();
   view->servers = LiveServers(registry_);
   view->hosts = HostEntries(membership_);
@@ -474,7 +516,10 @@
 // ---- backend servers ----
 
 AnnounceResult ControlLoop::Register(const Announcement& announcement, Duration age, Time now) {
-  AnnounceResult result = OnAnnouncement(&registry_, announcement, age, now);
+  AnnounceResult result =
+      IsLeaveNotice(announcement)
+          ? OnLeave(&registry_, announcement.id, announcement.incarnation, now)
+          : OnAnnouncement(&registry_, announcement, age, now);
   std::string server = announcement.id.value();
   switch (result) {
     case AnnounceResult::kNew:
@@ -513,6 +558,10 @@
   AnnounceResult result = Register(announcement, Duration(0), now);
   switch (result) {
     case AnnounceResult::kOtherDomain:
+      if (options_->server_scope == ServerScope::kRegion) {
+        Relay(announcement, now, false);
+        return done(std::nullopt);
+      }
       return done(Error(ErrorKind::kForbidden,
                         "this host serves failure domain " + options_->self.domain.value()));
     case AnnounceResult::kOldIncarnation:
@@ -530,6 +579,19 @@
   }
 }
 
+void ControlLoop::Leave(const ServerId& server, uint64_t incarnation,
+                        const std::function<void()>& done) {
+  Announcement notice;
+  notice.id = server;
+  notice.incarnation = incarnation;
+  notice.leaving = true;
+  Register(notice, Duration(0), SteadyNow());
+  std::vector<RelayedAnnouncement> batch = {{notice, Duration(0), false}};
+  auto all = [](const Identity&) { return true; };
+  for (const HostId& host : PeersWhere(all)) rpc_.Announce(host, batch);
+  done();
+}
+
 bool ControlLoop::KnowsAllButLoad(const Announcement& announcement) const {
   auto it = registry_.entries.find(announcement.id);
   return it != registry_.entries.end() && it->second.live &&
@@ -553,14 +615,31 @@
     batch.push_back({std::move(pending.announcement), now - pending.sent, pending.refresh});
   }
   relay_.clear();
-  auto near = [this](const Identity& peer) { return peer.domain == options_->self.domain; };
-  for (const HostId& host : PeersWhere(near)) {
-    rpc_.Announce(host, batch, [this, host](const std::optional<std::vector<uint64_t>>& unknown) {
-      if (unknown) SendUnknown(host, *unknown);
-    });
+  for (const auto& [id, host] : membership_.hosts) {
+    if (id == options_->self.host) continue;
+    Identity place{id, host.configured.region, host.configured.domain};
+    std::vector<RelayedAnnouncement> wanted;
+    for (const RelayedAnnouncement& relayed : batch) {
+      const Announcement& server = relayed.announcement;
+      if (InScope(place, options_->server_scope, server.domain, server.region)) {
+        wanted.push_back(relayed);
+      }
+    }
+    if (!wanted.empty()) RelayTo(id, wanted);
   }
 }
 
+void ControlLoop::RelayTo(const HostId& host, const std::vector<RelayedAnnouncement>& batch) {
+  rpc_.Announce(host, batch, [this, host](const std::optional<std::vector<uint64_t>>& unknown) {
+    if (unknown) SendUnknown(host, *unknown);
+  });
+}
+
+// Whether the host keeps the same backend servers as this one.
+bool ControlLoop::IsNear(const Identity& host) const {
+  return InScope(options_->self, options_->server_scope, host.domain, host.region);
+}
+
 // A full message may have been dropped, or the host may have restarted.
 void ControlLoop::SendUnknown(const HostId& host, const std::vector<uint64_t>& keys) {
   std::vector<const BackendServer*> servers;
@@ -581,6 +660,8 @@
   for (const auto& [id, entry] : registry_.entries) {
     if (entry.live) servers.push_back(&entry.server);
   }
+  std::vector<BackendServer> left = RecentlyLeft(registry_, kLeftRepeatedFor, now);
+  for (const BackendServer& server : left) servers.push_back(&server);
   SendInFull(host, servers, now);
 }
 
@@ -628,6 +709,7 @@
   if (!IsReporter(membership_)) return;
   std::map<std::string, DomainSummary> rows;
   for (const BackendServer& server : LiveServers(registry_)) {
+    if (server.announced.domain != options_->self.domain) continue;
     for (const std::string& name : ServedNames(server.announced)) {
       DomainSummary& row = rows[name];
       row.domain = options_->self.domain;
@@ -649,6 +731,10 @@
 void ControlLoop::OnConfigApplied() {
   SetRevision(&membership_, replica_.revision());
   Dirty(kPublishInterval);
+  if (!replica_.IsLeader()) return;
+  std::vector<HostId> hosts = rpc_.Connected();
+  if (hosts.size() > kMaxRevisionPushes) hosts.resize(kMaxRevisionPushes);
+  for (const HostId& host : hosts) PushGossip(host);
 }
 
 void ControlLoop::PullConfig(Time now) {
@@ -706,13 +792,30 @@
   });
 }
 
+void ControlLoop::ReadNewest(const std::string& path,
+                             const std::function<void(NewestRead)>& done) {
+  std::optional<HostId> leader =
+      replica_.ReadCurrent(path, [done](const std::optional<Error>& error, const ConfigRead& read) {
+        NewestRead answer;
+        if (error) answer.error = error->kind();
+        answer.read = read;
+        done(answer);
+      });
+  if (!leader) return;
+  NewestRead answer;
+  answer.error = ErrorKind::kNoQuorum;
+  answer.ask = *leader;
+  done(answer);
+}
+
 // ---- suspects ----
 
 std::vector<HostId> ControlLoop::PeersWhere(
     const std::function<bool(const Identity&)>& match) const {
   std::vector<HostId> hosts;
-  for (const ControlPeer& peer : options_->peers) {
-    if (match(peer.identity)) hosts.push_back(peer.identity.host);
+  for (const auto& [id, host] : membership_.hosts) {
+    if (id == options_->self.host) continue;
+    if (match({id, host.configured.region, host.configured.domain})) hosts.push_back(id);
   }
   return hosts;
 }
@@ -744,7 +847,7 @@
   auto it = membership_.hosts.find(host);
   if (it == membership_.hosts.end()) return;
   const HostEntry& peer = it->second.configured;
-  if (peer.domain == options_->self.domain) SendServers(host, now);
+  if (IsNear({host, peer.region, peer.domain})) SendServers(host, now);
   if (peer.region != options_->self.region) return;
   // What was reported while the host could not be reached.
   std::vector<SuspectNote> notes;
@@ -933,6 +1036,16 @@
     });
   }
 
+  void Leave(const ServerId& server, uint64_t incarnation, std::function<void()> done) override {
+    Post([server, incarnation, done = std::move(done)](ControlLoop* loop) {
+      loop->Leave(server, incarnation, done);
+    });
+  }
+
+  void ReadNewest(const std::string& path, std::function<void(NewestRead)> done) override {
+    Post([path, done = std::move(done)](ControlLoop* loop) { loop->ReadNewest(path, done); });
+  }
+
   void Put(const ConfigPut& put, std::function<void(PutAnswer)> done) override {
     Post([put, done = std::move(done)](ControlLoop* loop) { loop->Put(put, 0, done); });
   }
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -22,6 +22,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "core/membership.h"
+#include "core/registry.h"
 #include "ports/control_port.h"
 #include "ports/journal.h"
 #include "ports/views.h"
@@ -47,8 +48,18 @@
   std::string peer_address;  // listened on
   std::string http_address;  // as shown in the own row of the entry list
   bool has_disk = false;
+  std::string caller_address;    // empty: callers do not use this host
+  std::string operator_address;  // empty: operators do not use this host
   std::vector<ControlPeer> peers;
-  std::vector<HostId> voters;
+  // Hosts outside `peers` join with the cluster key. The peers then are the hosts to ask first;
+  // their places may be empty, and they are learned with those of all others.
+  bool find_hosts = false;
+  std::vector<HostId> voters;  // of the first start
+  // False: the deployment exists, so a voter whose disk is empty has lost it.
+  bool may_found = true;
+  ServerScope server_scope = ServerScope::kDomain;
+  Duration max_server_ttl = kMaxServerTtl;
+  bool leaving_is_final = false;  // see Registry
   std::string cluster_key;
   std::string data_folder;  // empty: no disk
   MembershipParams membership;
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -5,6 +5,7 @@
 
 #include "base/event.h"
 #include "base/hash.h"
+#include "daemon/ingress_request.h"
 
 namespace ebonylift {
 
@@ -42,11 +43,14 @@
 Exchange::~Exchange() = default;
 
 void Exchange::Start() {
-  LogEvent(EventId::kRequestReceived, {{"request_id", spec_.id.value()},
-                                       {"team", spec_.team.value()},
-                                       {"route", spec_.route->id.value()},
-                                       {"class", TrafficClassName(spec_.traffic_class)},
-                                       {"hops", std::to_string(spec_.hops)}});
+  // With a dialect the line of the answer says the same.
+  if (spec_.dialect == nullptr) {
+    LogEvent(EventId::kRequestReceived, {{"request_id", spec_.id.value()},
+                                         {"team", spec_.team.value()},
+                                         {"route", spec_.route->id.value()},
+                                         {"class", TrafficClassName(spec_.traffic_class)},
+                                         {"hops", std::to_string(spec_.hops)}});
+  }
   ExchangeTable* table = context_.table;
   responder_->OnClosed([table, id = id_] {
     if (Exchange* exchange = table->Find(id)) exchange->OnCallerGone();
@@ -66,7 +70,7 @@
     admitted_ = true;
     context_.metrics->CountRequest(spec_.traffic_class);
     const TeamConfig& team = spec_.view->config->teams.at(spec_.team);
-    context_.dispatcher->CountRequest(spec_.team, team.limits.retry_percent);
+    context_.dispatcher->CountRequest(BudgetKey(), team.limits.retry_percent);
   }
   if (NeedsRecord()) {
     ClaimKey();
@@ -75,6 +79,12 @@
   }
 }
 
+// Each service has its own budget of repetitions; a team of the own interface has one for all.
+TeamId Exchange::BudgetKey() const {
+  if (spec_.dialect == nullptr) return spec_.team;
+  return TeamId(spec_.team.value() + "/" + spec_.route->service);
+}
+
 bool Exchange::NeedsRecord() const {
   return !spec_.idempotent && !spec_.idempotency_key.empty() && !spec_.claimed;
 }
@@ -175,6 +185,7 @@
   query.allowed_regions = spec_.allowed_regions;
   query.prompt_tokens = spec_.prompt_tokens;
   query.prefix_hashes = spec_.prefix_hashes;
+  query.prefix_tokens = spec_.prefix_tokens;
   query.content = spec_.content;
   query.hops = spec_.hops;
   query.crossed = spec_.crossed;
@@ -202,6 +213,7 @@
 // Takes the newest view: the rules may have become stricter since the request arrived.
 bool Exchange::RefreshView() {
   std::shared_ptr<const RoutingView> view = context_.control->View();
+  if (spec_.dialect != nullptr) return ResolveIngress(&spec_, std::move(view));
   auto team = view->config->teams.find(spec_.team);
   if (team == view->config->teams.end()) return false;
   auto route = team->second.routes.find(spec_.route->id);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -27,6 +27,7 @@
 #include "core/attempt.h"
 #include "daemon/answers.h"
 #include "daemon/dispatcher.h"
+#include "daemon/event_relay.h"
 #include "daemon/record_store.h"
 #include "daemon/request.h"
 #include "daemon/stream.h"
@@ -80,13 +81,18 @@
   bool OnData(uint32_t attempt, std::string_view data);
   void OnDone(uint32_t attempt, const CallResult& result);
   void OnComplete();
+  void OnForwardedAnswer();
+  void OnDialectAnswer();
+  void OnStreamEnd();
   void OnAttemptFailed(const CallResult& result, ebonylift::Run run);
   void ConfirmNotStarted(const CallResult& result);
   void CheckServerLost(const CallResult& result);
   void ProbeServer(const LossEvidence& evidence, const CallResult& result, bool again);
   void RetryOrRefuse(ebonylift::Run run);
+  void Repeat();
   void CheckCondemnation();
   bool TryResume();
+  bool TryResumeElsewhere();
   void WatchAttempt(uint32_t attempt);
   void OnWatch(uint32_t attempt);
   bool TargetLive(const Attempt& attempt) const;
@@ -97,6 +103,7 @@
   void RefuseOutcome();
   ErrorKind Covering(ErrorKind kind) const;
   void Refuse(ErrorKind kind, const std::string& message, Duration retry_after = Duration{0});
+  void RefuseWithDialect(const ErrorAnswer& answer);
   void OnCallerGone();
   void EndAttempt(ServerOutcome outcome);
   void CancelAttempt();
@@ -104,9 +111,13 @@
 
   // Helpers.
   bool NeedsRecord() const;
+  bool IsEventStream() const;
+  TeamId BudgetKey() const;
+  RetryRule MakeRetryRule() const;
   RouteQuery Query() const;
   RecordKey Key() const;
   HttpHeaders BackendHeaders() const;
+  HttpHeaders DialectHeaders() const;
   HttpHeaders AnswerHeaders() const;
   HttpCall NewCall(const std::string& url, uint32_t attempt);
   void Relay(std::string_view data);
@@ -155,7 +166,9 @@
   bool answer_kept_ = true;  // false: too large to store
   bool streaming_ = false;   // Begin() was called on the responder
   bool paused_ = false;
-  StreamTracker stream_;  // of a server-sent-event answer
+  StreamTracker stream_;  // of a server-sent-event answer of the own interface
+  EventRelay events_;     // the same with a dialect
+  AnswerKind answer_kind_ = AnswerKind::kAnswer;  // of the open attempt, with a dialect
   int resumes_ = 0;       // of the stream of the open attempt
 };
 
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -104,9 +104,11 @@
                                      {"outcome", OutcomeName(result.outcome)},
                                      {"run", RunName(run)}});
   if (streaming_) {
-    if (TryResume()) return;
+    if (spec_.dialect == nullptr && TryResume()) return;
     OnFailure(attempts_, attempt_, run);
+    if (server_) avoid_servers_.push_back(*server_);
     EndAttempt(ServerOutcome::kFailed);
+    if (spec_.dialect != nullptr && TryResumeElsewhere()) return;
     RefuseOutcome();
     return;
   }
@@ -116,6 +118,35 @@
   RetryOrRefuse(run);
 }
 
+RetryRule Exchange::MakeRetryRule() const {
+  RetryRule rule;
+  rule.idempotent = spec_.idempotent;
+  rule.attempts = static_cast<int>(attempts_.attempts.size());
+  if (spec_.dialect == nullptr) return rule;
+  for (const Attempt& attempt : attempts_.attempts) {
+    bool ended = attempt.state != AttemptState::kOpen;
+    if (ended && attempt.run != ebonylift::Run::kNotRun) ++rule.runs;
+  }
+  // The host that the caller uses counts the attempts, so a host in between makes one.
+  rule.max_runs = spec_.forwarded ? 1 : spec_.route->max_attempts;
+  return rule;
+}
+
+// Continues a broken stream at another backend server after the last whole event.
+bool Exchange::TryResumeElsewhere() {
+  if (!spec_.route->resumable || events_.too_large() || !responder_) return false;
+  Time now = SteadyNow();
+  RetryVerdict verdict = context_.dispatcher->MayRetry(
+      BudgetKey(), MakeRetryRule(), ebonylift::Run::kMayHaveRun, spec_.deadline, now);
+  if (verdict != RetryVerdict::kRetry) return false;
+  ++resumes_;
+  events_.DropPartial();
+  LogEvent(EventId::kStreamResumed,
+           {{"request_id", spec_.id.value()}, {"offset", events_.last_event()}});
+  Place();
+  return true;
+}
+
 // Continues a broken stream on the same server and attempt at the exact offset.
 bool Exchange::TryResume() {
   if (!server_ || !server_resumes_ || SteadyNow() >= spec_.deadline) return false;
@@ -161,23 +192,27 @@
     RefuseOutcome();
     return;
   }
-  RetryRule rule;
-  rule.idempotent = spec_.idempotent;
-  rule.attempts = static_cast<int>(attempts_.attempts.size());
-  RetryVerdict verdict =
-      context_.dispatcher->MayRetry(spec_.team, rule, run, spec_.deadline - kTimeoutRounding, now);
+  RetryVerdict verdict = context_.dispatcher->MayRetry(BudgetKey(), MakeRetryRule(), run,
+                                                       spec_.deadline - kTimeoutRounding, now);
   if (verdict != RetryVerdict::kRetry) {
     RefuseOutcome();
     return;
   }
+  Repeat();
+}
+
+// Starts the next attempt. Precondition: the budget was charged and no attempt is open.
+void Exchange::Repeat() {
+  int next = static_cast<int>(attempts_.attempts.size()) + 1;
   context_.metrics->CountRetry(spec_.traffic_class);
   LogEvent(EventId::kAttemptRetried,
-           {{"request_id", spec_.id.value()}, {"attempt", std::to_string(rule.attempts + 1)}});
+           {{"request_id", spec_.id.value()}, {"attempt", std::to_string(next)}});
   answer_.clear();
   status_ = 0;
   headers_.clear();
   stream_ = StreamTracker();
-  RunLater(RetryDelay(rule.attempts + 1), &Exchange::Place);
+  events_ = EventRelay();
+  RunLater(RetryDelay(next), &Exchange::Place);
 }
 
 void Exchange::RunLater(Duration delay, void (Exchange::*step)()) {
@@ -191,6 +226,7 @@
 
 HttpHeaders Exchange::AnswerHeaders() const {
   HttpHeaders headers = EndToEndHeaders(headers_);
+  if (spec_.dialect != nullptr) return headers;
   headers.emplace_back(kRequestIdHeader, spec_.id.value());
   // A peer has added the caller's id already.
   if (!spec_.caller_request_id.empty()) {
@@ -246,6 +282,7 @@
   if (local) context_.dispatcher->OnCompleted(spec_.content);
   LogEvent(EventId::kRequestAnswered,
            {{"request_id", spec_.id.value()},
+            {"route", spec_.route->id.value()},
             {"server", server},
             {"ms", std::to_string(ToMillis(SteadyNow() - spec_.arrived))}});
   auto respond = [responder = responder_, streaming = streaming_, status = status_, headers,
@@ -308,7 +345,9 @@
   context_.metrics->CountRefusal(kind);
   if (responder_) {
     ErrorAnswer answer{kind, message, retry_after, spec_.id};
-    if (streaming_) {
+    if (spec_.dialect != nullptr) {
+      RefuseWithDialect(answer);
+    } else if (streaming_) {
       responder_->Write(ErrorAnswerEvent(answer));
       responder_->End();
     } else {
@@ -318,6 +357,15 @@
   Finish();
 }
 
+// A stream that is not whole must not look complete, so its connection is closed.
+void Exchange::RefuseWithDialect(const ErrorAnswer& answer) {
+  if (streaming_) {
+    responder_->Abort();
+  } else {
+    spec_.dialect->send_refusal(responder_.get(), answer);
+  }
+}
+
 void Exchange::OnCallerGone() {
   responder_ = nullptr;
   if (finished_) return;
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -28,7 +28,17 @@
 
 }  // namespace
 
+HttpHeaders Exchange::DialectHeaders() const {
+  AttemptFacts attempt;
+  if (server_) attempt.server = *server_;
+  attempt.left = std::max<Duration>(spec_.deadline - SteadyNow(), milliseconds(1));
+  attempt.rank = spec_.route->rank;
+  attempt.last_event = events_.last_event();
+  return spec_.dialect->attempt_headers(spec_.headers, attempt);
+}
+
 HttpHeaders Exchange::BackendHeaders() const {
+  if (spec_.dialect != nullptr) return DialectHeaders();
   HttpHeaders headers = spec_.headers;
   int64_t left = std::max<int64_t>(1, ToMillis(spec_.deadline - SteadyNow()));
   headers.emplace_back(kRequestIdHeader, spec_.id.value());
@@ -86,9 +96,11 @@
   server_address_ = server->announced.address;
   server_resumes_ = Has(server->announced.capabilities, "resume");
   server_cancels_ = Has(server->announced.capabilities, "cancel");
-  LogEvent(EventId::kRequestDispatched, {{"request_id", spec_.id.value()},
-                                         {"attempt", std::to_string(attempt_)},
-                                         {"server", choice.server.value()}});
+  if (spec_.dialect == nullptr || attempt_ > 1) {
+    LogEvent(EventId::kRequestDispatched, {{"request_id", spec_.id.value()},
+                                           {"attempt", std::to_string(attempt_)},
+                                           {"server", choice.server.value()}});
+  }
   std::string url = "http://" + server_address_ + spec_.path;
   if (!spec_.query.empty()) url += "?" + spec_.query;
   HttpCall call = NewCall(url, attempt_);
@@ -172,12 +184,14 @@
   mark.idempotent = spec_.idempotent;
   mark.revision = spec_.view->config->revision;
   mark.time = WallNow();
-  ForwardBinding binding{spec_.method, spec_.request_path + "?" + spec_.query,
-                         FindHeader(spec_.headers, "idempotency-key"), spec_.body_sha256};
+  std::string key =
+      spec_.dialect == nullptr ? FindHeader(spec_.headers, "idempotency-key") : std::string();
+  ForwardBinding binding{spec_.method, spec_.request_path + "?" + spec_.query, key,
+                         BodyHash(&spec_)};
   std::string url = "http://" + host.http_address + spec_.request_path;
   if (!spec_.query.empty()) url += "?" + spec_.query;
   HttpCall call = NewCall(url, attempt_);
-  call.headers = spec_.headers;
+  call.headers = spec_.dialect == nullptr ? spec_.headers : DialectHeaders();
   call.headers.emplace_back(kForwardHeader, EncodeForward(mark, binding, context_.cluster_key));
   call_ = context_.client->Start(std::move(call));
   last_byte_ = now;
@@ -186,11 +200,20 @@
 
 void Exchange::OnHeaders(uint32_t attempt, int status, const HttpHeaders& headers) {
   if (attempt != attempt_) return;
+  if (spec_.dialect != nullptr) {
+    answer_kind_ = spec_.dialect->read_answer(spec_.headers, status, headers);
+  }
+  // A stream that goes on keeps the headers of its first answer.
   if (resumes_ > 0) return;
   status_ = status;
   headers_ = headers;
 }
 
+bool Exchange::IsEventStream() const {
+  return status_ == 200 && answer_kind_ == AnswerKind::kAnswer &&
+         FindHeader(headers_, "content-type").rfind("text/event-stream", 0) == 0;
+}
+
 void Exchange::BeginStream() {
   if (streaming_) return;
   streaming_ = true;
@@ -207,7 +230,7 @@
 }
 
 void Exchange::Relay(std::string_view data) {
-  std::string events = stream_.Feed(data);
+  std::string events = spec_.dialect == nullptr ? stream_.Feed(data) : events_.Feed(data);
   if (events.empty()) return;
   BeginStream();
   // A stored answer must be whole, so an answer over the bound is not kept at all.
@@ -244,8 +267,7 @@
     return false;
   }
   CountByte();
-  bool events = FindHeader(headers_, "content-type").rfind("text/event-stream", 0) == 0;
-  if (events && status_ == 200) {
+  if (IsEventStream()) {
     Relay(data);
   } else if (answer_.size() + data.size() <= kMaxAnswerBuffer) {
     answer_.append(data);
@@ -277,7 +299,7 @@
       }
       return;
     case CallOutcome::kFailed:
-      if (server_) {
+      if (server_ && spec_.dialect == nullptr) {
         CheckServerLost(result);
       } else {
         OnAttemptFailed(result, ebonylift::Run::kMayHaveRun);
@@ -286,29 +308,84 @@
   }
 }
 
-void Exchange::OnComplete() {
+// The message of a stream ended.
+void Exchange::OnStreamEnd() {
+  bool whole =
+      spec_.dialect == nullptr ? stream_.done() || stream_.error() : events_.whole();
   CallResult broken{CallOutcome::kFailed, status_, "the stream ended without its end marker", true};
-  bool events = FindHeader(headers_, "content-type").rfind("text/event-stream", 0) == 0;
-  if (events && status_ == 200) {
-    if (stream_.done() || stream_.error()) {
+  if (whole) {
+    Deliver();
+  } else if (server_ && spec_.dialect == nullptr) {
+    CheckServerLost(broken);
+  } else {
+    OnAttemptFailed(broken, ebonylift::Run::kMayHaveRun);
+  }
+}
+
+// Another host answered with an error: its own, or that of a backend server.
+void Exchange::OnForwardedAnswer() {
+  std::optional<ErrorKind> kind = ErrorKindOfBody(answer_);
+  if (!kind && spec_.dialect != nullptr) {
+    OnDialectAnswer();
+  } else if (!kind) {
+    Deliver();
+  } else if (!to_owner_ && AnotherHostMayAccept(*kind)) {
+    OnAttemptFailed(CallResult{CallOutcome::kComplete, status_, LookupError(*kind).code, true},
+                    LookupError(*kind).run);
+  } else {
+    RelayPeerError();
+  }
+}
+
+// A whole answer with a dialect that is not a stream.
+void Exchange::OnDialectAnswer() {
+  CallResult result{CallOutcome::kComplete, status_, "backend server error", true};
+  switch (answer_kind_) {
+    case AnswerKind::kAnswer:
       Deliver();
-    } else if (server_) {
-      CheckServerLost(broken);
-    } else {
-      OnAttemptFailed(broken, ebonylift::Run::kMayHaveRun);
-    }
+      return;
+    case AnswerKind::kNotRun:
+      OnAttemptFailed(result, ebonylift::Run::kNotRun);
+      return;
+    case AnswerKind::kForeign:
+      OnAttemptFailed(result, ebonylift::Run::kMayHaveRun);
+      return;
+    case AnswerKind::kFailed:
+      break;
+  }
+  // The answer of the backend server is the answer when the request is not repeated.
+  RetryRule rule = MakeRetryRule();
+  ++rule.runs;
+  RetryVerdict verdict = context_.dispatcher->MayRetry(
+      BudgetKey(), rule, ebonylift::Run::kMayHaveRun, spec_.deadline, SteadyNow());
+  if (verdict != RetryVerdict::kRetry) {
+    Deliver();
+    return;
+  }
+  OnFailure(attempts_, attempt_, ebonylift::Run::kMayHaveRun);
+  if (server_) avoid_servers_.push_back(*server_);
+  EndAttempt(ServerOutcome::kFailed);
+  Repeat();
+}
+
+void Exchange::OnComplete() {
+  if (IsEventStream()) {
+    OnStreamEnd();
+    return;
+  }
+  if (streaming_) {
+    // A resumed stream got another answer than a stream.
+    OnAttemptFailed(CallResult{CallOutcome::kFailed, status_, "the stream did not go on", true},
+                    answer_kind_ == AnswerKind::kNotRun ? ebonylift::Run::kNotRun
+                                                        : ebonylift::Run::kMayHaveRun);
     return;
   }
   if (forwarding_ && status_ >= 400) {
-    std::optional<ErrorKind> kind = ErrorKindOfBody(answer_);
-    if (kind && !to_owner_ && AnotherHostMayAccept(*kind)) {
-      OnAttemptFailed(CallResult{CallOutcome::kComplete, status_, LookupError(*kind).code, true},
-                      LookupError(*kind).run);
-    } else if (kind) {
-      RelayPeerError();
-    } else {
-      Deliver();
-    }
+    OnForwardedAnswer();
+    return;
+  }
+  if (spec_.dialect != nullptr) {
+    OnDialectAnswer();
     return;
   }
   bool model = spec_.route->kind == ServerKind::kModel;
--- /dev/null
+++ b/src/daemon/ingress_request.cc
@@ -0,0 +1,125 @@
+#include "daemon/ingress_request.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "core/ingress.h"
+#include "core/routing.h"
+
+namespace ebonylift {
+namespace {
+
+// Growing prefixes of the prompt: the hash of each one includes those before it.
+void SetPrefixes(RequestSpec* spec) {
+  uint64_t hash = Hash64(spec->facts.model.value());
+  int64_t tokens = 0;
+  for (const PromptPart& part : spec->facts.prompt) {
+    hash = Hash64(std::to_string(part.id), hash);
+    tokens += part.tokens;
+    spec->prefix_hashes.push_back(hash);
+    spec->prefix_tokens.push_back(tokens);
+  }
+}
+
+RequestSpec MakeSpec(HttpRequest request, const Dialect& dialect, Time now) {
+  RequestSpec spec;
+  spec.dialect = &dialect;
+  spec.facts = dialect.read_request(request);
+  spec.team = TeamId(kIngressTeam);
+  spec.arrived = now;
+  spec.method = request.method;
+  spec.request_path = request.path;
+  spec.path = request.path;
+  spec.query = request.query;
+  spec.headers = EndToEndHeaders(request.headers, HeaderSet::kWithHostAndAuthorization);
+  spec.body = std::move(request.body);
+  spec.content = Hash64(spec.body, Hash64(spec.method + spec.facts.host + spec.path + spec.query));
+  spec.prompt_tokens = spec.facts.prompt_tokens;
+  SetPrefixes(&spec);
+  return spec;
+}
+
+void RequireConfiguration(const RoutingView& view) {
+  if (view.config->ingress != nullptr) return;
+  throw Error(ErrorKind::kNotReady, "this host has no configuration of routes yet");
+}
+
+void SetRoute(RequestSpec* spec, std::shared_ptr<const RoutingView> view,
+              const RouteConfig& route) {
+  spec->route = &route;
+  spec->allowed_regions = AllowedRegions(*view->config, route);
+  spec->traffic_class = route.traffic_class;
+  spec->idempotent = route.idempotent;
+  spec->view = std::move(view);
+}
+
+const RouteConfig* FindRouteConfig(const RoutingView& view, const RouteId& id) {
+  const auto& routes = view.config->ingress->route_configs;
+  auto found = routes.find(id);
+  return found == routes.end() ? nullptr : &found->second;
+}
+
+}  // namespace
+
+bool ResolveIngress(RequestSpec* spec, std::shared_ptr<const RoutingView> view) {
+  if (view->config->ingress == nullptr) return false;
+  const RouteConfig* config = nullptr;
+  if (spec->forwarded) {
+    config = FindRouteConfig(*view, spec->route->id);
+  } else {
+    const IngressRoute* route =
+        FindIngressRoute(*view->config->ingress, spec->facts.host, spec->path);
+    if (route == nullptr) return false;
+    config = FindRouteConfig(*view, PickBackend(*route, Hash64(spec->id.value())).route);
+  }
+  if (config == nullptr) return false;
+  SetRoute(spec, std::move(view), *config);
+  return true;
+}
+
+RequestSpec ParseIngressRequest(HttpRequest request, std::shared_ptr<const RoutingView> view,
+                                const Dialect& dialect, Time now) {
+  RequireConfiguration(*view);
+  RequestSpec spec = MakeSpec(std::move(request), dialect, now);
+  spec.id = NewRequestId();
+  if (!ResolveIngress(&spec, std::move(view))) {
+    throw Error(ErrorKind::kUnknownPath, "no route for " + spec.facts.host + spec.path);
+  }
+  spec.deadline = now + spec.route->deadline;
+  if (spec.facts.patience > Duration(0)) {
+    spec.deadline = std::min(spec.deadline, now + spec.facts.patience);
+  }
+  return spec;
+}
+
+RequestSpec ParseForwardedIngress(HttpRequest request, std::shared_ptr<const RoutingView> view,
+                                  const Dialect& dialect, const std::string& cluster_key,
+                                  Time now) {
+  RequireConfiguration(*view);
+  std::string header = FindHeader(request.headers, kForwardHeader);
+  RequestSpec spec = MakeSpec(std::move(request), dialect, now);
+  ForwardBinding binding{spec.method, spec.path + "?" + spec.query, "", BodyHash(&spec)};
+  ForwardMark mark = DecodeForward(header, binding, cluster_key, WallNow());
+  const RouteConfig* route = FindRouteConfig(*view, mark.route);
+  if (route == nullptr) {
+    // The configurations of the two hosts differ for a moment.
+    throw Error(ErrorKind::kNoServer, "the route of the forwarded request is not known here");
+  }
+  SetRoute(&spec, std::move(view), *route);
+  spec.id = mark.request;
+  spec.forwarded = true;
+  spec.hops = mark.hops;
+  spec.crossed = mark.crossed;
+  spec.traffic_class = mark.traffic_class;
+  spec.idempotent = spec.idempotent && mark.idempotent;
+  spec.deadline = now + milliseconds(mark.deadline_ms);
+  return spec;
+}
+
+bool IsForwardedIngress(const HttpHeaders& headers) {
+  const std::string& header = FindHeader(headers, kForwardHeader);
+  return header.find(std::string(";") + kIngressTeam + ";") != std::string::npos;
+}
+
+}  // namespace ebonylift
--- a/src/daemon/request.cc
+++ b/src/daemon/request.cc
@@ -224,16 +224,23 @@
   return team->second;
 }
 
-HttpHeaders EndToEndHeaders(const HttpHeaders& headers) {
+HttpHeaders EndToEndHeaders(const HttpHeaders& headers, HeaderSet set) {
   std::set<std::string> options = ConnectionOptions(headers);
   HttpHeaders kept;
   for (const auto& header : headers) {
     std::string name = Lower(header.first);
-    if (!IsHopByHop(name) && options.count(name) == 0) kept.push_back(header);
+    bool wanted = set == HeaderSet::kWithHostAndAuthorization &&
+                  (name == "host" || name == "authorization");
+    if (wanted || (!IsHopByHop(name) && options.count(name) == 0)) kept.push_back(header);
   }
   return kept;
 }
 
+const std::string& BodyHash(RequestSpec* spec) {
+  if (spec->body_sha256.empty()) spec->body_sha256 = Sha256Hex(spec->body);
+  return spec->body_sha256;
+}
+
 RequestId NewRequestId() {
   constexpr size_t kIdBytes = 12;
   return RequestId("r-" + RandomHex(kIdBytes));
--- a/src/daemon/request.h
+++ b/src/daemon/request.h
@@ -12,6 +12,7 @@
 
 #include "adapters/http_server.h"
 #include "base/error.h"
+#include "daemon/dialect.h"
 #include "daemon/forward.h"
 #include "ports/views.h"
 
@@ -32,13 +33,17 @@
   bool stream = false;
   int64_t prompt_tokens = 0;
   std::vector<uint64_t> prefix_hashes;  // of growing prefixes of the prompt
+  std::vector<int64_t> prefix_tokens;   // of each of them; empty: kPrefixBlockTokens more each
   uint64_t content = 0;                 // identity of (model, body) for crash suspicion
-  std::string body_sha256;
+  std::string body_sha256;  // empty until it is needed, see BodyHash()
   int hops = 0;
   bool crossed = false;
   bool claimed = false;  // the owner of the idempotency key sent this request here
   bool forwarded = false;
 
+  const Dialect* dialect = nullptr;  // null: the gateway's own interface
+  RequestFacts facts;                // with a dialect
+
   std::string method;
   std::string request_path;  // as the caller sent it, for forwarding
   std::string path;          // sent to the backend server
@@ -58,8 +63,16 @@
 RequestSpec ParseRequest(HttpRequest request, std::shared_ptr<const RoutingView> view,
                          const std::string& cluster_key, Time now);
 
-// The headers without hop-by-hop, authorisation and ebonylift ones. Thread safe.
-HttpHeaders EndToEndHeaders(const HttpHeaders& headers);
+enum class HeaderSet {
+  kEndToEnd,                   // without Host and Authorization
+  kWithHostAndAuthorization,  // for backend servers that share the callers' names and keys
+};
+
+// The headers without hop-by-hop and ebonylift ones. Thread safe.
+HttpHeaders EndToEndHeaders(const HttpHeaders& headers, HeaderSet set = HeaderSet::kEndToEnd);
+
+// The SHA-256 of the body, computed on the first call.
+const std::string& BodyHash(RequestSpec* spec);
 
 // A request id that no other host makes. Thread safe.
 RequestId NewRequestId();
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -35,10 +35,11 @@
 // Runs the daemon's main thread: signals and the stages of the shutdown.
 class Daemon {
  public:
-  explicit Daemon(const Settings& settings) : settings_(settings), signals_(io_), timer_(io_) {}
+  explicit Daemon(const ServeOptions& options)
+      : options_(options), settings_(options_.settings), signals_(io_), timer_(io_) {}
 
   int Run() {
-    SetEventHost(settings_.host.value());
+    SetEventHost(settings_.name.empty() ? settings_.host.value() : settings_.name);
     LogEvent(EventId::kStarted, {{"http_address", settings_.http_address},
                                  {"peer_address", settings_.peer_address},
                                  {"region", settings_.region.value()},
@@ -48,9 +49,8 @@
     StartThreads();
     signals_.add(SIGTERM);
     signals_.add(SIGINT);
-    signals_.async_wait([this](const asio::error_code& error, int /*signal*/) {
-      if (!error) BeginDrain("signal");
-    });
+    signals_.add(SIGHUP);
+    WaitForSignal();
     WaitForConfiguration();
     io_.run();
     traffic_->Stop();
@@ -59,6 +59,19 @@
   }
 
  private:
+  // Settings never change while the daemon runs, so SIGHUP only leaves a line in the log.
+  void WaitForSignal() {
+    signals_.async_wait([this](const asio::error_code& error, int signal) {
+      if (error) return;
+      if (signal == SIGHUP) {
+        LogEvent(EventId::kReloadRequested, {{"changed", "none"}});
+      } else {
+        BeginDrain("signal");
+      }
+      WaitForSignal();
+    });
+  }
+
   void OpenState() {
     std::shared_ptr<Journal> journal;
     if (!settings_.data_dir.empty()) {
@@ -77,6 +90,8 @@
     ready_dispatcher_ = dispatcher_.get();
     TrafficOptions traffic;
     traffic.settings = settings_;
+    traffic.listeners = options_.listeners;
+    traffic.dialect = options_.dialect;
     traffic.control = control_.get();
     traffic.dispatcher = dispatcher_.get();
     traffic.records = records_.get();
@@ -102,6 +117,13 @@
       options.peers.push_back(known);
     }
     options.voters = settings_.voters;
+    options.find_hosts = settings_.find_hosts;
+    options.may_found = settings_.first_start;
+    options.server_scope = settings_.server_scope;
+    options.max_server_ttl = settings_.max_server_ttl;
+    options.leaving_is_final = settings_.leaving_is_final;
+    options.caller_address = settings_.caller_address;
+    options.operator_address = settings_.operator_address;
     options.cluster_key = settings_.cluster_key;
     options.data_folder = settings_.data_dir;
     options.on_suspect = [this](uint64_t content, const ServerId& server, bool alone,
@@ -172,7 +194,8 @@
     });
   }
 
-  const Settings settings_;
+  const ServeOptions options_;
+  const Settings& settings_;
   asio::io_context io_;
   asio::signal_set signals_;
   asio::steady_timer timer_;
@@ -193,19 +216,24 @@
 
 int RunServe(const std::vector<std::string>& args) {
   std::vector<SettingIssue> issues;
-  Settings settings = ReadSettings(&issues);
-  std::vector<SettingIssue> checks = CheckSettings(settings);
-  issues.insert(issues.end(), checks.begin(), checks.end());
+  ServeOptions options;
+  options.settings = ReadSettings(&issues);
   for (const std::string& argument : args) {
     issues.push_back({"argument", argument, "none"});
   }
+  return Serve(options, std::move(issues));
+}
+
+int Serve(const ServeOptions& options, std::vector<SettingIssue> issues) {
+  std::vector<SettingIssue> checks = CheckSettings(options.settings);
+  issues.insert(issues.end(), checks.begin(), checks.end());
   for (const SettingIssue& issue : issues) {
     LogEvent(EventId::kSettingsRefused,
              {{"key", issue.key}, {"value", issue.value}, {"allowed", issue.allowed}});
   }
   if (!issues.empty()) return 2;
   try {
-    return Daemon(settings).Run();
+    return Daemon(options).Run();
   } catch (const Error& error) {
     LOG(ERROR) << "the daemon cannot start: " << error.what();
     return 1;
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -22,6 +22,12 @@
 DEFINE_string(peers, "",
               "every other daemon: id@domain@region@rpc_ip:port@http_ip:port[@disk],...");
 DEFINE_string(voters, "", "host names of the control voters, 1 to 7 and odd");
+DEFINE_bool(find_hosts, false,
+            "--peers names only the hosts to ask first; other hosts join with the cluster key");
+DEFINE_bool(first_start, true,
+            "false where the deployment exists: a voter with an empty --data_dir has then lost its disk");
+DEFINE_string(server_scope, "domain",
+              "the backend servers that this host sends work to itself: domain, region");
 DEFINE_string(data_dir, "", "folder for durable state; empty on a host without a disk");
 DEFINE_string(cluster_key, "", "secret shared by all daemons, at least 16 characters");
 DEFINE_string(platform_token, "", "token that backend servers present");
@@ -103,8 +109,9 @@
     if (!seen.insert(peer.host).second) {
       issues->push_back({"peers", peer.host.value(), "each other host once, without this host"});
     }
-    if (!IsName(peer.host.value()) || !IsName(peer.domain.value()) ||
-        !IsName(peer.region.value())) {
+    // The places of hosts to ask first are learned from them.
+    bool placed = IsName(peer.domain.value()) && IsName(peer.region.value());
+    if (!IsName(peer.host.value()) || (!placed && !settings.find_hosts)) {
       issues->push_back({"peers", peer.host.value(), "names of a-z, 0-9, '-', '_', '.'"});
     }
     if (!IsAddress(peer.rpc_address) || !IsAddress(peer.http_address)) {
@@ -180,6 +187,13 @@
   for (const std::string& voter : Split(FLAGS_voters, ',')) {
     settings.voters.push_back(HostId(voter));
   }
+  settings.find_hosts = FLAGS_find_hosts;
+  settings.first_start = FLAGS_first_start;
+  if (FLAGS_server_scope == "region") {
+    settings.server_scope = ServerScope::kRegion;
+  } else if (FLAGS_server_scope != "domain") {
+    issues->push_back({"server_scope", FLAGS_server_scope, "domain or region"});
+  }
   settings.data_dir = FLAGS_data_dir;
   settings.cluster_key = FLAGS_cluster_key;
   settings.platform_token = FLAGS_platform_token;
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -13,6 +13,8 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "core/registry.h"
+#include "ports/views.h"
 
 namespace ebonylift {
 
@@ -28,6 +30,7 @@
 
 struct Settings {
   HostId host;
+  std::string name;  // in log lines; the host id when empty
   RegionId region;
   DomainId domain;
   std::string http_address;
@@ -35,6 +38,14 @@
   std::string peer_address;
   std::vector<PeerSetting> peers;
   std::vector<HostId> voters;
+  bool find_hosts = false;  // `peers` are only the hosts to ask first; the others join by gossip
+  bool first_start = true;  // false: a voter whose disk is empty has lost it
+  ServerScope server_scope = ServerScope::kDomain;
+  Duration max_server_ttl = kMaxServerTtl;
+  bool leaving_is_final = false;  // see core/registry.h
+  // Of listeners beside http_address; empty: this host has none.
+  std::string caller_address;
+  std::string operator_address;
   std::string data_dir;  // empty: this host has no disk
   std::string cluster_key;
   std::string platform_token;
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -16,6 +16,7 @@
 #include "core/entry_list.h"
 #include "daemon/announce.h"
 #include "daemon/exchange.h"
+#include "daemon/ingress_request.h"
 #include "daemon/job_api.h"
 #include "daemon/operator_api.h"
 #include "daemon/orderer.h"
@@ -46,7 +47,7 @@
 
 }  // namespace
 
-class TrafficThread {
+class TrafficThread : public ListenerContext {
  public:
   TrafficThread(const TrafficOptions& options, size_t index, const std::atomic<bool>* draining,
                 AnnouncementAges* ages)
@@ -67,6 +68,20 @@
                         [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
                           Handle(std::move(request), std::move(responder));
                         });
+    for (const Listener& listener : options_.listeners) StartListener(listener);
+  }
+  ~TrafficThread() override = default;
+  TrafficThread(const TrafficThread&) = delete;
+  TrafficThread& operator=(const TrafficThread&) = delete;
+
+  // ---- ListenerContext ----
+  asio::io_context& io() override { return io_; }
+  ControlPort* control() override { return options_.control; }
+  bool ready() const override {
+    return !*draining_ && options_.control->View()->config->ingress != nullptr;
+  }
+  void StartExchange(RequestSpec spec, const std::shared_ptr<HttpResponder>& responder) override {
+    table_.Start(context_, std::move(spec), responder);
   }
 
   void Start() {
@@ -75,11 +90,13 @@
   }
 
   void BeginDrain() {
-    asio::post(io_, [this] { server_->CloseAfterResponse(); });
+    asio::post(io_, [this] {
+      for (const auto& server : Servers()) server->CloseAfterResponse();
+    });
   }
   void StopAccepting() {
     asio::post(io_, [this] {
-      server_->StopAccepting();
+      for (const auto& server : Servers()) server->StopAccepting();
       CountOpen();
     });
   }
@@ -125,7 +142,26 @@
     responders_.erase(std::remove_if(responders_.begin(), responders_.end(), answered),
                       responders_.end());
     answers_due_ = responders_.size();
-    connections_ = server_->connections();
+    size_t connections = 0;
+    for (const auto& server : Servers()) connections += server->connections();
+    connections_ = connections;
+  }
+
+  std::vector<HttpServer*> Servers() const {
+    std::vector<HttpServer*> servers = {server_.get()};
+    for (const auto& server : listener_servers_) servers.push_back(server.get());
+    return servers;
+  }
+
+  void StartListener(const Listener& listener) {
+    auto handle = listener.handle;
+    listener_servers_.push_back(StartHttpServer(
+        io_, listener.address, listener.limits,
+        [this, handle](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+          responders_.push_back(responder);
+          answers_due_ = responders_.size();
+          handle(this, std::move(request), responder);
+        }));
   }
 
   void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
@@ -146,11 +182,16 @@
 
   void Route(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
     const std::string& path = request.path;
-    if (path == "/v1/chat/completions" || path == "/v1/completions") {
+    if (options_.dialect != nullptr && IsForwardedIngress(request.headers)) {
+      StartExchange(ParseForwardedIngress(std::move(request), options_.control->View(),
+                                          *options_.dialect, options_.settings.cluster_key,
+                                          SteadyNow()),
+                    responder);
+    } else if (path == "/v1/chat/completions" || path == "/v1/completions") {
       if (request.method != "POST") throw Error(ErrorKind::kMethodNotAllowed, request.method);
-      StartExchange(std::move(request), responder);
+      ServeRequest(std::move(request), responder);
     } else if (path.rfind("/svc/", 0) == 0) {
-      StartExchange(std::move(request), responder);
+      ServeRequest(std::move(request), responder);
     } else if (path == "/v1/backend-servers/announce") {
       Announce(request, responder);
     } else if (path.rfind("/admin/v1/", 0) == 0) {
@@ -176,7 +217,7 @@
     }
   }
 
-  void StartExchange(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+  void ServeRequest(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
     RequestSpec spec = ParseRequest(std::move(request), options_.control->View(),
                                     options_.settings.cluster_key, SteadyNow());
     table_.Start(context_, std::move(spec), responder);
@@ -318,6 +359,7 @@
   JobApi jobs_;
   Orderer orderer_;  // used by thread 0 only
   std::unique_ptr<HttpServer> server_;
+  std::vector<std::unique_ptr<HttpServer>> listener_servers_;
   asio::steady_timer tick_timer_;
   std::vector<std::weak_ptr<HttpResponder>> responders_;  // bounded by open requests and one tick
   std::atomic<size_t> answers_due_{0};
--- a/src/daemon/traffic.h
+++ b/src/daemon/traffic.h
@@ -11,9 +11,11 @@
 #include <string>
 #include <vector>
 
+#include "adapters/http_server.h"
 #include "adapters/metrics.h"
 #include "daemon/dispatcher.h"
 #include "daemon/record_store.h"
+#include "daemon/request.h"
 #include "daemon/settings.h"
 #include "ports/control_port.h"
 
@@ -22,8 +24,32 @@
 class AnnouncementAges;
 class TrafficThread;
 
+// What the handler of a listener may use. All methods are called on the traffic thread of the
+// request.
+class ListenerContext {
+ public:
+  virtual ~ListenerContext() = default;
+  virtual asio::io_context& io() = 0;
+  virtual ControlPort* control() = 0;
+  // This host has a configuration of routes and is not leaving.
+  virtual bool ready() const = 0;
+  // Serves the request; exactly one final answer goes to the responder.
+  virtual void StartExchange(RequestSpec spec,
+                             const std::shared_ptr<HttpResponder>& responder) = 0;
+};
+
+// Another address on which the traffic threads serve. The handler answers errors itself; an
+// exception is answered as an internal error.
+struct Listener {
+  std::string address;  // ip:port
+  HttpLimits limits;
+  std::function<void(ListenerContext*, HttpRequest, const std::shared_ptr<HttpResponder>&)> handle;
+};
+
 struct TrafficOptions {
   Settings settings;
+  std::vector<Listener> listeners;
+  const Dialect* dialect = nullptr;  // of forwarded requests that are routed by host name and path
   ControlPort* control = nullptr;
   Dispatcher* dispatcher = nullptr;
   RecordStore* records = nullptr;
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -55,6 +55,13 @@
   std::vector<ConfigEntry> entries;
 };
 
+// An answer of ReadNewest().
+struct NewestRead {
+  std::optional<ErrorKind> error;  // the newest configuration is not known here
+  HostId ask;                      // with an error: a host that may know; empty: none is known
+  ConfigRead read;
+};
+
 // The state of the daemon as `ebonylift status` shows it; JSON text.
 using StatusJson = std::string;
 
@@ -67,6 +74,10 @@
   virtual void Announce(const Announcement& announcement,
                         std::function<void(std::optional<Error>)> done) = 0;
 
+  // The server says that it leaves, and no more; see OnLeave() in core/registry.h. Told to all hosts.
+  virtual void Leave(const ServerId& server, uint64_t incarnation,
+                     std::function<void()> done) = 0;
+
   // Proposes a change; forwarded to the leader. `done` runs after the change is durable at a
   // majority, or with an error.
   virtual void Put(const ConfigPut& put, std::function<void(PutAnswer)> done) = 0;
@@ -74,6 +85,9 @@
   // Reads the local replica: all entries at or below `path`.
   virtual void Read(const std::string& path, std::function<void(ConfigRead)> done) = 0;
 
+  // All entries at or below `path` with every change that was answered before the call.
+  virtual void ReadNewest(const std::string& path, std::function<void(NewestRead)> done) = 0;
+
   // Changes at or below `path`, newest first, at most `limit`.
   virtual void History(const std::string& path, size_t limit,
                        std::function<void(std::vector<ConfigChange>)> done) = 0;
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -20,6 +21,8 @@
 
 namespace ebonylift {
 
+struct IngressConfig;  // core/ingress.h
+
 enum class TrafficClass { kInteractive, kCheck, kChapter };
 enum class ServerKind { kModel, kService };
 
@@ -57,6 +60,10 @@
   double weight_latency = 1.0;  // cost of one second of waiting
   double weight_cost = 1.0;     // cost of one second of backend server time
   double weight_remote = 1.0;   // cost of being sent to another region
+  int max_attempts = 0;           // backend servers that one request may reach; 0: kMaxAttempts
+  bool resumable = false;         // a broken stream may go on at another backend server
+  Duration first_byte_target{0};  // the answer starts within this time; 0: no target
+  int rank = 0;                   // 0 is the most urgent
 };
 
 struct TeamLimits {
@@ -110,6 +117,10 @@
   std::vector<OperatorConfig> operators;
   std::map<ModelId, DesiredModel> models;
   std::map<DomainId, OrdererEntry> orderers;
+  // Routes by host name and path; null when there are none. Their RouteConfigs are those of the team
+  // kIngressTeam.
+  std::shared_ptr<const IngressConfig> ingress;
+  std::set<DomainId> evacuated;  // no new work for the backend servers of these failure domains
 };
 
 // ---- backend servers
@@ -152,9 +163,13 @@
   bool checks_fencing = false;
   Duration ttl = milliseconds(2000);
   bool leaving = false;
+  Duration cold_for{0};  // how long the server stays slow after its start, from the announcement on
   ServerLoad load;
 };
 
+// Which backend servers a host sends work to itself; the others are reached through a host there.
+enum class ServerScope { kDomain, kRegion };
+
 struct BackendServer {
   Announcement announced;
   Time first_seen;   // of this incarnation; slow start counts from here
@@ -176,6 +191,10 @@
   HostStatus status = HostStatus::kAlive;
   bool overloaded = false;
   bool has_disk = false;
+  // Known of hosts that were found by gossip; empty for configured peers.
+  std::string rpc_address;
+  std::string caller_address;    // empty: callers do not use this host
+  std::string operator_address;  // empty: operators do not use this host
 };
 
 // What one failure domain can run of one model or service, told to the other failure domains.
@@ -197,12 +216,19 @@
   DomainId domain;
 };
 
+// True when a host at `self` sends work to a backend server at this place itself.
+inline bool InScope(const Identity& self, ServerScope scope, const DomainId& domain,
+                    const RegionId& region) {
+  return region == self.region && (scope == ServerScope::kRegion || domain == self.domain);
+}
+
 struct RoutingView {
   Identity self;
   std::shared_ptr<const ConfigView> config;  // never null; revision 0 before the first one arrives
-  std::vector<BackendServer> servers;        // of the own failure domain, by id
+  std::vector<BackendServer> servers;        // of the own failure domain or region, by id
   std::vector<HostEntry> hosts;              // all known hosts, this one included, by id
   std::vector<DomainSummary> summaries;      // all failure domains, the own one included
+  ServerScope server_scope = ServerScope::kDomain;
   bool disk_confirmed = false;               // the peers know this host's disk; see ConfigReplica
   bool disk_was_lost = false;  // peers know this voter with another disk, since the process started
 };
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -23,7 +23,7 @@
 
 Registry Empty() {
   Registry registry;
-  registry.domain = DomainId("d1");
+  registry.self = Identity{HostId("h1"), RegionId("r1"), DomainId("d1")};
   return registry;
 }
 
