Give each configuration change an id of its own path

An evacuation of a second failure domain had the request id of the first one, because base revision and value were the same, and was refused as a reuse of the id.

--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -13,7 +13,8 @@
 // waiting for this peer. A connection on which `max_timeouts` counted calls in a row got no answer
 // is closed and opened again, which frees what was queued for a frozen peer.
 //
-// A host that is not among the peers is refused unless `open` is set; AddPeer() connects back to it.
+// A host that is not among the peers is refused unless `open` is set; AddPeer() connects back to
+// it.
 //
 // Refused, with events kPeerLoginRefused or kPeerMessageRefused: a wrong MAC, a second login on a
 // connection, an unknown host, no login within `login_timeout`, and a message over
--- a/src/core/entry_list.h
+++ b/src/core/entry_list.h
@@ -44,8 +44,8 @@
                      const RegionId& caller_region, uint64_t spread = 0);
 
 // The hosts that callers at this place are told to use: those of the failure domain, else those of
-// the region, else all. Only hosts with an address for callers; overloaded ones only when there is no
-// other. At most `limit`; the address is the one for callers.
+// the region, else all. Only hosts with an address for callers; overloaded ones only when there is
+// no other. At most `limit`; the address is the one for callers.
 std::vector<EntryHost> NearestEntryHosts(const RoutingView& view, const DomainId& domain,
                                          const RegionId& region, size_t limit);
 
--- a/src/core/ingress.h
+++ b/src/core/ingress.h
@@ -3,8 +3,8 @@
 
 // Routes by host name and path: the configuration document at kIngressPath.
 //
-// The document is replaced whole. Its `version` is the operator's; a document with a version that is
-// not higher than the stored one changes nothing (see daemon/ingress_config.h). The document:
+// The document is replaced whole. Its `version` is the operator's; a document with a version that
+// is not higher than the stored one changes nothing (see daemon/ingress_config.h). The document:
 //
 //   {"version": 7,
 //    "routes": [{"id", "host", "path_prefix", "idempotent", "resumable", "deadline_ms",
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -90,9 +90,9 @@
 
 bool SamePlace(const HostEntry& a, const HostEntry& b) {
   return std::tie(a.domain, a.region, a.rpc_address, a.http_address, a.caller_address,
-                  a.operator_address, a.has_disk) ==
-         std::tie(b.domain, b.region, b.rpc_address, b.http_address, b.caller_address,
-                  b.operator_address, b.has_disk);
+                  a.operator_address, a.has_disk) == std::tie(b.domain, b.region, b.rpc_address,
+                                                              b.http_address, b.caller_address,
+                                                              b.operator_address, b.has_disk);
 }
 
 // Takes the place of a host from its row: it is new, or only its address was known.
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -69,7 +69,8 @@
   uint32_t version = 0;      // raised by the host itself: changed flags, or a refutation
   HostStatus status = HostStatus::kFailed;
   bool overloaded = false;
-  std::optional<HostEntry> place;  // identity and addresses; the other fields are unused
+  std::optional<HostEntry> place =
+      std::nullopt;  // identity and addresses; the other fields are unused
 };
 
 struct SummaryRow {
--- a/src/core/registry.cc
+++ b/src/core/registry.cc
@@ -118,9 +118,10 @@
 
 AnnounceResult OnAnnouncement(Registry* registry, const Announcement& announcement, Duration age,
                               Time now) {
-  if (!InScope(registry->self, registry->scope, announcement.domain, announcement.region)) {
-    return AnnounceResult::kOtherDomain;
-  }
+  bool by_region = registry->scope == ServerScope::kRegion;
+  bool own = by_region ? announcement.region == registry->self.region
+                       : announcement.domain == registry->self.domain;
+  if (!own) return AnnounceResult::kOtherDomain;
   if (announcement.id.empty() || announcement.address.empty()) return AnnounceResult::kInvalid;
   auto it = registry->entries.find(announcement.id);
   bool known = it != registry->entries.end();
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -66,8 +66,8 @@
   Identity self;
   ServerScope scope = ServerScope::kDomain;
   Duration max_ttl = kMaxServerTtl;
-  // A server that said that it leaves never comes back in the same incarnation: a later announcement
-  // of it was sent before or is repeated by somebody else.
+  // A server that said that it leaves never comes back in the same incarnation: a later
+  // announcement of it was sent before or is repeated by somebody else.
   bool leaving_is_final = false;
   std::map<ServerId, RegistryEntry> entries;
   std::map<uint64_t, ServerId> by_key;
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -100,7 +100,8 @@
   std::vector<RegionId> allowed_regions;  // see AllowedRegions()
   int64_t prompt_tokens = 0;
   std::vector<uint64_t> prefix_hashes;  // of growing prefixes, shortest first
-  std::vector<int64_t> prefix_tokens;   // of each; empty: kPrefixBlockTokens more than the one before
+  std::vector<int64_t>
+      prefix_tokens;  // of each; empty: kPrefixBlockTokens more than the one before
   uint64_t content = 0;
   int hops = 0;          // host hops so far
   bool crossed = false;  // a region was crossed so far
@@ -214,8 +215,8 @@
 void ForgetPrefixes(LocalLoad& load, const ServerId& server);
 
 // True when the server may get new work of the route now: it serves the model and adapter and
-// version (or the service), is in the scope of this host, is not leaving and has not expired, and its
-// failure domain is not evacuated.
+// version (or the service), is in the scope of this host, is not leaving and has not expired, and
+// its failure domain is not evacuated.
 bool CanServe(const BackendServer& server, const RouteConfig& route, const RoutingView& view,
               Time now);
 
--- a/src/daemon/config_changes.cc
+++ b/src/daemon/config_changes.cc
@@ -44,7 +44,8 @@
   put.value = change->value;
   put.base_revision = base;
   // A resend to another host has the same id when it has the same base.
-  put.request_id = std::to_string(base) + "-" + std::to_string(Hash64(change->value));
+  put.request_id =
+      change->path + "-" + std::to_string(base) + "-" + std::to_string(Hash64(change->value));
   put.operator_name = "ingress";
   change->control->Put(put, [change](const PutAnswer& answer) { OnAnswer(change, answer); });
 }
--- a/src/daemon/config_replica.h
+++ b/src/daemon/config_replica.h
@@ -62,7 +62,7 @@
     std::shared_ptr<Journal> journal;  // null: a host without a disk; it cannot be a voter
     // False: the deployment exists already, so an empty journal is one that was lost.
     bool may_found = true;
-    uint64_t seed = 0;                 // of election timeouts and the disk's name
+    uint64_t seed = 0;  // of election timeouts and the disk's name
     Send send;
     Post post;                                // runs `fn` on the control thread; thread safe
     std::function<Time()> clock = SteadyNow;  // read by OnMessage(), Put() and ReadCurrent()
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -516,10 +516,9 @@
 // ---- backend servers ----
 
 AnnounceResult ControlLoop::Register(const Announcement& announcement, Duration age, Time now) {
-  AnnounceResult result =
-      IsLeaveNotice(announcement)
-          ? OnLeave(&registry_, announcement.id, announcement.incarnation, now)
-          : OnAnnouncement(&registry_, announcement, age, now);
+  AnnounceResult result = IsLeaveNotice(announcement)
+                              ? OnLeave(&registry_, announcement.id, announcement.incarnation, now)
+                              : OnAnnouncement(&registry_, announcement, age, now);
   std::string server = announcement.id.value();
   switch (result) {
     case AnnounceResult::kNew:
@@ -792,8 +791,7 @@
   });
 }
 
-void ControlLoop::ReadNewest(const std::string& path,
-                             const std::function<void(NewestRead)>& done) {
+void ControlLoop::ReadNewest(const std::string& path, const std::function<void(NewestRead)>& done) {
   std::optional<HostId> leader =
       replica_.ReadCurrent(path, [done](const std::optional<Error>& error, const ConfigRead& read) {
         NewestRead answer;
--- a/src/daemon/dialect.h
+++ b/src/daemon/dialect.h
@@ -3,8 +3,8 @@
 
 // How the callers and backend servers of one interface speak, as an Exchange needs to know it.
 //
-// A dialect reads and writes messages; what to do is decided by the Exchange. The functions are pure
-// and thread safe. An Exchange without a dialect speaks the gateway's own interface.
+// A dialect reads and writes messages; what to do is decided by the Exchange. The functions are
+// pure and thread safe. An Exchange without a dialect speaks the gateway's own interface.
 
 #include <cstdint>
 #include <string>
--- a/src/daemon/event_relay.h
+++ b/src/daemon/event_relay.h
@@ -3,9 +3,9 @@
 
 // Follows a stream of server-sent events with ids, whose end is the end of the message.
 //
-// Only whole events are passed on, so that a stream that breaks within an event can go on at another
-// backend server after the last whole one. Not thread safe. Memory: one incomplete event of at most
-// kMaxEventBytes.
+// Only whole events are passed on, so that a stream that breaks within an event can go on at
+// another backend server after the last whole one. Not thread safe. Memory: one incomplete event of
+// at most kMaxEventBytes.
 
 #include <string>
 #include <string_view>
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -169,7 +169,7 @@
   StreamTracker stream_;  // of a server-sent-event answer of the own interface
   EventRelay events_;     // the same with a dialect
   AnswerKind answer_kind_ = AnswerKind::kAnswer;  // of the open attempt, with a dialect
-  int resumes_ = 0;       // of the stream of the open attempt
+  int resumes_ = 0;                               // of the stream of the open attempt
 };
 
 // The exchanges of one traffic thread, by id.
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -310,8 +310,7 @@
 
 // The message of a stream ended.
 void Exchange::OnStreamEnd() {
-  bool whole =
-      spec_.dialect == nullptr ? stream_.done() || stream_.error() : events_.whole();
+  bool whole = spec_.dialect == nullptr ? stream_.done() || stream_.error() : events_.whole();
   CallResult broken{CallOutcome::kFailed, status_, "the stream ended without its end marker", true};
   if (whole) {
     Deliver();
--- a/src/daemon/request.cc
+++ b/src/daemon/request.cc
@@ -229,8 +229,8 @@
   HttpHeaders kept;
   for (const auto& header : headers) {
     std::string name = Lower(header.first);
-    bool wanted = set == HeaderSet::kWithHostAndAuthorization &&
-                  (name == "host" || name == "authorization");
+    bool wanted =
+        set == HeaderSet::kWithHostAndAuthorization && (name == "host" || name == "authorization");
     if (wanted || (!IsHopByHop(name) && options.count(name) == 0)) kept.push_back(header);
   }
   return kept;
--- a/src/daemon/request.h
+++ b/src/daemon/request.h
@@ -35,7 +35,7 @@
   std::vector<uint64_t> prefix_hashes;  // of growing prefixes of the prompt
   std::vector<int64_t> prefix_tokens;   // of each of them; empty: kPrefixBlockTokens more each
   uint64_t content = 0;                 // identity of (model, body) for crash suspicion
-  std::string body_sha256;  // empty until it is needed, see BodyHash()
+  std::string body_sha256;              // empty until it is needed, see BodyHash()
   int hops = 0;
   bool crossed = false;
   bool claimed = false;  // the owner of the idempotency key sent this request here
@@ -64,7 +64,7 @@
                          const std::string& cluster_key, Time now);
 
 enum class HeaderSet {
-  kEndToEnd,                   // without Host and Authorization
+  kEndToEnd,                  // without Host and Authorization
   kWithHostAndAuthorization,  // for backend servers that share the callers' names and keys
 };
 
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -24,8 +24,9 @@
 DEFINE_string(voters, "", "host names of the control voters, 1 to 7 and odd");
 DEFINE_bool(find_hosts, false,
             "--peers names only the hosts to ask first; other hosts join with the cluster key");
-DEFINE_bool(first_start, true,
-            "false where the deployment exists: a voter with an empty --data_dir has then lost its disk");
+DEFINE_bool(
+    first_start, true,
+    "false where the deployment exists: a voter with an empty --data_dir has then lost its disk");
 DEFINE_string(server_scope, "domain",
               "the backend servers that this host sends work to itself: domain, region");
 DEFINE_string(data_dir, "", "folder for durable state; empty on a host without a disk");
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -183,10 +183,10 @@
   void Route(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
     const std::string& path = request.path;
     if (options_.dialect != nullptr && IsForwardedIngress(request.headers)) {
-      StartExchange(ParseForwardedIngress(std::move(request), options_.control->View(),
-                                          *options_.dialect, options_.settings.cluster_key,
-                                          SteadyNow()),
-                    responder);
+      StartExchange(
+          ParseForwardedIngress(std::move(request), options_.control->View(), *options_.dialect,
+                                options_.settings.cluster_key, SteadyNow()),
+          responder);
     } else if (path == "/v1/chat/completions" || path == "/v1/completions") {
       if (request.method != "POST") throw Error(ErrorKind::kMethodNotAllowed, request.method);
       ServeRequest(std::move(request), responder);
--- a/src/daemon/traffic.h
+++ b/src/daemon/traffic.h
@@ -34,8 +34,7 @@
   // This host has a configuration of routes and is not leaving.
   virtual bool ready() const = 0;
   // Serves the request; exactly one final answer goes to the responder.
-  virtual void StartExchange(RequestSpec spec,
-                             const std::shared_ptr<HttpResponder>& responder) = 0;
+  virtual void StartExchange(RequestSpec spec, const std::shared_ptr<HttpResponder>& responder) = 0;
 };
 
 // Another address on which the traffic threads serve. The handler answers errors itself; an
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -74,9 +74,9 @@
   virtual void Announce(const Announcement& announcement,
                         std::function<void(std::optional<Error>)> done) = 0;
 
-  // The server says that it leaves, and no more; see OnLeave() in core/registry.h. Told to all hosts.
-  virtual void Leave(const ServerId& server, uint64_t incarnation,
-                     std::function<void()> done) = 0;
+  // The server says that it leaves, and no more; see OnLeave() in core/registry.h. Told to all
+  // hosts.
+  virtual void Leave(const ServerId& server, uint64_t incarnation, std::function<void()> done) = 0;
 
   // Proposes a change; forwarded to the leader. `done` runs after the change is durable at a
   // majority, or with an error.
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -56,10 +56,10 @@
   bool idempotent = true;
   bool key_from_body = false;  // derive an idempotency key from the body when none is given
   Duration deadline = seconds(60);
-  bool send_away = true;        // may run outside the region of the entry host
-  double weight_latency = 1.0;  // cost of one second of waiting
-  double weight_cost = 1.0;     // cost of one second of backend server time
-  double weight_remote = 1.0;   // cost of being sent to another region
+  bool send_away = true;          // may run outside the region of the entry host
+  double weight_latency = 1.0;    // cost of one second of waiting
+  double weight_cost = 1.0;       // cost of one second of backend server time
+  double weight_remote = 1.0;     // cost of being sent to another region
   int max_attempts = 0;           // backend servers that one request may reach; 0: kMaxAttempts
   bool resumable = false;         // a broken stream may go on at another backend server
   Duration first_byte_target{0};  // the answer starts within this time; 0: no target
@@ -117,8 +117,8 @@
   std::vector<OperatorConfig> operators;
   std::map<ModelId, DesiredModel> models;
   std::map<DomainId, OrdererEntry> orderers;
-  // Routes by host name and path; null when there are none. Their RouteConfigs are those of the team
-  // kIngressTeam.
+  // Routes by host name and path; null when there are none. Their RouteConfigs are those of the
+  // team kIngressTeam.
   std::shared_ptr<const IngressConfig> ingress;
   std::set<DomainId> evacuated;  // no new work for the backend servers of these failure domains
 };
@@ -229,7 +229,7 @@
   std::vector<HostEntry> hosts;              // all known hosts, this one included, by id
   std::vector<DomainSummary> summaries;      // all failure domains, the own one included
   ServerScope server_scope = ServerScope::kDomain;
-  bool disk_confirmed = false;               // the peers know this host's disk; see ConfigReplica
+  bool disk_confirmed = false;  // the peers know this host's disk; see ConfigReplica
   bool disk_was_lost = false;  // peers know this voter with another disk, since the process started
 };
 
