Limit cold servers together and place prompts by what is unread

Long prompts were placed by the number of requests, so short ones waited behind them, and each host read the shared parts of a session at another server.

A server counts as busy by the prompt tokens that it has still to read, at a rate learned from answers. All hosts expect the shared parts of a prompt at the same server.

--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -59,7 +59,7 @@
     }
     Choice choice = Choose(query, view, load, now, rng);
     if (choice.kind != ChoiceKind::kLocal) std::abort();
-    OnDispatch(load, query, choice.server, choice.incarnation, now);
+    OnDispatch(load, query, choice, now);
     OnServerOutcome(load, view, choice.server, now, ServerOutcome::kOk, now + seconds(1));
   }
   choosing = SteadyNow() - start;
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "base/hash.h"
+#include "core/cold_limit.h"
 #include "core/poison.h"
 
 namespace ebonylift {
@@ -46,10 +47,6 @@
   return view.config != nullptr && view.config->evacuated.count(domain) != 0;
 }
 
-const std::string& Served(const RouteConfig& route) {
-  return route.kind == ServerKind::kModel ? route.model.value() : route.service;
-}
-
 bool ServesModel(const Announcement& server, const RouteConfig& route) {
   for (const ServedModel& model : server.models) {
     if (model.name != route.model) continue;
@@ -74,9 +71,10 @@
   const BackendServer* server = nullptr;
   const ServerUse* use = nullptr;  // null: never used by this host
   int present = 0;                 // reported, plus sent since the report
-  int sent = 0;
   int slots = 1;
   int64_t hit_tokens = 0;
+  int64_t tokens_ahead = 0;  // of prompts that it reads before this one
+  Duration cold_interval{0};
   double fill() const { return static_cast<double>(present) / slots; }
 };
 
@@ -85,16 +83,19 @@
   return Seconds(use->mean_service);
 }
 
-double PrefillSeconds(int64_t tokens) {
-  return static_cast<double>(std::max<int64_t>(tokens, 0)) / kPrefillTokensPerSecond;
+double PrefillRate(const RouteQuery& query, const LocalLoad& load) {
+  auto found = load.prefill_rates.find(Served(*query.route));
+  return found == load.prefill_rates.end() ? kPrefillTokensPerSecond : found->second;
 }
 
-double Cost(const RouteQuery& query, const Candidate& candidate) {
+double PrefillSeconds(int64_t tokens, double rate) {
+  return static_cast<double>(std::max<int64_t>(tokens, 0)) / rate;
+}
+
+double Cost(const RouteQuery& query, const Candidate& candidate, double rate) {
   double wait = WaitSeconds(candidate.present, candidate.slots, ServiceSeconds(candidate.use));
-  wait += PrefillSeconds(candidate.server->announced.load.prefill_tokens_waiting);
-  // What was sent since the report is taken to be as long as this request.
-  wait += candidate.sent * PrefillSeconds(query.prompt_tokens);
-  double service = PrefillSeconds(query.prompt_tokens - candidate.hit_tokens);
+  wait += PrefillSeconds(candidate.tokens_ahead, rate);
+  double service = PrefillSeconds(query.prompt_tokens - candidate.hit_tokens, rate);
   return query.route->weight_latency * wait + query.route->weight_cost * service;
 }
 
@@ -177,17 +178,32 @@
   return std::uniform_real_distribution<double>(0, 1)(rng) < Seconds(age) / Seconds(kSlowStart);
 }
 
-Candidate MakeCandidate(const BackendServer& server, const LocalLoad& load) {
+// Tokens of prompts sent from here that the server has still to read.
+int64_t OwnTokensAhead(const RouteQuery& query, const BackendServer& server, const ServerUse& use) {
+  if (Contains(server.announced.capabilities, std::string(kNoLoadReports))) {
+    return use.prefill_tokens;
+  }
+  // The report covers what was sent before it; the rest is taken to be as long as this request.
+  return SentSince(use, server.reported_at) * query.prompt_tokens;
+}
+
+Candidate MakeCandidate(const RouteQuery& query, const BackendServer& server,
+                        const LocalLoad& load) {
   Candidate candidate;
   candidate.server = &server;
   auto found = load.servers.find(server.announced.id);
   const ServerLoad& report = server.announced.load;
   candidate.slots = std::max(report.slots, 1);
   candidate.present = std::max(report.running, 0) + std::max(report.waiting, 0);
-  if (found == load.servers.end()) return candidate;
-  candidate.use = &found->second;
-  candidate.sent = SentSince(found->second, server.reported_at);
-  candidate.present = std::max(candidate.present + candidate.sent, found->second.in_flight);
+  candidate.tokens_ahead = report.prefill_tokens_waiting + server.elsewhere_tokens;
+  if (found != load.servers.end()) {
+    const ServerUse& use = found->second;
+    candidate.use = &use;
+    candidate.present =
+        std::max(candidate.present + SentSince(use, server.reported_at), use.in_flight);
+    candidate.tokens_ahead += OwnTokensAhead(query, server, use);
+  }
+  candidate.present += server.elsewhere;
   return candidate;
 }
 
@@ -231,6 +247,15 @@
   return &server == own && server.reported_at >= newest_loss + kSetAsideSettle;
 }
 
+// False when the server is cold and this host may not send to it now.
+bool MayUseCold(const RoutingView& view, Time now, Candidate* candidate) {
+  if (!IsCold(*candidate->server, now)) return true;
+  std::optional<Duration> interval = ColdInterval(view, *candidate->server);
+  if (!interval) return false;
+  candidate->cold_interval = *interval;
+  return candidate->use == nullptr || now >= candidate->use->cold_next;
+}
+
 LocalServers FindLocal(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
                        Time now, std::mt19937_64& rng) {
   LocalServers local;
@@ -242,13 +267,14 @@
     bool kept_free = std::find(set_aside.begin(), set_aside.end(), &server) != set_aside.end();
     if (kept_free && !query.suspect) continue;
     if (Contains(query.avoid_servers, server.announced.id)) continue;
-    Candidate candidate = MakeCandidate(server, load);
+    Candidate candidate = MakeCandidate(query, server, load);
     ++local.known;
     local.slots += candidate.slots;
     local.service_s += ServiceSeconds(candidate.use);
     bool ejected = Ejected(candidate, now);
     if (!ejected) ++local.healthy;
     if (candidate.use != nullptr && candidate.use->exclusive) continue;
+    if (!MayUseCold(view, now, &candidate)) continue;
     bool fits = query.suspect ? Idle(candidate) && MayRunSuspect(server, own, load)
                               : HasRoom(query, load, candidate, now);
     if (!fits) continue;
@@ -279,20 +305,34 @@
          (b.candidate == nullptr || a.candidate->fill() < b.candidate->fill());
 }
 
+Priced CheapestOf(const RouteQuery& query, const std::vector<Candidate>& candidates, double rate,
+                  std::mt19937_64& rng) {
+  // The random start decides between equal ones.
+  size_t start = RandomIndex(candidates.size(), rng);
+  Priced best;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const Candidate& candidate = candidates[(start + i) % candidates.size()];
+    Priced priced{&candidate, Cost(query, candidate, rate)};
+    if (Cheaper(priced, best)) best = priced;
+  }
+  return best;
+}
+
 Priced CheaperOfTwo(const RouteQuery& query, const std::vector<const Candidate*>& group,
-                    std::mt19937_64& rng) {
+                    double rate, std::mt19937_64& rng) {
   if (group.empty()) return {};
   size_t first = RandomIndex(group.size(), rng);
-  Priced best{group[first], Cost(query, *group[first])};
+  Priced best{group[first], Cost(query, *group[first], rate)};
   if (group.size() == 1) return best;
   size_t second = RandomIndex(group.size() - 1, rng);
   if (second >= first) ++second;
-  Priced other{group[second], Cost(query, *group[second])};
+  Priced other{group[second], Cost(query, *group[second], rate)};
   return Cheaper(other, best) ? other : best;
 }
 
-Priced PickByCost(const RouteQuery& query, const std::vector<Candidate>& candidates,
+Priced PickByCost(const RouteQuery& query, const std::vector<Candidate>& candidates, double rate,
                   std::mt19937_64& rng) {
+  if (candidates.size() <= kCompareAll) return CheapestOf(query, candidates, rate, rng);
   int64_t best_hit = 0;
   for (const Candidate& candidate : candidates) {
     best_hit = std::max(best_hit, candidate.hit_tokens);
@@ -305,8 +345,8 @@
         best_hit > 0 && static_cast<double>(candidate.hit_tokens) >= kPrefixGroupShare * best_hit;
     (hit ? prefix_group : others).push_back(&candidate);
   }
-  Priced a = CheaperOfTwo(query, prefix_group, rng);
-  Priced b = CheaperOfTwo(query, others, rng);
+  Priced a = CheaperOfTwo(query, prefix_group, rate, rng);
+  Priced b = CheaperOfTwo(query, others, rate, rng);
   return Cheaper(b, a) ? b : a;
 }
 
@@ -350,10 +390,11 @@
 
 Priced Pick(const RouteQuery& query, const LocalLoad& load,
             const std::vector<Candidate>& candidates, std::mt19937_64& rng) {
+  double rate = PrefillRate(query, load);
   const Candidate* picked = nullptr;
   switch (load.policy) {
     case RoutingPolicy::kCost:
-      return PickByCost(query, candidates, rng);
+      return PickByCost(query, candidates, rate, rng);
     case RoutingPolicy::kRoundRobin:
       picked = &candidates[load.round_robin % candidates.size()];
       break;
@@ -367,7 +408,7 @@
       picked = PickPrefixHash(query, candidates);
       break;
   }
-  return {picked, Cost(query, *picked)};
+  return {picked, Cost(query, *picked, rate)};
 }
 
 // The cost of waiting in the local queue, where every server is full.
@@ -375,7 +416,33 @@
   double service_s = local.service_s / local.known;
   double wait = (static_cast<double>(load.queued_ahead) + 1) * service_s / local.slots;
   return query.route->weight_latency * wait +
-         query.route->weight_cost * PrefillSeconds(query.prompt_tokens);
+         query.route->weight_cost * PrefillSeconds(query.prompt_tokens, PrefillRate(query, load));
+}
+
+// The server at which all hosts expect the parts of the prompt that other requests share; null when
+// the parts are not named. The last part belongs to the request or its session alone.
+Candidate* SharedPartsHome(const RouteQuery& query, std::vector<Candidate>* candidates) {
+  if (query.prefix_tokens.size() < 2) return nullptr;
+  uint64_t shared = query.prefix_hashes[query.prefix_tokens.size() - 2];
+  Candidate* home = nullptr;
+  uint64_t best = 0;
+  for (Candidate& candidate : *candidates) {
+    uint64_t weight = Hash64(candidate.server->announced.id.value(), shared);
+    if (home != nullptr && weight <= best) continue;
+    home = &candidate;
+    best = weight;
+  }
+  return home;
+}
+
+void SetHits(const RouteQuery& query, const LocalLoad& load, Time now,
+             std::vector<Candidate>* candidates) {
+  std::vector<CacheHit> hits = PredictHits(query, load, now);
+  for (Candidate& candidate : *candidates) candidate.hit_tokens = HitOf(hits, candidate);
+  Candidate* home = SharedPartsHome(query, candidates);
+  if (home == nullptr) return;
+  int64_t shared = query.prefix_tokens[query.prefix_tokens.size() - 2];
+  home->hit_tokens = std::max(home->hit_tokens, std::min(shared, query.prompt_tokens));
 }
 
 Choice ChooseLocal(const RouteQuery& query, const LocalLoad& load, LocalServers& local, Time now,
@@ -390,14 +457,16 @@
     choice.cost = QueueCost(query, local, load);
     return choice;
   }
-  std::vector<CacheHit> hits = PredictHits(query, load, now);
-  for (Candidate& candidate : *candidates) candidate.hit_tokens = HitOf(hits, candidate);
+  SetHits(query, load, now, candidates);
   Priced picked = Pick(query, load, *candidates, rng);
   choice.kind = ChoiceKind::kLocal;
   choice.server = picked.candidate->server->announced.id;
   choice.incarnation = picked.candidate->server->announced.incarnation;
   choice.cost = picked.cost;
   choice.hit_tokens = picked.candidate->hit_tokens;
+  choice.prefill_tokens = std::max<int64_t>(0, query.prompt_tokens - choice.hit_tokens);
+  choice.tokens_ahead = picked.candidate->tokens_ahead;
+  choice.cold_interval = picked.candidate->cold_interval;
   return choice;
 }
 
@@ -446,9 +515,14 @@
   const ServerUse* use = found == load.domains.end() ? nullptr : &found->second;
   bool crosses = summary.region != view.self.region;
   double wait = WaitSeconds(present, std::max(summary.slots, 1), ServiceSeconds(use));
+  double rate = PrefillRate(query, load);
+  // Prompts that went there since the report are taken to be as long as this one.
+  int64_t tokens = summary.prefill_tokens;
+  if (use != nullptr) tokens += SentSince(*use, summary.reported_at) * query.prompt_tokens;
+  wait += PrefillSeconds(tokens, rate) / std::max(summary.servers, 1);
   wait += Seconds(crosses ? kRegionRoundTrip : kDomainRoundTrip);
   return query.route->weight_latency * wait +
-         query.route->weight_cost * PrefillSeconds(query.prompt_tokens) +
+         query.route->weight_cost * PrefillSeconds(query.prompt_tokens, rate) +
          (crosses ? query.route->weight_remote : 0);
 }
 
@@ -484,9 +558,9 @@
 }
 
 // The least that any forward costs; saves the scan of the summaries in the usual case.
-double RemoteCostFloor(const RouteQuery& query) {
+double RemoteCostFloor(const RouteQuery& query, const LocalLoad& load) {
   return query.route->weight_latency * Seconds(kDomainRoundTrip) +
-         query.route->weight_cost * PrefillSeconds(query.prompt_tokens);
+         query.route->weight_cost * PrefillSeconds(query.prompt_tokens, PrefillRate(query, load));
 }
 
 bool AnyAllowedHost(const RouteQuery& query, const RoutingView& view) {
@@ -599,6 +673,10 @@
 
 }  // namespace
 
+const std::string& Served(const RouteConfig& route) {
+  return route.kind == ServerKind::kModel ? route.model.value() : route.service;
+}
+
 std::optional<RoutingPolicy> ParseRoutingPolicy(std::string_view name) {
   constexpr std::pair<std::string_view, RoutingPolicy> kNames[] = {
       {"cost", RoutingPolicy::kCost},
@@ -652,16 +730,16 @@
   Choice home = ChooseLocal(query, load, local, now, rng);
   if (query.hops > 0 || query.suspect) return home;
   double threshold = home.cost - Margin(query, home.cost);
-  if (RemoteCostFloor(query) >= threshold) return home;
+  if (RemoteCostFloor(query, load) >= threshold) return home;
   Choice remote = ChooseRemote(query, view, load, now, true, rng);
   return remote.kind == ChoiceKind::kForward && remote.cost < threshold ? remote : home;
 }
 
-void OnDispatch(LocalLoad& load, const RouteQuery& query, const ServerId& server,
-                uint64_t incarnation, Time now) {
+void OnDispatch(LocalLoad& load, const RouteQuery& query, const Choice& choice, Time now) {
+  uint64_t incarnation = choice.incarnation;
   ++load.round_robin;
   if (query.traffic_class != TrafficClass::kChapter) load.reserved_until = now + kReserveFor;
-  ServerUse& use = load.servers[server];
+  ServerUse& use = load.servers[choice.server];
   if (use.cache_id == 0 || use.incarnation != incarnation) {
     use.cache_id = load.next_cache_id++;
     use.incarnation = incarnation;
@@ -677,15 +755,39 @@
     use.shared = true;
   }
   AddSent(use, now);
+  use.prefill_tokens += choice.prefill_tokens;
+  if (choice.cold_interval > Duration(0)) use.cold_next = now + choice.cold_interval;
   ExpectPrefixes(load, query, use.cache_id, now);
 }
 
+void OnFirstByte(LocalLoad& load, const std::string& served, const Choice& choice,
+                 Time dispatched_at, Time now) {
+  auto found = load.servers.find(choice.server);
+  if (found == load.servers.end()) return;
+  ServerUse& use = found->second;
+  use.prefill_tokens = std::max<int64_t>(0, use.prefill_tokens - choice.prefill_tokens);
+  if (choice.prefill_tokens < kMinRateTokens || now <= dispatched_at) return;
+  double read = static_cast<double>(choice.prefill_tokens + choice.tokens_ahead);
+  double sample = read / Seconds(now - dispatched_at);
+  auto [rate, first] = load.prefill_rates.try_emplace(served, sample);
+  if (!first) rate->second += kRateSmoothing * (sample - rate->second);
+}
+
+std::vector<ServerWork> OwnWork(const LocalLoad& load) {
+  std::vector<ServerWork> work;
+  for (const auto& [server, use] : load.servers) {
+    if (use.in_flight > 0) work.push_back({server, use.in_flight, use.prefill_tokens});
+  }
+  return work;
+}
+
 bool OnServerOutcome(LocalLoad& load, const RoutingView& view, const ServerId& server,
-                     Time dispatched_at, ServerOutcome outcome, Time now) {
+                     Time dispatched_at, ServerOutcome outcome, Time now, int64_t prefill_tokens) {
   auto found = load.servers.find(server);
   if (found == load.servers.end()) return false;
   ServerUse& use = found->second;
   RemoveSent(use, dispatched_at);
+  use.prefill_tokens = std::max<int64_t>(0, use.prefill_tokens - prefill_tokens);
   if (use.in_flight == 0) {
     use.exclusive = false;
     use.shared = false;
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -18,10 +18,12 @@
 //   server set aside for this host, after a report newer than the last loss shows no work.
 //
 // Cost of a server = weight_latency x wait seconds + weight_cost x service seconds. Wait is the
-// queue that the server reported plus what this host sent since that report. Service is the prefill
-// of the prompt without the predicted prefix hit. A failure domain elsewhere adds its round trip
-// and, in another region, weight_remote. A forward must be cheaper than home by a margin, so that
-// equal loads do not send requests back and forth.
+// queue that the server reported plus what this host and others have there. Service is the prefill
+// of the prompt without the predicted prefix hit. Where the parts of a prompt are named, every host
+// expects the shared ones at the same server (rendezvous hash), so that hosts agree without
+// messages on where the next request of a session finds them. A failure domain elsewhere adds its
+// round trip and, in another region, weight_remote. A forward must be cheaper than home by a
+// margin, so that equal loads do not send requests back and forth.
 //
 // Not thread safe: the caller serialises all calls on one LocalLoad. No errors are thrown.
 // Memory: one ServerUse for each server of the view (4,096) after Prune(), at most kMaxSentTimes
@@ -60,7 +62,11 @@
 constexpr Duration kRegionRoundTrip = milliseconds(110);
 constexpr Duration kDomainRoundTrip = milliseconds(3);
 constexpr Duration kSummaryTtl = seconds(30);
-constexpr double kPrefillTokensPerSecond = 8'000;
+constexpr double kPrefillTokensPerSecond = 8'000;  // until answers have shown the rate
+constexpr double kRateSmoothing = 0.05;            // weight of the newest answer
+constexpr int64_t kMinRateTokens = 500;            // shorter prompts say little about the rate
+// Up to this many servers are all compared; among more, two random ones of each group are.
+constexpr size_t kCompareAll = 16;
 constexpr Duration kDefaultService = seconds(1);
 constexpr double kServerBacklogShare = 0.25;  // waiting requests per slot until a server is full
 // Chapters run for seconds. While other classes were dispatched from this host within kReserveFor,
@@ -118,17 +124,19 @@
 
 // What this host did with one server or with one other failure domain.
 struct ServerUse {
-  int in_flight = 0;         // sent by this host and not ended
-  std::vector<Time> sent;    // dispatch times of these, ascending; at most kMaxSentTimes
-  bool exclusive = false;    // runs a suspect alone
-  bool shared = false;       // other work was seen since the suspect was dispatched
-  int failures = 0;          // consecutive
-  int ejections = 0;         // consecutive, for the growing time
-  Time ejected_until;        // no work before, unless every server that could run it is ejected
-  Duration mean_service{0};  // 0: unknown
-  uint32_t cache_id = 0;     // names the server's prefix cache; a new one forgets the old cache
-  Time incarnation_from;     // first dispatch to this incarnation; older failures do not count
-  uint64_t incarnation = 0;  // of the server at the last dispatch; a newer one starts unejected
+  int in_flight = 0;           // sent by this host and not ended
+  std::vector<Time> sent;      // dispatch times of these, ascending; at most kMaxSentTimes
+  bool exclusive = false;      // runs a suspect alone
+  bool shared = false;         // other work was seen since the suspect was dispatched
+  int failures = 0;            // consecutive
+  int ejections = 0;           // consecutive, for the growing time
+  Time ejected_until;          // no work before, unless every server that could run it is ejected
+  Duration mean_service{0};    // 0: unknown
+  uint32_t cache_id = 0;       // names the server's prefix cache; a new one forgets the old cache
+  int64_t prefill_tokens = 0;  // of the prompts in flight whose answer has not started
+  Time cold_next;              // a cold server gets nothing from this host before
+  Time incarnation_from;       // first dispatch to this incarnation; older failures do not count
+  uint64_t incarnation = 0;    // of the server at the last dispatch; a newer one starts unejected
 };
 
 // Which server's prefix cache probably holds which prefix.
@@ -150,6 +158,7 @@
   Time set_aside_until;      // keep servers free for suspects; set from SetAsideUntil()
   size_t queued_ahead = 0;   // requests that the local queue serves first; set by the caller
   uint64_t round_robin = 0;  // advanced by OnDispatch()
+  std::unordered_map<std::string, double> prefill_rates;  // tokens a second, by model or service
   uint32_t next_cache_id = 1;
 };
 
@@ -166,6 +175,9 @@
   Duration retry_after{0};                 // kRefuse; 0: repeating does not help
   double cost = 0;                         // of the chosen place, in weighted seconds
   int64_t hit_tokens = 0;                  // kLocal: predicted prefix hit
+  int64_t prefill_tokens = 0;              // the rest of the prompt
+  int64_t tokens_ahead = 0;                // kLocal: of prompts that the server reads before
+  Duration cold_interval{0};               // kLocal: see ColdInterval() in core/cold_limit.h
 };
 
 // A failure domain whose summary shows no free slot gets forwards only when no server here can run
@@ -188,14 +200,25 @@
 
 // Records that the request went to the server. `alone` for a suspect. The prefix hashes are
 // expected in the server's cache from now on.
-void OnDispatch(LocalLoad& load, const RouteQuery& query, const ServerId& server,
-                uint64_t incarnation, Time now);
+void OnDispatch(LocalLoad& load, const RouteQuery& query, const Choice& choice, Time now);
 
-// Records the end of a dispatch. `dispatched_at` is the `now` of its OnDispatch(). Returns true
+// The first byte of the answer arrived: the prompt is read. `dispatched_at` as below.
+void OnFirstByte(LocalLoad& load, const std::string& served, const Choice& choice,
+                 Time dispatched_at, Time now);
+
+// Records the end of a dispatch. `dispatched_at` is the `now` of its OnDispatch(), `prefill_tokens`
+// that of its choice, or 0 after OnFirstByte(). Returns true
 // when the server was ejected by this call. At most kMaxEjectedShare of the view's live servers are
 // ejected at a time, so one fault of this host's network cannot remove all of them.
 bool OnServerOutcome(LocalLoad& load, const RoutingView& view, const ServerId& server,
-                     Time dispatched_at, ServerOutcome outcome, Time now);
+                     Time dispatched_at, ServerOutcome outcome, Time now,
+                     int64_t prefill_tokens = 0);
+
+// What this host has at the backend servers now.
+std::vector<ServerWork> OwnWork(const LocalLoad& load);
+
+// The model or service that routing counts the route under.
+const std::string& Served(const RouteConfig& route);
 
 // The same for a forward to a failure domain.
 void OnForward(LocalLoad& load, const DomainId& domain, Time now);
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -45,7 +45,7 @@
 
 void Dispatcher::RecordPlace(const Choice& choice, const RouteQuery& query, Time now) {
   if (choice.kind == ChoiceKind::kLocal) {
-    OnDispatch(load_, query, choice.server, choice.incarnation, now);
+    OnDispatch(load_, query, choice, now);
     running_[choice.server].push_back(query.content);
   } else if (choice.kind == ChoiceKind::kForward) {
     OnForward(load_, choice.domain, now);
@@ -104,14 +104,34 @@
   for (auto& [wake, choice] : wakes) wake(choice);
 }
 
+void Dispatcher::GiveBack(const Choice& choice, uint64_t content, Time now) {
+  if (choice.kind == ChoiceKind::kLocal) {
+    EndLocal(choice.server, content, now, ServerOutcome::kCancelled, now, choice.prefill_tokens);
+  } else if (choice.kind == ChoiceKind::kForward) {
+    EndForward(choice.domain, now, now);
+  }
+}
+
+void Dispatcher::OnFirstByte(const std::string& served, const Choice& choice, Time dispatched_at,
+                             Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ebonylift::OnFirstByte(load_, served, choice, dispatched_at, now);
+}
+
+std::vector<ServerWork> Dispatcher::OwnWork() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return ebonylift::OwnWork(load_);
+}
+
 void Dispatcher::EndLocal(const ServerId& server, uint64_t content, Time dispatched_at,
-                          ServerOutcome outcome, Time now) {
+                          ServerOutcome outcome, Time now, int64_t prefill_tokens) {
   Wakes wakes;
   bool ejected = false;
   {
     std::lock_guard<std::mutex> lock(mutex_);
     static const RoutingView kNoView;
-    ejected = OnServerOutcome(load_, view_ ? *view_ : kNoView, server, dispatched_at, outcome, now);
+    ejected = OnServerOutcome(load_, view_ ? *view_ : kNoView, server, dispatched_at, outcome, now,
+                              prefill_tokens);
     std::vector<uint64_t>& contents = running_[server];
     auto found = std::find(contents.begin(), contents.end(), content);
     if (found != contents.end()) contents.erase(found);
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -61,9 +61,20 @@
   std::optional<Refusal> Enqueue(QueuedRequest request, RouteQuery query, Wake wake, Time now);
   bool Remove(const RequestId& request);
 
-  // Ends a dispatch to a server; waiting requests may get its place.
+  // Ends a dispatch to a server; waiting requests may get its place. `prefill_tokens` is that of
+  // the choice, or 0 after OnFirstByte().
   void EndLocal(const ServerId& server, uint64_t content, Time dispatched_at, ServerOutcome outcome,
-                Time now);
+                Time now, int64_t prefill_tokens);
+
+  // Ends a placement that was not used.
+  void GiveBack(const Choice& choice, uint64_t content, Time now);
+
+  // The answer of a dispatch started.
+  void OnFirstByte(const std::string& served, const Choice& choice, Time dispatched_at, Time now);
+
+  // What this host has at the backend servers now.
+  std::vector<ServerWork> OwnWork() const;
+
   void EndForward(const DomainId& domain, Time dispatched_at, Time now);
 
   // What runs on the server now; call before EndLocal().
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -232,7 +232,7 @@
     case ChoiceKind::kForward: {
       const HostEntry* host = FindHost(choice.host);
       if (host == nullptr) {
-        context_.dispatcher->EndForward(choice.domain, SteadyNow(), SteadyNow());
+        context_.dispatcher->GiveBack(choice, spec_.content, SteadyNow());
         Refuse(ErrorKind::kRegionUnreachable, "");
         return;
       }
@@ -258,8 +258,7 @@
   request.id = spec_.id;
   request.team = spec_.team;
   request.traffic_class = spec_.traffic_class;
-  request.served =
-      spec_.route->kind == ServerKind::kModel ? spec_.route->model.value() : spec_.route->service;
+  request.served = Served(*spec_.route);
   request.bytes = spec_.body.size();
   request.deadline = spec_.deadline;
   ExchangeTable* table = context_.table;
@@ -272,13 +271,8 @@
         exchange->OnWake(choice);
         return;
       }
-      // The caller left at the same moment: give the place back.
-      Time now = SteadyNow();
-      if (choice.kind == ChoiceKind::kLocal) {
-        dispatcher->EndLocal(choice.server, content, now, ServerOutcome::kCancelled, now);
-      } else if (choice.kind == ChoiceKind::kForward) {
-        dispatcher->EndForward(choice.domain, now, now);
-      }
+      // The caller left at the same moment.
+      dispatcher->GiveBack(choice, content, SteadyNow());
     });
   };
   std::optional<Refusal> refusal =
@@ -300,13 +294,7 @@
     OnPlace(choice);
     return;
   }
-  Time now = SteadyNow();
-  if (choice.kind == ChoiceKind::kLocal) {
-    context_.dispatcher->EndLocal(choice.server, spec_.content, now, ServerOutcome::kCancelled,
-                                  now);
-  } else if (choice.kind == ChoiceKind::kForward) {
-    context_.dispatcher->EndForward(choice.domain, now, now);
-  }
+  context_.dispatcher->GiveBack(choice, spec_.content, SteadyNow());
   Refuse(ErrorKind::kUnknownModel, "the route was removed");
 }
 
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -149,6 +149,8 @@
   uint32_t attempt_ = 0;  // the open attempt; 0: none
   CallId call_ = 0;
   Time dispatched_at_;
+  Choice choice_;                   // of the open attempt, when it is local
+  bool answer_started_ = false;     // of that attempt
   std::optional<ServerId> server_;  // of the open attempt, when it is local
   std::string server_address_;
   bool server_resumes_ = false;
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -402,7 +402,8 @@
 void Exchange::EndAttempt(ServerOutcome outcome) {
   Time now = SteadyNow();
   if (server_) {
-    context_.dispatcher->EndLocal(*server_, spec_.content, dispatched_at_, outcome, now);
+    int64_t unread = answer_started_ ? 0 : choice_.prefill_tokens;
+    context_.dispatcher->EndLocal(*server_, spec_.content, dispatched_at_, outcome, now, unread);
   }
   if (forward_domain_) context_.dispatcher->EndForward(*forward_domain_, dispatched_at_, now);
   server_.reset();
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -78,14 +78,15 @@
   const BackendServer* server = FindServer(choice.server);
   if (claim_ != 0 && !claim_dispatched_) {
     if (!context_.records->MarkDispatched(Key(), claim_)) {
-      context_.dispatcher->EndLocal(choice.server, spec_.content, now, ServerOutcome::kCancelled,
-                                    now);
+      context_.dispatcher->GiveBack(choice, spec_.content, now);
       Refuse(ErrorKind::kStorageFailed, "the claim is no longer valid");
       return;
     }
     claim_dispatched_ = true;
   }
   dispatched_at_ = now;
+  choice_ = choice;
+  answer_started_ = false;
   server_ = choice.server;
   attempt_ = OnDispatch(attempts_, choice.server, choice.incarnation, now);
   if (server == nullptr) {
@@ -247,6 +248,10 @@
 
 void Exchange::CountByte() {
   Time now = SteadyNow();
+  if (server_ && !answer_started_) {
+    answer_started_ = true;
+    context_.dispatcher->OnFirstByte(Served(*spec_.route), choice_, dispatched_at_, now);
+  }
   if (!first_byte_seen_) {
     context_.metrics->ObserveFirstToken(spec_.traffic_class, now - spec_.arrived);
   } else if (streaming_) {
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -147,6 +147,9 @@
   }
 };
 
+// A capability: the announcements carry no load, so hosts go by what they sent.
+inline constexpr char kNoLoadReports[] = "no_load_reports";
+
 // What a backend server says of itself; the body of POST /v1/backend-servers/announce.
 struct Announcement {
   ServerId id;
@@ -175,6 +178,9 @@
   Time first_seen;   // of this incarnation; slow start counts from here
   Time reported_at;  // when the newest announcement was sent, by this host's clock
   Time expires_at;   // no new work from this time on
+  // Work that other hosts have there, as they said last.
+  int elsewhere = 0;
+  int64_t elsewhere_tokens = 0;  // of prompts that are not read yet
 };
 
 // ---- hosts
@@ -207,7 +213,15 @@
   int slots = 0;
   int running = 0;
   int waiting = 0;
-  Time reported_at;  // by this host's clock
+  int64_t prefill_tokens = 0;  // of prompts that are not read yet
+  Time reported_at;            // by this host's clock
+};
+
+// Work that one host has at a backend server.
+struct ServerWork {
+  ServerId server;
+  int in_flight = 0;
+  int64_t prefill_tokens = 0;  // of prompts that are not read yet
 };
 
 struct Identity {
--- /dev/null
+++ b/tests/ingress_test.cc
@@ -0,0 +1,143 @@
+#define BOOST_TEST_MODULE ingress
+#include "core/ingress.h"
+
+#include <boost/test/included/unit_test.hpp>
+#include <functional>
+#include <nlohmann/json.hpp>
+
+#include "core/config_view.h"
+
+namespace ebonylift {
+namespace {
+
+using Json = nlohmann::json;
+
+Json Route(const std::string& id, const std::string& prefix) {
+  return {{"id", id},
+          {"host", "a.example"},
+          {"path_prefix", prefix},
+          {"idempotent", true},
+          {"resumable", false},
+          {"deadline_ms", 3000},
+          {"first_byte_target_ms", 800},
+          {"rank", 0},
+          {"max_attempts", 2},
+          {"regions", {"este", "centro"}},
+          {"backends", {{{"service", "s"}, {"weight", 1}}}}};
+}
+
+Json Service(const std::string& id) {
+  return {{"id", id},
+          {"health_path", "/health"},
+          {"max_connections", 100},
+          {"cold_start_ms", 3000},
+          {"cold_per_s", 3.3}};
+}
+
+Json Document() {
+  return {{"version", 7},
+          {"routes", {Route("r1", "/a/"), Route("r2", "/a/b/"), Route("r3", "/")}},
+          {"services", {Service("s"), Service("t")}}};
+}
+
+}  // namespace
+
+// Guards against a request that a shorter prefix takes, or that a prefix takes within a name.
+BOOST_AUTO_TEST_CASE(LongestPrefixWins) {
+  IngressConfig config = ParseIngress(Document());
+  struct Case {
+    const char* host;
+    const char* path;
+    const char* expected;
+  };
+  for (const Case& row : std::vector<Case>{{"a.example", "/a/x", "r1/s"},
+                                           {"a.example", "/a/b/x", "r2/s"},
+                                           {"a.example", "/ab/x", "r3/s"},
+                                           {"a.example", "/a", "r3/s"},
+                                           {"b.example", "/a/x", ""}}) {
+    const IngressRoute* route = FindIngressRoute(config, row.host, row.path);
+    std::string found = route == nullptr ? "" : route->backends[0].route.value();
+    BOOST_TEST(found == row.expected, row.host << row.path);
+  }
+}
+
+// Guards against a split of traffic that differs from the weights, and against a service of weight
+// 0 that gets requests.
+BOOST_AUTO_TEST_CASE(BackendsAreUsedByWeight) {
+  Json document = Document();
+  document["routes"][0]["backends"] = {{{"service", "s"}, {"weight", 0}},
+                                       {{"service", "t"}, {"weight", 9}},
+                                       {{"service", "s"}, {"weight", 1}}};
+  IngressConfig config = ParseIngress(document);
+  const IngressRoute* route = FindIngressRoute(config, "a.example", "/a/x");
+  int to_s = 0;
+  for (uint64_t spread = 0; spread < 1'000; ++spread) {
+    to_s += PickBackend(*route, spread).service == "s" ? 1 : 0;
+  }
+  BOOST_TEST(to_s == 100);
+}
+
+// Guards against an invalid document that is accepted in part or as a whole.
+BOOST_AUTO_TEST_CASE(InvalidDocumentsAreRefused) {
+  BOOST_TEST(ValidateIngress(Document()).empty());
+  struct Case {
+    const char* name;
+    std::function<void(Json*)> spoil;
+  };
+  const std::vector<Case> cases = {
+      {"no version", [](Json* d) { d->erase("version"); }},
+      {"version 0", [](Json* d) { (*d)["version"] = 0; }},
+      {"no routes", [](Json* d) { d->erase("routes"); }},
+      {"unknown service", [](Json* d) { (*d)["routes"][1]["backends"][0]["service"] = "u"; }},
+      {"same host and prefix", [](Json* d) { (*d)["routes"][1]["path_prefix"] = "/a/"; }},
+      {"weights of 0", [](Json* d) { (*d)["routes"][0]["backends"][0]["weight"] = 0; }},
+      {"no backends", [](Json* d) { (*d)["routes"][0]["backends"] = Json::array(); }},
+      {"deadline of 0", [](Json* d) { (*d)["routes"][2]["deadline_ms"] = 0; }},
+      {"prefix without slash", [](Json* d) { (*d)["routes"][2]["path_prefix"] = "/a"; }},
+      {"route that is text", [](Json* d) { (*d)["routes"][2] = "r3"; }},
+      {"no region", [](Json* d) { (*d)["routes"][0]["regions"] = Json::array(); }},
+      {"service twice", [](Json* d) { (*d)["services"][1]["id"] = "s"; }},
+  };
+  for (const Case& row : cases) {
+    Json document = Document();
+    row.spoil(&document);
+    BOOST_TEST(!ValidateIngress(document).empty(), row.name);
+  }
+}
+
+// Guards against routes of an older document that stay in force, and against an evacuation that
+// hides or outlives another one.
+BOOST_AUTO_TEST_CASE(TheViewFollowsTheTree) {
+  ConfigTree tree;
+  auto put = [&tree](const std::string& path, const std::string& value) {
+    ConfigPut change;
+    change.path = path;
+    change.value = value;
+    change.base_revision = PathRevision(tree, path);
+    BOOST_TEST((ApplyPut(&tree, change, 0).outcome == PutOutcome::kApplied));
+  };
+  put(kIngressPath, Document().dump());
+  ConfigView view = BuildConfigView(tree);
+  BOOST_TEST(view.teams.at(TeamId(kIngressTeam)).routes.size() == 3u);
+
+  Json next = Document();
+  next["version"] = 8;
+  next["routes"].erase(2);
+  put(kIngressPath, next.dump());
+  view = UpdateConfigView(view, tree, {kIngressPath});
+  BOOST_TEST(view.ingress->version == 8u);
+  BOOST_TEST(view.teams.at(TeamId(kIngressTeam)).routes.size() == 2u);
+
+  const std::string este = "/deployment/evacuations/este-a";
+  const std::string norte = "/deployment/evacuations/norte-a";
+  put(este, R"({"evacuated":true})");
+  put(norte, R"({"evacuated":true})");
+  view = UpdateConfigView(view, tree, {este, norte});
+  BOOST_TEST(view.evacuated.size() == 2u);
+  put(este, R"({"evacuated":false})");
+  view = UpdateConfigView(view, tree, {este});
+  BOOST_TEST((view.evacuated == std::set<DomainId>{DomainId("norte-a")}));
+  BOOST_TEST((BuildConfigView(tree).evacuated == view.evacuated));
+}
+
+}  // namespace ebonylift
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -78,11 +78,21 @@
   Choice Run() { return Choose(query, view, load, kNow, rng); }
 
   Time Dispatch(const Choice& choice, Time at = kNow) {
-    OnDispatch(load, query, choice.server, choice.incarnation, at);
+    OnDispatch(load, query, choice, at);
     return at;
   }
 };
 
+// A choice of this server for the whole prompt of the query.
+Choice At(const ServerId& server, uint64_t incarnation, const RouteQuery& query) {
+  Choice choice;
+  choice.kind = ChoiceKind::kLocal;
+  choice.server = server;
+  choice.incarnation = incarnation;
+  choice.prefill_tokens = query.prompt_tokens;
+  return choice;
+}
+
 const char* Name(ChoiceKind kind) {
   switch (kind) {
     case ChoiceKind::kLocal:
@@ -425,7 +435,8 @@
        [](World& w) {
          w.AddServer("s1", 0);
          w.AddServer("s2", 2);
-         for (int i = 0; i < 3; ++i) OnDispatch(w.load, w.query, ServerId("s1"), 1, kNow);
+         for (int i = 0; i < 3; ++i)
+           OnDispatch(w.load, w.query, At(ServerId("s1"), 1, w.query), kNow);
        }},
       {"all full", "queue",
        [](World& w) {
@@ -437,7 +448,7 @@
          w.AddServer("s1", 3);
          w.AddServer("s2", 0);
          w.query.prefix_hashes = {11, 12, 13};
-         OnDispatch(w.load, w.query, ServerId("s1"), 1, kNow - seconds(10));
+         OnDispatch(w.load, w.query, At(ServerId("s1"), 1, w.query), kNow - seconds(10));
          OnServerOutcome(w.load, w.view, ServerId("s1"), kNow - seconds(10), ServerOutcome::kOk,
                          kNow - seconds(9));
        }},
@@ -446,7 +457,7 @@
          w.AddServer("s1", 9);
          w.AddServer("s2", 0);
          w.query.prefix_hashes = {11, 12, 13};
-         OnDispatch(w.load, w.query, ServerId("s1"), 1, kNow - seconds(10));
+         OnDispatch(w.load, w.query, At(ServerId("s1"), 1, w.query), kNow - seconds(10));
          OnServerOutcome(w.load, w.view, ServerId("s1"), kNow - seconds(10), ServerOutcome::kOk,
                          kNow - seconds(9));
        }},
@@ -456,7 +467,7 @@
          w.AddServer("s2", 0);
          w.query.prefix_hashes = {11, 12, 13};
          Time long_ago = kNow - kPrefixTtl;
-         OnDispatch(w.load, w.query, ServerId("s1"), 1, long_ago);
+         OnDispatch(w.load, w.query, At(ServerId("s1"), 1, w.query), long_ago);
          OnServerOutcome(w.load, w.view, ServerId("s1"), long_ago, ServerOutcome::kOk, long_ago);
        }},
       {"a cache with a gap in its events is not counted", "local s2",
@@ -465,7 +476,7 @@
          w.AddServer("s2", 0);
          w.query.prefix_hashes = {11, 12, 13};
          Time before = kNow - seconds(10);
-         OnDispatch(w.load, w.query, ServerId("s1"), 1, before);
+         OnDispatch(w.load, w.query, At(ServerId("s1"), 1, w.query), before);
          OnServerOutcome(w.load, w.view, ServerId("s1"), before, ServerOutcome::kOk, before);
          ForgetPrefixes(w.load, ServerId("s1"));
        }},
@@ -475,7 +486,7 @@
          w.AddServer("s2", 0);
          w.query.prefix_hashes = {11, 12, 13};
          Time before = kNow - seconds(10);
-         OnDispatch(w.load, w.query, ServerId("s1"), 1, before);
+         OnDispatch(w.load, w.query, At(ServerId("s1"), 1, w.query), before);
          OnServerOutcome(w.load, w.view, ServerId("s1"), before, ServerOutcome::kOk, before);
        }},
   });
@@ -491,7 +502,7 @@
   RoutingView view;
   for (int i = 0; i < 100; ++i) {
     Time placed = kNow + milliseconds(i);
-    OnDispatch(load, query, server, 1, placed);
+    OnDispatch(load, query, At(server, 1, query), placed);
     Time dispatched = placed + Duration(i % 3);  // the caller's clock is read later
     OnServerOutcome(load, view, server, dispatched, ServerOutcome::kOk, placed + milliseconds(1));
   }
@@ -590,7 +601,7 @@
   for (int i = 0; i < 6; ++i) {
     ServerId id("s" + std::to_string(i));
     for (int failure = 0; failure < kFailuresToEject; ++failure) {
-      OnDispatch(w.load, w.query, id, 1, kNow);
+      OnDispatch(w.load, w.query, At(id, 1, w.query), kNow);
       if (OnServerOutcome(w.load, w.view, id, kNow, ServerOutcome::kFailed, kNow)) ++ejected;
     }
   }
@@ -607,7 +618,7 @@
   for (int64_t expected_s : {1, 2, 4, 8, 16, 30, 30}) {
     bool done = false;
     for (int i = 0; i < kFailuresToEject && !done; ++i) {
-      OnDispatch(load, w.query, s0, 1, now);
+      OnDispatch(load, w.query, At(s0, 1, w.query), now);
       done = OnServerOutcome(load, w.view, s0, now, ServerOutcome::kFailed, now);
     }
     BOOST_TEST(done);
@@ -615,7 +626,7 @@
     for (BackendServer& server : w.view.servers) server.expires_at = now + seconds(100);
     now = load.servers[s0].ejected_until;
   }
-  OnDispatch(load, w.query, s0, 1, now);
+  OnDispatch(load, w.query, At(s0, 1, w.query), now);
   OnServerOutcome(load, w.view, s0, now, ServerOutcome::kOk, now);
   BOOST_TEST(load.servers[s0].ejections == 0);
 }
@@ -629,14 +640,14 @@
   w.view.servers[2].announced.models[0].name = ModelId("n");
   ServerId s1("s1");
   for (int i = 0; i < kFailuresToEject; ++i) {
-    OnDispatch(w.load, w.query, s1, 1, kNow);
+    OnDispatch(w.load, w.query, At(s1, 1, w.query), kNow);
     OnServerOutcome(w.load, w.view, s1, kNow, ServerOutcome::kFailed, kNow);
   }
   BOOST_TEST((w.load.servers[s1].ejected_until > kNow));
   BOOST_TEST(Describe(w.Run()) == "local s1");
 
-  for (int i = 0; i < 5; ++i) OnDispatch(w.load, w.query, s1, 1, kNow);
-  OnDispatch(w.load, w.query, s1, 2, kNow + seconds(1));
+  for (int i = 0; i < 5; ++i) OnDispatch(w.load, w.query, At(s1, 1, w.query), kNow);
+  OnDispatch(w.load, w.query, At(s1, 2, w.query), kNow + seconds(1));
   for (int i = 0; i < 5; ++i) {
     OnServerOutcome(w.load, w.view, s1, kNow, ServerOutcome::kFailed, kNow + seconds(2));
   }
@@ -662,21 +673,21 @@
       {"idle by its report, but this host sent work", "queue",
        [](World& w) {
          w.AddServer("s1", 0);
-         OnDispatch(w.load, w.query, ServerId("s1"), 1, kNow - seconds(5));
+         OnDispatch(w.load, w.query, At(ServerId("s1"), 1, w.query), kNow - seconds(5));
          w.query.suspect = true;
        }},
       {"an exclusive server gets no other work", "queue",
        [](World& w) {
          w.AddServer("s1", 0);
          w.query.suspect = true;
-         OnDispatch(w.load, w.query, ServerId("s1"), 1, kNow);
+         OnDispatch(w.load, w.query, At(ServerId("s1"), 1, w.query), kNow);
          w.query.suspect = false;
        }},
       {"an exclusive server is free again", "local s1",
        [](World& w) {
          w.AddServer("s1", 0);
          w.query.suspect = true;
-         OnDispatch(w.load, w.query, ServerId("s1"), 1, kNow);
+         OnDispatch(w.load, w.query, At(ServerId("s1"), 1, w.query), kNow);
          w.query.suspect = false;
          OnServerOutcome(w.load, w.view, ServerId("s1"), kNow, ServerOutcome::kOk, kNow);
        }},
@@ -710,7 +721,7 @@
   ServerId s1("s1");
   BOOST_TEST(!RanAlone(w.load, server));
   w.query.suspect = true;
-  OnDispatch(w.load, w.query, s1, 1, kNow);
+  OnDispatch(w.load, w.query, At(s1, 1, w.query), kNow);
   BOOST_TEST(RanAlone(w.load, server));
   server.announced.load.running = 2;  // another host's request
   BOOST_TEST(!RanAlone(w.load, server));
@@ -720,10 +731,10 @@
   OnServerOutcome(w.load, w.view, s1, kNow, ServerOutcome::kOk, kNow);
 
   w.query.suspect = false;
-  OnDispatch(w.load, w.query, s1, 1, kNow);
+  OnDispatch(w.load, w.query, At(s1, 1, w.query), kNow);
   BOOST_TEST(!RanAlone(w.load, server), "not a suspect");
   w.query.suspect = true;
-  OnDispatch(w.load, w.query, s1, 1, kNow);
+  OnDispatch(w.load, w.query, At(s1, 1, w.query), kNow);
   BOOST_TEST(!RanAlone(w.load, server), "company before the suspect");
 }
 
@@ -734,14 +745,14 @@
   for (uint64_t i = 0; i < 3 * kMaxPrefixes; i += kMaxPrefixHashes) {
     w.query.prefix_hashes.clear();
     for (uint64_t j = 0; j < 2 * kMaxPrefixHashes; ++j) w.query.prefix_hashes.push_back(1 + i + j);
-    OnDispatch(w.load, w.query, ServerId("s1"), 1, kNow);
+    OnDispatch(w.load, w.query, At(ServerId("s1"), 1, w.query), kNow);
   }
   BOOST_TEST(w.load.prefixes.holders.size() == kMaxPrefixes);
   BOOST_TEST(w.load.prefixes.order.size() == kMaxPrefixes);
   BOOST_TEST(w.load.servers[ServerId("s1")].sent.size() == kMaxSentTimes);
 
   LocalLoad load;
-  OnDispatch(load, w.query, ServerId("gone"), 1, kNow);
+  OnDispatch(load, w.query, At(ServerId("gone"), 1, w.query), kNow);
   OnForward(load, DomainId("gone"), kNow);
   Prune(load, w.view);
   BOOST_TEST(load.servers.size() == 1u, "in flight");
@@ -850,4 +861,80 @@
   BOOST_TEST((AllowedRegions(*w.config, w.route) == expected));
 }
 
+// Guards against short prompts that wait behind a long one that a server is still reading (long
+// prompts arrive in bursts): a server counts as busy until the answer starts.
+BOOST_AUTO_TEST_CASE(UnreadPromptsCount) {
+  World w;
+  for (const char* id : {"s1", "s2"}) {
+    w.AddServer(id).announced.capabilities = {kNoLoadReports};
+  }
+  w.query.prompt_tokens = 50'000;
+  Choice first = w.Run();
+  w.Dispatch(first);
+  w.query.prompt_tokens = 1'000;
+  for (int i = 0; i < 20; ++i) BOOST_TEST((w.Run().server != first.server));
+  OnFirstByte(w.load, Served(w.route), first, kNow, kNow + seconds(1));
+  BOOST_TEST(w.load.servers[first.server].prefill_tokens == 0);
+  OnServerOutcome(w.load, w.view, first.server, kNow, ServerOutcome::kOk, kNow + seconds(1));
+  std::set<std::string> used;
+  for (int i = 0; i < 50; ++i) used.insert(w.Run().server.value());
+  BOOST_TEST(used.size() == 2u, "both are free again");
+}
+
+// Guards against hosts that each send the long prompts of all hosts to the same server.
+BOOST_AUTO_TEST_CASE(WorkOfOtherHostsCounts) {
+  World w;
+  w.AddServer("s1").elsewhere_tokens = 50'000;
+  w.AddServer("s2");
+  for (int i = 0; i < 20; ++i) BOOST_TEST(Describe(w.Run()) == "local s2");
+}
+
+// Guards against a session whose shared parts every host reads again at another server.
+BOOST_AUTO_TEST_CASE(HostsAgreeOnTheHomeOfSharedParts) {
+  std::map<std::string, int> homes;
+  for (uint64_t session = 0; session < 100; ++session) {
+    std::set<std::string> picked;
+    for (uint64_t host = 0; host < 5; ++host) {
+      World w;
+      w.rng.seed(kSeed + host);
+      for (int i = 0; i < 6; ++i) w.AddServer("s" + std::to_string(i));
+      w.query.prompt_tokens = 12'000;
+      w.query.prefix_hashes = {1, 1'000 + session, 9'000 + host};
+      w.query.prefix_tokens = {500, 5'400, 12'000};
+      picked.insert(w.Run().server.value());
+    }
+    BOOST_TEST(picked.size() == 1u);
+    ++homes[*picked.begin()];
+  }
+  for (const auto& [server, sessions] : homes) BOOST_TEST(sessions < 40, server);
+}
+
+// Guards against a home that is used although it is the busiest server by far.
+BOOST_AUTO_TEST_CASE(ABusyHomeIsLeft) {
+  World w;
+  for (int i = 0; i < 6; ++i) w.AddServer("s" + std::to_string(i));
+  w.query.prompt_tokens = 12'000;
+  w.query.prefix_hashes = {1, 2, 3};
+  w.query.prefix_tokens = {500, 5'400, 12'000};
+  Choice home = w.Run();
+  for (BackendServer& server : w.view.servers) {
+    if (server.announced.id == home.server) server.elsewhere_tokens = 20'000;
+  }
+  BOOST_TEST((w.Run().server != home.server));
+}
+
+// Guards against work for the servers of an evacuated failure domain.
+BOOST_AUTO_TEST_CASE(EvacuatedDomainsGetNothing) {
+  World w;
+  w.view.server_scope = ServerScope::kRegion;
+  w.AddServer("s1");
+  w.AddServer("s2").announced.domain = DomainId("este-b");
+  w.config->evacuated.insert(DomainId("este-a"));
+  for (int i = 0; i < 20; ++i) BOOST_TEST(Describe(w.Run()) == "local s2");
+  w.AddHost("h1", "norte", "norte-a");
+  w.AddSummary("norte", "norte-a");
+  w.config->evacuated = {DomainId("este-a"), DomainId("este-b"), DomainId("norte-a")};
+  BOOST_TEST(Describe(w.Run()) == "refuse no_server");
+}
+
 }  // namespace ebonylift
