Lead callers to a region that may serve every route when theirs has no host

Restarted hosts were also suspected until the backoff of the connection to them ended.

The directory now prefers suspected hosts of the callers' region, then regions that may serve every route. A host that logs in is connected to at once.

--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -159,6 +159,7 @@
   RpcPeer peer;
   std::shared_ptr<Link> link;  // null while not logged in
   Duration backoff{0};
+  kj::Own<kj::PromiseFulfiller<void>> retry;  // ends the wait before the next attempt
 };
 
 }  // namespace
@@ -184,6 +185,7 @@
   std::shared_ptr<void> CountPendingLogin();
   void RefuseLogin(const std::string& host, const std::string& reason) const;
   bool KnownPeer(const HostId& host) const;
+  void RetrySoon(const HostId& host);
 
   // ---- outgoing ----
   kj::Promise<void> ConnectLoop(Outgoing* out);
@@ -332,12 +334,14 @@
   using Refuse = std::function<void(const std::string& host, const std::string& reason)>;
 
   GateServer(const RpcOptions* options, RpcHandler* handler, std::shared_ptr<Session> session,
-             Refuse refuse, std::function<bool(const HostId&)> known)
+             Refuse refuse, std::function<bool(const HostId&)> known,
+             std::function<void(const HostId&)> accepted)
       : options_(options),
         handler_(handler),
         session_(std::move(session)),
         refuse_(std::move(refuse)),
-        known_(std::move(known)) {}
+        known_(std::move(known)),
+        accepted_(std::move(accepted)) {}
 
   kj::Promise<void> challenge(ChallengeContext context) override {
     auto results = context.getResults();
@@ -363,6 +367,7 @@
     session_->pending = nullptr;
     session_->host = HostId(host);
     LogEvent(EventId::kPeerConnected, {{"host", host}, {"direction", "in"}});
+    accepted_(session_->host);
     handler_->OnPeerLogin(session_->host, params.getIncarnation());
     auto results = context.getResults();
     results.setHlc(ProcessClock().Now());
@@ -389,6 +394,7 @@
   std::shared_ptr<Session> session_;
   Refuse refuse_;
   std::function<bool(const HostId&)> known_;
+  std::function<void(const HostId&)> accepted_;
 };
 
 }  // namespace
@@ -424,6 +430,14 @@
   return options.open || outgoing.count(host) > 0;
 }
 
+// A host that logs in can be reached again: without this, it is suspected until the backoff ends.
+void Rpc::Impl::RetrySoon(const HostId& host) {
+  auto found = outgoing.find(host);
+  if (found == outgoing.end() || found->second.link != nullptr) return;
+  found->second.backoff = Duration(0);
+  if (found->second.retry.get() != nullptr) found->second.retry->fulfill();
+}
+
 void Rpc::Impl::Accept(kj::Own<kj::AsyncIoStream> stream) {
   if (connections >= kMaxConnections || pending_logins >= kMaxPendingLogins) {
     RefuseLogin("", "too many connections");
@@ -447,7 +461,8 @@
         RefuseLogin(host, reason);
         (*close)->fulfill();
       },
-      [this](const HostId& host) { return KnownPeer(host); });
+      [this](const HostId& host) { return KnownPeer(host); },
+      [this](const HostId& host) { RetrySoon(host); });
   in->system = kj::heap(capnp::makeRpcServer(*in->network, wire::Gate::Client(kj::mv(gate))));
   auto login_over =
       timer().afterDelay(ToKj(options.login_timeout)).then([this, session]() -> kj::Promise<void> {
@@ -481,7 +496,9 @@
       .catch_([](kj::Exception&&) {})
       .then([this, out]() {
         Lost(out);
-        return timer().afterDelay(ToKj(NextBackoff(out)));
+        auto retry = kj::newPromiseAndFulfiller<void>();
+        out->retry = kj::mv(retry.fulfiller);
+        return timer().afterDelay(ToKj(NextBackoff(out))).exclusiveJoin(kj::mv(retry.promise));
       })
       .then([this, out]() { return ConnectLoop(out); });
 }
--- a/src/core/entry_list.cc
+++ b/src/core/entry_list.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/hash.h"
+#include "core/ingress.h"
 
 namespace ebonylift {
 namespace {
@@ -22,6 +23,37 @@
   return entry;
 }
 
+// Whether every route may be served in the region.
+bool ServesAllRoutes(const RoutingView& view, const RegionId& region) {
+  if (view.config == nullptr || view.config->ingress == nullptr) return true;
+  const auto& routes = view.config->ingress->route_configs;
+  return std::all_of(routes.begin(), routes.end(), [&](const auto& entry) {
+    const std::vector<RegionId>& regions = entry.second.regions;
+    return std::find(regions.begin(), regions.end(), region) != regions.end();
+  });
+}
+
+// How well a host fits callers at a place; larger is better.
+enum class Nearness {
+  kUnusable,
+  kFarNotAllRoutes,  // data of some routes may not go there
+  kFar,
+  kRegionSuspect,  // probably still there, and its region is the callers' own
+  kRegion,
+  kDomain,
+};
+
+Nearness NearnessOf(const RoutingView& view, const HostEntry& host, const DomainId& domain,
+                    const RegionId& region) {
+  if (host.caller_address.empty()) return Nearness::kUnusable;
+  bool near = host.region == region;
+  if (near && host.status == HostStatus::kSuspect) return Nearness::kRegionSuspect;
+  if (host.status != HostStatus::kAlive) return Nearness::kUnusable;
+  if (near && host.overloaded) return Nearness::kRegionSuspect;
+  if (near) return host.domain == domain ? Nearness::kDomain : Nearness::kRegion;
+  return ServesAllRoutes(view, host.region) ? Nearness::kFar : Nearness::kFarNotAllRoutes;
+}
+
 }  // namespace
 
 EntryList EntryHosts(const RoutingView& view, const std::vector<RegionId>& allowed,
@@ -43,15 +75,12 @@
 std::vector<EntryHost> NearestEntryHosts(const RoutingView& view, const DomainId& domain,
                                          const RegionId& region, size_t limit) {
   std::vector<EntryHost> hosts;
-  int best = 0;
+  Nearness best = Nearness::kUnusable;
   for (const HostEntry& host : view.hosts) {
-    if (host.status != HostStatus::kAlive || host.caller_address.empty()) continue;
-    // The distance in the order of preference; an overloaded host is as bad as a far one.
-    int rank = host.domain == domain ? 3 : host.region == region ? 2 : 1;
-    if (host.overloaded) rank = 1;
-    if (rank < best) continue;
-    if (rank > best) hosts.clear();
-    best = rank;
+    Nearness nearness = NearnessOf(view, host, domain, region);
+    if (nearness == Nearness::kUnusable || nearness < best) continue;
+    if (nearness > best) hosts.clear();
+    best = nearness;
     EntryHost entry = MakeEntry(host, region);
     entry.address = host.caller_address;
     if (hosts.size() < limit) hosts.push_back(entry);
--- a/tests/entry_list_test.cc
+++ b/tests/entry_list_test.cc
@@ -5,6 +5,8 @@
 #include <boost/test/included/unit_test.hpp>
 #include <set>
 
+#include "core/ingress.h"
+
 namespace ebonylift {
 namespace {
 
@@ -95,4 +97,38 @@
   BOOST_TEST(first["b"] > 400);
 }
 
+// Guards against callers that are led to a region where the data of a route may not go (a zone whose
+// hosts all restart in turn), and against a directory that names nobody although a host may be there.
+BOOST_AUTO_TEST_CASE(NearestHostsOfTheBestKind) {
+  struct Case {
+    const char* name;
+    std::vector<std::pair<std::string, HostStatus>> own;  // id and status in region r1
+    std::string expected;
+  };
+  const std::vector<Case> cases = {
+      {"alive", {{"a", HostStatus::kAlive}, {"b", HostStatus::kSuspect}}, "a"},
+      {"suspected", {{"a", HostStatus::kLeaving}, {"b", HostStatus::kSuspect}}, "b"},
+      {"all leave", {{"a", HostStatus::kLeaving}, {"b", HostStatus::kFailed}}, "h"},
+  };
+  for (const Case& row : cases) {
+    RoutingView view;
+    for (const auto& [id, status] : row.own) view.hosts.push_back(Host(id, "r1", status));
+    view.hosts.push_back(Host("g", "r2", HostStatus::kAlive));
+    view.hosts.push_back(Host("h", "r3", HostStatus::kAlive));
+    for (HostEntry& host : view.hosts) host.caller_address = host.id.value() + ":81";
+    view.hosts.push_back(Host("control", "r1", HostStatus::kAlive));  // takes no callers
+    auto ingress = std::make_shared<IngressConfig>();
+    ingress->route_configs[RouteId("r")].regions = Regions({"r1", "r3"});
+    auto config = std::make_shared<ConfigView>();
+    config->ingress = ingress;
+    view.config = config;
+    std::string found;
+    for (const EntryHost& host : NearestEntryHosts(view, DomainId("r1-a"), RegionId("r1"), 64)) {
+      BOOST_TEST(host.address == host.host.value() + ":81");
+      found += host.host.value();
+    }
+    BOOST_TEST(found == row.expected, row.name);
+  }
+}
+
 }  // namespace ebonylift
