--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -43,6 +43,15 @@
 
   timeline @6 (hlc :UInt64, since :UInt64, requestId :Text, limit :UInt32)
       -> (hlc :UInt64, events :List(EventEntry), more :Bool);
+
+  # What the caller has at the backend servers that both send work to; replaces the list before.
+  work @7 (hlc :UInt64, rows :List(ServerWork)) -> (hlc :UInt64);
+}
+
+struct ServerWork {
+  server @0 :Text;
+  inFlight @1 :Int32;
+  prefillTokens @2 :Int64;
 }
 
 enum HostStatus {
@@ -86,8 +95,8 @@
 }
 
 # Summaries of one failure domain by one reporter. `rows` has, for each, the served name with its
-# length, `newestVersion` minus the version, servers, slots, running, waiting and the age in
-# milliseconds, as numbers of variable length.
+# length, `newestVersion` minus the version, servers, slots, running, waiting, unread prompt tokens and
+# the age in milliseconds, as numbers of variable length.
 struct SummaryGroup {
   domain @0 :Text;
   region @1 :Text;
--- a/schema/peer.capnp.c++
+++ b/schema/peer.capnp.c++
@@ -357,7 +357,7 @@
   1, 3, i_92cd161fceb8ff7f, nullptr, nullptr, { &s_92cd161fceb8ff7f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<92> b_8625dd80189baf94 = {
+static const ::capnp::_::AlignedData<102> b_8625dd80189baf94 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     148, 175, 155,  24, 128, 221,  37, 134,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -367,69 +367,77 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 199,   1,   0,   0,
-     65,   1,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,   7,   2,   0,   0,
+    105,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     28,   0,   0,   0,   3,   0,   5,   0,
+     32,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     173, 230, 108,  55, 186, 152,  35, 198,
      78, 100, 243, 221, 195, 194,  25, 136,
-    209,   0,   0,   0,  58,   0,   0,   0,
+    241,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    197,   0,   0,   0,   7,   0,   0,   0,
+    229,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     222, 253, 173, 230, 173, 195, 109, 149,
     108, 126, 146,  47, 200,  13, 165, 195,
-    185,   0,   0,   0,  74,   0,   0,   0,
+    217,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    177,   0,   0,   0,   7,   0,   0,   0,
+    209,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     200, 222,   2,  60, 198, 229, 199, 213,
      24, 113, 114, 156,  61,  22, 215, 186,
-    165,   0,   0,   0,  82,   0,   0,   0,
+    197,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    157,   0,   0,   0,   7,   0,   0,   0,
+    189,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      88, 232,  31,   7, 142,  78, 184, 207,
     205,  14, 108,  79, 114,  44,  27, 189,
-    145,   0,   0,   0,  98,   0,   0,   0,
+    177,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    137,   0,   0,   0,   7,   0,   0,   0,
+    169,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     241,  29, 182,  72, 251, 193, 162, 140,
     110, 191,  69, 128,  64,  89, 134, 144,
-    125,   0,   0,   0,  90,   0,   0,   0,
+    157,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117,   0,   0,   0,   7,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     123, 240,  70,  46, 187, 232,  59, 156,
     191, 209,  67, 139, 131,  75,  74, 160,
-    105,   0,   0,   0,  66,   0,   0,   0,
+    137,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     93,   0,   0,   0,   7,   0,   0,   0,
+    125,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     127, 255, 188,  94, 139, 168, 250, 190,
     187, 110,  75,  14, 169, 100,  33, 160,
-     81,   0,   0,   0,  74,   0,   0,   0,
+    113,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,   7,   0,   0,   0,
+    105,   0,   0,   0,   7,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+    155,  29, 186, 219,  92, 208,  16, 207,
+    134, 248,  32, 171, 101, 153,  39, 162,
+     93,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,   7,   0,   0,   0,
     103, 111, 115, 115, 105, 112,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      97, 110, 110, 111, 117, 110,  99, 101,
@@ -449,6 +457,8 @@
     116, 105, 109, 101, 108, 105, 110, 101,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    119, 111, 114, 107,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_8625dd80189baf94 = b_8625dd80189baf94.words;
@@ -461,18 +471,20 @@
   &s_9c3be8bb2e46f07b,
   &s_a02164a90e4b6ebb,
   &s_a04a4b838b43d1bf,
+  &s_a2279965ab20f886,
   &s_bad7163d9c727118,
   &s_bd1b2c724f6c0ecd,
   &s_befaa88b5ebcff7f,
   &s_c3a50dc82f927e6c,
   &s_c62398ba376ce6ad,
+  &s_cf10d05cdbba1d9b,
   &s_cfb84e8e071fe858,
   &s_d5c7e5c63c02dec8,
 };
-static const uint16_t m_8625dd80189baf94[] = {1, 3, 2, 0, 4, 5, 6};
+static const uint16_t m_8625dd80189baf94[] = {1, 3, 2, 0, 4, 5, 6, 7};
 const ::capnp::_::RawSchema s_8625dd80189baf94 = {
-  0x8625dd80189baf94, b_8625dd80189baf94.words, 92, d_8625dd80189baf94, m_8625dd80189baf94,
-  14, 7, nullptr, nullptr, nullptr, { &s_8625dd80189baf94, nullptr, nullptr, 0, 0, nullptr }
+  0x8625dd80189baf94, b_8625dd80189baf94.words, 102, d_8625dd80189baf94, m_8625dd80189baf94,
+  16, 8, nullptr, nullptr, nullptr, { &s_8625dd80189baf94, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<62> b_c62398ba376ce6ad = {
@@ -1442,6 +1454,189 @@
   1, 3, i_a02164a90e4b6ebb, nullptr, nullptr, { &s_a02164a90e4b6ebb, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<51> b_cf10d05cdbba1d9b = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    155,  29, 186, 219,  92, 208,  16, 207,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 226,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    119, 111, 114, 107,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     68,   0,   0,   0,   2,   0,   1,   0,
+    104, 108,  99,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 111, 119, 115,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    139,  11, 166, 114, 226,  32, 196, 158,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_cf10d05cdbba1d9b = b_cf10d05cdbba1d9b.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_cf10d05cdbba1d9b[] = {
+  &s_9ec420e272a60b8b,
+};
+static const uint16_t m_cf10d05cdbba1d9b[] = {0, 1};
+static const uint16_t i_cf10d05cdbba1d9b[] = {0, 1};
+const ::capnp::_::RawSchema s_cf10d05cdbba1d9b = {
+  0xcf10d05cdbba1d9b, b_cf10d05cdbba1d9b.words, 51, d_cf10d05cdbba1d9b, m_cf10d05cdbba1d9b,
+  1, 2, i_cf10d05cdbba1d9b, nullptr, nullptr, { &s_cf10d05cdbba1d9b, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<32> b_a2279965ab20f886 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    134, 248,  32, 171, 101, 153,  39, 162,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 234,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    119, 111, 114, 107,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    104, 108,  99,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a2279965ab20f886 = b_a2279965ab20f886.words;
+#if !CAPNP_LITE
+static const uint16_t m_a2279965ab20f886[] = {0};
+static const uint16_t i_a2279965ab20f886[] = {0};
+const ::capnp::_::RawSchema s_a2279965ab20f886 = {
+  0xa2279965ab20f886, b_a2279965ab20f886.words, 32, nullptr, m_a2279965ab20f886,
+  0, 1, i_a2279965ab20f886, nullptr, nullptr, { &s_a2279965ab20f886, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<64> b_9ec420e272a60b8b = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    139,  11, 166, 114, 226,  32, 196, 158,
+     11,   0,   0,   0,   1,   0,   2,   0,
+     62,  29,  25,  82,  23, 124,  61, 236,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 101, 114, 118, 101,
+    114,  87, 111, 114, 107,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0, 114,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80,   0,   0,   0,   3,   0,   1,   0,
+     92,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 101, 114,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 110,  70, 108, 105, 103, 104, 116,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 114, 101, 102, 105, 108, 108,  84,
+    111, 107, 101, 110, 115,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9ec420e272a60b8b = b_9ec420e272a60b8b.words;
+#if !CAPNP_LITE
+static const uint16_t m_9ec420e272a60b8b[] = {1, 2, 0};
+static const uint16_t i_9ec420e272a60b8b[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_9ec420e272a60b8b = {
+  0x9ec420e272a60b8b, b_9ec420e272a60b8b.words, 64, nullptr, m_9ec420e272a60b8b,
+  0, 3, i_9ec420e272a60b8b, nullptr, nullptr, { &s_9ec420e272a60b8b, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_94bb95454c725273 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     115,  82, 114,  76,  69, 149, 187, 148,
@@ -3321,6 +3516,16 @@
       "peer.capnp:Peer", "timeline",
       0x8625dd80189baf94ull, 6);
 }
+::capnp::Request< ::ebonylift::wire::Peer::WorkParams,  ::ebonylift::wire::Peer::WorkResults>
+Peer::Client::workRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::ebonylift::wire::Peer::WorkParams,  ::ebonylift::wire::Peer::WorkResults>(
+      0x8625dd80189baf94ull, 7, sizeHint);
+}
+::kj::Promise<void> Peer::Server::work(WorkContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "work",
+      0x8625dd80189baf94ull, 7);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3377,6 +3582,12 @@
              ::ebonylift::wire::Peer::TimelineParams,  ::ebonylift::wire::Peer::TimelineResults>(context)),
         false
       };
+    case 7:
+      return {
+        work(::capnp::Capability::Server::internalGetTypedContext<
+             ::ebonylift::wire::Peer::WorkParams,  ::ebonylift::wire::Peer::WorkResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3504,6 +3715,30 @@
 constexpr ::capnp::_::RawSchema const* Peer::TimelineResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::WorkParams
+constexpr uint16_t Peer::WorkParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::WorkParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::WorkParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::WorkParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::WorkResults
+constexpr uint16_t Peer::WorkResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::WorkResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::WorkResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::WorkResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// ServerWork
+constexpr uint16_t ServerWork::_capnpPrivate::dataWordSize;
+constexpr uint16_t ServerWork::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ServerWork::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ServerWork::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // HostRow
 constexpr uint16_t HostRow::_capnpPrivate::dataWordSize;
 constexpr uint16_t HostRow::_capnpPrivate::pointerCount;
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -39,6 +39,9 @@
 CAPNP_DECLARE_SCHEMA(a04a4b838b43d1bf);
 CAPNP_DECLARE_SCHEMA(befaa88b5ebcff7f);
 CAPNP_DECLARE_SCHEMA(a02164a90e4b6ebb);
+CAPNP_DECLARE_SCHEMA(cf10d05cdbba1d9b);
+CAPNP_DECLARE_SCHEMA(a2279965ab20f886);
+CAPNP_DECLARE_SCHEMA(9ec420e272a60b8b);
 CAPNP_DECLARE_SCHEMA(94bb95454c725273);
 enum class HostStatus_94bb95454c725273: uint16_t {
   ALIVE,
@@ -170,6 +173,8 @@
   struct SuspectResults;
   struct TimelineParams;
   struct TimelineResults;
+  struct WorkParams;
+  struct WorkResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -389,6 +394,51 @@
   };
 };
 
+struct Peer::WorkParams {
+  WorkParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cf10d05cdbba1d9b, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::WorkResults {
+  WorkResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a2279965ab20f886, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServerWork {
+  ServerWork() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9ec420e272a60b8b, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 typedef ::capnp::schemas::HostStatus_94bb95454c725273 HostStatus;
 
 struct HostRow {
@@ -1064,6 +1114,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::ebonylift::wire::Peer::TimelineParams,  ::ebonylift::wire::Peer::TimelineResults> timelineRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonylift::wire::Peer::WorkParams,  ::ebonylift::wire::Peer::WorkResults> workRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1108,6 +1160,10 @@
   typedef  ::ebonylift::wire::Peer::TimelineResults TimelineResults;
   typedef ::capnp::CallContext<TimelineParams, TimelineResults> TimelineContext;
   virtual ::kj::Promise<void> timeline(TimelineContext context);
+  typedef  ::ebonylift::wire::Peer::WorkParams WorkParams;
+  typedef  ::ebonylift::wire::Peer::WorkResults WorkResults;
+  typedef ::capnp::CallContext<WorkParams, WorkResults> WorkContext;
+  virtual ::kj::Promise<void> work(WorkContext context);
 
   inline  ::ebonylift::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2359,6 +2415,259 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::WorkParams::Reader {
+public:
+  typedef WorkParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc() const;
+
+  inline bool hasRows() const;
+  inline  ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Reader getRows() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::WorkParams::Builder {
+public:
+  typedef WorkParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc();
+  inline void setHlc( ::uint64_t value);
+
+  inline bool hasRows();
+  inline  ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Builder getRows();
+  inline void setRows( ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Builder initRows(unsigned int size);
+  inline void adoptRows(::capnp::Orphan< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>> disownRows();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::WorkParams::Pipeline {
+public:
+  typedef WorkParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::WorkResults::Reader {
+public:
+  typedef WorkResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::WorkResults::Builder {
+public:
+  typedef WorkResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc();
+  inline void setHlc( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::WorkResults::Pipeline {
+public:
+  typedef WorkResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ServerWork::Reader {
+public:
+  typedef ServerWork Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::int32_t getInFlight() const;
+
+  inline  ::int64_t getPrefillTokens() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerWork::Builder {
+public:
+  typedef ServerWork Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::int32_t getInFlight();
+  inline void setInFlight( ::int32_t value);
+
+  inline  ::int64_t getPrefillTokens();
+  inline void setPrefillTokens( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerWork::Pipeline {
+public:
+  typedef ServerWork Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class HostRow::Reader {
 public:
   typedef HostRow Reads;
@@ -5049,6 +5358,130 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Peer::WorkParams::Reader::getHlc() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::WorkParams::Builder::getHlc() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::WorkParams::Builder::setHlc( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::WorkParams::Reader::hasRows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::WorkParams::Builder::hasRows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Reader Peer::WorkParams::Reader::getRows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Builder Peer::WorkParams::Builder::getRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::WorkParams::Builder::setRows( ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Builder Peer::WorkParams::Builder::initRows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::WorkParams::Builder::adoptRows(
+    ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>> Peer::WorkParams::Builder::disownRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::WorkResults::Reader::getHlc() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::WorkResults::Builder::getHlc() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::WorkResults::Builder::setHlc( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerWork::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerWork::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerWork::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerWork::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerWork::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerWork::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerWork::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerWork::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t ServerWork::Reader::getInFlight() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t ServerWork::Builder::getInFlight() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerWork::Builder::setInFlight( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ServerWork::Reader::getPrefillTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerWork::Builder::getPrefillTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServerWork::Builder::setPrefillTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostRow::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -168,6 +168,7 @@
     AppendVarint(NotNegative(summary.slots), &bytes);
     AppendVarint(NotNegative(summary.running), &bytes);
     AppendVarint(NotNegative(summary.waiting), &bytes);
+    AppendVarint(NotNegative(summary.prefill_tokens), &bytes);
     AppendVarint(NotNegative(ToMillis(now - summary.reported_at)), &bytes);
   }
   out.setDomain(std::get<0>(key));
@@ -179,7 +180,7 @@
 
 // Ignores what follows a malformed row.
 void ReadGroup(wire::SummaryGroup::Reader in, Time now, std::vector<SummaryRow>* out) {
-  constexpr size_t kNumbers = 6;
+  constexpr size_t kNumbers = 7;
   auto rows = in.getRows();
   std::string_view bytes(reinterpret_cast<const char*>(rows.begin()), rows.size());
   while (!bytes.empty()) {
@@ -202,7 +203,8 @@
     row.summary.slots = ToInt(numbers[2]);
     row.summary.running = ToInt(numbers[3]);
     row.summary.waiting = ToInt(numbers[4]);
-    row.summary.reported_at = now - milliseconds(std::min<uint64_t>(numbers[5], kMaxAgeMillis));
+    row.summary.prefill_tokens = static_cast<int64_t>(std::min<uint64_t>(numbers[5], INT64_MAX));
+    row.summary.reported_at = now - milliseconds(std::min<uint64_t>(numbers[6], kMaxAgeMillis));
     out->push_back(std::move(row));
   }
 }
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -311,6 +311,18 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> work(WorkContext context) override {
+    auto params = context.getParams();
+    ProcessClock().Receive(params.getHlc());
+    std::vector<ServerWork> work;
+    for (wire::ServerWork::Reader row : params.getRows()) {
+      work.push_back({ServerId(Str(row.getServer())), row.getInFlight(), row.getPrefillTokens()});
+    }
+    handler_->OnPeerWorkList(session_->host, std::move(work));
+    context.getResults().setHlc(ProcessClock().Now());
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> timeline(TimelineContext context) override {
     auto params = context.getParams();
     ProcessClock().Receive(params.getHlc());
@@ -767,6 +779,21 @@
       link, kj::mv(request), kOneWayTimeout, true, [](auto&) { return true; }, nullptr);
 }
 
+void Rpc::Work(const HostId& to, const std::vector<ServerWork>& work) {
+  std::shared_ptr<Link> link = impl_->UsableLink(to, 0);
+  if (link == nullptr) return;
+  auto request = KJ_ASSERT_NONNULL(link->peer).workRequest();
+  request.setHlc(ProcessClock().Now());
+  auto rows = request.initRows(static_cast<uint32_t>(work.size()));
+  for (uint32_t i = 0; i < rows.size(); ++i) {
+    rows[i].setServer(work[i].server.value());
+    rows[i].setInFlight(work[i].in_flight);
+    rows[i].setPrefillTokens(work[i].prefill_tokens);
+  }
+  impl_->Call<bool>(
+      link, kj::mv(request), kOneWayTimeout, true, [](auto&) { return true; }, nullptr);
+}
+
 void Rpc::Timeline(const HostId& to, HlcStamp since, const std::string& request_id, size_t limit,
                    Duration timeout, std::function<void(std::optional<TimelinePage>)> done) {
   std::shared_ptr<Link> link = impl_->UsableLink(to, 0);
--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -109,6 +109,7 @@
   virtual void OnPeerSuspects(const std::vector<SuspectNote>& notes) = 0;
   virtual TimelinePage OnPeerTimeline(HlcStamp since, const std::string& request_id,
                                       size_t limit) = 0;
+  virtual void OnPeerWorkList(const HostId& from, std::vector<ServerWork> work) = 0;
   // A peer logged in here.
   virtual void OnPeerLogin(const HostId& host, uint64_t incarnation) = 0;
   // An outgoing connection was logged in or lost.
@@ -157,6 +158,7 @@
   void ProposePut(const HostId& to, const ConfigPut& put, uint32_t hops, Duration timeout,
                   std::function<void(std::optional<PutAnswer>)> done);
   void Suspects(const HostId& to, const std::vector<SuspectNote>& notes);
+  void Work(const HostId& to, const std::vector<ServerWork>& work);
   void Timeline(const HostId& to, HlcStamp since, const std::string& request_id, size_t limit,
                 Duration timeout, std::function<void(std::optional<TimelinePage>)> done);
 
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -346,8 +346,8 @@
 }
 
 bool SameLoad(const DomainSummary& a, const DomainSummary& b) {
-  return std::tie(a.servers, a.slots, a.running, a.waiting) ==
-         std::tie(b.servers, b.slots, b.running, b.waiting);
+  return std::tie(a.servers, a.slots, a.running, a.waiting, a.prefill_tokens) ==
+         std::tie(b.servers, b.slots, b.running, b.waiting, b.prefill_tokens);
 }
 
 // How long after `last` the summary may be reported again.
@@ -357,6 +357,8 @@
   if (SameLoad(last, next)) return params.summary_refresh;
   int moved = std::abs((next.running + next.waiting) - (last.running + last.waiting));
   bool large = moved > 0 && moved >= next.slots / params.summary_load_parts;
+  int64_t tokens = std::abs(next.prefill_tokens - last.prefill_tokens);
+  large = large || tokens >= kSummaryTokens * std::max(next.servers, 1);
   return large ? params.summary_interval : params.summary_slow_interval;
 }
 
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -40,6 +40,8 @@
 
 constexpr size_t kMaxSummaries = 4096;
 constexpr size_t kMaxHosts = 2048;
+// Unread prompt tokens for each server by which a summary counts as moved.
+constexpr int64_t kSummaryTokens = 4'000;
 
 struct MembershipParams {
   Duration period = milliseconds(500);
--- /dev/null
+++ b/src/core/peer_work.cc
@@ -0,0 +1,38 @@
+#include "core/peer_work.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace ebonylift {
+
+void OnPeerWork(PeerWork* state, const HostId& from, std::vector<ServerWork> work, Time now) {
+  PeerWork::List& list = state->lists[from];
+  list.received_at = now;
+  list.work = std::move(work);
+}
+
+void AddPeerWork(const PeerWork& state, Time now, std::vector<BackendServer>* servers) {
+  std::unordered_map<ServerId, ServerWork> sums;
+  for (const auto& [host, list] : state.lists) {
+    if (now - list.received_at >= kPeerWorkTtl) continue;
+    for (const ServerWork& work : list.work) {
+      ServerWork& sum = sums[work.server];
+      sum.in_flight += work.in_flight;
+      sum.prefill_tokens += work.prefill_tokens;
+    }
+  }
+  for (BackendServer& server : *servers) {
+    auto found = sums.find(server.announced.id);
+    bool known = found != sums.end();
+    server.elsewhere = known ? found->second.in_flight : 0;
+    server.elsewhere_tokens = known ? found->second.prefill_tokens : 0;
+  }
+}
+
+Duration PeerWorkInterval(size_t hosts) {
+  Duration least = Duration(seconds(1)) * static_cast<int64_t>(hosts) / kMaxPeerWorkSends;
+  return std::max<Duration>(kPeerWorkInterval, least);
+}
+
+}  // namespace ebonylift
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -19,6 +19,7 @@
 #include "adapters/file_journal.h"
 #include "adapters/rpc.h"
 #include "base/hash.h"
+#include "core/peer_work.h"
 #include "core/registry.h"
 #include "daemon/config_replica.h"
 
@@ -51,6 +52,8 @@
 constexpr Duration kLeftRepeatedFor = seconds(60);
 // With hosts that are found, a host must learn soon after a partition what it missed.
 constexpr Duration kFoundPeerBackoff = seconds(1);
+// With servers that do not report their load, summaries are the only picture of other regions.
+constexpr Duration kSharedWorkSummary = milliseconds(500);
 
 kj::Duration ToKj(Duration duration) { return duration.count() * kj::MICROSECONDS; }
 
@@ -100,6 +103,10 @@
 MembershipParams MakeMembershipParams(const ControlOptions& options) {
   MembershipParams params = options.membership;
   params.find_hosts = options.find_hosts;
+  if (options.share_work) {
+    params.summary_interval = kSharedWorkSummary;
+    params.summary_slow_interval = 2 * kSharedWorkSummary;
+  }
   return params;
 }
 
@@ -251,6 +258,7 @@
   void Timeline(HlcStamp since, const std::string& request_id, size_t limit,
                 std::function<void(std::vector<Event>)> done);
   StatusJson Status() const;
+  void ShareWork(std::vector<ServerWork> work);
   void StartDrain();
   void Overloaded(bool overloaded);
   ConfigReplica* replica() { return &replica_; }
@@ -272,6 +280,7 @@
   }
   void OnPeerSuspects(const std::vector<SuspectNote>& notes) override;
   TimelinePage OnPeerTimeline(HlcStamp since, const std::string& request_id, size_t limit) override;
+  void OnPeerWorkList(const HostId& from, std::vector<ServerWork> work) override;
   void OnPeerLogin(const HostId& host, uint64_t incarnation) override;
   void OnPeerConnection(const HostId& host, bool connected) override;
 
@@ -327,6 +336,9 @@
   std::mt19937_64 rng_;
   Registry registry_;
   Membership membership_;
+  PeerWork peer_work_;
+  std::vector<ServerWork> own_work_;
+  Time next_work_;
   uint64_t seen_change_ = 0;
   struct PendingRelay {
     Announcement announcement;
@@ -501,6 +513,7 @@
   view->server_scope = options_->server_scope;
   view->config = replica_.View();
   view->servers = LiveServers(registry_);
+  AddPeerWork(peer_work_, SteadyNow(), &view->servers);
   view->hosts = HostEntries(membership_);
   view->summaries = Summaries(membership_);
   // A view with a configuration comes after the peers have said whether they know this disk.
@@ -707,7 +720,11 @@
 void ControlLoop::ReportOwnSummaries(Time now) {
   if (!IsReporter(membership_)) return;
   std::map<std::string, DomainSummary> rows;
-  for (const BackendServer& server : LiveServers(registry_)) {
+  std::vector<BackendServer> servers = LiveServers(registry_);
+  PeerWork all = peer_work_;
+  OnPeerWork(&all, options_->self.host, own_work_, now);
+  AddPeerWork(all, now, &servers);
+  for (const BackendServer& server : servers) {
     if (server.announced.domain != options_->self.domain) continue;
     for (const std::string& name : ServedNames(server.announced)) {
       DomainSummary& row = rows[name];
@@ -716,8 +733,9 @@
       row.served = name;
       ++row.servers;
       row.slots += server.announced.load.slots;
-      row.running += server.announced.load.running;
+      row.running += server.announced.load.running + server.elsewhere;
       row.waiting += server.announced.load.waiting;
+      row.prefill_tokens += server.announced.load.prefill_tokens_waiting + server.elsewhere_tokens;
     }
   }
   std::vector<DomainSummary> list;
@@ -870,6 +888,22 @@
               });
 }
 
+void ControlLoop::ShareWork(std::vector<ServerWork> work) {
+  bool nothing = work.empty() && own_work_.empty();
+  own_work_ = std::move(work);
+  Time now = SteadyNow();
+  if (nothing || now < next_work_) return;
+  auto near = [this](const Identity& peer) { return IsNear(peer); };
+  std::vector<HostId> hosts = PeersWhere(near);
+  next_work_ = now + PeerWorkInterval(hosts.size());
+  for (const HostId& host : hosts) rpc_.Work(host, own_work_);
+}
+
+void ControlLoop::OnPeerWorkList(const HostId& from, std::vector<ServerWork> work) {
+  OnPeerWork(&peer_work_, from, std::move(work), SteadyNow());
+  Dirty(kLoadPublishInterval);
+}
+
 void ControlLoop::StartDrain() {
   SetLeaving(&membership_);
   TakeChanged();
@@ -1093,6 +1127,10 @@
     Post([done = std::move(done)](ControlLoop* loop) { done(loop->Status()); });
   }
 
+  void ShareWork(std::vector<ServerWork> work) override {
+    Post([work = std::move(work)](ControlLoop* loop) mutable { loop->ShareWork(std::move(work)); });
+  }
+
   void StartDrain() override {
     Post([](ControlLoop* loop) { loop->StartDrain(); });
   }
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -122,6 +122,7 @@
     options.server_scope = settings_.server_scope;
     options.max_server_ttl = settings_.max_server_ttl;
     options.leaving_is_final = settings_.leaving_is_final;
+    options.share_work = settings_.share_work;
     options.caller_address = settings_.caller_address;
     options.operator_address = settings_.operator_address;
     options.cluster_key = settings_.cluster_key;
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -43,6 +43,8 @@
   ServerScope server_scope = ServerScope::kDomain;
   Duration max_server_ttl = kMaxServerTtl;
   bool leaving_is_final = false;  // see core/registry.h
+  // The backend servers do not report their load: hosts tell each other what they have there.
+  bool share_work = false;
   // Of listeners beside http_address; empty: this host has none.
   std::string caller_address;
   std::string operator_address;
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -14,6 +14,7 @@
 #include "base/event.h"
 #include "base/hash.h"
 #include "core/entry_list.h"
+#include "core/peer_work.h"
 #include "daemon/announce.h"
 #include "daemon/exchange.h"
 #include "daemon/ingress_request.h"
@@ -300,6 +301,10 @@
       }
     }
     options_.dispatcher->Tick(now);
+    if (options_.settings.share_work && now >= next_work_) {
+      next_work_ = now + kPeerWorkInterval;
+      options_.control->ShareWork(options_.dispatcher->OwnWork());
+    }
     UpdateOverload();
     if (!*draining_ && view->config->revision > 0) jobs_.RunPending();
     if (!*draining_) orderer_.Tick(*view, now);
@@ -366,6 +371,7 @@
   std::atomic<size_t> connections_{0};
   std::shared_ptr<const RoutingView> last_view_;
   Time next_records_;
+  Time next_work_;
   Time next_directory_;
   bool overloaded_ = false;
   std::thread thread_;
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -107,6 +107,10 @@
 
   virtual void Status(std::function<void(StatusJson)> done) = 0;
 
+  // Tells the hosts that share backend servers with this one what it has there. Call it about every
+  // kPeerWorkInterval; each call replaces the list before.
+  virtual void ShareWork(std::vector<ServerWork> work) = 0;
+
   // Marks this host as leaving in the membership; the entry lists of all hosts drop it.
   virtual void StartDrain() = 0;
 
--- a/tests/entry_list_test.cc
+++ b/tests/entry_list_test.cc
@@ -97,8 +97,9 @@
   BOOST_TEST(first["b"] > 400);
 }
 
-// Guards against callers that are led to a region where the data of a route may not go (a zone whose
-// hosts all restart in turn), and against a directory that names nobody although a host may be there.
+// Guards against callers that are led to a region where the data of a route may not go (a zone
+// whose hosts all restart in turn), and against a directory that names nobody although a host may
+// be there.
 BOOST_AUTO_TEST_CASE(NearestHostsOfTheBestKind) {
   struct Case {
     const char* name;
