--- /dev/null
+++ b/tests/platform_dialect_test.cc
@@ -0,0 +1,127 @@
+#define BOOST_TEST_MODULE platform_dialect
+#include <boost/test/included/unit_test.hpp>
+
+#include "base/error.h"
+#include "platform/dialect.h"
+
+namespace ebonylift::platform {
+namespace {
+
+const HttpHeaders kCaller = {{"Host", "a.example:8144"},
+                             {"Attempt-Id", "9c41"},
+                             {"Model", "m"},
+                             {"Token-Usage", "1460,80"},
+                             {"Prompt-Prefix", "5c1e07a2:800,e4402b7d:660"},
+                             {"Deadline-Ms", "10000"}};
+
+const Dialect& kDialect = PlatformDialect();
+
+// Records one whole response.
+class Recorder : public HttpResponder {
+ public:
+  void Send(int status, const HttpHeaders& headers, std::string) override {
+    status_ = status;
+    headers_ = headers;
+  }
+  void Begin(int, const HttpHeaders&) override {}
+  void Write(std::string) override {}
+  void End() override {}
+  void Abort() override {}
+  size_t PendingBytes() const override { return 0; }
+  void OnDrained(std::function<void()>) override {}
+  void OnClosed(std::function<void()>) override {}
+  int status() const { return status_; }
+  const HttpHeaders& headers() const { return headers_; }
+
+ private:
+  int status_ = 0;
+  HttpHeaders headers_;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(ARequest) {
+  HttpRequest request;
+  request.headers = kCaller;
+  RequestFacts facts = kDialect.read_request(request);
+  BOOST_TEST(facts.host == "a.example");
+  BOOST_TEST((facts.patience == seconds(10)));
+  BOOST_TEST(facts.prompt_tokens == 1460);
+  BOOST_TEST(facts.max_output_tokens == 80);
+  BOOST_TEST(facts.prompt.size() == 2u);
+  BOOST_TEST(facts.prompt[0].id == 0x5c1e07a2u);
+  BOOST_TEST(facts.prompt[1].tokens == 660);
+  request.headers.emplace_back("deadline-ms", "soon");
+  request.headers.erase(request.headers.begin() + 5);
+  BOOST_CHECK_THROW(kDialect.read_request(request), Error);
+}
+
+// Guards against a client that sets what only the gateway may set, and against a header of the
+// first attempt that stays beside the one of a resumption.
+BOOST_AUTO_TEST_CASE(AttemptsCarryTheGatewaysOwnHeaders) {
+  HttpHeaders caller = kCaller;
+  for (const char* name : {"Hold", "pin-ms", "KV-FROM", "Kv-Backup", "Kv-Fetch", "Expect-Instance",
+                           "Request-Priority", "Expect-Version"}) {
+    caller.emplace_back(name, "client");
+  }
+  caller.emplace_back("Last-Event-Id", "3");
+  AttemptFacts attempt;
+  attempt.server = ServerId("i-1");
+  attempt.left = milliseconds(1'234);
+  HttpHeaders headers = kDialect.attempt_headers(caller, attempt);
+  for (const auto& [name, value] : headers) BOOST_TEST(value != "client", name);
+  BOOST_TEST(FindHeader(headers, "Expect-Instance") == "i-1");
+  BOOST_TEST(FindHeader(headers, "Deadline-Ms") == "1234");
+  BOOST_TEST(FindHeader(headers, "Last-Event-Id") == "3");
+  BOOST_TEST(FindHeader(headers, "Attempt-Id") == "9c41");
+  attempt.last_event = "7";
+  BOOST_TEST(FindHeader(kDialect.attempt_headers(caller, attempt), "Last-Event-Id") == "7");
+}
+
+// Guards against answers of another request, and against statuses that promise what is not known.
+BOOST_AUTO_TEST_CASE(Answers) {
+  struct Case {
+    const char* name;
+    int status;
+    HttpHeaders headers;
+    AnswerKind expected;
+  };
+  const std::vector<Case> cases = {
+      {"whole", 200, {{"Attempt-Id", "9c41"}, {"Server-Seal", "s"}}, AnswerKind::kAnswer},
+      {"other request", 200, {{"Attempt-Id", "77"}, {"Server-Seal", "s"}}, AnswerKind::kForeign},
+      {"no signature", 200, {{"Attempt-Id", "9c41"}}, AnswerKind::kForeign},
+      {"no id", 200, {{"Server-Seal", "s"}}, AnswerKind::kForeign},
+      {"encoded",
+       200,
+       {{"Attempt-Id", "9c41"}, {"Server-Seal", "s"}, {"Content-Encoding", "gzip"}},
+       AnswerKind::kForeign},
+      {"full", 503, {{"Not-Executed", "1"}}, AnswerKind::kNotRun},
+      {"503 without statement", 503, {{"Attempt-Id", "9c41"}}, AnswerKind::kForeign},
+      {"429 without statement", 429, {}, AnswerKind::kForeign},
+      {"another server", 421, {{"Instance-Id", "i-2"}}, AnswerKind::kNotRun},
+      {"failed", 500, {{"Attempt-Id", "9c41"}, {"Server-Seal", "s"}}, AnswerKind::kFailed},
+      {"success that says it did not run",
+       200,
+       {{"Attempt-Id", "9c41"}, {"Server-Seal", "s"}, {"Not-Executed", "1"}},
+       AnswerKind::kAnswer},
+  };
+  for (const Case& row : cases) {
+    BOOST_TEST((kDialect.read_answer(kCaller, row.status, row.headers) == row.expected), row.name);
+  }
+}
+
+// Guards against a refusal that promises that a request has not run although it may have, for every
+// kind of error.
+BOOST_AUTO_TEST_CASE(RefusalsAreTrue) {
+  for (const ErrorInfo& info : AllErrors()) {
+    Recorder recorder;
+    kDialect.send_refusal(&recorder, {info.kind, "\xff", Duration{0}, RequestId()});
+    int status = recorder.status();
+    bool promises = status == 503 || status == 429 || status == 408 || status == 421;
+    if (info.run != Run::kNotRun) BOOST_TEST(!promises, info.code);
+    bool comes_back = !FindHeader(recorder.headers(), "Retry-After").empty();
+    if (status == 503 && info.retry_after_ms > 0) BOOST_TEST(comes_back, info.code);
+  }
+}
+
+}  // namespace ebonylift::platform
