Test the whole path on a stand-in of the platform

Real daemons with the platform's settings files; replicas that sign their answers, heartbeats, the operator's calls and a client, all written here.

--- /dev/null
+++ b/tests/support/platform_deployment.cc
@@ -0,0 +1,366 @@
+#include "tests/support/platform_deployment.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+#include "tests/support/free_port.h"
+#include "tests/support/wait_for.h"
+
+namespace ebonylift::test {
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kHeartbeat = milliseconds(300);
+constexpr Duration kControlTimeout = milliseconds(1'500);
+constexpr Duration kStartTimeout = seconds(20);
+// Ports of one host, from its base port on.
+constexpr int kControlPort = 20;
+constexpr int kDirectoryPort = 21;
+constexpr int kCallerPort = 22;
+constexpr int kReadyPort = 23;
+constexpr int kLastInternalPort = 15;
+
+std::string PlatformBinary() {
+  std::filesystem::path daemon(DaemonBinary());
+  return (daemon.parent_path() / "ebonylift-platform").string();
+}
+
+std::string At(const std::string& ip, int port) { return ip + ":" + std::to_string(port); }
+
+int FreeBasePort() {
+  constexpr int kPortsOfHost = 32;
+  // Other processes use 127.0.0.1 only, so the ports above are free on the addresses used here.
+  return FreePort() - kPortsOfHost;
+}
+
+}  // namespace
+
+PlatformReplica::PlatformReplica(const std::string& id, const std::string& ip,
+                                 const std::string& service, const std::string& zone)
+    : id_(id), service_(service), zone_(zone) {
+  server_ = StartHttpServer(
+      io_, At(ip, 0), HttpLimits(),
+      [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+        Handle(request, responder);
+      });
+  address_ = At(ip, server_->port());
+  thread_ = std::thread([this] {
+    auto work = asio::make_work_guard(io_);
+    io_.run();
+  });
+}
+
+PlatformReplica::~PlatformReplica() {
+  io_.stop();
+  thread_.join();
+}
+
+std::vector<std::string> PlatformReplica::Runs() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return runs_;
+}
+
+json PlatformReplica::Heartbeat(const std::string& state) {
+  return {{"service", service_},
+          {"address", address_},
+          {"zone", zone_},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", state},
+          {"sequence", ++sequence_},
+          {"cold_remaining_ms", 0},
+          {"models", json::array()}};
+}
+
+void PlatformReplica::Handle(const HttpRequest& request,
+                             const std::shared_ptr<HttpResponder>& responder) {
+  const std::string& expected = FindHeader(request.headers, "Expect-Instance");
+  if (expected != id_) {
+    responder->Send(421, {{"Instance-Id", id_}}, "");
+    return;
+  }
+  ReplicaMode mode = mode_;
+  if (mode == ReplicaMode::kFull) {
+    responder->Send(503, {{"Not-Executed", "1"}}, "");
+    return;
+  }
+  std::string request_id = FindHeader(request.headers, "Attempt-Id");
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    runs_.push_back(request_id);
+  }
+  if (mode == ReplicaMode::kLoseAnswer) {
+    responder->Abort();
+    return;
+  }
+  if (request.path.rfind("/stream/", 0) == 0 || request.path.rfind("/check/", 0) == 0) {
+    Stream(request, responder, mode == ReplicaMode::kBreakStream);
+    return;
+  }
+  if (mode == ReplicaMode::kForeign) request_id = "another";
+  HttpHeaders headers = {{"Attempt-Id", request_id}, {"Server-Seal", id_}};
+  int status = mode == ReplicaMode::kFail ? 500 : 200;
+  responder->Send(status, headers, request.method + " " + request.path + " " + request.body);
+}
+
+void PlatformReplica::Stream(const HttpRequest& request,
+                             const std::shared_ptr<HttpResponder>& responder, bool broken) {
+  responder->Begin(200, {{"Attempt-Id", FindHeader(request.headers, "Attempt-Id")},
+                         {"Server-Seal", id_},
+                         {"Content-Type", "text/event-stream"}});
+  int first = std::atoi(FindHeader(request.headers, "Last-Event-Id").c_str()) + 1;
+  for (int event = first; event <= kEvents; ++event) {
+    std::string text =
+        "id: " + std::to_string(event) + "\ndata: e" + std::to_string(event) + "\n\n";
+    if (broken && event == first + 2) {
+      responder->Write(text.substr(0, text.size() / 2));
+      // The bytes before the break reach the gateway first.
+      auto timer = std::make_shared<asio::steady_timer>(io_, milliseconds(50));
+      timer->async_wait([timer, responder](const asio::error_code&) { responder->Abort(); });
+      return;
+    }
+    responder->Write(text);
+  }
+  responder->End();
+}
+
+// ---- deployment
+
+const std::vector<std::string>& PlatformDeployment::Zones() {
+  static const std::vector<std::string> zones = {"este-a", "centro-a", "norte-a"};
+  return zones;
+}
+
+std::string PlatformDeployment::RegionOf(const std::string& zone) {
+  return zone.substr(0, zone.size() - 2);
+}
+
+std::string PlatformDeployment::ControlIp(int host) {
+  return "127.20.0." + std::to_string(host + 1);
+}
+
+std::string PlatformDeployment::GatewayIp(int host) {
+  return "127.20.1." + std::to_string(host + 1);
+}
+
+int PlatformDeployment::ZoneIndex(const std::string& zone) const {
+  for (size_t i = 0; i < Zones().size(); ++i) {
+    if (Zones()[i] == zone) return static_cast<int>(i);
+  }
+  throw std::runtime_error("no zone " + zone);
+}
+
+PlatformDeployment::PlatformDeployment() : base_port_(FreeBasePort()) {
+  controls_.reserve(Zones().size());
+  for (size_t i = 0; i < Zones().size(); ++i) {
+    int host = static_cast<int>(i);
+    std::string name = "core-" + Zones()[i];
+    controls_.push_back(
+        StartDaemon(WriteSettings(name, ControlIp(host), Zones()[i], true, true), name));
+    name = "front-" + Zones()[i];
+    gateways_.push_back(
+        StartDaemon(WriteSettings(name, GatewayIp(host), Zones()[i], false, true), name));
+  }
+  heart_ = std::thread([this] { SendHeartbeats(); });
+}
+
+PlatformDeployment::~PlatformDeployment() {
+  stopping_ = true;
+  heart_.join();
+}
+
+std::string PlatformDeployment::WriteSettings(const std::string& name, const std::string& ip,
+                                              const std::string& zone, bool control,
+                                              bool bootstrap) {
+  std::string path = dir_.path() + "/" + name + ".yaml";
+  std::ofstream out(path);
+  out << "node_name: \"" << name << "\"\nip: \"" << ip << "\"\nzone: \"" << zone << "\"\nregion: \""
+      << RegionOf(zone) << "\"\nzones:\n";
+  for (const std::string& known : Zones()) {
+    out << "  " << known << ": \"" << RegionOf(known) << "\"\n";
+  }
+  out << "listen:\n";
+  if (control) {
+    out << "  control: \"" << At(ip, base_port_ + kControlPort) << "\"\n  directory: \""
+        << At(ip, base_port_ + kDirectoryPort) << "\"\n";
+  } else {
+    out << "  front: \"" << At(ip, base_port_ + kCallerPort) << "\"\n  ready: \""
+        << At(ip, base_port_ + kReadyPort) << "\"\n";
+  }
+  out << "internal_ports:\n  - " << base_port_ << "\n  - " << base_port_ + kLastInternalPort
+      << "\nseeds:\n";
+  for (size_t i = 0; i < Zones().size(); ++i) {
+    out << "  - \"" << At(ControlIp(static_cast<int>(i)), base_port_ + kControlPort) << "\"\n";
+  }
+  std::string disk = dir_.path() + "/" + name;
+  if (control) std::filesystem::create_directories(disk);
+  out << "bootstrap: " << (bootstrap ? "true" : "false")
+      << "\ndata_dir: " << (control ? "\"" + disk + "\"" : "null")
+      << "\nheartbeat_ms: " << ToMillis(kHeartbeat) << "\nbounds:\n  grace_s: 8\n  ttl_max_s: 5\n";
+  return path;
+}
+
+Process PlatformDeployment::StartDaemon(const std::string& settings_file, const std::string& name) {
+  ProcessOptions options;
+  options.binary = PlatformBinary();
+  options.environment = {{"EBONYLIFT_NODE_FILE", settings_file}};
+  options.log_file = dir_.path() + "/" + name + ".log";
+  return Process(options);
+}
+
+void PlatformDeployment::KillControl(int host) { controls_[static_cast<size_t>(host)].Kill(); }
+
+void PlatformDeployment::StartControl(int host, bool bootstrap) {
+  const std::string& zone = Zones()[static_cast<size_t>(host)];
+  std::string name = "core-" + zone;
+  controls_[static_cast<size_t>(host)] =
+      StartDaemon(WriteSettings(name, ControlIp(host), zone, true, bootstrap), name);
+}
+
+void PlatformDeployment::WipeControl(int host) {
+  std::filesystem::remove_all(dir_.path() + "/core-" + Zones()[static_cast<size_t>(host)]);
+}
+
+void PlatformDeployment::SendHeartbeats() {
+  while (!stopping_) {
+    std::map<PlatformReplica*, std::string> due;
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      due = heartbeats_;
+    }
+    for (const auto& [replica, address] : due) {
+      TestCall call;
+      call.method = "POST";
+      call.url = "http://" + address + "/Instances.Heartbeat/" + replica->id();
+      call.body = replica->Heartbeat("ready").dump();
+      call.timeout = kControlTimeout;
+      TestResponse response = Call(call);
+      json answer = json::parse(response.body, nullptr, false);
+      std::string next = At(ControlIp(std::rand() % 3), base_port_ + kControlPort);
+      if (response.status == 200 && answer.is_object()) next = answer.value("heartbeat_addr", next);
+      std::lock_guard<std::mutex> lock(mutex_);
+      if (heartbeats_.count(replica) != 0) heartbeats_[replica] = next;
+    }
+    std::this_thread::sleep_for(kHeartbeat);
+  }
+}
+
+PlatformReplica* PlatformDeployment::AddReplica(const std::string& service,
+                                                const std::string& zone) {
+  size_t number = replicas_.size() + 1;
+  std::string ip = "127.20.2." + std::to_string(number);
+  replicas_.push_back(
+      std::make_unique<PlatformReplica>("i-" + std::to_string(number), ip, service, zone));
+  PlatformReplica* replica = replicas_.back().get();
+  std::lock_guard<std::mutex> lock(mutex_);
+  heartbeats_[replica] = At(ControlIp(0), base_port_ + kControlPort);
+  return replica;
+}
+
+int PlatformDeployment::Drain(PlatformReplica* replica) {
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    heartbeats_.erase(replica);
+  }
+  return ControlAny("POST", "/Instances.Heartbeat/" + replica->id(),
+                    replica->Heartbeat("draining").dump())
+      .status;
+}
+
+TestResponse PlatformDeployment::Control(int host, const std::string& method,
+                                         const std::string& path, const std::string& body) {
+  TestCall call;
+  call.method = method;
+  call.url = "http://" + At(ControlIp(host), base_port_ + kControlPort) + path;
+  call.body = body;
+  call.timeout = kControlTimeout;
+  TestResponse response = Call(call);
+  if (response.status != 307) return response;
+  call.url = response.Header("Location");
+  return Call(call);
+}
+
+TestResponse PlatformDeployment::ControlAny(const std::string& method, const std::string& path,
+                                            const std::string& body) {
+  TestResponse response;
+  WaitFor(
+      [&] {
+        for (int host = 0; host < 3; ++host) {
+          response = Control(host, method, path, body);
+          if (response.status != 0 && response.status < 500) return true;
+        }
+        return false;
+      },
+      kStartTimeout);
+  return response;
+}
+
+TestResponse PlatformDeployment::Resolve(int host, const std::string& zone) {
+  return Get("http://" + At(ControlIp(host), base_port_ + kDirectoryPort) +
+             "/resolve?name=a.example&region=" + RegionOf(zone) + "&zone=" + zone);
+}
+
+bool PlatformDeployment::Ready(const std::string& zone) {
+  return Get("http://" + At(GatewayIp(ZoneIndex(zone)), base_port_ + kReadyPort) + "/ready")
+             .status == 200;
+}
+
+TestResponse PlatformDeployment::Request(
+    const std::string& zone, const std::string& method, const std::string& path,
+    const std::string& request_id,
+    const std::vector<std::pair<std::string, std::string>>& headers) {
+  TestCall call;
+  call.method = method;
+  call.url = "http://" + At(GatewayIp(ZoneIndex(zone)), base_port_ + kCallerPort) + path;
+  call.headers = {{"Host", "a.example"}, {"Attempt-Id", request_id}, {"Deadline-Ms", "5000"}};
+  call.headers.insert(call.headers.end(), headers.begin(), headers.end());
+  if (method == "POST") call.body = "body of " + request_id;
+  return Call(call);
+}
+
+json PlatformDeployment::Configuration(int version) {
+  auto route = [](const std::string& name, const std::string& type, bool resumable,
+                  const std::string& service, int attempts) {
+    return json{{"name", name},
+                {"host", "a.example"},
+                {"path_prefix", "/" + name + "/"},
+                {"route_type", type},
+                {"timeout_ms", 3000},
+                {"target_latency_ms", 800},
+                {"priority", 0},
+                {"service", service},
+                {"max_attempts", attempts},
+                {"session_affinity", false},
+                {"resumable", resumable},
+                {"gap_target_ms", 400},
+                {"home_regions", json::array()}};
+  };
+  auto service = [](const std::string& name) {
+    return json{{"name", name},
+                {"health_path", "/health"},
+                {"max_connections", 100},
+                {"cold_start_s", 0.0},
+                {"cold_per_s", 0.0}};
+  };
+  json check = route("check", "streaming", false, "model", 1);
+  check["home_regions"] = {"este", "centro"};
+  return {
+      {"version", version},
+      {"routes",
+       {route("stream", "streaming", true, "model", 2), check,
+        route("post", "unsafe", false, "portal", 1), route("look", "safe", false, "portal", 2)}},
+      {"services", {service("model"), service("portal")}},
+      {"limits", {{"max_header_bytes", 16384}}}};
+}
+
+void PlatformDeployment::PutConfiguration(const json& configuration) {
+  TestResponse response = ControlAny("POST", "/Config.Replace", configuration.dump());
+  if (response.status != 200) throw std::runtime_error("the configuration was not accepted");
+}
+
+}  // namespace ebonylift::test
