--- a/src/core/entry_list.cc
+++ b/src/core/entry_list.cc
@@ -1,6 +1,7 @@
 #include "core/entry_list.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/hash.h"
 #include "core/ingress.h"
@@ -23,35 +24,42 @@
   return entry;
 }
 
-// Whether every route may be served in the region.
-bool ServesAllRoutes(const RoutingView& view, const RegionId& region) {
-  if (view.config == nullptr || view.config->ingress == nullptr) return true;
+// How many routes may be served in the region.
+int RoutesServedIn(const RoutingView& view, const RegionId& region) {
+  if (view.config == nullptr || view.config->ingress == nullptr) return 0;
   const auto& routes = view.config->ingress->route_configs;
-  return std::all_of(routes.begin(), routes.end(), [&](const auto& entry) {
+  return static_cast<int>(std::count_if(routes.begin(), routes.end(), [&](const auto& entry) {
     const std::vector<RegionId>& regions = entry.second.regions;
     return std::find(regions.begin(), regions.end(), region) != regions.end();
-  });
+  }));
 }
 
-// How well a host fits callers at a place; larger is better.
 enum class Nearness {
   kUnusable,
-  kFarNotAllRoutes,  // data of some routes may not go there
   kFar,
   kRegionSuspect,  // probably still there, and its region is the callers' own
   kRegion,
   kDomain,
 };
 
-Nearness NearnessOf(const RoutingView& view, const HostEntry& host, const DomainId& domain,
-                    const RegionId& region) {
+Nearness NearnessOf(const HostEntry& host, const DomainId& domain, const RegionId& region) {
   if (host.caller_address.empty()) return Nearness::kUnusable;
   bool near = host.region == region;
   if (near && host.status == HostStatus::kSuspect) return Nearness::kRegionSuspect;
   if (host.status != HostStatus::kAlive) return Nearness::kUnusable;
   if (near && host.overloaded) return Nearness::kRegionSuspect;
   if (near) return host.domain == domain ? Nearness::kDomain : Nearness::kRegion;
-  return ServesAllRoutes(view, host.region) ? Nearness::kFar : Nearness::kFarNotAllRoutes;
+  return Nearness::kFar;
+}
+
+// How well a host fits callers at a place; the larger, the better. Among far regions, those count
+// more where the data of more routes may go.
+using Fitness = std::pair<Nearness, int>;
+
+Fitness FitnessOf(const RoutingView& view, const HostEntry& host, const DomainId& domain,
+                  const RegionId& region) {
+  Nearness nearness = NearnessOf(host, domain, region);
+  return {nearness, nearness == Nearness::kFar ? RoutesServedIn(view, host.region) : 0};
 }
 
 }  // namespace
@@ -75,12 +83,12 @@
 std::vector<EntryHost> NearestEntryHosts(const RoutingView& view, const DomainId& domain,
                                          const RegionId& region, size_t limit) {
   std::vector<EntryHost> hosts;
-  Nearness best = Nearness::kUnusable;
+  Fitness best = {Nearness::kUnusable, 0};
   for (const HostEntry& host : view.hosts) {
-    Nearness nearness = NearnessOf(view, host, domain, region);
-    if (nearness == Nearness::kUnusable || nearness < best) continue;
-    if (nearness > best) hosts.clear();
-    best = nearness;
+    Fitness fitness = FitnessOf(view, host, domain, region);
+    if (fitness.first == Nearness::kUnusable || fitness < best) continue;
+    if (fitness > best) hosts.clear();
+    best = fitness;
     EntryHost entry = MakeEntry(host, region);
     entry.address = host.caller_address;
     if (hosts.size() < limit) hosts.push_back(entry);
--- a/src/core/entry_list.h
+++ b/src/core/entry_list.h
@@ -44,9 +44,9 @@
                      const RegionId& caller_region, uint64_t spread = 0);
 
 // The hosts that callers at this place are told to use, of the first kind that there is: alive in
-// the failure domain, alive in the region, suspected or overloaded in the region, in other regions
-// that may serve every route, in any other region. Only hosts with an address for callers, which is
-// the address of the result. At most `limit`.
+// the failure domain, alive in the region, suspected or overloaded in the region, in the other
+// region that may serve most routes. Only hosts with an address for callers, which is the address
+// of the result. At most `limit`.
 std::vector<EntryHost> NearestEntryHosts(const RoutingView& view, const DomainId& domain,
                                          const RegionId& region, size_t limit);
 
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -26,9 +26,6 @@
 // Callers with a list of entry hosts that is still valid may connect during this time.
 constexpr Duration kDrainGrace = milliseconds(1500);
 constexpr Duration kDrainPoll = milliseconds(20);
-// Connections without a request stay open for this time after that: a caller that reuses one gets
-// an answer that asks it to close.
-constexpr Duration kIdleGrace = milliseconds(3000);
 // Sockets get this time to deliver the last answers after the last request has ended.
 constexpr Duration kFlushTime = milliseconds(200);
 
@@ -167,7 +164,8 @@
 
   bool Idle() const {
     if (traffic_->open_requests() > 0) return false;
-    return traffic_->open_connections() == 0 || SteadyNow() - stopped_accepting_ >= kIdleGrace;
+    return traffic_->open_connections() == 0 ||
+           SteadyNow() - stopped_accepting_ >= settings_.idle_grace;
   }
 
   void WaitForRequests() {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -56,6 +56,9 @@
   std::string routing_policy = "cost";  // see ParseRoutingPolicy()
   int traffic_threads = 2;
   Duration drain_timeout = seconds(120);
+  // After the grace time of a shutdown, connections without a request stay open for this time: a
+  // caller that reuses one gets an answer that asks it to close.
+  Duration idle_grace = seconds(3);
   Duration orderer_lease = seconds(300);
 };
 
--- a/tests/entry_list_test.cc
+++ b/tests/entry_list_test.cc
@@ -120,6 +120,7 @@
     view.hosts.push_back(Host("control", "r1", HostStatus::kAlive));  // takes no callers
     auto ingress = std::make_shared<IngressConfig>();
     ingress->route_configs[RouteId("r")].regions = Regions({"r1", "r3"});
+    ingress->route_configs[RouteId("s")].regions = Regions({"r1"});
     auto config = std::make_shared<ConfigView>();
     config->ingress = ingress;
     view.config = config;
