Leave unreachable and replaced servers, refuse prompts that would be late

Each failed connection took a token of the retry budget. Beyond the capacity every prompt became late.

One failed connection makes a server the last choice until it announces itself again; 421 removes the id on this host; failed connections cost no token; a failure domain whose host cannot be reached gets no forwards for 1 s. A prompt is sent only where it can start within its target, else held for an eighth of it and refused with the time after which a server has room.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -26,7 +26,7 @@
       {EventId::kRequestAnswered, 202, "request_answered", "The whole answer was delivered: request_id, route, server, ms."},
       {EventId::kRequestRefused, 203, "request_refused", "A request ended with an error: request_id, kind, run."},
       {EventId::kRequestForwarded, 204, "request_forwarded", "A request was sent to another entry host: request_id, host, hops, crossed."},
-      {EventId::kAttemptFailed, 205, "attempt_failed", "An attempt failed: request_id, attempt, server, outcome."},
+      {EventId::kAttemptFailed, 205, "attempt_failed", "An attempt failed: request_id, attempt, server, outcome, status, run."},
       {EventId::kAttemptRetried, 206, "attempt_retried", "A failed attempt is repeated elsewhere: request_id, attempt."},
       {EventId::kCallerGone, 207, "caller_gone", "The caller closed its connection before the end: request_id."},
       {EventId::kStreamResumed, 208, "stream_resumed", "A broken stream was resumed: request_id, server, offset."},
--- a/src/core/retry.cc
+++ b/src/core/retry.cc
@@ -34,6 +34,7 @@
   // One more attempt could run once more.
   if (rule.runs >= rule.max_runs) return RetryVerdict::kAttemptsSpent;
   if (now + RetryDelay(rule.attempts + 1) >= deadline) return RetryVerdict::kDeadlinePassed;
+  if (!rule.arrived) return RetryVerdict::kRetry;
   if (budget.tokens < 1) return RetryVerdict::kBudgetSpent;
   budget.tokens -= 1;
   return RetryVerdict::kRetry;
--- a/src/core/retry.h
+++ b/src/core/retry.h
@@ -36,8 +36,9 @@
 
 struct RetryRule {
   bool idempotent = false;
-  int attempts = 1;  // made so far, the failed one included
-  int runs = 0;      // of these, the ones that ran or may have run
+  int attempts = 1;     // made so far, the failed one included
+  bool arrived = true;  // false: the failed attempt reached no backend server; it costs no token
+  int runs = 0;         // of these, the ones that ran or may have run
   int max_runs = kMaxAttempts;
 };
 
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -157,7 +157,19 @@
   return slots - std::max(1, static_cast<int>(slots * kReservedShare));
 }
 
+// False when the prompts ahead make the answer start after the target of the query.
+bool StartsInTime(const RouteQuery& query, const LocalLoad& load, const Candidate& candidate,
+                  Time now) {
+  if (query.first_byte_by == Time()) return true;
+  auto rate = load.prefill_rates.find(Served(*query.route));
+  if (rate == load.prefill_rates.end()) return true;  // nothing is known yet
+  double own = PrefillSeconds(query.prompt_tokens, rate->second);
+  double left = Seconds(query.first_byte_by - now) - own;
+  return PrefillSeconds(candidate.tokens_ahead, rate->second) <= std::max(left, Seconds(kLateWait));
+}
+
 bool HasRoom(const RouteQuery& query, const LocalLoad& load, const Candidate& candidate, Time now) {
+  if (!StartsInTime(query, load, candidate, now)) return false;
   if (query.traffic_class == TrafficClass::kChapter && !query.uses_reserve &&
       now < load.reserved_until) {
     return candidate.present < ChapterLimit(candidate.slots);
@@ -166,11 +178,23 @@
   return candidate.present < candidate.slots + backlog;
 }
 
-bool Ejected(const Candidate& candidate, Time now) {
-  return candidate.use != nullptr && now < candidate.use->ejected_until &&
+bool Unreachable(const Candidate& candidate, Time now) {
+  Time since = candidate.use->unreachable_at;
+  return since != Time() && candidate.server->reported_at <= since && now < since + kUnreachableFor;
+}
+
+bool SameIncarnation(const Candidate& candidate) {
+  return candidate.use != nullptr &&
          candidate.use->incarnation == candidate.server->announced.incarnation;
 }
 
+bool Ejected(const Candidate& candidate, Time now) {
+  if (!SameIncarnation(candidate)) return false;
+  return now < candidate.use->ejected_until || Unreachable(candidate, now);
+}
+
+bool Gone(const Candidate& candidate) { return SameIncarnation(candidate) && candidate.use->gone; }
+
 // A new server takes part in a share of the choices that grows to all over kSlowStart.
 bool PassesSlowStart(const BackendServer& server, Time now, std::mt19937_64& rng) {
   Duration age = now - server.first_seen;
@@ -268,6 +292,7 @@
     if (kept_free && !query.suspect) continue;
     if (Contains(query.avoid_servers, server.announced.id)) continue;
     Candidate candidate = MakeCandidate(query, server, load);
+    if (Gone(candidate)) continue;
     ++local.known;
     local.slots += candidate.slots;
     local.service_s += ServiceSeconds(candidate.use);
@@ -452,7 +477,8 @@
   std::vector<Candidate>* candidates = &local.open;
   if (candidates->empty()) candidates = &local.warming;
   // Ejection is a guess; when it leaves nothing, a server that may fail is better than a refusal.
-  if (candidates->empty() && local.healthy == 0) candidates = &local.ejected;
+  bool ejected = candidates->empty() && local.healthy == 0;
+  if (ejected) candidates = &local.ejected;
   if (candidates->empty()) {
     choice.cost = QueueCost(query, local, load);
     return choice;
@@ -462,7 +488,7 @@
   choice.kind = ChoiceKind::kLocal;
   choice.server = picked.candidate->server->announced.id;
   choice.incarnation = picked.candidate->server->announced.incarnation;
-  choice.cost = picked.cost;
+  choice.cost = picked.cost + (ejected ? kEjectedCost : 0);
   choice.hit_tokens = picked.candidate->hit_tokens;
   choice.prefill_tokens = std::max<int64_t>(0, query.prompt_tokens - choice.hit_tokens);
   choice.tokens_ahead = picked.candidate->tokens_ahead;
@@ -537,6 +563,8 @@
     if (now - summary.reported_at > kSummaryTtl) continue;
     if (!MayGoTo(query, view, summary.region)) continue;
     if (!DomainBelongs(view, summary.domain, summary.region)) continue;
+    auto use = load.domains.find(summary.domain);
+    if (use != load.domains.end() && now < use->second.ejected_until) continue;
     int present = PresentAt(view, load, summary);
     if (only_free && present >= summary.slots) continue;
     double cost = RemoteCost(query, view, load, summary, present);
@@ -747,6 +775,8 @@
     use.failures = 0;
     use.ejections = 0;
     use.ejected_until = Time();
+    use.unreachable_at = Time();
+    use.gone = false;
   }
   if (query.suspect) {
     use.shared = use.in_flight > 0;
@@ -793,6 +823,11 @@
     use.shared = false;
   }
   if (outcome == ServerOutcome::kCancelled) return false;
+  if (dispatched_at >= use.incarnation_from) {
+    use.gone = use.gone || outcome == ServerOutcome::kGone;
+    if (outcome == ServerOutcome::kUnreachable) use.unreachable_at = now;
+  }
+  if (outcome == ServerOutcome::kGone || outcome == ServerOutcome::kUnreachable) return false;
   if (outcome == ServerOutcome::kOk) {
     use.failures = 0;
     use.ejections = 0;
@@ -808,9 +843,27 @@
   AddSent(load.domains[domain], now);
 }
 
-void OnForwardEnded(LocalLoad& load, const DomainId& domain, Time dispatched_at) {
+void OnForwardEnded(LocalLoad& load, const DomainId& domain, Time dispatched_at, bool reached,
+                    Time now) {
   auto found = load.domains.find(domain);
-  if (found != load.domains.end()) RemoveSent(found->second, dispatched_at);
+  if (found == load.domains.end()) return;
+  RemoveSent(found->second, dispatched_at);
+  if (!reached) found->second.ejected_until = now + kDomainUnreachableFor;
+}
+
+Duration RetryAfter(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
+                    Time now, std::mt19937_64& rng) {
+  double rate = PrefillRate(query, load);
+  double own = PrefillSeconds(query.prompt_tokens, rate);
+  double least = Seconds(kMaxRetryAfter);
+  for (const BackendServer& server : view.servers) {
+    if (!CanServe(server, *query.route, view, now)) continue;
+    Candidate candidate = MakeCandidate(query, server, load);
+    least = std::min(least, PrefillSeconds(candidate.tokens_ahead, rate) + own);
+  }
+  double spread = std::uniform_real_distribution<double>(0.5, 1.5)(rng);
+  auto wait = Duration(static_cast<int64_t>(least * spread * 1e6));
+  return std::clamp<Duration>(wait, kMinRetryAfter, kMaxRetryAfter);
 }
 
 bool RanAlone(const LocalLoad& load, const BackendServer& server) {
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -10,6 +10,9 @@
 //   region) is refused, never guessed.
 // - Loops. A forward is chosen only while `hops` < kMaxHops; a forward to another region only while
 //   `crossed` is false and the route has `send_away`.
+// - Overload. A request with a target for its first byte is sent only where the prompts ahead of it
+//   leave it time to meet the target, or nearly nothing is ahead: beyond that, one more prompt
+//   would make the next ones late too.
 // - Liveness. Servers that have expired or announced that they leave are never chosen. A forward
 //   goes only to a host that is alive, not overloaded, and whose failure domain reported servers
 //   for the model or service.
@@ -79,6 +82,18 @@
 // by chance. Only where this many serve it, and at most half of them.
 constexpr int kMinServersToSetAside = 3;
 constexpr Duration kSetAsideSettle = milliseconds(300);  // for hosts to hear of a loss
+// A server to which no connection could be made is the last choice until it announces itself again,
+// and so for at most this long. Without this, the server without work would get all of it.
+constexpr Duration kUnreachableFor = seconds(3);
+constexpr double kEjectedCost = 0.5;  // seconds that an ejected or unreachable server costs more
+// No forwards to a failure domain after a host there could not be reached.
+constexpr Duration kDomainUnreachableFor = seconds(1);
+// A prompt whose answer is late in any case is still sent where it waits no longer than this.
+constexpr Duration kLateWait = milliseconds(100);
+// A request with a target for its first byte is held in the local queue for this part of it.
+constexpr int kHoldParts = 8;
+constexpr Duration kMinRetryAfter = milliseconds(200);
+constexpr Duration kMaxRetryAfter = seconds(5);
 constexpr int kFailuresToEject = 3;
 constexpr Duration kEjectionMin = seconds(1);
 constexpr Duration kEjectionMax = seconds(30);
@@ -112,6 +127,8 @@
   int hops = 0;          // host hops so far
   bool crossed = false;  // a region was crossed so far
   Time deadline;
+  // The answer is worth most when it starts before this time; the epoch: no target.
+  Time first_byte_by;
   std::vector<ServerId> avoid_servers;  // tried before
   std::vector<HostId> avoid_hosts;      // the sender of a forward, hosts that refused
   bool suspect = false;                 // needs a server without other work
@@ -135,6 +152,8 @@
   uint32_t cache_id = 0;       // names the server's prefix cache; a new one forgets the old cache
   int64_t prefill_tokens = 0;  // of the prompts in flight whose answer has not started
   Time cold_next;              // a cold server gets nothing from this host before
+  Time unreachable_at;         // the newest failed connection; the epoch: none
+  bool gone = false;           // another server answers at its address
   Time incarnation_from;       // first dispatch to this incarnation; older failures do not count
   uint64_t incarnation = 0;    // of the server at the last dispatch; a newer one starts unejected
 };
@@ -193,9 +212,11 @@
               std::mt19937_64& rng);
 
 enum class ServerOutcome {
-  kOk,         // a complete answer, also one that says the request was wrong
-  kFailed,     // connection refused, reset, timeout or a 5xx answer: counts towards ejection
-  kCancelled,  // ended by the caller or this host: says nothing about the server
+  kOk,           // a complete answer, also one that says the request was wrong
+  kFailed,       // connection refused, reset, timeout or a 5xx answer: counts towards ejection
+  kCancelled,    // ended by the caller or this host: says nothing about the server
+  kUnreachable,  // no connection was made
+  kGone,         // another server answers at its address
 };
 
 // Records that the request went to the server. `alone` for a suspect. The prefix hashes are
@@ -222,7 +243,14 @@
 
 // The same for a forward to a failure domain.
 void OnForward(LocalLoad& load, const DomainId& domain, Time now);
-void OnForwardEnded(LocalLoad& load, const DomainId& domain, Time dispatched_at);
+// `reached` is false when the host there did not answer.
+void OnForwardEnded(LocalLoad& load, const DomainId& domain, Time dispatched_at, bool reached,
+                    Time now);
+
+// When a refused request may come back: the least time until a server has room for it, spread over
+// callers so that they do not return together.
+Duration RetryAfter(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
+                    Time now, std::mt19937_64& rng);
 
 // Whether the suspect that runs on `server` has had no company that this host knows of: nothing
 // else was sent from here and no report showed more than one request. Call before
--- a/src/daemon/dialect.h
+++ b/src/daemon/dialect.h
@@ -42,10 +42,11 @@
 };
 
 enum class AnswerKind {
-  kAnswer,   // the answer of the backend server
-  kNotRun,   // the server says that it did not run the request
-  kFailed,   // the server ran the request and failed
-  kForeign,  // not an answer of this server to this request
+  kAnswer,       // the answer of the backend server
+  kNotRun,       // the server says that it did not run the request
+  kWrongServer,  // the same, as another server than the one that was meant
+  kFailed,       // the server ran the request and failed
+  kForeign,      // not an answer of this server to this request
 };
 
 struct Dialect {
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -65,11 +65,19 @@
   std::lock_guard<std::mutex> lock(mutex_);
   RequestId id = request.id;
   std::optional<Refusal> refusal = ebonylift::Enqueue(admission_, std::move(request), now);
-  if (refusal) return refusal;
+  if (refusal) {
+    if (refusal->error == ErrorKind::kOverloaded) SetRetryAfter(query, now, &refusal->retry_after);
+    return refusal;
+  }
   waiting_[id] = Waiting{std::move(query), view_ ? view_->config : nullptr, std::move(wake)};
   return std::nullopt;
 }
 
+void Dispatcher::SetRetryAfter(const RouteQuery& query, Time now, Duration* retry_after) {
+  if (query.first_byte_by == Time() || !view_) return;
+  *retry_after = RetryAfter(query, *view_, load_, now, rng_);
+}
+
 bool Dispatcher::Remove(const RequestId& request) {
   std::lock_guard<std::mutex> lock(mutex_);
   if (!ebonylift::Remove(admission_, request)) return false;
@@ -108,7 +116,7 @@
   if (choice.kind == ChoiceKind::kLocal) {
     EndLocal(choice.server, content, now, ServerOutcome::kCancelled, now, choice.prefill_tokens);
   } else if (choice.kind == ChoiceKind::kForward) {
-    EndForward(choice.domain, now, now);
+    EndForward(choice.domain, now, true, now);
   }
 }
 
@@ -142,11 +150,11 @@
   RunWakes(std::move(wakes));
 }
 
-void Dispatcher::EndForward(const DomainId& domain, Time dispatched_at, Time now) {
+void Dispatcher::EndForward(const DomainId& domain, Time dispatched_at, bool reached, Time now) {
   Wakes wakes;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    OnForwardEnded(load_, domain, dispatched_at);
+    OnForwardEnded(load_, domain, dispatched_at, reached, now);
     PlaceWaiting(now, &wakes);
   }
   RunWakes(std::move(wakes));
@@ -239,7 +247,12 @@
     std::lock_guard<std::mutex> lock(mutex_);
     for (const QueuedRequest& request : ebonylift::Expire(admission_, now)) {
       auto entry = waiting_.find(request.id);
-      wakes.emplace_back(std::move(entry->second.wake), RefusedChoice(ErrorKind::kDeadlineNotRun));
+      const RouteQuery& query = entry->second.query;
+      // A request with a target is held for a part of it only.
+      bool late = now >= query.deadline;
+      Choice refused = RefusedChoice(late ? ErrorKind::kDeadlineNotRun : ErrorKind::kOverloaded);
+      if (!late) SetRetryAfter(query, now, &refused.retry_after);
+      wakes.emplace_back(std::move(entry->second.wake), refused);
       waiting_.erase(entry);
     }
     ebonylift::Expire(poison_, now);
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -75,7 +75,8 @@
   // What this host has at the backend servers now.
   std::vector<ServerWork> OwnWork() const;
 
-  void EndForward(const DomainId& domain, Time dispatched_at, Time now);
+  // `reached` is false when the host there did not answer.
+  void EndForward(const DomainId& domain, Time dispatched_at, bool reached, Time now);
 
   // What runs on the server now; call before EndLocal().
   LossEvidence Evidence(const ServerId& server) const;
@@ -109,6 +110,7 @@
 
   void RecordPlace(const Choice& choice, const RouteQuery& query, Time now);
   void PlaceWaiting(Time now, Wakes* wakes);
+  void SetRetryAfter(const RouteQuery& query, Time now, Duration* retry_after);
   static void RunWakes(Wakes wakes);
 
   ControlPort* const control_;
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -177,6 +177,12 @@
   Forward(*host, crosses, host->domain);
 }
 
+// The epoch when the route has no target, or the answer has started.
+Time Exchange::FirstByteBy() const {
+  if (spec_.route->first_byte_target <= Duration(0) || streaming_) return Time();
+  return spec_.arrived + spec_.route->first_byte_target;
+}
+
 RouteQuery Exchange::Query() const {
   RouteQuery query;
   query.team = spec_.team;
@@ -190,6 +196,7 @@
   query.hops = spec_.hops;
   query.crossed = spec_.crossed;
   query.deadline = spec_.deadline;
+  query.first_byte_by = FirstByteBy();
   query.avoid_servers = avoid_servers_;
   query.avoid_hosts = avoid_hosts_;
   query.suspect =
@@ -261,6 +268,10 @@
   request.served = Served(*spec_.route);
   request.bytes = spec_.body.size();
   request.deadline = spec_.deadline;
+  if (FirstByteBy() != Time()) {
+    Time until = SteadyNow() + spec_.route->first_byte_target / kHoldParts;
+    request.deadline = std::min(request.deadline, until);
+  }
   ExchangeTable* table = context_.table;
   asio::io_context* io = context_.io;
   Dispatcher* dispatcher = context_.dispatcher;
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -114,7 +114,9 @@
   bool IsEventStream() const;
   TeamId BudgetKey() const;
   RetryRule MakeRetryRule() const;
+  ServerOutcome OutcomeOf(const CallResult& result) const;
   RouteQuery Query() const;
+  Time FirstByteBy() const;
   RecordKey Key() const;
   HttpHeaders BackendHeaders() const;
   HttpHeaders DialectHeaders() const;
@@ -170,6 +172,7 @@
   bool paused_ = false;
   StreamTracker stream_;  // of a server-sent-event answer of the own interface
   EventRelay events_;     // the same with a dialect
+  bool arrived_ = true;   // the attempt that failed last reached a backend server
   AnswerKind answer_kind_ = AnswerKind::kAnswer;  // of the open attempt, with a dialect
   int resumes_ = 0;                               // of the stream of the open attempt
 };
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -102,24 +102,35 @@
                                      {"attempt", std::to_string(attempt_)},
                                      {"server", server_ ? server_->value() : "forward"},
                                      {"outcome", OutcomeName(result.outcome)},
+                                     {"status", std::to_string(result.status)},
                                      {"run", RunName(run)}});
   if (streaming_) {
     if (spec_.dialect == nullptr && TryResume()) return;
     OnFailure(attempts_, attempt_, run);
     if (server_) avoid_servers_.push_back(*server_);
-    EndAttempt(ServerOutcome::kFailed);
+    EndAttempt(OutcomeOf(result));
     if (spec_.dialect != nullptr && TryResumeElsewhere()) return;
     RefuseOutcome();
     return;
   }
   OnFailure(attempts_, attempt_, run);
   if (server_) avoid_servers_.push_back(*server_);
-  EndAttempt(ServerOutcome::kFailed);
+  arrived_ = result.outcome != CallOutcome::kNotConnected;
+  EndAttempt(OutcomeOf(result));
   RetryOrRefuse(run);
 }
 
+// What a failed attempt says about its backend server.
+ServerOutcome Exchange::OutcomeOf(const CallResult& result) const {
+  if (result.outcome == CallOutcome::kNotConnected) return ServerOutcome::kUnreachable;
+  bool wrong = result.outcome == CallOutcome::kComplete && spec_.dialect != nullptr &&
+               answer_kind_ == AnswerKind::kWrongServer;
+  return wrong ? ServerOutcome::kGone : ServerOutcome::kFailed;
+}
+
 RetryRule Exchange::MakeRetryRule() const {
   RetryRule rule;
+  rule.arrived = arrived_;
   rule.idempotent = spec_.idempotent;
   rule.attempts = static_cast<int>(attempts_.attempts.size());
   if (spec_.dialect == nullptr) return rule;
@@ -405,7 +416,10 @@
     int64_t unread = answer_started_ ? 0 : choice_.prefill_tokens;
     context_.dispatcher->EndLocal(*server_, spec_.content, dispatched_at_, outcome, now, unread);
   }
-  if (forward_domain_) context_.dispatcher->EndForward(*forward_domain_, dispatched_at_, now);
+  if (forward_domain_) {
+    bool reached = outcome != ServerOutcome::kUnreachable;
+    context_.dispatcher->EndForward(*forward_domain_, dispatched_at_, reached, now);
+  }
   server_.reset();
   forward_domain_.reset();
   forwarding_ = false;
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -9,7 +9,7 @@
 namespace ebonylift {
 namespace {
 
-constexpr Duration kConnectTimeout = milliseconds(1000);
+constexpr Duration kConnectTimeout = milliseconds(500);
 constexpr Duration kWatchPeriod = milliseconds(250);
 // A server that stopped announcing, or a host that failed, and that sent nothing for this long is
 // given up for idempotent work.
@@ -349,6 +349,7 @@
       Deliver();
       return;
     case AnswerKind::kNotRun:
+    case AnswerKind::kWrongServer:
       OnAttemptFailed(result, ebonylift::Run::kNotRun);
       return;
     case AnswerKind::kForeign:
@@ -380,8 +381,9 @@
   if (streaming_) {
     // A resumed stream got another answer than a stream.
     OnAttemptFailed(CallResult{CallOutcome::kFailed, status_, "the stream did not go on", true},
-                    answer_kind_ == AnswerKind::kNotRun ? ebonylift::Run::kNotRun
-                                                        : ebonylift::Run::kMayHaveRun);
+                    answer_kind_ == AnswerKind::kNotRun || answer_kind_ == AnswerKind::kWrongServer
+                        ? ebonylift::Run::kNotRun
+                        : ebonylift::Run::kMayHaveRun);
     return;
   }
   if (forwarding_ && status_ >= 400) {
