--- a/src/core/peer_work.cc
+++ b/src/core/peer_work.cc
@@ -30,6 +30,16 @@
   }
 }
 
+bool MuchMoreWork(const std::vector<ServerWork>& before, const std::vector<ServerWork>& after) {
+  std::unordered_map<ServerId, int64_t> known;
+  for (const ServerWork& work : before) known[work.server] = work.prefill_tokens;
+  return std::any_of(after.begin(), after.end(), [&](const ServerWork& work) {
+    auto found = known.find(work.server);
+    int64_t tokens = found == known.end() ? 0 : found->second;
+    return work.prefill_tokens - tokens >= kUrgentTokens;
+  });
+}
+
 Duration PeerWorkInterval(size_t hosts) {
   Duration least = Duration(seconds(1)) * static_cast<int64_t>(hosts) / kMaxPeerWorkSends;
   return std::max<Duration>(kPeerWorkInterval, least);
--- a/src/core/peer_work.h
+++ b/src/core/peer_work.h
@@ -3,7 +3,8 @@
 
 // What the hosts that share backend servers have there, as they tell each other.
 //
-// Every host sends its own list about every `interval`; a newer list replaces the one before. A
+// Every host sends its own list about every kPeerWorkInterval, and at once after it sent a long
+// prompt; a newer list replaces the one before. A
 // list that is older than kPeerWorkTtl no longer counts, so a host that is gone does not make a
 // server look busy for long.
 //
@@ -19,6 +20,7 @@
 namespace ebonylift {
 
 constexpr Duration kPeerWorkInterval = milliseconds(100);
+constexpr int64_t kUrgentTokens = 8'000;
 constexpr Duration kPeerWorkTtl = seconds(1);
 // With more hosts the interval grows, so that a host sends at most this many lists a second.
 constexpr int kMaxPeerWorkSends = 40;
@@ -36,6 +38,9 @@
 // Sets `elsewhere` and `elsewhere_tokens` of the servers.
 void AddPeerWork(const PeerWork& state, Time now, std::vector<BackendServer>* servers);
 
+// Whether some server got a prompt since `before` that others should know of at once.
+bool MuchMoreWork(const std::vector<ServerWork>& before, const std::vector<ServerWork>& after);
+
 // The time between two lists to each of `hosts` hosts.
 Duration PeerWorkInterval(size_t hosts);
 
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -73,7 +73,9 @@
   int present = 0;                 // reported, plus sent since the report
   int slots = 1;
   int64_t hit_tokens = 0;
-  int64_t tokens_ahead = 0;  // of prompts that it reads before this one
+  int64_t tokens_ahead = 0;    // of prompts that it reads before this one
+  bool long_home = false;      // takes the long prompts of the region
+  bool has_long_home = false;  // some candidate does
   Duration cold_interval{0};
   double fill() const { return static_cast<double>(present) / slots; }
 };
@@ -92,9 +94,19 @@
   return static_cast<double>(std::max<int64_t>(tokens, 0)) / rate;
 }
 
+// What a long prompt and the streams beside it cost each other.
+double NeighbourSeconds(const RouteQuery& query, const Candidate& candidate) {
+  if (!candidate.has_long_home) return 0;
+  if (query.prompt_tokens - candidate.hit_tokens < kLongPromptTokens) {
+    return candidate.long_home ? kLongHomeCost : 0;
+  }
+  return candidate.present * kNeighbourCost + (candidate.long_home ? 0 : kLongElsewhereCost);
+}
+
 double Cost(const RouteQuery& query, const Candidate& candidate, double rate) {
   double wait = WaitSeconds(candidate.present, candidate.slots, ServiceSeconds(candidate.use));
   wait += PrefillSeconds(candidate.tokens_ahead, rate);
+  wait += NeighbourSeconds(query, candidate);
   double service = PrefillSeconds(query.prompt_tokens - candidate.hit_tokens, rate);
   return query.route->weight_latency * wait + query.route->weight_cost * service;
 }
@@ -460,6 +472,21 @@
   return home;
 }
 
+void SetLongHome(const RouteQuery& query, std::vector<Candidate>* candidates) {
+  if (query.prefix_tokens.empty() || candidates->size() < kMinServersForLongHome) return;
+  uint64_t seed = Hash64(Served(*query.route));
+  Candidate* home = nullptr;
+  uint64_t best = 0;
+  for (Candidate& candidate : *candidates) {
+    candidate.has_long_home = true;
+    uint64_t weight = Hash64(candidate.server->announced.id.value(), seed);
+    if (home != nullptr && weight <= best) continue;
+    home = &candidate;
+    best = weight;
+  }
+  home->long_home = true;
+}
+
 void SetHits(const RouteQuery& query, const LocalLoad& load, Time now,
              std::vector<Candidate>* candidates) {
   std::vector<CacheHit> hits = PredictHits(query, load, now);
@@ -484,6 +511,7 @@
     return choice;
   }
   SetHits(query, load, now, candidates);
+  SetLongHome(query, candidates);
   Priced picked = Pick(query, load, *candidates, rng);
   choice.kind = ChoiceKind::kLocal;
   choice.server = picked.candidate->server->announced.id;
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -890,9 +890,10 @@
 
 void ControlLoop::ShareWork(std::vector<ServerWork> work) {
   bool nothing = work.empty() && own_work_.empty();
+  bool soon = MuchMoreWork(own_work_, work);
   own_work_ = std::move(work);
   Time now = SteadyNow();
-  if (nothing || now < next_work_) return;
+  if (nothing || (now < next_work_ && !soon)) return;
   auto near = [this](const Identity& peer) { return IsNear(peer); };
   std::vector<HostId> hosts = PeersWhere(near);
   next_work_ = now + PeerWorkInterval(hosts.size());
@@ -901,7 +902,7 @@
 
 void ControlLoop::OnPeerWorkList(const HostId& from, std::vector<ServerWork> work) {
   OnPeerWork(&peer_work_, from, std::move(work), SteadyNow());
-  Dirty(kLoadPublishInterval);
+  Dirty(kPublishInterval);
 }
 
 void ControlLoop::StartDrain() {
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -136,6 +136,8 @@
   asio::steady_timer timer_;
   asio::steady_timer watch_timer_;
   Time last_byte_;  // of the open attempt
+  Time first_byte_at_;
+  Duration longest_gap_{0};  // between two bytes of the answer
   bool first_byte_seen_ = false;
   bool condemnation_checked_ = false;
   ebonylift::Run failed_run_ = ebonylift::Run::kMayHaveRun;  // of the attempt being checked
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -295,6 +295,14 @@
            {{"request_id", spec_.id.value()},
             {"route", spec_.route->id.value()},
             {"server", server},
+            {"status", std::to_string(status_)},
+            {"attempts", std::to_string(attempts_.attempts.size())},
+            {"tokens", std::to_string(spec_.prompt_tokens)},
+            {"hit_tokens", std::to_string(choice_.hit_tokens)},
+            {"tokens_ahead", std::to_string(choice_.tokens_ahead)},
+            {"wait_ms", std::to_string(ToMillis(dispatched_at_ - spec_.arrived))},
+            {"first_ms", std::to_string(ToMillis(first_byte_at_ - spec_.arrived))},
+            {"gap_ms", std::to_string(ToMillis(longest_gap_))},
             {"ms", std::to_string(ToMillis(SteadyNow() - spec_.arrived))}});
   auto respond = [responder = responder_, streaming = streaming_, status = status_, headers,
                   body = answer_, end = stream_.end_event(), empty_stream = stream_.done()] {
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -257,6 +257,11 @@
   } else if (streaming_) {
     context_.metrics->ObserveTokenGap(spec_.traffic_class, now - last_byte_);
   }
+  if (first_byte_seen_) {
+    longest_gap_ = std::max(longest_gap_, now - last_byte_);
+  } else {
+    first_byte_at_ = now;
+  }
   first_byte_seen_ = true;
   last_byte_ = now;
 }
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -14,7 +14,6 @@
 #include "base/event.h"
 #include "base/hash.h"
 #include "core/entry_list.h"
-#include "core/peer_work.h"
 #include "daemon/announce.h"
 #include "daemon/exchange.h"
 #include "daemon/ingress_request.h"
@@ -301,8 +300,7 @@
       }
     }
     options_.dispatcher->Tick(now);
-    if (options_.settings.share_work && now >= next_work_) {
-      next_work_ = now + kPeerWorkInterval;
+    if (options_.settings.share_work) {
       options_.control->ShareWork(options_.dispatcher->OwnWork());
     }
     UpdateOverload();
@@ -371,7 +369,6 @@
   std::atomic<size_t> connections_{0};
   std::shared_ptr<const RoutingView> last_view_;
   Time next_records_;
-  Time next_work_;
   Time next_directory_;
   bool overloaded_ = false;
   std::thread thread_;
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -107,8 +107,9 @@
 
   virtual void Status(std::function<void(StatusJson)> done) = 0;
 
-  // Tells the hosts that share backend servers with this one what it has there. Call it about every
-  // kPeerWorkInterval; each call replaces the list before.
+  // Tells the hosts that share backend servers with this one what it has there, now or soon. Call
+  // it more often than every kPeerWorkInterval (core/peer_work.h); each call replaces the list
+  // before.
   virtual void ShareWork(std::vector<ServerWork> work) = 0;
 
   // Marks this host as leaving in the membership; the entry lists of all hosts drop it.
--- /dev/null
+++ b/tests/peer_work_test.cc
@@ -0,0 +1,52 @@
+#define BOOST_TEST_MODULE peer_work
+#include "core/peer_work.h"
+
+#include <boost/test/included/unit_test.hpp>
+
+namespace ebonylift {
+namespace {
+
+const Time kNow(seconds(1'000'000));
+
+BackendServer Server(const std::string& id) {
+  BackendServer server;
+  server.announced.id = ServerId(id);
+  return server;
+}
+
+}  // namespace
+
+// Guards against lists that add up with older ones of the same host, or that outlive their host.
+BOOST_AUTO_TEST_CASE(TheNewestListOfEachHostCounts) {
+  PeerWork state;
+  OnPeerWork(&state, HostId("a"), {{ServerId("s1"), 5, 5'000}, {ServerId("s2"), 1, 0}}, kNow);
+  OnPeerWork(&state, HostId("a"), {{ServerId("s1"), 2, 2'000}}, kNow);
+  OnPeerWork(&state, HostId("b"), {{ServerId("s1"), 1, 100}}, kNow + milliseconds(500));
+  std::vector<BackendServer> servers = {Server("s1"), Server("s2")};
+  AddPeerWork(state, kNow + milliseconds(600), &servers);
+  BOOST_TEST(servers[0].elsewhere == 3);
+  BOOST_TEST(servers[0].elsewhere_tokens == 2'100);
+  BOOST_TEST(servers[1].elsewhere == 0);
+  AddPeerWork(state, kNow + kPeerWorkTtl, &servers);
+  BOOST_TEST(servers[0].elsewhere == 1);
+}
+
+// Guards against a long prompt that other hosts hear of too late to avoid its server.
+BOOST_AUTO_TEST_CASE(LongPromptsAreUrgent) {
+  std::vector<ServerWork> before = {{ServerId("s1"), 1, 1'000}};
+  BOOST_TEST(!MuchMoreWork(before, {{ServerId("s1"), 2, 2'000}}));
+  BOOST_TEST(MuchMoreWork(before, {{ServerId("s1"), 2, 1'000 + kUrgentTokens}}));
+  BOOST_TEST(MuchMoreWork(before, {{ServerId("s2"), 1, kUrgentTokens}}));
+  BOOST_TEST(!MuchMoreWork({{ServerId("s1"), 1, 50'000}}, before));
+}
+
+// Guards against lists whose number grows with the square of the hosts.
+BOOST_AUTO_TEST_CASE(SendsOfAHostAreBounded) {
+  for (size_t hosts : {1u, 3u, 13u, 28u, 100u}) {
+    double per_s =
+        static_cast<double>(hosts) / std::chrono::duration<double>(PeerWorkInterval(hosts)).count();
+    BOOST_TEST(per_s <= kMaxPeerWorkSends + 1e-6, hosts << " hosts");
+  }
+}
+
+}  // namespace ebonylift
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -937,4 +937,112 @@
   BOOST_TEST(Describe(w.Run()) == "refuse no_server");
 }
 
+// Guards against a crashed server that gets all requests because it has no work (trouble
+// `srv_crash` under load): one failed connection is enough, until it announces itself again.
+BOOST_AUTO_TEST_CASE(UnreachableServersAreTheLastChoice) {
+  World w;
+  w.AddServer("s1");
+  w.AddServer("s2", 6);
+  Time at = w.Dispatch(At(ServerId("s1"), 1, w.query));
+  Time failed = kNow + milliseconds(2);
+  OnServerOutcome(w.load, w.view, ServerId("s1"), at, ServerOutcome::kUnreachable, failed);
+  for (int i = 0; i < 20; ++i) BOOST_TEST(Describe(w.Run()) == "local s2");
+  w.query.avoid_servers = {ServerId("s2")};
+  BOOST_TEST(Describe(w.Run()) == "local s1", "better than a refusal");
+  // Another region that costs no more than its round trip is better than that.
+  w.route.weight_remote = 0;
+  w.AddHost("h1", "norte", "norte-a");
+  w.AddSummary("norte", "norte-a");
+  BOOST_TEST(Describe(w.Run()) == "forward h1");
+  w.query.avoid_servers.clear();
+  w.view.servers[0].reported_at = failed + milliseconds(1);
+  w.view.servers[1].announced.load.running = 8;
+  BOOST_TEST(Describe(w.Run()) == "local s1", "it announced itself");
+}
+
+// Guards against requests for a server that restarted under another id at the same address.
+BOOST_AUTO_TEST_CASE(ReplacedServersGetNothing) {
+  World w;
+  w.AddServer("old");
+  w.AddServer("new", 7);
+  Time at = w.Dispatch(At(ServerId("old"), 1, w.query));
+  OnServerOutcome(w.load, w.view, ServerId("old"), at, ServerOutcome::kGone, kNow);
+  w.view.servers[0].reported_at = kNow + seconds(1);
+  for (int i = 0; i < 20; ++i) BOOST_TEST(Describe(w.Run()) == "local new");
+  w.view.servers[0].announced.incarnation = 2;
+  BOOST_TEST(Describe(w.Run()) == "local old", "a new incarnation is another server");
+}
+
+// Guards against forwards into a region that is cut off.
+BOOST_AUTO_TEST_CASE(UnreachableDomainsGetNoForwards) {
+  World w;
+  w.AddHost("h1", "norte", "norte-a");
+  w.AddSummary("norte", "norte-a");
+  OnForward(w.load, DomainId("norte-a"), kNow);
+  BOOST_TEST(Describe(w.Run()) == "forward h1");
+  OnForwardEnded(w.load, DomainId("norte-a"), kNow, false, kNow);
+  BOOST_TEST(Describe(w.Run()) == "refuse no_server");
+  w.load.domains[DomainId("norte-a")].ejected_until = kNow;
+  BOOST_TEST(Describe(w.Run()) == "forward h1");
+}
+
+// Guards against prompts that all become late when more arrive than can be read (trouble `burst`):
+// one that cannot start in time waits or is refused, one that nothing is ahead of is always sent.
+BOOST_AUTO_TEST_CASE(PromptsThatWouldBeLateAreNotSent) {
+  World w;
+  w.AddServer("s1").announced.capabilities = {kNoLoadReports};
+  w.load.prefill_rates["m"] = 10'000;
+  w.query.prompt_tokens = 1'000;
+  w.query.first_byte_by = kNow + milliseconds(800);
+  int sent = 0;
+  while (sent < 100 && w.Run().kind == ChoiceKind::kLocal) {
+    w.Dispatch(w.Run());
+    ++sent;
+  }
+  // 700 ms of others before 100 ms of its own.
+  BOOST_TEST(sent == 8);
+  BOOST_TEST(Describe(w.Run()) == "queue");
+  Duration least = kMaxRetryAfter;
+  Duration most{0};
+  for (int i = 0; i < 100; ++i) {
+    Duration retry = RetryAfter(w.query, w.view, w.load, kNow, w.rng);
+    least = std::min(least, retry);
+    most = std::max(most, retry);
+  }
+  BOOST_TEST(ToMillis(least) >= 450);
+  BOOST_TEST(ToMillis(most) <= 1'350);
+  BOOST_TEST(ToMillis(most - least) > 400, "callers do not return together");
+
+  World idle;
+  idle.AddServer("s1");
+  idle.load.prefill_rates["m"] = 10'000;
+  idle.query.prompt_tokens = 50'000;
+  idle.query.first_byte_by = kNow + milliseconds(800);
+  BOOST_TEST(Describe(idle.Run()) == "local s1", "late in any case, but nobody waits");
+}
+
+// Guards against streams that stall while their server reads a long prompt: hosts agree on one
+// server for them, and others keep away from it while they can.
+BOOST_AUTO_TEST_CASE(LongPromptsShareOneServer) {
+  auto run = [](uint64_t seed, int64_t tokens) {
+    World w;
+    w.rng.seed(seed);
+    for (int i = 0; i < 6; ++i) w.AddServer("s" + std::to_string(i));
+    w.load.prefill_rates["m"] = 80'000;
+    w.query.prompt_tokens = tokens;
+    w.query.prefix_hashes = {seed};
+    w.query.prefix_tokens = {tokens};
+    return w.Run().server.value();
+  };
+  std::set<std::string> for_long;
+  std::set<std::string> for_short;
+  for (uint64_t seed = 0; seed < 50; ++seed) {
+    for_long.insert(run(seed, 40'000));
+    for_short.insert(run(seed, 1'000));
+  }
+  BOOST_TEST(for_long.size() == 1u);
+  BOOST_TEST(for_short.size() == 5u);
+  BOOST_TEST(for_short.count(*for_long.begin()) == 0u);
+}
+
 }  // namespace ebonylift
