--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -144,6 +144,11 @@
   coldMicros @19 :UInt64;
 }
 
+# The backend servers that a host keeps on its disk.
+struct ServerList {
+  servers @0 :List(Announcement);
+}
+
 struct Relayed {
   announcement @0 :Announcement;
   ageMicros @1 :UInt64;  # elapsed since the server sent it, at `sentAtMicros`
--- a/schema/peer.capnp.c++
+++ b/schema/peer.capnp.c++
@@ -2812,6 +2812,56 @@
   1, 20, i_aab5e7ca71489683, nullptr, nullptr, { &s_aab5e7ca71489683, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<36> b_f4ee427f9ffd7b92 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    146, 123, 253, 159, 127,  66, 238, 244,
+     11,   0,   0,   0,   1,   0,   0,   0,
+     62,  29,  25,  82,  23, 124,  61, 236,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 101, 114, 118, 101,
+    114,  76, 105, 115, 116,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 101, 114, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    131, 150,  72, 113, 202, 231, 181, 170,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f4ee427f9ffd7b92 = b_f4ee427f9ffd7b92.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_f4ee427f9ffd7b92[] = {
+  &s_aab5e7ca71489683,
+};
+static const uint16_t m_f4ee427f9ffd7b92[] = {0};
+static const uint16_t i_f4ee427f9ffd7b92[] = {0};
+const ::capnp::_::RawSchema s_f4ee427f9ffd7b92 = {
+  0xf4ee427f9ffd7b92, b_f4ee427f9ffd7b92.words, 36, d_f4ee427f9ffd7b92, m_f4ee427f9ffd7b92,
+  1, 1, i_f4ee427f9ffd7b92, nullptr, nullptr, { &s_f4ee427f9ffd7b92, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<49> b_fc581a9e7bbac04b = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      75, 192, 186, 123, 158,  26,  88, 252,
@@ -3795,6 +3845,14 @@
 constexpr ::capnp::_::RawSchema const* Announcement::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// ServerList
+constexpr uint16_t ServerList::_capnpPrivate::dataWordSize;
+constexpr uint16_t ServerList::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ServerList::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ServerList::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Relayed
 constexpr uint16_t Relayed::_capnpPrivate::dataWordSize;
 constexpr uint16_t Relayed::_capnpPrivate::pointerCount;
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -57,6 +57,7 @@
 CAPNP_DECLARE_SCHEMA(d5ee934a3f6406b2);
 CAPNP_DECLARE_SCHEMA(9b680adbb44b4a2b);
 CAPNP_DECLARE_SCHEMA(aab5e7ca71489683);
+CAPNP_DECLARE_SCHEMA(f4ee427f9ffd7b92);
 CAPNP_DECLARE_SCHEMA(fc581a9e7bbac04b);
 CAPNP_DECLARE_SCHEMA(96f4db104a3f39ad);
 CAPNP_DECLARE_SCHEMA(c3efcaedd852506f);
@@ -546,6 +547,21 @@
   };
 };
 
+struct ServerList {
+  ServerList() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f4ee427f9ffd7b92, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Relayed {
   Relayed() = delete;
 
@@ -3614,6 +3630,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServerList::Reader {
+public:
+  typedef ServerList Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServers() const;
+  inline  ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader getServers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerList::Builder {
+public:
+  typedef ServerList Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServers();
+  inline  ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder getServers();
+  inline void setServers( ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>> disownServers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerList::Pipeline {
+public:
+  typedef ServerList Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Relayed::Reader {
 public:
   typedef Relayed Reads;
@@ -6931,6 +7028,40 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServerList::Reader::hasServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerList::Builder::hasServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader ServerList::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder ServerList::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerList::Builder::setServers( ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder ServerList::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerList::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>> ServerList::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::Announcement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Relayed::Reader::hasAnnouncement() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -45,6 +45,7 @@
       {EventId::kOrdererLeaseTaken, 309, "orderer_lease_taken", "This host sends the orders of its failure domain: fencing, previous, wait_ms (before servers that ignore tokens get orders)."},
       {EventId::kOrdererLeaseEnded, 310, "orderer_lease_ended", "This host stopped sending orders: fencing, reason."},
       {EventId::kAnnouncementRefused, 311, "announcement_refused", "An announcement could not be read and changes nothing: server, reason."},
+      {EventId::kServersNotKept, 312, "servers_not_kept", "The copy of the backend servers on disk cannot be used: reason."},
       {EventId::kHostAlive, 400, "host_alive", "A host is reachable: host, incarnation."},
       {EventId::kHostSuspected, 401, "host_suspected", "A host did not answer probes: host."},
       {EventId::kHostFailed, 402, "host_failed", "A host is considered failed: host, ms."},
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -53,6 +53,7 @@
   kOrdererLeaseTaken = 309,
   kOrdererLeaseEnded = 310,
   kAnnouncementRefused = 311,
+  kServersNotKept = 312,
 
   kHostAlive = 400,
   kHostSuspected = 401,
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -22,6 +22,7 @@
 #include "core/peer_work.h"
 #include "core/registry.h"
 #include "daemon/config_replica.h"
+#include "daemon/server_snapshot.h"
 
 namespace ebonylift {
 namespace {
@@ -51,7 +52,7 @@
 // A host that was away learns which servers left meanwhile.
 constexpr Duration kLeftRepeatedFor = seconds(60);
 // With hosts that are found, a host must learn soon after a partition what it missed.
-constexpr Duration kFoundPeerBackoff = seconds(1);
+constexpr Duration kFoundPeerBackoff = milliseconds(400);
 // With servers that do not report their load, summaries are the only picture of other regions.
 constexpr Duration kSharedWorkSummary = milliseconds(500);
 
@@ -119,6 +120,11 @@
   return registry;
 }
 
+std::shared_ptr<Journal> MakeServerJournal(const ControlOptions& options) {
+  if (!options.keep_servers || options.data_folder.empty()) return nullptr;
+  return std::make_shared<FileJournal>(options.data_folder, "servers");
+}
+
 bool IsLeaveNotice(const Announcement& announcement) {
   return announcement.leaving && announcement.address.empty();
 }
@@ -221,6 +227,7 @@
         publish_(std::move(publish)),
         rng_(Hash64(options->self.host.value() + RandomHex(8))),
         registry_(MakeRegistry(*options)),
+        server_snapshot_(MakeServerJournal(*options)),
         membership_(MakeMembership(SelfEntry(*options), PeerEntries(*options),
                                    MakeMembershipParams(*options))),
         rpc_(io, MakeRpcOptions(*options), this),
@@ -236,6 +243,7 @@
   void Start() {
     replica_.OnApplied([this]() { OnConfigApplied(); });
     replica_.Start(SteadyNow());
+    LoadServers(SteadyNow());
     OnConfigApplied();
     PublishNow();
     rpc_.Start();
@@ -314,6 +322,8 @@
   void SendUnknown(const HostId& host, const std::vector<uint64_t>& keys);
   void SendInFull(const HostId& host, const std::vector<const BackendServer*>& servers, Time now);
   AnnounceResult Register(const Announcement& announcement, Duration age, Time now);
+  void LoadServers(Time now);
+  void SaveServers(Time now);
   void ReportOwnSummaries(Time now);
   void PullConfig(Time now);
   void PullFrom(const HostId& host);
@@ -335,6 +345,7 @@
   Publish publish_;
   std::mt19937_64 rng_;
   Registry registry_;
+  ServerSnapshot server_snapshot_;
   Membership membership_;
   PeerWork peer_work_;
   std::vector<ServerWork> own_work_;
@@ -418,6 +429,7 @@
     ReportOwnSummaries(now);
   }
   PullConfig(now);
+  SaveServers(now);
   TakeChanged();
   if (options_->on_peer_bytes && now >= next_count_) {
     next_count_ = now + kCountInterval;
@@ -528,6 +540,22 @@
 
 // ---- backend servers ----
 
+void ControlLoop::LoadServers(Time now) {
+  for (const Announcement& announcement : server_snapshot_.Load()) {
+    Register(announcement, Duration(0), now);
+  }
+}
+
+void ControlLoop::SaveServers(Time now) {
+  if (!server_snapshot_.Due(now)) return;
+  std::vector<Announcement> servers;
+  for (const BackendServer& server : LiveServers(registry_)) servers.push_back(server.announced);
+  for (const BackendServer& server : RecentlyLeft(registry_, kLeftRepeatedFor, now)) {
+    servers.push_back(server.announced);
+  }
+  server_snapshot_.Save(servers, now);
+}
+
 AnnounceResult ControlLoop::Register(const Announcement& announcement, Duration age, Time now) {
   AnnounceResult result = IsLeaveNotice(announcement)
                               ? OnLeave(&registry_, announcement.id, announcement.incarnation, now)
@@ -540,10 +568,12 @@
                {{"server", server},
                 {"incarnation", std::to_string(announcement.incarnation)},
                 {"kind", announcement.kind == ServerKind::kModel ? "model" : "service"}});
+      server_snapshot_.OnChange(false);
       Dirty(kPublishInterval);
       break;
     case AnnounceResult::kLeft:
       LogEvent(EventId::kServerLeaving, {{"server", server}});
+      server_snapshot_.OnChange(true);
       Dirty(kPublishInterval);
       break;
     case AnnounceResult::kOldIncarnation:
