Replace voters that are gone

The leader adds a live host with a disk in the place of a voter that failed or leaves, and then removes that voter.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -63,6 +63,7 @@
       {EventId::kVoterChanged, 513, "voter_changed", "The set of voters changed: voters."},
       {EventId::kVoterDiskLost, 514, "voter_disk_lost", "This voter's disk is not the one its peers know; it does not vote until it has caught up: reason."},
       {EventId::kVoterConfirmed, 515, "voter_confirmed", "This host's disk is confirmed for voting: reason."},
+      {EventId::kVoterChangeStarted, 516, "voter_change_started", "The leader adds or removes a voter: host, change."},
       {EventId::kJournalTornTail, 600, "journal_torn_tail", "An incomplete record at the end of a file was removed: file, bytes."},
       {EventId::kJournalCorrupt, 601, "journal_corrupt", "A file is damaged before its end: file, offset."},
       {EventId::kJournalWriteFailed, 602, "journal_write_failed", "A write or sync failed: file, error."},
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -73,6 +73,7 @@
   kVoterChanged = 513,
   kVoterDiskLost = 514,
   kVoterConfirmed = 515,
+  kVoterChangeStarted = 516,
 
   kJournalTornTail = 600,
   kJournalCorrupt = 601,
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -21,6 +21,7 @@
 #include "base/hash.h"
 #include "core/peer_work.h"
 #include "core/registry.h"
+#include "core/voter_keeper.h"
 #include "daemon/config_replica.h"
 #include "daemon/server_snapshot.h"
 
@@ -322,6 +323,7 @@
   void SendUnknown(const HostId& host, const std::vector<uint64_t>& keys);
   void SendInFull(const HostId& host, const std::vector<const BackendServer*>& servers, Time now);
   AnnounceResult Register(const Announcement& announcement, Duration age, Time now);
+  void KeepVoters(Time now);
   void LoadServers(Time now);
   void SaveServers(Time now);
   void ReportOwnSummaries(Time now);
@@ -361,6 +363,8 @@
   std::map<HostId, TransitMeter> transit_;
   std::deque<std::pair<SuspectNote, Time>> notes_;
   Time next_summary_;
+  Time next_voter_check_;
+  bool changing_voters_ = false;
   Time next_count_;
   bool pulling_ = false;
   Time next_pull_;
@@ -430,6 +434,7 @@
   }
   PullConfig(now);
   SaveServers(now);
+  KeepVoters(now);
   TakeChanged();
   if (options_->on_peer_bytes && now >= next_count_) {
     next_count_ = now + kCountInterval;
@@ -540,6 +545,24 @@
 
 // ---- backend servers ----
 
+// The leader replaces voters that are gone.
+void ControlLoop::KeepVoters(Time now) {
+  if (!options_->find_hosts || !replica_.IsLeader()) return;
+  if (changing_voters_ || now < next_voter_check_) return;
+  next_voter_check_ = now + kVoterCheckInterval;
+  VoterChange change =
+      NextVoterChange(HostEntries(membership_), replica_.Voters(), options_->self.host);
+  if (change.kind == VoterChange::Kind::kNone) return;
+  bool add = change.kind == VoterChange::Kind::kAdd;
+  LogEvent(EventId::kVoterChangeStarted,
+           {{"host", change.host.value()}, {"change", add ? "add" : "remove"}});
+  changing_voters_ = true;
+  auto done = [this](const PutAnswer&) { changing_voters_ = false; };
+  std::optional<HostId> other =
+      add ? replica_.AddVoter(change.host, done) : replica_.RemoveVoter(change.host, done);
+  if (other) changing_voters_ = false;  // no longer the leader
+}
+
 void ControlLoop::LoadServers(Time now) {
   for (const Announcement& announcement : server_snapshot_.Load()) {
     Register(announcement, Duration(0), now);
