--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -307,7 +307,23 @@
   WaitServing(timeout);
 }
 
+// Each host gets the configuration on its own, so one that serves the first team may not know the
+// keys of the others yet.
+void Cluster::WaitSameRevision(Duration timeout) {
+  auto revision = [](const HostHandle& host) {
+    json ready = json::parse(Get("http://" + host.http_address + "/readyz").body, nullptr, false);
+    return ready.is_object() ? ready.value("revision", uint64_t{0}) : 0;
+  };
+  uint64_t newest = 0;
+  for (const auto& [id, host] : hosts_) newest = std::max(newest, revision(host));
+  for (const auto& [id, host] : hosts_) {
+    if (WaitFor([&, &waiting = host] { return revision(waiting) >= newest; }, timeout)) continue;
+    Fail("host " + id + " has not got revision " + std::to_string(newest));
+  }
+}
+
 void Cluster::WaitServing(Duration timeout) {
+  WaitSameRevision(timeout);
   if (spec_.teams.empty()) return;
   json body = {{"model", spec_.model},
                {"user", kProbeUser},
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -111,6 +111,7 @@
   // Starts the processes without configuration and returns when /healthz answers everywhere.
   void StartProcesses(Duration timeout = seconds(15));
   void PutConfiguration(Duration timeout = seconds(15));
+  void WaitSameRevision(Duration timeout);
   void WaitServing(Duration timeout = seconds(15));
 
   // A change by the root operator through `host`. Throws std::runtime_error when it is not accepted
