--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -314,11 +314,9 @@
     json ready = json::parse(Get("http://" + host.http_address + "/readyz").body, nullptr, false);
     return ready.is_object() ? ready.value("revision", uint64_t{0}) : 0;
   };
-  uint64_t newest = 0;
-  for (const auto& [id, host] : hosts_) newest = std::max(newest, revision(host));
   for (const auto& [id, host] : hosts_) {
-    if (WaitFor([&, &waiting = host] { return revision(waiting) >= newest; }, timeout)) continue;
-    Fail("host " + id + " has not got revision " + std::to_string(newest));
+    if (WaitFor([&, &waiting = host] { return revision(waiting) >= newest_; }, timeout)) continue;
+    Fail("host " + id + " has not got revision " + std::to_string(newest_));
   }
 }
 
@@ -421,6 +419,8 @@
     Fail("put of " + path + " failed: status " + std::to_string(last.status) + " " + last.error +
          " " + last.body);
   }
+  json answer = json::parse(last.body, nullptr, false);
+  if (answer.is_object()) newest_ = std::max(newest_, answer.value("revision", uint64_t{0}));
 }
 
 uint64_t Cluster::RevisionOf(const std::string& path) const {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -186,6 +186,7 @@
   TempDir dir_;
   std::string cluster_key_;
   std::string platform_token_;
+  uint64_t newest_ = 0;  // revision of the newest accepted put
   std::string operator_token_;
   std::string directory_address_;
   std::string proxy_address_;
