--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -186,7 +186,9 @@
       now < load.reserved_until) {
     return candidate.present < ChapterLimit(candidate.slots);
   }
-  int backlog = std::max(1, static_cast<int>(candidate.slots * kServerBacklogShare));
+  bool plain = query.prompt_tokens == 0 && query.first_byte_by != Time();
+  double share = plain ? kPlainBacklogShare : kServerBacklogShare;
+  int backlog = std::max(1, static_cast<int>(candidate.slots * share));
   return candidate.present < candidate.slots + backlog;
 }
 
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -80,6 +80,9 @@
 constexpr size_t kCompareAll = 16;
 constexpr Duration kDefaultService = seconds(1);
 constexpr double kServerBacklogShare = 0.25;  // waiting requests per slot until a server is full
+// The same for requests without a prompt that have a target for their first byte: they take so
+// little time that one slot serves several within the target.
+constexpr double kPlainBacklogShare = 2.0;
 // Chapters run for seconds. While other classes were dispatched from this host within kReserveFor,
 // they leave this share of each server's slots, at least one, to them and use no backlog.
 constexpr double kReservedShare = 0.25;
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -358,14 +358,15 @@
 
 void Exchange::Refuse(ErrorKind kind, const std::string& message, Duration retry_after) {
   kind = Covering(kind);
-  LogEvent(EventId::kRequestRefused, {{"request_id", spec_.id.value()},
-                                      {"route", spec_.route->id.value()},
-                                      {"kind", LookupError(kind).code},
-                                      {"run", RunName(LookupError(kind).run)},
-                                      {"attempts", std::to_string(attempts_.attempts.size())},
-                                      {"tokens", std::to_string(spec_.prompt_tokens)},
-                                      {"retry_after_ms", std::to_string(ToMillis(retry_after))},
-                                      {"ms", std::to_string(ToMillis(SteadyNow() - spec_.arrived))}});
+  LogEvent(EventId::kRequestRefused,
+           {{"request_id", spec_.id.value()},
+            {"route", spec_.route->id.value()},
+            {"kind", LookupError(kind).code},
+            {"run", RunName(LookupError(kind).run)},
+            {"attempts", std::to_string(attempts_.attempts.size())},
+            {"tokens", std::to_string(spec_.prompt_tokens)},
+            {"retry_after_ms", std::to_string(ToMillis(retry_after))},
+            {"ms", std::to_string(ToMillis(SteadyNow() - spec_.arrived))}});
   context_.metrics->CountRefusal(kind);
   if (responder_) {
     ErrorAnswer answer{kind, message, retry_after, spec_.id};
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1045,4 +1045,19 @@
   BOOST_TEST(for_short.count(*for_long.begin()) == 0u);
 }
 
+// Guards against short calls that are refused although their turn comes within the target (calls
+// that arrive in clumps at the only server of a region).
+BOOST_AUTO_TEST_CASE(ShortCallsMayWaitAtTheServer) {
+  World w;
+  w.AddServer("s1", 0, 6).announced.capabilities = {kNoLoadReports};
+  w.query.prompt_tokens = 0;
+  w.query.first_byte_by = kNow + milliseconds(300);
+  int sent = 0;
+  while (sent < 100 && w.Run().kind == ChoiceKind::kLocal) {
+    w.Dispatch(w.Run());
+    ++sent;
+  }
+  BOOST_TEST(sent == 18);
+}
+
 }  // namespace ebonylift
