Keep the servers of a host that is cut off from all others

Time counts against a server only while other servers are heard of. Samples of the prefill rate have the assumed rate as floor, since the first answers after a start of all hosts wait for something else.

--- a/src/core/registry.cc
+++ b/src/core/registry.cc
@@ -141,6 +141,7 @@
   uint64_t old_incarnation = it->second.server.announced.incarnation;
   SetKey(registry, &it->second, announcement);
   Store(&it->second, announcement, registry->max_ttl, now - std::max(age, Duration(0)), now);
+  if (it->second.live) registry->last_news = std::max(registry->last_news, now);
   if (announcement.leaving) return was_live ? AnnounceResult::kLeft : AnnounceResult::kGone;
   if (!it->second.live) return AnnounceResult::kTooOld;
   if (!was_live) return AnnounceResult::kNew;
@@ -149,6 +150,7 @@
 }
 
 std::vector<ServerId> Expire(Registry* registry, Time now) {
+  if (registry->expire_by_news) now = std::min(now, registry->last_news);
   std::vector<ServerId> expired;
   for (auto it = registry->entries.begin(); it != registry->entries.end();) {
     RegistryEntry& entry = it->second;
@@ -191,10 +193,13 @@
   return servers;
 }
 
-std::vector<BackendServer> LiveServers(const Registry& registry) {
+std::vector<BackendServer> LiveServers(const Registry& registry, Time now) {
   std::vector<BackendServer> servers;
   for (const auto& [id, entry] : registry.entries) {
-    if (entry.live) servers.push_back(entry.server);
+    if (!entry.live) continue;
+    servers.push_back(entry.server);
+    Time& expires_at = servers.back().expires_at;
+    if (registry.expire_by_news) expires_at = std::max(expires_at, now + kNewsGrace);
   }
   return servers;
 }
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -27,6 +27,7 @@
 constexpr Duration kMaxServerTtl = seconds(2);  // unless the registry allows more
 constexpr Duration kMaxAnyServerTtl = seconds(30);
 constexpr Duration kMaxColdTime = seconds(3600);
+constexpr Duration kNewsGrace = seconds(2);
 constexpr Duration kForgetAfter = seconds(600);
 
 enum class AnnounceResult {
@@ -69,6 +70,10 @@
   // A server that said that it leaves never comes back in the same incarnation: a later
   // announcement of it was sent before or is repeated by somebody else.
   bool leaving_is_final = false;
+  // A host that hears of no server at all is cut off, and the servers are probably still there:
+  // time counts against a server only while others are heard of.
+  bool expire_by_news = false;
+  Time last_news;  // of the newest announcement of any server
   std::map<ServerId, RegistryEntry> entries;
   std::map<uint64_t, ServerId> by_key;
 };
@@ -84,11 +89,12 @@
 // The whole announcement, or nullopt when no known server has the key.
 std::optional<Announcement> ApplyRefresh(const Registry& registry, const ServerRefresh& refresh);
 
-// Ends the servers whose time to live is over and returns them.
+// Ends the servers whose time to live is over and returns them; see `expire_by_news`.
 std::vector<ServerId> Expire(Registry* registry, Time now);
 
 // By id. A server is live until it expires or leaves.
-std::vector<BackendServer> LiveServers(const Registry& registry);
+// With `expire_by_news`, one whose time is over is shown as live for kNewsGrace more.
+std::vector<BackendServer> LiveServers(const Registry& registry, Time now);
 
 // Servers that left less than `within` ago, for hosts that may have missed it.
 std::vector<BackendServer> RecentlyLeft(const Registry& registry, Duration within, Time now);
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -829,6 +829,9 @@
   if (choice.prefill_tokens < kMinRateTokens || now <= dispatched_at) return;
   double read = static_cast<double>(choice.prefill_tokens + choice.tokens_ahead);
   double sample = read / Seconds(now - dispatched_at);
+  // An answer that waited for something else, as after a start of all hosts, says nothing of the
+  // rate.
+  sample = std::max(sample, kPrefillTokensPerSecond);
   auto [rate, first] = load.prefill_rates.try_emplace(served, sample);
   if (!first) rate->second += kRateSmoothing * (sample - rate->second);
 }
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -118,6 +118,7 @@
   registry.scope = options.server_scope;
   registry.max_ttl = options.max_server_ttl;
   registry.leaving_is_final = options.leaving_is_final;
+  registry.expire_by_news = options.expire_by_news;
   return registry;
 }
 
@@ -529,7 +530,7 @@
   view->self = options_->self;
   view->server_scope = options_->server_scope;
   view->config = replica_.View();
-  view->servers = LiveServers(registry_);
+  view->servers = LiveServers(registry_, SteadyNow());
   AddPeerWork(peer_work_, SteadyNow(), &view->servers);
   view->hosts = HostEntries(membership_);
   view->summaries = Summaries(membership_);
@@ -572,7 +573,8 @@
 void ControlLoop::SaveServers(Time now) {
   if (!server_snapshot_.Due(now)) return;
   std::vector<Announcement> servers;
-  for (const BackendServer& server : LiveServers(registry_)) servers.push_back(server.announced);
+  for (const BackendServer& server : LiveServers(registry_, SteadyNow()))
+    servers.push_back(server.announced);
   for (const BackendServer& server : RecentlyLeft(registry_, kLeftRepeatedFor, now)) {
     servers.push_back(server.announced);
   }
@@ -773,7 +775,7 @@
 void ControlLoop::ReportOwnSummaries(Time now) {
   if (!IsReporter(membership_)) return;
   std::map<std::string, DomainSummary> rows;
-  std::vector<BackendServer> servers = LiveServers(registry_);
+  std::vector<BackendServer> servers = LiveServers(registry_, SteadyNow());
   PeerWork all = peer_work_;
   OnPeerWork(&all, options_->self.host, own_work_, now);
   AddPeerWork(all, now, &servers);
@@ -1063,7 +1065,7 @@
   }
   Time now = SteadyNow();
   status["servers"] = json::array();
-  for (const BackendServer& server : LiveServers(registry_)) {
+  for (const BackendServer& server : LiveServers(registry_, SteadyNow())) {
     const Announcement& announced = server.announced;
     status["servers"].push_back({{"server", announced.id.value()},
                                  {"incarnation", announced.incarnation},
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -60,6 +60,7 @@
   ServerScope server_scope = ServerScope::kDomain;
   Duration max_server_ttl = kMaxServerTtl;
   bool leaving_is_final = false;  // see Registry
+  bool expire_by_news = false;    // see Registry
   bool keep_servers = false;      // on disk, see daemon/server_snapshot.h
   bool share_work = false;        // ShareWork() is called; the servers do not report their load
   std::string cluster_key;
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -121,6 +121,7 @@
     options.leaving_is_final = settings_.leaving_is_final;
     options.share_work = settings_.share_work;
     options.keep_servers = settings_.keep_servers;
+    options.expire_by_news = settings_.expire_by_news;
     options.caller_address = settings_.caller_address;
     options.operator_address = settings_.operator_address;
     options.cluster_key = settings_.cluster_key;
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -43,6 +43,7 @@
   ServerScope server_scope = ServerScope::kDomain;
   Duration max_server_ttl = kMaxServerTtl;
   bool leaving_is_final = false;  // see core/registry.h
+  bool expire_by_news = false;    // see core/registry.h
   bool keep_servers = false;      // on disk, see daemon/server_snapshot.h
   // The backend servers do not report their load: hosts tell each other what they have there.
   bool share_work = false;
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -69,7 +69,7 @@
           OnAnnouncement(&registry, Make("s1", step.incarnation, step.seq, step.leaving),
                          milliseconds(step.age_ms), At(step.at_ms));
       BOOST_TEST((result == step.result));
-      BOOST_TEST(LiveServers(registry).size() == (step.live ? 1u : 0u));
+      BOOST_TEST(LiveServers(registry, Time()).size() == (step.live ? 1u : 0u));
     }
   }
 }
@@ -85,7 +85,7 @@
       int64_t end = 1000 - age_ms + std::min<int64_t>(ttl_ms, 2000);
       BOOST_TEST(Expire(&registry, At(end - 1)).empty());
       BOOST_TEST(Expire(&registry, At(end)).size() == 1u);
-      BOOST_TEST(LiveServers(registry).empty());
+      BOOST_TEST(LiveServers(registry, Time()).empty());
     }
   }
 }
@@ -95,12 +95,12 @@
   Registry registry = Empty();
   OnAnnouncement(&registry, Make("s1", 1, 1), Duration(0), At(0));
   OnAnnouncement(&registry, Make("s1", 1, 2), Duration(0), At(700));
-  BOOST_TEST((LiveServers(registry)[0].first_seen == At(0)));
+  BOOST_TEST((LiveServers(registry, Time())[0].first_seen == At(0)));
   OnAnnouncement(&registry, Make("s1", 2, 1), Duration(0), At(900));
-  BOOST_TEST((LiveServers(registry)[0].first_seen == At(900)));
+  BOOST_TEST((LiveServers(registry, Time())[0].first_seen == At(900)));
   Expire(&registry, At(2900));
   OnAnnouncement(&registry, Make("s1", 2, 2), Duration(0), At(3000));
-  BOOST_TEST((LiveServers(registry)[0].first_seen == At(3000)));
+  BOOST_TEST((LiveServers(registry, Time())[0].first_seen == At(3000)));
 }
 
 // Guards against announcements that the registry must not take at all.
@@ -230,4 +230,22 @@
   BOOST_TEST(AnnouncementKey(later) == AnnouncementKey(base));
 }
 
+// Guards against a host that is cut off from all others and then knows no servers, although they
+// still answer it; a server that is silent while others announce themselves expires as ever.
+BOOST_AUTO_TEST_CASE(ACutOffHostKeepsItsServers) {
+  Registry registry = Empty();
+  registry.expire_by_news = true;
+  Announcement silent = Make("a", 1, 1);
+  OnAnnouncement(&registry, silent, Duration(0), At(0));
+  OnAnnouncement(&registry, Make("b", 1, 1), Duration(0), At(0));
+  BOOST_TEST(Expire(&registry, At(60'000)).empty());
+  for (const BackendServer& server : LiveServers(registry, At(60'000))) {
+    BOOST_TEST((server.expires_at > At(60'000)));
+  }
+  OnAnnouncement(&registry, Make("b", 1, 2), Duration(0), At(61'000));
+  std::vector<ServerId> expired = Expire(&registry, At(61'100));
+  BOOST_REQUIRE(expired.size() == 1u);
+  BOOST_TEST(expired[0].value() == "a");
+}
+
 }  // namespace ebonylift
