Charge each repetition by the attempt before it

A flag of an earlier failed connection stayed set, so a later repetition of the same request cost no token of the budget. The line of an answer without a body gave a negative time to its first byte.

--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -117,6 +117,7 @@
   ServerOutcome OutcomeOf(const CallResult& result) const;
   RouteQuery Query() const;
   Time FirstByteBy() const;
+  Time FirstByteAt() const;
   RecordKey Key() const;
   HttpHeaders BackendHeaders() const;
   HttpHeaders DialectHeaders() const;
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -104,6 +104,7 @@
                                      {"outcome", OutcomeName(result.outcome)},
                                      {"status", std::to_string(result.status)},
                                      {"run", RunName(run)}});
+  arrived_ = result.outcome != CallOutcome::kNotConnected;
   if (streaming_) {
     if (spec_.dialect == nullptr && TryResume()) return;
     OnFailure(attempts_, attempt_, run);
@@ -115,7 +116,6 @@
   }
   OnFailure(attempts_, attempt_, run);
   if (server_) avoid_servers_.push_back(*server_);
-  arrived_ = result.outcome != CallOutcome::kNotConnected;
   EndAttempt(OutcomeOf(result));
   RetryOrRefuse(run);
 }
@@ -279,6 +279,9 @@
   Finish();
 }
 
+// Now for an answer without a body.
+Time Exchange::FirstByteAt() const { return first_byte_seen_ ? first_byte_at_ : SteadyNow(); }
+
 void Exchange::Deliver() {
   HttpHeaders headers = AnswerHeaders();
   std::string server = server_ ? server_->value() : FindHeader(headers, "x-ebonylift-server");
@@ -301,7 +304,7 @@
             {"hit_tokens", std::to_string(choice_.hit_tokens)},
             {"tokens_ahead", std::to_string(choice_.tokens_ahead)},
             {"wait_ms", std::to_string(ToMillis(dispatched_at_ - spec_.arrived))},
-            {"first_ms", std::to_string(ToMillis(first_byte_at_ - spec_.arrived))},
+            {"first_ms", std::to_string(ToMillis(FirstByteAt() - spec_.arrived))},
             {"gap_ms", std::to_string(ToMillis(longest_gap_))},
             {"ms", std::to_string(ToMillis(SteadyNow() - spec_.arrived))}});
   auto respond = [responder = responder_, streaming = streaming_, status = status_, headers,
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -87,6 +87,7 @@
   dispatched_at_ = now;
   choice_ = choice;
   answer_started_ = false;
+  arrived_ = true;
   server_ = choice.server;
   attempt_ = OnDispatch(attempts_, choice.server, choice.incarnation, now);
   if (server == nullptr) {
@@ -153,6 +154,7 @@
 void Exchange::Forward(const HostEntry& host, bool crosses, const DomainId& domain) {
   Time now = SteadyNow();
   dispatched_at_ = now;
+  arrived_ = true;
   forwarding_ = true;
   forward_host_ = host.id;
   // A forward to the owner is not a placement, so it was not counted as one.
