--- a/tests/integration/leaving_test.cc
+++ b/tests/integration/leaving_test.cc
@@ -139,8 +139,9 @@
   Cluster cluster(LeavingSpec());
   cluster.Start(seconds(40));
   Callers callers(cluster);
-  // Announcements reach only the host that is then cut off.
-  cluster.SetLinks("servers-este-a>este-a-[12]", {{"refuse", true}});
+  // Announcements reach only the host that is then cut off. Refusing concerns new connections, so
+  // the kept ones are ended too.
+  cluster.SetLinks("servers-este-a>este-a-[12]", {{"refuse", true}, {"truncate_after", 0}});
   for (const std::string& engine : kEngines) {
     BOOST_REQUIRE(WaitFor([&] { return AnnouncerOf(cluster, engine)["failed"] >= 2; }, seconds(8)));
   }
