Pick a server by rendezvous hash in one place

The home of shared prompt parts and that of long prompts had the same loop. The check for servers without load reports no longer builds a string for each candidate of each choice. Behaviour is unchanged; the comment of a failed outcome no longer names refused connections, which have their own.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -218,9 +218,10 @@
 
 // Tokens of prompts sent from here that the server has still to read.
 int64_t OwnTokensAhead(const RouteQuery& query, const BackendServer& server, const ServerUse& use) {
-  if (Contains(server.announced.capabilities, std::string(kNoLoadReports))) {
-    return use.prefill_tokens;
-  }
+  const std::vector<std::string>& capabilities = server.announced.capabilities;
+  bool no_reports =
+      std::find(capabilities.begin(), capabilities.end(), kNoLoadReports) != capabilities.end();
+  if (no_reports) return use.prefill_tokens;
   // The report covers what was sent before it; the rest is taken to be as long as this request.
   return SentSince(use, server.reported_at) * query.prompt_tokens;
 }
@@ -458,15 +459,13 @@
          query.route->weight_cost * PrefillSeconds(query.prompt_tokens, PrefillRate(query, load));
 }
 
-// The server at which all hosts expect the parts of the prompt that other requests share; null when
-// the parts are not named. The last part belongs to the request or its session alone.
-Candidate* SharedPartsHome(const RouteQuery& query, std::vector<Candidate>* candidates) {
-  if (query.prefix_tokens.size() < 2) return nullptr;
-  uint64_t shared = query.prefix_hashes[query.prefix_tokens.size() - 2];
+// The candidate that every host with the same candidates picks for this key. Precondition: there is
+// one.
+Candidate* RendezvousHome(uint64_t key, std::vector<Candidate>* candidates) {
   Candidate* home = nullptr;
   uint64_t best = 0;
   for (Candidate& candidate : *candidates) {
-    uint64_t weight = Hash64(candidate.server->announced.id.value(), shared);
+    uint64_t weight = Hash64(candidate.server->announced.id.value(), key);
     if (home != nullptr && weight <= best) continue;
     home = &candidate;
     best = weight;
@@ -476,26 +475,20 @@
 
 void SetLongHome(const RouteQuery& query, std::vector<Candidate>* candidates) {
   if (query.prefix_tokens.empty() || candidates->size() < kMinServersForLongHome) return;
-  uint64_t seed = Hash64(Served(*query.route));
-  Candidate* home = nullptr;
-  uint64_t best = 0;
-  for (Candidate& candidate : *candidates) {
-    candidate.has_long_home = true;
-    uint64_t weight = Hash64(candidate.server->announced.id.value(), seed);
-    if (home != nullptr && weight <= best) continue;
-    home = &candidate;
-    best = weight;
-  }
-  home->long_home = true;
+  for (Candidate& candidate : *candidates) candidate.has_long_home = true;
+  RendezvousHome(Hash64(Served(*query.route)), candidates)->long_home = true;
 }
 
+// All hosts expect the parts of the prompt that other requests share at the same server. The last
+// part belongs to the request or its session alone.
 void SetHits(const RouteQuery& query, const LocalLoad& load, Time now,
              std::vector<Candidate>* candidates) {
   std::vector<CacheHit> hits = PredictHits(query, load, now);
   for (Candidate& candidate : *candidates) candidate.hit_tokens = HitOf(hits, candidate);
-  Candidate* home = SharedPartsHome(query, candidates);
-  if (home == nullptr) return;
-  int64_t shared = query.prefix_tokens[query.prefix_tokens.size() - 2];
+  if (query.prefix_tokens.size() < 2) return;
+  size_t last_shared = query.prefix_tokens.size() - 2;
+  int64_t shared = query.prefix_tokens[last_shared];
+  Candidate* home = RendezvousHome(query.prefix_hashes[last_shared], candidates);
   home->hit_tokens = std::max(home->hit_tokens, std::min(shared, query.prompt_tokens));
 }
 
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -132,8 +132,8 @@
   std::vector<RegionId> allowed_regions;  // see AllowedRegions()
   int64_t prompt_tokens = 0;
   std::vector<uint64_t> prefix_hashes;  // of growing prefixes, shortest first
-  std::vector<int64_t>
-      prefix_tokens;  // of each; empty: kPrefixBlockTokens more than the one before
+  // Of each of these; empty: kPrefixBlockTokens more than the one before.
+  std::vector<int64_t> prefix_tokens;
   uint64_t content = 0;
   int hops = 0;          // host hops so far
   bool crossed = false;  // a region was crossed so far
@@ -224,7 +224,7 @@
 
 enum class ServerOutcome {
   kOk,           // a complete answer, also one that says the request was wrong
-  kFailed,       // connection refused, reset, timeout or a 5xx answer: counts towards ejection
+  kFailed,       // reset, timeout or a 5xx answer: counts towards ejection
   kCancelled,    // ended by the caller or this host: says nothing about the server
   kUnreachable,  // no connection was made
   kGone,         // another server answers at its address
