Make the woken server announce to the host that is cut off in the test of silent servers

Cause: a server announces to one entry host until that host fails. Which one it is depends on the order in which the processes start. The test cut este-a-1 off from its peers and expected it to use the woken server; when the server announced to este-a-2 or este-a-3, no announcement could reach este-a-1. The logs of two failed runs show server_announced on the other two hosts only. Change: any host must use the woken server first; then the links to the other two hosts refuse, so that the server announces to the host that is cut off, which must use it too. Another wait of the file moved its start time with each poll; it is taken once now.

--- a/tests/integration/leaving_test.cc
+++ b/tests/integration/leaving_test.cc
@@ -101,6 +101,13 @@
                      [&](const std::string& host) { return seen.count(host) > 0; });
 }
 
+// True when at least one host gave work to `server` after `from`.
+bool AnyUses(const Cluster& cluster, const std::string& server, WallMillis from) {
+  return std::any_of(kHosts.begin(), kHosts.end(), [&](const std::string& host) {
+    return AllUse(cluster, server, from, {host});
+  });
+}
+
 void WaitAllInUse(const Cluster& cluster) {
   WallMillis from = WallNow();
   for (const std::string& engine : kEngines) {
@@ -214,8 +221,13 @@
 
   WallMillis woken = WallNow();
   cluster.server(kEngines[2]).process->Continue();
+  BOOST_TEST(WaitFor([&] { return AnyUses(cluster, kEngines[2], woken); }, seconds(15)));
+  // A server announces to one host until that host fails, and the host that is cut off hears no
+  // relayed announcement, so the server is made to announce to it.
+  cluster.SetLinks("servers-este-a>este-a-[23]", {{"refuse", true}, {"truncate_after", 0}});
+  WallMillis moved = WallNow();
   BOOST_TEST(
-      WaitFor([&] { return AllUse(cluster, kEngines[2], woken, {"este-a-1"}); }, seconds(15)));
+      WaitFor([&] { return AllUse(cluster, kEngines[2], moved, {"este-a-1"}); }, seconds(15)));
   for (const std::string& host : kHosts) {
     std::vector<int64_t> announced =
         EventTimes(cluster, host, "server_announced", kEngines[2], silent);
@@ -251,7 +263,8 @@
 
   // The same with relayed announcements: este-a-3 hears of the server when its links return.
   cluster.SetServerFaults(gone, {{"silent", false}});
-  BOOST_TEST(WaitFor([&] { return AllUse(cluster, gone, WallNow()); }, seconds(20)));
+  WallMillis announced_again = WallNow();
+  BOOST_TEST(WaitFor([&] { return AllUse(cluster, gone, announced_again); }, seconds(20)));
   cluster.Cut("este-a-3", "*");
   sent = AnnouncerOf(cluster, gone)["seq"];
   BOOST_REQUIRE(WaitFor([&] { return AnnouncerOf(cluster, gone)["seq"] > sent; }, seconds(5)));
