Run a suspect only after a report that shows what other hosts sent the server

The logs show suspects with company: a report is 300 ms old when it is sent, so the first one 300 ms after a loss does not show work that another host sent just before it; and when a silent server expired, the server of one host became another host's while it still ran the first one's suspect. Condemnations by such losses are rightly taken back, so the content crashed another server. Change: the wait covers the age of the load in a report, and it starts again when servers or hosts come or go; a silent server counts for the choice until the view drops it, so that hosts change their choice with the view.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -250,11 +250,11 @@
 // of the servers are enough for that. They are the same on every host whose view has the same
 // servers, so no host sends other work to the server on which another one runs a suspect. Empty
 // when too few serve the route.
-std::vector<const BackendServer*> SetAside(const RouteConfig& route, const RoutingView& view,
-                                           Time now) {
+std::vector<const BackendServer*> SetAside(const RouteConfig& route, const RoutingView& view) {
   std::vector<std::pair<uint64_t, const BackendServer*>> serving;
   for (const BackendServer& server : view.servers) {
-    if (CanServe(server, route, view, now)) {
+    // One that is silent counts until the view drops it: hosts see the expiry at different times.
+    if (CanServe(server, route, view, Time())) {
       serving.emplace_back(Hash64(server.announced.id.value()), &server);
     }
   }
@@ -279,11 +279,13 @@
 }
 
 // A suspect runs where nothing else does: when all hosts have had time to hear of the newest loss
-// and a report after that shows no work, the server that is set aside has none.
+// and of the newest server or host, which may move the servers set aside, and a report after that
+// shows no work, the server that is set aside has none.
 bool MayRunSuspect(const BackendServer& server, const BackendServer* own, const LocalLoad& load) {
   if (own == nullptr) return true;
   Time newest_loss = load.set_aside_until - kSetAside;
-  return &server == own && server.reported_at >= newest_loss + kSetAsideSettle;
+  Time set_aside_since = std::max(newest_loss, load.members_changed_at);
+  return &server == own && server.reported_at >= set_aside_since + kSetAsideSettle;
 }
 
 // False when the server is cold and this host may not send to it now.
@@ -299,7 +301,7 @@
                        Time now, std::mt19937_64& rng) {
   LocalServers local;
   std::vector<const BackendServer*> set_aside;
-  if (now < load.set_aside_until) set_aside = SetAside(*query.route, view, now);
+  if (now < load.set_aside_until) set_aside = SetAside(*query.route, view);
   const BackendServer* own = OwnSetAside(set_aside, view);
   for (const BackendServer& server : view.servers) {
     if (!CanServe(server, *query.route, view, now)) continue;
@@ -722,6 +724,19 @@
                      [&](const DomainSummary& summary) { return summary.domain == domain; });
 }
 
+// The same for views from which hosts set the same servers aside, in any order.
+uint64_t MembersHash(const RoutingView& view) {
+  uint64_t hash = 0;
+  for (const BackendServer& server : view.servers) {
+    uint64_t member = Hash64(server.announced.id.value(), server.announced.leaving ? 1 : 0);
+    for (const ServedModel& model : server.announced.models)
+      member ^= Hash64(model.name.value(), member);
+    hash ^= member;
+  }
+  for (const HostEntry& host : view.hosts) hash ^= Hash64(host.id.value());
+  return hash;
+}
+
 }  // namespace
 
 const std::string& Served(const RouteConfig& route) {
@@ -900,7 +915,10 @@
   return use.exclusive && !use.shared && use.in_flight == 1 && report.running + report.waiting <= 1;
 }
 
-void Prune(LocalLoad& load, const RoutingView& view) {
+void Prune(LocalLoad& load, const RoutingView& view, Time now) {
+  uint64_t members = MembersHash(view);
+  if (members != load.members_hash) load.members_changed_at = now;
+  load.members_hash = members;
   for (auto it = load.servers.begin(); it != load.servers.end();) {
     const BackendServer* server = FindServer(view, it->first);
     if (server == nullptr && it->second.in_flight == 0) {
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -18,7 +18,8 @@
 //   for the model or service.
 // - Suspects run only on a server with no other work that this host knows of, which then gets no
 //   other work from this host until it is done. Where enough servers serve the route, that is the
-//   server set aside for this host, after a report newer than the last loss shows no work.
+//   server set aside for this host, after a report newer than the last loss and than the last
+//   change of the servers shows no work.
 //
 // Cost of a server = weight_latency x wait seconds + weight_cost x service seconds. Wait is the
 // queue that the server reported plus what this host and others have there. Service is the prefill
@@ -92,7 +93,9 @@
 // host of the failure domain, so that they become idle for them: under load no server would be idle
 // by chance. Only where this many serve it, and at most half of them.
 constexpr int kMinServersToSetAside = 3;
-constexpr Duration kSetAsideSettle = milliseconds(300);  // for hosts to hear of a loss
+constexpr Duration kNewsDelay = milliseconds(300);      // for hosts to hear of a loss
+constexpr Duration kLoadReportLag = milliseconds(500);  // a report shows a load up to this old
+constexpr Duration kSetAsideSettle = kNewsDelay + kLoadReportLag;
 // A server to which no connection could be made is the last choice until it announces itself again,
 // and so for at most this long. Without this, the server without work would get all of it.
 constexpr Duration kUnreachableFor = seconds(3);
@@ -184,10 +187,12 @@
   std::unordered_map<ServerId, ServerUse> servers;
   std::unordered_map<DomainId, ServerUse> domains;  // forwards, by failure domain
   PrefixIndex prefixes;
-  Time reserved_until;       // chapters leave slots free; set by OnDispatch()
-  Time set_aside_until;      // keep servers free for suspects; set from SetAsideUntil()
-  size_t queued_ahead = 0;   // requests that the local queue serves first; set by the caller
-  uint64_t round_robin = 0;  // advanced by OnDispatch()
+  Time reserved_until;        // chapters leave slots free; set by OnDispatch()
+  Time set_aside_until;       // keep servers free for suspects; set from SetAsideUntil()
+  uint64_t members_hash = 0;  // of the servers and hosts of the last view; see Prune()
+  Time members_changed_at;    // the servers set aside may be others since then
+  size_t queued_ahead = 0;    // requests that the local queue serves first; set by the caller
+  uint64_t round_robin = 0;   // advanced by OnDispatch()
   std::unordered_map<std::string, double> prefill_rates;  // tokens a second, by model or service
   uint32_t next_cache_id = 1;
 };
@@ -269,9 +274,10 @@
 // corrects these cases.
 bool RanAlone(const LocalLoad& load, const BackendServer& server);
 
-// Call with each new view: marks exclusive servers that reported other work as shared, and forgets
-// servers and failure domains that the view no longer has and that have nothing in flight.
-void Prune(LocalLoad& load, const RoutingView& view);
+// Call with each new view: marks exclusive servers that reported other work as shared, notes when
+// servers or hosts come or go, and forgets servers and failure domains that the view no longer has
+// and that have nothing in flight.
+void Prune(LocalLoad& load, const RoutingView& view, Time now);
 
 // Forgets the prefixes expected on a server: its cache events had a gap, or it evicted its cache.
 void ForgetPrefixes(LocalLoad& load, const ServerId& server);
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -235,7 +235,7 @@
   {
     std::lock_guard<std::mutex> lock(mutex_);
     view_ = std::move(view);
-    Prune(load_, *view_);
+    Prune(load_, *view_, now);
     PlaceWaiting(now, &wakes);
   }
   RunWakes(std::move(wakes));
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -6,6 +6,8 @@
 #include <map>
 #include <set>
 
+#include "core/poison.h"
+
 namespace ebonylift {
 namespace {
 
@@ -714,6 +716,39 @@
   BOOST_TEST(missing.size() == 1u);
 }
 
+// Guards against a suspect on a server whose report is too old to show the work that another host
+// sent it before the loss, and on one that the last change of the servers made another host's.
+BOOST_AUTO_TEST_CASE(SuspectWaitsForAReportOfTheServerSetAside) {
+  World w;
+  w.query.suspect = true;
+  for (int i = 0; i < 4; ++i) w.AddServer("s" + std::to_string(i));
+  Time loss = kNow - seconds(1);
+  auto report_all = [&](Time at) {
+    for (BackendServer& server : w.view.servers) server.reported_at = at;
+  };
+  w.load.set_aside_until = loss + kSetAside;
+  report_all(loss + kNewsDelay);
+  BOOST_TEST(Describe(w.Run()) == "queue");
+  report_all(loss + kNewsDelay + kLoadReportLag);
+  BOOST_TEST((w.Run().kind == ChoiceKind::kLocal));
+
+  // A server that falls silent moves no other one to another host until the view drops it.
+  ServerId own = w.Run().server;
+  for (BackendServer& server : w.view.servers) {
+    if (server.announced.id == own) continue;
+    Time expires_at = std::exchange(server.expires_at, kNow);
+    BOOST_TEST((w.Run().server == own));
+    server.expires_at = expires_at;
+  }
+  Prune(w.load, w.view, loss);
+  w.view.servers.pop_back();
+  Prune(w.load, w.view, kNow);
+  BOOST_TEST(Describe(w.Run()) == "queue");
+  report_all(kNow + kNewsDelay + kLoadReportLag);
+  Prune(w.load, w.view, kNow + seconds(1));
+  BOOST_TEST((w.Run().kind == ChoiceKind::kLocal));
+}
+
 // Guards against a condemnation of a request that had company.
 BOOST_AUTO_TEST_CASE(RanAloneSeesCompany) {
   World w;
@@ -725,7 +760,7 @@
   BOOST_TEST(RanAlone(w.load, server));
   server.announced.load.running = 2;  // another host's request
   BOOST_TEST(!RanAlone(w.load, server));
-  Prune(w.load, w.view);
+  Prune(w.load, w.view, kNow);
   server.announced.load.running = 1;
   BOOST_TEST(!RanAlone(w.load, server), "company that has ended still counts");
   OnServerOutcome(w.load, w.view, s1, kNow, ServerOutcome::kOk, kNow);
@@ -754,11 +789,11 @@
   LocalLoad load;
   OnDispatch(load, w.query, At(ServerId("gone"), 1, w.query), kNow);
   OnForward(load, DomainId("gone"), kNow);
-  Prune(load, w.view);
+  Prune(load, w.view, kNow);
   BOOST_TEST(load.servers.size() == 1u, "in flight");
   OnServerOutcome(load, w.view, ServerId("gone"), kNow, ServerOutcome::kOk, kNow);
   OnForwardEnded(load, DomainId("gone"), kNow, true, kNow);
-  Prune(load, w.view);
+  Prune(load, w.view, kNow);
   BOOST_TEST(load.servers.empty());
   BOOST_TEST(load.domains.empty());
 }
