--- /dev/null
+++ b/src/daemon/attempt_call.cc
@@ -0,0 +1,95 @@
+#include "daemon/attempt_call.h"
+
+#include <algorithm>
+
+namespace ebonylift {
+namespace {
+
+HttpHeaders DialectHeaders(const RequestSpec& spec, const OpenAttempt& open,
+                           const std::string& last_event, Time now) {
+  AttemptFacts attempt;
+  if (open.server) attempt.server = *open.server;
+  attempt.left = TimeLeft(spec, now);
+  attempt.rank = spec.route->rank;
+  attempt.last_event = last_event;
+  return spec.dialect->attempt_headers(spec.headers, attempt);
+}
+
+}  // namespace
+
+const BackendServer* FindServer(const RoutingView& view, const ServerId& id) {
+  for (const BackendServer& server : view.servers) {
+    if (server.announced.id == id) return &server;
+  }
+  return nullptr;
+}
+
+const HostEntry* FindHost(const RoutingView& view, const HostId& id) {
+  for (const HostEntry& host : view.hosts) {
+    if (host.id == id) return &host;
+  }
+  return nullptr;
+}
+
+bool TargetLive(const RoutingView& view, const OpenAttempt& open, uint64_t incarnation, Time now) {
+  if (open.server) {
+    const BackendServer* server = FindServer(view, *open.server);
+    if (server != nullptr) {
+      return server->expires_at > now && server->announced.incarnation == incarnation;
+    }
+  }
+  if (!open.forwarding) return false;
+  const HostEntry* host = FindHost(view, open.host);
+  // A host of another failure domain is never declared failed from here, only suspected.
+  return host != nullptr && host->status != HostStatus::kSuspect &&
+         host->status != HostStatus::kFailed;
+}
+
+ServerOutcome FailureOutcome(const CallResult& result, AnswerKind answer) {
+  if (result.outcome == CallOutcome::kNotConnected) return ServerOutcome::kUnreachable;
+  bool wrong = result.outcome == CallOutcome::kComplete && answer == AnswerKind::kWrongServer;
+  return wrong ? ServerOutcome::kGone : ServerOutcome::kFailed;
+}
+
+Duration TimeLeft(const RequestSpec& spec, Time now) {
+  return std::max<Duration>(spec.deadline - now, milliseconds(1));
+}
+
+HttpHeaders BackendHeaders(const RequestSpec& spec, const OpenAttempt& open,
+                           const std::string& last_event, Time now) {
+  if (spec.dialect != nullptr) return DialectHeaders(spec, open, last_event, now);
+  HttpHeaders headers = spec.headers;
+  headers.emplace_back(kRequestIdHeader, spec.id.value());
+  headers.emplace_back("x-ebonylift-attempt", std::to_string(open.number));
+  headers.emplace_back("x-ebonylift-team", spec.team.value());
+  headers.emplace_back("x-ebonylift-priority",
+                       std::to_string(static_cast<int>(spec.traffic_class)));
+  headers.emplace_back("x-ebonylift-deadline-ms", std::to_string(ToMillis(TimeLeft(spec, now))));
+  return headers;
+}
+
+HttpHeaders ForwardHeaders(RequestSpec* spec, const OpenAttempt& open, bool crosses, bool claimed,
+                           const std::string& last_event, const std::string& cluster_key,
+                           Time now) {
+  ForwardMark mark;
+  mark.from = spec->view->self.host;
+  mark.request = spec->id;
+  mark.hops = spec->hops + 1;
+  mark.crossed = spec->crossed || crosses;
+  mark.claimed = spec->claimed || claimed;
+  mark.deadline_ms = ToMillis(TimeLeft(*spec, now));
+  mark.team = spec->team;
+  mark.route = spec->route->id;
+  mark.traffic_class = spec->traffic_class;
+  mark.idempotent = spec->idempotent;
+  mark.revision = spec->view->config->revision;
+  mark.time = WallNow();
+  bool own = spec->dialect == nullptr;
+  std::string key = own ? FindHeader(spec->headers, "idempotency-key") : std::string();
+  ForwardBinding binding{spec->method, spec->request_path + "?" + spec->query, key, BodyHash(spec)};
+  HttpHeaders headers = own ? spec->headers : DialectHeaders(*spec, open, last_event, now);
+  headers.emplace_back(kForwardHeader, EncodeForward(mark, binding, cluster_key));
+  return headers;
+}
+
+}  // namespace ebonylift
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -34,7 +34,8 @@
     : id_(id),
       context_(context),
       spec_(std::move(spec)),
-      responder_(std::move(responder)),
+      answer_(std::move(responder), spec_.dialect),
+      claim_(context.records, RecordKey{spec_.team, spec_.idempotency_key}),
       timer_(*context.io),
       watch_timer_(*context.io) {
   attempts_.id = spec_.id;
@@ -52,7 +53,7 @@
                                          {"hops", std::to_string(spec_.hops)}});
   }
   ExchangeTable* table = context_.table;
-  responder_->OnClosed([table, id = id_] {
+  answer_.OnCallerClosed([table, id = id_] {
     if (Exchange* exchange = table->Find(id)) exchange->OnCallerGone();
   });
   if (context_.dispatcher->Verdict(spec_.content, SteadyNow()) == PoisonVerdict::kCondemned) {
@@ -89,13 +90,12 @@
   return !spec_.idempotent && !spec_.idempotency_key.empty() && !spec_.claimed;
 }
 
-RecordKey Exchange::Key() const { return RecordKey{spec_.team, spec_.idempotency_key}; }
-
 void Exchange::ClaimKey() {
   const auto& regions = spec_.view->config->regions;
   auto home = regions.find(spec_.route->home);
+  RecordKey key{spec_.team, spec_.idempotency_key};
   HostId owner;
-  if (home != regions.end()) owner = Owner(Key(), home->second.record_hosts);
+  if (home != regions.end()) owner = Owner(key, home->second.record_hosts);
   if (owner.empty()) {
     Refuse(ErrorKind::kOwnerUnreachable,
            "the home region " + spec_.route->home.value() + " has no record host");
@@ -109,7 +109,6 @@
   ExchangeTable* table = context_.table;
   asio::io_context* io = context_.io;
   RecordStore* records = context_.records;
-  RecordKey key = Key();
   records->Claim(key, body_hash,
                  [=, id = id_](const ClaimResult& result, std::optional<ErrorKind> error) {
                    asio::post(*io, [=] {
@@ -129,8 +128,7 @@
     return;
   }
   if (result.kind == ClaimKind::kNew) {
-    claim_ = result.claim;
-    key_expires_at_ = result.expires_at;
+    claim_.Hold(result);
     LogEvent(EventId::kRecordClaimed,
              {{"request_id", spec_.id.value()}, {"team", spec_.team.value()}});
     Place();
@@ -145,7 +143,7 @@
     SetHeader(&headers, kCallerIdHeader, spec_.caller_request_id);
     SetHeader(&headers, kReplayedHeader, "true");
     SetHeader(&headers, kKeyExpiresHeader, MillisUntilText(result.expires_at));
-    if (responder_) responder_->Send(result.answer->status, headers, result.answer->body);
+    answer_.Send(result.answer->status, headers, result.answer->body);
     Finish();
     return;
   }
@@ -156,7 +154,7 @@
 }
 
 void Exchange::ForwardToOwner(const HostId& owner) {
-  const HostEntry* host = FindHost(owner);
+  const HostEntry* host = FindHost(*spec_.view, owner);
   // A host that is only suspected is still tried: the claim decides, not the failure detector.
   if (host == nullptr || host->status == HostStatus::kFailed) {
     Refuse(ErrorKind::kOwnerUnreachable, "");
@@ -179,7 +177,7 @@
 
 // The epoch when the route has no target, or the answer has started.
 Time Exchange::FirstByteBy() const {
-  if (spec_.route->first_byte_target <= Duration(0) || streaming_) return Time();
+  if (spec_.route->first_byte_target <= Duration(0) || answer_.begun()) return Time();
   return spec_.arrived + spec_.route->first_byte_target;
 }
 
@@ -237,7 +235,7 @@
       Run(choice);
       return;
     case ChoiceKind::kForward: {
-      const HostEntry* host = FindHost(choice.host);
+      const HostEntry* host = FindHost(*spec_.view, choice.host);
       if (host == nullptr) {
         context_.dispatcher->GiveBack(choice, spec_.content, SteadyNow());
         Refuse(ErrorKind::kRegionUnreachable, "");
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -15,6 +15,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,12 +26,12 @@
 #include "adapters/http_server.h"
 #include "adapters/metrics.h"
 #include "core/attempt.h"
-#include "daemon/answers.h"
+#include "core/outcome.h"
+#include "daemon/answer_relay.h"
+#include "daemon/attempt_call.h"
 #include "daemon/dispatcher.h"
-#include "daemon/event_relay.h"
-#include "daemon/record_store.h"
+#include "daemon/key_claim.h"
 #include "daemon/request.h"
-#include "daemon/stream.h"
 #include "ports/control_port.h"
 
 namespace ebonylift {
@@ -51,9 +52,6 @@
 
 class Exchange {
  public:
-  static constexpr size_t kMaxPendingBytes = 256u << 10;
-  static constexpr size_t kMaxAnswerBuffer = 16u << 20;
-
   Exchange(uint64_t id, const ExchangeContext& context, RequestSpec spec,
            std::shared_ptr<HttpResponder> responder);
   ~Exchange();
@@ -95,15 +93,12 @@
   bool TryResumeElsewhere();
   void WatchAttempt(uint32_t attempt);
   void OnWatch(uint32_t attempt);
-  bool TargetLive(const Attempt& attempt) const;
 
   // Ends.
   void Deliver();
   void RelayPeerError();
   void RefuseOutcome();
-  ErrorKind Covering(ErrorKind kind) const;
   void Refuse(ErrorKind kind, const std::string& message, Duration retry_after = Duration{0});
-  void RefuseWithDialect(const ErrorAnswer& answer);
   void OnCallerGone();
   void EndAttempt(ServerOutcome outcome);
   void CancelAttempt();
@@ -111,73 +106,40 @@
 
   // Helpers.
   bool NeedsRecord() const;
-  bool IsEventStream() const;
   TeamId BudgetKey() const;
   RetryRule MakeRetryRule() const;
-  ServerOutcome OutcomeOf(const CallResult& result) const;
   RouteQuery Query() const;
   Time FirstByteBy() const;
   Time FirstByteAt() const;
-  RecordKey Key() const;
-  HttpHeaders BackendHeaders() const;
-  HttpHeaders DialectHeaders() const;
   HttpHeaders AnswerHeaders() const;
   HttpCall NewCall(const std::string& url, uint32_t attempt);
   void Relay(std::string_view data);
-  void BeginStream();
   void CountByte();
-  void RunLater(Duration delay, void (Exchange::*step)());
-  const BackendServer* FindServer(const ServerId& id) const;
-  const HostEntry* FindHost(const HostId& id) const;
+  void RunLater(Duration delay, std::function<void(Exchange*)> step);
 
   const uint64_t id_;
   const ExchangeContext context_;
   RequestSpec spec_;
-  std::shared_ptr<HttpResponder> responder_;  // null after the caller has gone
+  AnswerRelay answer_;
+  KeyClaim claim_;
+  RequestAttempts attempts_;
+  OpenAttempt open_;
   asio::steady_timer timer_;
   asio::steady_timer watch_timer_;
-  Time last_byte_;  // of the open attempt
-  Time first_byte_at_;
-  Duration longest_gap_{0};  // between two bytes of the answer
-  bool first_byte_seen_ = false;
-  bool condemnation_checked_ = false;
-  ebonylift::Run failed_run_ = ebonylift::Run::kMayHaveRun;  // of the attempt being checked
 
   bool admitted_ = false;
   bool waiting_ = false;
   bool finished_ = false;
-  uint64_t claim_ = 0;  // 0: no claim of this exchange
-  bool claim_dispatched_ = false;
-  WallMillis key_expires_at_ = 0;  // of the claim
-
-  RequestAttempts attempts_;
-  uint32_t attempt_ = 0;  // the open attempt; 0: none
-  CallId call_ = 0;
-  Time dispatched_at_;
-  Choice choice_;                   // of the open attempt, when it is local
-  bool answer_started_ = false;     // of that attempt
-  std::optional<ServerId> server_;  // of the open attempt, when it is local
-  std::string server_address_;
-  bool server_resumes_ = false;
-  bool server_cancels_ = false;
-  std::optional<DomainId> forward_domain_;  // of the open attempt, when it is a forward
-  bool forwarding_ = false;
-  HostId forward_host_;    // of the open attempt, when it is a forward
-  bool to_owner_ = false;  // the forward is to the owner of the key
+  bool to_owner_ = false;  // the open attempt goes to the owner of the key
+  bool condemnation_checked_ = false;
+  ebonylift::Run failed_run_ = ebonylift::Run::kMayHaveRun;  // of the attempt being checked
   std::vector<ServerId> avoid_servers_;
   std::vector<HostId> avoid_hosts_;
 
-  int status_ = 0;
-  HttpHeaders headers_;
-  std::string answer_;       // buffered answer, or what a stored answer needs of a stream
-  bool answer_kept_ = true;  // false: too large to store
-  bool streaming_ = false;   // Begin() was called on the responder
-  bool paused_ = false;
-  StreamTracker stream_;  // of a server-sent-event answer of the own interface
-  EventRelay events_;     // the same with a dialect
-  bool arrived_ = true;   // the attempt that failed last reached a backend server
-  AnswerKind answer_kind_ = AnswerKind::kAnswer;  // of the open attempt, with a dialect
-  int resumes_ = 0;                               // of the stream of the open attempt
+  Time last_byte_;  // of the open attempt
+  Time first_byte_at_;
+  Duration longest_gap_{0};  // between two bytes of the answer
+  bool first_byte_seen_ = false;
 };
 
 // The exchanges of one traffic thread, by id.
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <functional>
 #include <nlohmann/json.hpp>
 
 #include "base/event.h"
@@ -41,9 +42,9 @@
 void Exchange::ConfirmNotStarted(const CallResult& result) {
   HttpCall call;
   call.method = "POST";
-  call.url = "http://" + server_address_ + "/v1/cancel";
+  call.url = "http://" + open_.address + "/v1/cancel";
   call.headers = {{"Content-Type", "application/json"}};
-  call.body = nlohmann::json{{"request_id", spec_.id.value()}, {"attempt", attempt_}}.dump();
+  call.body = nlohmann::json{{"request_id", spec_.id.value()}, {"attempt", open_.number}}.dump();
   call.timeout = kCancelTimeout;
   call.connect_timeout = kCancelTimeout;
   ExchangeTable* table = context_.table;
@@ -61,18 +62,18 @@
     exchange->OnAttemptFailed(result,
                               not_started ? ebonylift::Run::kNotRun : ebonylift::Run::kMayHaveRun);
   };
-  call_ = context_.client->Start(std::move(call));
+  open_.call = context_.client->Start(std::move(call));
 }
 
 // After a lost connection: a server that does not answer a probe was lost while it ran this
 // request, which makes the content a suspect.
 void Exchange::CheckServerLost(const CallResult& result) {
-  ProbeServer(context_.dispatcher->Evidence(*server_), result, false);
+  ProbeServer(context_.dispatcher->Evidence(*open_.server), result, false);
 }
 
 void Exchange::ProbeServer(const LossEvidence& evidence, const CallResult& result, bool again) {
   HttpCall call;
-  call.url = "http://" + server_address_ + "/healthz";
+  call.url = "http://" + open_.address + "/healthz";
   call.timeout = kProbeTimeout;
   call.connect_timeout = kProbeConnectTimeout;
   call.new_connection = true;
@@ -93,92 +94,76 @@
     }
     if (exchange != nullptr) exchange->OnAttemptFailed(result, ebonylift::Run::kMayHaveRun);
   };
-  call_ = context_.client->Start(std::move(call));
+  open_.call = context_.client->Start(std::move(call));
 }
 
 void Exchange::OnAttemptFailed(const CallResult& result, ebonylift::Run run) {
-  call_ = 0;
+  open_.call = 0;
   LogEvent(EventId::kAttemptFailed, {{"request_id", spec_.id.value()},
-                                     {"attempt", std::to_string(attempt_)},
-                                     {"server", server_ ? server_->value() : "forward"},
+                                     {"attempt", std::to_string(open_.number)},
+                                     {"server", open_.server ? open_.server->value() : "forward"},
                                      {"outcome", OutcomeName(result.outcome)},
                                      {"status", std::to_string(result.status)},
                                      {"run", RunName(run)}});
-  arrived_ = result.outcome != CallOutcome::kNotConnected;
-  if (streaming_) {
+  open_.arrived = result.outcome != CallOutcome::kNotConnected;
+  if (answer_.begun()) {
     if (spec_.dialect == nullptr && TryResume()) return;
-    OnFailure(attempts_, attempt_, run);
-    if (server_) avoid_servers_.push_back(*server_);
-    EndAttempt(OutcomeOf(result));
+    OnFailure(attempts_, open_.number, run);
+    if (open_.server) avoid_servers_.push_back(*open_.server);
+    EndAttempt(FailureOutcome(result, answer_.kind()));
     if (spec_.dialect != nullptr && TryResumeElsewhere()) return;
     RefuseOutcome();
     return;
   }
-  OnFailure(attempts_, attempt_, run);
-  if (server_) avoid_servers_.push_back(*server_);
-  EndAttempt(OutcomeOf(result));
+  OnFailure(attempts_, open_.number, run);
+  if (open_.server) avoid_servers_.push_back(*open_.server);
+  EndAttempt(FailureOutcome(result, answer_.kind()));
   RetryOrRefuse(run);
 }
 
-// What a failed attempt says about its backend server.
-ServerOutcome Exchange::OutcomeOf(const CallResult& result) const {
-  if (result.outcome == CallOutcome::kNotConnected) return ServerOutcome::kUnreachable;
-  bool wrong = result.outcome == CallOutcome::kComplete && spec_.dialect != nullptr &&
-               answer_kind_ == AnswerKind::kWrongServer;
-  return wrong ? ServerOutcome::kGone : ServerOutcome::kFailed;
-}
-
 RetryRule Exchange::MakeRetryRule() const {
-  RetryRule rule;
-  rule.arrived = arrived_;
-  rule.idempotent = spec_.idempotent;
-  rule.attempts = static_cast<int>(attempts_.attempts.size());
-  if (spec_.dialect == nullptr) return rule;
-  for (const Attempt& attempt : attempts_.attempts) {
-    bool ended = attempt.state != AttemptState::kOpen;
-    if (ended && attempt.run != ebonylift::Run::kNotRun) ++rule.runs;
-  }
+  RepetitionLimits limits;
+  limits.idempotent = spec_.idempotent;
+  limits.counts_runs = spec_.dialect != nullptr;
   // The host that the caller uses counts the attempts, so a host in between makes one.
-  rule.max_runs = spec_.forwarded ? 1 : spec_.route->max_attempts;
-  return rule;
+  if (limits.counts_runs) limits.max_runs = spec_.forwarded ? 1 : spec_.route->max_attempts;
+  return NextRetryRule(attempts_, limits, open_.arrived);
 }
 
 // Continues a broken stream at another backend server after the last whole event.
 bool Exchange::TryResumeElsewhere() {
-  if (!spec_.route->resumable || events_.too_large() || !responder_) return false;
+  if (!spec_.route->resumable || answer_.event_too_large() || answer_.caller_gone()) return false;
   Time now = SteadyNow();
   RetryVerdict verdict = context_.dispatcher->MayRetry(
       BudgetKey(), MakeRetryRule(), ebonylift::Run::kMayHaveRun, spec_.deadline, now);
   if (verdict != RetryVerdict::kRetry) return false;
-  ++resumes_;
-  events_.DropPartial();
+  answer_.Continue();
   LogEvent(EventId::kStreamResumed,
-           {{"request_id", spec_.id.value()}, {"offset", events_.last_event()}});
+           {{"request_id", spec_.id.value()}, {"offset", answer_.last_event()}});
   Place();
   return true;
 }
 
 // Continues a broken stream on the same server and attempt at the exact offset.
 bool Exchange::TryResume() {
-  if (!server_ || !server_resumes_ || SteadyNow() >= spec_.deadline) return false;
-  const BackendServer* server = FindServer(*server_);
-  const Attempt* attempt = FindAttempt(attempts_, attempt_);
+  if (!open_.server || !open_.resumes || SteadyNow() >= spec_.deadline) return false;
+  const BackendServer* server = FindServer(*spec_.view, *open_.server);
+  const Attempt* attempt = FindAttempt(attempts_, open_.number);
   bool same = server != nullptr && attempt != nullptr &&
               server->announced.incarnation == attempt->incarnation;
-  if (!same || resumes_ >= kMaxResumes) return false;
-  ++resumes_;
-  stream_.DropPartial();
+  if (!same || answer_.continuations() >= kMaxResumes) return false;
+  answer_.Continue();
   LogEvent(EventId::kStreamResumed, {{"request_id", spec_.id.value()},
-                                     {"server", server_->value()},
-                                     {"offset", std::to_string(stream_.text_bytes())}});
-  HttpCall call = NewCall("http://" + server_address_ + "/v1/resume", attempt_);
+                                     {"server", open_.server->value()},
+                                     {"offset", std::to_string(answer_.text_bytes())}});
+  HttpCall call = NewCall("http://" + open_.address + "/v1/resume", open_.number);
   call.method = "POST";
   call.headers = {{"Content-Type", "application/json"}};
-  call.body =
-      nlohmann::json{
-          {"request_id", spec_.id.value()}, {"attempt", attempt_}, {"offset", stream_.text_bytes()}}
-          .dump();
-  call_ = context_.client->Start(std::move(call));
+  call.body = nlohmann::json{{"request_id", spec_.id.value()},
+                             {"attempt", open_.number},
+                             {"offset", answer_.text_bytes()}}
+                  .dump();
+  open_.call = context_.client->Start(std::move(call));
   return true;
 }
 
@@ -192,7 +177,7 @@
     if (!condemnation_checked_) {
       condemnation_checked_ = true;
       failed_run_ = run;
-      RunLater(kCondemnationCheck, &Exchange::CheckCondemnation);
+      RunLater(kCondemnationCheck, std::mem_fn(&Exchange::CheckCondemnation));
       return;
     }
     bool not_run = RequestRun(attempts_) == ebonylift::Run::kNotRun;
@@ -218,43 +203,40 @@
   context_.metrics->CountRetry(spec_.traffic_class);
   LogEvent(EventId::kAttemptRetried,
            {{"request_id", spec_.id.value()}, {"attempt", std::to_string(next)}});
-  answer_.clear();
-  status_ = 0;
-  headers_.clear();
-  stream_ = StreamTracker();
-  events_ = EventRelay();
-  RunLater(RetryDelay(next), &Exchange::Place);
+  answer_.Restart();
+  RunLater(RetryDelay(next), std::mem_fn(&Exchange::Place));
 }
 
-void Exchange::RunLater(Duration delay, void (Exchange::*step)()) {
+void Exchange::RunLater(Duration delay, std::function<void(Exchange*)> step) {
   timer_.expires_after(delay);
   ExchangeTable* table = context_.table;
-  timer_.async_wait([table, step, id = id_](const asio::error_code& error) {
+  timer_.async_wait([table, step = std::move(step), id = id_](const asio::error_code& error) {
     if (error) return;
-    if (Exchange* exchange = table->Find(id)) (exchange->*step)();
+    if (Exchange* exchange = table->Find(id)) step(exchange);
   });
 }
 
 HttpHeaders Exchange::AnswerHeaders() const {
-  HttpHeaders headers = EndToEndHeaders(headers_);
+  HttpHeaders headers = EndToEndHeaders(answer_.headers());
   if (spec_.dialect != nullptr) return headers;
   headers.emplace_back(kRequestIdHeader, spec_.id.value());
   // A peer has added the caller's id already.
   if (!spec_.caller_request_id.empty()) {
     SetHeader(&headers, kCallerIdHeader, spec_.caller_request_id);
   }
-  if (key_expires_at_ != 0)
-    SetHeader(&headers, kKeyExpiresHeader, MillisUntilText(key_expires_at_));
+  if (claim_.expires_at() != 0) {
+    SetHeader(&headers, kKeyExpiresHeader, MillisUntilText(claim_.expires_at()));
+  }
   if (to_owner_) {
-    SetHeader(&headers, kReplayedHeader, FindHeader(headers_, kReplayedHeader));
-    SetHeader(&headers, kKeyExpiresHeader, FindHeader(headers_, kKeyExpiresHeader));
+    SetHeader(&headers, kReplayedHeader, FindHeader(answer_.headers(), kReplayedHeader));
+    SetHeader(&headers, kKeyExpiresHeader, FindHeader(answer_.headers(), kKeyExpiresHeader));
   }
   // A forwarded request ran where the peer says.
-  std::string region = FindHeader(headers_, "x-ebonylift-region");
-  std::string server = FindHeader(headers_, "x-ebonylift-server");
-  if (!forwarding_) {
+  std::string region = FindHeader(answer_.headers(), "x-ebonylift-region");
+  std::string server = FindHeader(answer_.headers(), "x-ebonylift-server");
+  if (!open_.forwarding) {
     region = spec_.view->self.region.value();
-    server = server_ ? server_->value() : "";
+    server = open_.server ? open_.server->value() : "";
   }
   headers.emplace_back("x-ebonylift-region", region);
   headers.emplace_back("x-ebonylift-server", server);
@@ -262,10 +244,10 @@
 }
 
 void Exchange::RelayPeerError() {
-  ErrorKind kind = *ErrorKindOfBody(answer_);
-  OnFailure(attempts_, attempt_, LookupError(kind).run);
+  ErrorKind kind = *ErrorKindOfBody(answer_.body());
+  OnFailure(attempts_, open_.number, LookupError(kind).run);
   // The peer's statement covers its own attempts only.
-  if (Covering(kind) != kind) {
+  if (CoveringKind(kind, RequestRun(attempts_)) != kind) {
     EndAttempt(ServerOutcome::kOk);
     Refuse(kind, "");
     return;
@@ -275,7 +257,7 @@
   LogEvent(EventId::kRequestRefused, {{"request_id", spec_.id.value()},
                                       {"kind", LookupError(kind).code},
                                       {"run", RunName(RequestRun(attempts_))}});
-  if (responder_) responder_->Send(status_, headers, answer_);
+  answer_.Send(answer_.status(), headers, answer_.body());
   Finish();
 }
 
@@ -284,12 +266,13 @@
 
 void Exchange::Deliver() {
   HttpHeaders headers = AnswerHeaders();
-  std::string server = server_ ? server_->value() : FindHeader(headers, "x-ebonylift-server");
-  ebonylift::Finish(attempts_, attempt_);
-  bool local = server_.has_value();
+  std::string server =
+      open_.server ? open_.server->value() : FindHeader(headers, "x-ebonylift-server");
+  ebonylift::Finish(attempts_, open_.number);
+  bool local = open_.server.has_value();
   if (local) {
     // One cost unit is one second of a place in a backend server's batch.
-    double units = std::chrono::duration<double>(SteadyNow() - dispatched_at_).count();
+    double units = std::chrono::duration<double>(SteadyNow() - open_.dispatched_at).count();
     context_.metrics->AddCostUnits(spec_.traffic_class, units);
   }
   EndAttempt(ServerOutcome::kOk);
@@ -298,69 +281,39 @@
            {{"request_id", spec_.id.value()},
             {"route", spec_.route->id.value()},
             {"server", server},
-            {"status", std::to_string(status_)},
+            {"status", std::to_string(answer_.status())},
             {"attempts", std::to_string(attempts_.attempts.size())},
             {"tokens", std::to_string(spec_.prompt_tokens)},
-            {"hit_tokens", std::to_string(choice_.hit_tokens)},
-            {"tokens_ahead", std::to_string(choice_.tokens_ahead)},
-            {"wait_ms", std::to_string(ToMillis(dispatched_at_ - spec_.arrived))},
+            {"hit_tokens", std::to_string(open_.choice.hit_tokens)},
+            {"tokens_ahead", std::to_string(open_.choice.tokens_ahead)},
+            {"wait_ms", std::to_string(ToMillis(open_.dispatched_at - spec_.arrived))},
             {"first_ms", std::to_string(ToMillis(FirstByteAt() - spec_.arrived))},
             {"gap_ms", std::to_string(ToMillis(longest_gap_))},
             {"ms", std::to_string(ToMillis(SteadyNow() - spec_.arrived))}});
-  auto respond = [responder = responder_, streaming = streaming_, status = status_, headers,
-                  body = answer_, end = stream_.end_event(), empty_stream = stream_.done()] {
-    if (!responder) return;
-    if (streaming) {
-      responder->Write(end);
-      responder->End();
-    } else if (empty_stream) {
-      responder->Send(status, headers, end);
-    } else {
-      responder->Send(status, headers, body);
-    }
-  };
+  std::function<void()> respond = answer_.Final(headers);
   // An answer with an error event is not whole, so it is never stored as the answer of a key.
-  bool whole = !stream_.error();
-  if (claim_ == 0 || !whole) {
+  if (!claim_.held() || answer_.stream_failed()) {
     respond();
     Finish();
     return;
   }
-  StoredAnswer stored;
-  stored.status = status_;
-  stored.headers = headers;
-  stored.body = answer_kept_ ? answer_ + stream_.end_event() : "";
-  if (!answer_kept_) stored.body.assign(kMaxAnswerBytes + 1, ' ');  // kept as its hash only
   asio::io_context* io = context_.io;
-  uint64_t claim = claim_;
-  claim_ = 0;
-  context_.records->Complete(Key(), claim, std::move(stored),
-                             [io, respond](bool /*durable*/) { asio::post(*io, respond); });
+  claim_.Complete(answer_.Stored(headers),
+                  [io, respond](bool /*durable*/) { asio::post(*io, respond); });
   Finish();
 }
 
 void Exchange::RefuseOutcome() {
-  ebonylift::Run run = RequestRun(attempts_);
-  bool late = SteadyNow() + kTimeoutRounding >= spec_.deadline;
-  bool not_run = run == ebonylift::Run::kNotRun;
-  ErrorKind kind = not_run ? ErrorKind::kServerRefused : ErrorKind::kServerFailed;
-  if (to_owner_) kind = not_run ? ErrorKind::kOwnerUnreachable : ErrorKind::kOutcomeUnknown;
-  if (late && !to_owner_) kind = not_run ? ErrorKind::kDeadlineNotRun : ErrorKind::kDeadline;
-  if (streaming_) kind = ErrorKind::kStreamBroken;
-  Refuse(kind, "");
-}
-
-// A kind that says not_run, replaced when an earlier attempt of this request may have run.
-ErrorKind Exchange::Covering(ErrorKind kind) const {
-  bool covers = LookupError(kind).run != ebonylift::Run::kNotRun ||
-                RequestRun(attempts_) == ebonylift::Run::kNotRun;
-  if (covers) return kind;
-  if (kind == ErrorKind::kPoison) return ErrorKind::kPoisonDetected;
-  return kind == ErrorKind::kDeadlineNotRun ? ErrorKind::kDeadline : ErrorKind::kServerFailed;
+  FailedRequest failed;
+  failed.run = RequestRun(attempts_);
+  failed.past_deadline = SteadyNow() + kTimeoutRounding >= spec_.deadline;
+  failed.through_owner = to_owner_;
+  failed.answer_begun = answer_.begun();
+  Refuse(OutcomeKind(failed), "");
 }
 
 void Exchange::Refuse(ErrorKind kind, const std::string& message, Duration retry_after) {
-  kind = Covering(kind);
+  kind = CoveringKind(kind, RequestRun(attempts_));
   LogEvent(EventId::kRequestRefused,
            {{"request_id", spec_.id.value()},
             {"route", spec_.route->id.value()},
@@ -371,43 +324,20 @@
             {"retry_after_ms", std::to_string(ToMillis(retry_after))},
             {"ms", std::to_string(ToMillis(SteadyNow() - spec_.arrived))}});
   context_.metrics->CountRefusal(kind);
-  if (responder_) {
-    ErrorAnswer answer{kind, message, retry_after, spec_.id};
-    if (spec_.dialect != nullptr) {
-      RefuseWithDialect(answer);
-    } else if (streaming_) {
-      responder_->Write(ErrorAnswerEvent(answer));
-      responder_->End();
-    } else {
-      SendErrorAnswer(responder_.get(), answer);
-    }
-  }
+  answer_.Refuse(ErrorAnswer{kind, message, retry_after, spec_.id});
   Finish();
 }
 
-// A stream that is not whole must not look complete, so its connection is closed.
-void Exchange::RefuseWithDialect(const ErrorAnswer& answer) {
-  if (streaming_) {
-    responder_->Abort();
-  } else {
-    spec_.dialect->send_refusal(responder_.get(), answer);
-  }
-}
-
 void Exchange::OnCallerGone() {
-  responder_ = nullptr;
+  answer_.DropCaller();
   if (finished_) return;
   LogEvent(EventId::kCallerGone, {{"request_id", spec_.id.value()}});
   // Work that may not be repeated runs to its end, so that a resend finds the whole answer.
-  bool finish_work = claim_ != 0 && claim_dispatched_;
-  if (finish_work) {
-    if (paused_) {
-      paused_ = false;
-      context_.client->Resume(call_);
-    }
+  if (claim_.dispatched()) {
+    if (answer_.Resume()) context_.client->Resume(open_.call);
     return;
   }
-  if (attempt_ != 0) Abandon(attempts_, attempt_);
+  if (open_.number != 0) Abandon(attempts_, open_.number);
   CancelAttempt();
   EndAttempt(ServerOutcome::kCancelled);
   Finish();
@@ -415,63 +345,43 @@
 
 // Ends the call and tells the backend server to stop; nobody waits for its answer.
 void Exchange::CancelAttempt() {
-  if (call_ != 0) context_.client->Cancel(call_);
-  call_ = 0;
-  if (!server_ || !server_cancels_) return;
+  if (open_.call != 0) context_.client->Cancel(open_.call);
+  open_.call = 0;
+  if (!open_.server || !open_.cancels) return;
   HttpCall cancel;
   cancel.method = "POST";
-  cancel.url = "http://" + server_address_ + "/v1/cancel";
+  cancel.url = "http://" + open_.address + "/v1/cancel";
   cancel.headers = {{"Content-Type", "application/json"}};
-  cancel.body = nlohmann::json{{"request_id", spec_.id.value()}, {"attempt", attempt_}}.dump();
+  cancel.body = nlohmann::json{{"request_id", spec_.id.value()}, {"attempt", open_.number}}.dump();
   cancel.timeout = kProbeTimeout;
   context_.client->Start(std::move(cancel));
 }
 
 void Exchange::EndAttempt(ServerOutcome outcome) {
   Time now = SteadyNow();
-  if (server_) {
-    int64_t unread = answer_started_ ? 0 : choice_.prefill_tokens;
-    context_.dispatcher->EndLocal(*server_, spec_.content, dispatched_at_, outcome, now, unread);
+  if (open_.server) {
+    int64_t unread = open_.answer_started ? 0 : open_.choice.prefill_tokens;
+    context_.dispatcher->EndLocal(*open_.server, spec_.content, open_.dispatched_at, outcome, now,
+                                  unread);
   }
-  if (forward_domain_) {
+  if (open_.forward_domain) {
     bool reached = outcome != ServerOutcome::kUnreachable;
-    context_.dispatcher->EndForward(*forward_domain_, dispatched_at_, reached, now);
+    context_.dispatcher->EndForward(*open_.forward_domain, open_.dispatched_at, reached, now);
   }
-  server_.reset();
-  forward_domain_.reset();
-  forwarding_ = false;
-  attempt_ = 0;
+  open_.server.reset();
+  open_.forward_domain.reset();
+  open_.forwarding = false;
+  open_.number = 0;
 }
 
 void Exchange::Finish() {
   if (finished_) return;
   finished_ = true;
   if (waiting_) context_.dispatcher->Remove(spec_.id);
-  if (claim_ != 0) {
-    bool not_run = RequestRun(attempts_) == ebonylift::Run::kNotRun;
-    if (not_run) {
-      context_.records->Release(Key(), claim_, claim_dispatched_);
-    } else {
-      context_.records->MarkUnknown(Key(), claim_);
-    }
-  }
+  claim_.End(RequestRun(attempts_));
   if (admitted_) context_.dispatcher->Release(spec_.team);
   // Deferred, because callers of this method still use the object.
   asio::post(*context_.io, [table = context_.table, id = id_] { table->Erase(id); });
 }
 
-const BackendServer* Exchange::FindServer(const ServerId& id) const {
-  for (const BackendServer& server : spec_.view->servers) {
-    if (server.announced.id == id) return &server;
-  }
-  return nullptr;
-}
-
-const HostEntry* Exchange::FindHost(const HostId& id) const {
-  for (const HostEntry& host : spec_.view->hosts) {
-    if (host.id == id) return &host;
-  }
-  return nullptr;
-}
-
 }  // namespace ebonylift
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -19,37 +19,8 @@
   return std::find(list.begin(), list.end(), value) != list.end();
 }
 
-// A peer refused for a reason that another host may not have; the retry rule decides on the run.
-bool AnotherHostMayAccept(ErrorKind kind) {
-  return kind == ErrorKind::kDraining || kind == ErrorKind::kNoServer ||
-         kind == ErrorKind::kOverloaded || kind == ErrorKind::kNotReady ||
-         kind == ErrorKind::kServerRefused || kind == ErrorKind::kServerFailed;
-}
-
 }  // namespace
 
-HttpHeaders Exchange::DialectHeaders() const {
-  AttemptFacts attempt;
-  if (server_) attempt.server = *server_;
-  attempt.left = std::max<Duration>(spec_.deadline - SteadyNow(), milliseconds(1));
-  attempt.rank = spec_.route->rank;
-  attempt.last_event = events_.last_event();
-  return spec_.dialect->attempt_headers(spec_.headers, attempt);
-}
-
-HttpHeaders Exchange::BackendHeaders() const {
-  if (spec_.dialect != nullptr) return DialectHeaders();
-  HttpHeaders headers = spec_.headers;
-  int64_t left = std::max<int64_t>(1, ToMillis(spec_.deadline - SteadyNow()));
-  headers.emplace_back(kRequestIdHeader, spec_.id.value());
-  headers.emplace_back("x-ebonylift-attempt", std::to_string(attempt_));
-  headers.emplace_back("x-ebonylift-team", spec_.team.value());
-  headers.emplace_back("x-ebonylift-priority",
-                       std::to_string(static_cast<int>(spec_.traffic_class)));
-  headers.emplace_back("x-ebonylift-deadline-ms", std::to_string(left));
-  return headers;
-}
-
 HttpCall Exchange::NewCall(const std::string& url, uint32_t attempt) {
   HttpCall call;
   call.method = spec_.method;
@@ -75,41 +46,37 @@
 
 void Exchange::Run(const Choice& choice) {
   Time now = SteadyNow();
-  const BackendServer* server = FindServer(choice.server);
-  if (claim_ != 0 && !claim_dispatched_) {
-    if (!context_.records->MarkDispatched(Key(), claim_)) {
-      context_.dispatcher->GiveBack(choice, spec_.content, now);
-      Refuse(ErrorKind::kStorageFailed, "the claim is no longer valid");
-      return;
-    }
-    claim_dispatched_ = true;
+  const BackendServer* server = FindServer(*spec_.view, choice.server);
+  if (!claim_.MarkDispatched()) {
+    context_.dispatcher->GiveBack(choice, spec_.content, now);
+    Refuse(ErrorKind::kStorageFailed, "the claim is no longer valid");
+    return;
   }
-  dispatched_at_ = now;
-  choice_ = choice;
-  answer_started_ = false;
-  arrived_ = true;
-  server_ = choice.server;
-  attempt_ = OnDispatch(attempts_, choice.server, choice.incarnation, now);
+  open_ = OpenAttempt();
+  open_.dispatched_at = now;
+  open_.choice = choice;
+  open_.server = choice.server;
+  open_.number = OnDispatch(attempts_, choice.server, choice.incarnation, now);
   if (server == nullptr) {
     OnAttemptFailed(CallResult{CallOutcome::kNotConnected, 0, "server gone", false},
                     ebonylift::Run::kNotRun);
     return;
   }
-  server_address_ = server->announced.address;
-  server_resumes_ = Has(server->announced.capabilities, "resume");
-  server_cancels_ = Has(server->announced.capabilities, "cancel");
-  if (spec_.dialect == nullptr || attempt_ > 1) {
+  open_.address = server->announced.address;
+  open_.resumes = Has(server->announced.capabilities, "resume");
+  open_.cancels = Has(server->announced.capabilities, "cancel");
+  if (spec_.dialect == nullptr || open_.number > 1) {
     LogEvent(EventId::kRequestDispatched, {{"request_id", spec_.id.value()},
-                                           {"attempt", std::to_string(attempt_)},
+                                           {"attempt", std::to_string(open_.number)},
                                            {"server", choice.server.value()}});
   }
-  std::string url = "http://" + server_address_ + spec_.path;
+  std::string url = "http://" + open_.address + spec_.path;
   if (!spec_.query.empty()) url += "?" + spec_.query;
-  HttpCall call = NewCall(url, attempt_);
-  call.headers = BackendHeaders();
-  call_ = context_.client->Start(std::move(call));
+  HttpCall call = NewCall(url, open_.number);
+  call.headers = BackendHeaders(spec_, open_, answer_.last_event(), now);
+  open_.call = context_.client->Start(std::move(call));
   last_byte_ = now;
-  if (spec_.idempotent) WatchAttempt(attempt_);
+  if (spec_.idempotent) WatchAttempt(open_.number);
 }
 
 void Exchange::WatchAttempt(uint32_t attempt) {
@@ -121,28 +88,14 @@
   });
 }
 
-// By the newest view: the server announces, or the host of a forward answers probes.
-bool Exchange::TargetLive(const Attempt& attempt) const {
-  std::shared_ptr<const RoutingView> view = context_.control->View();
-  for (const BackendServer& server : view->servers) {
-    if (server_ && server.announced.id == *server_) {
-      return server.expires_at > SteadyNow() && server.announced.incarnation == attempt.incarnation;
-    }
-  }
-  for (const HostEntry& host : view->hosts) {
-    if (!forwarding_ || host.id != forward_host_) continue;
-    // A host of another failure domain is never declared failed from here, only suspected.
-    return host.status != HostStatus::kSuspect && host.status != HostStatus::kFailed;
-  }
-  return false;
-}
-
 // A frozen server or a silent partition keeps connections open, so idempotent work would wait until
 // its deadline.
 void Exchange::OnWatch(uint32_t attempt) {
-  if (attempt != attempt_) return;
-  bool silent = SteadyNow() - last_byte_ > kSilentServer;
-  if (!silent || TargetLive(*FindAttempt(attempts_, attempt))) {
+  if (attempt != open_.number) return;
+  uint64_t incarnation = FindAttempt(attempts_, attempt)->incarnation;
+  Time now = SteadyNow();
+  bool silent = now - last_byte_ > kSilentServer;
+  if (!silent || TargetLive(*context_.control->View(), open_, incarnation, now)) {
     WatchAttempt(attempt);
     return;
   }
@@ -153,110 +106,63 @@
 
 void Exchange::Forward(const HostEntry& host, bool crosses, const DomainId& domain) {
   Time now = SteadyNow();
-  dispatched_at_ = now;
-  arrived_ = true;
-  forwarding_ = true;
-  forward_host_ = host.id;
+  open_ = OpenAttempt();
+  open_.dispatched_at = now;
+  open_.forwarding = true;
+  open_.host = host.id;
   // A forward to the owner is not a placement, so it was not counted as one.
-  if (!to_owner_) forward_domain_ = domain;
+  if (!to_owner_) open_.forward_domain = domain;
   avoid_hosts_.push_back(host.id);
-  if (claim_ != 0 && !claim_dispatched_) {
-    if (!context_.records->MarkDispatched(Key(), claim_)) {
-      EndAttempt(ServerOutcome::kCancelled);
-      Refuse(ErrorKind::kStorageFailed, "the claim is no longer valid");
-      return;
-    }
-    claim_dispatched_ = true;
+  if (!claim_.MarkDispatched()) {
+    EndAttempt(ServerOutcome::kCancelled);
+    Refuse(ErrorKind::kStorageFailed, "the claim is no longer valid");
+    return;
   }
-  attempt_ = OnDispatch(attempts_, ServerId("host/" + host.id.value()), host.incarnation, now);
+  open_.number = OnDispatch(attempts_, ServerId("host/" + host.id.value()), host.incarnation, now);
   LogEvent(EventId::kRequestForwarded, {{"request_id", spec_.id.value()},
                                         {"host", host.id.value()},
                                         {"hops", std::to_string(spec_.hops + 1)},
                                         {"crossed", crosses ? "1" : "0"}});
   if (crosses) context_.metrics->CountSentAway(spec_.traffic_class);
-  ForwardMark mark;
-  mark.from = spec_.view->self.host;
-  mark.request = spec_.id;
-  mark.hops = spec_.hops + 1;
-  mark.crossed = spec_.crossed || crosses;
-  mark.claimed = spec_.claimed || claim_ != 0;
-  mark.deadline_ms = std::max<int64_t>(1, ToMillis(spec_.deadline - now));
-  mark.team = spec_.team;
-  mark.route = spec_.route->id;
-  mark.traffic_class = spec_.traffic_class;
-  mark.idempotent = spec_.idempotent;
-  mark.revision = spec_.view->config->revision;
-  mark.time = WallNow();
-  std::string key =
-      spec_.dialect == nullptr ? FindHeader(spec_.headers, "idempotency-key") : std::string();
-  ForwardBinding binding{spec_.method, spec_.request_path + "?" + spec_.query, key,
-                         BodyHash(&spec_)};
   std::string url = "http://" + host.http_address + spec_.request_path;
   if (!spec_.query.empty()) url += "?" + spec_.query;
-  HttpCall call = NewCall(url, attempt_);
-  call.headers = spec_.dialect == nullptr ? spec_.headers : DialectHeaders();
-  call.headers.emplace_back(kForwardHeader, EncodeForward(mark, binding, context_.cluster_key));
-  call_ = context_.client->Start(std::move(call));
+  HttpCall call = NewCall(url, open_.number);
+  call.headers = ForwardHeaders(&spec_, open_, crosses, claim_.held(), answer_.last_event(),
+                                context_.cluster_key, now);
+  open_.call = context_.client->Start(std::move(call));
   last_byte_ = now;
-  if (spec_.idempotent) WatchAttempt(attempt_);
+  if (spec_.idempotent) WatchAttempt(open_.number);
 }
 
 void Exchange::OnHeaders(uint32_t attempt, int status, const HttpHeaders& headers) {
-  if (attempt != attempt_) return;
-  if (spec_.dialect != nullptr) {
-    answer_kind_ = spec_.dialect->read_answer(spec_.headers, status, headers);
-  }
-  // A stream that goes on keeps the headers of its first answer.
-  if (resumes_ > 0) return;
-  status_ = status;
-  headers_ = headers;
-}
-
-bool Exchange::IsEventStream() const {
-  return status_ == 200 && answer_kind_ == AnswerKind::kAnswer &&
-         FindHeader(headers_, "content-type").rfind("text/event-stream", 0) == 0;
-}
-
-void Exchange::BeginStream() {
-  if (streaming_) return;
-  streaming_ = true;
-  if (!responder_) return;
-  responder_->Begin(status_, AnswerHeaders());
-  ExchangeTable* table = context_.table;
-  responder_->OnDrained([table, id = id_] {
-    Exchange* exchange = table->Find(id);
-    if (exchange == nullptr || !exchange->paused_ || !exchange->responder_) return;
-    if (exchange->responder_->PendingBytes() > kMaxPendingBytes / 2) return;
-    exchange->paused_ = false;
-    exchange->context_.client->Resume(exchange->call_);
-  });
+  if (attempt != open_.number) return;
+  AnswerKind kind = AnswerKind::kAnswer;
+  if (spec_.dialect != nullptr) kind = spec_.dialect->read_answer(spec_.headers, status, headers);
+  answer_.OnHeaders(status, headers, kind);
 }
 
 void Exchange::Relay(std::string_view data) {
-  std::string events = spec_.dialect == nullptr ? stream_.Feed(data) : events_.Feed(data);
+  std::string events = answer_.Feed(data);
   if (events.empty()) return;
-  BeginStream();
-  // A stored answer must be whole, so an answer over the bound is not kept at all.
-  if (claim_ != 0 && answer_kept_) {
-    answer_kept_ = answer_.size() + events.size() <= kMaxAnswerBytes;
-    if (answer_kept_) {
-      answer_ += events;
-    } else {
-      answer_.clear();
-    }
-  }
-  if (responder_) responder_->Write(std::move(events));
+  ExchangeTable* table = context_.table;
+  answer_.Begin([this] { return AnswerHeaders(); },
+                [table, id = id_] {
+                  Exchange* exchange = table->Find(id);
+                  if (exchange == nullptr || !exchange->answer_.ResumeWhenDrained()) return;
+                  exchange->context_.client->Resume(exchange->open_.call);
+                });
+  answer_.Write(std::move(events), claim_.held());
 }
 
 void Exchange::CountByte() {
   Time now = SteadyNow();
-  if (server_ && !answer_started_) {
-    answer_started_ = true;
-    context_.dispatcher->OnFirstByte(Served(*spec_.route), choice_, dispatched_at_, now);
+  if (open_.server && !open_.answer_started) {
+    open_.answer_started = true;
+    context_.dispatcher->OnFirstByte(Served(*spec_.route), open_.choice, open_.dispatched_at, now);
   }
   if (!first_byte_seen_) {
     context_.metrics->ObserveFirstToken(spec_.traffic_class, now - spec_.arrived);
-  } else if (streaming_) {
+  } else if (answer_.begun()) {
     context_.metrics->ObserveTokenGap(spec_.traffic_class, now - last_byte_);
   }
   if (first_byte_seen_) {
@@ -269,31 +175,27 @@
 }
 
 bool Exchange::OnData(uint32_t attempt, std::string_view data) {
-  if (attempt != attempt_) {
+  if (attempt != open_.number) {
     LogEvent(EventId::kLateDataDropped,
              {{"request_id", spec_.id.value()}, {"attempt", std::to_string(attempt)}});
     return true;
   }
-  if (responder_ && streaming_ && responder_->PendingBytes() > kMaxPendingBytes) {
-    paused_ = true;
-    return false;
-  }
+  if (answer_.Pause()) return false;
   CountByte();
-  if (IsEventStream()) {
+  if (answer_.IsEventStream()) {
     Relay(data);
-  } else if (answer_.size() + data.size() <= kMaxAnswerBuffer) {
-    answer_.append(data);
-  } else {
+  } else if (!answer_.Buffer(data)) {
     CancelAttempt();
-    OnAttemptFailed(CallResult{CallOutcome::kFailed, status_, "the answer is too large", true},
-                    ebonylift::Run::kMayHaveRun);
+    OnAttemptFailed(
+        CallResult{CallOutcome::kFailed, answer_.status(), "the answer is too large", true},
+        ebonylift::Run::kMayHaveRun);
   }
   return true;
 }
 
 void Exchange::OnDone(uint32_t attempt, const CallResult& result) {
-  if (attempt != attempt_) return;
-  call_ = 0;
+  if (attempt != open_.number) return;
+  open_.call = 0;
   switch (result.outcome) {
     case CallOutcome::kComplete:
       OnComplete();
@@ -301,17 +203,18 @@
     case CallOutcome::kNotConnected:
     case CallOutcome::kNothingWritten:
       // A resume that could not connect says nothing about the attempt, which did run.
-      OnAttemptFailed(result, streaming_ ? ebonylift::Run::kMayHaveRun : ebonylift::Run::kNotRun);
+      OnAttemptFailed(result,
+                      answer_.begun() ? ebonylift::Run::kMayHaveRun : ebonylift::Run::kNotRun);
       return;
     case CallOutcome::kTimedOut:
-      if (server_ && server_cancels_ && !streaming_) {
+      if (open_.server && open_.cancels && !answer_.begun()) {
         ConfirmNotStarted(result);
       } else {
         OnAttemptFailed(result, ebonylift::Run::kMayHaveRun);
       }
       return;
     case CallOutcome::kFailed:
-      if (server_ && spec_.dialect == nullptr) {
+      if (open_.server && spec_.dialect == nullptr) {
         CheckServerLost(result);
       } else {
         OnAttemptFailed(result, ebonylift::Run::kMayHaveRun);
@@ -322,11 +225,11 @@
 
 // The message of a stream ended.
 void Exchange::OnStreamEnd() {
-  bool whole = spec_.dialect == nullptr ? stream_.done() || stream_.error() : events_.whole();
-  CallResult broken{CallOutcome::kFailed, status_, "the stream ended without its end marker", true};
-  if (whole) {
+  CallResult broken{CallOutcome::kFailed, answer_.status(),
+                    "the stream ended without its end marker", true};
+  if (answer_.stream_whole()) {
     Deliver();
-  } else if (server_ && spec_.dialect == nullptr) {
+  } else if (open_.server && spec_.dialect == nullptr) {
     CheckServerLost(broken);
   } else {
     OnAttemptFailed(broken, ebonylift::Run::kMayHaveRun);
@@ -335,14 +238,15 @@
 
 // Another host answered with an error: its own, or that of a backend server.
 void Exchange::OnForwardedAnswer() {
-  std::optional<ErrorKind> kind = ErrorKindOfBody(answer_);
+  std::optional<ErrorKind> kind = ErrorKindOfBody(answer_.body());
   if (!kind && spec_.dialect != nullptr) {
     OnDialectAnswer();
   } else if (!kind) {
     Deliver();
   } else if (!to_owner_ && AnotherHostMayAccept(*kind)) {
-    OnAttemptFailed(CallResult{CallOutcome::kComplete, status_, LookupError(*kind).code, true},
-                    LookupError(*kind).run);
+    OnAttemptFailed(
+        CallResult{CallOutcome::kComplete, answer_.status(), LookupError(*kind).code, true},
+        LookupError(*kind).run);
   } else {
     RelayPeerError();
   }
@@ -350,8 +254,8 @@
 
 // A whole answer with a dialect that is not a stream.
 void Exchange::OnDialectAnswer() {
-  CallResult result{CallOutcome::kComplete, status_, "backend server error", true};
-  switch (answer_kind_) {
+  CallResult result{CallOutcome::kComplete, answer_.status(), "backend server error", true};
+  switch (answer_.kind()) {
     case AnswerKind::kAnswer:
       Deliver();
       return;
@@ -374,26 +278,27 @@
     Deliver();
     return;
   }
-  OnFailure(attempts_, attempt_, ebonylift::Run::kMayHaveRun);
-  if (server_) avoid_servers_.push_back(*server_);
+  OnFailure(attempts_, open_.number, ebonylift::Run::kMayHaveRun);
+  if (open_.server) avoid_servers_.push_back(*open_.server);
   EndAttempt(ServerOutcome::kFailed);
   Repeat();
 }
 
 void Exchange::OnComplete() {
-  if (IsEventStream()) {
+  if (answer_.IsEventStream()) {
     OnStreamEnd();
     return;
   }
-  if (streaming_) {
+  if (answer_.begun()) {
     // A resumed stream got another answer than a stream.
-    OnAttemptFailed(CallResult{CallOutcome::kFailed, status_, "the stream did not go on", true},
-                    answer_kind_ == AnswerKind::kNotRun || answer_kind_ == AnswerKind::kWrongServer
-                        ? ebonylift::Run::kNotRun
-                        : ebonylift::Run::kMayHaveRun);
+    OnAttemptFailed(
+        CallResult{CallOutcome::kFailed, answer_.status(), "the stream did not go on", true},
+        answer_.kind() == AnswerKind::kNotRun || answer_.kind() == AnswerKind::kWrongServer
+            ? ebonylift::Run::kNotRun
+            : ebonylift::Run::kMayHaveRun);
     return;
   }
-  if (forwarding_ && status_ >= 400) {
+  if (open_.forwarding && answer_.status() >= 400) {
     OnForwardedAnswer();
     return;
   }
@@ -402,12 +307,13 @@
     return;
   }
   bool model = spec_.route->kind == ServerKind::kModel;
-  bool refused = status_ >= 500 || status_ == 429;
-  if (model && refused && !forwarding_) {
+  bool refused = answer_.status() >= 500 || answer_.status() == 429;
+  if (model && refused && !open_.forwarding) {
     // Only an explicit statement of the backend server proves that the work did not start.
-    bool not_run = FindHeader(headers_, "x-ebonylift-run") == "not_run";
-    OnAttemptFailed(CallResult{CallOutcome::kComplete, status_, "backend server error", true},
-                    not_run ? ebonylift::Run::kNotRun : ebonylift::Run::kMayHaveRun);
+    bool not_run = FindHeader(answer_.headers(), "x-ebonylift-run") == "not_run";
+    OnAttemptFailed(
+        CallResult{CallOutcome::kComplete, answer_.status(), "backend server error", true},
+        not_run ? ebonylift::Run::kNotRun : ebonylift::Run::kMayHaveRun);
     return;
   }
   Deliver();
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -258,7 +258,7 @@
   };
   call.on_data = [body](std::string_view data) {
     body->append(data);
-    return body->size() <= Exchange::kMaxAnswerBuffer;
+    return body->size() <= AnswerRelay::kMaxBuffer;
   };
   call.on_done = [=](const CallResult& result) {
     if (result.outcome == CallOutcome::kComplete) {
--- a/tests/record_store_test.cc
+++ b/tests/record_store_test.cc
@@ -4,6 +4,8 @@
 #include <boost/test/included/unit_test.hpp>
 #include <deque>
 
+#include "daemon/key_claim.h"
+
 namespace ebonylift {
 namespace {
 
@@ -85,6 +87,44 @@
   BOOST_TEST((ClaimNow(&store, journal.get(), "k").kind == ClaimKind::kNew));
 }
 
+// Guards against a key that stays claimed after work that did not run, is free after work that may
+// have run, or is claimed by a request that gave its claim up.
+BOOST_AUTO_TEST_CASE(KeyIsFreeOnlyAfterWorkThatDidNotRun) {
+  for (Run run : {Run::kNotRun, Run::kMayHaveRun}) {
+    auto journal = std::make_shared<FakeJournal>();
+    RecordStore store(kSelf, journal);
+    store.Recover(WallNow());
+    store.OnDiskConfirmed();
+    Claimed claimed = ClaimNow(&store, journal.get(), "k");
+    ClaimResult result;
+    result.claim = claimed.claim;
+    KeyClaim claim(&store, RecordKey{TeamId("rocha"), "k"});
+    claim.Hold(result);
+    BOOST_TEST(claim.MarkDispatched());
+    BOOST_TEST(claim.dispatched());
+    claim.End(run);
+    BOOST_TEST(!claim.held());
+    claim.End(run);  // does nothing
+    ClaimKind expected = run == Run::kNotRun ? ClaimKind::kNew : ClaimKind::kOutcomeUnknown;
+    BOOST_TEST((ClaimNow(&store, journal.get(), "k").kind == expected));
+  }
+}
+
+// Guards against a dispatch under a claim that another request holds by now.
+BOOST_AUTO_TEST_CASE(ClaimThatIsNoLongerCurrentIsNotDispatched) {
+  auto journal = std::make_shared<FakeJournal>();
+  RecordStore store(kSelf, journal);
+  store.Recover(WallNow());
+  store.OnDiskConfirmed();
+  Claimed claimed = ClaimNow(&store, journal.get(), "k");
+  ClaimResult result;
+  result.claim = claimed.claim + 1;
+  KeyClaim claim(&store, RecordKey{TeamId("rocha"), "k"});
+  claim.Hold(result);
+  BOOST_TEST(!claim.MarkDispatched());
+  BOOST_TEST(!claim.dispatched());
+}
+
 // Guards against a new owner that runs what the previous owner ran, also when the change of the
 // record hosts was made while the new owner was down.
 BOOST_AUTO_TEST_CASE(ChangeOfRecordHostsRefusesForeignKeys) {
