Probe a backend server again after a pause before it counts as alive

Cause: after a lost connection a server that accepts two probes in a row and ends them counts as alive. In the logs of a failed run of integration/poison_test both probes ran within 2 ms of the crash, while the ending process still accepted; the loss was not recorded, and the crashing content ran once more. Change: up to three probes, 50 ms apart.

--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -85,7 +85,7 @@
   void OnAttemptFailed(const CallResult& result, ebonylift::Run run);
   void ConfirmNotStarted(const CallResult& result);
   void CheckServerLost(const CallResult& result);
-  void ProbeServer(const LossEvidence& evidence, const CallResult& result, bool again);
+  void ProbeServer(const LossEvidence& evidence, const CallResult& result, int probes);
   void RetryOrRefuse(ebonylift::Run run);
   void Repeat();
   void CheckCondemnation();
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -13,6 +13,9 @@
 
 constexpr Duration kProbeTimeout = milliseconds(1000);
 constexpr Duration kProbeConnectTimeout = milliseconds(300);
+// A process that is ending accepts connections for a few milliseconds more.
+constexpr int kProbes = 3;
+constexpr Duration kProbePause = milliseconds(50);
 constexpr Duration kCancelTimeout = milliseconds(300);
 constexpr int kMaxResumes = 3;
 constexpr Duration kCondemnationCheck = milliseconds(250);
@@ -68,10 +71,10 @@
 // After a lost connection: a server that does not answer a probe was lost while it ran this
 // request, which makes the content a suspect.
 void Exchange::CheckServerLost(const CallResult& result) {
-  ProbeServer(context_.dispatcher->Evidence(*open_.server), result, false);
+  ProbeServer(context_.dispatcher->Evidence(*open_.server), result, kProbes);
 }
 
-void Exchange::ProbeServer(const LossEvidence& evidence, const CallResult& result, bool again) {
+void Exchange::ProbeServer(const LossEvidence& evidence, const CallResult& result, int probes) {
   HttpCall call;
   call.url = "http://" + open_.address + "/healthz";
   call.timeout = kProbeTimeout;
@@ -81,12 +84,14 @@
   Dispatcher* dispatcher = context_.dispatcher;
   call.on_done = [=, id = id_](const CallResult& probe) {
     Exchange* exchange = table->Find(id);
-    // A server that accepts connections and ends them has not crashed. A relay in front of a
-    // crashed one does so for the first connection only.
+    // A server that goes on accepting connections and ending them has not crashed. A relay in front
+    // of a crashed one does so for the first connection only.
     bool accepted =
         probe.outcome == CallOutcome::kFailed || probe.outcome == CallOutcome::kNothingWritten;
-    if (accepted && !again && exchange != nullptr) {
-      exchange->ProbeServer(evidence, result, true);
+    if (accepted && probes > 1 && exchange != nullptr) {
+      exchange->RunLater(kProbePause, [evidence, result, probes](Exchange* later) {
+        later->ProbeServer(evidence, result, probes - 1);
+      });
       return;
     }
     if (probe.outcome != CallOutcome::kComplete && !accepted) {
