Write log lines to standard output without waiting, and serve metrics at an address of their own

Cause: log lines went to standard error by glog, which writes on the calling thread: a reader that stops reading stopped the requests, nothing bounded the lines, and no drop was counted. Change: LogEvent writes to standard output through spdlog's asynchronous logger (1,024 lines, the oldest is dropped); ordinary successes and all other lines have a rate each, and what is over it is counted; event 107 and a metric tell the counts. New metrics: answers by attempts, failed attempts by outcome, waiting and answer times, dropped lines. ebonylift timeline reads log files too and merges processes by stamp.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -15,6 +15,23 @@
 #include <vector>
 
 namespace ebonylift {
+
+const char* CallOutcomeName(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kComplete:
+      return "complete";
+    case CallOutcome::kNotConnected:
+      return "not_connected";
+    case CallOutcome::kNothingWritten:
+      return "nothing_written";
+    case CallOutcome::kFailed:
+      return "failed";
+    case CallOutcome::kTimedOut:
+      return "timed_out";
+  }
+  return "failed";
+}
+
 namespace {
 
 using asio::ip::tcp;
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -26,6 +26,9 @@
   kTimedOut,        // the deadline passed after at least one byte was written
 };
 
+// In lower case with '_', as in log lines and metrics. Thread safe.
+const char* CallOutcomeName(CallOutcome outcome);
+
 struct CallResult {
   CallOutcome outcome = CallOutcome::kFailed;
   int status = 0;         // 0 when no status line arrived
--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -6,6 +6,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <array>
 #include <sstream>
 #include <vector>
@@ -29,6 +30,19 @@
   return bounds;
 }
 
+const prometheus::Histogram::BucketBoundaries& AnswerSeconds() {
+  static const prometheus::Histogram::BucketBoundaries bounds = {
+      0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0};
+  return bounds;
+}
+
+// Values of the label `attempts`; the last one stands for more as well.
+constexpr std::array<const char*, 3> kAttempts = {"1", "2", "more"};
+
+constexpr std::array<CallOutcome, 5> kOutcomes = {
+    CallOutcome::kComplete, CallOutcome::kNotConnected, CallOutcome::kNothingWritten,
+    CallOutcome::kFailed, CallOutcome::kTimedOut};
+
 size_t Index(TrafficClass traffic_class) { return static_cast<size_t>(traffic_class); }
 
 double Seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
@@ -65,6 +79,38 @@
     return result;
   }
 
+  std::array<prometheus::Counter*, kAttempts.size()> AnswerCounters() {
+    auto& family = prometheus::BuildCounter()
+                       .Name("ebonylift_answers_total")
+                       .Help("Whole answers, by the attempts that they took.")
+                       .Register(registry);
+    std::array<prometheus::Counter*, kAttempts.size()> result{};
+    for (size_t i = 0; i < kAttempts.size(); ++i) {
+      result[i] = &family.Add({{"attempts", kAttempts[i]}});
+    }
+    return result;
+  }
+
+  std::array<prometheus::Counter*, kOutcomes.size()> OutcomeCounters() {
+    auto& family = prometheus::BuildCounter()
+                       .Name("ebonylift_attempt_failures_total")
+                       .Help("Failed attempts, by the outcome of the call.")
+                       .Register(registry);
+    std::array<prometheus::Counter*, kOutcomes.size()> result{};
+    for (CallOutcome outcome : kOutcomes) {
+      result[static_cast<size_t>(outcome)] = &family.Add({{"outcome", CallOutcomeName(outcome)}});
+    }
+    return result;
+  }
+
+  prometheus::Gauge* DropGauge(const char* reason) {
+    return &prometheus::BuildGauge()
+                .Name("ebonylift_log_lines_dropped")
+                .Help("Log lines not written since the start, by reason.")
+                .Register(registry)
+                .Add({{"reason", reason}});
+  }
+
   prometheus::Gauge* Gauge(const char* name, const char* help) {
     return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
   }
@@ -94,6 +140,16 @@
                  FirstTokenSeconds());
   PerClass<prometheus::Histogram> token_gap = Histograms(
       "ebonylift_token_gap_seconds", "Time between two events of a stream.", TokenGapSeconds());
+  std::array<prometheus::Counter*, kAttempts.size()> answers = AnswerCounters();
+  std::array<prometheus::Counter*, kOutcomes.size()> attempt_failures = OutcomeCounters();
+  PerClass<prometheus::Histogram> answer_time = Histograms(
+      "ebonylift_answer_seconds", "Time from request to the end of its answer.", AnswerSeconds());
+  PerClass<prometheus::Histogram> wait =
+      Histograms("ebonylift_wait_seconds", "Time from request to the dispatch of its last attempt.",
+                 AnswerSeconds());
+  prometheus::Gauge* routine_dropped = DropGauge("routine_rate");
+  prometheus::Gauge* notable_dropped = DropGauge("notable_rate");
+  prometheus::Gauge* unread_dropped = DropGauge("unread");
   PerClass<prometheus::Gauge> queue_depth =
       Gauges("ebonylift_queue_depth", "Requests that wait for a server.");
   prometheus::Gauge* live_hosts = Gauge("ebonylift_live_hosts", "Entry hosts considered alive.");
@@ -122,6 +178,20 @@
   families_->sent_away[Index(traffic_class)]->Increment();
 }
 
+void Metrics::CountAnswer(TrafficClass traffic_class, int attempts, Duration time) {
+  size_t index = static_cast<size_t>(std::max(attempts, 1)) - 1;
+  families_->answers[std::min(index, kAttempts.size() - 1)]->Increment();
+  families_->answer_time[Index(traffic_class)]->Observe(Seconds(time));
+}
+
+void Metrics::CountAttemptFailure(CallOutcome outcome) {
+  families_->attempt_failures[static_cast<size_t>(outcome)]->Increment();
+}
+
+void Metrics::ObserveWait(TrafficClass traffic_class, Duration time) {
+  families_->wait[Index(traffic_class)]->Observe(Seconds(time));
+}
+
 void Metrics::CountRetry(TrafficClass traffic_class) {
   families_->retries[Index(traffic_class)]->Increment();
 }
@@ -152,6 +222,12 @@
   families_->config_revision->Set(static_cast<double>(revision));
 }
 
+void Metrics::SetLogDrops(const LogDrops& drops) {
+  families_->routine_dropped->Set(static_cast<double>(drops.routine));
+  families_->notable_dropped->Set(static_cast<double>(drops.notable));
+  families_->unread_dropped->Set(static_cast<double>(drops.unread));
+}
+
 void Metrics::SetPeerBytes(uint64_t sent, uint64_t received) {
   families_->peer_sent->Set(static_cast<double>(sent));
   families_->peer_received->Set(static_cast<double>(received));
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -11,7 +11,9 @@
 #include <memory>
 #include <string>
 
+#include "adapters/http_client.h"
 #include "base/error.h"
+#include "base/event.h"
 #include "base/time.h"
 #include "ports/views.h"
 
@@ -33,6 +35,15 @@
   // A request was sent to an entry host of another region.
   void CountSentAway(TrafficClass traffic_class);
 
+  // A whole answer was delivered: time from arrival, and `attempts` of at least 1.
+  void CountAnswer(TrafficClass traffic_class, int attempts, Duration time);
+
+  // An attempt failed; see CallOutcome.
+  void CountAttemptFailure(CallOutcome outcome);
+
+  // From the arrival of the request to the dispatch of its last attempt.
+  void ObserveWait(TrafficClass traffic_class, Duration time);
+
   // A failed attempt is repeated on another server.
   void CountRetry(TrafficClass traffic_class);
 
@@ -51,6 +62,9 @@
   void SetLiveServers(size_t servers);
   void SetConfigRevision(uint64_t revision);
 
+  // Lines that the log did not write since the start.
+  void SetLogDrops(const LogDrops& drops);
+
   // Bytes of messages to and from other daemons since the start, without TCP and IP headers.
   void SetPeerBytes(uint64_t sent, uint64_t received);
 
--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -1,11 +1,12 @@
 #include "base/event.h"
 
-#include <glog/logging.h>
-
 #include <algorithm>
 #include <cstdio>
 #include <unordered_map>
 
+#include "base/log_limit.h"
+#include "base/log_output.h"
+
 namespace ebonylift {
 namespace {
 
@@ -21,6 +22,8 @@
       {EventId::kSettingsRefused, 104, "settings_refused", "A setting is invalid: key, value, allowed."},
       {EventId::kThreadFailed, 105, "thread_failed", "A thread ended by an exception: thread, error."},
       {EventId::kReloadRequested, 106, "reload_requested", "The daemon was told to read its settings again: changed."},
+      {EventId::kLogLinesDropped, 107, "log_lines_dropped", "Lines since the start that were not written: routine and notable (over their rate), unread (the reader of the output was too slow)."},
+      {EventId::kStartFailed, 108, "start_failed", "The daemon cannot start: reason."},
       {EventId::kRequestReceived, 200, "request_received", "A request was accepted for processing: request_id, team, route, class, hops."},
       {EventId::kRequestDispatched, 201, "request_dispatched", "A request was sent to a backend server: request_id, attempt, server."},
       {EventId::kRequestAnswered, 202, "request_answered", "The whole answer was delivered: request_id, route, server, status, attempts; what decided the place: tokens, hit_tokens, tokens_ahead; wait_ms (to the last dispatch), first_ms, gap_ms (longest), ms."},
@@ -149,12 +152,91 @@
   return record;
 }
 
+namespace {
+
+constexpr Duration kDropReportPeriod = seconds(1);
+
+// Which lines of this process are written, and what was last said of those that were not.
+class LineGate {
+ public:
+  // False: the line is over its rate.
+  bool Take(LineKind kind, Time now) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return TakeLine(kind == LineKind::kRoutine ? routine_ : notable_, now);
+  }
+
+  // The counts, when they have grown since the last report and that was not just now.
+  std::optional<LogDrops> DueReport(Time now) {
+    LogDrops drops = Drops();
+    std::lock_guard<std::mutex> lock(mutex_);
+    if (drops == reported_ || now - reported_at_ < kDropReportPeriod) return std::nullopt;
+    reported_ = drops;
+    reported_at_ = now;
+    return drops;
+  }
+
+  LogDrops Drops() {
+    uint64_t unread = DroppedLogLines();
+    std::lock_guard<std::mutex> lock(mutex_);
+    return LogDrops{routine_.dropped, notable_.dropped, unread};
+  }
+
+ private:
+  std::mutex mutex_;
+  LogBudget routine_{kRoutineLinesPerSecond, 0, Time(), 0};
+  LogBudget notable_{kNotableLinesPerSecond, 0, Time(), 0};
+  LogDrops reported_;
+  Time reported_at_;
+};
+
+LineGate& ProcessGate() {
+  static LineGate gate;
+  return gate;
+}
+
+// An answer after a repetition is no ordinary success.
+bool Repeated(const Event& event) {
+  return std::any_of(event.fields.begin(), event.fields.end(), [](const EventField& field) {
+    return (field.name == "attempts" || field.name == "attempt") && field.value != "1";
+  });
+}
+
+LineKind KindOf(const Event& event) {
+  switch (event.id) {
+    case EventId::kRequestReceived:
+    case EventId::kRequestDispatched:
+    case EventId::kRequestAnswered:
+    case EventId::kRequestForwarded:
+    case EventId::kRecordClaimed:
+      return Repeated(event) ? LineKind::kNotable : LineKind::kRoutine;
+    default:
+      return LineKind::kNotable;
+  }
+}
+
+Event MakeEvent(EventId id, std::vector<EventField> fields) {
+  Event event;
+  event.hlc = ProcessClock().Now();
+  event.id = id;
+  event.host = HostName();
+  event.fields = std::move(fields);
+  for (EventField& field : event.fields) {
+    if (field.value.size() > kMaxValueBytes) field.value.resize(kMaxValueBytes);
+  }
+  return event;
+}
+
+}  // namespace
+
+LogDrops DroppedLines() { return ProcessGate().Drops(); }
+
 void SetEventHost(const std::string& host) { HostName() = host; }
 
 std::string EventToJson(const Event& event) {
   const EventInfo& info = LookupEvent(event.id);
   std::string out = "{\"event\":" + std::to_string(info.number) + ",\"name\":\"" + info.name +
-                    "\",\"hlc\":" + std::to_string(event.hlc) + ",\"daemon\":";
+                    "\",\"time\":" + std::to_string(HybridClock::ToWall(event.hlc)) +
+                    ",\"hlc\":" + std::to_string(event.hlc) + ",\"daemon\":";
   AppendJsonString(&out, event.host);
   for (const EventField& field : event.fields) {
     out.push_back(',');
@@ -167,16 +249,16 @@
 }
 
 void LogEvent(EventId id, std::initializer_list<EventField> fields) {
-  Event event;
-  event.hlc = ProcessClock().Now();
-  event.id = id;
-  event.host = HostName();
-  event.fields = fields;
-  for (EventField& field : event.fields) {
-    if (field.value.size() > kMaxValueBytes) field.value.resize(kMaxValueBytes);
-  }
-  LOG(INFO) << EventToJson(event);
+  Event event = MakeEvent(id, fields);
+  Time now = SteadyNow();
+  if (ProcessGate().Take(KindOf(event), now)) WriteLogLine(EventToJson(event));
   ProcessEvents().Add(std::move(event));
+  std::optional<LogDrops> drops = ProcessGate().DueReport(now);
+  if (!drops) return;
+  Event report = MakeEvent(EventId::kLogLinesDropped, {{"routine", std::to_string(drops->routine)},
+                                                       {"notable", std::to_string(drops->notable)},
+                                                       {"unread", std::to_string(drops->unread)}});
+  WriteLogLine(EventToJson(report));
 }
 
 }  // namespace ebonylift
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -3,15 +3,18 @@
 
 // Numbered log events.
 //
-// LogEvent() writes one JSON line to the log and keeps the event in the bounded record of this
-// process, from which the time line of all processes is merged. docs/events.md is generated from
-// the table in event.cc. Fields never carry the text of a prompt, log or ordinance.
+// LogEvent() writes one JSON line to standard output, within the rates of log_limit.h and without
+// ever waiting (log_output.h), and keeps the event in the bounded record of this process, from
+// which the time line of all processes is merged. docs/events.md is generated from the table in
+// event.cc. Fields never carry the text of a prompt, log or ordinance.
 
 #include <cstdint>
 #include <deque>
 #include <initializer_list>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -27,6 +30,8 @@
   kSettingsRefused = 104,
   kThreadFailed = 105,
   kReloadRequested = 106,
+  kLogLinesDropped = 107,
+  kStartFailed = 108,
 
   kRequestReceived = 200,
   kRequestDispatched = 201,
@@ -140,7 +145,20 @@
 // Records and logs an event. Thread safe. Values are at most 256 bytes; longer ones are cut.
 void LogEvent(EventId id, std::initializer_list<EventField> fields);
 
-// One JSON object on one line.
+// Lines since the start that were not written.
+struct LogDrops {
+  uint64_t routine = 0;  // over their rate
+  uint64_t notable = 0;  // over their rate
+  uint64_t unread = 0;   // the reader of the output was too slow
+  friend bool operator==(const LogDrops& a, const LogDrops& b) {
+    return std::tie(a.routine, a.notable, a.unread) == std::tie(b.routine, b.notable, b.unread);
+  }
+};
+
+// Thread safe.
+LogDrops DroppedLines();
+
+// One JSON object on one line. `time` is in wall milliseconds.
 std::string EventToJson(const Event& event);
 
 }  // namespace ebonylift
--- a/src/cli/host_commands.cc
+++ b/src/cli/host_commands.cc
@@ -1,5 +1,6 @@
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -7,6 +8,7 @@
 
 #include "base/hlc.h"
 #include "cli/command.h"
+#include "cli/log_files.h"
 #include "daemon/settings.h"
 
 DECLARE_string(request_id);
@@ -53,12 +55,14 @@
   return out;
 }
 
-void PrintTimeline(const json& events) {
+void PrintTimeline(const std::vector<json>& events) {
   std::vector<std::vector<std::string>> rows;
   for (const json& event : events) {
     std::string fields;
     for (const auto& [key, value] : event.items()) {
-      if (key == "hlc" || key == "daemon" || key == "name" || key == "event") continue;
+      if (key == "hlc" || key == "daemon" || key == "name" || key == "event" || key == "time") {
+        continue;
+      }
       fields += (fields.empty() ? "" : " ") + key + "=" + ToText(value);
     }
     rows.push_back({FormatStamp(event["hlc"].get<HlcStamp>()), ToText(event["daemon"]),
@@ -104,20 +108,52 @@
   return kExitOk;
 }
 
+namespace {
+
+void ShowTimeline(const std::vector<json>& events) {
+  if (WantsJson()) {
+    for (const json& event : events) std::cout << event.dump() << "\n";
+  } else {
+    PrintTimeline(events);
+  }
+}
+
+HlcStamp Since(WallMillis newest) {
+  if (FLAGS_since_s <= 0) return 0;
+  WallMillis since = newest - static_cast<WallMillis>(FLAGS_since_s) * 1000;
+  return static_cast<HlcStamp>(since) << 16;
+}
+
+// The last seconds of a log are counted from its newest event.
+int TimelineOfFiles(const std::vector<std::string>& files) {
+  std::vector<json> events;
+  for (const std::string& file : files) {
+    std::ifstream log(file);
+    if (!log) {
+      std::cerr << file << ": cannot be read\n";
+      return kExitUsage;
+    }
+    ReadLogEvents(log, EventFilter{FLAGS_request_id, 0}, &events);
+  }
+  SortByStamp(&events);
+  if (!events.empty()) {
+    HlcStamp since = Since(HybridClock::ToWall(events.back()["hlc"].get<HlcStamp>()));
+    auto old = [since](const json& event) { return event["hlc"].get<HlcStamp>() <= since; };
+    events.erase(std::remove_if(events.begin(), events.end(), old), events.end());
+  }
+  ShowTimeline(events);
+  return kExitOk;
+}
+
+}  // namespace
+
 int RunTimeline(const std::vector<std::string>& args) {
-  if (!args.empty()) return Usage("usage: ebonylift timeline [--request_id=ID] [--since_s=N]\n");
+  if (!args.empty()) return TimelineOfFiles(args);
   std::string path = "/admin/v1/timeline?request_id=" + EncodeQuery(FLAGS_request_id);
-  if (FLAGS_since_s > 0) {
-    WallMillis since = WallNow() - static_cast<WallMillis>(FLAGS_since_s) * 1000;
-    path += "&since=" + std::to_string(static_cast<HlcStamp>(since) << 16);
-  }
+  if (FLAGS_since_s > 0) path += "&since=" + std::to_string(Since(WallNow()));
   AdminReply reply = CallAdmin("GET", path, "");
   if (int code = ReportFailure(reply)) return code;
-  if (WantsJson()) {
-    for (const json& event : reply.body["events"]) std::cout << event.dump() << "\n";
-  } else {
-    PrintTimeline(reply.body["events"]);
-  }
+  ShowTimeline(reply.body["events"].get<std::vector<json>>());
   return kExitOk;
 }
 
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -50,7 +50,7 @@
        RunAcceptClaims,
        false},
       {"timeline",
-       "shows the events of all daemons in one order",
+       "shows the events of all daemons in one order, or those of log files: timeline [FILE ...]",
        {"cli/command.cc", "host_commands.cc"},
        RunTimeline,
        false},
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -22,22 +22,6 @@
 // A call may time out up to a millisecond before the deadline, because libcurl counts whole ones.
 constexpr Duration kTimeoutRounding = milliseconds(2);
 
-const char* OutcomeName(CallOutcome outcome) {
-  switch (outcome) {
-    case CallOutcome::kComplete:
-      return "complete";
-    case CallOutcome::kNotConnected:
-      return "not_connected";
-    case CallOutcome::kNothingWritten:
-      return "nothing_written";
-    case CallOutcome::kFailed:
-      return "failed";
-    case CallOutcome::kTimedOut:
-      return "timed_out";
-  }
-  return "failed";
-}
-
 }  // namespace
 
 // Asks the backend server to cancel and whether the work had started: only then may a request that
@@ -107,9 +91,10 @@
   LogEvent(EventId::kAttemptFailed, {{"request_id", spec_.id.value()},
                                      {"attempt", std::to_string(open_.number)},
                                      {"server", open_.server ? open_.server->value() : "forward"},
-                                     {"outcome", OutcomeName(result.outcome)},
+                                     {"outcome", CallOutcomeName(result.outcome)},
                                      {"status", std::to_string(result.status)},
                                      {"run", RunName(run)}});
+  context_.metrics->CountAttemptFailure(result.outcome);
   open_.arrived = result.outcome != CallOutcome::kNotConnected;
   if (answer_.begun()) {
     if (spec_.dialect == nullptr && TryResume()) return;
@@ -282,6 +267,9 @@
   }
   EndAttempt(ServerOutcome::kOk);
   if (local) context_.dispatcher->OnCompleted(spec_.content);
+  context_.metrics->ObserveWait(spec_.traffic_class, open_.dispatched_at - spec_.arrived);
+  context_.metrics->CountAnswer(spec_.traffic_class, static_cast<int>(attempts_.attempts.size()),
+                                SteadyNow() - spec_.arrived);
   LogEvent(EventId::kRequestAnswered,
            {{"request_id", spec_.id.value()},
             {"route", spec_.route->id.value()},
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -1,7 +1,5 @@
 #include "daemon/serve.h"
 
-#include <glog/logging.h>
-
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
@@ -14,6 +12,7 @@
 #include "adapters/metrics.h"
 #include "base/error.h"
 #include "base/event.h"
+#include "base/log_output.h"
 #include "daemon/control.h"
 #include "daemon/dispatcher.h"
 #include "daemon/record_store.h"
@@ -225,7 +224,9 @@
   return Serve(options, std::move(issues));
 }
 
-int Serve(const ServeOptions& options, std::vector<SettingIssue> issues) {
+namespace {
+
+int RunDaemon(const ServeOptions& options, std::vector<SettingIssue> issues) {
   std::vector<SettingIssue> checks = CheckSettings(options.settings);
   issues.insert(issues.end(), checks.begin(), checks.end());
   for (const SettingIssue& issue : issues) {
@@ -236,9 +237,18 @@
   try {
     return Daemon(options).Run();
   } catch (const Error& error) {
-    LOG(ERROR) << "the daemon cannot start: " << error.what();
+    LogEvent(EventId::kStartFailed, {{"reason", error.what()}});
     return 1;
   }
 }
 
+}  // namespace
+
+int Serve(const ServeOptions& options, std::vector<SettingIssue> issues) {
+  StartLogOutput(STDOUT_FILENO);
+  int exit_code = RunDaemon(options, std::move(issues));
+  StopLogOutput();
+  return exit_code;
+}
+
 }  // namespace ebonylift
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -33,6 +33,8 @@
 DEFINE_string(cluster_key, "", "secret shared by all daemons, at least 16 characters");
 DEFINE_string(platform_token, "", "token that backend servers present");
 DEFINE_string(operator_token_sha256, "", "SHA-256 of the root operator's token, hexadecimal");
+DEFINE_string(metrics_address, "",
+              "ip:port that serves only /metrics; empty: /metrics of --http_address alone");
 DEFINE_string(directory_address, "", "ip:port of the client directory; empty for none");
 DEFINE_string(routing_policy, "cost",
               "how a backend server is picked: cost, round_robin, least_reported, power_of_two, "
@@ -200,6 +202,7 @@
   settings.platform_token = FLAGS_platform_token;
   settings.operator_token_sha256 = FLAGS_operator_token_sha256;
   settings.directory_address = FLAGS_directory_address;
+  settings.metrics_address = FLAGS_metrics_address;
   settings.routing_policy = FLAGS_routing_policy;
   settings.traffic_threads = FLAGS_traffic_threads;
   settings.drain_timeout = seconds(FLAGS_drain_timeout_s);
@@ -227,6 +230,9 @@
   if (!settings.directory_address.empty() && !IsAddress(settings.directory_address)) {
     issues.push_back({"directory_address", settings.directory_address, "ip:port or empty"});
   }
+  if (!settings.metrics_address.empty() && !IsAddress(settings.metrics_address)) {
+    issues.push_back({"metrics_address", settings.metrics_address, "ip:port or empty"});
+  }
   if (settings.cluster_key.size() < kMinClusterKeyBytes) {
     issues.push_back({"cluster_key", "", "at least 16 characters"});
   }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -55,6 +55,7 @@
   std::string platform_token;
   std::string operator_token_sha256;
   std::string directory_address;        // empty: no client directory
+  std::string metrics_address;          // empty: metrics are read at http_address only
   std::string routing_policy = "cost";  // see ParseRoutingPolicy()
   int traffic_threads = 2;
   Duration drain_timeout = seconds(120);
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -13,6 +13,7 @@
 #include "adapters/http_server.h"
 #include "base/event.h"
 #include "base/hash.h"
+#include "base/log_output.h"
 #include "core/entry_list.h"
 #include "daemon/announce.h"
 #include "daemon/exchange.h"
@@ -69,6 +70,7 @@
                           Handle(std::move(request), std::move(responder));
                         });
     for (const Listener& listener : options_.listeners) StartListener(listener);
+    if (index_ == 0 && !options_.settings.metrics_address.empty()) StartMetricsServer();
   }
   ~TrafficThread() override = default;
   TrafficThread(const TrafficThread&) = delete;
@@ -129,6 +131,7 @@
       // The state of the requests of this thread is unknown, so the process ends and restarts.
       LogEvent(EventId::kThreadFailed,
                {{"thread", "traffic " + std::to_string(index_)}, {"error", error.what()}});
+      StopLogOutput();
       LOG(FATAL) << "a traffic thread failed: " << error.what();
     }
   }
@@ -164,6 +167,25 @@
         }));
   }
 
+  // Not one of Servers(): a collector that keeps its connection open does not hold up a shutdown.
+  void StartMetricsServer() {
+    auto answer = [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& to) {
+      if (request.path == "/metrics") {
+        SendMetrics(to.get());
+      } else {
+        Error error(ErrorKind::kUnknownPath, request.path);
+        SendErrorAnswer(to.get(), {error.kind(), error.what(), Duration{0}, RequestId()});
+      }
+    };
+    metrics_server_ = StartHttpServer(io_, options_.settings.metrics_address, HttpLimits(), answer);
+  }
+
+  void SendMetrics(HttpResponder* responder) {
+    options_.metrics->SetLogDrops(DroppedLines());
+    responder->Send(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                    options_.metrics->Render());
+  }
+
   void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
     responders_.push_back(responder);
     answers_due_ = responders_.size();
@@ -208,8 +230,7 @@
     } else if (path == "/healthz") {
       SendJson(responder.get(), 200, {{"status", "ok"}});
     } else if (path == "/metrics") {
-      responder->Send(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                      options_.metrics->Render());
+      SendMetrics(responder.get());
     } else if (path == "/readyz") {
       AnswerReady(responder.get());
     } else {
@@ -363,6 +384,7 @@
   Orderer orderer_;  // used by thread 0 only
   std::unique_ptr<HttpServer> server_;
   std::vector<std::unique_ptr<HttpServer>> listener_servers_;
+  std::unique_ptr<HttpServer> metrics_server_;  // on thread 0, when it has an address
   asio::steady_timer tick_timer_;
   std::vector<std::weak_ptr<HttpResponder>> responders_;  // bounded by open requests and one tick
   std::atomic<size_t> answers_due_{0};
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE metrics
 #include "adapters/metrics.h"
 
+#include <algorithm>
 #include <boost/test/included/unit_test.hpp>
 #include <cmath>
 #include <thread>
@@ -23,6 +24,11 @@
   metrics.CountRefusal(ErrorKind::kPoison);
   metrics.CountSentAway(TrafficClass::kCheck);
   metrics.CountRetry(TrafficClass::kChapter);
+  metrics.CountAnswer(TrafficClass::kCheck, 1, milliseconds(40));
+  metrics.CountAnswer(TrafficClass::kCheck, 7, milliseconds(40));
+  metrics.CountAttemptFailure(CallOutcome::kTimedOut);
+  metrics.ObserveWait(TrafficClass::kChapter, milliseconds(3));
+  metrics.SetLogDrops({1, 2, 3});
   metrics.AddCostUnits(TrafficClass::kChapter, 2.5);
   metrics.AddCostUnits(TrafficClass::kChapter, -1);
   metrics.AddCostUnits(TrafficClass::kChapter, std::nan(""));
@@ -41,6 +47,16 @@
            R"(ebonylift_refusals_total{code="poison_detected",run="may_have_run"} 0)",
            R"(ebonylift_sent_away_total{class="check"} 1)",
            R"(ebonylift_retries_total{class="chapter"} 1)",
+           R"(ebonylift_answers_total{attempts="1"} 1)",
+           R"(ebonylift_answers_total{attempts="2"} 0)",
+           R"(ebonylift_answers_total{attempts="more"} 1)",
+           R"(ebonylift_answer_seconds_bucket{class="check",le="0.05"} 2)",
+           R"(ebonylift_attempt_failures_total{outcome="timed_out"} 1)",
+           R"(ebonylift_attempt_failures_total{outcome="failed"} 0)",
+           R"(ebonylift_wait_seconds_bucket{class="chapter",le="0.01"} 1)",
+           R"(ebonylift_log_lines_dropped{reason="routine_rate"} 1)",
+           R"(ebonylift_log_lines_dropped{reason="notable_rate"} 2)",
+           R"(ebonylift_log_lines_dropped{reason="unread"} 3)",
            R"(ebonylift_cost_units_total{class="chapter"} 2.5)",
            R"(ebonylift_first_token_seconds_bucket{class="check",le="1"} 0)",
            R"(ebonylift_first_token_seconds_bucket{class="check",le="1.4"} 1)",
@@ -57,6 +73,26 @@
   }
 }
 
+// Guards against label values that grow with the traffic.
+BOOST_AUTO_TEST_CASE(SeriesAreFixed) {
+  Metrics metrics;
+  auto series = [&metrics] {
+    std::string text = metrics.Render();
+    return std::count(text.begin(), text.end(), '\n');
+  };
+  auto before = series();
+  for (const ErrorInfo& info : AllErrors()) metrics.CountRefusal(info.kind);
+  for (int attempts = 1; attempts < 50; ++attempts) {
+    metrics.CountAnswer(TrafficClass::kCheck, attempts, milliseconds(attempts));
+  }
+  for (int outcome = 0; outcome <= static_cast<int>(CallOutcome::kTimedOut); ++outcome) {
+    metrics.CountAttemptFailure(static_cast<CallOutcome>(outcome));
+  }
+  metrics.SetLogDrops({1, 2, 3});
+  BOOST_TEST(series() == before);
+  BOOST_TEST(before < 400);
+}
+
 // Guards against counts that are lost when several threads change a metric while it is rendered.
 BOOST_AUTO_TEST_CASE(CountsOfSeveralThreadsAddUp) {
   Metrics metrics;
