Let one server in four take the long prompts, and keep other prompts off them

Change: one server for each four (at least one) takes them, and other prompts go there only when 0.2 s dearer elsewhere (was 0.08 s).

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -408,6 +408,11 @@
   return b.fill() < a.fill() ? &b : &a;
 }
 
+// Orders candidates for this key, the same on all hosts.
+uint64_t RendezvousWeight(const Candidate& candidate, uint64_t key) {
+  return Hash64(candidate.server->announced.id.value(), key);
+}
+
 const Candidate* PickPrefixHash(const RouteQuery& query, const std::vector<Candidate>& candidates) {
   uint64_t key = query.prefix_hashes.empty() ? query.content : query.prefix_hashes.front();
   double present = 0;
@@ -422,7 +427,7 @@
     // The bound counts the new request, so at least one candidate is always below it.
     double bound = std::ceil(kPrefixHashBound * (present + 1) * candidate.slots / slots);
     if (candidate.present + 1 > bound) continue;
-    uint64_t weight = Hash64(candidate.server->announced.id.value(), key);
+    uint64_t weight = RendezvousWeight(candidate, key);
     if (best != nullptr && weight <= best_weight) continue;
     best = &candidate;
     best_weight = weight;
@@ -467,7 +472,7 @@
   Candidate* home = nullptr;
   uint64_t best = 0;
   for (Candidate& candidate : *candidates) {
-    uint64_t weight = Hash64(candidate.server->announced.id.value(), key);
+    uint64_t weight = RendezvousWeight(candidate, key);
     if (home != nullptr && weight <= best) continue;
     home = &candidate;
     best = weight;
@@ -475,10 +480,19 @@
   return home;
 }
 
-void SetLongHome(const RouteQuery& query, std::vector<Candidate>* candidates) {
+void SetLongHomes(const RouteQuery& query, std::vector<Candidate>* candidates) {
   if (query.prefix_tokens.empty() || candidates->size() < kMinServersForLongHome) return;
-  for (Candidate& candidate : *candidates) candidate.has_long_home = true;
-  RendezvousHome(Hash64(Served(*query.route)), candidates)->long_home = true;
+  uint64_t key = Hash64(Served(*query.route));
+  std::vector<std::pair<uint64_t, Candidate*>> ranked;
+  ranked.reserve(candidates->size());
+  for (Candidate& candidate : *candidates) {
+    candidate.has_long_home = true;
+    ranked.emplace_back(RendezvousWeight(candidate, key), &candidate);
+  }
+  size_t homes = std::max<size_t>(1, ranked.size() / kServersPerLongHome);
+  auto last = ranked.begin() + static_cast<ptrdiff_t>(homes);
+  std::partial_sort(ranked.begin(), last, ranked.end(), std::greater<>());
+  for (auto home = ranked.begin(); home != last; ++home) home->second->long_home = true;
 }
 
 // All hosts expect the parts of the prompt that other requests share at the same server. The last
@@ -508,7 +522,7 @@
     return choice;
   }
   SetHits(query, load, now, candidates);
-  SetLongHome(query, candidates);
+  SetLongHomes(query, candidates);
   Priced picked = Pick(query, load, *candidates, rng);
   choice.kind = ChoiceKind::kLocal;
   choice.server = picked.candidate->server->announced.id;
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -70,12 +70,13 @@
 constexpr double kRateSmoothing = 0.05;            // weight of the newest answer
 constexpr int64_t kMinRateTokens = 500;            // shorter prompts say little about the rate
 // A server reads a long prompt in steps that grow with it, and every stream there waits for each
-// step. So one server of a region, the same for all hosts, takes the long prompts while it has
-// time, and other prompts prefer the others.
+// step. So some servers of a region, the same for all hosts, take the long prompts while they have
+// room, and other prompts go there when the rest cost more.
 constexpr int64_t kLongPromptTokens = 16'000;
 constexpr size_t kMinServersForLongHome = 3;
+constexpr size_t kServersPerLongHome = 4;   // at least one
 constexpr double kLongElsewhereCost = 0.1;  // seconds, of a long prompt at another server
-constexpr double kLongHomeCost = 0.08;      // seconds, of another prompt at that server
+constexpr double kLongHomeCost = 0.2;       // seconds, of another prompt at that server
 constexpr double kNeighbourCost = 0.03;     // seconds, of a long prompt for each request there
 // Up to this many servers are all compared; among more, two random ones of each group are.
 constexpr size_t kCompareAll = 16;
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1056,6 +1056,33 @@
   BOOST_TEST(Describe(idle.Run()) == "local s1", "late in any case, but nobody waits");
 }
 
+// Guards against a second long prompt that stalls the streams of any server while the first one is
+// being read (two long prompts of one moment): of eight servers, two take the long prompts on every
+// host, and streams stay off both.
+BOOST_AUTO_TEST_CASE(LongPromptsOfOneMomentShareTwoOfEightServers) {
+  std::set<std::string> homes;
+  std::set<std::string> for_streams;
+  for (uint64_t seed = 0; seed < 20; ++seed) {
+    World w;
+    w.rng.seed(seed);
+    for (int i = 0; i < 8; ++i) w.AddServer("s" + std::to_string(i), 4, 32);
+    w.load.prefill_rates["m"] = 80'000;
+    auto place = [&](uint64_t prompt, int64_t tokens) {
+      w.query.prompt_tokens = tokens;
+      w.query.prefix_hashes = {prompt};
+      w.query.prefix_tokens = {tokens};
+      Choice choice = w.Run();
+      w.Dispatch(choice);
+      return choice.server.value();
+    };
+    homes.insert(place(1 + 10 * seed, 40'000));
+    homes.insert(place(2 + 10 * seed, 40'000));
+    for (uint64_t i = 0; i < 6; ++i) for_streams.insert(place(3 + i + 10 * seed, 2'000));
+  }
+  BOOST_TEST(homes.size() == 2u);
+  for (const std::string& home : homes) BOOST_TEST(for_streams.count(home) == 0u);
+}
+
 // Guards against streams that stall while their server reads a long prompt: hosts agree on one
 // server for them, and others keep away from it while they can.
 BOOST_AUTO_TEST_CASE(LongPromptsShareOneServer) {
