Ask for votes again sooner when nobody leads

The cut ended at 21.1 s, the leader was elected at 22.86 s: a host that asked for votes in vain waited for a whole election timeout of 1.5 to 3 s before it asked again. Change: it asks again after 0.4 to 0.8 s. It asks by a pre-vote first, so no term changes and no leader is disturbed; the wait of followers is as before.

--- a/src/core/consensus.cc
+++ b/src/core/consensus.cc
@@ -332,13 +332,19 @@
   }
 }
 
+// When a host that asked for votes asks again.
+Time NextQuestion(Context& c) {
+  std::uniform_int_distribution<int64_t> spread(0, kVoteRetry.count());
+  return c.now + kVoteRetry + microseconds(spread(c.rng));
+}
+
 void StartElection(Context& c) {
   c.s.role = Role::kCandidate;
   ++c.s.hard.term;
   c.s.hard.voted_for = c.s.self;
   c.ready.hard_changed = true;
   c.s.granted = {c.s.self};
-  c.s.election_due = NextElection(c);
+  c.s.election_due = NextQuestion(c);
   if (c.s.granted.size() >= QuorumSize(c.s)) {
     BecomeLeader(c);
     return;
@@ -350,7 +356,7 @@
   c.s.role = Role::kPreCandidate;
   c.s.leader = HostId();
   c.s.granted = {c.s.self};
-  c.s.election_due = NextElection(c);
+  c.s.election_due = NextQuestion(c);
   if (c.s.granted.size() >= QuorumSize(c.s)) {
     StartElection(c);
     return;
--- a/src/core/consensus.h
+++ b/src/core/consensus.h
@@ -60,6 +60,9 @@
 constexpr Duration kHeartbeatInterval = milliseconds(250);
 constexpr Duration kMinElectionTimeout = milliseconds(1'500);
 constexpr Duration kMaxElectionTimeout = milliseconds(3'000);
+// A host that asked for votes in vain asks again after this long and at most twice as long. It asks
+// whether it would get them first, which changes no term, so that it disturbs no leader.
+constexpr Duration kVoteRetry = milliseconds(400);
 constexpr Duration kLease = milliseconds(1'350);
 constexpr Duration kHelloInterval = milliseconds(500);
 constexpr Duration kSnapshotResend = milliseconds(2'000);
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -469,6 +469,21 @@
   BOOST_TEST(!HasPut(old, "stale"));
 }
 
+// Guards against seconds without a leader after all hosts were cut off from each other: orders of
+// operators wait for it.
+BOOST_AUTO_TEST_CASE(LeaderComesSoonAfterAPartitionOfAll) {
+  for (uint64_t seed = 0; seed < 20; ++seed) {
+    Model model({"a", "b", "c"}, Ids({"a", "b", "c"}), seed);
+    PutMany(&model, 1, "x");
+    BOOST_REQUIRE(model.RunUntil([&] { return model.Converged(); }));
+    for (const char* host : {"a", "b", "c"}) Isolate(&model, HostId(host));
+    model.Run(seconds(10) + milliseconds(137 * static_cast<int64_t>(seed)));
+    model.cut.clear();
+    bool led = model.RunUntil([&] { return model.Leader() != nullptr; }, milliseconds(1'200));
+    BOOST_TEST(led, "no leader after 1.2 s with seed " << seed);
+  }
+}
+
 // Guards against a frozen leader that answers from an expired lease when it resumes.
 BOOST_AUTO_TEST_CASE(FrozenLeaderHasNoLeaseWhenItResumes) {
   Model model({"a", "b", "c"}, Ids({"a", "b", "c"}), 12);
