Let the order of an operator wait for a leader

Change: the host that got the order tries again for up to 2 s while there is no leader. At most 64 orders wait.

--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -39,6 +39,10 @@
 constexpr Duration kPullTimeout = seconds(5);
 constexpr Duration kPullRetry = milliseconds(200);
 constexpr Duration kPutTimeout = seconds(10);
+// A change waits this long for a leader: an election ends sooner, and the order of an operator is
+// rarer and costs more to send again than a request.
+constexpr Duration kLeaderWait = seconds(2);
+constexpr size_t kMaxWaitingPuts = 64;
 constexpr uint32_t kMaxPutHops = 2;
 constexpr Duration kTimelineTimeout = seconds(2);
 constexpr Duration kNoteLifetime = seconds(60);
@@ -216,6 +220,12 @@
   bool closed_ = false;
 };
 
+struct WaitingPut {
+  ConfigPut put;
+  std::function<void(PutAnswer)> done;
+  Time deadline;
+};
+
 // Everything that only the control thread touches.
 class ControlLoop final : public RpcHandler, public kj::TaskSet::ErrorHandler {
  public:
@@ -263,6 +273,9 @@
                 const std::function<void(std::optional<Error>)>& done);
   void Leave(const ServerId& server, uint64_t incarnation, const std::function<void()>& done);
   void Put(const ConfigPut& put, uint32_t hops, const std::function<void(PutAnswer)>& done);
+  void TryPut(const WaitingPut& waiting);
+  void RetryPuts();
+  void PutNow(const ConfigPut& put, uint32_t hops, const std::function<void(PutAnswer)>& done);
   void ReadNewest(const std::string& path, const std::function<void(NewestRead)>& done);
   void Suspect(const SuspectNote& note);
   void Timeline(HlcStamp since, const std::string& request_id, size_t limit,
@@ -362,6 +375,7 @@
   std::vector<PendingRelay> relay_;
   Duration relay_within_{0};  // of the flush that is due, while `relay_` is not empty
   std::map<HostId, TransitMeter> transit_;
+  std::vector<WaitingPut> waiting_puts_;  // for a leader
   std::deque<std::pair<SuspectNote, Time>> notes_;
   Time next_summary_;
   Time next_voter_check_;
@@ -426,6 +440,7 @@
 void ControlLoop::OnTick(Time now) {
   if (ExpireServers(now)) Dirty(kPublishInterval);
   replica_.Tick(now);
+  RetryPuts();
   disk_was_lost_ = disk_was_lost_ || replica_.DiskLost();
   if (replica_.DiskConfirmed() != disk_confirmed_) Dirty(kPublishInterval);
   SendProbes(now);
@@ -846,6 +861,30 @@
 
 void ControlLoop::Put(const ConfigPut& put, uint32_t hops,
                       const std::function<void(PutAnswer)>& done) {
+  if (hops > 0) return PutNow(put, hops, done);  // the first host waits
+  TryPut({put, done, SteadyNow() + kLeaderWait});
+}
+
+// Nothing was proposed when there is no leader, so the change may be tried again.
+void ControlLoop::TryPut(const WaitingPut& waiting) {
+  PutNow(waiting.put, 0, [this, waiting](const PutAnswer& answer) {
+    bool wait = answer.error == ErrorKind::kNoQuorum && SteadyNow() < waiting.deadline &&
+                waiting_puts_.size() < kMaxWaitingPuts;
+    if (wait) {
+      waiting_puts_.push_back(waiting);
+    } else {
+      waiting.done(answer);
+    }
+  });
+}
+
+void ControlLoop::RetryPuts() {
+  std::vector<WaitingPut> waiting = std::exchange(waiting_puts_, {});
+  for (const WaitingPut& put : waiting) TryPut(put);
+}
+
+void ControlLoop::PutNow(const ConfigPut& put, uint32_t hops,
+                         const std::function<void(PutAnswer)>& done) {
   std::optional<HostId> leader = replica_.Put(put, done);
   if (!leader) return;
   std::optional<HostId> to = ForwardTarget(*leader);
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -635,6 +635,30 @@
       [&]() { return !PutTo(cluster.port(3), RegionPut("r2", "put-3", 0)).error.has_value(); }));
 }
 
+// Guards against orders of operators that are refused while a leader is being elected, and against
+// ones that wait for a leader that does not come.
+BOOST_AUTO_TEST_CASE(PutWaitsForALeaderForABoundedTime) {
+  TempFolder folder;
+  std::vector<TestHost> hosts = {Named("a"), Named("b", "d2", "r2"), Named("c", "d3", "r3")};
+  for (TestHost& host : hosts) {
+    host.voter = true;
+    host.data_folder = folder.path() + "/" + host.id;
+  }
+  Cluster cluster(std::move(hosts));
+  PutAnswer first = PutTo(cluster.port(0), RegionPut("r1", "put-1", 0));
+  BOOST_TEST(!first.error.has_value(), first.message);
+  cluster.Stop(1);
+  cluster.Stop(2);
+  // The leader steps down after an election timeout.
+  BOOST_TEST(WaitFor([&] {
+    Time sent = SteadyNow();
+    PutAnswer answer = PutTo(cluster.port(0), RegionPut("r2", "put-2", 0));
+    bool refused = answer.error == ErrorKind::kNoQuorum;
+    if (refused) BOOST_TEST(ToMillis(SteadyNow() - sent) < 4'000);
+    return refused || answer.error == ErrorKind::kConfigUnknown;
+  }));
+}
+
 // Guards against a host that starts later and stays behind.
 BOOST_AUTO_TEST_CASE(LateHostCatchesUp) {
   TempFolder folder;
