--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -9,8 +9,7 @@
 // fails, exactly one final answer goes to the caller.
 //
 // Not thread safe: all methods run on the traffic thread. Memory of an exchange: the request body
-// (bounded by the HTTP limits), at most kMaxAnswerBuffer of a buffered answer, and at most
-// kMaxPendingBytes of a streamed answer that the caller has not read.
+// (bounded by the HTTP limits) and what its AnswerRelay holds.
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
