Let a read of a new leader cover the entries of earlier terms

A read that comes between the election and the first commit of the new term took the old commit index, and was answered when the new one was committed but not yet applied. Change: the index of a read is at least that of the first entry of the leader's term. Test: a new leader with an entry of an earlier term; the index was 0, the entry is at 2 and the term starts at 3.

--- a/src/core/consensus.cc
+++ b/src/core/consensus.cc
@@ -928,7 +928,10 @@
   return CanPropose(state) && QuorumTime(state, now, Time()) + kLease > now;
 }
 
-uint64_t ReadIndex(const Consensus& state) { return state.hard.commit; }
+uint64_t ReadIndex(const Consensus& state) {
+  // Entries of earlier terms may be committed although a new leader does not know it yet.
+  return std::max(state.hard.commit, state.term_start);
+}
 
 Consensus NewConsensus(const HostId& self, const std::set<HostId>& voters, const std::string& disk,
                        bool may_found, Time now, std::mt19937_64& rng) {
--- a/src/core/consensus.h
+++ b/src/core/consensus.h
@@ -301,6 +301,7 @@
 
 // A leader that may answer linearizable reads from what it has handed out up to ReadIndex().
 bool LeaseValid(const Consensus& state, Time now);
+// Precondition: the host is the leader.
 uint64_t ReadIndex(const Consensus& state);
 
 bool IsVoter(const Consensus& state);
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -701,6 +701,17 @@
 
 }  // namespace
 
+// Guards against a read that a new leader takes before it knows which entries of earlier terms are
+// committed, and answers without them (all hosts were restarted right after a change).
+BOOST_AUTO_TEST_CASE(ReadOfANewLeaderCoversEarlierTerms) {
+  LoneLeader leader;
+  BOOST_TEST(leader.state.hard.commit == 0u);
+  BOOST_TEST(ReadIndex(leader.state) == LastIndex(leader.state));
+  leader.Acknowledge("b", 3, true, leader.now);
+  BOOST_TEST(leader.state.hard.commit == 3u);
+  BOOST_TEST(ReadIndex(leader.state) == 3u);
+}
+
 // Guards against an entry of an earlier term that is committed because a majority has it: a voter
 // with a newer last entry can still win and replace it.
 BOOST_AUTO_TEST_CASE(EntriesOfEarlierTermsAreNotCountedAlone) {
