Use one piece of code where the last changes wrote it twice

The platform's refusals repeated how bodies are written: DumpJson. - Exchange started an attempt, failed one and asked for a cancel two or three times each: StartAttempt, FailAttempt, CancelCall. What the check of a condemnation kept in a member is in its callback. - Three random times of the consensus: RandomTime. Two counts of responders: CountResponder. Behaviour is meant to be unchanged; no test was changed.

--- a/src/core/consensus.cc
+++ b/src/core/consensus.cc
@@ -189,10 +189,14 @@
 
 // ---- time
 
+// A time after `least` and up to `spread` more.
+Time RandomTime(Context& c, Duration least, Duration spread) {
+  std::uniform_int_distribution<int64_t> part(0, spread.count());
+  return c.now + least + microseconds(part(c.rng));
+}
+
 Time NextElection(Context& c) {
-  std::uniform_int_distribution<int64_t> spread(
-      0, (kMaxElectionTimeout - kMinElectionTimeout).count());
-  return c.now + kMinElectionTimeout + microseconds(spread(c.rng));
+  return RandomTime(c, kMinElectionTimeout, kMaxElectionTimeout - kMinElectionTimeout);
 }
 
 // The newest time that a quorum has passed: this host now, the others when the newest message that
@@ -333,10 +337,7 @@
 }
 
 // When a host that asked for votes asks again.
-Time NextQuestion(Context& c) {
-  std::uniform_int_distribution<int64_t> spread(0, kVoteRetry.count());
-  return c.now + kVoteRetry + microseconds(spread(c.rng));
-}
+Time NextQuestion(Context& c) { return RandomTime(c, kVoteRetry, kVoteRetry); }
 
 void StartElection(Context& c) {
   c.s.role = Role::kCandidate;
@@ -391,8 +392,7 @@
   c.ready.hard_changed = true;
   // No leader was ever elected with the help of this disk.
   c.s.last_heard = c.now - kMinElectionTimeout;
-  std::uniform_int_distribution<int64_t> spread(0, kFirstElectionSpread.count());
-  c.s.election_due = c.now + microseconds(spread(c.rng));
+  c.s.election_due = RandomTime(c, Duration(0), kFirstElectionSpread);
   Note(c, NoticeKind::kConfirmed, "first start");
 }
 
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -218,10 +218,9 @@
 
 // Tokens of prompts sent from here that the server has still to read.
 int64_t OwnTokensAhead(const RouteQuery& query, const BackendServer& server, const ServerUse& use) {
-  const std::vector<std::string>& capabilities = server.announced.capabilities;
-  bool no_reports =
-      std::find(capabilities.begin(), capabilities.end(), kNoLoadReports) != capabilities.end();
-  if (no_reports) return use.prefill_tokens;
+  if (Contains(server.announced.capabilities, std::string(kNoLoadReports))) {
+    return use.prefill_tokens;
+  }
   // The report covers what was sent before it; the rest is taken to be as long as this request.
   return SentSince(use, server.reported_at) * query.prompt_tokens;
 }
@@ -725,14 +724,6 @@
   return true;
 }
 
-const BackendServer* FindServer(const RoutingView& view, const ServerId& id) {
-  auto found = std::lower_bound(
-      view.servers.begin(), view.servers.end(), id,
-      [](const BackendServer& server, const ServerId& key) { return server.announced.id < key; });
-  if (found == view.servers.end() || found->announced.id != id) return nullptr;
-  return &*found;
-}
-
 bool DomainKnown(const RoutingView& view, const DomainId& domain) {
   return std::any_of(view.summaries.begin(), view.summaries.end(),
                      [&](const DomainSummary& summary) { return summary.domain == domain; });
--- a/src/daemon/answers.cc
+++ b/src/daemon/answers.cc
@@ -11,12 +11,15 @@
   return LookupError(answer.kind).retry_after_ms;
 }
 
-// Messages may quote bytes of a request that are not UTF-8.
-std::string Dump(const nlohmann::json& body) {
-  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}  // namespace
+
+ErrorAnswer AnswerOf(const Error& error) {
+  return {error.kind(), error.what(), Duration{0}, RequestId()};
 }
 
-}  // namespace
+std::string DumpJson(const nlohmann::json& body) {
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
 
 void SetHeader(HttpHeaders* headers, const std::string& name, const std::string& value) {
   auto same_name = [&name](const auto& header) {
@@ -52,7 +55,7 @@
 }
 
 std::string ErrorAnswerEvent(const ErrorAnswer& answer) {
-  return "data: " + Dump(ErrorAnswerJson(answer)) + "\n\n";
+  return "data: " + DumpJson(ErrorAnswerJson(answer)) + "\n\n";
 }
 
 void SendErrorAnswer(HttpResponder* responder, const ErrorAnswer& answer) {
@@ -63,11 +66,11 @@
   int64_t retry_ms = RetryMillis(answer);
   if (retry_ms > 0) headers.emplace_back("Retry-After", std::to_string((retry_ms + 999) / 1000));
   const ErrorInfo& info = LookupError(answer.kind);
-  responder->Send(info.http_status, headers, Dump(ErrorAnswerJson(answer)));
+  responder->Send(info.http_status, headers, DumpJson(ErrorAnswerJson(answer)));
 }
 
 void SendJson(HttpResponder* responder, int status, const nlohmann::json& body) {
-  responder->Send(status, {{"Content-Type", "application/json"}}, Dump(body));
+  responder->Send(status, {{"Content-Type", "application/json"}}, DumpJson(body));
 }
 
 }  // namespace ebonylift
--- a/src/daemon/answers.h
+++ b/src/daemon/answers.h
@@ -33,6 +33,12 @@
   RequestId request;        // empty for requests that are not routed
 };
 
+// The answer to a request that is not routed.
+ErrorAnswer AnswerOf(const Error& error);
+
+// As text. Bytes that are not UTF-8 are replaced: messages may quote those of a request.
+std::string DumpJson(const nlohmann::json& body);
+
 // The `error` object of the body.
 nlohmann::json ErrorAnswerJson(const ErrorAnswer& answer);
 
--- a/src/daemon/attempt_call.cc
+++ b/src/daemon/attempt_call.cc
@@ -1,6 +1,7 @@
 #include "daemon/attempt_call.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace ebonylift {
 namespace {
@@ -17,20 +18,6 @@
 
 }  // namespace
 
-const BackendServer* FindServer(const RoutingView& view, const ServerId& id) {
-  for (const BackendServer& server : view.servers) {
-    if (server.announced.id == id) return &server;
-  }
-  return nullptr;
-}
-
-const HostEntry* FindHost(const RoutingView& view, const HostId& id) {
-  for (const HostEntry& host : view.hosts) {
-    if (host.id == id) return &host;
-  }
-  return nullptr;
-}
-
 bool TargetLive(const RoutingView& view, const OpenAttempt& open, uint64_t incarnation, Time now) {
   if (open.server) {
     const BackendServer* server = FindServer(view, *open.server);
@@ -55,6 +42,16 @@
   return std::max<Duration>(spec.deadline - now, milliseconds(1));
 }
 
+HttpCall CancelCall(const RequestId& request, const OpenAttempt& open, Duration timeout) {
+  HttpCall call;
+  call.method = "POST";
+  call.url = "http://" + open.address + "/v1/cancel";
+  call.headers = {{"Content-Type", "application/json"}};
+  call.body = nlohmann::json{{"request_id", request.value()}, {"attempt", open.number}}.dump();
+  call.timeout = timeout;
+  return call;
+}
+
 HttpHeaders BackendHeaders(const RequestSpec& spec, const OpenAttempt& open,
                            const std::string& last_event, Time now) {
   if (spec.dialect != nullptr) return DialectHeaders(spec, open, last_event, now);
--- a/src/daemon/attempt_call.h
+++ b/src/daemon/attempt_call.h
@@ -36,10 +36,6 @@
   std::optional<DomainId> forward_domain;  // unset for the owner of a key, which is no placement
 };
 
-// Null when the view has none.
-const BackendServer* FindServer(const RoutingView& view, const ServerId& id);
-const HostEntry* FindHost(const RoutingView& view, const HostId& id);
-
 // By this view, the server announces or the host answers probes.
 bool TargetLive(const RoutingView& view, const OpenAttempt& open, uint64_t incarnation, Time now);
 
@@ -49,6 +45,9 @@
 // Time that is left to the request, at least 1 ms.
 Duration TimeLeft(const RequestSpec& spec, Time now);
 
+// Asks the backend server to cancel the attempt; its answer says whether the work had started.
+HttpCall CancelCall(const RequestId& request, const OpenAttempt& open, Duration timeout);
+
 // The headers of an attempt at a backend server. `last_event`: of a stream that goes on.
 HttpHeaders BackendHeaders(const RequestSpec& spec, const OpenAttempt& open,
                            const std::string& last_event, Time now);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -82,12 +82,12 @@
   void OnDialectAnswer();
   void OnStreamEnd();
   void OnAttemptFailed(const CallResult& result, ebonylift::Run run);
+  void FailAttempt(ebonylift::Run run, ServerOutcome outcome);
   void ConfirmNotStarted(const CallResult& result);
   void CheckServerLost(const CallResult& result);
   void ProbeServer(const LossEvidence& evidence, const CallResult& result, int probes);
   void RetryOrRefuse(ebonylift::Run run);
   void Repeat();
-  void CheckCondemnation();
   bool TryResume();
   bool TryResumeElsewhere();
   void WatchAttempt(uint32_t attempt);
@@ -112,6 +112,8 @@
   Time FirstByteAt() const;
   HttpHeaders AnswerHeaders() const;
   HttpCall NewCall(const std::string& url, uint32_t attempt);
+  void StartAttempt(const std::string& address, const std::string& path, HttpHeaders headers,
+                    Time now);
   void Relay(std::string_view data);
   void CountByte();
   void RunLater(Duration delay, std::function<void(Exchange*)> step);
@@ -131,7 +133,6 @@
   bool finished_ = false;
   bool to_owner_ = false;  // the open attempt goes to the owner of the key
   bool condemnation_checked_ = false;
-  ebonylift::Run failed_run_ = ebonylift::Run::kMayHaveRun;  // of the attempt being checked
   std::vector<ServerId> avoid_servers_;
   std::vector<HostId> avoid_hosts_;
 
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -18,6 +18,8 @@
 constexpr Duration kProbePause = milliseconds(50);
 constexpr Duration kCancelTimeout = milliseconds(300);
 constexpr int kMaxResumes = 3;
+// The content may have shared the lost server with work of other hosts. Their reports, which take a
+// condemnation back, arrive within this time.
 constexpr Duration kCondemnationCheck = milliseconds(250);
 // A call may time out up to a millisecond before the deadline, because libcurl counts whole ones.
 constexpr Duration kTimeoutRounding = milliseconds(2);
@@ -27,12 +29,7 @@
 // Asks the backend server to cancel and whether the work had started: only then may a request that
 // timed out be answered as not run.
 void Exchange::ConfirmNotStarted(const CallResult& result) {
-  HttpCall call;
-  call.method = "POST";
-  call.url = "http://" + open_.address + "/v1/cancel";
-  call.headers = {{"Content-Type", "application/json"}};
-  call.body = nlohmann::json{{"request_id", spec_.id.value()}, {"attempt", open_.number}}.dump();
-  call.timeout = kCancelTimeout;
+  HttpCall call = CancelCall(spec_.id, open_, kCancelTimeout);
   call.connect_timeout = kCancelTimeout;
   ExchangeTable* table = context_.table;
   auto body = std::make_shared<std::string>();
@@ -96,19 +93,21 @@
                                      {"run", RunName(run)}});
   context_.metrics->CountAttemptFailure(result.outcome);
   open_.arrived = result.outcome != CallOutcome::kNotConnected;
-  if (answer_.begun()) {
-    if (spec_.dialect == nullptr && TryResume()) return;
-    OnFailure(attempts_, open_.number, run);
-    if (open_.server) avoid_servers_.push_back(*open_.server);
-    EndAttempt(FailureOutcome(result, answer_.kind()));
-    if (spec_.dialect != nullptr && TryResumeElsewhere()) return;
-    RefuseOutcome();
+  bool begun = answer_.begun();
+  if (begun && spec_.dialect == nullptr && TryResume()) return;
+  FailAttempt(run, FailureOutcome(result, answer_.kind()));
+  if (!begun) {
+    RetryOrRefuse(run);
     return;
   }
+  if (spec_.dialect != nullptr && TryResumeElsewhere()) return;
+  RefuseOutcome();
+}
+
+void Exchange::FailAttempt(ebonylift::Run run, ServerOutcome outcome) {
   OnFailure(attempts_, open_.number, run);
   if (open_.server) avoid_servers_.push_back(*open_.server);
-  EndAttempt(FailureOutcome(result, answer_.kind()));
-  RetryOrRefuse(run);
+  EndAttempt(outcome);
 }
 
 RetryRule Exchange::MakeRetryRule() const {
@@ -157,17 +156,12 @@
   return true;
 }
 
-// The content may have shared the lost server with work of other hosts. Their reports, which take a
-// condemnation back, arrive within this time.
-void Exchange::CheckCondemnation() { RetryOrRefuse(failed_run_); }
-
 void Exchange::RetryOrRefuse(ebonylift::Run run) {
   Time now = SteadyNow();
   if (context_.dispatcher->Verdict(spec_.content, now) == PoisonVerdict::kCondemned) {
     if (!condemnation_checked_) {
       condemnation_checked_ = true;
-      failed_run_ = run;
-      RunLater(kCondemnationCheck, std::mem_fn(&Exchange::CheckCondemnation));
+      RunLater(kCondemnationCheck, [run](Exchange* later) { later->RetryOrRefuse(run); });
       return;
     }
     bool not_run = RequestRun(attempts_) == ebonylift::Run::kNotRun;
@@ -341,13 +335,7 @@
   if (open_.call != 0) context_.client->Cancel(open_.call);
   open_.call = 0;
   if (!open_.server || !open_.cancels) return;
-  HttpCall cancel;
-  cancel.method = "POST";
-  cancel.url = "http://" + open_.address + "/v1/cancel";
-  cancel.headers = {{"Content-Type", "application/json"}};
-  cancel.body = nlohmann::json{{"request_id", spec_.id.value()}, {"attempt", open_.number}}.dump();
-  cancel.timeout = kProbeTimeout;
-  context_.client->Start(std::move(cancel));
+  context_.client->Start(CancelCall(spec_.id, open_, kProbeTimeout));
 }
 
 void Exchange::EndAttempt(ServerOutcome outcome) {
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -27,7 +27,7 @@
   call.url = url;
   call.body = spec_.body;
   call.connect_timeout = kConnectTimeout;
-  call.timeout = std::max<Duration>(spec_.deadline - SteadyNow(), milliseconds(1));
+  call.timeout = TimeLeft(spec_, SteadyNow());
   call.new_connection = !spec_.idempotent;
   ExchangeTable* table = context_.table;
   uint64_t id = id_;
@@ -70,10 +70,17 @@
                                            {"attempt", std::to_string(open_.number)},
                                            {"server", choice.server.value()}});
   }
-  std::string url = "http://" + open_.address + spec_.path;
+  StartAttempt(open_.address, spec_.path, BackendHeaders(spec_, open_, answer_.last_event(), now),
+               now);
+}
+
+// Sends the request to `address`. Precondition: open_ is the attempt.
+void Exchange::StartAttempt(const std::string& address, const std::string& path,
+                            HttpHeaders headers, Time now) {
+  std::string url = "http://" + address + path;
   if (!spec_.query.empty()) url += "?" + spec_.query;
   HttpCall call = NewCall(url, open_.number);
-  call.headers = BackendHeaders(spec_, open_, answer_.last_event(), now);
+  call.headers = std::move(headers);
   open_.call = context_.client->Start(std::move(call));
   last_byte_ = now;
   if (spec_.idempotent) WatchAttempt(open_.number);
@@ -124,14 +131,10 @@
                                         {"hops", std::to_string(spec_.hops + 1)},
                                         {"crossed", crosses ? "1" : "0"}});
   if (crosses) context_.metrics->CountSentAway(spec_.traffic_class);
-  std::string url = "http://" + host.http_address + spec_.request_path;
-  if (!spec_.query.empty()) url += "?" + spec_.query;
-  HttpCall call = NewCall(url, open_.number);
-  call.headers = ForwardHeaders(&spec_, open_, crosses, claim_.held(), answer_.last_event(),
-                                context_.cluster_key, now);
-  open_.call = context_.client->Start(std::move(call));
-  last_byte_ = now;
-  if (spec_.idempotent) WatchAttempt(open_.number);
+  StartAttempt(host.http_address, spec_.request_path,
+               ForwardHeaders(&spec_, open_, crosses, claim_.held(), answer_.last_event(),
+                              context_.cluster_key, now),
+               now);
 }
 
 void Exchange::OnHeaders(uint32_t attempt, int status, const HttpHeaders& headers) {
@@ -278,9 +281,7 @@
     Deliver();
     return;
   }
-  OnFailure(attempts_, open_.number, ebonylift::Run::kMayHaveRun);
-  if (open_.server) avoid_servers_.push_back(*open_.server);
-  EndAttempt(ServerOutcome::kFailed);
+  FailAttempt(ebonylift::Run::kMayHaveRun, ServerOutcome::kFailed);
   Repeat();
 }
 
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -324,7 +324,7 @@
     RequestSpec spec = ParseRequest(std::move(request), view, context_.cluster_key, SteadyNow());
     context_.table->Start(context_, std::move(spec), capture);
   } catch (const Error& error) {
-    ErrorAnswer answer{error.kind(), error.what(), Duration{0}, RequestId()};
+    ErrorAnswer answer = AnswerOf(error);
     SendErrorAnswer(capture.get(), answer);
   }
 }
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -270,8 +270,7 @@
                                     options.root_token_sha256);
     Dispatch(call, options);
   } catch (const Error& error) {
-    SendErrorAnswer(responder.get(),
-                    ErrorAnswer{error.kind(), error.what(), Duration{0}, RequestId()});
+    SendErrorAnswer(responder.get(), AnswerOf(error));
   }
 }
 
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -161,8 +161,7 @@
     listener_servers_.push_back(StartHttpServer(
         io_, listener.address, listener.limits,
         [this, handle](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
-          responders_.push_back(responder);
-          answers_due_ = responders_.size();
+          CountResponder(responder);
           handle(this, std::move(request), responder);
         }));
   }
@@ -173,8 +172,7 @@
       if (request.path == "/metrics") {
         SendMetrics(to.get());
       } else {
-        Error error(ErrorKind::kUnknownPath, request.path);
-        SendErrorAnswer(to.get(), {error.kind(), error.what(), Duration{0}, RequestId()});
+        SendErrorAnswer(to.get(), AnswerOf(Error(ErrorKind::kUnknownPath, request.path)));
       }
     };
     metrics_server_ = StartHttpServer(io_, options_.settings.metrics_address, HttpLimits(), answer);
@@ -186,16 +184,21 @@
                     options_.metrics->Render());
   }
 
-  void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+  // Its request is open until the responder is gone.
+  void CountResponder(const std::shared_ptr<HttpResponder>& responder) {
     responders_.push_back(responder);
     answers_due_ = responders_.size();
+  }
+
+  void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+    CountResponder(responder);
     try {
       Route(std::move(request), responder);
     } catch (const Error& error) {
       if (error.kind() == ErrorKind::kForwardRefused) {
         LogEvent(EventId::kForwardRejected, {{"reason", error.what()}});
       }
-      SendErrorAnswer(responder.get(), {error.kind(), error.what(), Duration{0}, RequestId()});
+      SendErrorAnswer(responder.get(), AnswerOf(error));
     } catch (const json::exception& error) {
       SendErrorAnswer(responder.get(), {ErrorKind::kBadRequest, "the JSON has an unexpected type",
                                         Duration{0}, RequestId()});
@@ -256,8 +259,7 @@
     options_.control->Announce(announcement, [this, responder](std::optional<Error> error) {
       asio::post(io_, [responder, error] {
         if (error) {
-          SendErrorAnswer(responder.get(),
-                          {error->kind(), error->what(), Duration{0}, RequestId()});
+          SendErrorAnswer(responder.get(), AnswerOf(*error));
         } else {
           SendJson(responder.get(), 200, {{"accepted", true}});
         }
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -7,6 +7,7 @@
 // read it without a lock. Memory: one view holds the servers of the own failure domain only (at
 // most 4,096) and one summary row for each failure domain and model.
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -247,6 +248,21 @@
   bool disk_was_lost = false;  // peers know this voter with another disk, since the process started
 };
 
+// Null when the view has none. The pointer is valid as long as the view. Thread safe.
+inline const BackendServer* FindServer(const RoutingView& view, const ServerId& id) {
+  auto found = std::lower_bound(
+      view.servers.begin(), view.servers.end(), id,
+      [](const BackendServer& server, const ServerId& key) { return server.announced.id < key; });
+  if (found == view.servers.end() || found->announced.id != id) return nullptr;
+  return &*found;
+}
+inline const HostEntry* FindHost(const RoutingView& view, const HostId& id) {
+  for (const HostEntry& host : view.hosts) {
+    if (host.id == id) return &host;
+  }
+  return nullptr;
+}
+
 }  // namespace ebonylift
 
 #endif  // EBONYLIFT_PORTS_VIEWS_H_
