Fetch the shared parts of a prompt from the server that keeps them

Sessions whose home was also the home of long prompts were read elsewhere each time, because other prompts avoid that server.

Change: the home of a session is none of the homes of long prompts; hits are expected among all healthy servers, not only those with room; a server that has less of a prompt fetches the rest from one of its failure domain that has more, where the service can do that faster than it reads. The index of prefixes and the choice of homes are modules of their own now.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -26,7 +26,7 @@
       {EventId::kStartFailed, 108, "start_failed", "The daemon cannot start: reason."},
       {EventId::kRequestReceived, 200, "request_received", "A request was accepted for processing: request_id, team, route, class, hops."},
       {EventId::kRequestDispatched, 201, "request_dispatched", "A request was sent to a backend server: request_id, attempt, server."},
-      {EventId::kRequestAnswered, 202, "request_answered", "The whole answer was delivered: request_id, route, server, status, attempts; what decided the place: tokens, hit_tokens, tokens_ahead; wait_ms (to the last dispatch), first_ms, gap_ms (longest), ms."},
+      {EventId::kRequestAnswered, 202, "request_answered", "The whole answer was delivered: request_id, route, server, status, attempts; what decided the place: tokens, hit_tokens, fetch_tokens, tokens_ahead; wait_ms (to the last dispatch), first_ms, gap_ms (longest), ms."},
       {EventId::kRequestRefused, 203, "request_refused", "A request ended with an error: request_id, kind, run; of its own requests also route, attempts, tokens, retry_after_ms, ms."},
       {EventId::kRequestForwarded, 204, "request_forwarded", "A request was sent to another entry host: request_id, host, hops, crossed."},
       {EventId::kAttemptFailed, 205, "attempt_failed", "An attempt failed: request_id, attempt, server, outcome, status, run."},
--- a/src/core/ingress.cc
+++ b/src/core/ingress.cc
@@ -114,6 +114,12 @@
   CheckBackends(route, where, services, issues);
 }
 
+void RequireRate(const Json& service, const char* key, Issues* issues) {
+  const Json& rate = Member(service, key);
+  bool valid = rate.is_number() && rate.get<double>() >= 0;
+  if (!valid) AddIssue(issues, std::string("services.") + key, rate, "a number of at least 0");
+}
+
 void CheckService(const Json& service, std::set<std::string>* names, Issues* issues) {
   if (!service.is_object()) {
     AddIssue(issues, "services", service, "objects");
@@ -123,10 +129,9 @@
   RequireName(service, "services.", "health_path", issues);
   RequireWhole(service, "services.", "max_connections", 0, kMaxCount, "0 to 1000000", issues);
   RequireWhole(service, "services.", "cold_start_ms", 0, kMaxDeadlineMs, "0 to 86400000", issues);
-  const Json& rate = Member(service, "cold_per_s");
-  if (!rate.is_number() || rate.get<double>() < 0) {
-    AddIssue(issues, "services.cold_per_s", rate, "a number of at least 0");
-  }
+  RequireRate(service, "cold_per_s", issues);
+  // Documents that were stored by an earlier version have no such key.
+  if (service.contains("fetch_tokens_per_s")) RequireRate(service, "fetch_tokens_per_s", issues);
   const Json& id = Member(service, "id");
   if (id.is_string() && !names->insert(id.get<std::string>()).second) {
     AddIssue(issues, "services.id", id, "each id once");
@@ -175,6 +180,7 @@
   service.max_connections = json.at("max_connections").get<int>();
   service.cold_start = milliseconds(json.at("cold_start_ms").get<int64_t>());
   service.cold_per_s = json.at("cold_per_s").get<double>();
+  service.fetch_tokens_per_s = json.value("fetch_tokens_per_s", 0.0);
   return service;
 }
 
--- a/src/core/ingress.h
+++ b/src/core/ingress.h
@@ -10,7 +10,8 @@
 //    "routes": [{"id", "host", "path_prefix", "idempotent", "resumable", "deadline_ms",
 //                "first_byte_target_ms", "rank", "max_attempts", "regions": [...],
 //                "backends": [{"service", "weight"}]}],
-//    "services": [{"id", "health_path", "max_connections", "cold_start_ms", "cold_per_s"}],
+//    "services": [{"id", "health_path", "max_connections", "cold_start_ms", "cold_per_s",
+//                  "fetch_tokens_per_s"}],
 //    "source": "the text that the operator sent, for reading it back"}
 //
 // All functions are pure and thread safe. Memory: the routes and services of one document, which is
@@ -54,6 +55,8 @@
   int max_connections = 0;
   Duration cold_start{0};
   double cold_per_s = 0;  // requests a second that a cold server bears; 0: no limit
+  // Tokens of a prompt that one server fetches from the cache of another in a second; 0: it can't.
+  double fetch_tokens_per_s = 0;
 };
 
 struct IngressConfig {
--- /dev/null
+++ b/src/core/prefix_index.cc
@@ -0,0 +1,62 @@
+#include "core/prefix_index.h"
+
+#include <algorithm>
+
+namespace ebonylift {
+namespace {
+
+int64_t TokensOf(const PromptPrefixes& prefixes, size_t index) {
+  int64_t tokens = index < prefixes.tokens.size()
+                       ? prefixes.tokens[index]
+                       : static_cast<int64_t>(index + 1) * kPrefixBlockTokens;
+  return std::min(tokens, prefixes.prompt_tokens);
+}
+
+bool Has(const std::vector<CacheHit>& hits, uint32_t cache_id) {
+  return std::any_of(hits.begin(), hits.end(),
+                     [&](const CacheHit& hit) { return hit.cache_id == cache_id; });
+}
+
+void EvictOldest(PrefixIndex& index) {
+  index.holders.erase(index.order.front());
+  index.order.pop_front();
+}
+
+}  // namespace
+
+std::vector<CacheHit> PredictHits(const PrefixIndex& index, const PromptPrefixes& prefixes,
+                                  Time now) {
+  std::vector<CacheHit> hits;
+  size_t count = std::min(prefixes.hashes.size(), kMaxPrefixHashes);
+  for (size_t i = count; i-- > 0;) {
+    auto found = index.holders.find(prefixes.hashes[i]);
+    if (found == index.holders.end()) continue;
+    for (const PrefixHolder& holder : found->second) {
+      if (holder.cache_id == 0 || holder.expires_at <= now) continue;
+      if (!Has(hits, holder.cache_id)) hits.push_back({holder.cache_id, TokensOf(prefixes, i)});
+    }
+  }
+  return hits;
+}
+
+void ExpectPrefixes(PrefixIndex& index, const std::vector<uint64_t>& hashes, uint32_t cache_id,
+                    Time now) {
+  size_t count = std::min(hashes.size(), kMaxPrefixHashes);
+  for (size_t i = 0; i < count; ++i) {
+    auto [entry, added] = index.holders.try_emplace(hashes[i]);
+    if (added) index.order.push_back(hashes[i]);
+    auto& holders = entry->second;
+    auto slot = std::find_if(holders.begin(), holders.end(), [&](const PrefixHolder& holder) {
+      return holder.cache_id == cache_id;
+    });
+    if (slot == holders.end()) {
+      slot = std::min_element(
+          holders.begin(), holders.end(),
+          [](const PrefixHolder& a, const PrefixHolder& b) { return a.expires_at < b.expires_at; });
+    }
+    *slot = {cache_id, now + kPrefixTtl};
+    if (index.holders.size() > kMaxPrefixes) EvictOldest(index);
+  }
+}
+
+}  // namespace ebonylift
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -6,6 +6,7 @@
 
 #include "base/hash.h"
 #include "core/cold_limit.h"
+#include "core/ingress.h"
 #include "core/poison.h"
 
 namespace ebonylift {
@@ -73,11 +74,14 @@
   int present = 0;                 // reported, plus sent since the report
   int slots = 1;
   int64_t hit_tokens = 0;
+  const BackendServer* fetch_from = nullptr;  // has more of the prompt than this one
+  int64_t fetch_tokens = 0;
   int64_t tokens_ahead = 0;    // of prompts that it reads before this one
   bool long_home = false;      // takes the long prompts of the region
   bool has_long_home = false;  // some candidate does
   Duration cold_interval{0};
   double fill() const { return static_cast<double>(present) / slots; }
+  int64_t cached_tokens() const { return hit_tokens + fetch_tokens; }
 };
 
 double ServiceSeconds(const ServerUse* use) {
@@ -90,6 +94,12 @@
   return found == load.prefill_rates.end() ? kPrefillTokensPerSecond : found->second;
 }
 
+// Tokens a second.
+struct PrefillRates {
+  double read = kPrefillTokensPerSecond;
+  double fetch = 0;  // from another server's cache; 0: not possible
+};
+
 double PrefillSeconds(int64_t tokens, double rate) {
   return static_cast<double>(std::max<int64_t>(tokens, 0)) / rate;
 }
@@ -97,47 +107,21 @@
 // What a long prompt and the streams beside it cost each other.
 double NeighbourSeconds(const RouteQuery& query, const Candidate& candidate) {
   if (!candidate.has_long_home) return 0;
-  if (query.prompt_tokens - candidate.hit_tokens < kLongPromptTokens) {
+  if (query.prompt_tokens - candidate.cached_tokens() < kLongPromptTokens) {
     return candidate.long_home ? kLongHomeCost : 0;
   }
   return candidate.present * kNeighbourCost + (candidate.long_home ? 0 : kLongElsewhereCost);
 }
 
-double Cost(const RouteQuery& query, const Candidate& candidate, double rate) {
+double Cost(const RouteQuery& query, const Candidate& candidate, const PrefillRates& rates) {
   double wait = WaitSeconds(candidate.present, candidate.slots, ServiceSeconds(candidate.use));
-  wait += PrefillSeconds(candidate.tokens_ahead, rate);
+  wait += PrefillSeconds(candidate.tokens_ahead, rates.read);
   wait += NeighbourSeconds(query, candidate);
-  double service = PrefillSeconds(query.prompt_tokens - candidate.hit_tokens, rate);
+  double service = PrefillSeconds(query.prompt_tokens - candidate.cached_tokens(), rates.read);
+  if (candidate.fetch_tokens > 0) service += PrefillSeconds(candidate.fetch_tokens, rates.fetch);
   return query.route->weight_latency * wait + query.route->weight_cost * service;
 }
 
-// Longest predicted hit of each prefix cache that holds a part of the prompt.
-struct CacheHit {
-  uint32_t cache_id;
-  int64_t tokens;
-};
-
-std::vector<CacheHit> PredictHits(const RouteQuery& query, const LocalLoad& load, Time now) {
-  std::vector<CacheHit> hits;
-  size_t count = std::min(query.prefix_hashes.size(), kMaxPrefixHashes);
-  for (size_t i = count; i-- > 0;) {
-    auto found = load.prefixes.holders.find(query.prefix_hashes[i]);
-    if (found == load.prefixes.holders.end()) continue;
-    int64_t tokens = i < query.prefix_tokens.size()
-                         ? query.prefix_tokens[i]
-                         : static_cast<int64_t>(i + 1) * kPrefixBlockTokens;
-    tokens = std::min(tokens, query.prompt_tokens);
-    for (const PrefixHolder& holder : found->second) {
-      if (holder.cache_id == 0 || holder.expires_at <= now) continue;
-      bool known = std::any_of(hits.begin(), hits.end(), [&](const CacheHit& hit) {
-        return hit.cache_id == holder.cache_id;
-      });
-      if (!known) hits.push_back({holder.cache_id, tokens});
-    }
-  }
-  return hits;
-}
-
 int64_t HitOf(const std::vector<CacheHit>& hits, const Candidate& candidate) {
   if (hits.empty() || candidate.use == nullptr) return 0;
   if (candidate.use->incarnation != candidate.server->announced.incarnation) return 0;
@@ -152,7 +136,7 @@
   std::vector<Candidate> open;     // have room
   std::vector<Candidate> warming;  // have room, left out this time by slow start
   std::vector<Candidate> ejected;  // have room, ejected
-  int healthy = 0;                 // not ejected, with room or not
+  std::vector<Candidate> healthy;  // not ejected, with room or not
   int known = 0;                   // not avoided
   int slots = 0;
   double service_s = 0;  // sum over the known
@@ -313,7 +297,7 @@
     local.slots += candidate.slots;
     local.service_s += ServiceSeconds(candidate.use);
     bool ejected = Ejected(candidate, now);
-    if (!ejected) ++local.healthy;
+    if (!ejected) local.healthy.push_back(candidate);
     if (candidate.use != nullptr && candidate.use->exclusive) continue;
     if (!MayUseCold(view, now, &candidate)) continue;
     bool fits = query.suspect ? Idle(candidate) && MayRunSuspect(server, own, load)
@@ -346,34 +330,34 @@
          (b.candidate == nullptr || a.candidate->fill() < b.candidate->fill());
 }
 
-Priced CheapestOf(const RouteQuery& query, const std::vector<Candidate>& candidates, double rate,
-                  std::mt19937_64& rng) {
+Priced CheapestOf(const RouteQuery& query, const std::vector<Candidate>& candidates,
+                  const PrefillRates& rates, std::mt19937_64& rng) {
   // The random start decides between equal ones.
   size_t start = RandomIndex(candidates.size(), rng);
   Priced best;
   for (size_t i = 0; i < candidates.size(); ++i) {
     const Candidate& candidate = candidates[(start + i) % candidates.size()];
-    Priced priced{&candidate, Cost(query, candidate, rate)};
+    Priced priced{&candidate, Cost(query, candidate, rates)};
     if (Cheaper(priced, best)) best = priced;
   }
   return best;
 }
 
 Priced CheaperOfTwo(const RouteQuery& query, const std::vector<const Candidate*>& group,
-                    double rate, std::mt19937_64& rng) {
+                    const PrefillRates& rates, std::mt19937_64& rng) {
   if (group.empty()) return {};
   size_t first = RandomIndex(group.size(), rng);
-  Priced best{group[first], Cost(query, *group[first], rate)};
+  Priced best{group[first], Cost(query, *group[first], rates)};
   if (group.size() == 1) return best;
   size_t second = RandomIndex(group.size() - 1, rng);
   if (second >= first) ++second;
-  Priced other{group[second], Cost(query, *group[second], rate)};
+  Priced other{group[second], Cost(query, *group[second], rates)};
   return Cheaper(other, best) ? other : best;
 }
 
-Priced PickByCost(const RouteQuery& query, const std::vector<Candidate>& candidates, double rate,
-                  std::mt19937_64& rng) {
-  if (candidates.size() <= kCompareAll) return CheapestOf(query, candidates, rate, rng);
+Priced PickByCost(const RouteQuery& query, const std::vector<Candidate>& candidates,
+                  const PrefillRates& rates, std::mt19937_64& rng) {
+  if (candidates.size() <= kCompareAll) return CheapestOf(query, candidates, rates, rng);
   int64_t best_hit = 0;
   for (const Candidate& candidate : candidates) {
     best_hit = std::max(best_hit, candidate.hit_tokens);
@@ -386,8 +370,8 @@
         best_hit > 0 && static_cast<double>(candidate.hit_tokens) >= kPrefixGroupShare * best_hit;
     (hit ? prefix_group : others).push_back(&candidate);
   }
-  Priced a = CheaperOfTwo(query, prefix_group, rate, rng);
-  Priced b = CheaperOfTwo(query, others, rate, rng);
+  Priced a = CheaperOfTwo(query, prefix_group, rates, rng);
+  Priced b = CheaperOfTwo(query, others, rates, rng);
   return Cheaper(b, a) ? b : a;
 }
 
@@ -407,11 +391,6 @@
   return b.fill() < a.fill() ? &b : &a;
 }
 
-// Orders candidates for this key, the same on all hosts.
-uint64_t RendezvousWeight(const Candidate& candidate, uint64_t key) {
-  return Hash64(candidate.server->announced.id.value(), key);
-}
-
 const Candidate* PickPrefixHash(const RouteQuery& query, const std::vector<Candidate>& candidates) {
   uint64_t key = query.prefix_hashes.empty() ? query.content : query.prefix_hashes.front();
   double present = 0;
@@ -426,7 +405,7 @@
     // The bound counts the new request, so at least one candidate is always below it.
     double bound = std::ceil(kPrefixHashBound * (present + 1) * candidate.slots / slots);
     if (candidate.present + 1 > bound) continue;
-    uint64_t weight = RendezvousWeight(candidate, key);
+    uint64_t weight = RendezvousWeight(candidate.server->announced.id, key);
     if (best != nullptr && weight <= best_weight) continue;
     best = &candidate;
     best_weight = weight;
@@ -435,12 +414,12 @@
 }
 
 Priced Pick(const RouteQuery& query, const LocalLoad& load,
-            const std::vector<Candidate>& candidates, std::mt19937_64& rng) {
-  double rate = PrefillRate(query, load);
+            const std::vector<Candidate>& candidates, const PrefillRates& rates,
+            std::mt19937_64& rng) {
   const Candidate* picked = nullptr;
   switch (load.policy) {
     case RoutingPolicy::kCost:
-      return PickByCost(query, candidates, rate, rng);
+      return PickByCost(query, candidates, rates, rng);
     case RoutingPolicy::kRoundRobin:
       picked = &candidates[load.round_robin % candidates.size()];
       break;
@@ -454,7 +433,7 @@
       picked = PickPrefixHash(query, candidates);
       break;
   }
-  return {picked, Cost(query, *picked, rate)};
+  return {picked, Cost(query, *picked, rates)};
 }
 
 // The cost of waiting in the local queue, where every server is full.
@@ -465,72 +444,113 @@
          query.route->weight_cost * PrefillSeconds(query.prompt_tokens, PrefillRate(query, load));
 }
 
-// The candidate that every host with the same candidates picks for this key. Precondition: there is
-// one.
-Candidate* RendezvousHome(uint64_t key, std::vector<Candidate>* candidates) {
-  Candidate* home = nullptr;
-  uint64_t best = 0;
-  for (Candidate& candidate : *candidates) {
-    uint64_t weight = RendezvousWeight(candidate, key);
-    if (home != nullptr && weight <= best) continue;
-    home = &candidate;
-    best = weight;
-  }
-  return home;
-}
+// Where parts of a prompt are expected, among the servers that can run it.
+struct CachedPart {
+  const Candidate* at = nullptr;
+  int64_t tokens = 0;  // from the start of the prompt
+};
 
-void SetLongHomes(const RouteQuery& query, std::vector<Candidate>* candidates) {
-  if (query.prefix_tokens.empty() || candidates->size() < kMinServersForLongHome) return;
-  uint64_t key = Hash64(Served(*query.route));
-  std::vector<std::pair<uint64_t, Candidate*>> ranked;
-  ranked.reserve(candidates->size());
-  for (Candidate& candidate : *candidates) {
-    candidate.has_long_home = true;
-    ranked.emplace_back(RendezvousWeight(candidate, key), &candidate);
-  }
-  size_t homes = std::max<size_t>(1, ranked.size() / kServersPerLongHome);
-  auto last = ranked.begin() + static_cast<ptrdiff_t>(homes);
-  std::partial_sort(ranked.begin(), last, ranked.end(), std::greater<>());
-  for (auto home = ranked.begin(); home != last; ++home) home->second->long_home = true;
-}
+struct PromptPlaces {
+  ServerList long_homes;
+  std::vector<CachedPart> cached;
+};
 
-// All hosts expect the parts of the prompt that other requests share at the same server. The last
-// part belongs to the request or its session alone.
-void SetHits(const RouteQuery& query, const LocalLoad& load, Time now,
-             std::vector<Candidate>* candidates) {
-  std::vector<CacheHit> hits = PredictHits(query, load, now);
-  for (Candidate& candidate : *candidates) candidate.hit_tokens = HitOf(hits, candidate);
+// The last part of a prompt belongs to the request or its session alone.
+void AddSharedPartsHome(const RouteQuery& query, const ServerList& servers,
+                        const std::vector<Candidate>& healthy, PromptPlaces* places) {
   if (query.prefix_tokens.size() < 2) return;
   size_t last_shared = query.prefix_tokens.size() - 2;
-  int64_t shared = query.prefix_tokens[last_shared];
-  Candidate* home = RendezvousHome(query.prefix_hashes[last_shared], candidates);
-  home->hit_tokens = std::max(home->hit_tokens, std::min(shared, query.prompt_tokens));
+  const BackendServer* home =
+      SharedPartsHome(servers, places->long_homes, query.prefix_hashes[last_shared]);
+  int64_t tokens = std::min(query.prefix_tokens[last_shared], query.prompt_tokens);
+  for (const Candidate& candidate : healthy) {
+    if (candidate.server == home) places->cached.push_back({&candidate, tokens});
+  }
+}
+
+// Precondition: `healthy` outlives the result.
+PromptPlaces FindPlaces(const RouteQuery& query, const LocalLoad& load,
+                        const std::vector<Candidate>& healthy, Time now) {
+  PromptPlaces places;
+  std::vector<CacheHit> hits = PredictHits(
+      load.prefixes, {query.prefix_hashes, query.prefix_tokens, query.prompt_tokens}, now);
+  ServerList warm;
+  for (const Candidate& candidate : healthy) {
+    int64_t hit = HitOf(hits, candidate);
+    if (hit > 0) places.cached.push_back({&candidate, hit});
+    if (!IsCold(*candidate.server, now)) warm.push_back(candidate.server);
+  }
+  if (query.prefix_tokens.empty()) return places;
+  places.long_homes = LongPromptHomes(warm, Hash64(Served(*query.route)));
+  AddSharedPartsHome(query, warm, healthy, &places);
+  return places;
+}
+
+// Tokens a second that servers of the route fetch from each other; 0: they don't.
+double FetchRate(const RouteQuery& query, const RoutingView& view) {
+  if (view.config == nullptr || view.config->ingress == nullptr) return 0;
+  const auto& services = view.config->ingress->services;
+  auto service = services.find(query.route->service);
+  return service == services.end() ? 0 : service->second.fetch_tokens_per_s;
+}
+
+// Picks what the candidate fetches. Memory moves within a failure domain only: between two of them
+// it takes longer than reading most prompts again.
+void SetFetch(const std::vector<CachedPart>& cached, Candidate* candidate) {
+  const DomainId& domain = candidate->server->announced.domain;
+  for (const CachedPart& part : cached) {
+    int64_t tokens = part.tokens - candidate->hit_tokens;
+    if (tokens < kMinFetchTokens || tokens <= candidate->fetch_tokens) continue;
+    if (part.at->server->announced.domain != domain) continue;
+    candidate->fetch_from = part.at->server;
+    candidate->fetch_tokens = tokens;
+  }
+}
+
+void SetPlaces(const PromptPlaces& places, bool fetches, std::vector<Candidate>* candidates) {
+  for (Candidate& candidate : *candidates) {
+    candidate.has_long_home = !places.long_homes.empty();
+    candidate.long_home = Contains(places.long_homes, candidate.server);
+    for (const CachedPart& part : places.cached) {
+      if (part.at->server != candidate.server) continue;
+      candidate.hit_tokens = std::max(candidate.hit_tokens, part.tokens);
+    }
+    if (fetches) SetFetch(places.cached, &candidate);
+  }
 }
 
-Choice ChooseLocal(const RouteQuery& query, const LocalLoad& load, LocalServers& local, Time now,
-                   std::mt19937_64& rng) {
+Choice LocalChoice(const RouteQuery& query, const Candidate& picked) {
   Choice choice;
-  choice.kind = ChoiceKind::kQueue;
+  choice.kind = ChoiceKind::kLocal;
+  choice.server = picked.server->announced.id;
+  choice.incarnation = picked.server->announced.incarnation;
+  choice.hit_tokens = picked.hit_tokens;
+  choice.fetch_tokens = picked.fetch_tokens;
+  if (picked.fetch_from != nullptr) choice.fetch_from = picked.fetch_from->announced.id;
+  choice.prefill_tokens = std::max<int64_t>(0, query.prompt_tokens - picked.cached_tokens());
+  choice.tokens_ahead = picked.tokens_ahead;
+  choice.cold_interval = picked.cold_interval;
+  return choice;
+}
+
+Choice ChooseLocal(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
+                   LocalServers& local, Time now, std::mt19937_64& rng) {
   std::vector<Candidate>* candidates = &local.open;
   if (candidates->empty()) candidates = &local.warming;
   // Ejection is a guess; when it leaves nothing, a server that may fail is better than a refusal.
-  bool ejected = candidates->empty() && local.healthy == 0;
+  bool ejected = candidates->empty() && local.healthy.empty();
   if (ejected) candidates = &local.ejected;
   if (candidates->empty()) {
-    choice.cost = QueueCost(query, local, load);
-    return choice;
-  }
-  SetHits(query, load, now, candidates);
-  SetLongHomes(query, candidates);
-  Priced picked = Pick(query, load, *candidates, rng);
-  choice.kind = ChoiceKind::kLocal;
-  choice.server = picked.candidate->server->announced.id;
-  choice.incarnation = picked.candidate->server->announced.incarnation;
+    Choice queue;
+    queue.kind = ChoiceKind::kQueue;
+    queue.cost = QueueCost(query, local, load);
+    return queue;
+  }
+  PrefillRates rates{PrefillRate(query, load), FetchRate(query, view)};
+  SetPlaces(FindPlaces(query, load, local.healthy, now), rates.fetch > rates.read, candidates);
+  Priced picked = Pick(query, load, *candidates, rates, rng);
+  Choice choice = LocalChoice(query, *picked.candidate);
   choice.cost = picked.cost + (ejected ? kEjectedCost : 0);
-  choice.hit_tokens = picked.candidate->hit_tokens;
-  choice.prefill_tokens = std::max<int64_t>(0, query.prompt_tokens - choice.hit_tokens);
-  choice.tokens_ahead = picked.candidate->tokens_ahead;
-  choice.cold_interval = picked.candidate->cold_interval;
   return choice;
 }
 
@@ -673,30 +693,6 @@
   use.mean_service = Duration(static_cast<int64_t>(mean));
 }
 
-void EvictOldestPrefix(PrefixIndex& index) {
-  index.holders.erase(index.order.front());
-  index.order.pop_front();
-}
-
-void ExpectPrefixes(LocalLoad& load, const RouteQuery& query, uint32_t cache_id, Time now) {
-  size_t count = std::min(query.prefix_hashes.size(), kMaxPrefixHashes);
-  for (size_t i = 0; i < count; ++i) {
-    auto [entry, added] = load.prefixes.holders.try_emplace(query.prefix_hashes[i]);
-    if (added) load.prefixes.order.push_back(query.prefix_hashes[i]);
-    auto& holders = entry->second;
-    auto slot = std::find_if(holders.begin(), holders.end(), [&](const PrefixHolder& holder) {
-      return holder.cache_id == cache_id;
-    });
-    if (slot == holders.end()) {
-      slot = std::min_element(
-          holders.begin(), holders.end(),
-          [](const PrefixHolder& a, const PrefixHolder& b) { return a.expires_at < b.expires_at; });
-    }
-    *slot = {cache_id, now + kPrefixTtl};
-    if (load.prefixes.holders.size() > kMaxPrefixes) EvictOldestPrefix(load.prefixes);
-  }
-}
-
 bool MayEjectOneMore(const LocalLoad& load, const RoutingView& view, Time now) {
   int live = 0;
   int ejected = 0;
@@ -798,7 +794,7 @@
     return Refuse(NowhereToRun(query, view, local_allowed));
   }
 
-  Choice home = ChooseLocal(query, load, local, now, rng);
+  Choice home = ChooseLocal(query, view, load, local, now, rng);
   if (query.hops > 0 || query.suspect) return home;
   double threshold = home.cost - Margin(query, home.cost);
   if (RemoteCostFloor(query, load) >= threshold) return home;
@@ -830,7 +826,7 @@
   AddSent(use, now);
   use.prefill_tokens += choice.prefill_tokens;
   if (choice.cold_interval > Duration(0)) use.cold_next = now + choice.cold_interval;
-  ExpectPrefixes(load, query, use.cache_id, now);
+  ExpectPrefixes(load.prefixes, query.prefix_hashes, use.cache_id, now);
 }
 
 void OnFirstByte(LocalLoad& load, const std::string& served, const Choice& choice,
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -24,18 +24,17 @@
 // Cost of a server = weight_latency x wait seconds + weight_cost x service seconds. Wait is the
 // queue that the server reported plus what this host and others have there. Service is the prefill
 // of the prompt without the predicted prefix hit. Where the parts of a prompt are named, every host
-// expects the shared ones at the same server (rendezvous hash), so that hosts agree without
-// messages on where the next request of a session finds them. A failure domain elsewhere adds its
-// round trip and, in another region, weight_remote. A forward must be cheaper than home by a
+// expects the shared ones at the same server (core/server_homes.h), so that hosts agree without
+// messages on where the next request of a session finds them. Another server of the same failure
+// domain fetches them from there, where the service can do that. A failure domain elsewhere adds
+// its round trip and, in another region, weight_remote. A forward must be cheaper than home by a
 // margin, so that equal loads do not send requests back and forth.
 //
 // Not thread safe: the caller serialises all calls on one LocalLoad. No errors are thrown.
 // Memory: one ServerUse for each server of the view (4,096) after Prune(), at most kMaxSentTimes
-// times in each; the prefix index holds at most kMaxPrefixes hashes with kServersPerPrefix servers.
+// times in each, and the prefix index.
 
-#include <array>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <random>
 #include <string>
@@ -46,16 +45,13 @@
 #include "base/error.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "core/prefix_index.h"
+#include "core/server_homes.h"
 #include "ports/views.h"
 
 namespace ebonylift {
 
 constexpr int kMaxHops = 2;
-constexpr int64_t kPrefixBlockTokens = 128;  // tokens that each prefix hash adds to the one before
-constexpr size_t kMaxPrefixHashes = 64;      // hashes of one request that are looked at
-constexpr size_t kMaxPrefixes = 65'536;
-constexpr size_t kServersPerPrefix = 4;
-constexpr Duration kPrefixTtl = seconds(300);
 constexpr size_t kMaxSentTimes = 1'024;
 constexpr Duration kSlowStart = seconds(10);
 constexpr double kHysteresisShare = 0.2;
@@ -69,15 +65,11 @@
 constexpr double kPrefillTokensPerSecond = 8'000;  // until answers have shown the rate
 constexpr double kRateSmoothing = 0.05;            // weight of the newest answer
 constexpr int64_t kMinRateTokens = 500;            // shorter prompts say little about the rate
-// A server reads a long prompt in steps that grow with it, and every stream there waits for each
-// step. So some servers of a region, the same for all hosts, take the long prompts while they have
-// room, and other prompts go there when the rest cost more.
-constexpr int64_t kLongPromptTokens = 16'000;
-constexpr size_t kMinServersForLongHome = 3;
-constexpr size_t kServersPerLongHome = 4;   // at least one
-constexpr double kLongElsewhereCost = 0.1;  // seconds, of a long prompt at another server
-constexpr double kLongHomeCost = 0.2;       // seconds, of another prompt at that server
-constexpr double kNeighbourCost = 0.03;     // seconds, of a long prompt for each request there
+constexpr double kLongElsewhereCost = 0.1;         // seconds, of a long prompt at another server
+constexpr double kLongHomeCost = 0.2;              // seconds, of another prompt at that server
+constexpr double kNeighbourCost = 0.03;  // seconds, of a long prompt for each request there
+// Less is read again rather than fetched from the cache of another server.
+constexpr int64_t kMinFetchTokens = 256;
 // Up to this many servers are all compared; among more, two random ones of each group are.
 constexpr size_t kCompareAll = 16;
 constexpr Duration kDefaultService = seconds(1);
@@ -173,16 +165,6 @@
   uint64_t incarnation = 0;    // of the server at the last dispatch; a newer one starts unejected
 };
 
-// Which server's prefix cache probably holds which prefix.
-struct PrefixHolder {
-  uint32_t cache_id = 0;
-  Time expires_at;
-};
-struct PrefixIndex {
-  std::unordered_map<uint64_t, std::array<PrefixHolder, kServersPerPrefix>> holders;
-  std::deque<uint64_t> order;  // oldest hash first, for eviction
-};
-
 struct LocalLoad {
   RoutingPolicy policy = RoutingPolicy::kCost;
   std::unordered_map<ServerId, ServerUse> servers;
@@ -211,7 +193,9 @@
   Duration retry_after{0};                 // kRefuse; 0: repeating does not help
   double cost = 0;                         // of the chosen place, in weighted seconds
   int64_t hit_tokens = 0;                  // kLocal: predicted prefix hit
-  int64_t prefill_tokens = 0;              // the rest of the prompt
+  int64_t prefill_tokens = 0;              // neither there nor fetched
+  int64_t fetch_tokens = 0;                // kLocal: it fetches these from another server's cache
+  ServerId fetch_from;                     // kLocal: that server; empty: none
   int64_t tokens_ahead = 0;                // kLocal: of prompts that the server reads before
   Duration cold_interval{0};               // kLocal: see ColdInterval() in core/cold_limit.h
 };
--- a/src/daemon/attempt_call.cc
+++ b/src/daemon/attempt_call.cc
@@ -13,6 +13,7 @@
   attempt.left = TimeLeft(spec, now);
   attempt.rank = spec.route->rank;
   attempt.last_event = last_event;
+  attempt.fetch_from = open.fetch_from;
   return spec.dialect->attempt_headers(spec.headers, attempt);
 }
 
--- a/src/daemon/attempt_call.h
+++ b/src/daemon/attempt_call.h
@@ -25,6 +25,7 @@
   // At a backend server.
   std::optional<ServerId> server;
   std::string address;
+  std::string fetch_from;  // address of the server whose cache has more of the prompt; empty: none
   bool resumes = false;
   bool cancels = false;
   Choice choice;
--- a/src/daemon/dialect.h
+++ b/src/daemon/dialect.h
@@ -38,6 +38,7 @@
   ServerId server;  // empty: the attempt goes through another host
   Duration left{0};
   int rank = 0;
+  std::string fetch_from;  // address of a server whose prefix cache has more; empty: none
   std::string last_event;  // a stream goes on after this event; empty: as the caller said
 };
 
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -272,6 +272,7 @@
             {"attempts", std::to_string(attempts_.attempts.size())},
             {"tokens", std::to_string(spec_.prompt_tokens)},
             {"hit_tokens", std::to_string(open_.choice.hit_tokens)},
+            {"fetch_tokens", std::to_string(open_.choice.fetch_tokens)},
             {"tokens_ahead", std::to_string(open_.choice.tokens_ahead)},
             {"wait_ms", std::to_string(ToMillis(open_.dispatched_at - spec_.arrived))},
             {"first_ms", std::to_string(ToMillis(FirstByteAt() - spec_.arrived))},
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -63,6 +63,8 @@
     return;
   }
   open_.address = server->announced.address;
+  const BackendServer* holder = FindServer(*spec_.view, choice.fetch_from);
+  if (holder != nullptr) open_.fetch_from = holder->announced.address;
   open_.resumes = Has(server->announced.capabilities, "resume");
   open_.cancels = Has(server->announced.capabilities, "cancel");
   if (spec_.dialect == nullptr || open_.number > 1) {
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -31,7 +31,8 @@
           {"health_path", "/health"},
           {"max_connections", 100},
           {"cold_start_ms", 3000},
-          {"cold_per_s", 3.3}};
+          {"cold_per_s", 3.3},
+          {"fetch_tokens_per_s", 130'000.0}};
 }
 
 Json Document() {
--- a/tests/platform_dialect_test.cc
+++ b/tests/platform_dialect_test.cc
@@ -70,11 +70,14 @@
   attempt.left = milliseconds(1'234);
   HttpHeaders headers = kDialect.attempt_headers(caller, attempt);
   for (const auto& [name, value] : headers) BOOST_TEST(value != "client", name);
+  BOOST_TEST(FindHeader(headers, "Kv-Fetch") == "");
   BOOST_TEST(FindHeader(headers, "Expect-Instance") == "i-1");
   BOOST_TEST(FindHeader(headers, "Deadline-Ms") == "1234");
   BOOST_TEST(FindHeader(headers, "Last-Event-Id") == "3");
   BOOST_TEST(FindHeader(headers, "Attempt-Id") == "9c41");
   attempt.last_event = "7";
+  attempt.fetch_from = "10.0.0.9:8080";
+  BOOST_TEST(FindHeader(kDialect.attempt_headers(caller, attempt), "Kv-Fetch") == "10.0.0.9:8080");
   BOOST_TEST(FindHeader(kDialect.attempt_headers(caller, attempt), "Last-Event-Id") == "7");
 }
 
--- a/tests/platform_messages_test.cc
+++ b/tests/platform_messages_test.cc
@@ -29,7 +29,7 @@
       "backends":[{"service":"s","weight":90},{"service":"t","weight":10}],"max_attempts":2,
       "home_regions":[]}],
     "services":[{"name":"s","health_path":"/health","max_connections":230,"cold_start_s":3.0,
-      "cold_per_s":3.3},{"name":"t","health_path":"/health","cold_start_s":0.0,"cold_per_s":0.0}],
+      "cold_per_s":3.3,"engine":{"slots":32,"token_bytes":327680,"link_mbps":350000.0}},{"name":"t","health_path":"/health","cold_start_s":0.0,"cold_per_s":0.0}],
     "limits":{"max_header_bytes":16384}})");
 }
 
@@ -135,4 +135,21 @@
   BOOST_CHECK_THROW(ReadConfiguration(configuration.dump(), kPlaces), Error);
 }
 
+// Guards against a rate in other units, and against a configuration that is refused for an engine
+// that says less.
+BOOST_AUTO_TEST_CASE(ServicesSayHowFastPartsAreFetched) {
+  auto rate = [](const json& configuration) {
+    ConfigurationDocument document = ReadConfiguration(configuration.dump(), kPlaces);
+    return json::parse(document.value)["services"][0]["fetch_tokens_per_s"].get<double>();
+  };
+  json configuration = Configuration();
+  BOOST_TEST(rate(configuration) == 350'000e6 / 8 / 327'680, boost::test_tools::tolerance(1e-9));
+  for (const json& engine :
+       {json(), json::object(), json{{"token_bytes", 0}},
+        json{{"token_bytes", "many"}, {"link_mbps", 1}}, json{{"token_bytes", 1}}}) {
+    configuration["services"][0]["engine"] = engine;
+    BOOST_TEST(rate(configuration) == 0, engine.dump());
+  }
+}
+
 }  // namespace ebonylift::platform
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 
+#include "core/ingress.h"
 #include "core/poison.h"
 
 namespace ebonylift {
@@ -958,6 +959,118 @@
   BOOST_TEST((w.Run().server != home.server));
 }
 
+// A world of plain servers whose service can fetch parts of prompts.
+struct FetchWorld : World {
+  std::shared_ptr<IngressConfig> ingress = std::make_shared<IngressConfig>();
+
+  explicit FetchWorld(double fetch_tokens_per_s, int servers = 6) {
+    route.kind = ServerKind::kService;
+    route.service = "summaries";
+    IngressService service;
+    service.name = route.service;
+    service.fetch_tokens_per_s = fetch_tokens_per_s;
+    ingress->services[service.name] = service;
+    config->ingress = ingress;
+    load.prefill_rates[route.service] = 80'000;
+    for (int i = 0; i < servers; ++i) {
+      BackendServer& server = AddServer("s" + std::to_string(i), 0, 32);
+      server.announced.kind = ServerKind::kService;
+      server.announced.services = {route.service};
+    }
+    Ask(2, 12'000);
+  }
+
+  // A prompt of the session whose shared parts have 5,400 tokens.
+  void Ask(uint64_t session, int64_t tokens) {
+    query.prompt_tokens = tokens;
+    query.prefix_hashes = {1, session, 1'000'000 + session};
+    query.prefix_tokens = {500, 5'400, tokens};
+  }
+
+  BackendServer& At(const ServerId& id) {
+    return *std::find_if(view.servers.begin(), view.servers.end(),
+                         [&](const BackendServer& server) { return server.announced.id == id; });
+  }
+};
+
+// Guards against shared parts that each server of a region reads for itself when the home of the
+// session is busy (heavy days: 5.9 million of 14 million shared tokens were read again).
+BOOST_AUTO_TEST_CASE(PromptsThatLeaveABusyHomeFetchItsParts) {
+  FetchWorld w(130'000);
+  Choice home = w.Run();
+  BOOST_TEST(home.fetch_from.empty());
+  w.At(home.server).elsewhere_tokens = 20'000;
+  Choice other = w.Run();
+  BOOST_TEST((other.server != home.server));
+  BOOST_TEST((other.fetch_from == home.server));
+  BOOST_TEST(other.fetch_tokens == 5'400);
+  BOOST_TEST(other.prefill_tokens == 12'000 - 5'400);
+}
+
+// Guards against fetches from a home that is full and no candidate for the request itself.
+BOOST_AUTO_TEST_CASE(AFullHomeStillGivesItsParts) {
+  FetchWorld w(130'000);
+  Choice home = w.Run();
+  w.At(home.server).elsewhere = 100;
+  Choice other = w.Run();
+  BOOST_TEST((other.server != home.server));
+  BOOST_TEST((other.fetch_from == home.server));
+}
+
+// Guards against fetches that take longer than reading, or that no server can do.
+BOOST_AUTO_TEST_CASE(NothingIsFetchedWhereReadingIsFaster) {
+  for (double rate : {0.0, 60'000.0}) {
+    FetchWorld w(rate);
+    Choice home = w.Run();
+    w.At(home.server).elsewhere_tokens = 20'000;
+    Choice other = w.Run();
+    BOOST_TEST((other.server != home.server));
+    BOOST_TEST(other.fetch_from.empty());
+    BOOST_TEST(other.prefill_tokens == 12'000);
+  }
+}
+
+// Guards against memory that moves between failure domains.
+BOOST_AUTO_TEST_CASE(PartsAreFetchedInsideAFailureDomain) {
+  FetchWorld w(130'000);
+  w.view.server_scope = ServerScope::kRegion;
+  Choice home = w.Run();
+  w.At(home.server).elsewhere_tokens = 20'000;
+  w.At(home.server).announced.domain = DomainId("este-b");
+  BOOST_TEST(w.Run().fetch_from.empty());
+}
+
+// Guards against fetches from a server that is expected to have crashed or was replaced.
+BOOST_AUTO_TEST_CASE(UnreachableServersGiveNothing) {
+  FetchWorld w(130'000);
+  Choice home = w.Run();
+  w.Dispatch(home);
+  OnServerOutcome(w.load, w.view, home.server, kNow, ServerOutcome::kUnreachable, kNow);
+  Choice other = w.Run();
+  BOOST_TEST((other.server != home.server));
+  BOOST_TEST((other.fetch_from != home.server));
+}
+
+// Guards against sessions whose home is a server that their prompts avoid, because it takes the
+// long ones: they would be read again elsewhere each time.
+BOOST_AUTO_TEST_CASE(NoSessionLivesAtTheHomeOfLongPrompts) {
+  std::string long_home;
+  {
+    FetchWorld w(0);
+    w.query.prompt_tokens = 40'000;
+    w.query.prefix_hashes = {7};
+    w.query.prefix_tokens = {40'000};
+    long_home = w.Run().server.value();
+  }
+  for (uint64_t session = 2; session < 60; ++session) {
+    FetchWorld w(0);
+    w.Ask(session, 12'000);
+    Choice choice = w.Run();
+    BOOST_TEST(choice.server.value() != long_home);
+    BOOST_TEST(choice.hit_tokens == 5'400, session);
+  }
+}
+
 // Guards against work for the servers of an evacuated failure domain.
 BOOST_AUTO_TEST_CASE(EvacuatedDomainsGetNothing) {
   World w;
