Send away what a full home cannot start in time

Their queue looked cheaper than the round trip to another region, so requests waited for an eighth of their target and were refused, while two servers of peshawar were a quarter used. Besides, requests waited half a second each for connections to dark servers.

Change: where no server at home has room, a request with a target is forwarded to a failure domain whose summary leaves time to meet the target. One request at a time tries a server to which no connection was made.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -191,6 +191,12 @@
   return now < candidate.use->ejected_until || Unreachable(candidate, now);
 }
 
+// One request at a time shows whether an unreachable server is back; more of them would wait for a
+// connection that is not made.
+bool IsBeingTried(const Candidate& candidate, Time now) {
+  return Unreachable(candidate, now) && candidate.use->in_flight > 0;
+}
+
 bool Gone(const Candidate& candidate) { return SameIncarnation(candidate) && candidate.use->gone; }
 
 // A new server takes part in a share of the choices that grows to all over kSlowStart.
@@ -299,6 +305,7 @@
     bool ejected = Ejected(candidate, now);
     if (!ejected) local.healthy.push_back(candidate);
     if (candidate.use != nullptr && candidate.use->exclusive) continue;
+    if (ejected && IsBeingTried(candidate, now)) continue;
     if (!MayUseCold(view, now, &candidate)) continue;
     bool fits = query.suspect ? Idle(candidate) && MayRunSuspect(server, own, load)
                               : HasRoom(query, load, candidate, now);
@@ -593,6 +600,12 @@
   return present + sent * hosts;
 }
 
+// Prompts that went there since the report are taken to be as long as this one.
+int64_t TokensAhead(const RouteQuery& query, const ServerUse* use, const DomainSummary& summary) {
+  if (use == nullptr) return summary.prefill_tokens;
+  return summary.prefill_tokens + SentSince(*use, summary.reported_at) * query.prompt_tokens;
+}
+
 double RemoteCost(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
                   const DomainSummary& summary, int present) {
   auto found = load.domains.find(summary.domain);
@@ -600,18 +613,42 @@
   bool crosses = summary.region != view.self.region;
   double wait = WaitSeconds(present, std::max(summary.slots, 1), ServiceSeconds(use));
   double rate = PrefillRate(query, load);
-  // Prompts that went there since the report are taken to be as long as this one.
-  int64_t tokens = summary.prefill_tokens;
-  if (use != nullptr) tokens += SentSince(*use, summary.reported_at) * query.prompt_tokens;
-  wait += PrefillSeconds(tokens, rate) / std::max(summary.servers, 1);
+  wait += PrefillSeconds(TokensAhead(query, use, summary), rate) / std::max(summary.servers, 1);
   wait += Seconds(crosses ? kRegionRoundTrip : kDomainRoundTrip);
   return query.route->weight_latency * wait +
          query.route->weight_cost * PrefillSeconds(query.prompt_tokens, rate) +
          (crosses ? query.route->weight_remote : 0);
 }
 
+// Which failure domains may get a forward.
+enum class RemoteRoom {
+  kAny,
+  kFreeSlot,     // by its summary
+  kStartsInTime  // a free slot, and the prompts there leave time to meet the target of the query
+};
+
+// Precondition: the query has a target.
+bool StartsInTimeThere(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
+                       const DomainSummary& summary, Time now) {
+  double rate = PrefillRate(query, load);
+  bool crosses = summary.region != view.self.region;
+  double left = Seconds(query.first_byte_by - now);
+  left -= Seconds(crosses ? kRegionRoundTrip : kDomainRoundTrip);
+  left -= PrefillSeconds(query.prompt_tokens, rate);
+  auto sent = load.domains.find(summary.domain);
+  int64_t ahead = TokensAhead(query, sent == load.domains.end() ? nullptr : &sent->second, summary);
+  return left > 0 && PrefillSeconds(ahead, rate) / std::max(summary.servers, 1) <= left;
+}
+
+bool HasRoomThere(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
+                  const DomainSummary& summary, int present, RemoteRoom room, Time now) {
+  if (room == RemoteRoom::kAny) return true;
+  if (present >= summary.slots) return false;
+  return room == RemoteRoom::kFreeSlot || StartsInTimeThere(query, view, load, summary, now);
+}
+
 Choice ChooseRemote(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
-                    Time now, bool only_free, std::mt19937_64& rng) {
+                    Time now, RemoteRoom room, std::mt19937_64& rng) {
   Choice best;
   best.cost = kInfinity;
   for (const DomainSummary& summary : view.summaries) {
@@ -624,7 +661,7 @@
     auto use = load.domains.find(summary.domain);
     if (use != load.domains.end() && now < use->second.ejected_until) continue;
     int present = PresentAt(view, load, summary);
-    if (only_free && present >= summary.slots) continue;
+    if (!HasRoomThere(query, view, load, summary, present, room, now)) continue;
     double cost = RemoteCost(query, view, load, summary, present);
     if (cost >= best.cost) continue;
     const HostEntry* host = PickHost(query, view, summary, rng);
@@ -789,16 +826,20 @@
   LocalServers local;
   if (local_allowed) local = FindLocal(query, view, load, now, rng);
   if (local.known == 0) {
-    Choice remote = ChooseRemote(query, view, load, now, false, rng);
+    Choice remote = ChooseRemote(query, view, load, now, RemoteRoom::kAny, rng);
     if (remote.kind == ChoiceKind::kForward) return remote;
     return Refuse(NowhereToRun(query, view, local_allowed));
   }
 
   Choice home = ChooseLocal(query, view, load, local, now, rng);
   if (query.hops > 0 || query.suspect) return home;
+  if (home.kind == ChoiceKind::kQueue && query.first_byte_by != Time()) {
+    Choice remote = ChooseRemote(query, view, load, now, RemoteRoom::kStartsInTime, rng);
+    if (remote.kind == ChoiceKind::kForward) return remote;
+  }
   double threshold = home.cost - Margin(query, home.cost);
   if (RemoteCostFloor(query, load) >= threshold) return home;
-  Choice remote = ChooseRemote(query, view, load, now, true, rng);
+  Choice remote = ChooseRemote(query, view, load, now, RemoteRoom::kFreeSlot, rng);
   return remote.kind == ChoiceKind::kForward && remote.cost < threshold ? remote : home;
 }
 
@@ -873,6 +914,7 @@
   if (outcome == ServerOutcome::kOk) {
     use.failures = 0;
     use.ejections = 0;
+    use.unreachable_at = Time();
     UpdateService(use, now - dispatched_at);
     return false;
   }
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -204,6 +204,10 @@
 // the request: summaries do not show the queues of its gateways, so a full one would always look
 // cheaper than the queue at home, and equally loaded regions would exchange their requests.
 //
+// A request with a target for its first byte that no server here has room for is forwarded to a
+// failure domain that can start it in time, whatever the queue costs: it is held here for a part of
+// its target only and refused then.
+//
 // A request that was forwarded here is forwarded again only when no server here can run it, so two
 // loaded hosts do not pass requests to each other. A suspect is forwarded under the same condition.
 //
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1071,6 +1071,54 @@
   }
 }
 
+// A region whose servers are full, and another one with room. `tokens` are unread there.
+void FullHomeWithTarget(World& w, int64_t tokens) {
+  w.AddServer("s1", 100, 32).announced.capabilities = {kNoLoadReports};
+  w.load.prefill_rates["m"] = 80'000;
+  w.load.servers[ServerId("s1")].mean_service = milliseconds(10);
+  w.query.first_byte_by = kNow + milliseconds(1'200);
+  w.query.prompt_tokens = 2'400;
+  w.AddHost("h1", "norte", "norte-a");
+  w.AddSummary("norte", "norte-a", 10, 64).prefill_tokens = tokens;
+}
+
+// Guards against requests that are refused at home while another region has room (servers that come
+// back cold together: their short queue looked cheaper than the round trip).
+BOOST_AUTO_TEST_CASE(AFullHomeSendsAwayWhatStartsInTimeElsewhere) {
+  RunCases({{"room elsewhere", "forward h1", [](World& w) { FullHomeWithTarget(w, 10'000); }},
+            {"late there as well", "queue", [](World& w) { FullHomeWithTarget(w, 100'000); }},
+            {"no slot there", "queue",
+             [](World& w) {
+               FullHomeWithTarget(w, 0);
+               w.view.summaries[0].running = 64;
+             }},
+            {"data may not go there", "queue",
+             [](World& w) {
+               FullHomeWithTarget(w, 0);
+               w.query.allowed_regions = {RegionId("este")};
+             }},
+            {"was forwarded here", "queue", [](World& w) {
+               FullHomeWithTarget(w, 0);
+               w.query.hops = 1;
+             }}});
+}
+
+// Guards against requests that all wait for a connection to the same dark servers, when a region
+// has no others (312 failed connections in two seconds).
+BOOST_AUTO_TEST_CASE(OneRequestAtATimeTriesAnUnreachableServer) {
+  World w;
+  w.AddServer("s1", 0, 32).announced.capabilities = {kNoLoadReports};
+  w.Dispatch(w.Run());
+  OnServerOutcome(w.load, w.view, ServerId("s1"), kNow, ServerOutcome::kUnreachable, kNow);
+  Choice first = w.Run();
+  BOOST_TEST(Describe(first) == "local s1");
+  w.Dispatch(first);
+  BOOST_TEST(Describe(w.Run()) == "queue");
+  OnServerOutcome(w.load, w.view, ServerId("s1"), kNow, ServerOutcome::kOk, kNow);
+  w.Dispatch(w.Run());
+  BOOST_TEST(Describe(w.Run()) == "local s1", "it is back");
+}
+
 // Guards against work for the servers of an evacuated failure domain.
 BOOST_AUTO_TEST_CASE(EvacuatedDomainsGetNothing) {
   World w;
