Keep forwards off regions that are cold or refused one

Change: summaries leave out the slots of cold servers (core/domain_summary, taken out of control.cc); a failure domain that refused a forward gets none for want of room for half a second; plain calls may wait there as they may at home; a server that is being tried does not count as known.

--- /dev/null
+++ b/src/core/domain_summary.cc
@@ -0,0 +1,47 @@
+#include "core/domain_summary.h"
+
+#include <map>
+#include <utility>
+
+#include "core/cold_limit.h"
+
+namespace ebonylift {
+namespace {
+
+void AddServer(const BackendServer& server, Time now, DomainSummary* row) {
+  const ServerLoad& load = server.announced.load;
+  ++row->servers;
+  if (!IsCold(server, now)) row->slots += load.slots;
+  row->running += load.running + server.elsewhere;
+  row->waiting += load.waiting;
+  row->prefill_tokens += load.prefill_tokens_waiting + server.elsewhere_tokens;
+}
+
+}  // namespace
+
+std::vector<std::string> ServedNames(const Announcement& announcement) {
+  std::vector<std::string> names = announcement.services;
+  for (const ServedModel& model : announcement.models) names.push_back(model.name.value());
+  return names;
+}
+
+std::vector<DomainSummary> SummarizeDomain(const Identity& self,
+                                           const std::vector<BackendServer>& servers, Time now) {
+  std::map<std::string, DomainSummary> rows;
+  for (const BackendServer& server : servers) {
+    if (server.announced.domain != self.domain) continue;
+    for (const std::string& name : ServedNames(server.announced)) {
+      AddServer(server, now, &rows[name]);
+    }
+  }
+  std::vector<DomainSummary> list;
+  for (auto& [name, row] : rows) {
+    row.domain = self.domain;
+    row.region = self.region;
+    row.served = name;
+    list.push_back(std::move(row));
+  }
+  return list;
+}
+
+}  // namespace ebonylift
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -164,14 +164,18 @@
   return PrefillSeconds(candidate.tokens_ahead, rate->second) <= std::max(left, Seconds(kLateWait));
 }
 
+// A request without a prompt that has a target for its first byte.
+bool IsPlainCall(const RouteQuery& query) {
+  return query.prompt_tokens == 0 && query.first_byte_by != Time();
+}
+
 bool HasRoom(const RouteQuery& query, const LocalLoad& load, const Candidate& candidate, Time now) {
   if (!StartsInTime(query, load, candidate, now)) return false;
   if (query.traffic_class == TrafficClass::kChapter && !query.uses_reserve &&
       now < load.reserved_until) {
     return candidate.present < ChapterLimit(candidate.slots);
   }
-  bool plain = query.prompt_tokens == 0 && query.first_byte_by != Time();
-  double share = plain ? kPlainBacklogShare : kServerBacklogShare;
+  double share = IsPlainCall(query) ? kPlainBacklogShare : kServerBacklogShare;
   int backlog = std::max(1, static_cast<int>(candidate.slots * share));
   return candidate.present < candidate.slots + backlog;
 }
@@ -194,7 +198,7 @@
 // One request at a time shows whether an unreachable server is back; more of them would wait for a
 // connection that is not made.
 bool IsBeingTried(const Candidate& candidate, Time now) {
-  return Unreachable(candidate, now) && candidate.use->in_flight > 0;
+  return SameIncarnation(candidate) && Unreachable(candidate, now) && candidate.use->in_flight > 0;
 }
 
 bool Gone(const Candidate& candidate) { return SameIncarnation(candidate) && candidate.use->gone; }
@@ -298,14 +302,13 @@
     if (kept_free && !query.suspect) continue;
     if (Contains(query.avoid_servers, server.announced.id)) continue;
     Candidate candidate = MakeCandidate(query, server, load);
-    if (Gone(candidate)) continue;
+    if (Gone(candidate) || IsBeingTried(candidate, now)) continue;
     ++local.known;
     local.slots += candidate.slots;
     local.service_s += ServiceSeconds(candidate.use);
     bool ejected = Ejected(candidate, now);
     if (!ejected) local.healthy.push_back(candidate);
     if (candidate.use != nullptr && candidate.use->exclusive) continue;
-    if (ejected && IsBeingTried(candidate, now)) continue;
     if (!MayUseCold(view, now, &candidate)) continue;
     bool fits = query.suspect ? Idle(candidate) && MayRunSuspect(server, own, load)
                               : HasRoom(query, load, candidate, now);
@@ -624,7 +627,7 @@
 enum class RemoteRoom {
   kAny,
   kFreeSlot,     // by its summary
-  kStartsInTime  // a free slot, and the prompts there leave time to meet the target of the query
+  kStartsInTime  // the prompts there leave time to meet the target of the query
 };
 
 // Precondition: the query has a target.
@@ -643,8 +646,12 @@
 bool HasRoomThere(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
                   const DomainSummary& summary, int present, RemoteRoom room, Time now) {
   if (room == RemoteRoom::kAny) return true;
-  if (present >= summary.slots) return false;
-  return room == RemoteRoom::kFreeSlot || StartsInTimeThere(query, view, load, summary, now);
+  if (room == RemoteRoom::kFreeSlot) return present < summary.slots;
+  auto sent = load.domains.find(summary.domain);
+  if (sent != load.domains.end() && now < sent->second.full_until) return false;
+  double backlog = IsPlainCall(query) ? kPlainBacklogShare : 0;
+  if (present >= summary.slots * (1 + backlog)) return false;
+  return StartsInTimeThere(query, view, load, summary, now);
 }
 
 Choice ChooseRemote(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
@@ -927,12 +934,13 @@
   AddSent(load.domains[domain], now);
 }
 
-void OnForwardEnded(LocalLoad& load, const DomainId& domain, Time dispatched_at, bool reached,
+void OnForwardEnded(LocalLoad& load, const DomainId& domain, Time dispatched_at, ForwardEnd end,
                     Time now) {
   auto found = load.domains.find(domain);
   if (found == load.domains.end()) return;
   RemoveSent(found->second, dispatched_at);
-  if (!reached) found->second.ejected_until = now + kDomainUnreachableFor;
+  if (end == ForwardEnd::kUnreachable) found->second.ejected_until = now + kDomainUnreachableFor;
+  if (end == ForwardEnd::kRefused) found->second.full_until = now + kDomainFullFor;
 }
 
 Duration RetryAfter(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -95,6 +95,8 @@
 constexpr double kEjectedCost = 0.5;  // seconds that an ejected or unreachable server costs more
 // No forwards to a failure domain after a host there could not be reached.
 constexpr Duration kDomainUnreachableFor = seconds(1);
+// Nor, for want of room at home, after one there was refused: the next summary tells more.
+constexpr Duration kDomainFullFor = milliseconds(500);
 // A prompt whose answer is late in any case is still sent where it waits no longer than this.
 constexpr Duration kLateWait = milliseconds(100);
 // A request with a target for its first byte is held in the local queue for this part of it.
@@ -161,6 +163,7 @@
   Time cold_next;              // a cold server gets nothing from this host before
   Time unreachable_at;         // the newest failed connection; the epoch: none
   bool gone = false;           // another server answers at its address
+  Time full_until;             // of a failure domain: it refused a forward
   Time incarnation_from;       // first dispatch to this incarnation; older failures do not count
   uint64_t incarnation = 0;    // of the server at the last dispatch; a newer one starts unejected
 };
@@ -246,10 +249,15 @@
 // The model or service that routing counts the route under.
 const std::string& Served(const RouteConfig& route);
 
+enum class ForwardEnd {
+  kAnswered,
+  kRefused,      // the host there could not run it
+  kUnreachable,  // the host there did not answer
+};
+
 // The same for a forward to a failure domain.
 void OnForward(LocalLoad& load, const DomainId& domain, Time now);
-// `reached` is false when the host there did not answer.
-void OnForwardEnded(LocalLoad& load, const DomainId& domain, Time dispatched_at, bool reached,
+void OnForwardEnded(LocalLoad& load, const DomainId& domain, Time dispatched_at, ForwardEnd end,
                     Time now);
 
 // When a refused request may come back: the least time until a server has room for it, spread over
--- a/src/daemon/attempt_call.h
+++ b/src/daemon/attempt_call.h
@@ -20,7 +20,8 @@
   uint32_t number = 0;  // 0: none is open
   CallId call = 0;
   Time dispatched_at;
-  bool arrived = true;  // it reached a backend server
+  bool arrived = true;   // it reached a backend server
+  bool refused = false;  // the target says that it did not run it
 
   // At a backend server.
   std::optional<ServerId> server;
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -19,6 +19,7 @@
 #include "adapters/file_journal.h"
 #include "adapters/rpc.h"
 #include "base/hash.h"
+#include "core/domain_summary.h"
 #include "core/peer_work.h"
 #include "core/registry.h"
 #include "core/voter_keeper.h"
@@ -149,12 +150,6 @@
   return "failed";
 }
 
-std::vector<std::string> ServedNames(const Announcement& announcement) {
-  std::vector<std::string> names = announcement.services;
-  for (const ServedModel& model : announcement.models) names.push_back(model.name.value());
-  return names;
-}
-
 size_t EventBytes(const Event& event) {
   size_t bytes = 64 + event.host.size();
   for (const EventField& field : event.fields) bytes += 32 + field.name.size() + field.value.size();
@@ -789,28 +784,12 @@
 
 void ControlLoop::ReportOwnSummaries(Time now) {
   if (!IsReporter(membership_)) return;
-  std::map<std::string, DomainSummary> rows;
   std::vector<BackendServer> servers = LiveServers(registry_, SteadyNow());
   PeerWork all = peer_work_;
   OnPeerWork(&all, options_->self.host, own_work_, now);
   AddPeerWork(all, now, &servers);
-  for (const BackendServer& server : servers) {
-    if (server.announced.domain != options_->self.domain) continue;
-    for (const std::string& name : ServedNames(server.announced)) {
-      DomainSummary& row = rows[name];
-      row.domain = options_->self.domain;
-      row.region = options_->self.region;
-      row.served = name;
-      ++row.servers;
-      row.slots += server.announced.load.slots;
-      row.running += server.announced.load.running + server.elsewhere;
-      row.waiting += server.announced.load.waiting;
-      row.prefill_tokens += server.announced.load.prefill_tokens_waiting + server.elsewhere_tokens;
-    }
-  }
-  std::vector<DomainSummary> list;
-  for (auto& [name, row] : rows) list.push_back(row);
-  ReportSummaries(&membership_, list, ProcessClock().Now(), now);
+  ReportSummaries(&membership_, SummarizeDomain(options_->self, servers, now), ProcessClock().Now(),
+                  now);
 }
 
 // ---- configuration ----
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -116,7 +116,7 @@
   if (choice.kind == ChoiceKind::kLocal) {
     EndLocal(choice.server, content, now, ServerOutcome::kCancelled, now, choice.prefill_tokens);
   } else if (choice.kind == ChoiceKind::kForward) {
-    EndForward(choice.domain, now, true, now);
+    EndForward(choice.domain, now, ForwardEnd::kAnswered, now);
   }
 }
 
@@ -150,11 +150,11 @@
   RunWakes(std::move(wakes));
 }
 
-void Dispatcher::EndForward(const DomainId& domain, Time dispatched_at, bool reached, Time now) {
+void Dispatcher::EndForward(const DomainId& domain, Time dispatched_at, ForwardEnd end, Time now) {
   Wakes wakes;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    OnForwardEnded(load_, domain, dispatched_at, reached, now);
+    OnForwardEnded(load_, domain, dispatched_at, end, now);
     PlaceWaiting(now, &wakes);
   }
   RunWakes(std::move(wakes));
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -75,8 +75,7 @@
   // What this host has at the backend servers now.
   std::vector<ServerWork> OwnWork() const;
 
-  // `reached` is false when the host there did not answer.
-  void EndForward(const DomainId& domain, Time dispatched_at, bool reached, Time now);
+  void EndForward(const DomainId& domain, Time dispatched_at, ForwardEnd end, Time now);
 
   // What runs on the server now; call before EndLocal().
   LossEvidence Evidence(const ServerId& server) const;
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -24,6 +24,11 @@
 // A call may time out up to a millisecond before the deadline, because libcurl counts whole ones.
 constexpr Duration kTimeoutRounding = milliseconds(2);
 
+ForwardEnd EndOfForward(ServerOutcome outcome, bool refused) {
+  if (outcome == ServerOutcome::kUnreachable) return ForwardEnd::kUnreachable;
+  return refused ? ForwardEnd::kRefused : ForwardEnd::kAnswered;
+}
+
 }  // namespace
 
 // Asks the backend server to cancel and whether the work had started: only then may a request that
@@ -93,6 +98,7 @@
                                      {"run", RunName(run)}});
   context_.metrics->CountAttemptFailure(result.outcome);
   open_.arrived = result.outcome != CallOutcome::kNotConnected;
+  open_.refused = result.outcome == CallOutcome::kComplete && run == ebonylift::Run::kNotRun;
   bool begun = answer_.begun();
   if (begun && spec_.dialect == nullptr && TryResume()) return;
   FailAttempt(run, FailureOutcome(result, answer_.kind()));
@@ -347,8 +353,8 @@
                                   unread);
   }
   if (open_.forward_domain) {
-    bool reached = outcome != ServerOutcome::kUnreachable;
-    context_.dispatcher->EndForward(*open_.forward_domain, open_.dispatched_at, reached, now);
+    context_.dispatcher->EndForward(*open_.forward_domain, open_.dispatched_at,
+                                    EndOfForward(outcome, open_.refused), now);
   }
   open_.server.reset();
   open_.forward_domain.reset();
