Give up connects to found hosts after 0.4 s

Cause: after a loss of power of all machines the first packet of a gateway's connection to a control host is lost while that host is dark, and the kernel repeats it after a second; the gateway has no configuration until then.

Change: attempts to connect to hosts that were found end after 0.4 s, but for every fourth, which may take as long as before (long round trips). The test listens with a full queue of connections, which drops first packets as a dark host does; it fails without the change (1,035 ms).

--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -159,6 +159,7 @@
   RpcPeer peer;
   std::shared_ptr<Link> link;  // null while not logged in
   Duration backoff{0};
+  uint64_t connects = 0;                      // attempts
   kj::Own<kj::PromiseFulfiller<void>> retry;  // ends the wait before the next attempt
 };
 
@@ -195,6 +196,7 @@
   kj::Promise<void> Serve(Outgoing* out, const std::shared_ptr<Link>& link);
   void Lost(Outgoing* out);
   Duration NextBackoff(Outgoing* out);
+  Duration ConnectTimeout(Outgoing* out) const;
 
   std::shared_ptr<Link> UsableLink(const HostId& to, size_t bytes);
 
@@ -503,6 +505,12 @@
   return Duration(static_cast<int64_t>(static_cast<double>(out->backoff.count()) * part));
 }
 
+Duration Rpc::Impl::ConnectTimeout(Outgoing* out) const {
+  bool is_long = ++out->connects % kLongConnect == 0;
+  bool quick = options.quick_connect_timeout > Duration(0) && !is_long;
+  return quick ? options.quick_connect_timeout : options.connect_timeout;
+}
+
 kj::Promise<void> Rpc::Impl::ConnectLoop(Outgoing* out) {
   return kj::evalNow([this, out]() { return Connect(out); })
       .catch_([](kj::Exception&&) {})
@@ -523,7 +531,7 @@
                       return connected.attach(kj::mv(address));
                     });
   return timer()
-      .timeoutAfter(ToKj(options.connect_timeout), kj::mv(opened))
+      .timeoutAfter(ToKj(ConnectTimeout(out)), kj::mv(opened))
       .then([this, out](kj::Own<kj::AsyncIoStream>&& stream) {
         SetSocketOptions(stream.get());
         auto link = std::make_shared<Link>();
--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -55,6 +55,8 @@
   std::string address;
 };
 
+constexpr int kLongConnect = 4;
+
 struct RpcOptions {
   HostId self;
   uint64_t incarnation = 0;
@@ -63,6 +65,9 @@
   std::vector<RpcPeer> peers;
   bool open = false;  // hosts that are not known yet may log in with the cluster key
   Duration connect_timeout = seconds(3);
+  // Attempts to connect end after this time, but for every kLongConnect-th; 0: all may take
+  // `connect_timeout`. The kernel repeats a lost first packet only after a second.
+  Duration quick_connect_timeout{0};
   Duration login_timeout = seconds(3);
   Duration min_backoff = milliseconds(100);
   Duration max_backoff = seconds(5);
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -59,6 +59,7 @@
 constexpr Duration kLeftRepeatedFor = seconds(60);
 // With hosts that are found, a host must learn soon after a partition what it missed.
 constexpr Duration kFoundPeerBackoff = milliseconds(400);
+constexpr Duration kFoundPeerConnect = milliseconds(400);
 // With servers that do not report their load, summaries are the only picture of other regions.
 constexpr Duration kSharedWorkSummary = milliseconds(500);
 
@@ -100,7 +101,10 @@
   rpc.listen_address = options.peer_address;
   rpc.cluster_key = options.cluster_key;
   rpc.open = options.find_hosts;
-  if (options.find_hosts) rpc.max_backoff = kFoundPeerBackoff;
+  if (options.find_hosts) {
+    rpc.max_backoff = kFoundPeerBackoff;
+    rpc.quick_connect_timeout = kFoundPeerConnect;
+  }
   for (const ControlPeer& peer : options.peers) {
     rpc.peers.push_back({peer.identity.host, peer.rpc_address});
   }
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -84,6 +84,49 @@
   return fd;
 }
 
+// A host that loses the first packets of connections, as one without power does, until Wake(). Its
+// queue of new connections is full; the kernel then drops the packets that would open another one.
+class DarkHost {
+ public:
+  DarkHost() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    BOOST_REQUIRE(bind(fd_, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    BOOST_REQUIRE(listen(fd_, 0) == 0);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    filler_ = ConnectTo(address_);
+    BOOST_REQUIRE(filler_ >= 0);
+  }
+  ~DarkHost() {
+    close(filler_);
+    close(fd_);
+  }
+  DarkHost(const DarkHost&) = delete;
+  DarkHost& operator=(const DarkHost&) = delete;
+
+  const std::string& address() const { return address_; }
+
+  // Takes connections from now on. Returns when the first one arrives, false after `timeout`.
+  bool Wake(Duration timeout) const {
+    close(accept(fd_, nullptr, nullptr));
+    return WaitFor(
+        [this] {
+          int connection = accept(fd_, nullptr, nullptr);
+          if (connection >= 0) close(connection);
+          return connection >= 0;
+        },
+        timeout);
+  }
+
+ private:
+  int fd_;
+  int filler_ = -1;
+  std::string address_;
+};
+
 struct TestHost {
   std::string id;
   std::string domain = "d1";
@@ -702,4 +745,26 @@
   BOOST_CHECK_THROW(StartControl(no_port), Error);
 }
 
+// Guards against hosts that wait for the kernel to repeat the lost first packet of a connection,
+// after a second, when both ends have lost power (nobody was served for 1.1 s after the start).
+BOOST_AUTO_TEST_CASE(AHostThatWakesIsConnectedToBeforeTheKernelRepeats) {
+  constexpr Duration kKernelRepeats = seconds(1);
+  DarkHost dark;
+  ControlOptions options;
+  options.self = {HostId("a"), RegionId("r1"), DomainId("d1")};
+  options.incarnation = 1;
+  options.peer_address = FreeAddress();
+  options.cluster_key = "cluster key";
+  options.find_hosts = true;
+  ControlPeer peer;
+  peer.identity.host = HostId("b");
+  peer.rpc_address = dark.address();
+  options.peers = {peer};
+  Time start = SteadyNow();
+  std::unique_ptr<ControlPort> port = StartControl(std::move(options));
+  std::this_thread::sleep_for(milliseconds(100));
+  BOOST_TEST(dark.Wake(kWait));
+  BOOST_TEST(ToMillis(SteadyNow() - start) < ToMillis(kKernelRepeats));
+}
+
 }  // namespace ebonylift
