Let prompts that are late in any case wait at the home of long prompts

While the home of long prompts still read another one, it went to a server with streams, whose pauses then exceeded what callers accept: 3% of the shorter prompts were late.

Change: such a prompt costs 0.8 s more elsewhere, and may wait a second at its home while nobody waits in the local queue. Servers are told apart by home and cached parts before their room is judged. The new test fails without it.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -77,6 +77,7 @@
   const BackendServer* fetch_from = nullptr;  // has more of the prompt than this one
   int64_t fetch_tokens = 0;
   int64_t tokens_ahead = 0;    // of prompts that it reads before this one
+  bool ejected = false;        // or unreachable
   bool long_home = false;      // takes the long prompts of the region
   bool has_long_home = false;  // some candidate does
   Duration cold_interval{0};
@@ -94,10 +95,13 @@
   return found == load.prefill_rates.end() ? kPrefillTokensPerSecond : found->second;
 }
 
-// Tokens a second.
-struct PrefillRates {
-  double read = kPrefillTokensPerSecond;
-  double fetch = 0;  // from another server's cache; 0: not possible
+// What the costs of a prompt at all servers depend on.
+struct PromptPace {
+  double read = kPrefillTokensPerSecond;  // tokens a second
+  double fetch = 0;               // tokens a second from another server's cache; 0: not possible
+  bool measured = false;          // answers have shown `read`
+  bool may_wait_at_home = false;  // see kLateHomeWait
+  bool late_alone = false;        // misses the target of the query at an idle server
 };
 
 double PrefillSeconds(int64_t tokens, double rate) {
@@ -105,20 +109,29 @@
 }
 
 // What a long prompt and the streams beside it cost each other.
-double NeighbourSeconds(const RouteQuery& query, const Candidate& candidate) {
+double NeighbourSeconds(const RouteQuery& query, const Candidate& candidate,
+                        const PromptPace& pace) {
   if (!candidate.has_long_home) return 0;
   if (query.prompt_tokens - candidate.cached_tokens() < kLongPromptTokens) {
     return candidate.long_home ? kLongHomeCost : 0;
   }
-  return candidate.present * kNeighbourCost + (candidate.long_home ? 0 : kLongElsewhereCost);
+  double streams = candidate.present * kNeighbourCost;
+  if (candidate.long_home) return streams;
+  return streams + (pace.late_alone ? kLateElsewhereCost : kLongElsewhereCost);
 }
 
-double Cost(const RouteQuery& query, const Candidate& candidate, const PrefillRates& rates) {
+// The time in which the server reads and fetches the prompt.
+double ReadSeconds(const RouteQuery& query, const Candidate& candidate, const PromptPace& pace) {
+  double read = PrefillSeconds(query.prompt_tokens - candidate.cached_tokens(), pace.read);
+  if (candidate.fetch_tokens > 0) read += PrefillSeconds(candidate.fetch_tokens, pace.fetch);
+  return read;
+}
+
+double Cost(const RouteQuery& query, const Candidate& candidate, const PromptPace& pace) {
   double wait = WaitSeconds(candidate.present, candidate.slots, ServiceSeconds(candidate.use));
-  wait += PrefillSeconds(candidate.tokens_ahead, rates.read);
-  wait += NeighbourSeconds(query, candidate);
-  double service = PrefillSeconds(query.prompt_tokens - candidate.cached_tokens(), rates.read);
-  if (candidate.fetch_tokens > 0) service += PrefillSeconds(candidate.fetch_tokens, rates.fetch);
+  wait += PrefillSeconds(candidate.tokens_ahead, pace.read);
+  wait += NeighbourSeconds(query, candidate, pace);
+  double service = ReadSeconds(query, candidate, pace);
   return query.route->weight_latency * wait + query.route->weight_cost * service;
 }
 
@@ -133,11 +146,14 @@
 
 // The local servers that can run the request, in groups of decreasing preference.
 struct LocalServers {
-  std::vector<Candidate> open;     // have room
-  std::vector<Candidate> warming;  // have room, left out this time by slow start
-  std::vector<Candidate> ejected;  // have room, ejected
   std::vector<Candidate> healthy;  // not ejected, with room or not
-  int known = 0;                   // not avoided
+  std::vector<Candidate> usable;   // may get work, with room or not
+  // Those of `usable` that have room:
+  std::vector<Candidate> open;
+  std::vector<Candidate> warming;  // left out this time by slow start
+  std::vector<Candidate> ejected;
+  const BackendServer* own_set_aside = nullptr;
+  int known = 0;  // not avoided
   int slots = 0;
   double service_s = 0;  // sum over the known
 };
@@ -153,15 +169,20 @@
   return slots - std::max(1, static_cast<int>(slots * kReservedShare));
 }
 
+// How long a prompt that cannot start in time may wait for the ones ahead.
+Duration LateWait(const Candidate& candidate, const PromptPace& pace) {
+  return pace.may_wait_at_home && candidate.long_home ? kLateHomeWait : kLateWait;
+}
+
 // False when the prompts ahead make the answer start after the target of the query.
-bool StartsInTime(const RouteQuery& query, const LocalLoad& load, const Candidate& candidate,
+bool StartsInTime(const RouteQuery& query, const Candidate& candidate, const PromptPace& pace,
                   Time now) {
-  if (query.first_byte_by == Time()) return true;
-  auto rate = load.prefill_rates.find(Served(*query.route));
-  if (rate == load.prefill_rates.end()) return true;  // nothing is known yet
-  double own = PrefillSeconds(query.prompt_tokens, rate->second);
+  if (query.first_byte_by == Time() || !pace.measured) return true;
+  // As if nothing were cached: what is ahead is known late, and hits are predictions.
+  double own = PrefillSeconds(query.prompt_tokens, pace.read);
   double left = Seconds(query.first_byte_by - now) - own;
-  return PrefillSeconds(candidate.tokens_ahead, rate->second) <= std::max(left, Seconds(kLateWait));
+  double wait = PrefillSeconds(candidate.tokens_ahead, pace.read);
+  return wait <= std::max(left, Seconds(LateWait(candidate, pace)));
 }
 
 // A request without a prompt that has a target for its first byte.
@@ -169,8 +190,9 @@
   return query.prompt_tokens == 0 && query.first_byte_by != Time();
 }
 
-bool HasRoom(const RouteQuery& query, const LocalLoad& load, const Candidate& candidate, Time now) {
-  if (!StartsInTime(query, load, candidate, now)) return false;
+bool HasRoom(const RouteQuery& query, const LocalLoad& load, const Candidate& candidate,
+             const PromptPace& pace, Time now) {
+  if (!StartsInTime(query, candidate, pace, now)) return false;
   if (query.traffic_class == TrafficClass::kChapter && !query.uses_reserve &&
       now < load.reserved_until) {
     return candidate.present < ChapterLimit(candidate.slots);
@@ -291,11 +313,11 @@
 }
 
 LocalServers FindLocal(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
-                       Time now, std::mt19937_64& rng) {
+                       Time now) {
   LocalServers local;
   std::vector<const BackendServer*> set_aside;
   if (now < load.set_aside_until) set_aside = SetAside(*query.route, view);
-  const BackendServer* own = OwnSetAside(set_aside, view);
+  local.own_set_aside = OwnSetAside(set_aside, view);
   for (const BackendServer& server : view.servers) {
     if (!CanServe(server, *query.route, view, now)) continue;
     bool kept_free = std::find(set_aside.begin(), set_aside.end(), &server) != set_aside.end();
@@ -306,20 +328,10 @@
     ++local.known;
     local.slots += candidate.slots;
     local.service_s += ServiceSeconds(candidate.use);
-    bool ejected = Ejected(candidate, now);
-    if (!ejected) local.healthy.push_back(candidate);
+    candidate.ejected = Ejected(candidate, now);
+    if (!candidate.ejected) local.healthy.push_back(candidate);
     if (candidate.use != nullptr && candidate.use->exclusive) continue;
-    if (!MayUseCold(view, now, &candidate)) continue;
-    bool fits = query.suspect ? Idle(candidate) && MayRunSuspect(server, own, load)
-                              : HasRoom(query, load, candidate, now);
-    if (!fits) continue;
-    if (ejected) {
-      local.ejected.push_back(candidate);
-    } else if (PassesSlowStart(server, now, rng)) {
-      local.open.push_back(candidate);
-    } else {
-      local.warming.push_back(candidate);
-    }
+    if (MayUseCold(view, now, &candidate)) local.usable.push_back(candidate);
   }
   return local;
 }
@@ -341,33 +353,33 @@
 }
 
 Priced CheapestOf(const RouteQuery& query, const std::vector<Candidate>& candidates,
-                  const PrefillRates& rates, std::mt19937_64& rng) {
+                  const PromptPace& pace, std::mt19937_64& rng) {
   // The random start decides between equal ones.
   size_t start = RandomIndex(candidates.size(), rng);
   Priced best;
   for (size_t i = 0; i < candidates.size(); ++i) {
     const Candidate& candidate = candidates[(start + i) % candidates.size()];
-    Priced priced{&candidate, Cost(query, candidate, rates)};
+    Priced priced{&candidate, Cost(query, candidate, pace)};
     if (Cheaper(priced, best)) best = priced;
   }
   return best;
 }
 
 Priced CheaperOfTwo(const RouteQuery& query, const std::vector<const Candidate*>& group,
-                    const PrefillRates& rates, std::mt19937_64& rng) {
+                    const PromptPace& pace, std::mt19937_64& rng) {
   if (group.empty()) return {};
   size_t first = RandomIndex(group.size(), rng);
-  Priced best{group[first], Cost(query, *group[first], rates)};
+  Priced best{group[first], Cost(query, *group[first], pace)};
   if (group.size() == 1) return best;
   size_t second = RandomIndex(group.size() - 1, rng);
   if (second >= first) ++second;
-  Priced other{group[second], Cost(query, *group[second], rates)};
+  Priced other{group[second], Cost(query, *group[second], pace)};
   return Cheaper(other, best) ? other : best;
 }
 
 Priced PickByCost(const RouteQuery& query, const std::vector<Candidate>& candidates,
-                  const PrefillRates& rates, std::mt19937_64& rng) {
-  if (candidates.size() <= kCompareAll) return CheapestOf(query, candidates, rates, rng);
+                  const PromptPace& pace, std::mt19937_64& rng) {
+  if (candidates.size() <= kCompareAll) return CheapestOf(query, candidates, pace, rng);
   int64_t best_hit = 0;
   for (const Candidate& candidate : candidates) {
     best_hit = std::max(best_hit, candidate.hit_tokens);
@@ -380,8 +392,8 @@
         best_hit > 0 && static_cast<double>(candidate.hit_tokens) >= kPrefixGroupShare * best_hit;
     (hit ? prefix_group : others).push_back(&candidate);
   }
-  Priced a = CheaperOfTwo(query, prefix_group, rates, rng);
-  Priced b = CheaperOfTwo(query, others, rates, rng);
+  Priced a = CheaperOfTwo(query, prefix_group, pace, rng);
+  Priced b = CheaperOfTwo(query, others, pace, rng);
   return Cheaper(b, a) ? b : a;
 }
 
@@ -424,12 +436,12 @@
 }
 
 Priced Pick(const RouteQuery& query, const LocalLoad& load,
-            const std::vector<Candidate>& candidates, const PrefillRates& rates,
+            const std::vector<Candidate>& candidates, const PromptPace& pace,
             std::mt19937_64& rng) {
   const Candidate* picked = nullptr;
   switch (load.policy) {
     case RoutingPolicy::kCost:
-      return PickByCost(query, candidates, rates, rng);
+      return PickByCost(query, candidates, pace, rng);
     case RoutingPolicy::kRoundRobin:
       picked = &candidates[load.round_robin % candidates.size()];
       break;
@@ -443,7 +455,7 @@
       picked = PickPrefixHash(query, candidates);
       break;
   }
-  return {picked, Cost(query, *picked, rates)};
+  return {picked, Cost(query, *picked, pace)};
 }
 
 // The cost of waiting in the local queue, where every server is full.
@@ -504,6 +516,19 @@
   return service == services.end() ? 0 : service->second.fetch_tokens_per_s;
 }
 
+PromptPace MakePace(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
+                    Time now) {
+  PromptPace pace;
+  pace.read = PrefillRate(query, load);
+  pace.measured = load.prefill_rates.count(Served(*query.route)) != 0;
+  pace.fetch = FetchRate(query, view);
+  if (query.first_byte_by == Time()) return pace;
+  double alone = PrefillSeconds(query.prompt_tokens, pace.read);
+  pace.late_alone = alone > Seconds(query.first_byte_by - now);
+  pace.may_wait_at_home = pace.late_alone && load.queued_ahead == 0;
+  return pace;
+}
+
 // Picks what the candidate fetches. Memory moves within a failure domain only: between two of them
 // it takes longer than reading most prompts again.
 void SetFetch(const std::vector<CachedPart>& cached, Candidate* candidate) {
@@ -543,9 +568,30 @@
   return choice;
 }
 
+// Sorts the usable servers that have room for the request.
+void FindRoom(const RouteQuery& query, const LocalLoad& load, const PromptPace& pace, Time now,
+              std::mt19937_64& rng, LocalServers* local) {
+  for (const Candidate& candidate : local->usable) {
+    const BackendServer& server = *candidate.server;
+    bool fits = query.suspect ? Idle(candidate) && MayRunSuspect(server, local->own_set_aside, load)
+                              : HasRoom(query, load, candidate, pace, now);
+    if (!fits) continue;
+    if (candidate.ejected) {
+      local->ejected.push_back(candidate);
+    } else if (PassesSlowStart(server, now, rng)) {
+      local->open.push_back(candidate);
+    } else {
+      local->warming.push_back(candidate);
+    }
+  }
+}
+
 Choice ChooseLocal(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
                    LocalServers& local, Time now, std::mt19937_64& rng) {
-  std::vector<Candidate>* candidates = &local.open;
+  PromptPace pace = MakePace(query, view, load, now);
+  SetPlaces(FindPlaces(query, load, local.healthy, now), pace.fetch > pace.read, &local.usable);
+  FindRoom(query, load, pace, now, rng, &local);
+  const std::vector<Candidate>* candidates = &local.open;
   if (candidates->empty()) candidates = &local.warming;
   // Ejection is a guess; when it leaves nothing, a server that may fail is better than a refusal.
   bool ejected = candidates->empty() && local.healthy.empty();
@@ -556,9 +602,7 @@
     queue.cost = QueueCost(query, local, load);
     return queue;
   }
-  PrefillRates rates{PrefillRate(query, load), FetchRate(query, view)};
-  SetPlaces(FindPlaces(query, load, local.healthy, now), rates.fetch > rates.read, candidates);
-  Priced picked = Pick(query, load, *candidates, rates, rng);
+  Priced picked = Pick(query, load, *candidates, pace, rng);
   Choice choice = LocalChoice(query, *picked.candidate);
   choice.cost = picked.cost + (ejected ? kEjectedCost : 0);
   return choice;
@@ -831,7 +875,7 @@
 
   bool local_allowed = RegionAllowed(query, view.self.region);
   LocalServers local;
-  if (local_allowed) local = FindLocal(query, view, load, now, rng);
+  if (local_allowed) local = FindLocal(query, view, load, now);
   if (local.known == 0) {
     Choice remote = ChooseRemote(query, view, load, now, RemoteRoom::kAny, rng);
     if (remote.kind == ChoiceKind::kForward) return remote;
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -66,8 +66,12 @@
 constexpr double kRateSmoothing = 0.05;            // weight of the newest answer
 constexpr int64_t kMinRateTokens = 500;            // shorter prompts say little about the rate
 constexpr double kLongElsewhereCost = 0.1;         // seconds, of a long prompt at another server
-constexpr double kLongHomeCost = 0.2;              // seconds, of another prompt at that server
-constexpr double kNeighbourCost = 0.03;  // seconds, of a long prompt for each request there
+// The same of a prompt that is late in any case: a step far into it takes so long that the streams
+// beside it pause for longer than callers accept, so it waits for its home where one that can be in
+// time does not.
+constexpr double kLateElsewhereCost = 0.8;  // seconds
+constexpr double kLongHomeCost = 0.2;       // seconds, of another prompt at that server
+constexpr double kNeighbourCost = 0.03;     // seconds, of a long prompt for each request there
 // Less is read again rather than fetched from the cache of another server.
 constexpr int64_t kMinFetchTokens = 256;
 // Up to this many servers are all compared; among more, two random ones of each group are.
@@ -99,6 +103,9 @@
 constexpr Duration kDomainFullFor = milliseconds(500);
 // A prompt whose answer is late in any case is still sent where it waits no longer than this.
 constexpr Duration kLateWait = milliseconds(100);
+// The same at the home of long prompts for one that is late at an idle server as well, while nobody
+// waits in the local queue: its answer is worth less than those that it would delay.
+constexpr Duration kLateHomeWait = seconds(1);
 // A request with a target for its first byte is held in the local queue for this part of it.
 constexpr int kHoldParts = 8;
 constexpr Duration kMinRetryAfter = milliseconds(200);
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1258,6 +1258,36 @@
   for (const std::string& home : homes) BOOST_TEST(for_streams.count(home) == 0u);
 }
 
+// Guards against a prompt that is late in any case and makes the streams of another server pause,
+// because the home of long prompts still reads one (calm days: three of 15 such prompts of a region
+// went elsewhere). A long prompt that can be in time goes elsewhere.
+BOOST_AUTO_TEST_CASE(PromptsThatAreLateInAnyCaseWaitForTheirHome) {
+  World w;
+  for (int i = 0; i < 6; ++i) w.AddServer("s" + std::to_string(i), 2, 32);
+  w.load.prefill_rates["m"] = 50'000;
+  w.query.first_byte_by = kNow + milliseconds(800);
+  auto ask = [&](uint64_t prompt, int64_t tokens) {
+    w.query.prompt_tokens = tokens;
+    w.query.prefix_hashes = {prompt};
+    w.query.prefix_tokens = {tokens};
+    return w.Run().server.value();
+  };
+  std::string home = ask(1, 50'000);
+  auto set_ahead = [&](int64_t tokens) {
+    for (BackendServer& server : w.view.servers) {
+      if (server.announced.id.value() == home) server.elsewhere_tokens = tokens;
+    }
+  };
+  set_ahead(35'000);
+  BOOST_TEST(ask(2, 50'000) == home);
+  BOOST_TEST(ask(3, 20'000) != home);
+  w.load.queued_ahead = 1;
+  BOOST_TEST(ask(2, 50'000) != home, "others wait");
+  w.load.queued_ahead = 0;
+  set_ahead(60'000);
+  BOOST_TEST(ask(2, 50'000) != home, "a second at most");
+}
+
 // Guards against streams that stall while their server reads a long prompt: hosts agree on one
 // server for them, and others keep away from it while they can.
 BOOST_AUTO_TEST_CASE(LongPromptsShareOneServer) {
