Count only requests since the failure as trials of an unreachable server

Change: a trial is a request sent after the failed connection, and the first byte of an answer ends the suspicion. The test sends an older request first.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -217,10 +217,12 @@
   return now < candidate.use->ejected_until || Unreachable(candidate, now);
 }
 
-// One request at a time shows whether an unreachable server is back; more of them would wait for a
-// connection that is not made.
+// One request since the failure shows whether an unreachable server is back; more of them would
+// wait for a connection that is not made.
 bool IsBeingTried(const Candidate& candidate, Time now) {
-  return SameIncarnation(candidate) && Unreachable(candidate, now) && candidate.use->in_flight > 0;
+  if (!SameIncarnation(candidate) || !Unreachable(candidate, now)) return false;
+  const std::vector<Time>& sent = candidate.use->sent;
+  return !sent.empty() && sent.back() > candidate.use->unreachable_at;
 }
 
 bool Gone(const Candidate& candidate) { return SameIncarnation(candidate) && candidate.use->gone; }
@@ -927,6 +929,7 @@
   if (found == load.servers.end()) return;
   ServerUse& use = found->second;
   use.prefill_tokens = std::max<int64_t>(0, use.prefill_tokens - choice.prefill_tokens);
+  use.unreachable_at = Time();
   if (choice.prefill_tokens < kMinRateTokens || now <= dispatched_at) return;
   double read = static_cast<double>(choice.prefill_tokens + choice.tokens_ahead);
   double sample = read / Seconds(now - dispatched_at);
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1122,15 +1122,20 @@
 BOOST_AUTO_TEST_CASE(OneRequestAtATimeTriesAnUnreachableServer) {
   World w;
   w.AddServer("s1", 0, 32).announced.capabilities = {kNoLoadReports};
-  w.Dispatch(w.Run());
-  OnServerOutcome(w.load, w.view, ServerId("s1"), kNow, ServerOutcome::kUnreachable, kNow);
-  Choice first = w.Run();
-  BOOST_TEST(Describe(first) == "local s1");
-  w.Dispatch(first);
-  BOOST_TEST(Describe(w.Run()) == "refuse no_server");
-  OnServerOutcome(w.load, w.view, ServerId("s1"), kNow, ServerOutcome::kOk, kNow);
-  w.Dispatch(w.Run());
-  BOOST_TEST(Describe(w.Run()) == "local s1", "it is back");
+  Time at = kNow;
+  auto run = [&] { return Choose(w.query, w.view, w.load, at, w.rng); };
+  Choice older = run();
+  w.Dispatch(older, at);
+  w.Dispatch(run(), at);
+  OnServerOutcome(w.load, w.view, ServerId("s1"), at, ServerOutcome::kUnreachable, at);
+  at += milliseconds(10);
+  Choice trial = run();
+  BOOST_TEST(Describe(trial) == "local s1", "the older request is no trial");
+  w.Dispatch(trial, at);
+  BOOST_TEST(Describe(run()) == "refuse no_server");
+  OnFirstByte(w.load, Served(w.route), trial, at, at + milliseconds(20));
+  w.Dispatch(run(), at);
+  BOOST_TEST(Describe(run()) == "local s1", "it is back");
 }
 
 // Guards against work for the servers of an evacuated failure domain.
