--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -79,7 +79,7 @@
   int64_t tokens_ahead = 0;    // of prompts that it reads before this one
   bool ejected = false;        // or unreachable
   bool long_home = false;      // takes the long prompts of the region
-  bool has_long_home = false;  // some candidate does
+  bool has_long_home = false;  // some server does
   Duration cold_interval{0};
   double fill() const { return static_cast<double>(present) / slots; }
   int64_t cached_tokens() const { return hit_tokens + fetch_tokens; }
@@ -532,7 +532,7 @@
 }
 
 // Picks what the candidate fetches. Memory moves within a failure domain only: between two of them
-// it takes longer than reading most prompts again.
+// it takes twice as long, which is hardly faster than reading.
 void SetFetch(const std::vector<CachedPart>& cached, Candidate* candidate) {
   const DomainId& domain = candidate->server->announced.domain;
   for (const CachedPart& part : cached) {
