Use one estimate of the wait elsewhere for the cost and for the target

The round trip and the prompts ahead of a failure domain stood in RemoteCost and again in StartsInTimeThere, and the lookup of what was sent there in four functions.

--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -55,7 +55,7 @@
   std::string address;
 };
 
-constexpr int kLongConnect = 4;
+constexpr int kLongConnect = 4;  // attempts, see RpcOptions::quick_connect_timeout
 
 struct RpcOptions {
   HostId self;
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -632,13 +632,19 @@
   return picked;
 }
 
+// What this host did with the failure domain; null: nothing.
+const ServerUse* UseOf(const LocalLoad& load, const DomainId& domain) {
+  auto found = load.domains.find(domain);
+  return found == load.domains.end() ? nullptr : &found->second;
+}
+
 // Requests in the failure domain by its summary and by what was sent since. The other live hosts of
 // the own failure domain see the same load at home and are taken to have sent as much.
 int PresentAt(const RoutingView& view, const LocalLoad& load, const DomainSummary& summary) {
   int present = std::max(summary.running, 0) + std::max(summary.waiting, 0);
-  auto found = load.domains.find(summary.domain);
-  if (found == load.domains.end()) return present;
-  int sent = SentSince(found->second, summary.reported_at);
+  const ServerUse* use = UseOf(load, summary.domain);
+  if (use == nullptr) return present;
+  int sent = SentSince(*use, summary.reported_at);
   if (sent == 0) return present;
   int hosts = 1;
   for (const HostEntry& host : view.hosts) {
@@ -648,21 +654,24 @@
   return present + sent * hosts;
 }
 
-// Prompts that went there since the report are taken to be as long as this one.
-int64_t TokensAhead(const RouteQuery& query, const ServerUse* use, const DomainSummary& summary) {
-  if (use == nullptr) return summary.prefill_tokens;
-  return summary.prefill_tokens + SentSince(*use, summary.reported_at) * query.prompt_tokens;
+// Until a server there reads the prompt: the way, and the prompts ahead. Those that went there
+// since the report are taken to be as long as this one.
+double PromptWaitThere(const RouteQuery& query, const RoutingView& view, const ServerUse* use,
+                       const DomainSummary& summary, double rate) {
+  int64_t ahead = summary.prefill_tokens;
+  if (use != nullptr) ahead += SentSince(*use, summary.reported_at) * query.prompt_tokens;
+  bool crosses = summary.region != view.self.region;
+  return PrefillSeconds(ahead, rate) / std::max(summary.servers, 1) +
+         Seconds(crosses ? kRegionRoundTrip : kDomainRoundTrip);
 }
 
 double RemoteCost(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
                   const DomainSummary& summary, int present) {
-  auto found = load.domains.find(summary.domain);
-  const ServerUse* use = found == load.domains.end() ? nullptr : &found->second;
+  const ServerUse* use = UseOf(load, summary.domain);
   bool crosses = summary.region != view.self.region;
   double wait = WaitSeconds(present, std::max(summary.slots, 1), ServiceSeconds(use));
   double rate = PrefillRate(query, load);
-  wait += PrefillSeconds(TokensAhead(query, use, summary), rate) / std::max(summary.servers, 1);
-  wait += Seconds(crosses ? kRegionRoundTrip : kDomainRoundTrip);
+  wait += PromptWaitThere(query, view, use, summary, rate);
   return query.route->weight_latency * wait +
          query.route->weight_cost * PrefillSeconds(query.prompt_tokens, rate) +
          (crosses ? query.route->weight_remote : 0);
@@ -679,21 +688,16 @@
 bool StartsInTimeThere(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
                        const DomainSummary& summary, Time now) {
   double rate = PrefillRate(query, load);
-  bool crosses = summary.region != view.self.region;
-  double left = Seconds(query.first_byte_by - now);
-  left -= Seconds(crosses ? kRegionRoundTrip : kDomainRoundTrip);
-  left -= PrefillSeconds(query.prompt_tokens, rate);
-  auto sent = load.domains.find(summary.domain);
-  int64_t ahead = TokensAhead(query, sent == load.domains.end() ? nullptr : &sent->second, summary);
-  return left > 0 && PrefillSeconds(ahead, rate) / std::max(summary.servers, 1) <= left;
+  double left = Seconds(query.first_byte_by - now) - PrefillSeconds(query.prompt_tokens, rate);
+  return PromptWaitThere(query, view, UseOf(load, summary.domain), summary, rate) <= left;
 }
 
 bool HasRoomThere(const RouteQuery& query, const RoutingView& view, const LocalLoad& load,
                   const DomainSummary& summary, int present, RemoteRoom room, Time now) {
   if (room == RemoteRoom::kAny) return true;
   if (room == RemoteRoom::kFreeSlot) return present < summary.slots;
-  auto sent = load.domains.find(summary.domain);
-  if (sent != load.domains.end() && now < sent->second.full_until) return false;
+  const ServerUse* use = UseOf(load, summary.domain);
+  if (use != nullptr && now < use->full_until) return false;
   double backlog = IsPlainCall(query) ? kPlainBacklogShare : 0;
   if (present >= summary.slots * (1 + backlog)) return false;
   return StartsInTimeThere(query, view, load, summary, now);
@@ -710,8 +714,8 @@
     if (now - summary.reported_at > kSummaryTtl) continue;
     if (!MayGoTo(query, view, summary.region)) continue;
     if (!DomainBelongs(view, summary.domain, summary.region)) continue;
-    auto use = load.domains.find(summary.domain);
-    if (use != load.domains.end() && now < use->second.ejected_until) continue;
+    const ServerUse* use = UseOf(load, summary.domain);
+    if (use != nullptr && now < use->ejected_until) continue;
     int present = PresentAt(view, load, summary);
     if (!HasRoomThere(query, view, load, summary, present, room, now)) continue;
     double cost = RemoteCost(query, view, load, summary, present);
