Log a descriptor number that two parts of the process use

A second claim, or the release of a claim that another part has replaced, is logged as descriptor_conflict and counted.

--- a/src/adapters/file_journal.cc
+++ b/src/adapters/file_journal.cc
@@ -149,7 +149,7 @@
     queue_changed_.notify_one();
     thread_.join();
   }
-  if (fd_ >= 0) close(fd_);
+  CloseFile();
   close(lock_fd_);
 }
 
@@ -182,6 +182,7 @@
   } else {
     fd_ = OpenFile(path_, O_RDWR);
     if (fd_ < 0) ThrowStorageError(path_, "open");
+    claim_ = DescriptorClaim(fd_, DescriptorUser::kJournalFile);
   }
   if (marker_exists) return;
   int marker = OpenFile(marker_path_, O_RDWR | O_CREAT);
@@ -324,6 +325,13 @@
   }
 }
 
+void FileJournal::CloseFile() {
+  if (fd_ < 0) return;
+  claim_.Release();
+  close(fd_);
+  fd_ = -1;
+}
+
 bool FileJournal::SyncDirectory() {
   int directory = OpenFile(directory_, O_RDONLY | O_DIRECTORY);
   if (directory < 0) return false;
@@ -354,8 +362,9 @@
     return false;
   }
   // The new file is now the journal, so records must no longer go to the old one.
-  if (fd_ >= 0) close(fd_);
+  CloseFile();
   fd_ = fd;
+  claim_ = DescriptorClaim(fd_, DescriptorUser::kJournalFile);
   durable_bytes_ = content.size();
   size_ = durable_bytes_;
   if (!SyncDirectory()) {
--- a/src/adapters/file_journal.h
+++ b/src/adapters/file_journal.h
@@ -43,6 +43,7 @@
 #include <string>
 #include <thread>
 
+#include "base/descriptor_claim.h"
 #include "ports/journal.h"
 
 namespace ebonylift {
@@ -96,6 +97,7 @@
   // Atomically replaces the journal with a file of this content.
   bool ReplaceFile(const std::string& content);
   bool WriteAll(int fd, std::string_view data, const std::string& file);
+  void CloseFile();
   bool SyncDirectory();
   void Enqueue(PendingWrite write);
 
@@ -106,6 +108,7 @@
   int lock_fd_ = -1;
   // Used only by the journal thread once Replay() has returned.
   int fd_ = -1;
+  DescriptorClaim claim_;       // on fd_
   uint64_t durable_bytes_ = 0;  // size of the file up to which it is durable
   uint64_t record_count_ = 0;
   // A sync or a truncation failed: Append() fails until Compact() has written a new file.
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -14,6 +14,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/descriptor_claim.h"
+
 namespace ebonylift {
 
 const char* CallOutcomeName(CallOutcome outcome) {
@@ -63,7 +65,8 @@
 struct PolledSocket {
   explicit PolledSocket(asio::io_context& io) : socket(io) {}
   tcp::socket socket;
-  int poll_mask = 0;  // events that libcurl waits for: CURL_POLL_IN, CURL_POLL_OUT, both or 0
+  DescriptorClaim claim;  // after `socket`, so that it ends before the socket is closed
+  int poll_mask = 0;      // events that libcurl waits for: CURL_POLL_IN, CURL_POLL_OUT, both or 0
   bool read_wait_pending = false;
   bool write_wait_pending = false;
 };
@@ -353,6 +356,7 @@
   socket->socket.open(address->family == AF_INET6 ? tcp::v6() : tcp::v4(), error);
   if (error) return CURL_SOCKET_BAD;
   curl_socket_t fd = socket->socket.native_handle();
+  socket->claim = DescriptorClaim(fd, DescriptorUser::kClientSocket);
   client.sockets_[fd] = std::move(socket);
   return fd;
 }
@@ -371,6 +375,7 @@
   std::shared_ptr<PolledSocket> socket = std::move(it->second);
   client.sockets_.erase(it);
   socket->poll_mask = 0;
+  socket->claim.Release();
   asio::error_code ignored;
   socket->socket.close(ignored);
   return 0;
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -13,6 +13,7 @@
 #include <restinio/all.hpp>
 #include <unordered_map>
 
+#include "base/descriptor_claim.h"
 #include "base/error.h"
 
 namespace ebonylift {
@@ -155,18 +156,23 @@
 
 void ForceClose(const std::shared_ptr<Connection>& connection);
 void OnConnectionClosed(const std::shared_ptr<Connection>& connection);
-bool RejectAndLinger(const std::shared_ptr<Connection>& connection, tcp::socket* socket);
+class TrackedSocket;
+bool RejectAndLinger(const std::shared_ptr<Connection>& connection, TrackedSocket* socket);
 
 // The socket type of RESTinio's connections. RESTinio calls shutdown() and then close(), and only
 // to end the connection.
 class TrackedSocket : public tcp::socket {
  public:
   TrackedSocket(tcp::socket socket, std::shared_ptr<Connection> connection)
-      : tcp::socket(std::move(socket)), connection_(std::move(connection)) {
+      : tcp::socket(std::move(socket)),
+        connection_(std::move(connection)),
+        claim_(native_handle(), DescriptorUser::kServerConnection) {
     connection_->socket = this;
   }
   TrackedSocket(TrackedSocket&& other) noexcept
-      : tcp::socket(std::move(other)), connection_(std::move(other.connection_)) {
+      : tcp::socket(std::move(other)),
+        connection_(std::move(other.connection_)),
+        claim_(std::move(other.claim_)) {
     if (connection_) connection_->socket = this;
   }
   TrackedSocket& operator=(TrackedSocket&&) = delete;
@@ -177,7 +183,14 @@
     tcp::socket::shutdown(type, error);
   }
 
+  // Gives up the ownership of the descriptor and returns it.
+  int release(asio::error_code& error) {
+    claim_.Release();
+    return tcp::socket::release(error);
+  }
+
   void close() {
+    claim_.Release();
     asio::error_code ignored;
     tcp::socket::close(ignored);
     NotifyClosed();
@@ -189,6 +202,7 @@
   }
 
   std::shared_ptr<Connection> connection_;
+  DescriptorClaim claim_;
 };
 
 // Extracts parse errors from RESTinio's log: it reports why it closes a connection only to its
@@ -293,7 +307,10 @@
 class LingeringClose : public std::enable_shared_from_this<LingeringClose> {
  public:
   LingeringClose(asio::io_context& io, tcp::socket socket, std::weak_ptr<Server> server)
-      : socket_(std::move(socket)), timer_(io), server_(std::move(server)) {}
+      : socket_(std::move(socket)),
+        claim_(socket_.native_handle(), DescriptorUser::kServerConnection),
+        timer_(io),
+        server_(std::move(server)) {}
   ~LingeringClose();
 
   void Start(const std::string& response) {
@@ -305,7 +322,9 @@
     timer_.expires_after(kLingerTimeout);
     timer_.async_wait([self = shared_from_this()](const asio::error_code& wait_error) {
       asio::error_code ignored;
-      if (!wait_error) self->socket_.close(ignored);
+      if (wait_error) return;
+      self->claim_.Release();
+      self->socket_.close(ignored);
     });
     Read();
   }
@@ -323,6 +342,7 @@
   }
 
   tcp::socket socket_;
+  DescriptorClaim claim_;  // after socket_, so that it ends before the socket is closed
   asio::steady_timer timer_;
   std::weak_ptr<Server> server_;
   std::array<char, 4096> buffer_;
@@ -574,7 +594,7 @@
 // Takes the socket over from RESTinio to send a pending error response. Returns whether it took it.
 // Without an error to send, or if earlier responses are incomplete and would have to be sent first,
 // RESTinio closes the connection itself.
-bool RejectAndLinger(const std::shared_ptr<Connection>& connection, tcp::socket* socket) {
+bool RejectAndLinger(const std::shared_ptr<Connection>& connection, TrackedSocket* socket) {
   std::shared_ptr<Server> server = connection->server.lock();
   if (!server || !connection->rejection || !connection->streams.empty()) return false;
   asio::error_code error;
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -15,6 +15,7 @@
 
 #include "adapters/packed_stream.h"
 #include "adapters/peer_codec.h"
+#include "base/descriptor_claim.h"
 #include "base/hash.h"
 
 namespace ebonylift {
@@ -76,6 +77,12 @@
   stream->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMillis, sizeof(int));
 }
 
+DescriptorClaim ClaimConnection(const kj::AsyncIoStream& stream) {
+  int fd = -1;
+  KJ_IF_MAYBE (open, stream.getFd()) fd = *open;
+  return DescriptorClaim(fd, DescriptorUser::kPeerConnection);
+}
+
 capnp::ReaderOptions ReaderLimits() {
   capnp::ReaderOptions options;
   options.traversalLimitInWords = kMaxMessageBytes / sizeof(capnp::word);
@@ -142,6 +149,7 @@
 
   size_t* open_count;
   kj::Own<kj::AsyncIoStream> stream;
+  DescriptorClaim claim;
   kj::Own<ErrorReportingStream> messages;
   kj::Own<capnp::TwoPartyVatNetwork> network;
   kj::Own<capnp::RpcSystem<VatId>> system;
@@ -151,6 +159,7 @@
 // and the RPC system before the network and the stream.
 struct OutgoingConnection {
   kj::Own<kj::AsyncIoStream> stream;
+  DescriptorClaim claim;
   kj::Own<ErrorReportingStream> messages;
   kj::Own<capnp::TwoPartyVatNetwork> network;
   kj::Own<capnp::RpcSystem<VatId>> system;
@@ -484,6 +493,7 @@
   }
   auto in = kj::heap<IncomingConnection>(&incoming_connections);
   in->stream = kj::mv(stream);
+  in->claim = ClaimConnection(*in->stream);
   SetSocketOptions(in->stream.get());
   auto session = std::make_shared<Session>();
   session->nonce = RandomHex(kNonceBytes);
@@ -568,6 +578,7 @@
         SetSocketOptions(stream.get());
         auto connection = std::make_shared<OutgoingConnection>();
         connection->stream = kj::mv(stream);
+        connection->claim = ClaimConnection(*connection->stream);
         std::string name = peer->config.host.value();
         connection->messages = kj::heap<ErrorReportingStream>(
             *connection->stream, &byte_counts, [name](const std::string& reason) {
--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -24,6 +24,7 @@
       {EventId::kReloadRequested, 106, "reload_requested", "The daemon was signalled to reload its settings: changed."},
       {EventId::kLogLinesDropped, 107, "log_lines_dropped", "Numbers of log lines dropped since the daemon started: routine and notable (over the rate limit of their kind), unread (the reader of the output was too slow)."},
       {EventId::kStartFailed, 108, "start_failed", "The daemon failed to start: reason."},
+      {EventId::kDescriptorConflict, 109, "descriptor_conflict", "Two parts of the process use one file descriptor number, so data may reach the wrong connection: descriptor, action (claim or release), user (the part that acts), other (the part that holds the claim)."},
       {EventId::kRequestReceived, 200, "request_received", "A request was accepted for processing: request_id, team, route, class, hops."},
       {EventId::kRequestDispatched, 201, "request_dispatched", "A request was sent to a backend server: request_id, attempt, server."},
       {EventId::kRequestAnswered, 202, "request_answered", "The complete response was delivered: request_id, route, server, status, attempts; the inputs of the routing decision: tokens, hit_tokens, fetch_tokens, tokens_ahead; times since arrival: wait_ms (to the last dispatch), first_ms (to the first byte), ms (total); gap_ms (longest gap in the stream)."},
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -33,6 +33,7 @@
   kReloadRequested = 106,
   kLogLinesDropped = 107,
   kStartFailed = 108,
+  kDescriptorConflict = 109,
 
   kRequestReceived = 200,
   kRequestDispatched = 201,
