Let libcurl alone own the sockets of the HTTP client

Cause: two owners of one descriptor number. The client opened sockets through Asio and closed them in the close callback of libcurl. libcurl 7.88.1 does not call that callback for a connection that was never established: on a timeout or a cancelled call it closes the descriptor itself. The Asio object then kept the number. When an event of the old socket was queued behind the timeout, the object lost its last reference after libcurl had opened the next socket under the number, and its destructor closed that one. The server then accepted a caller on the number, while libcurl still used it for a backend server.

Fix: libcurl opens and closes its sockets without callbacks. Asio only polls them, from the socket callback that starts the polling until the one that ends it, and gives the descriptor back without closing it. No object of the client can close a number any more.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -5,7 +5,7 @@
 #include <strings.h>
 
 #include <algorithm>
-#include <asio/ip/tcp.hpp>
+#include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdlib>
@@ -36,8 +36,6 @@
 
 namespace {
 
-using asio::ip::tcp;
-
 constexpr long kMaxIdleConnections = 1024;
 constexpr size_t kMaxPooledHandles = 256;
 // libcurl 7.88 limits the length of a header line but not the number of lines.
@@ -61,12 +59,24 @@
   return std::max<long>(1, static_cast<long>(ToMillis(duration)));
 }
 
-// A socket that libcurl uses and that Asio polls.
+// A socket that libcurl owns and that Asio polls for it. The descriptor is never closed here:
+// libcurl closes sockets itself, and reports only afterwards that it no longer needs them polled.
 struct PolledSocket {
-  explicit PolledSocket(asio::io_context& io) : socket(io) {}
-  tcp::socket socket;
-  DescriptorClaim claim;  // after `socket`, so that it ends before the socket is closed
-  int poll_mask = 0;      // events that libcurl waits for: CURL_POLL_IN, CURL_POLL_OUT, both or 0
+  explicit PolledSocket(asio::io_context& io) : descriptor(io) {}
+  ~PolledSocket() { Stop(); }
+  PolledSocket(const PolledSocket&) = delete;
+  PolledSocket& operator=(const PolledSocket&) = delete;
+
+  // Ends the polling and gives the descriptor back. Pending waits end with an error.
+  void Stop() {
+    poll_mask = 0;
+    claim.Release();
+    if (descriptor.is_open()) descriptor.release();
+  }
+
+  asio::posix::stream_descriptor descriptor;
+  DescriptorClaim claim;
+  int poll_mask = 0;  // events that libcurl waits for: CURL_POLL_IN, CURL_POLL_OUT, both or 0
   bool read_wait_pending = false;
   bool write_wait_pending = false;
 };
@@ -119,13 +129,13 @@
   static size_t OnBody(char* data, size_t size, size_t count, void* call);
   static int OnSocket(CURL* easy, curl_socket_t fd, int what, void* client, void* socket);
   static int OnTimer(CURLM* multi, long timeout_ms, void* client);
-  static curl_socket_t OpenSocket(void* client, curlsocktype purpose, curl_sockaddr* address);
-  static int CloseSocket(void* client, curl_socket_t fd);
   static int SetSocketOptions(void* call, curl_socket_t fd, curlsocktype purpose);
 
   void ConfigureHandle(CallState& call);
   void AddToMulti(CallId id);
   void Unpause(CallId id);
+  void StartPolling(curl_socket_t fd, int poll_mask);
+  void StopPolling(curl_socket_t fd);
   void StartSocketWaits(const std::shared_ptr<PolledSocket>& socket);
   void OnSocketReady(const std::shared_ptr<PolledSocket>& socket, int poll_flag, int select_flag);
   void RunSocketAction(curl_socket_t fd, int events);
@@ -168,6 +178,7 @@
   while (!calls_.empty()) RemoveCall(calls_.begin()->first);
   for (CURL* easy : handle_pool_) curl_easy_cleanup(easy);
   handle_pool_.clear();
+  while (!sockets_.empty()) StopPolling(sockets_.begin()->first);
   curl_multi_cleanup(multi_);
   multi_ = nullptr;
   timer_.cancel();
@@ -256,10 +267,6 @@
   // kind, nothing would limit the number of idle connections.
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.new_connection ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.new_connection ? 1L : 0L);
-  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &CurlClient::OpenSocket);
-  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CurlClient::CloseSocket);
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   if (request.unacknowledged_timeout.count() > 0) {
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &CurlClient::SetSocketOptions);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &call);
@@ -349,18 +356,6 @@
   return CURL_WRITEFUNC_PAUSE;
 }
 
-curl_socket_t CurlClient::OpenSocket(void* user_data, curlsocktype, curl_sockaddr* address) {
-  CurlClient& client = *static_cast<CurlClient*>(user_data);
-  auto socket = std::make_shared<PolledSocket>(client.io_);
-  asio::error_code error;
-  socket->socket.open(address->family == AF_INET6 ? tcp::v6() : tcp::v4(), error);
-  if (error) return CURL_SOCKET_BAD;
-  curl_socket_t fd = socket->socket.native_handle();
-  socket->claim = DescriptorClaim(fd, DescriptorUser::kClientSocket);
-  client.sockets_[fd] = std::move(socket);
-  return fd;
-}
-
 int CurlClient::SetSocketOptions(void* user_data, curl_socket_t fd, curlsocktype) {
   const CallState& call = *static_cast<CallState*>(user_data);
   auto timeout_ms = static_cast<unsigned>(ToTimeoutMillis(call.request.unacknowledged_timeout));
@@ -368,26 +363,38 @@
   return result == 0 ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
 }
 
-int CurlClient::CloseSocket(void* user_data, curl_socket_t fd) {
+int CurlClient::OnSocket(CURL*, curl_socket_t fd, int what, void* user_data, void*) {
   CurlClient& client = *static_cast<CurlClient*>(user_data);
-  auto it = client.sockets_.find(fd);
-  if (it == client.sockets_.end()) return 1;
-  std::shared_ptr<PolledSocket> socket = std::move(it->second);
-  client.sockets_.erase(it);
-  socket->poll_mask = 0;
-  socket->claim.Release();
-  asio::error_code ignored;
-  socket->socket.close(ignored);
+  if (what == CURL_POLL_REMOVE) {
+    client.StopPolling(fd);
+  } else {
+    client.StartPolling(fd, what & CURL_POLL_INOUT);
+  }
   return 0;
 }
 
-int CurlClient::OnSocket(CURL*, curl_socket_t fd, int what, void* user_data, void*) {
-  CurlClient& client = *static_cast<CurlClient*>(user_data);
-  auto it = client.sockets_.find(fd);
-  if (it == client.sockets_.end()) return 0;
-  it->second->poll_mask = what == CURL_POLL_REMOVE ? 0 : what & CURL_POLL_INOUT;
-  client.StartSocketWaits(it->second);
-  return 0;
+void CurlClient::StartPolling(curl_socket_t fd, int poll_mask) {
+  std::shared_ptr<PolledSocket>& socket = sockets_[fd];
+  if (!socket) {
+    socket = std::make_shared<PolledSocket>(io_);
+    asio::error_code error;
+    socket->descriptor.assign(fd, error);
+    // Without polling, the call ends at its timeout.
+    if (error) {
+      sockets_.erase(fd);
+      return;
+    }
+    socket->claim = DescriptorClaim(fd, DescriptorUser::kClientSocket);
+  }
+  socket->poll_mask = poll_mask;
+  StartSocketWaits(socket);
+}
+
+void CurlClient::StopPolling(curl_socket_t fd) {
+  auto it = sockets_.find(fd);
+  if (it == sockets_.end()) return;
+  it->second->Stop();
+  sockets_.erase(it);
 }
 
 int CurlClient::OnTimer(CURLM*, long timeout_ms, void* user_data) {
@@ -407,32 +414,33 @@
 void CurlClient::StartSocketWaits(const std::shared_ptr<PolledSocket>& socket) {
   if ((socket->poll_mask & CURL_POLL_IN) && !socket->read_wait_pending) {
     socket->read_wait_pending = true;
-    socket->socket.async_wait(tcp::socket::wait_read,
-                              [weak = weak_from_this(), socket](const asio::error_code& error) {
-                                socket->read_wait_pending = false;
-                                std::shared_ptr<CurlClient> client = weak.lock();
-                                if (!error && client)
-                                  client->OnSocketReady(socket, CURL_POLL_IN, CURL_CSELECT_IN);
-                              });
+    socket->descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                                  [weak = weak_from_this(), socket](const asio::error_code& error) {
+                                    socket->read_wait_pending = false;
+                                    std::shared_ptr<CurlClient> client = weak.lock();
+                                    if (!error && client)
+                                      client->OnSocketReady(socket, CURL_POLL_IN, CURL_CSELECT_IN);
+                                  });
   }
   if ((socket->poll_mask & CURL_POLL_OUT) && !socket->write_wait_pending) {
     socket->write_wait_pending = true;
-    socket->socket.async_wait(tcp::socket::wait_write,
-                              [weak = weak_from_this(), socket](const asio::error_code& error) {
-                                socket->write_wait_pending = false;
-                                std::shared_ptr<CurlClient> client = weak.lock();
-                                if (!error && client)
-                                  client->OnSocketReady(socket, CURL_POLL_OUT, CURL_CSELECT_OUT);
-                              });
+    socket->descriptor.async_wait(asio::posix::stream_descriptor::wait_write,
+                                  [weak = weak_from_this(), socket](const asio::error_code& error) {
+                                    socket->write_wait_pending = false;
+                                    std::shared_ptr<CurlClient> client = weak.lock();
+                                    if (!error && client)
+                                      client->OnSocketReady(socket, CURL_POLL_OUT,
+                                                            CURL_CSELECT_OUT);
+                                  });
   }
 }
 
 // Ignores events that libcurl no longer waits for: Asio waits are not cancelled when it stops.
 void CurlClient::OnSocketReady(const std::shared_ptr<PolledSocket>& socket, int poll_flag,
                                int select_flag) {
-  if (!(socket->poll_mask & poll_flag) || !socket->socket.is_open()) return;
-  RunSocketAction(socket->socket.native_handle(), select_flag);
-  if (socket->socket.is_open()) StartSocketWaits(socket);
+  if (!(socket->poll_mask & poll_flag)) return;
+  RunSocketAction(socket->descriptor.native_handle(), select_flag);
+  StartSocketWaits(socket);
 }
 
 void CurlClient::RunSocketAction(curl_socket_t fd, int events) {
