--- a/src/base/descriptor_claim.cc
+++ b/src/base/descriptor_claim.cc
@@ -11,10 +11,20 @@
 namespace {
 
 std::atomic<uint64_t> conflict_count{0};
+std::atomic<uint64_t> last_claim_number{0};
 
-std::atomic<DescriptorUser>& UserOf(int fd) {
-  static std::array<std::atomic<DescriptorUser>, kMaxTrackedDescriptors> users{};
-  return users[static_cast<size_t>(fd)];
+// A token holds the number of the claim and, in the low byte, its user. 0 means that nothing is
+// claimed.
+uint64_t NewToken(DescriptorUser user) {
+  return (++last_claim_number << 8) | static_cast<uint64_t>(user);
+}
+
+DescriptorUser UserOf(uint64_t token) { return static_cast<DescriptorUser>(token & 0xff); }
+
+// Returns the token of the current claim of the descriptor.
+std::atomic<uint64_t>& ClaimOf(int fd) {
+  static std::array<std::atomic<uint64_t>, kMaxTrackedDescriptors> claims{};
+  return claims[static_cast<size_t>(fd)];
 }
 
 void ReportConflict(int fd, const char* action, DescriptorUser user, DescriptorUser other) {
@@ -46,29 +56,29 @@
 DescriptorClaim::DescriptorClaim(int fd, DescriptorUser user) {
   if (fd < 0 || fd >= kMaxTrackedDescriptors) return;
   fd_ = fd;
-  user_ = user;
-  DescriptorUser other = UserOf(fd).exchange(user);
-  if (other != DescriptorUser::kNone) ReportConflict(fd, "claim", user, other);
+  token_ = NewToken(user);
+  uint64_t other = ClaimOf(fd).exchange(token_);
+  if (other != 0) ReportConflict(fd, "claim", user, UserOf(other));
 }
 
 DescriptorClaim::DescriptorClaim(DescriptorClaim&& other) noexcept
-    : fd_(std::exchange(other.fd_, -1)), user_(other.user_) {}
+    : fd_(std::exchange(other.fd_, -1)), token_(other.token_) {}
 
 DescriptorClaim& DescriptorClaim::operator=(DescriptorClaim&& other) noexcept {
   if (this == &other) return *this;
   Release();
   fd_ = std::exchange(other.fd_, -1);
-  user_ = other.user_;
+  token_ = other.token_;
   return *this;
 }
 
 void DescriptorClaim::Release() {
   if (fd_ < 0) return;
   int fd = std::exchange(fd_, -1);
-  DescriptorUser current = user_;
-  // A claim that another part made since then stays.
-  if (!UserOf(fd).compare_exchange_strong(current, DescriptorUser::kNone)) {
-    ReportConflict(fd, "release", user_, current);
+  uint64_t current = token_;
+  // A claim that was made since then stays.
+  if (!ClaimOf(fd).compare_exchange_strong(current, 0)) {
+    ReportConflict(fd, "release", UserOf(token_), UserOf(current));
   }
 }
 
--- a/src/base/descriptor_claim.h
+++ b/src/base/descriptor_claim.h
@@ -43,7 +43,7 @@
 
  private:
   int fd_ = -1;
-  DescriptorUser user_ = DescriptorUser::kNone;
+  uint64_t token_ = 0;  // identifies this claim among all claims of the process
 };
 
 // Returns the number of conflicts since the process started. Thread-safe.
--- a/tests/descriptor_claim_test.cc
+++ b/tests/descriptor_claim_test.cc
@@ -45,6 +45,19 @@
   BOOST_TEST(DescriptorConflictCount() - before == 2u);
 }
 
+// Guards against a late release that goes unnoticed because the next claim has the same user: the
+// descriptor of that claim is then closed without a trace in the log.
+BOOST_AUTO_TEST_CASE(ReleaseAfterAClaimOfTheSameUserIsReported) {
+  constexpr int kOtherDescriptor = kDescriptor + 1;
+  DescriptorClaim stale(kOtherDescriptor, DescriptorUser::kClientSocket);
+  DescriptorClaim current(kOtherDescriptor, DescriptorUser::kClientSocket);
+  stale.Release();
+  current.Release();
+  std::vector<std::string> expected = {"claim client_socket client_socket",
+                                       "release client_socket client_socket"};
+  BOOST_TEST(LoggedConflicts(kOtherDescriptor) == expected);
+}
+
 // Guards against reports about a descriptor that is used by one part after the other.
 BOOST_AUTO_TEST_CASE(ReuseAfterReleaseIsNotAConflict) {
   uint64_t before = DescriptorConflictCount();
