Add failing tests of events that reach an exchange after its end

An exchange whose caller has left is erased by a function that it queues. A claim of its key, or a placement from the queue, that is already behind the caller's event still finds it.

--- /dev/null
+++ b/tests/exchange_test.cc
@@ -0,0 +1,268 @@
+#define BOOST_TEST_MODULE exchange
+#include "daemon/exchange.h"
+
+#include <asio/post.hpp>
+#include <boost/test/included/unit_test.hpp>
+#include <deque>
+#include <thread>
+
+#include "daemon/record_store.h"
+
+namespace ebonylift {
+namespace {
+
+constexpr Duration kTestTimeout = seconds(10);
+constexpr size_t kMaxCalls = 100;
+
+// In-memory journal. Callbacks wait for Sync().
+class FakeJournal : public Journal {
+ public:
+  void Replay(const std::function<void(std::string_view, bool)>& /*fn*/) override {}
+  void Append(std::string /*record*/, Done done) override { pending_.push_back(std::move(done)); }
+  void Compact(std::string /*snapshot*/, Done done) override {
+    pending_.push_back(std::move(done));
+  }
+  uint64_t SizeBytes() const override { return 0; }
+
+  void Sync() {
+    while (!pending_.empty()) {
+      Done done = std::move(pending_.front());
+      pending_.pop_front();
+      done(true);
+    }
+  }
+
+ private:
+  std::deque<Done> pending_;
+};
+
+// Records the calls. The test runs their callbacks.
+class FakeClient : public HttpClient {
+ public:
+  CallId Start(HttpCall call) override {
+    calls.push_back(std::move(call));
+    return calls.size();
+  }
+  void Cancel(CallId id) override { cancelled.push_back(id); }
+  void Resume(CallId /*id*/) override {}
+
+  // The id of a call is its position, counted from 1. A deque, as a callback may start a call.
+  std::deque<HttpCall> calls;
+  std::vector<CallId> cancelled;
+};
+
+// Stands for the caller of a request.
+class FakeResponder : public HttpResponder {
+ public:
+  void Send(int status, const HttpHeaders& /*headers*/, std::string body) override {
+    sent_status = status;
+    text = std::move(body);
+  }
+  void Begin(int /*status*/, const HttpHeaders& /*headers*/) override {}
+  void Write(std::string chunk) override { text += chunk; }
+  void End() override {}
+  void Abort() override {}
+  size_t PendingBytes() const override { return 0; }
+  void OnDrained(std::function<void()> /*fn*/) override {}
+  void OnClosed(std::function<void()> fn) override { on_closed = std::move(fn); }
+
+  int sent_status = 0;  // 0 until Send()
+  std::string text;
+  std::function<void()> on_closed;
+};
+
+// Publishes a view and counts how often it is read. Ignores all else.
+class FakeControl : public ControlPort {
+ public:
+  void Announce(const Announcement& /*announcement*/,
+                std::function<void(std::optional<Error>)> /*done*/) override {}
+  void Leave(const ServerId& /*server*/, uint64_t /*incarnation*/,
+             std::function<void()> /*done*/) override {}
+  void Put(const ConfigPut& /*put*/, std::function<void(PutAnswer)> /*done*/) override {}
+  void Read(const std::string& /*path*/, std::function<void(ConfigRead)> /*done*/) override {}
+  void ReadLinearizable(const std::string& /*path*/,
+                        std::function<void(LinearizableRead)> /*done*/) override {}
+  void History(const std::string& /*path*/, size_t /*limit*/,
+               std::function<void(std::vector<ConfigChange>)> /*done*/) override {}
+  void Watch(uint64_t /*from*/, Duration /*timeout*/,
+             std::function<void(std::vector<ConfigChange>)> /*done*/) override {}
+  void ReportSuspect(uint64_t /*content*/, const ServerId& /*server*/, bool /*alone*/) override {}
+  void ClearSuspect(uint64_t /*content*/) override {}
+  void Timeline(HlcStamp /*since*/, const std::string& /*request_id*/, size_t /*limit*/,
+                std::function<void(std::vector<Event>)> /*done*/) override {}
+  void Status(std::function<void(StatusJson)> /*done*/) override {}
+  void ShareWork(std::vector<ServerWork> /*work*/) override {}
+  void StartDrain() override {}
+  void SetOverloaded(bool /*overloaded*/) override {}
+  std::shared_ptr<const RoutingView> View() const override {
+    ++reads;
+    return view;
+  }
+
+  std::shared_ptr<const RoutingView> view;
+  mutable int reads = 0;
+};
+
+// A host with one backend server that runs one request at a time, and a team with one route.
+struct Fixture {
+  Fixture() {
+    records.Recover(WallNow());
+    records.OnDiskConfirmed();
+    journal->Sync();
+    Publish(seconds(60));
+    context.io = &io;
+    context.client = &client;
+    context.dispatcher = &dispatcher;
+    context.records = &records;
+    context.control = &control;
+    context.metrics = &metrics;
+    context.table = &table;
+  }
+
+  // Publishes a view in which the announcement of the server expires after `ttl`.
+  void Publish(Duration ttl) {
+    auto config = std::make_shared<ConfigView>();
+    config->revision = 1;
+    RouteConfig route;
+    route.team = TeamId("rocha");
+    route.id = RouteId("summaries");
+    route.model = ModelId("m");
+    route.regions = {RegionId("este")};
+    route.home = RegionId("este");
+    TeamConfig team;
+    team.id = route.team;
+    team.regions = route.regions;
+    team.routes[route.id] = route;
+    config->teams[team.id] = team;
+    RegionConfig region;
+    region.id = route.home;
+    region.domains = {DomainId("este-a")};
+    region.record_hosts = {HostId("h0")};
+    config->regions[region.id] = region;
+
+    auto view = std::make_shared<RoutingView>();
+    view->self = {HostId("h0"), RegionId("este"), DomainId("este-a")};
+    view->config = std::move(config);
+    HostEntry host;
+    host.id = view->self.host;
+    host.region = view->self.region;
+    host.domain = view->self.domain;
+    view->hosts.push_back(host);
+    Time now = SteadyNow();
+    BackendServer server;
+    server.announced.id = ServerId("s1");
+    server.announced.incarnation = 1;
+    server.announced.domain = view->self.domain;
+    server.announced.region = view->self.region;
+    server.announced.address = "127.0.0.1:1";
+    server.announced.models = {{ModelId("m"), {}, "1"}};
+    server.announced.capabilities = {"resume"};
+    server.announced.load.slots = 1;
+    server.first_seen = now - seconds(100);
+    server.reported_at = now;
+    server.expires_at = now + ttl;
+    view->servers.push_back(server);
+    control.view = view;
+    dispatcher.OnView(view, now);
+  }
+
+  RequestSpec Spec() {
+    RequestSpec spec;
+    spec.id = NewRequestId();
+    spec.view = control.view;
+    spec.route = &spec.view->config->teams.at(TeamId("rocha")).routes.at(RouteId("summaries"));
+    spec.team = spec.route->team;
+    spec.arrived = SteadyNow();
+    spec.deadline = spec.arrived + seconds(60);
+    spec.allowed_regions = spec.route->regions;
+    spec.prompt_tokens = 100;
+    spec.method = "POST";
+    spec.request_path = "/v1/completions";
+    spec.path = spec.request_path;
+    return spec;
+  }
+  std::shared_ptr<FakeResponder> Start(RequestSpec spec) {
+    auto responder = std::make_shared<FakeResponder>();
+    table.Start(context, std::move(spec), responder);
+    return responder;
+  }
+  // Ends a call with a complete response.
+  void EndCall(size_t index) {
+    client.calls[index].on_headers(200, {});
+    client.calls[index].on_done(CallResult{CallOutcome::kComplete, 200, "", false});
+  }
+  // Queues the event that the caller closed its connection.
+  void QueueClose(const std::shared_ptr<FakeResponder>& responder) {
+    asio::post(io, responder->on_closed);
+  }
+  void RunQueuedEvents() {
+    io.restart();
+    while (io.poll() > 0) {
+    }
+  }
+  void RunUntil(const std::function<bool()>& condition, const char* description) {
+    Time deadline = SteadyNow() + kTestTimeout;
+    while (!condition() && SteadyNow() < deadline) {
+      io.restart();
+      io.run_one_for(milliseconds(20));
+    }
+    BOOST_REQUIRE_MESSAGE(condition(), "timed out waiting until " << description);
+  }
+
+  asio::io_context io;
+  FakeClient client;
+  FakeControl control;
+  Metrics metrics;
+  std::shared_ptr<FakeJournal> journal = std::make_shared<FakeJournal>();
+  RecordStore records{HostId("h0"), journal};
+  Dispatcher dispatcher{&control, RoutingPolicy(), 1};
+  ExchangeTable table;
+  ExchangeContext context;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(exchange, Fixture)
+
+// Guards against work for a caller that has left, and against a key that stays claimed: the claim
+// becomes durable when the end of its exchange is already queued.
+BOOST_AUTO_TEST_CASE(ClaimAfterTheCallerLeftIsReleased) {
+  RequestSpec spec = Spec();
+  spec.idempotent = false;
+  spec.idempotency_key = "k";
+  std::shared_ptr<FakeResponder> caller = Start(spec);
+  QueueClose(caller);
+  journal->Sync();
+  RunQueuedEvents();
+  BOOST_TEST(client.calls.empty());
+  BOOST_TEST(dispatcher.Stats().in_flight == 0u);
+
+  Start(spec);
+  journal->Sync();
+  RunQueuedEvents();
+  BOOST_TEST(client.calls.size() == 1u);
+}
+
+// Guards against work for a caller that has left, and against a slot of a server that is never
+// given back: the request is placed when the end of its exchange is already queued.
+BOOST_AUTO_TEST_CASE(PlacementAfterTheCallerLeftIsUndone) {
+  std::shared_ptr<FakeResponder> waiting;
+  while (dispatcher.Stats().queued == 0 && client.calls.size() < kMaxCalls) {
+    waiting = Start(Spec());
+  }
+  BOOST_REQUIRE(dispatcher.Stats().queued == 1u);
+  size_t running = client.calls.size();
+  QueueClose(waiting);
+  EndCall(0);
+  BOOST_REQUIRE(dispatcher.Stats().queued == 0u);
+  RunQueuedEvents();
+  BOOST_TEST(client.calls.size() == running);
+  for (size_t i = 1; i < running; ++i) EndCall(i);
+  RunQueuedEvents();
+  BOOST_TEST(dispatcher.Stats().in_flight == 0u);
+  BOOST_TEST(table.size() == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace ebonylift
