Deliver no event to an exchange that has ended

What callers would see: a host that refuses or delays requests although its servers are free, and keyed requests that are answered as if the key were in use.

Cause: Finish() queues the erasure of the exchange, so that the calling methods can still use it. Until then the table returned the ended exchange. When a caller left and the claim of its key or its placement was already queued behind that event, the ended exchange took it: it sent the request to a server and was then erased. Nothing ended that dispatch, so the server's slot stayed taken for the life of the process, and a claim stayed until its work expired.

Fix: the table finds only exchanges that have not ended. Every callback already handles a missing exchange by giving back the claim or the placement, and now does so from the moment of the end.

--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -21,7 +21,8 @@
 
 Exchange* ExchangeTable::Find(uint64_t id) {
   auto found = exchanges_.find(id);
-  return found == exchanges_.end() ? nullptr : found->second.get();
+  if (found == exchanges_.end() || found->second->finished()) return nullptr;
+  return found->second.get();
 }
 
 void ExchangeTable::Erase(uint64_t id) {
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -62,6 +62,9 @@
   // Starts processing; the exchange may have ended when this returns.
   void Start();
 
+  // Whether the exchange has ended. It is erased later, so events may still be queued for it.
+  bool finished() const { return finished_; }
+
  private:
   // Stages: claim of the key, placement, queueing and dispatch.
   void ClaimKey();
@@ -152,6 +155,8 @@
   // Adds and starts an exchange.
   void Start(const ExchangeContext& context, RequestSpec spec,
              std::shared_ptr<HttpResponder> responder);
+  // Returns null when the exchange has ended, also if it is not erased yet: an event that was
+  // queued before its end must be undone like one that comes after it is erased.
   Exchange* Find(uint64_t id);
   void Erase(uint64_t id);
   size_t size() const { return size_; }  // thread safe
