Add a failing test of queued requests that have one request id

A forwarded request keeps its request id, and the queue of the dispatcher uses that id as its key. The test queues three exchanges of one request.

--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -186,6 +186,15 @@
     table.Start(context, std::move(spec), responder);
     return responder;
   }
+  // Starts requests until the server takes no more. Returns the caller of the one that waits.
+  std::shared_ptr<FakeResponder> FillServer() {
+    std::shared_ptr<FakeResponder> waiting;
+    while (dispatcher.Stats().queued == 0 && client.calls.size() < kMaxCalls) {
+      waiting = Start(Spec());
+    }
+    BOOST_REQUIRE(dispatcher.Stats().queued == 1u);
+    return waiting;
+  }
   // Ends a call with a complete response.
   void EndCall(size_t index) {
     client.calls[index].on_headers(200, {});
@@ -246,11 +255,7 @@
 // Guards against work for a caller that has left, and against a slot of a server that is never
 // given back: the request is placed when the end of its exchange is already queued.
 BOOST_AUTO_TEST_CASE(PlacementAfterTheCallerLeftIsUndone) {
-  std::shared_ptr<FakeResponder> waiting;
-  while (dispatcher.Stats().queued == 0 && client.calls.size() < kMaxCalls) {
-    waiting = Start(Spec());
-  }
-  BOOST_REQUIRE(dispatcher.Stats().queued == 1u);
+  std::shared_ptr<FakeResponder> waiting = FillServer();
   size_t running = client.calls.size();
   QueueClose(waiting);
   EndCall(0);
@@ -263,6 +268,32 @@
   BOOST_TEST(table.size() == 0u);
 }
 
+// Guards against two queued requests that share an entry of the queue. Another host may forward a
+// request to this host again, through a third host, before this host has noticed the end of the
+// first connection. Both have the same request id.
+BOOST_AUTO_TEST_CASE(RequestsWithOneIdAreQueuedSeparately) {
+  FillServer();
+  RequestSpec spec = Spec();
+  spec.forwarded = true;
+  std::shared_ptr<FakeResponder> first = Start(spec);
+  std::shared_ptr<FakeResponder> second = Start(spec);
+  std::shared_ptr<FakeResponder> third = Start(spec);
+  BOOST_TEST(dispatcher.Stats().queued == 4u);
+  QueueClose(second);
+  RunQueuedEvents();
+  BOOST_TEST(dispatcher.Stats().queued == 3u);
+
+  for (size_t i = 0; i < client.calls.size(); ++i) {
+    EndCall(i);
+    RunQueuedEvents();
+  }
+  BOOST_TEST(first->sent_status == 200);
+  BOOST_TEST(second->sent_status == 0);
+  BOOST_TEST(third->sent_status == 200);
+  BOOST_TEST(dispatcher.Stats().in_flight == 0u);
+  BOOST_TEST(table.size() == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebonylift
