Give each queued request an id of its own

What callers would see: all requests of a host end at once, because the daemon stops; or one request waits until its caller leaves.

Cause: the queue and the dispatcher used the request id as their key, but a forwarded request keeps the id of its first host. The same host can receive it twice: when a host gives up on a silent host, it forwards the request to a third one, which may forward it to the silent host once that answers again, or back to the first. If both exchanges wait, one entry replaced the other. The event for one then reached the other, and the placement or the expiry of what was left looked up an entry that did not exist. That throws on the traffic thread, which ends the process.

That it occurs between daemons is read in the code, not shown by a run.

Fix: the dispatcher issues a new QueueId for each request that is queued. The type keeps request ids out of the queue. Log lines and headers keep the request id.

--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -188,7 +188,7 @@
   return expired;
 }
 
-bool Remove(Admission& admission, const RequestId& id) {
+bool Remove(Admission& admission, const QueueId& id) {
   auto found = admission.queued.find(id);
   if (found == admission.queued.end()) return false;
   RemoveFromQueue(admission, found->second);
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -52,8 +52,12 @@
   int running = 0;  // admitted and not yet released
 };
 
+// A place in the queues. A RequestId is not unique there: another host may forward a request to
+// this host again before this host has noticed the end of the first connection.
+using QueueId = Id<struct QueueTag>;
+
 struct QueuedRequest {
-  RequestId id;
+  QueueId id;
   TeamId team;
   TrafficClass traffic_class = TrafficClass::kInteractive;
   std::string served;  // model or service name, for the `can_run` of Dequeue()
@@ -65,7 +69,7 @@
 struct Admission {
   std::unordered_map<TeamId, TeamUsage> teams;
   std::array<std::list<QueuedRequest>, 3> queues;  // by TrafficClass, oldest first
-  std::unordered_map<RequestId, std::list<QueuedRequest>::iterator> queued;
+  std::unordered_map<QueueId, std::list<QueuedRequest>::iterator> queued;
   size_t queued_bytes = 0;
   int dequeues_since_chapter = 0;
   double drain_rate_per_s = 0;   // smoothed dequeues/s while requests wait; 0: unknown
@@ -106,7 +110,7 @@
 std::vector<QueuedRequest> Expire(Admission& admission, Time now);
 
 // Removes a request whose caller disconnected. Returns false if it is not queued.
-bool Remove(Admission& admission, const RequestId& id);
+bool Remove(Admission& admission, const QueueId& id);
 
 // The number of requests in all queues.
 size_t QueueLength(const Admission& admission);
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "daemon/dispatcher.h"
 
 #include <algorithm>
+#include <string>
 
 #include "base/event.h"
 
@@ -60,10 +61,12 @@
   return choice;
 }
 
+QueueId Dispatcher::NewQueueId() { return QueueId(std::to_string(++last_queue_id_)); }
+
 std::optional<Refusal> Dispatcher::Enqueue(QueuedRequest request, RouteQuery query,
                                            PlacementCallback on_ready, Time now) {
   std::lock_guard<std::mutex> lock(mutex_);
-  RequestId id = request.id;
+  QueueId id = request.id;
   std::optional<Refusal> refusal = ebonylift::Enqueue(admission_, std::move(request), now);
   if (refusal) {
     if (refusal->error == ErrorKind::kOverloaded) SetRetryAfter(query, now, &refusal->retry_after);
@@ -79,10 +82,10 @@
   *retry_after = RetryAfter(query, *view_, routing_state_, now, rng_);
 }
 
-bool Dispatcher::Remove(const RequestId& request) {
+bool Dispatcher::Remove(const QueueId& id) {
   std::lock_guard<std::mutex> lock(mutex_);
-  if (!ebonylift::Remove(admission_, request)) return false;
-  waiting_.erase(request);
+  if (!ebonylift::Remove(admission_, id)) return false;
+  waiting_.erase(id);
   return true;
 }
 
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -9,6 +9,7 @@
 // expired the request, and must post to the request's own thread. Memory is bounded by the modules
 // in src/core.
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -58,12 +59,15 @@
   // be ended with EndLocal() or EndForward().
   Choice Place(const RouteQuery& query, const RoutingView& view, Time now);
 
+  // Returns an id for QueuedRequest that this dispatcher has not returned before.
+  QueueId NewQueueId();
+
   // Queues the request until it can be placed. `on_ready` runs exactly once: with a dispatch that
   // is already recorded, as by Place(), or with kRefuse. It does not run after Remove() has
   // returned true. Returns the refusal when the request cannot be queued.
   std::optional<Refusal> Enqueue(QueuedRequest request, RouteQuery query,
                                  PlacementCallback on_ready, Time now);
-  bool Remove(const RequestId& request);
+  bool Remove(const QueueId& id);
 
   // Ends a dispatch to a server and places queued requests in the capacity it frees.
   // `prefill_tokens` is that of the choice, or 0 after OnFirstByte().
@@ -128,7 +132,8 @@
   RetryBudgets budgets_;
   PoisonState poison_;
   std::shared_ptr<const RoutingView> view_;
-  std::unordered_map<RequestId, WaitingRequest> waiting_;
+  std::unordered_map<QueueId, WaitingRequest> waiting_;
+  std::atomic<uint64_t> last_queue_id_{0};
   std::unordered_map<ServerId, std::vector<uint64_t>> running_contents_;  // in flight, by server
 };
 
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -266,7 +266,7 @@
 
 void Exchange::EnqueueRequest() {
   QueuedRequest request;
-  request.id = spec_.id;
+  request.id = context_.dispatcher->NewQueueId();
   request.team = spec_.team;
   request.traffic_class = spec_.traffic_class;
   request.served = ServedName(*spec_.route);
@@ -290,6 +290,7 @@
       dispatcher->CancelPlacement(choice, content, SteadyNow());
     });
   };
+  QueueId queue_id = request.id;
   std::optional<Refusal> refusal =
       dispatcher->Enqueue(std::move(request), MakeRouteQuery(), on_ready, SteadyNow());
   if (refusal) {
@@ -300,11 +301,11 @@
     }
     return;
   }
-  waiting_ = true;
+  queue_id_ = queue_id;
 }
 
 void Exchange::OnQueueResult(const Choice& choice) {
-  waiting_ = false;
+  queue_id_.reset();
   if (RefreshView()) {
     HandlePlacement(choice);
     return;
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -135,8 +135,8 @@
   asio::steady_timer timer_;
   asio::steady_timer liveness_timer_;
 
-  bool admitted_ = false;  // holds one of the team's concurrency slots
-  bool waiting_ = false;   // in the dispatcher's queue
+  bool admitted_ = false;            // holds one of the team's concurrency slots
+  std::optional<QueueId> queue_id_;  // set while the request is in the dispatcher's queue
   bool finished_ = false;
   bool to_key_owner_ = false;  // the open attempt goes to the host that owns the idempotency key
   bool condemnation_checked_ = false;
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -378,7 +378,7 @@
 void Exchange::Finish() {
   if (finished_) return;
   finished_ = true;
-  if (waiting_) context_.dispatcher->Remove(spec_.id);
+  if (queue_id_) context_.dispatcher->Remove(*queue_id_);
   claim_.Resolve(RequestRun(attempts_));
   if (admitted_) context_.dispatcher->Release(spec_.team);
   // Erased later, because the calling methods still use this object after Finish() returns.
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -23,7 +23,7 @@
 QueuedRequest MakeRequest(const std::string& id, TrafficClass traffic_class,
                           Duration time_left = seconds(60)) {
   QueuedRequest request;
-  request.id = RequestId(id);
+  request.id = QueueId(id);
   request.team = kTeam;
   request.traffic_class = traffic_class;
   request.served = "m";
@@ -188,8 +188,8 @@
   large.bytes = kMaxQueuedBytes;
   BOOST_TEST(!Enqueue(admission, large, kNow).has_value());
   BOOST_TEST(Enqueue(admission, MakeRequest("small", kChapter), kNow).has_value());
-  BOOST_TEST(Remove(admission, RequestId("large")));
-  BOOST_TEST(!Remove(admission, RequestId("large")));
+  BOOST_TEST(Remove(admission, QueueId("large")));
+  BOOST_TEST(!Remove(admission, QueueId("large")));
   BOOST_TEST(admission.queued_bytes == 0u);
   BOOST_TEST(!Enqueue(admission, MakeRequest("small", kChapter), kNow).has_value());
 }
@@ -284,7 +284,7 @@
           break;
         }
         default: {
-          RequestId id(std::to_string(rng() % (next + 1)));
+          QueueId id(std::to_string(rng() % (next + 1)));
           auto found = std::find_if(reference.begin(), reference.end(),
                                     [&](const auto& r) { return r.id == id; });
           BOOST_TEST_REQUIRE(Remove(admission, id) == (found != reference.end()));
