--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -13,6 +13,9 @@
 
 constexpr Duration kTestTimeout = seconds(10);
 constexpr size_t kMaxCalls = 100;
+// The exchange checks a silent server every 250 ms, and repeats a probe after 50 ms.
+constexpr Duration kBeforeNextCheck = milliseconds(215);
+constexpr Duration kAfterProbeDelay = milliseconds(200);
 
 // In-memory journal. Callbacks wait for Sync().
 class FakeJournal : public Journal {
@@ -294,6 +297,44 @@
   BOOST_TEST(table.size() == 0u);
 }
 
+// Guards against a step of a failed attempt that runs in a later one: after the connection of a
+// stream is lost, its server is probed again after a delay, and meanwhile the stream is resumed
+// because the server is no longer live. The late probe would end the resumed attempt and resume it
+// a second time, and the caller would get the same events twice.
+BOOST_AUTO_TEST_CASE(NoProbeOfALostConnectionAfterTheStreamIsResumed) {
+  const HttpHeaders stream = {{"content-type", "text/event-stream"}};
+  const CallResult lost{CallOutcome::kFailed, 200, "connection reset", true};
+  std::shared_ptr<FakeResponder> caller = Start(Spec());
+  BOOST_REQUIRE(client.calls.size() == 1u);
+  client.calls[0].on_headers(200, stream);
+  client.calls[0].on_data("data: {\"text\":\"a\"}\n\n");
+
+  // The exchange reads the view for its check of a silent server.
+  int reads = control.reads;
+  RunUntil([&] { return control.reads > reads; }, "the server counts as silent");
+  std::this_thread::sleep_for(kBeforeNextCheck);
+  Publish(Duration(0));
+  client.calls[0].on_done(lost);
+  BOOST_REQUIRE(client.calls.size() == 2u);
+  client.calls[1].on_done(lost);
+  RunUntil([&] { return client.calls.size() > 2; }, "the stream is resumed");
+  BOOST_REQUIRE(client.calls[2].url == "http://127.0.0.1:1/v1/resume");
+
+  Time end = SteadyNow() + kAfterProbeDelay;
+  RunUntil([&] { return SteadyNow() > end; }, "the delay of the probe has passed");
+  BOOST_TEST(client.calls.size() == 3u);
+  // Before the fix: the late probe finds the server gone, and both resumed calls get the rest.
+  if (client.calls.size() > 3) {
+    client.calls[3].on_done(CallResult{CallOutcome::kNotConnected, 0, "refused", false});
+  }
+  for (size_t i = 2; i < client.calls.size(); ++i) {
+    if (client.calls[i].url != client.calls[2].url) continue;
+    client.calls[i].on_headers(200, stream);
+    client.calls[i].on_data("data: {\"text\":\"b\"}\n\n");
+  }
+  BOOST_TEST(caller->text == "data: {\"text\":\"a\"}\n\ndata: {\"text\":\"b\"}\n\n");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebonylift
