End the wait for a probe with its attempt

What callers would see: events of a stream twice, or a stream that ends with an error although it was resumed.

Cause: after the connection to a server is lost, the exchange probes the server up to three times, 50 ms apart. While it waits, the check of silent servers may cancel the attempt and resume the stream or schedule another attempt. The wait went on, and the probe then ended the newer call's attempt without cancelling the call. A resumed call has the number of its attempt, so its data was still taken, beside that of the call that was resumed next.

It has not been seen between daemons.

Fix: cancelling an attempt also cancels the step that waits for it. A step carries a number, because a timer cannot cancel a handler that is already queued.

--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -122,8 +122,10 @@
                     Time now);
   void RelayStreamData(std::string_view data);
   void RecordDataReceived();
-  // Calls `step` after `delay`, unless the exchange has ended.
+  // Calls `step` after `delay`, unless the exchange has ended, CancelStep() is called or another
+  // step is set before that.
   void RunAfter(Duration delay, std::function<void(Exchange*)> step);
+  void CancelStep();
 
   const uint64_t id_;
   const ExchangeContext context_;
@@ -133,6 +135,8 @@
   RequestAttempts attempts_;
   OpenAttempt open_attempt_;
   asio::steady_timer timer_;
+  // Of the step that may run: the timer cannot cancel a step that is already queued.
+  uint64_t step_number_ = 0;
   asio::steady_timer liveness_timer_;
 
   bool admitted_ = false;            // holds one of the team's concurrency slots
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -208,14 +208,22 @@
 }
 
 void Exchange::RunAfter(Duration delay, std::function<void(Exchange*)> step) {
+  CancelStep();
   timer_.expires_after(delay);
   ExchangeTable* table = context_.table;
-  timer_.async_wait([table, step = std::move(step), id = id_](const asio::error_code& error) {
+  uint64_t number = step_number_;
+  timer_.async_wait([=, step = std::move(step), id = id_](const asio::error_code& error) {
     if (error) return;
-    if (Exchange* exchange = table->Find(id)) step(exchange);
+    Exchange* exchange = table->Find(id);
+    if (exchange != nullptr && exchange->step_number_ == number) step(exchange);
   });
 }
 
+void Exchange::CancelStep() {
+  ++step_number_;
+  timer_.cancel();
+}
+
 HttpHeaders Exchange::MakeResponseHeaders() const {
   HttpHeaders headers = EndToEndHeaders(relay_.headers());
   if (spec_.dialect != nullptr) return headers;
@@ -349,8 +357,10 @@
   Finish();
 }
 
-// Ends the call and asks the backend server to cancel the work, without waiting for its reply.
+// Ends the call, or the wait before the next probe of the server, and asks the backend server to
+// cancel the work, without waiting for its reply.
 void Exchange::CancelAttempt() {
+  CancelStep();
   if (open_attempt_.call != 0) context_.client->Cancel(open_attempt_.call);
   open_attempt_.call = 0;
   if (!open_attempt_.server || !open_attempt_.can_cancel) return;
