--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -6,6 +6,7 @@
 #include <deque>
 #include <thread>
 
+#include "daemon/job_api.h"
 #include "daemon/record_store.h"
 
 namespace ebonylift {
@@ -120,6 +121,7 @@
     context.control = &control;
     context.metrics = &metrics;
     context.table = &table;
+    context.cluster_key = "key";
   }
 
   // Publishes a view in which the announcement of the server expires after `ttl`.
@@ -351,6 +353,33 @@
   LoseServerBetweenProbes(kAfterProbeDelay);
 }
 
+// Guards against work for a job that was cancelled while its start was being written.
+BOOST_AUTO_TEST_CASE(JobCancelledBeforeItStartsIsNotRun) {
+  JobApi jobs(context);
+  JobSpec spec;
+  spec.id = JobId("j-1.este");
+  spec.team = TeamId("rocha");
+  spec.route = RouteId("summaries");
+  spec.path = "/v1/completions";
+  spec.body = R"({"model":"m","prompt":"x"})";
+  spec.idempotent = true;
+  records.SubmitJob(spec, [](SubmitKind, bool) {});
+  journal->Sync();
+  jobs.RunPending();
+  BOOST_REQUIRE(records.CancelJob(spec.id));
+  journal->Sync();
+  RunQueuedEvents();
+  BOOST_TEST(client.calls.empty());
+
+  spec.id = JobId("j-2.este");
+  records.SubmitJob(spec, [](SubmitKind, bool) {});
+  journal->Sync();
+  jobs.RunPending();
+  journal->Sync();
+  RunQueuedEvents();
+  BOOST_TEST(client.calls.size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebonylift
