Do not run a job that was cancelled before its start

What callers would see: a job that they cancelled runs on a server, also one that is not idempotent. Its state stays cancelled.

A cancel in that time found no running job to end, and the event of the durable start then ran the job.

Fix: the event of the durable start runs the job only if the job is still in the state running.

--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -288,7 +288,9 @@
     asio::io_context* io = context_.io;
     bool started = context_.records->StartNextJob([this, io](std::optional<JobSpec> job) {
       asio::post(*io, [this, job] {
-        if (job) {
+        // The job may have been cancelled while its start was written to the journal.
+        std::optional<Job> current = job ? context_.records->FindJob(job->id) : std::nullopt;
+        if (current && current->state == JobState::kRunning) {
           RunJob(*job);
         } else {
           --running_jobs_;
