--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -62,6 +62,9 @@
   // Starts processing; the exchange may have ended when this returns.
   void Start();
 
+  // Whether the exchange has ended. It is erased later, so events may still be queued for it.
+  bool finished() const { return finished_; }
+
  private:
   // Stages: claim of the key, placement, queueing and dispatch.
   void ClaimKey();
@@ -119,8 +122,10 @@
                     Time now);
   void RelayStreamData(std::string_view data);
   void RecordDataReceived();
-  // Calls `step` after `delay`, unless the exchange has ended.
+  // Calls `step` after `delay`, unless the exchange has ended, CancelStep() is called or another
+  // step is set before that.
   void RunAfter(Duration delay, std::function<void(Exchange*)> step);
+  void CancelStep();
 
   const uint64_t id_;
   const ExchangeContext context_;
@@ -130,10 +135,12 @@
   RequestAttempts attempts_;
   OpenAttempt open_attempt_;
   asio::steady_timer timer_;
+  // Of the step that may run: the timer cannot cancel a step that is already queued.
+  uint64_t step_number_ = 0;
   asio::steady_timer liveness_timer_;
 
-  bool admitted_ = false;  // holds one of the team's concurrency slots
-  bool waiting_ = false;   // in the dispatcher's queue
+  bool admitted_ = false;            // holds one of the team's concurrency slots
+  std::optional<QueueId> queue_id_;  // set while the request is in the dispatcher's queue
   bool finished_ = false;
   bool to_key_owner_ = false;  // the open attempt goes to the host that owns the idempotency key
   bool condemnation_checked_ = false;
@@ -152,6 +159,8 @@
   // Adds and starts an exchange.
   void Start(const ExchangeContext& context, RequestSpec spec,
              std::shared_ptr<HttpResponder> responder);
+  // Returns null when the exchange has ended, also if it is not erased yet: an event that was
+  // queued before its end must be undone like one that comes after it is erased.
   Exchange* Find(uint64_t id);
   void Erase(uint64_t id);
   size_t size() const { return size_; }  // thread safe
