--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -1,16 +1,12 @@
 #include "daemon/control.h"
 
-#include <fcntl.h>
 #include <kj/async-io.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
-#include <cerrno>
 #include <deque>
 #include <future>
 #include <map>
-#include <mutex>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <thread>
@@ -25,6 +21,7 @@
 #include "core/voter_selection.h"
 #include "daemon/config_replica.h"
 #include "daemon/server_snapshot.h"
+#include "daemon/task_queue.h"
 
 namespace ebonylift {
 namespace {
@@ -176,53 +173,6 @@
   events->erase(std::unique(events->begin(), events->end(), same_event), events->end());
 }
 
-// Queue of functions that other threads post to the control thread. A pipe wakes the event loop.
-class TaskQueue {
- public:
-  TaskQueue() {
-    if (pipe2(fds_, O_CLOEXEC | O_NONBLOCK) != 0) {
-      throw Error(ErrorKind::kInternal, "cannot create the wake-up pipe of the control thread");
-    }
-  }
-  ~TaskQueue() {
-    close(fds_[0]);
-    close(fds_[1]);
-  }
-  TaskQueue(const TaskQueue&) = delete;
-  TaskQueue& operator=(const TaskQueue&) = delete;
-
-  int read_fd() const { return fds_[0]; }
-
-  // Thread safe. Does nothing after Close().
-  void Post(std::function<void()> fn) {
-    std::lock_guard<std::mutex> lock(mutex_);
-    if (closed_) return;
-    queue_.push_back(std::move(fn));
-    if (queue_.size() > 1) return;  // a wake-up byte is already in the pipe
-    char byte = 0;
-    ssize_t written = 0;
-    do {
-      written = write(fds_[1], &byte, 1);
-    } while (written < 0 && errno == EINTR);
-  }
-
-  std::vector<std::function<void()>> Take() {
-    std::lock_guard<std::mutex> lock(mutex_);
-    return std::exchange(queue_, {});
-  }
-
-  void Close() {
-    std::lock_guard<std::mutex> lock(mutex_);
-    closed_ = true;
-  }
-
- private:
-  int fds_[2] = {-1, -1};
-  std::mutex mutex_;
-  std::vector<std::function<void()>> queue_;
-  bool closed_ = false;
-};
-
 // A configuration change that waits for a leader.
 struct WaitingPut {
   ConfigPut put;
