Move the merge of timelines to its own module

The merge has a state of its own and needs none of the control loop, so TimelineMerge can be tested without daemons. The own page counts as one of the expected pages; therefore a host without connections needs no special case. The resulting events and limits are unchanged.

--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -22,6 +22,7 @@
 #include "daemon/config_replica.h"
 #include "daemon/server_snapshot.h"
 #include "daemon/task_queue.h"
+#include "daemon/timeline_merge.h"
 
 namespace ebonylift {
 namespace {
@@ -46,10 +47,6 @@
 constexpr Duration kTimelineTimeout = seconds(2);
 // Suspect reports within this time are sent to a host that reconnects, which may have missed them.
 constexpr Duration kSuspectResendWindow = seconds(60);
-// Limit for all pages of one merged timeline together.
-constexpr size_t kMaxTimelineEvents = 50'000;
-constexpr size_t kMinTimelinePage = 100;
-constexpr size_t kTimelinePageBytes = 4 << 20;
 // Announcements relayed in one message; keeps it far below the message size limit.
 constexpr size_t kMaxRelayBatch = 256;
 // The leader pushes a new revision to at most this many hosts; the others learn it by gossip.
@@ -154,25 +151,6 @@
   return "failed";
 }
 
-size_t EventBytes(const Event& event) {
-  size_t bytes = 64 + event.host.size();
-  for (const EventField& field : event.fields) bytes += 32 + field.name.size() + field.value.size();
-  return bytes;
-}
-
-// Sorts the events, oldest first, and drops duplicates. Daemons that run in the same process, as in
-// tests, return the same events.
-void SortEvents(std::vector<Event>* events) {
-  auto earlier = [](const Event& a, const Event& b) {
-    return std::tie(a.hlc, a.host, a.id) < std::tie(b.hlc, b.host, b.id);
-  };
-  auto same_event = [](const Event& a, const Event& b) {
-    return a.hlc == b.hlc && a.host == b.host && a.id == b.id;
-  };
-  std::sort(events->begin(), events->end(), earlier);
-  events->erase(std::unique(events->begin(), events->end(), same_event), events->end());
-}
-
 // A configuration change that waits for a leader.
 struct WaitingPut {
   ConfigPut put;
@@ -257,7 +235,10 @@
     Put(put, hops, answer);
   }
   void OnPeerSuspects(const std::vector<SuspectReport>& reports) override;
-  TimelinePage OnPeerTimeline(HlcStamp since, const std::string& request_id, size_t limit) override;
+  TimelinePage OnPeerTimeline(HlcStamp since, const std::string& request_id,
+                              size_t limit) override {
+    return ReadTimelinePage(since, request_id, limit);
+  }
   void OnPeerWorkList(const HostId& from, std::vector<ServerWork> work) override;
   void OnPeerLogin(const HostId& host, uint64_t incarnation) override;
   void OnPeerConnection(const HostId& host, bool connected) override;
@@ -267,14 +248,6 @@
   }
 
  private:
-  struct TimelineMerge {
-    std::vector<Event> events;
-    HlcStamp complete_to = UINT64_MAX;  // events after this time may be missing
-    size_t waiting = 0;                 // responses still expected
-    size_t limit = 0;
-    std::function<void(std::vector<Event>)> done;
-  };
-
   ConfigReplica::Options MakeReplicaOptions();
   kj::Timer& timer() { return io_->provider->getTimer(); }
   kj::Promise<void> TickLoop();
@@ -308,8 +281,6 @@
   void PublishNow();
   bool ExpireServers(Time now);
   std::vector<HostId> PeersWhere(const std::function<bool(const Identity&)>& match) const;
-  static void AddTimelinePage(TimelineMerge* merge, TimelinePage page);
-  static void FinishTimelineMerge(TimelineMerge* merge);
 
   kj::AsyncIoContext* io_;
   const ControlOptions* options_;
@@ -973,59 +944,16 @@
 
 // ---- timeline and status ----
 
-TimelinePage ControlLoop::OnPeerTimeline(HlcStamp since, const std::string& request_id,
-                                         size_t limit) {
-  limit = std::min(limit, EventRecord::kCapacity);
-  TimelinePage page;
-  page.events = ProcessEvents().Read(since, request_id, limit + 1);
-  size_t bytes = 0;
-  size_t count = 0;
-  while (count < page.events.size() && count < limit && bytes < kTimelinePageBytes) {
-    bytes += EventBytes(page.events[count]);
-    ++count;
-  }
-  page.more = count < page.events.size();
-  page.events.resize(count);
-  return page;
-}
-
-// A daemon that returned only a part of its events may have more after the last one, so the merged
-// timeline is complete only up to there.
-void ControlLoop::AddTimelinePage(TimelineMerge* merge, TimelinePage page) {
-  if (page.more) {
-    HlcStamp last = page.events.empty() ? 0 : page.events.back().hlc;
-    merge->complete_to = std::min(merge->complete_to, last);
-  }
-  std::move(page.events.begin(), page.events.end(), std::back_inserter(merge->events));
-}
-
-void ControlLoop::FinishTimelineMerge(TimelineMerge* merge) {
-  SortEvents(&merge->events);
-  auto after =
-      std::upper_bound(merge->events.begin(), merge->events.end(), merge->complete_to,
-                       [](HlcStamp stamp, const Event& event) { return stamp < event.hlc; });
-  merge->events.erase(after, merge->events.end());
-  if (merge->events.size() > merge->limit) merge->events.resize(merge->limit);
-  merge->done(std::move(merge->events));
-}
-
 void ControlLoop::Timeline(HlcStamp since, const std::string& request_id, size_t limit,
                            std::function<void(std::vector<Event>)> done) {
   std::vector<HostId> hosts = rpc_.Connected();
-  size_t page_limit = std::max(kMinTimelinePage, kMaxTimelineEvents / (hosts.size() + 1));
-  page_limit = std::min(page_limit, limit);
-  auto merge = std::make_shared<TimelineMerge>();
-  merge->limit = limit;
-  merge->done = std::move(done);
-  merge->waiting = hosts.size();
-  AddTimelinePage(merge.get(), OnPeerTimeline(since, request_id, page_limit));
-  if (hosts.empty()) return FinishTimelineMerge(merge.get());
+  size_t daemons = hosts.size() + 1;
+  size_t page_limit = TimelinePageLimit(daemons, limit);
+  auto merge = std::make_shared<TimelineMerge>(daemons, limit, std::move(done));
+  merge->AddPage(ReadTimelinePage(since, request_id, page_limit));
   for (const HostId& host : hosts) {
     rpc_.Timeline(host, since, request_id, page_limit, kTimelineTimeout,
-                  [merge](std::optional<TimelinePage> page) {
-                    if (page) AddTimelinePage(merge.get(), std::move(*page));
-                    if (--merge->waiting == 0) FinishTimelineMerge(merge.get());
-                  });
+                  [merge](std::optional<TimelinePage> page) { merge->AddPage(std::move(page)); });
   }
 }
 
