Move the status JSON of a daemon to its own module

The function reads the parts of the control thread and changes none of them, so it needs no access to the control loop.

--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -7,7 +7,6 @@
 #include <deque>
 #include <future>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <thread>
 #include <utility>
@@ -21,6 +20,7 @@
 #include "core/voter_selection.h"
 #include "daemon/config_replica.h"
 #include "daemon/server_snapshot.h"
+#include "daemon/status_json.h"
 #include "daemon/task_queue.h"
 #include "daemon/timeline_merge.h"
 
@@ -137,20 +137,6 @@
   return announcement.leaving && announcement.address.empty();
 }
 
-const char* StatusName(HostStatus status) {
-  switch (status) {
-    case HostStatus::kAlive:
-      return "alive";
-    case HostStatus::kSuspect:
-      return "suspect";
-    case HostStatus::kFailed:
-      return "failed";
-    case HostStatus::kLeaving:
-      return "leaving";
-  }
-  return "failed";
-}
-
 // A configuration change that waits for a leader.
 struct WaitingPut {
   ConfigPut put;
@@ -213,7 +199,9 @@
   void BroadcastSuspect(const SuspectReport& report);
   void Timeline(HlcStamp since, const std::string& request_id, size_t limit,
                 std::function<void(std::vector<Event>)> done);
-  StatusJson Status() const;
+  StatusJson Status() const {
+    return MakeStatusJson(*options_, replica_, membership_, registry_, rpc_);
+  }
   void ShareWork(std::vector<ServerWork> work);
   void StartDrain();
   void UpdateOverloaded(bool overloaded);
@@ -942,7 +930,7 @@
   for (const HostId& host : PeersWhere(same_domain)) PushGossip(host);
 }
 
-// ---- timeline and status ----
+// ---- timeline ----
 
 void ControlLoop::Timeline(HlcStamp since, const std::string& request_id, size_t limit,
                            std::function<void(std::vector<Event>)> done) {
@@ -957,65 +945,6 @@
   }
 }
 
-StatusJson ControlLoop::Status() const {
-  using nlohmann::json;
-  json status = {{"host", options_->self.host.value()},
-                 {"region", options_->self.region.value()},
-                 {"domain", options_->self.domain.value()},
-                 {"incarnation", options_->incarnation},
-                 {"revision", replica_.revision()},
-                 {"newest_revision", membership_.newest_revision},
-                 {"term", replica_.term()},
-                 {"is_leader", replica_.IsLeader()},
-                 {"is_voter", replica_.IsVoter()},
-                 {"disk_lost", replica_.DiskLost()},
-                 {"storage_ok", replica_.StorageOk()},
-                 {"peer_sent_bytes", rpc_.sent_bytes()},
-                 {"peer_received_bytes", rpc_.received_bytes()}};
-  std::optional<HostId> leader = replica_.Leader();
-  status["leader"] = leader ? json(leader->value()) : json(nullptr);
-  status["voters"] = json::array();
-  for (const HostId& voter : replica_.Voters()) status["voters"].push_back(voter.value());
-  status["hosts"] = json::array();
-  for (const HostEntry& host : HostEntries(membership_)) {
-    status["hosts"].push_back({{"host", host.id.value()},
-                               {"region", host.region.value()},
-                               {"domain", host.domain.value()},
-                               {"address", host.http_address},
-                               {"incarnation", host.incarnation},
-                               {"status", StatusName(host.status)},
-                               {"overloaded", host.overloaded},
-                               {"revision", membership_.hosts.at(host.id).revision},
-                               {"connected", rpc_.IsConnected(host.id)}});
-  }
-  Time now = SteadyNow();
-  status["servers"] = json::array();
-  for (const BackendServer& server : LiveServers(registry_, SteadyNow())) {
-    const Announcement& announced = server.announced;
-    status["servers"].push_back({{"server", announced.id.value()},
-                                 {"incarnation", announced.incarnation},
-                                 {"address", announced.address},
-                                 {"served", ServedNames(announced)},
-                                 {"age_ms", ToMillis(now - server.reported_at)},
-                                 {"running", announced.load.running},
-                                 {"waiting", announced.load.waiting},
-                                 {"slots", announced.load.slots}});
-  }
-  status["summaries"] = json::array();
-  for (const DomainSummary& row : Summaries(membership_)) {
-    status["summaries"].push_back({{"domain", row.domain.value()},
-                                   {"region", row.region.value()},
-                                   {"served", row.served},
-                                   {"servers", row.servers},
-                                   {"slots", row.slots},
-                                   {"running", row.running},
-                                   {"waiting", row.waiting},
-                                   {"age_ms", ToMillis(now - row.reported_at)}});
-  }
-  // Ids come from outside and may contain invalid UTF-8.
-  return status.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 // Implements ControlPort: starts the control thread and posts each call to its ControlLoop.
 class Control final : public ControlPort {
  public:
