Move the forwarding and waiting of configuration changes to its own module

ConfigProposer owns the changes that wait for a leader and gets the replica and the connections as functions, so its rules can be tested without daemons. Messages, limits and the order of calls are unchanged.

--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -18,6 +18,7 @@
 #include "core/peer_work.h"
 #include "core/registry.h"
 #include "core/voter_selection.h"
+#include "daemon/config_proposer.h"
 #include "daemon/config_replica.h"
 #include "daemon/server_snapshot.h"
 #include "daemon/status_json.h"
@@ -38,12 +39,6 @@
 constexpr Duration kGossipPushTimeout = seconds(1);
 constexpr Duration kPullTimeout = seconds(5);
 constexpr Duration kPullRetryDelay = milliseconds(200);
-constexpr Duration kPutTimeout = seconds(10);
-// How long a configuration change waits for a leader. An election ends sooner, and changes by
-// operators are rarer than requests and cost more to send again, so waiting is better than failing.
-constexpr Duration kMaxLeaderWait = seconds(2);
-constexpr size_t kMaxWaitingPuts = 64;
-constexpr uint32_t kMaxPutHops = 2;
 constexpr Duration kTimelineTimeout = seconds(2);
 // Suspect reports within this time are sent to a host that reconnects, which may have missed them.
 constexpr Duration kSuspectResendWindow = seconds(60);
@@ -137,13 +132,6 @@
   return announcement.leaving && announcement.address.empty();
 }
 
-// A configuration change that waits for a leader.
-struct WaitingPut {
-  ConfigPut put;
-  std::function<void(PutAnswer)> done;
-  Time deadline;
-};
-
 // The state of the control thread and the handlers that run on it. Not thread safe.
 class ControlLoop final : public RpcHandler, public kj::TaskSet::ErrorHandler {
  public:
@@ -160,6 +148,7 @@
         server_snapshot_(MakeServerJournal(*options)),
         membership_(MakeMembership(SelfEntry(*options), PeerEntries(*options),
                                    MakeMembershipParams(*options))),
+        config_proposer_(MakeProposerOptions()),
         rpc_(io, MakeRpcOptions(*options), this),
         replica_(MakeReplicaOptions()),
         stop_(kj::newPromiseAndFulfiller<void>()),
@@ -190,11 +179,9 @@
   void Announce(const Announcement& announcement,
                 const std::function<void(std::optional<Error>)>& done);
   void Leave(const ServerId& server, uint64_t incarnation, const std::function<void()>& done);
-  void Put(const ConfigPut& put, uint32_t hops, const std::function<void(PutAnswer)>& done);
-  void TryPut(const WaitingPut& waiting);
-  void RetryWaitingPuts();
-  void PutWithoutWaiting(const ConfigPut& put, uint32_t hops,
-                         const std::function<void(PutAnswer)>& done);
+  void Put(const ConfigPut& put, uint32_t hops, const std::function<void(PutAnswer)>& done) {
+    config_proposer_.Put(put, hops, done);
+  }
   void ReadLinearizable(const std::string& path, const std::function<void(LinearizableRead)>& done);
   void BroadcastSuspect(const SuspectReport& report);
   void Timeline(HlcStamp since, const std::string& request_id, size_t limit,
@@ -237,6 +224,7 @@
 
  private:
   ConfigReplica::Options MakeReplicaOptions();
+  ConfigProposer::Options MakeProposerOptions();
   kj::Timer& timer() { return io_->provider->getTimer(); }
   kj::Promise<void> TickLoop();
   kj::Promise<void> TaskQueueLoop();
@@ -261,7 +249,6 @@
   void PullConfig(Time now);
   void PullFrom(const HostId& host);
   void OnPulled(const HostId& host, const std::optional<std::string>& data);
-  std::optional<HostId> ForwardTarget(const HostId& leader) const;
   void OnConfigApplied();
   void LogStatusChanges();
   void HandleMembershipChanges();
@@ -290,7 +277,7 @@
   std::vector<PendingRelay> pending_relays_;
   Duration relay_delay_{0};  // delay of the scheduled flush, while `pending_relays_` is not empty
   std::map<HostId, TransitDelayMeter> transit_delay_meters_;
-  std::vector<WaitingPut> waiting_puts_;
+  ConfigProposer config_proposer_;
   std::deque<std::pair<SuspectReport, Time>> recent_suspects_;
   Time next_summary_;
   Time next_voter_check_;
@@ -326,6 +313,20 @@
   return replica;
 }
 
+ConfigProposer::Options ControlLoop::MakeProposerOptions() {
+  ConfigProposer::Options proposer;
+  proposer.propose = [this](const ConfigPut& put, const ConfigProposer::PutDone& done) {
+    return replica_.Put(put, done);
+  };
+  proposer.voters = [this]() { return replica_.Voters(); };
+  proposer.is_connected = [this](const HostId& host) { return rpc_.IsConnected(host); };
+  proposer.forward = [this](const HostId& to, const ConfigPut& put, uint32_t hops,
+                            std::function<void(std::optional<PutAnswer>)> done) {
+    rpc_.ProposePut(to, put, hops, kPutTimeout, std::move(done));
+  };
+  return proposer;
+}
+
 // ---- loops ----
 
 kj::Promise<void> ControlLoop::TickLoop() {
@@ -355,7 +356,7 @@
 void ControlLoop::OnTick(Time now) {
   if (ExpireServers(now)) SchedulePublish(kPublishInterval);
   replica_.Tick(now);
-  RetryWaitingPuts();
+  config_proposer_.RetryWaiting();
   disk_was_lost_ = disk_was_lost_ || replica_.DiskLost();
   if (replica_.DiskConfirmed() != published_disk_confirmed_) SchedulePublish(kPublishInterval);
   SendProbes(now);
@@ -762,61 +763,6 @@
   }
 }
 
-// The leader if it is connected, else any connected voter, which can forward to the leader.
-std::optional<HostId> ControlLoop::ForwardTarget(const HostId& leader) const {
-  if (rpc_.IsConnected(leader)) return leader;
-  for (const HostId& voter : replica_.Voters()) {
-    if (rpc_.IsConnected(voter)) return voter;
-  }
-  return std::nullopt;
-}
-
-void ControlLoop::Put(const ConfigPut& put, uint32_t hops,
-                      const std::function<void(PutAnswer)>& done) {
-  // Only the host that received the change from the operator waits for a leader.
-  if (hops > 0) return PutWithoutWaiting(put, hops, done);
-  TryPut({put, done, SteadyNow() + kMaxLeaderWait});
-}
-
-// With kNoQuorum nothing was proposed, so the change can safely be retried.
-void ControlLoop::TryPut(const WaitingPut& waiting) {
-  PutWithoutWaiting(waiting.put, 0, [this, waiting](const PutAnswer& answer) {
-    bool wait = answer.error == ErrorKind::kNoQuorum && SteadyNow() < waiting.deadline &&
-                waiting_puts_.size() < kMaxWaitingPuts;
-    if (wait) {
-      waiting_puts_.push_back(waiting);
-    } else {
-      waiting.done(answer);
-    }
-  });
-}
-
-void ControlLoop::RetryWaitingPuts() {
-  std::vector<WaitingPut> waiting = std::exchange(waiting_puts_, {});
-  for (const WaitingPut& put : waiting) TryPut(put);
-}
-
-// Proposes the change here or forwards it once. Does not wait for a leader.
-void ControlLoop::PutWithoutWaiting(const ConfigPut& put, uint32_t hops,
-                                    const std::function<void(PutAnswer)>& done) {
-  std::optional<HostId> leader = replica_.Put(put, done);
-  if (!leader) return;
-  std::optional<HostId> to = ForwardTarget(*leader);
-  PutAnswer answer;
-  if (!to || hops >= kMaxPutHops) {
-    answer.error = ErrorKind::kNoQuorum;
-    answer.message = "the leader of the voters cannot be reached";
-    return done(answer);
-  }
-  rpc_.ProposePut(*to, put, hops + 1, kPutTimeout, [done](std::optional<PutAnswer> reply) {
-    if (reply) return done(*reply);
-    PutAnswer unknown;
-    unknown.error = ErrorKind::kConfigUnknown;
-    unknown.message = "the leader did not answer; retry the change with the same request id";
-    done(unknown);
-  });
-}
-
 void ControlLoop::ReadLinearizable(const std::string& path,
                                    const std::function<void(LinearizableRead)>& done) {
   std::optional<HostId> leader =
--- /dev/null
+++ b/tests/config_proposer_test.cc
@@ -0,0 +1,139 @@
+#define BOOST_TEST_MODULE config_proposer
+#include "daemon/config_proposer.h"
+
+#include <boost/test/included/unit_test.hpp>
+#include <set>
+
+namespace ebonylift {
+namespace {
+
+const HostId kLeader("leader");
+const HostId kVoter("voter");
+
+struct Forwarded {
+  HostId to;
+  uint32_t hops = 0;
+  std::function<void(std::optional<PutAnswer>)> done;
+};
+
+// A proposer on a host that is not the leader.
+struct Fixture {
+  Time now;
+  std::set<HostId> connected;
+  std::optional<PutAnswer> local_answer;  // set: the local replica handles the changes
+  int proposals = 0;
+  std::vector<Forwarded> forwarded;
+  std::vector<PutAnswer> answers;
+  ConfigProposer proposer{MakeOptions()};
+
+  ConfigProposer::Options MakeOptions() {
+    ConfigProposer::Options options;
+    options.propose = [this](const ConfigPut&,
+                             const ConfigProposer::PutDone& done) -> std::optional<HostId> {
+      ++proposals;
+      if (!local_answer) return kLeader;
+      done(*local_answer);
+      return std::nullopt;
+    };
+    options.voters = []() { return std::vector<HostId>{kLeader, kVoter}; };
+    options.is_connected = [this](const HostId& host) { return connected.count(host) != 0; };
+    options.forward = [this](const HostId& to, const ConfigPut&, uint32_t hops,
+                             std::function<void(std::optional<PutAnswer>)> done) {
+      forwarded.push_back({to, hops, std::move(done)});
+    };
+    options.clock = [this]() { return now; };
+    return options;
+  }
+
+  void Put(uint32_t hops = 0) {
+    proposer.Put(ConfigPut(), hops, [this](PutAnswer answer) { answers.push_back(answer); });
+  }
+};
+
+// Guards against a change that fails, or is lost, because an election is in progress.
+BOOST_FIXTURE_TEST_CASE(ChangeWaitsForALeader, Fixture) {
+  Put();
+  now += kMaxLeaderWait / 2;
+  proposer.RetryWaiting();
+  BOOST_TEST(answers.empty());
+
+  connected.insert(kLeader);
+  proposer.RetryWaiting();
+  BOOST_REQUIRE_EQUAL(forwarded.size(), 1);
+  BOOST_TEST(forwarded[0].to == kLeader);
+  BOOST_TEST(forwarded[0].hops == 1);
+  PutAnswer success;
+  success.revision = 7;
+  forwarded[0].done(success);
+  proposer.RetryWaiting();
+  BOOST_REQUIRE_EQUAL(answers.size(), 1);
+  BOOST_TEST(answers[0].revision == 7);
+  BOOST_TEST(forwarded.size() == 1);
+}
+
+// Guards against an operator's call that hangs while there is no leader.
+BOOST_FIXTURE_TEST_CASE(ChangeFailsAfterTheMaximumWait, Fixture) {
+  Put();
+  now += kMaxLeaderWait - milliseconds(1);
+  proposer.RetryWaiting();
+  BOOST_TEST(answers.empty());
+  now += milliseconds(1);
+  proposer.RetryWaiting();
+  BOOST_REQUIRE_EQUAL(answers.size(), 1);
+  BOOST_TEST((answers[0].error == ErrorKind::kNoQuorum));
+}
+
+// Guards against waiting changes that use memory without limit.
+BOOST_FIXTURE_TEST_CASE(ChangeFailsAtOnceWhenTooManyWait, Fixture) {
+  for (size_t i = 0; i < kMaxWaitingPuts; ++i) Put();
+  BOOST_TEST(answers.empty());
+  Put();
+  BOOST_REQUIRE_EQUAL(answers.size(), 1);
+  BOOST_TEST((answers[0].error == ErrorKind::kNoQuorum));
+}
+
+// Guards against a wait on every host on the way, which would exceed the timeout of the first one.
+BOOST_FIXTURE_TEST_CASE(ForwardedChangeDoesNotWait, Fixture) {
+  Put(1);
+  BOOST_REQUIRE_EQUAL(answers.size(), 1);
+  BOOST_TEST((answers[0].error == ErrorKind::kNoQuorum));
+}
+
+// Guards against a change that is applied twice because it is sent again after a lost answer.
+BOOST_FIXTURE_TEST_CASE(ChangeWithoutAnswerIsNotRetried, Fixture) {
+  connected.insert(kLeader);
+  Put();
+  BOOST_REQUIRE_EQUAL(forwarded.size(), 1);
+  forwarded[0].done(std::nullopt);
+  BOOST_REQUIRE_EQUAL(answers.size(), 1);
+  BOOST_TEST((answers[0].error == ErrorKind::kConfigUnknown));
+  proposer.RetryWaiting();
+  BOOST_TEST(forwarded.size() == 1);
+}
+
+// Guards against hosts with different opinions about the leader that forward a change in a circle.
+BOOST_FIXTURE_TEST_CASE(ForwardingEndsAfterTheMaximumNumberOfHops, Fixture) {
+  connected.insert(kVoter);
+  Put(kMaxPutHops - 1);
+  BOOST_REQUIRE_EQUAL(forwarded.size(), 1);
+  BOOST_TEST(forwarded[0].to == kVoter);  // the leader is not connected
+  BOOST_TEST(forwarded[0].hops == kMaxPutHops);
+  Put(kMaxPutHops);
+  BOOST_TEST(forwarded.size() == 1);
+  BOOST_REQUIRE_EQUAL(answers.size(), 1);
+  BOOST_TEST((answers[0].error == ErrorKind::kNoQuorum));
+}
+
+// Guards against a rejected change that is proposed again.
+BOOST_FIXTURE_TEST_CASE(RejectedChangeIsNotRetried, Fixture) {
+  local_answer = PutAnswer();
+  local_answer->error = ErrorKind::kConfigConflict;
+  Put();
+  proposer.RetryWaiting();
+  BOOST_REQUIRE_EQUAL(answers.size(), 1);
+  BOOST_TEST((answers[0].error == ErrorKind::kConfigConflict));
+  BOOST_TEST(proposals == 1);
+}
+
+}  // namespace
+}  // namespace ebonylift
