--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -19,6 +19,7 @@
 #include "core/registry.h"
 #include "core/voter_selection.h"
 #include "daemon/config_proposer.h"
+#include "daemon/config_puller.h"
 #include "daemon/config_replica.h"
 #include "daemon/server_snapshot.h"
 #include "daemon/status_json.h"
@@ -37,8 +38,6 @@
 constexpr Duration kLoadRelayInterval = milliseconds(500);
 constexpr Duration kIndirectProbeTimeout = milliseconds(250);
 constexpr Duration kGossipPushTimeout = seconds(1);
-constexpr Duration kPullTimeout = seconds(5);
-constexpr Duration kPullRetryDelay = milliseconds(200);
 constexpr Duration kTimelineTimeout = seconds(2);
 // Suspect reports within this time are sent to a host that reconnects, which may have missed them.
 constexpr Duration kSuspectResendWindow = seconds(60);
@@ -149,6 +148,7 @@
         membership_(MakeMembership(SelfEntry(*options), PeerEntries(*options),
                                    MakeMembershipParams(*options))),
         config_proposer_(MakeProposerOptions()),
+        config_puller_(&replica_, &membership_, &rng_, &rpc_),
         rpc_(io, MakeRpcOptions(*options), this),
         replica_(MakeReplicaOptions()),
         stop_(kj::newPromiseAndFulfiller<void>()),
@@ -246,9 +246,6 @@
   void LoadServers(Time now);
   void SaveServers(Time now);
   void ReportDomainSummaries(Time now);
-  void PullConfig(Time now);
-  void PullFrom(const HostId& host);
-  void OnPulled(const HostId& host, const std::optional<std::string>& data);
   void OnConfigApplied();
   void LogStatusChanges();
   void HandleMembershipChanges();
@@ -278,13 +275,12 @@
   Duration relay_delay_{0};  // delay of the scheduled flush, while `pending_relays_` is not empty
   std::map<HostId, TransitDelayMeter> transit_delay_meters_;
   ConfigProposer config_proposer_;
+  ConfigPuller config_puller_;
   std::deque<std::pair<SuspectReport, Time>> recent_suspects_;
   Time next_summary_;
   Time next_voter_check_;
   bool voter_change_in_progress_ = false;
   Time next_peer_bytes_report_;
-  bool pull_in_progress_ = false;
-  Time next_pull_;
   Time last_publish_;
   std::optional<Time> publish_due_;
   bool disk_was_lost_ = false;
@@ -364,7 +360,7 @@
     next_summary_ = now + kSummaryInterval;
     ReportDomainSummaries(now);
   }
-  PullConfig(now);
+  config_puller_.Tick(now);
   SaveServers(now);
   MaintainVoters(now);
   HandleMembershipChanges();
@@ -737,32 +733,6 @@
   for (const HostId& host : hosts) PushGossip(host);
 }
 
-void ControlLoop::PullConfig(Time now) {
-  if (pull_in_progress_ || now < next_pull_ || !replica_.NeedsPull()) return;
-  std::optional<HostId> host = PullTarget(membership_, rng_);
-  if (host) PullFrom(*host);
-}
-
-void ControlLoop::PullFrom(const HostId& host) {
-  pull_in_progress_ = true;
-  rpc_.ConfigSince(host, replica_.revision(), replica_.pull_offset(), kPullTimeout,
-                   [this, host](const std::optional<std::string>& data) { OnPulled(host, data); });
-}
-
-void ControlLoop::OnPulled(const HostId& host, const std::optional<std::string>& data) {
-  pull_in_progress_ = false;
-  if (!data) {
-    next_pull_ = SteadyNow() + kPullRetryDelay;
-    return;
-  }
-  try {
-    if (replica_.ApplyPullResponse(*data, host)) PullFrom(host);
-  } catch (const Error& e) {
-    next_pull_ = SteadyNow() + kPullRetryDelay;
-    LogEvent(EventId::kPeerMessageRefused, {{"host", host.value()}, {"reason", e.what()}});
-  }
-}
-
 void ControlLoop::ReadLinearizable(const std::string& path,
                                    const std::function<void(LinearizableRead)>& done) {
   std::optional<HostId> leader =
