--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -17,7 +17,6 @@
 #include "core/domain_summary.h"
 #include "core/peer_work.h"
 #include "core/registry.h"
-#include "core/voter_selection.h"
 #include "daemon/config_proposer.h"
 #include "daemon/config_puller.h"
 #include "daemon/config_replica.h"
@@ -25,6 +24,7 @@
 #include "daemon/status_json.h"
 #include "daemon/task_queue.h"
 #include "daemon/timeline_merge.h"
+#include "daemon/voter_maintenance.h"
 
 namespace ebonylift {
 namespace {
@@ -149,6 +149,7 @@
                                    MakeMembershipParams(*options))),
         config_proposer_(MakeProposerOptions()),
         config_puller_(&replica_, &membership_, &rng_, &rpc_),
+        voter_maintenance_(&membership_, &replica_),
         rpc_(io, MakeRpcOptions(*options), this),
         replica_(MakeReplicaOptions()),
         stop_(kj::newPromiseAndFulfiller<void>()),
@@ -242,7 +243,6 @@
   void SendFullAnnouncements(const HostId& host, const std::vector<const BackendServer*>& servers,
                              Time now);
   AnnounceResult Register(const Announcement& announcement, Duration age, Time now);
-  void MaintainVoters(Time now);
   void LoadServers(Time now);
   void SaveServers(Time now);
   void ReportDomainSummaries(Time now);
@@ -276,10 +276,9 @@
   std::map<HostId, TransitDelayMeter> transit_delay_meters_;
   ConfigProposer config_proposer_;
   ConfigPuller config_puller_;
+  VoterMaintenance voter_maintenance_;
   std::deque<std::pair<SuspectReport, Time>> recent_suspects_;
   Time next_summary_;
-  Time next_voter_check_;
-  bool voter_change_in_progress_ = false;
   Time next_peer_bytes_report_;
   Time last_publish_;
   std::optional<Time> publish_due_;
@@ -362,7 +361,7 @@
   }
   config_puller_.Tick(now);
   SaveServers(now);
-  MaintainVoters(now);
+  if (options_->find_hosts) voter_maintenance_.Tick(now);
   HandleMembershipChanges();
   if (options_->on_peer_bytes && now >= next_peer_bytes_report_) {
     next_peer_bytes_report_ = now + kPeerBytesInterval;
@@ -473,27 +472,6 @@
   publish_(std::move(view));
 }
 
-// ---- voters ----
-
-// On the leader: starts the next change of the voters, for example to replace a failed one (see
-// core/voter_selection.h).
-void ControlLoop::MaintainVoters(Time now) {
-  if (!options_->find_hosts || !replica_.IsLeader()) return;
-  if (voter_change_in_progress_ || now < next_voter_check_) return;
-  next_voter_check_ = now + kVoterCheckInterval;
-  VoterChange change =
-      NextVoterChange(HostEntries(membership_), replica_.Voters(), options_->self.host);
-  if (change.kind == VoterChange::Kind::kNone) return;
-  bool add = change.kind == VoterChange::Kind::kAdd;
-  LogEvent(EventId::kVoterChangeStarted,
-           {{"host", change.host.value()}, {"change", add ? "add" : "remove"}});
-  voter_change_in_progress_ = true;
-  auto done = [this](const PutAnswer&) { voter_change_in_progress_ = false; };
-  std::optional<HostId> leader =
-      add ? replica_.AddVoter(change.host, done) : replica_.RemoveVoter(change.host, done);
-  if (leader) voter_change_in_progress_ = false;  // this host is not the leader
-}
-
 // ---- backend servers ----
 
 void ControlLoop::LoadServers(Time now) {
