--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <deque>
 #include <future>
 #include <map>
 #include <set>
@@ -22,6 +21,7 @@
 #include "daemon/config_replica.h"
 #include "daemon/server_snapshot.h"
 #include "daemon/status_json.h"
+#include "daemon/suspect_history.h"
 #include "daemon/task_queue.h"
 #include "daemon/timeline_merge.h"
 #include "daemon/voter_maintenance.h"
@@ -39,8 +39,6 @@
 constexpr Duration kIndirectProbeTimeout = milliseconds(250);
 constexpr Duration kGossipPushTimeout = seconds(1);
 constexpr Duration kTimelineTimeout = seconds(2);
-// Suspect reports within this time are sent to a host that reconnects, which may have missed them.
-constexpr Duration kSuspectResendWindow = seconds(60);
 // Announcements relayed in one message; keeps it far below the message size limit.
 constexpr size_t kMaxRelayBatch = 256;
 // The leader pushes a new revision to at most this many hosts; the others learn it by gossip.
@@ -277,7 +275,7 @@
   ConfigProposer config_proposer_;
   ConfigPuller config_puller_;
   VoterMaintenance voter_maintenance_;
-  std::deque<std::pair<SuspectReport, Time>> recent_suspects_;
+  SuspectHistory suspect_history_;
   Time next_summary_;
   Time next_peer_bytes_report_;
   Time last_publish_;
@@ -740,13 +738,7 @@
 }
 
 void ControlLoop::BroadcastSuspect(const SuspectReport& report) {
-  Time now = SteadyNow();
-  while (!recent_suspects_.empty() &&
-         (recent_suspects_.size() >= kMaxRecentSuspects ||
-          now - recent_suspects_.front().second >= kSuspectResendWindow)) {
-    recent_suspects_.pop_front();
-  }
-  recent_suspects_.emplace_back(report, now);
+  suspect_history_.Add(report, SteadyNow());
   auto same_region = [this](const Identity& peer) { return peer.region == options_->self.region; };
   for (const HostId& host : PeersWhere(same_region)) rpc_.Suspects(host, {report});
 }
@@ -770,10 +762,7 @@
   if (SharesServersWith({host, peer.region, peer.domain})) SendAllServers(host, now);
   if (peer.region != options_->self.region) return;
   // The host may have missed reports while it was unreachable.
-  std::vector<SuspectReport> reports;
-  for (const auto& [report, at] : recent_suspects_) {
-    if (now - at < kSuspectResendWindow) reports.push_back(report);
-  }
+  std::vector<SuspectReport> reports = suspect_history_.Recent(now);
   if (!reports.empty()) rpc_.Suspects(host, reports);
 }
 
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -12,9 +12,8 @@
 // apart, or kLoadPublishInterval when only load reports changed, so a change becomes visible within
 // that time.
 //
-// Memory: what registry.h, membership.h, rpc.h and config_replica.h state, at most
-// kMaxRecentSuspects suspect reports for resending, and one entry per call of the traffic threads
-// that is not answered yet.
+// Memory: what registry.h, membership.h, rpc.h, config_replica.h, config_proposer.h and
+// suspect_history.h state, and one entry per call of the traffic threads that is not answered yet.
 
 #include <cstdint>
 #include <functional>
@@ -35,7 +34,6 @@
 constexpr Duration kPublishInterval = milliseconds(20);
 constexpr Duration kLoadPublishInterval = milliseconds(100);
 constexpr Duration kPeerBytesInterval = seconds(1);
-constexpr size_t kMaxRecentSuspects = 256;
 
 // Identity and addresses of another host, as configured on this host.
 struct ControlPeer {
