--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -19,6 +19,7 @@
 #include "daemon/config_proposer.h"
 #include "daemon/config_puller.h"
 #include "daemon/config_replica.h"
+#include "daemon/publish_timer.h"
 #include "daemon/server_snapshot.h"
 #include "daemon/status_json.h"
 #include "daemon/suspect_history.h"
@@ -141,6 +142,9 @@
         task_queue_(task_queue),
         publish_(std::move(publish)),
         rng_(Hash64(options->self.host.value() + RandomHex(8))),
+        publish_timer_(
+            [this](Duration delay, std::function<void()> fn) { RunAfter(delay, std::move(fn)); },
+            [this]() { PublishNow(); }),
         registry_(MakeRegistry(*options)),
         server_snapshot_(MakeServerJournal(*options)),
         membership_(MakeMembership(SelfEntry(*options), PeerEntries(*options),
@@ -247,7 +251,8 @@
   void OnConfigApplied();
   void LogStatusChanges();
   void HandleMembershipChanges();
-  void SchedulePublish(Duration interval);
+  void SchedulePublish(Duration interval) { publish_timer_.Schedule(interval); }
+  void RunAfter(Duration delay, std::function<void()> fn);
   void PublishNow();
   bool ExpireServers(Time now);
   std::vector<HostId> PeersWhere(const std::function<bool(const Identity&)>& match) const;
@@ -257,6 +262,7 @@
   TaskQueue* task_queue_;
   Publish publish_;
   std::mt19937_64 rng_;
+  PublishTimer publish_timer_;
   Registry registry_;
   ServerSnapshot server_snapshot_;
   Membership membership_;
@@ -278,11 +284,8 @@
   SuspectHistory suspect_history_;
   Time next_summary_;
   Time next_peer_bytes_report_;
-  Time last_publish_;
-  std::optional<Time> publish_due_;
   bool disk_was_lost_ = false;
   bool published_disk_confirmed_ = false;
-  uint64_t publish_generation_ = 0;  // of the newest scheduled publication
   kj::Own<kj::AsyncInputStream> wakeup_pipe_;
   char wakeup_buffer_[64] = {};
   Rpc rpc_;
@@ -336,6 +339,10 @@
       .then([this]() { return TaskQueueLoop(); });
 }
 
+void ControlLoop::RunAfter(Duration delay, std::function<void()> fn) {
+  tasks_.add(timer().afterDelay(ToKj(delay)).then([fn = std::move(fn)]() { fn(); }));
+}
+
 void ControlLoop::RunPostedTasks() {
   for (std::function<void()>& fn : task_queue_->Take()) {
     try {
@@ -428,20 +435,6 @@
 
 // ---- view ----
 
-// Schedules a publication at the earliest time that is `interval` after the last one.
-void ControlLoop::SchedulePublish(Duration interval) {
-  Time now = SteadyNow();
-  Time due = std::max(now, last_publish_ + interval);
-  if (publish_due_ && *publish_due_ <= due) return;
-  publish_due_ = due;
-  uint64_t generation = ++publish_generation_;
-  // Checks the generation instead of the current time, because the timer may fire early: it counts
-  // from the time at which the event loop woke up.
-  tasks_.add(timer().afterDelay(ToKj(due - now)).then([this, generation]() {
-    if (publish_due_ && generation == publish_generation_) PublishNow();
-  }));
-}
-
 bool ControlLoop::ExpireServers(Time now) {
   std::vector<ServerId> expired = Expire(&registry_, now);
   for (const ServerId& id : expired) LogEvent(EventId::kServerExpired, {{"server", id.value()}});
@@ -465,8 +458,7 @@
   view->disk_was_lost = disk_was_lost_;
   published_disk_confirmed_ = replica_.DiskConfirmed();
   view->disk_confirmed = published_disk_confirmed_;
-  last_publish_ = SteadyNow();
-  publish_due_.reset();
+  publish_timer_.MarkPublished();
   publish_(std::move(view));
 }
 
@@ -583,7 +575,7 @@
   if (pending_relays_.size() >= kMaxRelayBatch) return FlushRelay();
   if (pending_relays_.size() > 1 && delay >= relay_delay_) return;
   relay_delay_ = delay;
-  tasks_.add(timer().afterDelay(ToKj(delay)).then([this]() { FlushRelay(); }));
+  RunAfter(delay, [this]() { FlushRelay(); });
 }
 
 void ControlLoop::FlushRelay() {
