Move the gossip of the membership to its own module

MembershipGossip owns the membership, sends and answers probes, logs status changes and connects to discovered hosts. Probes, timeouts, log lines and the order of calls are unchanged.

--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -19,6 +19,7 @@
 #include "daemon/config_proposer.h"
 #include "daemon/config_puller.h"
 #include "daemon/config_replica.h"
+#include "daemon/membership_gossip.h"
 #include "daemon/publish_timer.h"
 #include "daemon/server_snapshot.h"
 #include "daemon/status_json.h"
@@ -37,8 +38,6 @@
 // Longer than kRelayInterval, so that one message carries the load reports of more servers. The
 // delay does not extend the time to live, because the age of each report is sent with it.
 constexpr Duration kLoadRelayInterval = milliseconds(500);
-constexpr Duration kIndirectProbeTimeout = milliseconds(250);
-constexpr Duration kGossipPushTimeout = seconds(1);
 constexpr Duration kTimelineTimeout = seconds(2);
 // Announcements relayed in one message; keeps it far below the message size limit.
 constexpr size_t kMaxRelayBatch = 256;
@@ -147,11 +146,12 @@
             [this]() { PublishNow(); }),
         registry_(MakeRegistry(*options)),
         server_snapshot_(MakeServerJournal(*options)),
-        membership_(MakeMembership(SelfEntry(*options), PeerEntries(*options),
-                                   MakeMembershipParams(*options))),
+        gossip_(MakeMembership(SelfEntry(*options), PeerEntries(*options),
+                               MakeMembershipParams(*options)),
+                &rng_, &rpc_, [this]() { SchedulePublish(kPublishInterval); }),
         config_proposer_(MakeProposerOptions()),
-        config_puller_(&replica_, &membership_, &rng_, &rpc_),
-        voter_maintenance_(&membership_, &replica_),
+        config_puller_(&replica_, &gossip_.membership(), &rng_, &rpc_),
+        voter_maintenance_(&gossip_.membership(), &replica_),
         rpc_(io, MakeRpcOptions(*options), this),
         replica_(MakeReplicaOptions()),
         stop_(kj::newPromiseAndFulfiller<void>()),
@@ -190,16 +190,18 @@
   void Timeline(HlcStamp since, const std::string& request_id, size_t limit,
                 std::function<void(std::vector<Event>)> done);
   StatusJson Status() const {
-    return MakeStatusJson(*options_, replica_, membership_, registry_, rpc_);
+    return MakeStatusJson(*options_, replica_, gossip_.membership(), registry_, rpc_);
   }
   void ShareWork(std::vector<ServerWork> work);
-  void StartDrain();
-  void UpdateOverloaded(bool overloaded);
+  void StartDrain() { gossip_.StartDrain(); }
+  void UpdateOverloaded(bool overloaded) { gossip_.UpdateOverloaded(overloaded); }
   ConfigReplica* replica() { return &replica_; }
 
   // ---- RpcHandler ----
   void OnPeerGossip(const HostId& from, const GossipMessage& message, const HostId& target,
-                    GossipAnswer answer) override;
+                    GossipAnswer answer) override {
+    gossip_.OnMessage(from, message, target, answer);
+  }
   std::vector<uint64_t> OnPeerAnnounce(const HostId& from, Duration sent_at,
                                        const std::vector<RelayedAnnouncement>& announcements,
                                        const std::vector<ServerRefresh>& refreshes) override;
@@ -233,8 +235,6 @@
   kj::Promise<void> TaskQueueLoop();
   void RunPostedTasks();
   void OnTick(Time now);
-  void SendProbes(Time now);
-  void PushGossip(const HostId& to);
   void Relay(const Announcement& announcement, Time sent, bool refresh);
   bool OnlyLoadChanged(const Announcement& announcement) const;
   void FlushRelay();
@@ -249,13 +249,10 @@
   void SaveServers(Time now);
   void ReportDomainSummaries(Time now);
   void OnConfigApplied();
-  void LogStatusChanges();
-  void HandleMembershipChanges();
   void SchedulePublish(Duration interval) { publish_timer_.Schedule(interval); }
   void RunAfter(Duration delay, std::function<void()> fn);
   void PublishNow();
   bool ExpireServers(Time now);
-  std::vector<HostId> PeersWhere(const std::function<bool(const Identity&)>& match) const;
 
   kj::AsyncIoContext* io_;
   const ControlOptions* options_;
@@ -265,11 +262,10 @@
   PublishTimer publish_timer_;
   Registry registry_;
   ServerSnapshot server_snapshot_;
-  Membership membership_;
+  MembershipGossip gossip_;
   PeerWork peer_work_;
   std::vector<ServerWork> own_work_;  // work of this host on the backend servers, see ShareWork()
   Time next_work_broadcast_;
-  uint64_t seen_membership_change_ = 0;
   struct PendingRelay {
     Announcement announcement;
     Time sent;             // when this host received it
@@ -359,7 +355,7 @@
   config_proposer_.RetryWaiting();
   disk_was_lost_ = disk_was_lost_ || replica_.DiskLost();
   if (replica_.DiskConfirmed() != published_disk_confirmed_) SchedulePublish(kPublishInterval);
-  SendProbes(now);
+  gossip_.SendProbes(now);
   if (now >= next_summary_) {
     next_summary_ = now + kSummaryInterval;
     ReportDomainSummaries(now);
@@ -367,72 +363,13 @@
   config_puller_.Tick(now);
   SaveServers(now);
   if (options_->find_hosts) voter_maintenance_.Tick(now);
-  HandleMembershipChanges();
+  gossip_.HandleChanges();
   if (options_->on_peer_bytes && now >= next_peer_bytes_report_) {
     next_peer_bytes_report_ = now + kPeerBytesInterval;
     options_->on_peer_bytes(rpc_.sent_bytes(), rpc_.received_bytes());
   }
 }
 
-void ControlLoop::SendProbes(Time now) {
-  for (SendProbe& probe : Tick(&membership_, now, rng_)) {
-    uint64_t token = probe.token;
-    HostId to = probe.to;
-    rpc_.Gossip(to, probe.message, probe.target, probe.timeout,
-                [this, token, to](std::optional<GossipReply> reply) {
-                  if (reply) {
-                    OnAck(&membership_, token, to, reply->message, reply->reached, SteadyNow());
-                  } else {
-                    OnProbeFailed(&membership_, token, SteadyNow());
-                  }
-                  HandleMembershipChanges();
-                });
-  }
-}
-
-// Sends this host's membership rows at once, instead of with the next probe.
-void ControlLoop::PushGossip(const HostId& to) {
-  rpc_.Gossip(to, MakeGossip(&membership_, to, rng_), HostId(), kGossipPushTimeout,
-              [this, to](std::optional<GossipReply> reply) {
-                if (reply) OnAck(&membership_, 0, to, reply->message, false, SteadyNow());
-                HandleMembershipChanges();
-              });
-}
-
-void ControlLoop::HandleMembershipChanges() {
-  LogStatusChanges();
-  for (const HostEntry& host : TakeDiscoveredHosts(&membership_)) {
-    LogEvent(EventId::kHostFound, {{"host", host.id.value()},
-                                   {"domain", host.domain.value()},
-                                   {"address", host.rpc_address}});
-    rpc_.AddPeer({host.id, host.rpc_address});
-  }
-  if (membership_.change_count == seen_membership_change_) return;
-  seen_membership_change_ = membership_.change_count;
-  SchedulePublish(kPublishInterval);
-}
-
-void ControlLoop::LogStatusChanges() {
-  for (const StatusChange& change : TakeChanges(&membership_)) {
-    std::string host = change.host.value();
-    switch (change.status) {
-      case HostStatus::kAlive:
-        LogEvent(EventId::kHostAlive,
-                 {{"host", host}, {"incarnation", std::to_string(change.incarnation)}});
-        break;
-      case HostStatus::kSuspect:
-        LogEvent(EventId::kHostSuspected, {{"host", host}});
-        break;
-      case HostStatus::kFailed:
-        LogEvent(EventId::kHostFailed,
-                 {{"host", host}, {"ms", std::to_string(ToMillis(change.silent_for))}});
-        break;
-      case HostStatus::kLeaving:
-        break;
-    }
-  }
-}
-
 // ---- view ----
 
 bool ControlLoop::ExpireServers(Time now) {
@@ -450,8 +387,8 @@
   view->config = replica_.View();
   view->servers = LiveServers(registry_, SteadyNow());
   ApplyPeerWork(peer_work_, SteadyNow(), &view->servers);
-  view->hosts = HostEntries(membership_);
-  view->summaries = Summaries(membership_);
+  view->hosts = HostEntries(gossip_.membership());
+  view->summaries = Summaries(gossip_.membership());
   // A voter gets a configuration only after its peers have said whether they know its disk, so a
   // view with a configuration also has the final value of `disk_was_lost`.
   disk_was_lost_ = disk_was_lost_ || replica_.DiskLost();
@@ -558,7 +495,7 @@
   Register(notice, Duration(0), SteadyNow());
   std::vector<RelayedAnnouncement> batch = {{notice, Duration(0), false}};
   auto any = [](const Identity&) { return true; };
-  for (const HostId& host : PeersWhere(any)) rpc_.Announce(host, batch);
+  for (const HostId& host : gossip_.PeersWhere(any)) rpc_.Announce(host, batch);
   done();
 }
 
@@ -586,7 +523,7 @@
     batch.push_back({std::move(pending.announcement), now - pending.sent, pending.refresh});
   }
   pending_relays_.clear();
-  for (const auto& [id, host] : membership_.hosts) {
+  for (const auto& [id, host] : gossip_.membership().hosts) {
     if (id == options_->self.host) continue;
     Identity peer{id, host.entry.region, host.entry.domain};
     std::vector<RelayedAnnouncement> wanted;
@@ -681,24 +618,24 @@
 }
 
 void ControlLoop::ReportDomainSummaries(Time now) {
-  if (!IsReporter(membership_)) return;
+  if (!IsReporter(gossip_.membership())) return;
   std::vector<BackendServer> servers = LiveServers(registry_, SteadyNow());
   PeerWork all_work = peer_work_;
   OnPeerWork(&all_work, options_->self.host, own_work_, now);
   ApplyPeerWork(all_work, now, &servers);
-  ReportSummaries(&membership_, SummarizeDomain(options_->self, servers, now), ProcessClock().Now(),
-                  now);
+  ReportSummaries(gossip_.mutable_membership(), SummarizeDomain(options_->self, servers, now),
+                  ProcessClock().Now(), now);
 }
 
 // ---- configuration ----
 
 void ControlLoop::OnConfigApplied() {
-  SetRevision(&membership_, replica_.revision());
+  SetRevision(gossip_.mutable_membership(), replica_.revision());
   SchedulePublish(kPublishInterval);
   if (!replica_.IsLeader()) return;
   std::vector<HostId> hosts = rpc_.Connected();
   if (hosts.size() > kMaxRevisionPushes) hosts.resize(kMaxRevisionPushes);
-  for (const HostId& host : hosts) PushGossip(host);
+  for (const HostId& host : hosts) gossip_.Push(host);
 }
 
 void ControlLoop::ReadLinearizable(const std::string& path,
@@ -719,20 +656,10 @@
 
 // ---- suspect reports ----
 
-std::vector<HostId> ControlLoop::PeersWhere(
-    const std::function<bool(const Identity&)>& match) const {
-  std::vector<HostId> hosts;
-  for (const auto& [id, host] : membership_.hosts) {
-    if (id == options_->self.host) continue;
-    if (match({id, host.entry.region, host.entry.domain})) hosts.push_back(id);
-  }
-  return hosts;
-}
-
 void ControlLoop::BroadcastSuspect(const SuspectReport& report) {
   suspect_history_.Add(report, SteadyNow());
   auto same_region = [this](const Identity& peer) { return peer.region == options_->self.region; };
-  for (const HostId& host : PeersWhere(same_region)) rpc_.Suspects(host, {report});
+  for (const HostId& host : gossip_.PeersWhere(same_region)) rpc_.Suspects(host, {report});
 }
 
 void ControlLoop::OnPeerSuspects(const std::vector<SuspectReport>& reports) {
@@ -744,12 +671,12 @@
 
 void ControlLoop::OnPeerConnection(const HostId& host, bool connected) {
   Time now = SteadyNow();
-  OnConnection(&membership_, host, connected, now);
-  HandleMembershipChanges();
+  OnConnection(gossip_.mutable_membership(), host, connected, now);
+  gossip_.HandleChanges();
   if (!connected) return;
-  PushGossip(host);
-  auto it = membership_.hosts.find(host);
-  if (it == membership_.hosts.end()) return;
+  gossip_.Push(host);
+  auto it = gossip_.membership().hosts.find(host);
+  if (it == gossip_.membership().hosts.end()) return;
   const HostEntry& peer = it->second.entry;
   if (SharesServersWith({host, peer.region, peer.domain})) SendAllServers(host, now);
   if (peer.region != options_->self.region) return;
@@ -758,20 +685,7 @@
   if (!reports.empty()) rpc_.Suspects(host, reports);
 }
 
-// ---- membership ----
-
-void ControlLoop::OnPeerGossip(const HostId& from, const GossipMessage& message,
-                               const HostId& target, GossipAnswer answer) {
-  GossipMessage reply = OnGossip(&membership_, from, message, SteadyNow(), rng_);
-  HandleMembershipChanges();
-  if (target.empty()) return answer(std::move(reply), false);
-  rpc_.Gossip(target, MakeGossip(&membership_, target, rng_), HostId(), kIndirectProbeTimeout,
-              [this, target, reply, answer](std::optional<GossipReply> probed) {
-                if (probed) OnAck(&membership_, 0, target, probed->message, false, SteadyNow());
-                HandleMembershipChanges();
-                answer(reply, probed.has_value());
-              });
-}
+// ---- shared work ----
 
 void ControlLoop::ShareWork(std::vector<ServerWork> work) {
   bool nothing_to_send = work.empty() && own_work_.empty();
@@ -780,7 +694,7 @@
   Time now = SteadyNow();
   if (nothing_to_send || (now < next_work_broadcast_ && !urgent)) return;
   auto shares = [this](const Identity& peer) { return SharesServersWith(peer); };
-  std::vector<HostId> hosts = PeersWhere(shares);
+  std::vector<HostId> hosts = gossip_.PeersWhere(shares);
   next_work_broadcast_ = now + PeerWorkInterval(hosts.size());
   for (const HostId& host : hosts) rpc_.Work(host, own_work_);
 }
@@ -790,21 +704,6 @@
   SchedulePublish(kPublishInterval);
 }
 
-void ControlLoop::StartDrain() {
-  SetLeaving(&membership_);
-  HandleMembershipChanges();
-  for (const HostId& host : rpc_.Connected()) PushGossip(host);
-}
-
-void ControlLoop::UpdateOverloaded(bool overloaded) {
-  uint64_t before = membership_.change_count;
-  SetOverloaded(&membership_, overloaded);
-  if (membership_.change_count == before) return;
-  HandleMembershipChanges();
-  auto same_domain = [this](const Identity& peer) { return peer.domain == options_->self.domain; };
-  for (const HostId& host : PeersWhere(same_domain)) PushGossip(host);
-}
-
 // ---- timeline ----
 
 void ControlLoop::Timeline(HlcStamp since, const std::string& request_id, size_t limit,
