--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -16,12 +16,13 @@
 #include "core/domain_summary.h"
 #include "core/peer_work.h"
 #include "core/registry.h"
+#include "daemon/announcement_relay.h"
 #include "daemon/config_proposer.h"
 #include "daemon/config_puller.h"
 #include "daemon/config_replica.h"
 #include "daemon/membership_gossip.h"
 #include "daemon/publish_timer.h"
-#include "daemon/server_snapshot.h"
+#include "daemon/server_registration.h"
 #include "daemon/status_json.h"
 #include "daemon/suspect_history.h"
 #include "daemon/task_queue.h"
@@ -34,17 +35,9 @@
 // The maximum that Membership and ConfigReplica allow.
 constexpr Duration kTickInterval = milliseconds(50);
 constexpr Duration kSummaryInterval = milliseconds(500);
-constexpr Duration kRelayInterval = milliseconds(20);
-// Longer than kRelayInterval, so that one message carries the load reports of more servers. The
-// delay does not extend the time to live, because the age of each report is sent with it.
-constexpr Duration kLoadRelayInterval = milliseconds(500);
 constexpr Duration kTimelineTimeout = seconds(2);
-// Announcements relayed in one message; keeps it far below the message size limit.
-constexpr size_t kMaxRelayBatch = 256;
 // The leader pushes a new revision to at most this many hosts; the others learn it by gossip.
 constexpr size_t kMaxRevisionPushes = 128;
-// Departures within this time are sent to a host that reconnects, which may have missed them.
-constexpr Duration kDepartureResendWindow = seconds(60);
 // Used with `find_hosts`: hosts must reconnect soon after a partition to learn what they missed.
 constexpr Duration kDiscoveryMaxBackoff = milliseconds(400);
 constexpr Duration kDiscoveryConnectTimeout = milliseconds(400);
@@ -125,10 +118,6 @@
   return std::make_shared<FileJournal>(options.data_folder, "servers");
 }
 
-bool IsLeaveNotice(const Announcement& announcement) {
-  return announcement.leaving && announcement.address.empty();
-}
-
 // The state of the control thread and the handlers that run on it. Not thread safe.
 class ControlLoop final : public RpcHandler, public kj::TaskSet::ErrorHandler {
  public:
@@ -144,11 +133,12 @@
         publish_timer_(
             [this](Duration delay, std::function<void()> fn) { RunAfter(delay, std::move(fn)); },
             [this]() { PublishNow(); }),
-        registry_(MakeRegistry(*options)),
-        server_snapshot_(MakeServerJournal(*options)),
+        servers_(MakeRegistry(*options), MakeServerJournal(*options),
+                 [this](Duration interval) { SchedulePublish(interval); }),
         gossip_(MakeMembership(SelfEntry(*options), PeerEntries(*options),
                                MakeMembershipParams(*options)),
                 &rng_, &rpc_, [this]() { SchedulePublish(kPublishInterval); }),
+        relay_(MakeRelayOptions()),
         config_proposer_(MakeProposerOptions()),
         config_puller_(&replica_, &gossip_.membership(), &rng_, &rpc_),
         voter_maintenance_(&gossip_.membership(), &replica_),
@@ -165,7 +155,7 @@
   void Start() {
     replica_.SetViewChangedCallback([this]() { OnConfigApplied(); });
     replica_.Start(SteadyNow());
-    LoadServers(SteadyNow());
+    servers_.Load(SteadyNow());
     OnConfigApplied();
     PublishNow();
     rpc_.Start();
@@ -190,7 +180,7 @@
   void Timeline(HlcStamp since, const std::string& request_id, size_t limit,
                 std::function<void(std::vector<Event>)> done);
   StatusJson Status() const {
-    return MakeStatusJson(*options_, replica_, gossip_.membership(), registry_, rpc_);
+    return MakeStatusJson(*options_, replica_, gossip_.membership(), servers_.registry(), rpc_);
   }
   void ShareWork(std::vector<ServerWork> work);
   void StartDrain() { gossip_.StartDrain(); }
@@ -204,7 +194,9 @@
   }
   std::vector<uint64_t> OnPeerAnnounce(const HostId& from, Duration sent_at,
                                        const std::vector<RelayedAnnouncement>& announcements,
-                                       const std::vector<ServerRefresh>& refreshes) override;
+                                       const std::vector<ServerRefresh>& refreshes) override {
+    return servers_.RegisterRelayed(from, sent_at, announcements, refreshes);
+  }
   void OnPeerConsensus(const HostId& from, const std::string& message) override {
     replica_.OnMessage(from, message);
   }
@@ -220,7 +212,9 @@
     return ReadTimelinePage(since, request_id, limit);
   }
   void OnPeerWorkList(const HostId& from, std::vector<ServerWork> work) override;
-  void OnPeerLogin(const HostId& host, uint64_t incarnation) override;
+  void OnPeerLogin(const HostId& host, uint64_t incarnation) override {
+    servers_.OnLogin(host, incarnation);
+  }
   void OnPeerConnection(const HostId& host, bool connected) override;
 
   void taskFailed(kj::Exception&& e) override {
@@ -229,30 +223,18 @@
 
  private:
   ConfigReplica::Options MakeReplicaOptions();
+  AnnouncementRelay::Options MakeRelayOptions();
   ConfigProposer::Options MakeProposerOptions();
   kj::Timer& timer() { return io_->provider->getTimer(); }
   kj::Promise<void> TickLoop();
   kj::Promise<void> TaskQueueLoop();
   void RunPostedTasks();
   void OnTick(Time now);
-  void Relay(const Announcement& announcement, Time sent, bool refresh);
-  bool OnlyLoadChanged(const Announcement& announcement) const;
-  void FlushRelay();
-  void RelayTo(const HostId& host, const std::vector<RelayedAnnouncement>& batch);
-  bool SharesServersWith(const Identity& host) const;
-  void SendAllServers(const HostId& host, Time now);
-  void SendUnknownServers(const HostId& host, const std::vector<uint64_t>& keys);
-  void SendFullAnnouncements(const HostId& host, const std::vector<const BackendServer*>& servers,
-                             Time now);
-  AnnounceResult Register(const Announcement& announcement, Duration age, Time now);
-  void LoadServers(Time now);
-  void SaveServers(Time now);
   void ReportDomainSummaries(Time now);
   void OnConfigApplied();
   void SchedulePublish(Duration interval) { publish_timer_.Schedule(interval); }
   void RunAfter(Duration delay, std::function<void()> fn);
   void PublishNow();
-  bool ExpireServers(Time now);
 
   kj::AsyncIoContext* io_;
   const ControlOptions* options_;
@@ -260,20 +242,12 @@
   Publish publish_;
   std::mt19937_64 rng_;
   PublishTimer publish_timer_;
-  Registry registry_;
-  ServerSnapshot server_snapshot_;
+  ServerRegistration servers_;
   MembershipGossip gossip_;
+  AnnouncementRelay relay_;
   PeerWork peer_work_;
   std::vector<ServerWork> own_work_;  // work of this host on the backend servers, see ShareWork()
   Time next_work_broadcast_;
-  struct PendingRelay {
-    Announcement announcement;
-    Time sent;             // when this host received it
-    bool refresh = false;  // only the load changed
-  };
-  std::vector<PendingRelay> pending_relays_;
-  Duration relay_delay_{0};  // delay of the scheduled flush, while `pending_relays_` is not empty
-  std::map<HostId, TransitDelayMeter> transit_delay_meters_;
   ConfigProposer config_proposer_;
   ConfigPuller config_puller_;
   VoterMaintenance voter_maintenance_;
@@ -305,6 +279,22 @@
   return replica;
 }
 
+AnnouncementRelay::Options ControlLoop::MakeRelayOptions() {
+  AnnouncementRelay::Options relay;
+  relay.self = options_->self;
+  relay.scope = options_->server_scope;
+  relay.registry = &servers_.registry();
+  relay.membership = &gossip_.membership();
+  relay.send = [this](const HostId& to, const std::vector<RelayedAnnouncement>& batch,
+                      std::function<void(AnnouncementRelay::UnknownKeys)> done) {
+    rpc_.Announce(to, batch, std::move(done));
+  };
+  relay.run_after = [this](Duration delay, std::function<void()> fn) {
+    RunAfter(delay, std::move(fn));
+  };
+  return relay;
+}
+
 ConfigProposer::Options ControlLoop::MakeProposerOptions() {
   ConfigProposer::Options proposer;
   proposer.propose = [this](const ConfigPut& put, const ConfigProposer::PutDone& done) {
@@ -350,7 +340,7 @@
 }
 
 void ControlLoop::OnTick(Time now) {
-  if (ExpireServers(now)) SchedulePublish(kPublishInterval);
+  if (servers_.RemoveExpired(now)) SchedulePublish(kPublishInterval);
   replica_.Tick(now);
   config_proposer_.RetryWaiting();
   disk_was_lost_ = disk_was_lost_ || replica_.DiskLost();
@@ -361,7 +351,7 @@
     ReportDomainSummaries(now);
   }
   config_puller_.Tick(now);
-  SaveServers(now);
+  servers_.SaveIfDue(now);
   if (options_->find_hosts) voter_maintenance_.Tick(now);
   gossip_.HandleChanges();
   if (options_->on_peer_bytes && now >= next_peer_bytes_report_) {
@@ -372,20 +362,14 @@
 
 // ---- view ----
 
-bool ControlLoop::ExpireServers(Time now) {
-  std::vector<ServerId> expired = Expire(&registry_, now);
-  for (const ServerId& id : expired) LogEvent(EventId::kServerExpired, {{"server", id.value()}});
-  return !expired.empty();
-}
-
 void ControlLoop::PublishNow() {
   // A process that was suspended may publish before its next tick.
-  ExpireServers(SteadyNow());
+  servers_.RemoveExpired(SteadyNow());
   auto view = std::make_shared<RoutingView>();
   view->self = options_->self;
   view->server_scope = options_->server_scope;
   view->config = replica_.View();
-  view->servers = LiveServers(registry_, SteadyNow());
+  view->servers = LiveServers(servers_.registry(), SteadyNow());
   ApplyPeerWork(peer_work_, SteadyNow(), &view->servers);
   view->hosts = HostEntries(gossip_.membership());
   view->summaries = Summaries(gossip_.membership());
@@ -401,69 +385,15 @@
 
 // ---- backend servers ----
 
-void ControlLoop::LoadServers(Time now) {
-  for (const Announcement& announcement : server_snapshot_.Load()) {
-    Register(announcement, Duration(0), now);
-  }
-}
-
-void ControlLoop::SaveServers(Time now) {
-  if (!server_snapshot_.SaveDue(now)) return;
-  std::vector<Announcement> servers;
-  for (const BackendServer& server : LiveServers(registry_, SteadyNow()))
-    servers.push_back(server.announced);
-  for (const BackendServer& server : RecentlyLeft(registry_, kDepartureResendWindow, now)) {
-    servers.push_back(server.announced);
-  }
-  server_snapshot_.Save(servers, now);
-}
-
-AnnounceResult ControlLoop::Register(const Announcement& announcement, Duration age, Time now) {
-  AnnounceResult result = IsLeaveNotice(announcement)
-                              ? OnLeave(&registry_, announcement.id, announcement.incarnation, now)
-                              : OnAnnouncement(&registry_, announcement, age, now);
-  std::string server_id = announcement.id.value();
-  switch (result) {
-    case AnnounceResult::kNew:
-    case AnnounceResult::kNewIncarnation:
-      LogEvent(EventId::kServerAnnounced,
-               {{"server", server_id},
-                {"incarnation", std::to_string(announcement.incarnation)},
-                {"kind", announcement.kind == ServerKind::kModel ? "model" : "service"}});
-      server_snapshot_.MarkChanged(false);
-      SchedulePublish(kPublishInterval);
-      break;
-    case AnnounceResult::kLeaving:
-      LogEvent(EventId::kServerLeaving, {{"server", server_id}});
-      server_snapshot_.MarkChanged(true);
-      SchedulePublish(kPublishInterval);
-      break;
-    case AnnounceResult::kOldIncarnation:
-      LogEvent(
-          EventId::kServerStaleAnnouncement,
-          {{"server", server_id},
-           {"incarnation", std::to_string(announcement.incarnation)},
-           {"current",
-            std::to_string(registry_.entries.at(announcement.id).server.announced.incarnation)}});
-      break;
-    case AnnounceResult::kRefreshed:
-      SchedulePublish(kLoadPublishInterval);
-      break;
-    default:
-      break;
-  }
-  return result;
-}
-
 void ControlLoop::Announce(const Announcement& announcement,
                            const std::function<void(std::optional<Error>)>& done) {
   Time now = SteadyNow();
-  bool refresh = OnlyLoadChanged(announcement);
-  AnnounceResult result = Register(announcement, Duration(0), now);
+  bool refresh = servers_.OnlyLoadChanged(announcement);
+  AnnounceResult result = servers_.Register(announcement, Duration(0), now);
   switch (result) {
     case AnnounceResult::kOtherDomain:
       if (options_->server_scope == ServerScope::kRegion) {
-        Relay(announcement, now, false);
+        relay_.Add(announcement, now, false);
         return done(std::nullopt);
       }
       return done(
@@ -481,7 +411,7 @@
     case AnnounceResult::kExpiredOnArrival:
       return done(std::nullopt);
     default:
-      Relay(announcement, now, refresh && result == AnnounceResult::kRefreshed);
+      relay_.Add(announcement, now, refresh && result == AnnounceResult::kRefreshed);
       return done(std::nullopt);
   }
 }
@@ -492,134 +422,14 @@
   notice.id = server;
   notice.incarnation = incarnation;
   notice.leaving = true;
-  Register(notice, Duration(0), SteadyNow());
-  std::vector<RelayedAnnouncement> batch = {{notice, Duration(0), false}};
-  auto any = [](const Identity&) { return true; };
-  for (const HostId& host : gossip_.PeersWhere(any)) rpc_.Announce(host, batch);
+  servers_.Register(notice, Duration(0), SteadyNow());
+  relay_.SendLeaveNotice(notice);
   done();
 }
 
-// Returns whether the announcement differs from the registered one only in its order and load.
-bool ControlLoop::OnlyLoadChanged(const Announcement& announcement) const {
-  auto it = registry_.entries.find(announcement.id);
-  return it != registry_.entries.end() && it->second.live &&
-         it->second.key == AnnouncementKey(announcement);
-}
-
-void ControlLoop::Relay(const Announcement& announcement, Time sent, bool refresh) {
-  Duration delay = refresh ? kLoadRelayInterval : kRelayInterval;
-  pending_relays_.push_back({announcement, sent, refresh});
-  if (pending_relays_.size() >= kMaxRelayBatch) return FlushRelay();
-  if (pending_relays_.size() > 1 && delay >= relay_delay_) return;
-  relay_delay_ = delay;
-  RunAfter(delay, [this]() { FlushRelay(); });
-}
-
-void ControlLoop::FlushRelay() {
-  if (pending_relays_.empty()) return;
-  Time now = SteadyNow();
-  std::vector<RelayedAnnouncement> batch;
-  for (PendingRelay& pending : pending_relays_) {
-    batch.push_back({std::move(pending.announcement), now - pending.sent, pending.refresh});
-  }
-  pending_relays_.clear();
-  for (const auto& [id, host] : gossip_.membership().hosts) {
-    if (id == options_->self.host) continue;
-    Identity peer{id, host.entry.region, host.entry.domain};
-    std::vector<RelayedAnnouncement> wanted;
-    for (const RelayedAnnouncement& relayed : batch) {
-      const Announcement& server = relayed.announcement;
-      if (InScope(peer, options_->server_scope, server.domain, server.region)) {
-        wanted.push_back(relayed);
-      }
-    }
-    if (!wanted.empty()) RelayTo(id, wanted);
-  }
-}
-
-void ControlLoop::RelayTo(const HostId& host, const std::vector<RelayedAnnouncement>& batch) {
-  rpc_.Announce(host, batch, [this, host](const std::optional<std::vector<uint64_t>>& unknown) {
-    if (unknown) SendUnknownServers(host, *unknown);
-  });
-}
-
-// Returns whether the host keeps track of the same backend servers as this one.
-bool ControlLoop::SharesServersWith(const Identity& host) const {
-  return InScope(options_->self, options_->server_scope, host.domain, host.region);
-}
-
-// Sends full announcements of the servers whose refreshes the host did not know. An earlier full
-// announcement may have been dropped, or the host may have restarted.
-void ControlLoop::SendUnknownServers(const HostId& host, const std::vector<uint64_t>& keys) {
-  std::vector<const BackendServer*> servers;
-  for (uint64_t key : keys) {
-    auto id = registry_.by_key.find(key);
-    if (id == registry_.by_key.end()) continue;
-    auto entry = registry_.entries.find(id->second);
-    if (entry != registry_.entries.end() && entry->second.live) {
-      servers.push_back(&entry->second.server);
-    }
-  }
-  SendFullAnnouncements(host, servers, SteadyNow());
-}
-
-// Sends all live servers and recent departures to a host that connected, so that it does not have
-// to wait for the next announcements.
-void ControlLoop::SendAllServers(const HostId& host, Time now) {
-  std::vector<const BackendServer*> servers;
-  for (const auto& [id, entry] : registry_.entries) {
-    if (entry.live) servers.push_back(&entry.server);
-  }
-  std::vector<BackendServer> departed = RecentlyLeft(registry_, kDepartureResendWindow, now);
-  for (const BackendServer& server : departed) servers.push_back(&server);
-  SendFullAnnouncements(host, servers, now);
-}
-
-void ControlLoop::SendFullAnnouncements(const HostId& host,
-                                        const std::vector<const BackendServer*>& servers,
-                                        Time now) {
-  std::vector<RelayedAnnouncement> batch;
-  for (const BackendServer* server : servers) {
-    batch.push_back({server->announced, now - server->reported_at, false});
-    if (batch.size() < kMaxRelayBatch) continue;
-    rpc_.Announce(host, batch);
-    batch.clear();
-  }
-  if (!batch.empty()) rpc_.Announce(host, batch);
-}
-
-std::vector<uint64_t> ControlLoop::OnPeerAnnounce(
-    const HostId& from, Duration sent_at, const std::vector<RelayedAnnouncement>& announcements,
-    const std::vector<ServerRefresh>& refreshes) {
-  Time now = SteadyNow();
-  // The time that the message waited on the way counts towards the age of the announcements.
-  Duration waited = QueueingDelay(&transit_delay_meters_[from], sent_at, now);
-  for (const RelayedAnnouncement& relayed : announcements) {
-    Register(relayed.announcement, relayed.age + waited, now);
-  }
-  std::vector<uint64_t> unknown;
-  for (const ServerRefresh& refresh : refreshes) {
-    std::optional<Announcement> announcement = ExpandRefresh(registry_, refresh);
-    if (announcement) {
-      Register(*announcement, refresh.age + waited, now);
-    } else {
-      unknown.push_back(refresh.key);
-    }
-  }
-  return unknown;
-}
-
-void ControlLoop::OnPeerLogin(const HostId& host, uint64_t incarnation) {
-  TransitDelayMeter& meter = transit_delay_meters_[host];
-  if (meter.incarnation == incarnation) return;
-  // The steady clock of a machine restarts when it boots, so earlier samples may not apply.
-  meter = TransitDelayMeter();
-  meter.incarnation = incarnation;
-}
-
 void ControlLoop::ReportDomainSummaries(Time now) {
   if (!IsReporter(gossip_.membership())) return;
-  std::vector<BackendServer> servers = LiveServers(registry_, SteadyNow());
+  std::vector<BackendServer> servers = LiveServers(servers_.registry(), SteadyNow());
   PeerWork all_work = peer_work_;
   OnPeerWork(&all_work, options_->self.host, own_work_, now);
   ApplyPeerWork(all_work, now, &servers);
@@ -678,7 +488,7 @@
   auto it = gossip_.membership().hosts.find(host);
   if (it == gossip_.membership().hosts.end()) return;
   const HostEntry& peer = it->second.entry;
-  if (SharesServersWith({host, peer.region, peer.domain})) SendAllServers(host, now);
+  if (relay_.SharesServersWith({host, peer.region, peer.domain})) relay_.SendAll(host, now);
   if (peer.region != options_->self.region) return;
   // The host may have missed reports while it was unreachable.
   std::vector<SuspectReport> reports = suspect_history_.Recent(now);
@@ -693,7 +503,7 @@
   own_work_ = std::move(work);
   Time now = SteadyNow();
   if (nothing_to_send || (now < next_work_broadcast_ && !urgent)) return;
-  auto shares = [this](const Identity& peer) { return SharesServersWith(peer); };
+  auto shares = [this](const Identity& peer) { return relay_.SharesServersWith(peer); };
   std::vector<HostId> hosts = gossip_.PeersWhere(shares);
   next_work_broadcast_ = now + PeerWorkInterval(hosts.size());
   for (const HostId& host : hosts) rpc_.Work(host, own_work_);
