Separate the control loop from the port that posts to it

src/daemon/control.cc keeps only Control, which implements ControlPort and runs on the threads of its callers. ControlLoop, which runs on the control thread, gets its own files. The code is moved without changes.

--- /dev/null
+++ b/src/daemon/control_loop.cc
@@ -0,0 +1,326 @@
+#include "daemon/control_loop.h"
+
+#include <utility>
+
+#include "adapters/file_journal.h"
+#include "base/hash.h"
+#include "core/domain_summary.h"
+#include "core/registry.h"
+#include "daemon/control_options.h"
+
+namespace ebonylift {
+namespace {
+
+// The maximum that Membership and ConfigReplica allow.
+constexpr Duration kTickInterval = milliseconds(50);
+constexpr Duration kSummaryInterval = milliseconds(500);
+constexpr Duration kTimelineTimeout = seconds(2);
+// The leader pushes a new revision to at most this many hosts; the others learn it by gossip.
+constexpr size_t kMaxRevisionPushes = 128;
+
+kj::Duration ToKj(Duration duration) { return duration.count() * kj::MICROSECONDS; }
+
+}  // namespace
+
+ControlLoop::ControlLoop(kj::AsyncIoContext* io, const ControlOptions* options,
+                         TaskQueue* task_queue, Publish publish)
+    : io_(io),
+      options_(options),
+      task_queue_(task_queue),
+      publish_(std::move(publish)),
+      rng_(Hash64(options->self.host.value() + RandomHex(8))),
+      publish_timer_(
+          [this](Duration delay, std::function<void()> fn) { RunAfter(delay, std::move(fn)); },
+          [this]() { PublishNow(); }),
+      servers_(MakeRegistry(*options), MakeServerJournal(*options),
+               [this](Duration interval) { SchedulePublish(interval); }),
+      gossip_(MakeMembership(SelfEntry(*options), PeerEntries(*options),
+                             MakeMembershipParams(*options)),
+              &rng_, &rpc_, [this]() { SchedulePublish(kPublishInterval); }),
+      relay_(MakeRelayOptions()),
+      config_proposer_(MakeProposerOptions()),
+      config_puller_(&replica_, &gossip_.membership(), &rng_, &rpc_),
+      voter_maintenance_(&gossip_.membership(), &replica_),
+      rpc_(io, MakeRpcOptions(*options), this),
+      replica_(MakeReplicaOptions()),
+      stop_(kj::newPromiseAndFulfiller<void>()),
+      tasks_(*this) {}
+
+void ControlLoop::Start() {
+  replica_.SetViewChangedCallback([this]() { OnConfigApplied(); });
+  replica_.Start(SteadyNow());
+  servers_.Load(SteadyNow());
+  OnConfigApplied();
+  PublishNow();
+  rpc_.Start();
+  wakeup_pipe_ = io_->lowLevelProvider->wrapInputFd(task_queue_->read_fd());
+  tasks_.add(TickLoop());
+  tasks_.add(TaskQueueLoop());
+}
+
+ConfigReplica::Options ControlLoop::MakeReplicaOptions() {
+  ConfigReplica::Options replica;
+  replica.self = options_->self.host;
+  replica.voters = options_->voters;
+  replica.may_bootstrap = options_->may_bootstrap;
+  if (!options_->data_folder.empty()) {
+    replica.journal = std::make_shared<FileJournal>(options_->data_folder, "config");
+  }
+  replica.seed = rng_();
+  replica.send = [this](const HostId& to, const std::string& bytes) { rpc_.Consensus(to, bytes); };
+  TaskQueue* task_queue = task_queue_;
+  replica.post = [task_queue](std::function<void()> fn) { task_queue->Post(std::move(fn)); };
+  return replica;
+}
+
+AnnouncementRelay::Options ControlLoop::MakeRelayOptions() {
+  AnnouncementRelay::Options relay;
+  relay.self = options_->self;
+  relay.scope = options_->server_scope;
+  relay.registry = &servers_.registry();
+  relay.membership = &gossip_.membership();
+  relay.send = [this](const HostId& to, const std::vector<RelayedAnnouncement>& batch,
+                      std::function<void(AnnouncementRelay::UnknownKeys)> done) {
+    rpc_.Announce(to, batch, std::move(done));
+  };
+  relay.run_after = [this](Duration delay, std::function<void()> fn) {
+    RunAfter(delay, std::move(fn));
+  };
+  return relay;
+}
+
+ConfigProposer::Options ControlLoop::MakeProposerOptions() {
+  ConfigProposer::Options proposer;
+  proposer.propose = [this](const ConfigPut& put, const ConfigProposer::PutDone& done) {
+    return replica_.Put(put, done);
+  };
+  proposer.voters = [this]() { return replica_.Voters(); };
+  proposer.is_connected = [this](const HostId& host) { return rpc_.IsConnected(host); };
+  proposer.forward = [this](const HostId& to, const ConfigPut& put, uint32_t hops,
+                            std::function<void(std::optional<PutAnswer>)> done) {
+    rpc_.ProposePut(to, put, hops, kPutTimeout, std::move(done));
+  };
+  return proposer;
+}
+
+// ---- loops ----
+
+kj::Promise<void> ControlLoop::TickLoop() {
+  return timer()
+      .afterDelay(ToKj(kTickInterval))
+      .then([this]() { OnTick(SteadyNow()); })
+      .catch_([this](kj::Exception&& e) { taskFailed(kj::mv(e)); })
+      .then([this]() { return TickLoop(); });
+}
+
+kj::Promise<void> ControlLoop::TaskQueueLoop() {
+  return wakeup_pipe_->tryRead(wakeup_buffer_, 1, sizeof(wakeup_buffer_))
+      .then([this](size_t) { RunPostedTasks(); })
+      .then([this]() { return TaskQueueLoop(); });
+}
+
+void ControlLoop::RunAfter(Duration delay, std::function<void()> fn) {
+  tasks_.add(timer().afterDelay(ToKj(delay)).then([fn = std::move(fn)]() { fn(); }));
+}
+
+void ControlLoop::RunPostedTasks() {
+  for (std::function<void()>& fn : task_queue_->Take()) {
+    try {
+      fn();
+    } catch (const std::exception& e) {
+      LogEvent(EventId::kThreadFailed, {{"thread", "control"}, {"error", e.what()}});
+    }
+  }
+}
+
+void ControlLoop::OnTick(Time now) {
+  if (servers_.RemoveExpired(now)) SchedulePublish(kPublishInterval);
+  replica_.Tick(now);
+  config_proposer_.RetryWaiting();
+  disk_was_lost_ = disk_was_lost_ || replica_.DiskLost();
+  if (replica_.DiskConfirmed() != published_disk_confirmed_) SchedulePublish(kPublishInterval);
+  gossip_.SendProbes(now);
+  if (now >= next_summary_) {
+    next_summary_ = now + kSummaryInterval;
+    ReportDomainSummaries(now);
+  }
+  config_puller_.Tick(now);
+  servers_.SaveIfDue(now);
+  if (options_->find_hosts) voter_maintenance_.Tick(now);
+  gossip_.HandleChanges();
+  if (options_->on_peer_bytes && now >= next_peer_bytes_report_) {
+    next_peer_bytes_report_ = now + kPeerBytesInterval;
+    options_->on_peer_bytes(rpc_.sent_bytes(), rpc_.received_bytes());
+  }
+}
+
+// ---- view ----
+
+void ControlLoop::PublishNow() {
+  // A process that was suspended may publish before its next tick.
+  servers_.RemoveExpired(SteadyNow());
+  auto view = std::make_shared<RoutingView>();
+  view->self = options_->self;
+  view->server_scope = options_->server_scope;
+  view->config = replica_.View();
+  view->servers = LiveServers(servers_.registry(), SteadyNow());
+  ApplyPeerWork(peer_work_, SteadyNow(), &view->servers);
+  view->hosts = HostEntries(gossip_.membership());
+  view->summaries = Summaries(gossip_.membership());
+  // A voter gets a configuration only after its peers have said whether they know its disk, so a
+  // view with a configuration also has the final value of `disk_was_lost`.
+  disk_was_lost_ = disk_was_lost_ || replica_.DiskLost();
+  view->disk_was_lost = disk_was_lost_;
+  published_disk_confirmed_ = replica_.DiskConfirmed();
+  view->disk_confirmed = published_disk_confirmed_;
+  publish_timer_.MarkPublished();
+  publish_(std::move(view));
+}
+
+// ---- backend servers ----
+
+void ControlLoop::Announce(const Announcement& announcement,
+                           const std::function<void(std::optional<Error>)>& done) {
+  Time now = SteadyNow();
+  bool refresh = servers_.OnlyLoadChanged(announcement);
+  AnnounceResult result = servers_.Register(announcement, Duration(0), now);
+  switch (result) {
+    case AnnounceResult::kOtherDomain:
+      if (options_->server_scope == ServerScope::kRegion) {
+        relay_.Add(announcement, now, false);
+        return done(std::nullopt);
+      }
+      return done(
+          Error(ErrorKind::kForbidden, "this host serves only backend servers of failure domain " +
+                                           options_->self.domain.value()));
+    case AnnounceResult::kOldIncarnation:
+      return done(Error(ErrorKind::kBadRequest,
+                        "a newer incarnation of this backend server is already registered"));
+    case AnnounceResult::kInvalid:
+      return done(
+          Error(ErrorKind::kBadRequest, "the backend server's id and address are required"));
+    case AnnounceResult::kFull:
+      return done(Error(ErrorKind::kOverloaded, "too many backend servers are registered"));
+    case AnnounceResult::kDuplicate:
+    case AnnounceResult::kExpiredOnArrival:
+      return done(std::nullopt);
+    default:
+      relay_.Add(announcement, now, refresh && result == AnnounceResult::kRefreshed);
+      return done(std::nullopt);
+  }
+}
+
+void ControlLoop::Leave(const ServerId& server, uint64_t incarnation,
+                        const std::function<void()>& done) {
+  Announcement notice;
+  notice.id = server;
+  notice.incarnation = incarnation;
+  notice.leaving = true;
+  servers_.Register(notice, Duration(0), SteadyNow());
+  relay_.SendLeaveNotice(notice);
+  done();
+}
+
+void ControlLoop::ReportDomainSummaries(Time now) {
+  if (!IsReporter(gossip_.membership())) return;
+  std::vector<BackendServer> servers = LiveServers(servers_.registry(), SteadyNow());
+  PeerWork all_work = peer_work_;
+  OnPeerWork(&all_work, options_->self.host, own_work_, now);
+  ApplyPeerWork(all_work, now, &servers);
+  ReportSummaries(gossip_.mutable_membership(), SummarizeDomain(options_->self, servers, now),
+                  ProcessClock().Now(), now);
+}
+
+// ---- configuration ----
+
+void ControlLoop::OnConfigApplied() {
+  SetRevision(gossip_.mutable_membership(), replica_.revision());
+  SchedulePublish(kPublishInterval);
+  if (!replica_.IsLeader()) return;
+  std::vector<HostId> hosts = rpc_.Connected();
+  if (hosts.size() > kMaxRevisionPushes) hosts.resize(kMaxRevisionPushes);
+  for (const HostId& host : hosts) gossip_.Push(host);
+}
+
+void ControlLoop::ReadLinearizable(const std::string& path,
+                                   const std::function<void(LinearizableRead)>& done) {
+  std::optional<HostId> leader =
+      replica_.ReadCurrent(path, [done](const std::optional<Error>& error, const ConfigRead& read) {
+        LinearizableRead answer;
+        if (error) answer.error = error->kind();
+        answer.read = read;
+        done(answer);
+      });
+  if (!leader) return;
+  LinearizableRead answer;
+  answer.error = ErrorKind::kNoQuorum;
+  answer.redirect_host = *leader;
+  done(answer);
+}
+
+// ---- suspect reports ----
+
+void ControlLoop::BroadcastSuspect(const SuspectReport& report) {
+  suspect_history_.Add(report, SteadyNow());
+  auto same_region = [this](const Identity& peer) { return peer.region == options_->self.region; };
+  for (const HostId& host : gossip_.PeersWhere(same_region)) rpc_.Suspects(host, {report});
+}
+
+void ControlLoop::OnPeerSuspects(const std::vector<SuspectReport>& reports) {
+  if (!options_->on_suspect_report) return;
+  for (const SuspectReport& report : reports) {
+    options_->on_suspect_report(report.content, report.server, report.alone, report.cleared);
+  }
+}
+
+void ControlLoop::OnPeerConnection(const HostId& host, bool connected) {
+  Time now = SteadyNow();
+  OnConnection(gossip_.mutable_membership(), host, connected, now);
+  gossip_.HandleChanges();
+  if (!connected) return;
+  gossip_.Push(host);
+  auto it = gossip_.membership().hosts.find(host);
+  if (it == gossip_.membership().hosts.end()) return;
+  const HostEntry& peer = it->second.entry;
+  if (relay_.SharesServersWith({host, peer.region, peer.domain})) relay_.SendAll(host, now);
+  if (peer.region != options_->self.region) return;
+  // The host may have missed reports while it was unreachable.
+  std::vector<SuspectReport> reports = suspect_history_.Recent(now);
+  if (!reports.empty()) rpc_.Suspects(host, reports);
+}
+
+// ---- shared work ----
+
+void ControlLoop::ShareWork(std::vector<ServerWork> work) {
+  bool nothing_to_send = work.empty() && own_work_.empty();
+  bool urgent = HasUrgentIncrease(own_work_, work);
+  own_work_ = std::move(work);
+  Time now = SteadyNow();
+  if (nothing_to_send || (now < next_work_broadcast_ && !urgent)) return;
+  auto shares = [this](const Identity& peer) { return relay_.SharesServersWith(peer); };
+  std::vector<HostId> hosts = gossip_.PeersWhere(shares);
+  next_work_broadcast_ = now + PeerWorkInterval(hosts.size());
+  for (const HostId& host : hosts) rpc_.Work(host, own_work_);
+}
+
+void ControlLoop::OnPeerWorkList(const HostId& from, std::vector<ServerWork> work) {
+  OnPeerWork(&peer_work_, from, std::move(work), SteadyNow());
+  SchedulePublish(kPublishInterval);
+}
+
+// ---- timeline ----
+
+void ControlLoop::Timeline(HlcStamp since, const std::string& request_id, size_t limit,
+                           std::function<void(std::vector<Event>)> done) {
+  std::vector<HostId> hosts = rpc_.Connected();
+  size_t daemons = hosts.size() + 1;
+  size_t page_limit = TimelinePageLimit(daemons, limit);
+  auto merge = std::make_shared<TimelineMerge>(daemons, limit, std::move(done));
+  merge->AddPage(ReadTimelinePage(since, request_id, page_limit));
+  for (const HostId& host : hosts) {
+    rpc_.Timeline(host, since, request_id, page_limit, kTimelineTimeout,
+                  [merge](std::optional<TimelinePage> page) { merge->AddPage(std::move(page)); });
+  }
+}
+
+}  // namespace ebonylift
