Share the comparison of header names between HTTP client and server

EqualsIgnoreCase() was the same in both files, and IsFramingHeader() differed only in "expect", which the client adds. Both now come from http_headers.h. The same headers as before are dropped.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -2,7 +2,6 @@
 
 #include <curl/curl.h>
 #include <netinet/tcp.h>
-#include <strings.h>
 
 #include <algorithm>
 #include <asio/posix/stream_descriptor.hpp>
@@ -14,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "adapters/http_headers.h"
 #include "base/descriptor_claim.h"
 
 namespace ebonylift {
@@ -41,17 +41,14 @@
 // libcurl 7.88 limits the length of a header line but not the number of lines.
 constexpr size_t kMaxResponseHeaderBytes = 256 << 10;
 
-bool EqualsIgnoreCase(const std::string& a, const char* b) { return strcasecmp(a.c_str(), b) == 0; }
-
 // Such text must not be sent in a header, as a line break would start another header.
 bool HasLineBreakOrNul(const std::string& text) {
   return text.find_first_of(std::string_view("\r\n\0", 3)) != std::string::npos;
 }
 
 // libcurl sets these headers itself, as it frames messages and manages connections.
-bool IsFramingHeader(const std::string& name) {
-  return EqualsIgnoreCase(name, "content-length") || EqualsIgnoreCase(name, "transfer-encoding") ||
-         EqualsIgnoreCase(name, "connection") || EqualsIgnoreCase(name, "expect");
+bool IsSetByLibcurl(const std::string& name) {
+  return IsFramingHeader(name) || EqualsIgnoreCase(name, "expect");
 }
 
 // At least 1, because libcurl and TCP_USER_TIMEOUT treat 0 as no timeout or as their default.
@@ -296,7 +293,7 @@
         curl_slist_append(call.request_headers, (std::string(name) + ":").c_str());
   }
   for (const auto& [name, value] : request.headers) {
-    if (IsFramingHeader(name) || HasLineBreakOrNul(name) || HasLineBreakOrNul(value)) continue;
+    if (IsSetByLibcurl(name) || HasLineBreakOrNul(name) || HasLineBreakOrNul(value)) continue;
     std::string line = value.empty() ? name + ";" : name + ": " + value;
     call.request_headers = curl_slist_append(call.request_headers, line.c_str());
   }
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -1,6 +1,5 @@
 #include "adapters/http_server.h"
 
-#include <strings.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -13,6 +12,7 @@
 #include <restinio/all.hpp>
 #include <unordered_map>
 
+#include "adapters/http_headers.h"
 #include "base/descriptor_claim.h"
 #include "base/error.h"
 
@@ -93,14 +93,6 @@
   }
 }
 
-bool EqualsIgnoreCase(const std::string& a, const char* b) { return strcasecmp(a.c_str(), b) == 0; }
-
-// The server sets these headers itself.
-bool IsFramingHeader(const std::string& name) {
-  return EqualsIgnoreCase(name, "content-length") || EqualsIgnoreCase(name, "transfer-encoding") ||
-         EqualsIgnoreCase(name, "connection");
-}
-
 // Appends `text` with spaces in place of line breaks and NUL, as a line break would start another
 // header.
 void AppendSanitized(std::string* out, const std::string& text) {
