Share the conversions of KJ types

ToStdString() stood in rpc.cc and peer_codec.cc, and the conversion of durations in rpc.cc and control_loop.cc. The functions are unchanged.

--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -6,13 +6,12 @@
 #include <optional>
 #include <tuple>
 
+#include "adapters/kj_types.h"
 #include "core/registry.h"
 
 namespace ebonylift {
 namespace {
 
-std::string ToStdString(capnp::Text::Reader text) { return std::string(text.cStr(), text.size()); }
-
 wire::HostStatus ToWire(HostStatus status) {
   switch (status) {
     case HostStatus::kAlive:
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -13,6 +13,7 @@
 #include <random>
 #include <utility>
 
+#include "adapters/kj_types.h"
 #include "adapters/packed_stream.h"
 #include "adapters/peer_codec.h"
 #include "base/descriptor_claim.h"
@@ -36,12 +37,6 @@
 // Also the time for which a connection stays open after its login was refused.
 constexpr Duration kAcceptRetryDelay = milliseconds(100);
 
-std::string ToStdString(capnp::Text::Reader text) { return std::string(text.cStr(), text.size()); }
-
-std::string ToStdString(capnp::Data::Reader data) {
-  return std::string(reinterpret_cast<const char*>(data.begin()), data.size());
-}
-
 capnp::Data::Reader ToData(const std::string& bytes) {
   return capnp::Data::Reader(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size());
 }
@@ -51,8 +46,6 @@
       kj::Exception(kj::Exception::Type::FAILED, __FILE__, __LINE__, kj::str(reason.c_str())));
 }
 
-kj::Duration ToKjDuration(Duration duration) { return duration.count() * kj::MICROSECONDS; }
-
 // The MAC covers a label and `to`, the id of the host that checks it, so that it cannot be reused
 // for another purpose or on another host.
 std::string LoginMac(const std::string& key, const std::string& nonce, const std::string& to,
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "adapters/file_journal.h"
+#include "adapters/kj_types.h"
 #include "base/hash.h"
 #include "core/domain_summary.h"
 #include "core/registry.h"
@@ -18,8 +19,6 @@
 // The leader pushes a new revision to at most this many hosts; the others learn it by gossip.
 constexpr size_t kMaxRevisionPushes = 128;
 
-kj::Duration ToKj(Duration duration) { return duration.count() * kj::MICROSECONDS; }
-
 }  // namespace
 
 ControlLoop::ControlLoop(kj::AsyncIoContext* io, const ControlOptions* options,
@@ -107,7 +106,7 @@
 
 kj::Promise<void> ControlLoop::TickLoop() {
   return timer()
-      .afterDelay(ToKj(kTickInterval))
+      .afterDelay(ToKjDuration(kTickInterval))
       .then([this]() { OnTick(SteadyNow()); })
       .catch_([this](kj::Exception&& e) { taskFailed(kj::mv(e)); })
       .then([this]() { return TickLoop(); });
@@ -120,7 +119,7 @@
 }
 
 void ControlLoop::RunAfter(Duration delay, std::function<void()> fn) {
-  tasks_.add(timer().afterDelay(ToKj(delay)).then([fn = std::move(fn)]() { fn(); }));
+  tasks_.add(timer().afterDelay(ToKjDuration(delay)).then([fn = std::move(fn)]() { fn(); }));
 }
 
 void ControlLoop::RunPostedTasks() {
