Share the range check of JSON integers

config_schema.cc and ingress.cc had their own IsIntegerInRange(), which differed in the type of the limit. All limits of integers in config_schema.cc are whole numbers, so the results are unchanged.

--- a/src/core/config_schema.cc
+++ b/src/core/config_schema.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "core/ingress.h"
+#include "core/json_range.h"
 
 namespace ebonylift {
 namespace {
@@ -242,11 +243,6 @@
   });
 }
 
-bool IsIntegerInRange(const Json& json, int64_t min, double max) {
-  if (json.is_number_unsigned() && json.get<uint64_t>() > static_cast<uint64_t>(max)) return false;
-  return json.is_number_integer() && json.get<int64_t>() >= min && json.get<int64_t>() <= max;
-}
-
 bool IsString(const Json& json, bool (*is_valid)(const std::string&)) {
   return json.is_string() && is_valid(json.get_ref<const std::string&>());
 }
@@ -268,9 +264,9 @@
     case ValueType::kBool:
       return json.is_boolean();
     case ValueType::kCount:
-      return IsIntegerInRange(json, 0, rule.max);
+      return IsIntegerInRange(json, 0, static_cast<int64_t>(rule.max));
     case ValueType::kPositive:
-      return IsIntegerInRange(json, 1, rule.max);
+      return IsIntegerInRange(json, 1, static_cast<int64_t>(rule.max));
     case ValueType::kNumber:
       return json.is_number() && std::isfinite(json.get<double>()) && json.get<double>() >= 0 &&
              json.get<double>() <= rule.max;
--- a/src/core/ingress.cc
+++ b/src/core/ingress.cc
@@ -6,6 +6,8 @@
 #include <set>
 #include <utility>
 
+#include "core/json_range.h"
+
 namespace ebonylift {
 namespace {
 
@@ -30,14 +32,6 @@
   return found == object.end() ? missing : *found;
 }
 
-bool IsIntegerInRange(const Json& value, int64_t min, int64_t max) {
-  if (!value.is_number_integer()) return false;
-  if (value.is_number_unsigned() && value.get<uint64_t>() > static_cast<uint64_t>(max)) {
-    return false;
-  }
-  return value.get<int64_t>() >= min && value.get<int64_t>() <= max;
-}
-
 void RequireInteger(const Json& object, const std::string& key_prefix, const char* key, int64_t min,
                     int64_t max, const char* allowed, Issues* issues) {
   const Json& value = Member(object, key);
