--- a/src/daemon/config_replica.cc
+++ b/src/daemon/config_replica.cc
@@ -15,6 +15,8 @@
 #include "core/config_tree.h"
 #include "core/config_view.h"
 #include "core/consensus.h"
+#include "daemon/config_journal_records.h"
+#include "daemon/config_pull.h"
 
 namespace ebonylift {
 namespace {
@@ -26,95 +28,6 @@
 constexpr Duration kMaxViewDelay = seconds(1);
 // Log entries kept before a snapshot, so that members slightly behind do not need the snapshot.
 constexpr uint64_t kRetainedLogEntries = 512;
-// Approximate limit for the payload of one pull response or watch answer.
-constexpr size_t kMaxPullBytes = 1 << 20;
-constexpr size_t kMaxPulledSnapshotBytes = 256 << 20;
-
-enum class RecordKind : uint8_t { kConsensus = 1, kPulled = 2 };
-enum class PullResponseKind : uint8_t { kUpToDate = 0, kDeltas = 1, kSnapshot = 2 };
-
-// ---- journal records
-
-std::string ConsensusRecord(const Ready& ready, const HardState& hard_state) {
-  ByteWriter writer;
-  writer.U8(static_cast<uint8_t>(RecordKind::kConsensus));
-  writer.String(EncodeEntries(ready.append));
-  writer.String(EncodeHardState(hard_state));
-  return writer.Take();
-}
-
-std::string PulledRecord(const std::vector<ConfigChange>& changes) {
-  ByteWriter writer;
-  writer.U8(static_cast<uint8_t>(RecordKind::kPulled));
-  writer.String(EncodeChanges(changes));
-  return writer.Take();
-}
-
-struct JournalContents {
-  bool empty = true;
-  PersistedState consensus;
-  ConfigTree pulled_tree;
-};
-
-std::string JournalSnapshot(const PersistedState& consensus, const ConfigTree& pulled_tree) {
-  ByteWriter writer;
-  writer.String(EncodePersisted(consensus));
-  writer.String(ToSnapshot(pulled_tree));
-  return writer.Take();
-}
-
-void ReadJournalSnapshot(std::string_view record, JournalContents* contents) {
-  ByteReader reader(record);
-  contents->consensus = DecodePersisted(reader.String());
-  contents->pulled_tree = FromSnapshot(reader.String());
-}
-
-void ReadConsensusRecord(ByteReader* reader, JournalContents* contents) {
-  PersistedState& state = contents->consensus;
-  for (LogEntry& entry : DecodeEntries(reader->String())) {
-    uint64_t last = state.base_index + state.log.size();
-    if (entry.index <= state.base_index || entry.index > last + 1) {
-      throw Error(ErrorKind::kStorageFailed,
-                  "the journal is missing log entries before index " + std::to_string(entry.index));
-    }
-    state.log.resize(entry.index - state.base_index - 1);
-    state.log.push_back(std::move(entry));
-  }
-  state.hard_state = DecodeHardState(reader->String());
-}
-
-void ReadRecord(std::string_view record, JournalContents* contents) {
-  ByteReader reader(record);
-  switch (static_cast<RecordKind>(reader.U8())) {
-    case RecordKind::kConsensus:
-      ReadConsensusRecord(&reader, contents);
-      return;
-    case RecordKind::kPulled:
-      for (const ConfigChange& change : DecodeChanges(reader.String())) {
-        ApplyChange(&contents->pulled_tree, change);
-      }
-      return;
-  }
-  throw Error(ErrorKind::kStorageFailed, "unknown record kind in the configuration journal");
-}
-
-JournalContents ReadJournal(Journal* journal) {
-  JournalContents contents;
-  journal->Replay([&](std::string_view record, bool is_snapshot) {
-    contents.empty = false;
-    try {
-      if (is_snapshot) {
-        ReadJournalSnapshot(record, &contents);
-      } else {
-        ReadRecord(record, &contents);
-      }
-    } catch (const Error& error) {
-      throw Error(ErrorKind::kStorageFailed,
-                  std::string("cannot read the configuration journal: ") + error.what());
-    }
-  });
-  return contents;
-}
 
 // ---- puts
 
@@ -266,10 +179,8 @@
   std::set<std::pair<std::string, std::string>> proposed_request_ids;  // operator, request id
   uint64_t proposed_revision = 0;
 
-  std::shared_ptr<const std::string> served_snapshot;  // cached for MakePullResponse()
-  uint64_t served_snapshot_revision = 0;
-  std::string partial_snapshot;  // the parts pulled so far
-  uint64_t partial_snapshot_revision = 0;
+  ServedSnapshot served_snapshot;
+  ReceivedSnapshot received_snapshot;
   uint64_t pulled_revision_in_write = 0;  // newest pulled revision of an unfinished journal write
   HostId leader_hint;                     // from pull responses
   std::vector<HostId> voter_hint;         // from pull responses
@@ -348,7 +259,7 @@
     if (ready.persist_all) {
       RewriteJournal([this, write_id](bool ok) { OnWritten(write_id, ok); });
     } else {
-      std::string record = ConsensusRecord(ready, consensus->hard_state);
+      std::string record = EncodeConsensusRecord(ready, consensus->hard_state);
       log_bytes += record.size();
       options.journal->Append(std::move(record), OnControlThread([this, write_id](bool ok) {
                                 OnWritten(write_id, ok);
@@ -360,7 +271,7 @@
   void RewriteJournal(std::function<void(bool)> done) {
     log_bytes = 0;
     ++journal_rewrites;
-    options.journal->Compact(JournalSnapshot(ToPersisted(*consensus), pulled_tree),
+    options.journal->Compact(EncodeJournalSnapshot(ToPersisted(*consensus), pulled_tree),
                              OnControlThread(std::move(done)));
   }
 
@@ -764,64 +675,24 @@
   // ---- pulling revisions
 
   std::string MakePullResponse(uint64_t revision, uint64_t offset) {
-    const ConfigTree& tree = CurrentTree();
-    ByteWriter writer;
-    std::optional<HostId> leader = KnownLeader();
-    writer.String(leader ? leader->value() : "");
-    std::vector<HostId> voters = CurrentVoters();
-    writer.U32(static_cast<uint32_t>(voters.size()));
-    for (const HostId& voter : voters) writer.String(voter.value());
-    if (revision >= tree.revision) {
-      writer.U8(static_cast<uint8_t>(PullResponseKind::kUpToDate));
-      return writer.Take();
-    }
-    if (auto changes = DeltasSince(tree, revision, kMaxPullBytes)) {
-      writer.U8(static_cast<uint8_t>(PullResponseKind::kDeltas));
-      writer.Bool(changes->back().revision < tree.revision);
-      writer.String(EncodeChanges(*changes));
-      return writer.Take();
-    }
-    RefreshServedSnapshot(revision);
-    offset = std::min<uint64_t>(offset, served_snapshot->size());
-    writer.U8(static_cast<uint8_t>(PullResponseKind::kSnapshot));
-    writer.U64(served_snapshot_revision);
-    writer.U64(served_snapshot->size());
-    writer.U64(offset);
-    writer.String(served_snapshot->substr(offset, kMaxPullBytes));
-    return writer.Take();
-  }
-
-  // Keeps the cached snapshot while the history still has all later changes. A transfer in parts
-  // can then complete and continue with deltas.
-  void RefreshServedSnapshot(uint64_t revision) {
-    const ConfigTree& tree = CurrentTree();
-    bool usable = served_snapshot && served_snapshot_revision > revision &&
-                  DeltasSince(tree, served_snapshot_revision, 1).has_value();
-    if (usable) return;
-    served_snapshot =
-        std::make_shared<const std::string>(ToSnapshot(tree, /*with_requests=*/false));
-    served_snapshot_revision = tree.revision;
+    PullHints hints;
+    hints.leader = KnownLeader().value_or(HostId());
+    hints.voters = CurrentVoters();
+    return EncodePullResponse(hints, CurrentTree(), revision, offset, &served_snapshot);
   }
 
   bool ApplyPullResponse(std::string_view bytes, const HostId& from) {
     ByteReader reader(bytes);
-    HostId leader(reader.String());
-    std::vector<HostId> voters;
-    for (uint32_t n = reader.U32(); n > 0; --n) voters.emplace_back(reader.String());
-    if (!leader.empty()) leader_hint = leader;
-    if (!voters.empty()) voter_hint = voters;
-    switch (static_cast<PullResponseKind>(reader.U8())) {
-      case PullResponseKind::kUpToDate:
-        return false;
-      case PullResponseKind::kDeltas: {
-        bool more = reader.Bool();
-        PersistPulledChanges(DecodeChanges(reader.String()), from);
-        return more;
-      }
-      case PullResponseKind::kSnapshot:
-        return ReceiveSnapshotPart(&reader, from);
-    }
-    throw Error(ErrorKind::kBadRequest, "unknown kind of response to a configuration pull");
+    PullHints hints = DecodePullHints(&reader);
+    if (!hints.leader.empty()) leader_hint = hints.leader;
+    if (!hints.voters.empty()) voter_hint = hints.voters;
+    PullBody body = DecodePullBody(&reader);
+    if (auto* deltas = std::get_if<PullDeltas>(&body)) {
+      PersistPulledChanges(std::move(deltas->changes), from);
+      return deltas->more;
+    }
+    if (auto* part = std::get_if<SnapshotPart>(&body)) return ReceiveSnapshotPart(*part, from);
+    return false;
   }
 
   // Writes the changes to the journal, then applies and publishes them.
@@ -842,7 +713,7 @@
       return;
     }
     pulled_revision_in_write = newest;
-    std::string record = PulledRecord(changes);
+    std::string record = EncodePulledRecord(changes);
     log_bytes += record.size();
     auto on_done = [this, changes, from, before = journal_rewrites](bool ok) {
       pulled_revision_in_write = 0;
@@ -884,7 +755,7 @@
     pulled_revision_in_write = tree.revision;
     log_bytes = 0;
     uint64_t rewrite_id = ++journal_rewrites;
-    std::string bytes = JournalSnapshot(ToPersisted(*consensus), tree);
+    std::string bytes = EncodeJournalSnapshot(ToPersisted(*consensus), tree);
     auto shared = std::make_shared<ConfigTree>(std::move(tree));
     auto on_done = [this, shared, from, rewrite_id](bool ok) {
       pulled_revision_in_write = 0;
@@ -913,28 +784,12 @@
                                         {"host", from.value()}});
   }
 
-  bool ReceiveSnapshotPart(ByteReader* reader, const HostId& from) {
-    uint64_t revision = reader->U64();
-    uint64_t total = reader->U64();
-    uint64_t offset = reader->U64();
-    std::string data = reader->String();
-    bool malformed = total > kMaxPulledSnapshotBytes || offset > total ||
-                     data.size() > total - offset || (data.empty() && total != offset);
-    if (malformed) throw Error(ErrorKind::kBadRequest, "malformed snapshot part");
-    if (revision <= CurrentTree().revision) {
-      partial_snapshot.clear();
-      return false;
-    }
-    if (revision != partial_snapshot_revision || offset == 0) partial_snapshot.clear();
-    partial_snapshot_revision = revision;
-    if (offset != partial_snapshot.size()) return true;  // continue at pull_offset()
-    partial_snapshot += data;
-    if (partial_snapshot.size() < total) return true;
-    ConfigTree tree = FromSnapshot(partial_snapshot);
-    partial_snapshot.clear();
+  bool ReceiveSnapshotPart(const SnapshotPart& part, const HostId& from) {
+    ReceivedSnapshot::Result result = received_snapshot.Add(part, CurrentTree().revision);
+    if (!result.tree) return result.more;
     LogEvent(EventId::kConfigSnapshotLoaded,
-             {{"revision", std::to_string(tree.revision)}, {"source", from.value()}});
-    PersistPulledTree(std::move(tree), {}, from);
+             {{"revision", std::to_string(result.tree->revision)}, {"source", from.value()}});
+    PersistPulledTree(std::move(*result.tree), {}, from);
     return false;
   }
 
@@ -949,7 +804,7 @@
   void Start(Time start) {
     now = std::max(start, options.clock());
     if (!options.journal) return;
-    JournalContents contents = ReadJournal(options.journal.get());
+    ConfigJournalContents contents = ReadConfigJournal(options.journal.get());
     if (!contents.empty) {
       consensus = RestoreConsensus(options.self, std::move(contents.consensus), now, rng);
       if (consensus->snapshot) committed_tree = FromSnapshot(*consensus->snapshot);
@@ -1091,7 +946,7 @@
   return impl_->MakePullResponse(revision, offset);
 }
 
-uint64_t ConfigReplica::pull_offset() const { return impl_->partial_snapshot.size(); }
+uint64_t ConfigReplica::pull_offset() const { return impl_->received_snapshot.offset(); }
 
 bool ConfigReplica::ApplyPullResponse(std::string_view bytes, const HostId& from) {
   Impl::CallbackScope scope(impl_.get());
