Move reads, watches and views out of config_replica.cc

Linearizable reads, watches and the publication of views are classes with their own state. They share a clock that never goes back and a queue of callbacks. Behaviour is unchanged.

--- a/src/daemon/config_replica.cc
+++ b/src/daemon/config_replica.cc
@@ -13,19 +13,22 @@
 #include "core/codec.h"
 #include "core/config_schema.h"
 #include "core/config_tree.h"
-#include "core/config_view.h"
 #include "core/consensus.h"
+#include "daemon/callback_queue.h"
 #include "daemon/config_journal_records.h"
 #include "daemon/config_pull.h"
+#include "daemon/config_reads.h"
+#include "daemon/config_trees.h"
+#include "daemon/config_view_publisher.h"
+#include "daemon/config_watches.h"
+#include "daemon/replica_clock.h"
 
 namespace ebonylift {
 namespace {
 
 constexpr Duration kPutTimeout = seconds(10);
-constexpr Duration kReadTimeout = seconds(2);
 constexpr Duration kVoterChangeTimeout = seconds(60);
 constexpr Duration kStorageRetryInterval = seconds(5);
-constexpr Duration kMaxViewDelay = seconds(1);
 // Log entries kept before a snapshot, so that members slightly behind do not need the snapshot.
 constexpr uint64_t kRetainedLogEntries = 512;
 
@@ -117,13 +120,6 @@
   Time deadline;
 };
 
-struct PendingRead {
-  std::string path;
-  ConfigReplica::ReadDone done;
-  uint64_t index = 0;
-  Time deadline;
-};
-
 struct PendingVoterChange {
   HostId host;
   bool add = true;  // true: complete when `host` is a voter; false: when it is not a member
@@ -131,12 +127,6 @@
   Time deadline;
 };
 
-struct PendingWatch {
-  uint64_t from = 0;
-  Time deadline;
-  ConfigReplica::WatchDone done;
-};
-
 // The messages of one Ready and the journal write that must be durable before they are sent.
 struct Outgoing {
   uint64_t write_id = 0;  // 0: nothing to write
@@ -148,18 +138,24 @@
 }  // namespace
 
 struct ConfigReplica::Impl {
+  explicit Impl(Options replica_options)
+      : options(std::move(replica_options)),
+        clock(options.clock),
+        reads(&clock, &callbacks),
+        watches(&callbacks),
+        publisher(&clock, &callbacks) {
+    rng.seed(options.seed);
+  }
+
   Options options;
+  CallbackQueue callbacks;
+  ReplicaClock clock;
   std::mt19937_64 rng;
-  Time now;
   std::optional<Consensus> consensus;  // none: a host without a disk
-  ConfigTree committed_tree;           // the entries committed by the consensus
-  // Set by ApplyPullResponse(); used while it is newer than `committed_tree`.
-  ConfigTree pulled_tree;
-  std::shared_ptr<const ConfigView> view = std::make_shared<ConfigView>();
-  std::function<void()> view_changed;
-  bool rebuild_view = false;               // build the next view from the whole tree
-  std::vector<std::string> changed_paths;  // since `view`
-  Time next_view_at;                       // earliest time of the next view
+  ConfigTrees trees;
+  ConfigReads reads;
+  ConfigWatches watches;
+  ConfigViewPublisher publisher;
 
   std::deque<Outgoing> outgoing;
   uint64_t next_write_id = 1;
@@ -172,9 +168,7 @@
   std::map<uint64_t, PendingPut> puts;  // proposed in the current term, by log index
   // Received before the leader has applied all entries of earlier terms; proposed after that.
   std::deque<PendingPut> queued_puts;
-  std::vector<PendingRead> reads;
   std::vector<PendingVoterChange> voter_changes;
-  std::vector<PendingWatch> watches;
   std::map<std::string, Proposed> proposed;                            // by path
   std::set<std::pair<std::string, std::string>> proposed_request_ids;  // operator, request id
   uint64_t proposed_revision = 0;
@@ -186,51 +180,15 @@
   std::vector<HostId> voter_hint;         // from pull responses
   size_t next_voter = 0;                  // round robin over the voters when no leader is known
 
-  // Callbacks of the caller, which run when the outermost method ends. A callback may call Put()
-  // again; if it ran at once, that would apply entries in the middle of a batch.
-  std::deque<std::function<void()>> callbacks;
-  int call_depth = 0;
-
   uint64_t journal_rewrites = 0;  // started writes of the whole state
 
   // Lets callbacks that arrive after destruction detect it and do nothing.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
-  // Runs `callbacks` when the outermost scope ends.
-  class CallbackScope {
-   public:
-    explicit CallbackScope(Impl* impl) : impl_(impl) { ++impl_->call_depth; }
-    ~CallbackScope() {
-      while (impl_->call_depth == 1 && !impl_->callbacks.empty()) {
-        std::function<void()> fn = std::move(impl_->callbacks.front());
-        impl_->callbacks.pop_front();
-        fn();
-      }
-      --impl_->call_depth;
-    }
-    CallbackScope(const CallbackScope&) = delete;
-    CallbackScope& operator=(const CallbackScope&) = delete;
-
-   private:
-    Impl* impl_;
-  };
-
   void Answer(PutDone done, PutAnswer answer) {
-    callbacks.push_back([done = std::move(done), answer = std::move(answer)] { done(answer); });
-  }
-  void Answer(ReadDone done, std::optional<Error> error, ConfigRead read) {
-    callbacks.push_back([done = std::move(done), error = std::move(error), read = std::move(read)] {
-      done(error, read);
-    });
-  }
-
-  const ConfigTree& CurrentTree() const {
-    return pulled_tree.revision > committed_tree.revision ? pulled_tree : committed_tree;
-  }
-  Time Now() {
-    now = std::max(now, options.clock());
-    return now;
+    callbacks.Push([done = std::move(done), answer = std::move(answer)] { done(answer); });
   }
+  const ConfigTree& CurrentTree() const { return trees.Current(); }
   bool IsLeader() const { return consensus && storage_ok && consensus->role == Role::kLeader; }
   bool IsMember() const {
     return consensus && (consensus->members.voters.count(options.self) != 0 ||
@@ -271,7 +229,7 @@
   void RewriteJournal(std::function<void(bool)> done) {
     log_bytes = 0;
     ++journal_rewrites;
-    options.journal->Compact(EncodeJournalSnapshot(ToPersisted(*consensus), pulled_tree),
+    options.journal->Compact(EncodeJournalSnapshot(ToPersisted(*consensus), trees.pulled),
                              OnControlThread(std::move(done)));
   }
 
@@ -282,7 +240,7 @@
     return [this, weak, post, fn = std::move(fn)](bool ok) {
       post([this, weak, fn, ok] {
         if (!weak.lock()) return;
-        CallbackScope scope(this);
+        CallbackQueue::Scope scope(&callbacks);
         fn(ok);
       });
     };
@@ -307,7 +265,8 @@
       for (const ConsensusMessage& message : item.send) {
         options.send(message.to, EncodeMessage(message));
       }
-      if (item.write_id != 0) ProcessReady(OnPersisted(&*consensus, item.mark, Now(), rng));
+      if (item.write_id != 0)
+        ProcessReady(OnPersisted(&*consensus, item.mark, clock.Update(), rng));
     }
   }
 
@@ -320,7 +279,7 @@
                                              {"reason", "a disk write failed"}});
     }
     storage_ok = false;
-    storage_retry_at = now + kStorageRetryInterval;
+    storage_retry_at = clock.now() + kStorageRetryInterval;
     outgoing.clear();
     first_valid_write_id = next_write_id;
     FailPending(ErrorKind::kConfigUnknown,
@@ -328,21 +287,22 @@
   }
 
   void RetryStorage() {
-    if (storage_ok || !storage_retry_at || now < *storage_retry_at) return;
+    if (storage_ok || !storage_retry_at || clock.now() < *storage_retry_at) return;
     storage_retry_at.reset();
-    uint64_t written = pulled_tree.revision;
+    uint64_t written = trees.pulled.revision;
     RewriteJournal([this, written](bool ok) {
       // Revisions pulled during the write are in memory only, so they need another write.
-      if (ok && written == pulled_tree.revision) {
+      if (ok && written == trees.pulled.revision) {
         ResumeAfterStorageFailure();
       } else {
-        storage_retry_at = ok ? now : now + kStorageRetryInterval;
+        storage_retry_at = ok ? clock.now() : clock.now() + kStorageRetryInterval;
       }
     });
   }
 
   void ResumeAfterStorageFailure() {
-    Consensus restored = RestoreConsensus(options.self, ToPersisted(*consensus), Now(), rng);
+    Consensus restored =
+        RestoreConsensus(options.self, ToPersisted(*consensus), clock.Update(), rng);
     restored.delivered_index = consensus->delivered_index;
     restored.restore_pending = consensus->restore_pending;
     restored.disk_lost = consensus->disk_lost;
@@ -352,7 +312,7 @@
 
   void Compact() {
     if (!consensus || consensus->restore_pending || !storage_ok) return;
-    auto snapshot = std::make_shared<const std::string>(ToSnapshot(committed_tree));
+    auto snapshot = std::make_shared<const std::string>(ToSnapshot(trees.committed));
     TakeSnapshot(&*consensus, consensus->delivered_index, std::move(snapshot), kRetainedLogEntries);
     Outgoing item;
     item.write_id = next_write_id++;
@@ -371,17 +331,17 @@
     bool rebuild = false;
     uint64_t before = CurrentTree().revision;
     if (ready.restored_snapshot) {
-      committed_tree = FromSnapshot(*ready.restored_snapshot);
+      trees.committed = FromSnapshot(*ready.restored_snapshot);
       rebuild = true;
       LogEvent(EventId::kConfigSnapshotLoaded,
-               {{"revision", std::to_string(committed_tree.revision)}, {"source", "consensus"}});
+               {{"revision", std::to_string(trees.committed.revision)}, {"source", "consensus"}});
     }
     for (const LogEntry& entry : ready.committed) {
       if (entry.kind == EntryKind::kPut) ApplyEntry(entry, &changed);
       if (entry.kind == EntryKind::kMembers) AnswerVoterChanges(DecodeMembers(entry.data));
     }
-    if (pulled_tree.revision != 0 && committed_tree.revision >= pulled_tree.revision) {
-      pulled_tree = ConfigTree();
+    if (trees.pulled.revision != 0 && trees.committed.revision >= trees.pulled.revision) {
+      trees.pulled = ConfigTree();
       rebuild = true;
     }
     if (CurrentTree().revision > before) Publish(rebuild, changed);
@@ -391,7 +351,7 @@
 
   void ApplyEntry(const LogEntry& entry, std::vector<std::string>* changed) {
     auto [put, accepted_at] = DecodePut(entry.data);
-    PutResult result = ApplyPut(&committed_tree, put, accepted_at);
+    PutResult result = ApplyPut(&trees.committed, put, accepted_at);
     if (result.outcome == PutOutcome::kApplied) {
       changed->push_back(put.path);
       LogEvent(EventId::kConfigApplied, {{"revision", std::to_string(result.revision)},
@@ -404,32 +364,16 @@
     puts.erase(pending);
     proposed_request_ids.erase({put.operator_name, put.request_id});
     auto change = proposed.find(put.path);
-    if (change != proposed.end() && change->second.revision <= committed_tree.revision) {
+    if (change != proposed.end() && change->second.revision <= trees.committed.revision) {
       proposed.erase(change);
     }
   }
 
-  // Building a view copies the previous one, which takes tens of milliseconds with 28,000 teams.
-  // During a burst of changes at most a tenth of the time is spent on views, so that heartbeats are
-  // still sent in time.
-  void Publish(bool rebuild, const std::vector<std::string>& changed) {
-    rebuild_view = rebuild_view || rebuild;
-    if (!rebuild_view) changed_paths.insert(changed_paths.end(), changed.begin(), changed.end());
-    AnswerWatches();
-    if (now >= next_view_at) PublishView();
-  }
-
-  void PublishView() {
-    const ConfigTree& tree = CurrentTree();
-    Time started = options.clock();
-    ConfigView next =
-        rebuild_view ? BuildConfigView(tree) : UpdateConfigView(*view, tree, changed_paths);
-    view = std::make_shared<const ConfigView>(std::move(next));
-    rebuild_view = false;
-    changed_paths.clear();
-    Time ended = options.clock();
-    next_view_at = ended + std::min<Duration>(kMaxViewDelay, 9 * (ended - started));
-    if (view_changed) callbacks.push_back(view_changed);
+  // Makes a newer revision visible to watches and views.
+  void Publish(bool whole_tree, const std::vector<std::string>& changed) {
+    publisher.AddChanges(whole_tree, changed);
+    watches.Answer(CurrentTree(), clock.now());
+    publisher.PublishIfDue(CurrentTree());
   }
 
   void OnNotice(const Notice& notice) {
@@ -464,7 +408,7 @@
   void ClearProposed() {
     proposed.clear();
     proposed_request_ids.clear();
-    proposed_revision = committed_tree.revision;
+    proposed_revision = trees.committed.revision;
   }
 
   bool MayPropose() const {
@@ -489,7 +433,7 @@
   void ProposePut(PendingPut pending) {
     NormaliseValue(&pending.put);
     const ConfigPut& put = pending.put;
-    if (std::optional<PutResult> first = FindRecordedResult(committed_tree, put)) {
+    if (std::optional<PutResult> first = FindRecordedResult(trees.committed, put)) {
       Answer(pending.done, MakeAnswer(put, *first));
       return;
     }
@@ -497,14 +441,14 @@
         put.value ? Validate(put.path, *put.value) : ValidatePath(put.path);
     bool effective = issues.empty() && WillChangeTree(put);
     if (effective) {
-      issues = ValidateInTree(ProposedTreeReader(committed_tree, proposed), put.path, put.value);
+      issues = ValidateInTree(ProposedTreeReader(trees.committed, proposed), put.path, put.value);
     }
     if (!issues.empty()) {
       RejectPut(pending, ErrorKind::kConfigInvalid, DescribeIssues(put.path, issues));
       return;
     }
     std::optional<Proposal> proposal =
-        Propose(&*consensus, EntryKind::kPut, EncodePut(put, options.wall()), now);
+        Propose(&*consensus, EntryKind::kPut, EncodePut(put, options.wall()), clock.now());
     if (puts.empty()) ClearProposed();
     if (effective) proposed[put.path] = Proposed{put.value, ++proposed_revision};
     if (!put.request_id.empty()) proposed_request_ids.insert({put.operator_name, put.request_id});
@@ -516,7 +460,7 @@
   // or a retry) is still proposed, so that its answer is based on a committed state.
   bool WillChangeTree(const ConfigPut& put) const {
     if (proposed_request_ids.count({put.operator_name, put.request_id}) != 0) return false;
-    uint64_t current = PathRevision(committed_tree, put.path);
+    uint64_t current = PathRevision(trees.committed, put.path);
     auto change = proposed.find(put.path);
     if (change != proposed.end()) {
       current = change->second.value ? change->second.revision : 0;
@@ -562,13 +506,13 @@
     next.voters.erase(host);
     next.learners.erase(host);
     if (add) next.learners.insert(host);
-    std::optional<Proposal> proposal = ProposeMembers(&*consensus, next, Now());
+    std::optional<Proposal> proposal = ProposeMembers(&*consensus, next, clock.Update());
     if (!proposal) {
       Answer(std::move(done), MakeErrorAnswer(ErrorKind::kConfigConflict,
                                               "another change of the voters is still in progress"));
       return std::nullopt;
     }
-    voter_changes.push_back({host, add, std::move(done), now + kVoterChangeTimeout});
+    voter_changes.push_back({host, add, std::move(done), clock.now() + kVoterChangeTimeout});
     ProcessReady(std::move(proposal->ready));
     return std::nullopt;
   }
@@ -593,9 +537,7 @@
   void AnswerNoQuorum(const PutDone& done) {
     Answer(done, MakeErrorAnswer(ErrorKind::kNoQuorum, "the voters have no leader"));
   }
-  void AnswerNoQuorum(const ReadDone& done) {
-    Answer(done, Error(ErrorKind::kNoQuorum, "the voters have no leader"), ConfigRead());
-  }
+  void AnswerNoQuorum(const ReadDone& done) { reads.AnswerNoQuorum(done); }
 
   std::optional<HostId> KnownLeader() const {
     if (IsMember()) {
@@ -608,46 +550,13 @@
 
   // ---- reads and watches
 
-  void AnswerReads() {
-    auto waiting = std::move(reads);
-    reads.clear();
-    for (PendingRead& read : waiting) {
-      if (!IsLeader() || now >= read.deadline) {
-        AnswerNoQuorum(read.done);
-      } else if (consensus->delivered_index >= read.index && LeaseValid(*consensus, Now())) {
-        Answer(read.done, std::nullopt,
-               {committed_tree.revision, ReadTree(committed_tree, read.path)});
-      } else {
-        reads.push_back(std::move(read));
-      }
-    }
-  }
-
-  std::vector<ConfigChange> ChangesSince(uint64_t from) const {
-    const ConfigTree& tree = CurrentTree();
-    if (from >= tree.revision) return {};
-    if (auto changes = DeltasSince(tree, from, kMaxPullBytes)) return *changes;
-    return std::vector<ConfigChange>(tree.history.begin(), tree.history.end());
-  }
-
-  void AnswerWatches() {
-    auto waiting = std::move(watches);
-    watches.clear();
-    for (PendingWatch& watch : waiting) {
-      if (CurrentTree().revision > watch.from || now >= watch.deadline) {
-        callbacks.push_back(
-            [done = std::move(watch.done), changes = ChangesSince(watch.from)] { done(changes); });
-      } else {
-        watches.push_back(std::move(watch));
-      }
-    }
-  }
+  void AnswerReads() { reads.Answer(IsLeader() ? &*consensus : nullptr, trees.committed); }
 
   void RunTimers() {
-    if (view->revision < CurrentTree().revision && now >= next_view_at) PublishView();
+    if (publisher.view()->revision < CurrentTree().revision) publisher.PublishIfDue(CurrentTree());
     AnswerReads();
-    AnswerWatches();
-    while (!queued_puts.empty() && (!IsLeader() || now >= queued_puts.front().deadline)) {
+    watches.Answer(CurrentTree(), clock.now());
+    while (!queued_puts.empty() && (!IsLeader() || clock.now() >= queued_puts.front().deadline)) {
       PendingPut put = std::move(queued_puts.front());
       queued_puts.pop_front();
       RejectPut(put, ErrorKind::kNoQuorum, "the voters have no leader");
@@ -655,7 +564,7 @@
     // The entry of a timed-out put stays in `puts`: it may still be committed, and later puts were
     // validated on top of it.
     for (auto& [index, put] : puts) {
-      if (!put.done || now < put.deadline) continue;
+      if (!put.done || clock.now() < put.deadline) continue;
       Answer(std::move(put.done), MakeErrorAnswer(ErrorKind::kConfigUnknown,
                                                   "no majority of the voters answered in time"));
       put.done = nullptr;
@@ -663,7 +572,7 @@
     auto changes = std::move(voter_changes);
     voter_changes.clear();
     for (PendingVoterChange& change : changes) {
-      if (now >= change.deadline) {
+      if (clock.now() >= change.deadline) {
         Answer(change.done, MakeErrorAnswer(ErrorKind::kConfigUnknown,
                                             "the change of the voters did not complete in time"));
       } else {
@@ -708,8 +617,8 @@
     // The same changes may be pulled again while their first write is in progress.
     if (newest <= pulled_revision_in_write) return;
     // Journaled deltas apply to the pulled tree. The first pull writes that tree to the journal.
-    if (pulled_tree.revision == 0 && committed_tree.revision != 0) {
-      PersistPulledTree(committed_tree, changes, from);
+    if (trees.pulled.revision == 0 && trees.committed.revision != 0) {
+      PersistPulledTree(trees.committed, changes, from);
       return;
     }
     pulled_revision_in_write = newest;
@@ -731,14 +640,14 @@
   // Applies and publishes changes that are on disk or need not be.
   void ApplyPulledChanges(const std::vector<ConfigChange>& changes, const HostId& from) {
     uint64_t before = CurrentTree().revision;
-    if (pulled_tree.revision < committed_tree.revision) pulled_tree = committed_tree;
+    if (trees.pulled.revision < trees.committed.revision) trees.pulled = trees.committed;
     std::vector<std::string> changed;
     for (const ConfigChange& change : changes) {
-      if (ApplyChange(&pulled_tree, change)) changed.push_back(change.path);
+      if (ApplyChange(&trees.pulled, change)) changed.push_back(change.path);
     }
     if (CurrentTree().revision <= before) return;
     LogCaughtUp(before, from);
-    Publish(/*rebuild=*/false, changed);
+    Publish(/*whole_tree=*/false, changed);
     if (consensus && log_bytes > kMaxLogBytes) Compact();
   }
 
@@ -773,9 +682,9 @@
   void ApplyPulledTree(ConfigTree tree, const HostId& from) {
     uint64_t before = CurrentTree().revision;
     if (tree.revision <= before) return;
-    pulled_tree = std::move(tree);
+    trees.pulled = std::move(tree);
     LogCaughtUp(before, from);
-    Publish(/*rebuild=*/true, {});
+    Publish(/*whole_tree=*/true, {});
   }
 
   void LogCaughtUp(uint64_t before, const HostId& from) {
@@ -802,51 +711,51 @@
   }
 
   void Start(Time start) {
-    now = std::max(start, options.clock());
+    clock.AdvanceTo(start);
+    clock.Update();
     if (!options.journal) return;
     ConfigJournalContents contents = ReadConfigJournal(options.journal.get());
     if (!contents.empty) {
-      consensus = RestoreConsensus(options.self, std::move(contents.consensus), now, rng);
-      if (consensus->snapshot) committed_tree = FromSnapshot(*consensus->snapshot);
-      pulled_tree = std::move(contents.pulled_tree);
+      consensus = RestoreConsensus(options.self, std::move(contents.consensus), clock.now(), rng);
+      if (consensus->snapshot) trees.committed = FromSnapshot(*consensus->snapshot);
+      trees.pulled = std::move(contents.pulled_tree);
       // Applies the entries that were committed before the restart.
-      ProcessReady(ebonylift::Tick(&*consensus, now, rng));
+      ProcessReady(ebonylift::Tick(&*consensus, clock.now(), rng));
     } else {
       bool lost = options.journal->LostContents();
       if (lost) LogEvent(EventId::kVoterDiskLost, {{"reason", "the journal is missing"}});
       std::set<HostId> voters(options.voters.begin(), options.voters.end());
       // The disk name must differ from that of a lost disk, so it is not derived from the seed.
       bool may_bootstrap = options.may_bootstrap && !lost;
-      consensus = NewConsensus(options.self, voters, RandomHex(8), may_bootstrap, now, rng);
+      consensus = NewConsensus(options.self, voters, RandomHex(8), may_bootstrap, clock.now(), rng);
       Outgoing item;
       item.write_id = next_write_id++;
       uint64_t write_id = item.write_id;
       outgoing.push_back(std::move(item));
       RewriteJournal([this, write_id](bool ok) { OnWritten(write_id, ok); });
     }
-    if (CurrentTree().revision > view->revision) Publish(/*rebuild=*/true, {});
+    if (CurrentTree().revision > publisher.view()->revision) Publish(/*whole_tree=*/true, {});
   }
 };
 
-ConfigReplica::ConfigReplica(Options options) : impl_(std::make_unique<Impl>()) {
+ConfigReplica::ConfigReplica(Options options) {
   bool voter =
       std::find(options.voters.begin(), options.voters.end(), options.self) != options.voters.end();
   if (voter && !options.journal) {
     throw Error(ErrorKind::kInternal, "a voter requires a data directory");
   }
-  impl_->rng.seed(options.seed);
-  impl_->options = std::move(options);
+  impl_ = std::make_unique<Impl>(std::move(options));
 }
 
 ConfigReplica::~ConfigReplica() = default;
 
 void ConfigReplica::Start(Time now) {
-  Impl::CallbackScope scope(impl_.get());
+  CallbackQueue::Scope scope(&impl_->callbacks);
   impl_->Start(now);
 }
 
 void ConfigReplica::OnMessage(const HostId& from, std::string_view bytes) {
-  Impl::CallbackScope scope(impl_.get());
+  CallbackQueue::Scope scope(&impl_->callbacks);
   if (!impl_->consensus || !impl_->storage_ok) return;
   ConsensusMessage message;
   try {
@@ -856,22 +765,22 @@
     LogEvent(EventId::kPeerMessageRefused, {{"host", from.value()}, {"reason", error.what()}});
     return;
   }
-  impl_->ProcessReady(Step(&*impl_->consensus, message, impl_->Now(), impl_->rng));
+  impl_->ProcessReady(Step(&*impl_->consensus, message, impl_->clock.Update(), impl_->rng));
 }
 
 void ConfigReplica::Tick(Time now) {
-  Impl::CallbackScope scope(impl_.get());
-  impl_->now = std::max(impl_->now, now);
+  CallbackQueue::Scope scope(&impl_->callbacks);
+  impl_->clock.AdvanceTo(now);
   impl_->RetryStorage();
   if (impl_->consensus && impl_->storage_ok) {
-    impl_->ProcessReady(ebonylift::Tick(&*impl_->consensus, impl_->now, impl_->rng));
+    impl_->ProcessReady(ebonylift::Tick(&*impl_->consensus, impl_->clock.now(), impl_->rng));
   }
   impl_->RunTimers();
 }
 
 std::optional<HostId> ConfigReplica::Put(const ConfigPut& put, PutDone done) {
-  Impl::CallbackScope scope(impl_.get());
-  impl_->Now();
+  CallbackQueue::Scope scope(&impl_->callbacks);
+  impl_->clock.Update();
   if (impl_->consensus && !impl_->storage_ok && impl_->IsMember()) {
     impl_->Answer(std::move(done),
                   MakeErrorAnswer(ErrorKind::kStorageFailed, "this host cannot write to its disk"));
@@ -883,7 +792,7 @@
                                                    "too many configuration changes are pending"));
     return std::nullopt;
   }
-  PendingPut pending{put, std::move(done), impl_->now + kPutTimeout};
+  PendingPut pending{put, std::move(done), impl_->clock.now() + kPutTimeout};
   if (impl_->MayPropose()) {
     impl_->ProposePut(std::move(pending));
   } else {
@@ -893,10 +802,9 @@
 }
 
 std::optional<HostId> ConfigReplica::ReadCurrent(const std::string& path, ReadDone done) {
-  Impl::CallbackScope scope(impl_.get());
+  CallbackQueue::Scope scope(&impl_->callbacks);
   if (!impl_->IsLeader()) return impl_->RouteToLeader(done);
-  Time now = impl_->Now();
-  impl_->reads.push_back({path, std::move(done), ReadIndex(*impl_->consensus), now + kReadTimeout});
+  impl_->reads.Add(*impl_->consensus, path, std::move(done));
   impl_->AnswerReads();
   return std::nullopt;
 }
@@ -911,9 +819,9 @@
 }
 
 void ConfigReplica::Watch(uint64_t from, Time deadline, WatchDone done) {
-  Impl::CallbackScope scope(impl_.get());
-  impl_->watches.push_back({from, deadline, std::move(done)});
-  impl_->AnswerWatches();
+  CallbackQueue::Scope scope(&impl_->callbacks);
+  impl_->watches.Add(from, deadline, std::move(done));
+  impl_->watches.Answer(impl_->CurrentTree(), impl_->clock.now());
 }
 
 std::optional<HostId> ConfigReplica::Leader() const { return impl_->KnownLeader(); }
@@ -927,12 +835,12 @@
 }
 
 std::optional<HostId> ConfigReplica::AddVoter(const HostId& host, PutDone done) {
-  Impl::CallbackScope scope(impl_.get());
+  CallbackQueue::Scope scope(&impl_->callbacks);
   return impl_->ChangeVoter(host, /*add=*/true, std::move(done));
 }
 
 std::optional<HostId> ConfigReplica::RemoveVoter(const HostId& host, PutDone done) {
-  Impl::CallbackScope scope(impl_.get());
+  CallbackQueue::Scope scope(&impl_->callbacks);
   return impl_->ChangeVoter(host, /*add=*/false, std::move(done));
 }
 
@@ -949,13 +857,13 @@
 uint64_t ConfigReplica::pull_offset() const { return impl_->received_snapshot.offset(); }
 
 bool ConfigReplica::ApplyPullResponse(std::string_view bytes, const HostId& from) {
-  Impl::CallbackScope scope(impl_.get());
+  CallbackQueue::Scope scope(&impl_->callbacks);
   return impl_->ApplyPullResponse(bytes, from);
 }
 
-std::shared_ptr<const ConfigView> ConfigReplica::View() const { return impl_->view; }
+std::shared_ptr<const ConfigView> ConfigReplica::View() const { return impl_->publisher.view(); }
 void ConfigReplica::SetViewChangedCallback(std::function<void()> fn) {
-  impl_->view_changed = std::move(fn);
+  impl_->publisher.SetChangedCallback(std::move(fn));
 }
 
 bool ConfigReplica::DiskLost() const {
--- /dev/null
+++ b/src/daemon/config_watches.cc
@@ -0,0 +1,36 @@
+#include "daemon/config_watches.h"
+
+#include <utility>
+
+#include "daemon/config_pull.h"
+
+namespace ebonylift {
+namespace {
+
+std::vector<ConfigChange> ChangesSince(const ConfigTree& tree, uint64_t from) {
+  if (from >= tree.revision) return {};
+  if (auto changes = DeltasSince(tree, from, kMaxPullBytes)) return *changes;
+  return std::vector<ConfigChange>(tree.history.begin(), tree.history.end());
+}
+
+}  // namespace
+
+void ConfigWatches::Add(uint64_t from, Time deadline, Done done) {
+  pending_.push_back({from, deadline, std::move(done)});
+}
+
+void ConfigWatches::Answer(const ConfigTree& tree, Time now) {
+  auto waiting = std::move(pending_);
+  pending_.clear();
+  for (PendingWatch& watch : waiting) {
+    if (tree.revision > watch.from || now >= watch.deadline) {
+      callbacks_->Push([done = std::move(watch.done), changes = ChangesSince(tree, watch.from)] {
+        done(changes);
+      });
+    } else {
+      pending_.push_back(std::move(watch));
+    }
+  }
+}
+
+}  // namespace ebonylift
