Move puts and voter changes out of config_replica.cc

put_answers builds answers, proposed_changes predicts the tree for validation, config_puts holds the queued and the proposed changes, and voter_changes the changes of the membership. Behaviour is unchanged.

--- /dev/null
+++ b/src/daemon/config_puts.cc
@@ -0,0 +1,117 @@
+#include "daemon/config_puts.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+#include "base/event.h"
+#include "core/config_schema.h"
+
+namespace ebonylift {
+namespace {
+
+constexpr Duration kPutTimeout = seconds(10);
+
+// Serializes the JSON value canonically, so that a retry that differs only in white space counts as
+// the same change.
+void NormaliseValue(ConfigPut* put) {
+  if (!put->value) return;
+  nlohmann::json json = nlohmann::json::parse(*put->value, nullptr, /*allow_exceptions=*/false);
+  if (json.is_discarded()) return;
+  put->value = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace
+
+ConfigPuts::ConfigPuts(const ConfigTree* committed, ReplicaClock* clock,
+                       std::function<WallMillis()> wall, CallbackQueue* callbacks)
+    : committed_(committed),
+      clock_(clock),
+      wall_(std::move(wall)),
+      callbacks_(callbacks),
+      changes_(committed) {}
+
+std::optional<Ready> ConfigPuts::Propose(Consensus* leader, const ConfigPut& put,
+                                         PutAnswerDone done) {
+  return Propose(leader, Pending{put, std::move(done), clock_->now() + kPutTimeout});
+}
+
+void ConfigPuts::Enqueue(const ConfigPut& put, PutAnswerDone done) {
+  queued_.push_back(Pending{put, std::move(done), clock_->now() + kPutTimeout});
+}
+
+std::optional<Ready> ConfigPuts::ProposeQueued(Consensus* leader) {
+  Pending pending = std::move(queued_.front());
+  queued_.pop_front();
+  return Propose(leader, std::move(pending));
+}
+
+std::optional<Ready> ConfigPuts::Propose(Consensus* leader, Pending pending) {
+  NormaliseValue(&pending.put);
+  const ConfigPut& put = pending.put;
+  if (std::optional<PutResult> first = FindRecordedResult(*committed_, put)) {
+    QueueAnswer(callbacks_, pending.done, MakePutAnswer(put, *first));
+    return std::nullopt;
+  }
+  std::vector<SchemaIssue> issues =
+      put.value ? Validate(put.path, *put.value) : ValidatePath(put.path);
+  bool changes_tree = issues.empty() && changes_.WillChangeTree(put);
+  if (changes_tree) issues = changes_.ValidateInTree(put);
+  if (!issues.empty()) {
+    Reject(pending, ErrorKind::kConfigInvalid, DescribeIssues(put.path, issues));
+    return std::nullopt;
+  }
+  std::optional<Proposal> proposal =
+      ebonylift::Propose(leader, EntryKind::kPut, EncodePut(put, wall_()), clock_->now());
+  if (proposed_.empty()) changes_.Clear();
+  changes_.Add(put, changes_tree);
+  proposed_[proposal->index] = std::move(pending);
+  return std::move(proposal->ready);
+}
+
+void ConfigPuts::Reject(const Pending& pending, ErrorKind kind, const std::string& message) {
+  LogEvent(EventId::kConfigRefused, {{"path", pending.put.path}, {"kind", LookupError(kind).code}});
+  QueueAnswer(callbacks_, pending.done, MakePutError(kind, message));
+}
+
+void ConfigPuts::OnApplied(uint64_t index, const ConfigPut& put, const PutResult& result) {
+  auto pending = proposed_.find(index);
+  if (pending == proposed_.end()) return;
+  if (pending->second.done) {
+    QueueAnswer(callbacks_, std::move(pending->second.done), MakePutAnswer(put, result));
+  }
+  proposed_.erase(pending);
+  changes_.OnApplied(put);
+}
+
+void ConfigPuts::FailProposed(ErrorKind kind, const std::string& message) {
+  auto failed = std::move(proposed_);
+  proposed_.clear();
+  changes_.Clear();
+  for (auto& [index, pending] : failed) {
+    if (pending.done) QueueAnswer(callbacks_, std::move(pending.done), MakePutError(kind, message));
+  }
+}
+
+void ConfigPuts::AnswerOverdue(bool is_leader) {
+  RejectQueued(is_leader);
+  // The entry of a timed-out put stays in `proposed_`: it may still be committed, and later puts
+  // were validated on top of it.
+  for (auto& [index, pending] : proposed_) {
+    if (!pending.done || clock_->now() < pending.deadline) continue;
+    QueueAnswer(
+        callbacks_, std::move(pending.done),
+        MakePutError(ErrorKind::kConfigUnknown, "no majority of the voters answered in time"));
+    pending.done = nullptr;
+  }
+}
+
+void ConfigPuts::RejectQueued(bool is_leader) {
+  while (!queued_.empty() && (!is_leader || clock_->now() >= queued_.front().deadline)) {
+    Pending pending = std::move(queued_.front());
+    queued_.pop_front();
+    Reject(pending, ErrorKind::kNoQuorum, "the voters have no leader");
+  }
+}
+
+}  // namespace ebonylift
--- a/src/daemon/config_replica.cc
+++ b/src/daemon/config_replica.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <deque>
-#include <map>
-#include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 #include <utility>
@@ -11,122 +9,27 @@
 #include "base/event.h"
 #include "base/hash.h"
 #include "core/codec.h"
-#include "core/config_schema.h"
 #include "core/config_tree.h"
 #include "core/consensus.h"
 #include "daemon/callback_queue.h"
 #include "daemon/config_journal_records.h"
 #include "daemon/config_pull.h"
+#include "daemon/config_puts.h"
 #include "daemon/config_reads.h"
 #include "daemon/config_trees.h"
 #include "daemon/config_view_publisher.h"
 #include "daemon/config_watches.h"
+#include "daemon/put_answers.h"
 #include "daemon/replica_clock.h"
+#include "daemon/voter_changes.h"
 
 namespace ebonylift {
 namespace {
 
-constexpr Duration kPutTimeout = seconds(10);
-constexpr Duration kVoterChangeTimeout = seconds(60);
 constexpr Duration kStorageRetryInterval = seconds(5);
 // Log entries kept before a snapshot, so that members slightly behind do not need the snapshot.
 constexpr uint64_t kRetainedLogEntries = 512;
 
-// ---- puts
-
-// Serializes the JSON value canonically, so that a retry that differs only in white space counts as
-// the same change.
-void NormaliseValue(ConfigPut* put) {
-  if (!put->value) return;
-  nlohmann::json json = nlohmann::json::parse(*put->value, nullptr, /*allow_exceptions=*/false);
-  if (json.is_discarded()) return;
-  put->value = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
-PutAnswer MakeErrorAnswer(ErrorKind kind, const std::string& message) {
-  PutAnswer answer;
-  answer.error = kind;
-  answer.message = message;
-  return answer;
-}
-
-PutAnswer MakeAnswer(const ConfigPut& put, const PutResult& result) {
-  PutOutcome outcome =
-      result.outcome == PutOutcome::kDuplicate ? result.original_outcome : result.outcome;
-  PutAnswer answer;
-  answer.revision = result.revision;
-  switch (outcome) {
-    case PutOutcome::kApplied:
-      return answer;
-    case PutOutcome::kConflict:
-      answer.error = ErrorKind::kConfigConflict;
-      answer.message = put.path + " has revision " + std::to_string(result.revision) +
-                       ", but the change is based on revision " + std::to_string(put.base_revision);
-      answer.current_value = result.current_value;
-      return answer;
-    case PutOutcome::kIdReused:
-      return MakeErrorAnswer(
-          ErrorKind::kKeyConflict,
-          "request id " + put.request_id + " was already used for a different change");
-    case PutOutcome::kInvalid:
-    case PutOutcome::kDuplicate:
-      break;
-  }
-  return MakeErrorAnswer(ErrorKind::kConfigInvalid,
-                         put.path + ": the path does not exist or the change exceeds a limit");
-}
-
-// A change that the leader has proposed and not applied yet. Its revision is known before the
-// commit, because only the leader proposes changes and they are applied in log order.
-struct Proposed {
-  std::optional<std::string> value;
-  uint64_t revision = 0;
-};
-
-// Reads the tree as it will be after all proposed changes are applied.
-class ProposedTreeReader : public TreeReader {
- public:
-  ProposedTreeReader(const ConfigTree& tree, const std::map<std::string, Proposed>& proposed)
-      : tree_(tree), proposed_(proposed) {}
-
-  std::optional<std::string> Find(const std::string& path) const override {
-    auto change = proposed_.find(path);
-    if (change != proposed_.end()) return change->second.value;
-    auto entry = tree_.entries.find(path);
-    if (entry == tree_.entries.end()) return std::nullopt;
-    return entry->second.value;
-  }
-
-  void Visit(const std::string& prefix,
-             const std::function<void(const std::string&, const std::string&)>& fn) const override {
-    for (auto it = tree_.entries.lower_bound(prefix); it != tree_.entries.end(); ++it) {
-      if (it->first.compare(0, prefix.size(), prefix) != 0) break;
-      bool visible = IsAtOrBelow(it->first, prefix) && proposed_.count(it->first) == 0;
-      if (visible) fn(it->first, it->second.value);
-    }
-    for (const auto& [path, change] : proposed_) {
-      if (change.value && IsAtOrBelow(path, prefix)) fn(path, *change.value);
-    }
-  }
-
- private:
-  const ConfigTree& tree_;
-  const std::map<std::string, Proposed>& proposed_;
-};
-
-struct PendingPut {
-  ConfigPut put;
-  ConfigReplica::PutDone done;
-  Time deadline;
-};
-
-struct PendingVoterChange {
-  HostId host;
-  bool add = true;  // true: complete when `host` is a voter; false: when it is not a member
-  ConfigReplica::PutDone done;
-  Time deadline;
-};
-
 // The messages of one Ready and the journal write that must be durable before they are sent.
 struct Outgoing {
   uint64_t write_id = 0;  // 0: nothing to write
@@ -143,6 +46,8 @@
         clock(options.clock),
         reads(&clock, &callbacks),
         watches(&callbacks),
+        puts(&trees.committed, &clock, options.wall, &callbacks),
+        voter_changes(&clock, &callbacks),
         publisher(&clock, &callbacks) {
     rng.seed(options.seed);
   }
@@ -155,6 +60,8 @@
   ConfigTrees trees;
   ConfigReads reads;
   ConfigWatches watches;
+  ConfigPuts puts;
+  VoterChanges voter_changes;
   ConfigViewPublisher publisher;
 
   std::deque<Outgoing> outgoing;
@@ -165,14 +72,6 @@
   bool storage_ok = true;
   std::optional<Time> storage_retry_at;
 
-  std::map<uint64_t, PendingPut> puts;  // proposed in the current term, by log index
-  // Received before the leader has applied all entries of earlier terms; proposed after that.
-  std::deque<PendingPut> queued_puts;
-  std::vector<PendingVoterChange> voter_changes;
-  std::map<std::string, Proposed> proposed;                            // by path
-  std::set<std::pair<std::string, std::string>> proposed_request_ids;  // operator, request id
-  uint64_t proposed_revision = 0;
-
   ServedSnapshot served_snapshot;
   ReceivedSnapshot received_snapshot;
   uint64_t pulled_revision_in_write = 0;  // newest pulled revision of an unfinished journal write
@@ -185,9 +84,6 @@
   // Lets callbacks that arrive after destruction detect it and do nothing.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
-  void Answer(PutDone done, PutAnswer answer) {
-    callbacks.Push([done = std::move(done), answer = std::move(answer)] { done(answer); });
-  }
   const ConfigTree& CurrentTree() const { return trees.Current(); }
   bool IsLeader() const { return consensus && storage_ok && consensus->role == Role::kLeader; }
   bool IsMember() const {
@@ -338,7 +234,7 @@
     }
     for (const LogEntry& entry : ready.committed) {
       if (entry.kind == EntryKind::kPut) ApplyEntry(entry, &changed);
-      if (entry.kind == EntryKind::kMembers) AnswerVoterChanges(DecodeMembers(entry.data));
+      if (entry.kind == EntryKind::kMembers) voter_changes.OnCommitted(DecodeMembers(entry.data));
     }
     if (trees.pulled.revision != 0 && trees.committed.revision >= trees.pulled.revision) {
       trees.pulled = ConfigTree();
@@ -358,15 +254,7 @@
                                          {"path", put.path},
                                          {"operator", put.operator_name}});
     }
-    auto pending = puts.find(entry.index);
-    if (pending == puts.end()) return;
-    if (pending->second.done) Answer(std::move(pending->second.done), MakeAnswer(put, result));
-    puts.erase(pending);
-    proposed_request_ids.erase({put.operator_name, put.request_id});
-    auto change = proposed.find(put.path);
-    if (change != proposed.end() && change->second.revision <= trees.committed.revision) {
-      proposed.erase(change);
-    }
+    puts.OnApplied(entry.index, put, result);
   }
 
   // Makes a newer revision visible to watches and views.
@@ -380,7 +268,7 @@
     std::string term = std::to_string(consensus->hard_state.term);
     switch (notice.kind) {
       case NoticeKind::kElected:
-        ClearProposed();
+        puts.OnElected();
         LogEvent(EventId::kLeaderElected, {{"term", term}});
         return;
       case NoticeKind::kSteppedDown:
@@ -405,115 +293,26 @@
 
   // ---- changes proposed on the leader
 
-  void ClearProposed() {
-    proposed.clear();
-    proposed_request_ids.clear();
-    proposed_revision = trees.committed.revision;
-  }
-
   bool MayPropose() const {
     return IsLeader() && CanPropose(*consensus) &&
            consensus->delivered_index >= consensus->term_start;
   }
 
   void ProposeQueuedPuts() {
-    while (MayPropose() && !queued_puts.empty()) {
-      PendingPut put = std::move(queued_puts.front());
-      queued_puts.pop_front();
-      ProposePut(std::move(put));
+    while (MayPropose() && puts.HasQueued()) {
+      if (auto ready = puts.ProposeQueued(&*consensus)) ProcessReady(std::move(*ready));
     }
   }
 
-  void RejectPut(const PendingPut& put, ErrorKind kind, const std::string& message) {
-    LogEvent(EventId::kConfigRefused, {{"path", put.put.path}, {"kind", LookupError(kind).code}});
-    Answer(put.done, MakeErrorAnswer(kind, message));
-  }
-
-  // Validates the change and proposes it. Precondition: MayPropose().
-  void ProposePut(PendingPut pending) {
-    NormaliseValue(&pending.put);
-    const ConfigPut& put = pending.put;
-    if (std::optional<PutResult> first = FindRecordedResult(trees.committed, put)) {
-      Answer(pending.done, MakeAnswer(put, *first));
-      return;
-    }
-    std::vector<SchemaIssue> issues =
-        put.value ? Validate(put.path, *put.value) : ValidatePath(put.path);
-    bool effective = issues.empty() && WillChangeTree(put);
-    if (effective) {
-      issues = ValidateInTree(ProposedTreeReader(trees.committed, proposed), put.path, put.value);
-    }
-    if (!issues.empty()) {
-      RejectPut(pending, ErrorKind::kConfigInvalid, DescribeIssues(put.path, issues));
-      return;
-    }
-    std::optional<Proposal> proposal =
-        Propose(&*consensus, EntryKind::kPut, EncodePut(put, options.wall()), clock.now());
-    if (puts.empty()) ClearProposed();
-    if (effective) proposed[put.path] = Proposed{put.value, ++proposed_revision};
-    if (!put.request_id.empty()) proposed_request_ids.insert({put.operator_name, put.request_id});
-    puts[proposal->index] = std::move(pending);
-    ProcessReady(std::move(proposal->ready));
-  }
-
-  // Returns whether the put will change the tree when it is applied. One that will not (a conflict
-  // or a retry) is still proposed, so that its answer is based on a committed state.
-  bool WillChangeTree(const ConfigPut& put) const {
-    if (proposed_request_ids.count({put.operator_name, put.request_id}) != 0) return false;
-    uint64_t current = PathRevision(trees.committed, put.path);
-    auto change = proposed.find(put.path);
-    if (change != proposed.end()) {
-      current = change->second.value ? change->second.revision : 0;
-    }
-    return current == put.base_revision && (put.value || current != 0);
-  }
-
   void FailPending(ErrorKind kind, const std::string& message) {
-    auto pending_puts = std::move(puts);
-    puts.clear();
-    ClearProposed();
-    auto changes = std::move(voter_changes);
-    voter_changes.clear();
-    for (auto& [index, put] : pending_puts) {
-      if (put.done) Answer(std::move(put.done), MakeErrorAnswer(kind, message));
-    }
-    for (PendingVoterChange& change : changes) Answer(change.done, MakeErrorAnswer(kind, message));
-  }
-
-  void AnswerVoterChanges(const MemberSet& members) {
-    auto waiting = std::move(voter_changes);
-    voter_changes.clear();
-    for (PendingVoterChange& change : waiting) {
-      bool is_voter = members.voters.count(change.host) != 0;
-      bool is_member = is_voter || members.learners.count(change.host) != 0;
-      if (change.add ? is_voter : !is_member) {
-        Answer(change.done, PutAnswer());
-      } else {
-        voter_changes.push_back(std::move(change));
-      }
-    }
+    puts.FailProposed(kind, message);
+    voter_changes.Fail(kind, message);
   }
 
   std::optional<HostId> ChangeVoter(const HostId& host, bool add, PutDone done) {
     if (!IsLeader()) return RouteToLeader(done);
-    MemberSet next = consensus->members;
-    bool is_voter = next.voters.count(host) != 0;
-    bool is_member = is_voter || next.learners.count(host) != 0;
-    if (add ? is_voter : !is_member) {
-      Answer(std::move(done), PutAnswer());
-      return std::nullopt;
-    }
-    next.voters.erase(host);
-    next.learners.erase(host);
-    if (add) next.learners.insert(host);
-    std::optional<Proposal> proposal = ProposeMembers(&*consensus, next, clock.Update());
-    if (!proposal) {
-      Answer(std::move(done), MakeErrorAnswer(ErrorKind::kConfigConflict,
-                                              "another change of the voters is still in progress"));
-      return std::nullopt;
-    }
-    voter_changes.push_back({host, add, std::move(done), clock.now() + kVoterChangeTimeout});
-    ProcessReady(std::move(proposal->ready));
+    auto ready = voter_changes.Propose(&*consensus, host, add, std::move(done));
+    if (ready) ProcessReady(std::move(*ready));
     return std::nullopt;
   }
 
@@ -534,9 +333,7 @@
     return std::nullopt;
   }
 
-  void AnswerNoQuorum(const PutDone& done) {
-    Answer(done, MakeErrorAnswer(ErrorKind::kNoQuorum, "the voters have no leader"));
-  }
+  void AnswerNoQuorum(const PutDone& done) { QueueAnswer(&callbacks, done, MakeNoQuorumAnswer()); }
   void AnswerNoQuorum(const ReadDone& done) { reads.AnswerNoQuorum(done); }
 
   std::optional<HostId> KnownLeader() const {
@@ -556,29 +353,8 @@
     if (publisher.view()->revision < CurrentTree().revision) publisher.PublishIfDue(CurrentTree());
     AnswerReads();
     watches.Answer(CurrentTree(), clock.now());
-    while (!queued_puts.empty() && (!IsLeader() || clock.now() >= queued_puts.front().deadline)) {
-      PendingPut put = std::move(queued_puts.front());
-      queued_puts.pop_front();
-      RejectPut(put, ErrorKind::kNoQuorum, "the voters have no leader");
-    }
-    // The entry of a timed-out put stays in `puts`: it may still be committed, and later puts were
-    // validated on top of it.
-    for (auto& [index, put] : puts) {
-      if (!put.done || clock.now() < put.deadline) continue;
-      Answer(std::move(put.done), MakeErrorAnswer(ErrorKind::kConfigUnknown,
-                                                  "no majority of the voters answered in time"));
-      put.done = nullptr;
-    }
-    auto changes = std::move(voter_changes);
-    voter_changes.clear();
-    for (PendingVoterChange& change : changes) {
-      if (clock.now() >= change.deadline) {
-        Answer(change.done, MakeErrorAnswer(ErrorKind::kConfigUnknown,
-                                            "the change of the voters did not complete in time"));
-      } else {
-        voter_changes.push_back(std::move(change));
-      }
-    }
+    puts.AnswerOverdue(IsLeader());
+    voter_changes.AnswerOverdue();
   }
 
   // ---- pulling revisions
@@ -782,22 +558,22 @@
   CallbackQueue::Scope scope(&impl_->callbacks);
   impl_->clock.Update();
   if (impl_->consensus && !impl_->storage_ok && impl_->IsMember()) {
-    impl_->Answer(std::move(done),
-                  MakeErrorAnswer(ErrorKind::kStorageFailed, "this host cannot write to its disk"));
+    QueueAnswer(&impl_->callbacks, std::move(done),
+                MakePutError(ErrorKind::kStorageFailed, "this host cannot write to its disk"));
     return std::nullopt;
   }
   if (!impl_->IsLeader()) return impl_->RouteToLeader(done);
-  if (impl_->puts.size() + impl_->queued_puts.size() >= kMaxPendingPuts) {
-    impl_->Answer(std::move(done), MakeErrorAnswer(ErrorKind::kOverloaded,
-                                                   "too many configuration changes are pending"));
+  if (impl_->puts.size() >= kMaxPendingPuts) {
+    QueueAnswer(&impl_->callbacks, std::move(done),
+                MakePutError(ErrorKind::kOverloaded, "too many configuration changes are pending"));
     return std::nullopt;
   }
-  PendingPut pending{put, std::move(done), impl_->clock.now() + kPutTimeout};
-  if (impl_->MayPropose()) {
-    impl_->ProposePut(std::move(pending));
-  } else {
-    impl_->queued_puts.push_back(std::move(pending));
+  if (!impl_->MayPropose()) {
+    impl_->puts.Enqueue(put, std::move(done));
+    return std::nullopt;
   }
+  auto ready = impl_->puts.Propose(&*impl_->consensus, put, std::move(done));
+  if (ready) impl_->ProcessReady(std::move(*ready));
   return std::nullopt;
 }
 
