--- a/src/daemon/config_replica.cc
+++ b/src/daemon/config_replica.cc
@@ -1,1047 +1,261 @@
 #include "daemon/config_replica.h"
 
 #include <algorithm>
-#include <deque>
-#include <map>
-#include <nlohmann/json.hpp>
-#include <random>
 #include <set>
 #include <utility>
 
 #include "base/event.h"
-#include "base/hash.h"
 #include "core/codec.h"
-#include "core/config_schema.h"
 #include "core/config_tree.h"
-#include "core/config_view.h"
 #include "core/consensus.h"
+#include "daemon/callback_queue.h"
+#include "daemon/config_journal.h"
+#include "daemon/config_journal_records.h"
+#include "daemon/config_pull.h"
+#include "daemon/config_puts.h"
+#include "daemon/config_reads.h"
+#include "daemon/config_trees.h"
+#include "daemon/config_view_publisher.h"
+#include "daemon/config_watches.h"
+#include "daemon/durable_consensus.h"
+#include "daemon/leader_locator.h"
+#include "daemon/pulled_revisions.h"
+#include "daemon/put_answers.h"
+#include "daemon/replica_clock.h"
+#include "daemon/voter_changes.h"
 
 namespace ebonylift {
-namespace {
-
-constexpr Duration kPutTimeout = seconds(10);
-constexpr Duration kReadTimeout = seconds(2);
-constexpr Duration kVoterChangeTimeout = seconds(60);
-constexpr Duration kStorageRetryInterval = seconds(5);
-constexpr Duration kMaxViewDelay = seconds(1);
-// Log entries kept before a snapshot, so that members slightly behind do not need the snapshot.
-constexpr uint64_t kRetainedLogEntries = 512;
-// Approximate limit for the payload of one pull response or watch answer.
-constexpr size_t kMaxPullBytes = 1 << 20;
-constexpr size_t kMaxPulledSnapshotBytes = 256 << 20;
-
-enum class RecordKind : uint8_t { kConsensus = 1, kPulled = 2 };
-enum class PullResponseKind : uint8_t { kUpToDate = 0, kDeltas = 1, kSnapshot = 2 };
-
-// ---- journal records
-
-std::string ConsensusRecord(const Ready& ready, const HardState& hard_state) {
-  ByteWriter writer;
-  writer.U8(static_cast<uint8_t>(RecordKind::kConsensus));
-  writer.String(EncodeEntries(ready.append));
-  writer.String(EncodeHardState(hard_state));
-  return writer.Take();
-}
-
-std::string PulledRecord(const std::vector<ConfigChange>& changes) {
-  ByteWriter writer;
-  writer.U8(static_cast<uint8_t>(RecordKind::kPulled));
-  writer.String(EncodeChanges(changes));
-  return writer.Take();
-}
-
-struct JournalContents {
-  bool empty = true;
-  PersistedState consensus;
-  ConfigTree pulled_tree;
-};
-
-std::string JournalSnapshot(const PersistedState& consensus, const ConfigTree& pulled_tree) {
-  ByteWriter writer;
-  writer.String(EncodePersisted(consensus));
-  writer.String(ToSnapshot(pulled_tree));
-  return writer.Take();
-}
-
-void ReadJournalSnapshot(std::string_view record, JournalContents* contents) {
-  ByteReader reader(record);
-  contents->consensus = DecodePersisted(reader.String());
-  contents->pulled_tree = FromSnapshot(reader.String());
-}
-
-void ReadConsensusRecord(ByteReader* reader, JournalContents* contents) {
-  PersistedState& state = contents->consensus;
-  for (LogEntry& entry : DecodeEntries(reader->String())) {
-    uint64_t last = state.base_index + state.log.size();
-    if (entry.index <= state.base_index || entry.index > last + 1) {
-      throw Error(ErrorKind::kStorageFailed,
-                  "the journal is missing log entries before index " + std::to_string(entry.index));
-    }
-    state.log.resize(entry.index - state.base_index - 1);
-    state.log.push_back(std::move(entry));
-  }
-  state.hard_state = DecodeHardState(reader->String());
-}
-
-void ReadRecord(std::string_view record, JournalContents* contents) {
-  ByteReader reader(record);
-  switch (static_cast<RecordKind>(reader.U8())) {
-    case RecordKind::kConsensus:
-      ReadConsensusRecord(&reader, contents);
-      return;
-    case RecordKind::kPulled:
-      for (const ConfigChange& change : DecodeChanges(reader.String())) {
-        ApplyChange(&contents->pulled_tree, change);
-      }
-      return;
-  }
-  throw Error(ErrorKind::kStorageFailed, "unknown record kind in the configuration journal");
-}
-
-JournalContents ReadJournal(Journal* journal) {
-  JournalContents contents;
-  journal->Replay([&](std::string_view record, bool is_snapshot) {
-    contents.empty = false;
-    try {
-      if (is_snapshot) {
-        ReadJournalSnapshot(record, &contents);
-      } else {
-        ReadRecord(record, &contents);
-      }
-    } catch (const Error& error) {
-      throw Error(ErrorKind::kStorageFailed,
-                  std::string("cannot read the configuration journal: ") + error.what());
-    }
-  });
-  return contents;
-}
-
-// ---- puts
-
-// Serializes the JSON value canonically, so that a retry that differs only in white space counts as
-// the same change.
-void NormaliseValue(ConfigPut* put) {
-  if (!put->value) return;
-  nlohmann::json json = nlohmann::json::parse(*put->value, nullptr, /*allow_exceptions=*/false);
-  if (json.is_discarded()) return;
-  put->value = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
-PutAnswer MakeErrorAnswer(ErrorKind kind, const std::string& message) {
-  PutAnswer answer;
-  answer.error = kind;
-  answer.message = message;
-  return answer;
-}
-
-PutAnswer MakeAnswer(const ConfigPut& put, const PutResult& result) {
-  PutOutcome outcome =
-      result.outcome == PutOutcome::kDuplicate ? result.original_outcome : result.outcome;
-  PutAnswer answer;
-  answer.revision = result.revision;
-  switch (outcome) {
-    case PutOutcome::kApplied:
-      return answer;
-    case PutOutcome::kConflict:
-      answer.error = ErrorKind::kConfigConflict;
-      answer.message = put.path + " has revision " + std::to_string(result.revision) +
-                       ", but the change is based on revision " + std::to_string(put.base_revision);
-      answer.current_value = result.current_value;
-      return answer;
-    case PutOutcome::kIdReused:
-      return MakeErrorAnswer(
-          ErrorKind::kKeyConflict,
-          "request id " + put.request_id + " was already used for a different change");
-    case PutOutcome::kInvalid:
-    case PutOutcome::kDuplicate:
-      break;
-  }
-  return MakeErrorAnswer(ErrorKind::kConfigInvalid,
-                         put.path + ": the path does not exist or the change exceeds a limit");
-}
-
-// A change that the leader has proposed and not applied yet. Its revision is known before the
-// commit, because only the leader proposes changes and they are applied in log order.
-struct Proposed {
-  std::optional<std::string> value;
-  uint64_t revision = 0;
-};
-
-// Reads the tree as it will be after all proposed changes are applied.
-class ProposedTreeReader : public TreeReader {
- public:
-  ProposedTreeReader(const ConfigTree& tree, const std::map<std::string, Proposed>& proposed)
-      : tree_(tree), proposed_(proposed) {}
-
-  std::optional<std::string> Find(const std::string& path) const override {
-    auto change = proposed_.find(path);
-    if (change != proposed_.end()) return change->second.value;
-    auto entry = tree_.entries.find(path);
-    if (entry == tree_.entries.end()) return std::nullopt;
-    return entry->second.value;
-  }
-
-  void Visit(const std::string& prefix,
-             const std::function<void(const std::string&, const std::string&)>& fn) const override {
-    for (auto it = tree_.entries.lower_bound(prefix); it != tree_.entries.end(); ++it) {
-      if (it->first.compare(0, prefix.size(), prefix) != 0) break;
-      bool visible = IsAtOrBelow(it->first, prefix) && proposed_.count(it->first) == 0;
-      if (visible) fn(it->first, it->second.value);
-    }
-    for (const auto& [path, change] : proposed_) {
-      if (change.value && IsAtOrBelow(path, prefix)) fn(path, *change.value);
-    }
-  }
-
- private:
-  const ConfigTree& tree_;
-  const std::map<std::string, Proposed>& proposed_;
-};
-
-struct PendingPut {
-  ConfigPut put;
-  ConfigReplica::PutDone done;
-  Time deadline;
-};
-
-struct PendingRead {
-  std::string path;
-  ConfigReplica::ReadDone done;
-  uint64_t index = 0;
-  Time deadline;
-};
-
-struct PendingVoterChange {
-  HostId host;
-  bool add = true;  // true: complete when `host` is a voter; false: when it is not a member
-  ConfigReplica::PutDone done;
-  Time deadline;
-};
-
-struct PendingWatch {
-  uint64_t from = 0;
-  Time deadline;
-  ConfigReplica::WatchDone done;
-};
-
-// The messages of one Ready and the journal write that must be durable before they are sent.
-struct Outgoing {
-  uint64_t write_id = 0;  // 0: nothing to write
-  bool durable = false;
-  PersistMark mark;
-  std::vector<ConsensusMessage> send;
-};
-
-}  // namespace
 
+// Connects the parts of the replica. Each part has its own state; this class applies committed
+// entries to the tree and tells the parts that depend on it.
 struct ConfigReplica::Impl {
-  Options options;
-  std::mt19937_64 rng;
-  Time now;
-  std::optional<Consensus> consensus;  // none: a host without a disk
-  ConfigTree committed_tree;           // the entries committed by the consensus
-  // Set by ApplyPullResponse(); used while it is newer than `committed_tree`.
-  ConfigTree pulled_tree;
-  std::shared_ptr<const ConfigView> view = std::make_shared<ConfigView>();
-  std::function<void()> view_changed;
-  bool rebuild_view = false;               // build the next view from the whole tree
-  std::vector<std::string> changed_paths;  // since `view`
-  Time next_view_at;                       // earliest time of the next view
+  explicit Impl(Options replica_options);
 
-  std::deque<Outgoing> outgoing;
-  uint64_t next_write_id = 1;
-  // Callbacks of writes before this one are ignored, because a write has failed since.
-  uint64_t first_valid_write_id = 1;
-  size_t log_bytes = 0;  // written since the last compaction
-  bool storage_ok = true;
-  std::optional<Time> storage_retry_at;
+  bool IsLeader() const { return consensus.IsLeader(); }
+  const ConfigTree& CurrentTree() const { return trees.Current(); }
 
-  std::map<uint64_t, PendingPut> puts;  // proposed in the current term, by log index
-  // Received before the leader has applied all entries of earlier terms; proposed after that.
-  std::deque<PendingPut> queued_puts;
-  std::vector<PendingRead> reads;
-  std::vector<PendingVoterChange> voter_changes;
-  std::vector<PendingWatch> watches;
-  std::map<std::string, Proposed> proposed;                            // by path
-  std::set<std::pair<std::string, std::string>> proposed_request_ids;  // operator, request id
-  uint64_t proposed_revision = 0;
+  void Start(Time start);
 
-  std::shared_ptr<const std::string> served_snapshot;  // cached for MakePullResponse()
-  uint64_t served_snapshot_revision = 0;
-  std::string partial_snapshot;  // the parts pulled so far
-  uint64_t partial_snapshot_revision = 0;
-  uint64_t pulled_revision_in_write = 0;  // newest pulled revision of an unfinished journal write
-  HostId leader_hint;                     // from pull responses
-  std::vector<HostId> voter_hint;         // from pull responses
-  size_t next_voter = 0;                  // round robin over the voters when no leader is known
+  // Applies committed entries. Called for every Ready of the consensus.
+  void Apply(Ready ready);
+  void ApplyPut(const LogEntry& entry, std::vector<std::string>* changed);
 
-  // Callbacks of the caller, which run when the outermost method ends. A callback may call Put()
-  // again; if it ran at once, that would apply entries in the middle of a batch.
-  std::deque<std::function<void()>> callbacks;
-  int call_depth = 0;
+  // Makes a newer revision visible to watches and views. The changed paths are in `changed`, or
+  // anything may have changed when `whole_tree` is true.
+  void Publish(bool whole_tree, const std::vector<std::string>& changed);
 
-  uint64_t journal_rewrites = 0;  // started writes of the whole state
-
-  // Lets callbacks that arrive after destruction detect it and do nothing.
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
-
-  // Runs `callbacks` when the outermost scope ends.
-  class CallbackScope {
-   public:
-    explicit CallbackScope(Impl* impl) : impl_(impl) { ++impl_->call_depth; }
-    ~CallbackScope() {
-      while (impl_->call_depth == 1 && !impl_->callbacks.empty()) {
-        std::function<void()> fn = std::move(impl_->callbacks.front());
-        impl_->callbacks.pop_front();
-        fn();
-      }
-      --impl_->call_depth;
-    }
-    CallbackScope(const CallbackScope&) = delete;
-    CallbackScope& operator=(const CallbackScope&) = delete;
-
-   private:
-    Impl* impl_;
-  };
-
-  void Answer(PutDone done, PutAnswer answer) {
-    callbacks.push_back([done = std::move(done), answer = std::move(answer)] { done(answer); });
-  }
-  void Answer(ReadDone done, std::optional<Error> error, ConfigRead read) {
-    callbacks.push_back([done = std::move(done), error = std::move(error), read = std::move(read)] {
-      done(error, read);
-    });
-  }
-
-  const ConfigTree& CurrentTree() const {
-    return pulled_tree.revision > committed_tree.revision ? pulled_tree : committed_tree;
-  }
-  Time Now() {
-    now = std::max(now, options.clock());
-    return now;
-  }
-  bool IsLeader() const { return consensus && storage_ok && consensus->role == Role::kLeader; }
-  bool IsMember() const {
-    return consensus && (consensus->members.voters.count(options.self) != 0 ||
-                         consensus->members.learners.count(options.self) != 0);
-  }
-
-  // ---- journal writes and messages
-
-  void ProcessReady(Ready ready) {
-    for (const Notice& notice : ready.notices) OnNotice(notice);
-    if (ready.NeedsPersist() || !ready.send.empty()) PersistAndEnqueue(ready);
-    ApplyCommitted(std::move(ready));
-    if (log_bytes > kMaxLogBytes) Compact();
-    FlushOutgoing();
-  }
-
-  // Starts the journal write that the Ready needs and queues its messages behind the write.
-  void PersistAndEnqueue(const Ready& ready) {
-    Outgoing item;
-    item.send = ready.send;
-    item.mark = ready.mark;
-    if (ready.NeedsPersist()) item.write_id = next_write_id++;
-    outgoing.push_back(std::move(item));
-    if (!ready.NeedsPersist()) return;
-    uint64_t write_id = outgoing.back().write_id;
-    if (ready.persist_all) {
-      RewriteJournal([this, write_id](bool ok) { OnWritten(write_id, ok); });
-    } else {
-      std::string record = ConsensusRecord(ready, consensus->hard_state);
-      log_bytes += record.size();
-      options.journal->Append(std::move(record), OnControlThread([this, write_id](bool ok) {
-                                OnWritten(write_id, ok);
-                              }));
-    }
-  }
-
-  // Replaces the contents of the journal by the current state.
-  void RewriteJournal(std::function<void(bool)> done) {
-    log_bytes = 0;
-    ++journal_rewrites;
-    options.journal->Compact(JournalSnapshot(ToPersisted(*consensus), pulled_tree),
-                             OnControlThread(std::move(done)));
-  }
-
-  // The returned function may be called on any thread.
-  Journal::Done OnControlThread(std::function<void(bool)> fn) {
-    std::weak_ptr<bool> weak = alive;
-    Post post = options.post;
-    return [this, weak, post, fn = std::move(fn)](bool ok) {
-      post([this, weak, fn, ok] {
-        if (!weak.lock()) return;
-        CallbackScope scope(this);
-        fn(ok);
-      });
-    };
-  }
-
-  void OnWritten(uint64_t write_id, bool ok) {
-    if (write_id < first_valid_write_id) return;
-    if (!ok) {
-      FailStorage();
-      return;
-    }
-    for (Outgoing& item : outgoing) {
-      if (item.write_id == write_id) item.durable = true;
-    }
-    FlushOutgoing();
-  }
-
-  void FlushOutgoing() {
-    while (!outgoing.empty() && (outgoing.front().write_id == 0 || outgoing.front().durable)) {
-      Outgoing item = std::move(outgoing.front());
-      outgoing.pop_front();
-      for (const ConsensusMessage& message : item.send) {
-        options.send(message.to, EncodeMessage(message));
-      }
-      if (item.write_id != 0) ProcessReady(OnPersisted(&*consensus, item.mark, Now(), rng));
-    }
-  }
-
-  // After a failed write, memory may be ahead of the disk. The host takes no part in the consensus
-  // until a write of the whole state succeeds, which makes them equal again.
-  void FailStorage() {
-    if (!storage_ok) return;
-    if (IsLeader()) {
-      LogEvent(EventId::kLeaderSteppedDown, {{"term", std::to_string(consensus->hard_state.term)},
-                                             {"reason", "a disk write failed"}});
-    }
-    storage_ok = false;
-    storage_retry_at = now + kStorageRetryInterval;
-    outgoing.clear();
-    first_valid_write_id = next_write_id;
-    FailPending(ErrorKind::kConfigUnknown,
-                "a disk write failed on the leader; retry the change with the same request id");
-  }
-
-  void RetryStorage() {
-    if (storage_ok || !storage_retry_at || now < *storage_retry_at) return;
-    storage_retry_at.reset();
-    uint64_t written = pulled_tree.revision;
-    RewriteJournal([this, written](bool ok) {
-      // Revisions pulled during the write are in memory only, so they need another write.
-      if (ok && written == pulled_tree.revision) {
-        ResumeAfterStorageFailure();
-      } else {
-        storage_retry_at = ok ? now : now + kStorageRetryInterval;
-      }
-    });
-  }
-
-  void ResumeAfterStorageFailure() {
-    Consensus restored = RestoreConsensus(options.self, ToPersisted(*consensus), Now(), rng);
-    restored.delivered_index = consensus->delivered_index;
-    restored.restore_pending = consensus->restore_pending;
-    restored.disk_lost = consensus->disk_lost;
-    consensus = std::move(restored);
-    storage_ok = true;
-  }
-
-  void Compact() {
-    if (!consensus || consensus->restore_pending || !storage_ok) return;
-    auto snapshot = std::make_shared<const std::string>(ToSnapshot(committed_tree));
-    TakeSnapshot(&*consensus, consensus->delivered_index, std::move(snapshot), kRetainedLogEntries);
-    Outgoing item;
-    item.write_id = next_write_id++;
-    item.mark = {LastIndex(*consensus),
-                 consensus->log.empty() ? consensus->base_term : consensus->log.back().term,
-                 consensus->hard_state.commit};
-    uint64_t write_id = item.write_id;
-    outgoing.push_back(std::move(item));
-    RewriteJournal([this, write_id](bool ok) { OnWritten(write_id, ok); });
-  }
-
-  // ---- applying committed entries
-
-  void ApplyCommitted(Ready ready) {
-    std::vector<std::string> changed;
-    bool rebuild = false;
-    uint64_t before = CurrentTree().revision;
-    if (ready.restored_snapshot) {
-      committed_tree = FromSnapshot(*ready.restored_snapshot);
-      rebuild = true;
-      LogEvent(EventId::kConfigSnapshotLoaded,
-               {{"revision", std::to_string(committed_tree.revision)}, {"source", "consensus"}});
-    }
-    for (const LogEntry& entry : ready.committed) {
-      if (entry.kind == EntryKind::kPut) ApplyEntry(entry, &changed);
-      if (entry.kind == EntryKind::kMembers) AnswerVoterChanges(DecodeMembers(entry.data));
-    }
-    if (pulled_tree.revision != 0 && committed_tree.revision >= pulled_tree.revision) {
-      pulled_tree = ConfigTree();
-      rebuild = true;
-    }
-    if (CurrentTree().revision > before) Publish(rebuild, changed);
-    AnswerReads();
-    ProposeQueuedPuts();
-  }
-
-  void ApplyEntry(const LogEntry& entry, std::vector<std::string>* changed) {
-    auto [put, accepted_at] = DecodePut(entry.data);
-    PutResult result = ApplyPut(&committed_tree, put, accepted_at);
-    if (result.outcome == PutOutcome::kApplied) {
-      changed->push_back(put.path);
-      LogEvent(EventId::kConfigApplied, {{"revision", std::to_string(result.revision)},
-                                         {"path", put.path},
-                                         {"operator", put.operator_name}});
-    }
-    auto pending = puts.find(entry.index);
-    if (pending == puts.end()) return;
-    if (pending->second.done) Answer(std::move(pending->second.done), MakeAnswer(put, result));
-    puts.erase(pending);
-    proposed_request_ids.erase({put.operator_name, put.request_id});
-    auto change = proposed.find(put.path);
-    if (change != proposed.end() && change->second.revision <= committed_tree.revision) {
-      proposed.erase(change);
-    }
-  }
-
-  // Building a view copies the previous one, which takes tens of milliseconds with 28,000 teams.
-  // During a burst of changes at most a tenth of the time is spent on views, so that heartbeats are
-  // still sent in time.
-  void Publish(bool rebuild, const std::vector<std::string>& changed) {
-    rebuild_view = rebuild_view || rebuild;
-    if (!rebuild_view) changed_paths.insert(changed_paths.end(), changed.begin(), changed.end());
-    AnswerWatches();
-    if (now >= next_view_at) PublishView();
-  }
-
-  void PublishView() {
-    const ConfigTree& tree = CurrentTree();
-    Time started = options.clock();
-    ConfigView next =
-        rebuild_view ? BuildConfigView(tree) : UpdateConfigView(*view, tree, changed_paths);
-    view = std::make_shared<const ConfigView>(std::move(next));
-    rebuild_view = false;
-    changed_paths.clear();
-    Time ended = options.clock();
-    next_view_at = ended + std::min<Duration>(kMaxViewDelay, 9 * (ended - started));
-    if (view_changed) callbacks.push_back(view_changed);
-  }
-
-  void OnNotice(const Notice& notice) {
-    std::string term = std::to_string(consensus->hard_state.term);
-    switch (notice.kind) {
-      case NoticeKind::kElected:
-        ClearProposed();
-        LogEvent(EventId::kLeaderElected, {{"term", term}});
-        return;
-      case NoticeKind::kSteppedDown:
-        LogEvent(EventId::kLeaderSteppedDown, {{"term", term}, {"reason", notice.details}});
-        FailPending(ErrorKind::kConfigUnknown,
-                    "the leader changed; retry the change with the same request id");
-        return;
-      case NoticeKind::kTermChanged:
-        LogEvent(EventId::kTermChanged, {{"term", term}, {"leader", consensus->leader.value()}});
-        return;
-      case NoticeKind::kMembersChanged:
-        LogEvent(EventId::kVoterChanged, {{"voters", notice.details}});
-        return;
-      case NoticeKind::kDiskLost:
-        LogEvent(EventId::kVoterDiskLost, {{"reason", notice.details}});
-        return;
-      case NoticeKind::kConfirmed:
-        LogEvent(EventId::kVoterConfirmed, {{"reason", notice.details}});
-        return;
-    }
-  }
-
-  // ---- changes proposed on the leader
-
-  void ClearProposed() {
-    proposed.clear();
-    proposed_request_ids.clear();
-    proposed_revision = committed_tree.revision;
-  }
-
-  bool MayPropose() const {
-    return IsLeader() && CanPropose(*consensus) &&
-           consensus->delivered_index >= consensus->term_start;
-  }
-
-  void ProposeQueuedPuts() {
-    while (MayPropose() && !queued_puts.empty()) {
-      PendingPut put = std::move(queued_puts.front());
-      queued_puts.pop_front();
-      ProposePut(std::move(put));
-    }
-  }
-
-  void RejectPut(const PendingPut& put, ErrorKind kind, const std::string& message) {
-    LogEvent(EventId::kConfigRefused, {{"path", put.put.path}, {"kind", LookupError(kind).code}});
-    Answer(put.done, MakeErrorAnswer(kind, message));
-  }
-
-  // Validates the change and proposes it. Precondition: MayPropose().
-  void ProposePut(PendingPut pending) {
-    NormaliseValue(&pending.put);
-    const ConfigPut& put = pending.put;
-    if (std::optional<PutResult> first = FindRecordedResult(committed_tree, put)) {
-      Answer(pending.done, MakeAnswer(put, *first));
-      return;
-    }
-    std::vector<SchemaIssue> issues =
-        put.value ? Validate(put.path, *put.value) : ValidatePath(put.path);
-    bool effective = issues.empty() && WillChangeTree(put);
-    if (effective) {
-      issues = ValidateInTree(ProposedTreeReader(committed_tree, proposed), put.path, put.value);
-    }
-    if (!issues.empty()) {
-      RejectPut(pending, ErrorKind::kConfigInvalid, DescribeIssues(put.path, issues));
-      return;
-    }
-    std::optional<Proposal> proposal =
-        Propose(&*consensus, EntryKind::kPut, EncodePut(put, options.wall()), now);
-    if (puts.empty()) ClearProposed();
-    if (effective) proposed[put.path] = Proposed{put.value, ++proposed_revision};
-    if (!put.request_id.empty()) proposed_request_ids.insert({put.operator_name, put.request_id});
-    puts[proposal->index] = std::move(pending);
-    ProcessReady(std::move(proposal->ready));
-  }
-
-  // Returns whether the put will change the tree when it is applied. One that will not (a conflict
-  // or a retry) is still proposed, so that its answer is based on a committed state.
-  bool WillChangeTree(const ConfigPut& put) const {
-    if (proposed_request_ids.count({put.operator_name, put.request_id}) != 0) return false;
-    uint64_t current = PathRevision(committed_tree, put.path);
-    auto change = proposed.find(put.path);
-    if (change != proposed.end()) {
-      current = change->second.value ? change->second.revision : 0;
-    }
-    return current == put.base_revision && (put.value || current != 0);
-  }
-
-  void FailPending(ErrorKind kind, const std::string& message) {
-    auto pending_puts = std::move(puts);
-    puts.clear();
-    ClearProposed();
-    auto changes = std::move(voter_changes);
-    voter_changes.clear();
-    for (auto& [index, put] : pending_puts) {
-      if (put.done) Answer(std::move(put.done), MakeErrorAnswer(kind, message));
-    }
-    for (PendingVoterChange& change : changes) Answer(change.done, MakeErrorAnswer(kind, message));
-  }
-
-  void AnswerVoterChanges(const MemberSet& members) {
-    auto waiting = std::move(voter_changes);
-    voter_changes.clear();
-    for (PendingVoterChange& change : waiting) {
-      bool is_voter = members.voters.count(change.host) != 0;
-      bool is_member = is_voter || members.learners.count(change.host) != 0;
-      if (change.add ? is_voter : !is_member) {
-        Answer(change.done, PutAnswer());
-      } else {
-        voter_changes.push_back(std::move(change));
-      }
-    }
-  }
-
-  std::optional<HostId> ChangeVoter(const HostId& host, bool add, PutDone done) {
-    if (!IsLeader()) return RouteToLeader(done);
-    MemberSet next = consensus->members;
-    bool is_voter = next.voters.count(host) != 0;
-    bool is_member = is_voter || next.learners.count(host) != 0;
-    if (add ? is_voter : !is_member) {
-      Answer(std::move(done), PutAnswer());
-      return std::nullopt;
-    }
-    next.voters.erase(host);
-    next.learners.erase(host);
-    if (add) next.learners.insert(host);
-    std::optional<Proposal> proposal = ProposeMembers(&*consensus, next, Now());
-    if (!proposal) {
-      Answer(std::move(done), MakeErrorAnswer(ErrorKind::kConfigConflict,
-                                              "another change of the voters is still in progress"));
-      return std::nullopt;
-    }
-    voter_changes.push_back({host, add, std::move(done), now + kVoterChangeTimeout});
-    ProcessReady(std::move(proposal->ready));
-    return std::nullopt;
-  }
+  void AnswerReads();
+  void ProposeQueuedPuts();
+  void RunTimers();
+  std::optional<HostId> ChangeVoter(const HostId& host, bool add, PutDone done);
 
   // Returns the host to ask instead of this one. Without one, answers kNoQuorum and returns
   // nullopt.
   template <typename Done>
-  std::optional<HostId> RouteToLeader(const Done& done) {
-    std::optional<HostId> leader = KnownLeader();
-    if (leader && *leader != options.self) return leader;
-    if (!IsMember()) {
-      const std::vector<HostId>& voters = voter_hint.empty() ? options.voters : voter_hint;
-      for (size_t i = 0; i < voters.size(); ++i) {
-        const HostId& voter = voters[next_voter++ % voters.size()];
-        if (voter != options.self) return voter;
-      }
-    }
-    AnswerNoQuorum(done);
-    return std::nullopt;
-  }
-
-  void AnswerNoQuorum(const PutDone& done) {
-    Answer(done, MakeErrorAnswer(ErrorKind::kNoQuorum, "the voters have no leader"));
-  }
-  void AnswerNoQuorum(const ReadDone& done) {
-    Answer(done, Error(ErrorKind::kNoQuorum, "the voters have no leader"), ConfigRead());
-  }
+  std::optional<HostId> RouteToLeader(const Done& done);
+  void AnswerNoQuorum(const PutDone& done) { QueueAnswer(&callbacks, done, MakeNoQuorumAnswer()); }
+  void AnswerNoQuorum(const ReadDone& done) { reads.AnswerNoQuorum(done); }
+
+  const Options options;
+  CallbackQueue callbacks;
+  ReplicaClock clock;
+  ConfigTrees trees;
+  ConfigJournal journal;
+  DurableConsensus consensus;
+  LeaderLocator locator;
+  PulledRevisions pulled;
+  ServedSnapshot served_snapshot;
+  ConfigReads reads;
+  ConfigWatches watches;
+  ConfigPuts puts;
+  VoterChanges voter_changes;
+  ConfigViewPublisher publisher;
 
-  std::optional<HostId> KnownLeader() const {
-    if (IsMember()) {
-      if (!storage_ok || consensus->leader.empty()) return std::nullopt;
-      return consensus->leader;
-    }
-    if (leader_hint.empty()) return std::nullopt;
-    return leader_hint;
-  }
-
-  // ---- reads and watches
-
-  void AnswerReads() {
-    auto waiting = std::move(reads);
-    reads.clear();
-    for (PendingRead& read : waiting) {
-      if (!IsLeader() || now >= read.deadline) {
-        AnswerNoQuorum(read.done);
-      } else if (consensus->delivered_index >= read.index && LeaseValid(*consensus, Now())) {
-        Answer(read.done, std::nullopt,
-               {committed_tree.revision, ReadTree(committed_tree, read.path)});
-      } else {
-        reads.push_back(std::move(read));
-      }
-    }
-  }
-
-  std::vector<ConfigChange> ChangesSince(uint64_t from) const {
-    const ConfigTree& tree = CurrentTree();
-    if (from >= tree.revision) return {};
-    if (auto changes = DeltasSince(tree, from, kMaxPullBytes)) return *changes;
-    return std::vector<ConfigChange>(tree.history.begin(), tree.history.end());
-  }
-
-  void AnswerWatches() {
-    auto waiting = std::move(watches);
-    watches.clear();
-    for (PendingWatch& watch : waiting) {
-      if (CurrentTree().revision > watch.from || now >= watch.deadline) {
-        callbacks.push_back(
-            [done = std::move(watch.done), changes = ChangesSince(watch.from)] { done(changes); });
-      } else {
-        watches.push_back(std::move(watch));
-      }
-    }
-  }
-
-  void RunTimers() {
-    if (view->revision < CurrentTree().revision && now >= next_view_at) PublishView();
-    AnswerReads();
-    AnswerWatches();
-    while (!queued_puts.empty() && (!IsLeader() || now >= queued_puts.front().deadline)) {
-      PendingPut put = std::move(queued_puts.front());
-      queued_puts.pop_front();
-      RejectPut(put, ErrorKind::kNoQuorum, "the voters have no leader");
-    }
-    // The entry of a timed-out put stays in `puts`: it may still be committed, and later puts were
-    // validated on top of it.
-    for (auto& [index, put] : puts) {
-      if (!put.done || now < put.deadline) continue;
-      Answer(std::move(put.done), MakeErrorAnswer(ErrorKind::kConfigUnknown,
-                                                  "no majority of the voters answered in time"));
-      put.done = nullptr;
-    }
-    auto changes = std::move(voter_changes);
-    voter_changes.clear();
-    for (PendingVoterChange& change : changes) {
-      if (now >= change.deadline) {
-        Answer(change.done, MakeErrorAnswer(ErrorKind::kConfigUnknown,
-                                            "the change of the voters did not complete in time"));
-      } else {
-        voter_changes.push_back(std::move(change));
-      }
-    }
-  }
+ private:
+  DurableConsensus::Options MakeConsensusOptions();
+};
 
-  // ---- pulling revisions
+ConfigReplica::Impl::Impl(Options replica_options)
+    : options(std::move(replica_options)),
+      clock(options.clock),
+      journal(options.journal, options.post, &callbacks),
+      consensus(MakeConsensusOptions(), &clock, &trees, &journal),
+      locator(options.self, options.voters, &consensus),
+      pulled(&trees, &journal, &consensus,
+             [this](bool whole_tree, const std::vector<std::string>& changed) {
+               Publish(whole_tree, changed);
+             }),
+      reads(&clock, &callbacks),
+      watches(&callbacks),
+      puts(&trees.committed, &clock, options.wall, &callbacks),
+      voter_changes(&clock, &callbacks),
+      publisher(&clock, &callbacks) {}
+
+DurableConsensus::Options ConfigReplica::Impl::MakeConsensusOptions() {
+  DurableConsensus::Options result;
+  result.self = options.self;
+  result.seed = options.seed;
+  result.max_log_bytes = kMaxLogBytes;
+  result.handlers.send = options.send;
+  result.handlers.apply = [this](Ready ready) { Apply(std::move(ready)); };
+  result.handlers.on_elected = [this] { puts.OnElected(); };
+  result.handlers.on_proposals_lost = [this](const std::string& reason) {
+    puts.FailProposed(ErrorKind::kConfigUnknown, reason);
+    voter_changes.Fail(ErrorKind::kConfigUnknown, reason);
+  };
+  return result;
+}
 
-  std::string MakePullResponse(uint64_t revision, uint64_t offset) {
-    const ConfigTree& tree = CurrentTree();
-    ByteWriter writer;
-    std::optional<HostId> leader = KnownLeader();
-    writer.String(leader ? leader->value() : "");
-    std::vector<HostId> voters = CurrentVoters();
-    writer.U32(static_cast<uint32_t>(voters.size()));
-    for (const HostId& voter : voters) writer.String(voter.value());
-    if (revision >= tree.revision) {
-      writer.U8(static_cast<uint8_t>(PullResponseKind::kUpToDate));
-      return writer.Take();
-    }
-    if (auto changes = DeltasSince(tree, revision, kMaxPullBytes)) {
-      writer.U8(static_cast<uint8_t>(PullResponseKind::kDeltas));
-      writer.Bool(changes->back().revision < tree.revision);
-      writer.String(EncodeChanges(*changes));
-      return writer.Take();
-    }
-    RefreshServedSnapshot(revision);
-    offset = std::min<uint64_t>(offset, served_snapshot->size());
-    writer.U8(static_cast<uint8_t>(PullResponseKind::kSnapshot));
-    writer.U64(served_snapshot_revision);
-    writer.U64(served_snapshot->size());
-    writer.U64(offset);
-    writer.String(served_snapshot->substr(offset, kMaxPullBytes));
-    return writer.Take();
+void ConfigReplica::Impl::Start(Time start) {
+  clock.AdvanceTo(start);
+  clock.Update();
+  if (!options.journal) return;
+  ConfigJournalContents contents = ReadConfigJournal(options.journal.get());
+  if (!contents.empty) {
+    consensus.Restore(std::move(contents.consensus));
+    const auto& snapshot = consensus.state()->snapshot;
+    if (snapshot) trees.committed = FromSnapshot(*snapshot);
+    trees.pulled = std::move(contents.pulled_tree);
+    // Applies the entries that were committed before the restart.
+    consensus.Tick();
+  } else {
+    bool lost = options.journal->LostContents();
+    if (lost) LogEvent(EventId::kVoterDiskLost, {{"reason", "the journal is missing"}});
+    std::set<HostId> voters(options.voters.begin(), options.voters.end());
+    consensus.Create(voters, options.may_bootstrap && !lost);
   }
+  if (CurrentTree().revision > publisher.view()->revision) Publish(/*whole_tree=*/true, {});
+}
 
-  // Keeps the cached snapshot while the history still has all later changes. A transfer in parts
-  // can then complete and continue with deltas.
-  void RefreshServedSnapshot(uint64_t revision) {
-    const ConfigTree& tree = CurrentTree();
-    bool usable = served_snapshot && served_snapshot_revision > revision &&
-                  DeltasSince(tree, served_snapshot_revision, 1).has_value();
-    if (usable) return;
-    served_snapshot =
-        std::make_shared<const std::string>(ToSnapshot(tree, /*with_requests=*/false));
-    served_snapshot_revision = tree.revision;
+void ConfigReplica::Impl::Apply(Ready ready) {
+  std::vector<std::string> changed;
+  bool rebuild = false;
+  uint64_t before = CurrentTree().revision;
+  if (ready.restored_snapshot) {
+    trees.committed = FromSnapshot(*ready.restored_snapshot);
+    rebuild = true;
+    LogEvent(EventId::kConfigSnapshotLoaded,
+             {{"revision", std::to_string(trees.committed.revision)}, {"source", "consensus"}});
   }
-
-  bool ApplyPullResponse(std::string_view bytes, const HostId& from) {
-    ByteReader reader(bytes);
-    HostId leader(reader.String());
-    std::vector<HostId> voters;
-    for (uint32_t n = reader.U32(); n > 0; --n) voters.emplace_back(reader.String());
-    if (!leader.empty()) leader_hint = leader;
-    if (!voters.empty()) voter_hint = voters;
-    switch (static_cast<PullResponseKind>(reader.U8())) {
-      case PullResponseKind::kUpToDate:
-        return false;
-      case PullResponseKind::kDeltas: {
-        bool more = reader.Bool();
-        PersistPulledChanges(DecodeChanges(reader.String()), from);
-        return more;
-      }
-      case PullResponseKind::kSnapshot:
-        return ReceiveSnapshotPart(&reader, from);
-    }
-    throw Error(ErrorKind::kBadRequest, "unknown kind of response to a configuration pull");
+  for (const LogEntry& entry : ready.committed) {
+    if (entry.kind == EntryKind::kPut) ApplyPut(entry, &changed);
+    if (entry.kind == EntryKind::kMembers) voter_changes.OnCommitted(DecodeMembers(entry.data));
   }
-
-  // Writes the changes to the journal, then applies and publishes them.
-  void PersistPulledChanges(std::vector<ConfigChange> changes, const HostId& from) {
-    if (changes.empty()) return;
-    uint64_t newest = changes.back().revision;
-    if (newest <= CurrentTree().revision) return;
-    // With a failed disk the newest configuration still takes effect; the storage retry writes it.
-    if (!consensus || !storage_ok) {
-      ApplyPulledChanges(changes, from);
-      return;
-    }
-    // The same changes may be pulled again while their first write is in progress.
-    if (newest <= pulled_revision_in_write) return;
-    // Journaled deltas apply to the pulled tree. The first pull writes that tree to the journal.
-    if (pulled_tree.revision == 0 && committed_tree.revision != 0) {
-      PersistPulledTree(committed_tree, changes, from);
-      return;
-    }
-    pulled_revision_in_write = newest;
-    std::string record = PulledRecord(changes);
-    log_bytes += record.size();
-    auto on_done = [this, changes, from, before = journal_rewrites](bool ok) {
-      pulled_revision_in_write = 0;
-      if (!ok) FailStorage();
-      if (journal_rewrites != before) {
-        // The journal was rewritten without these changes.
-        PersistPulledChanges(changes, from);
-      } else {
-        ApplyPulledChanges(changes, from);
-      }
-    };
-    options.journal->Append(std::move(record), OnControlThread(std::move(on_done)));
+  if (trees.pulled.revision != 0 && trees.committed.revision >= trees.pulled.revision) {
+    trees.pulled = ConfigTree();
+    rebuild = true;
   }
+  if (CurrentTree().revision > before) Publish(rebuild, changed);
+  AnswerReads();
+  ProposeQueuedPuts();
+}
 
-  // Applies and publishes changes that are on disk or need not be.
-  void ApplyPulledChanges(const std::vector<ConfigChange>& changes, const HostId& from) {
-    uint64_t before = CurrentTree().revision;
-    if (pulled_tree.revision < committed_tree.revision) pulled_tree = committed_tree;
-    std::vector<std::string> changed;
-    for (const ConfigChange& change : changes) {
-      if (ApplyChange(&pulled_tree, change)) changed.push_back(change.path);
-    }
-    if (CurrentTree().revision <= before) return;
-    LogCaughtUp(before, from);
-    Publish(/*rebuild=*/false, changed);
-    if (consensus && log_bytes > kMaxLogBytes) Compact();
+void ConfigReplica::Impl::ApplyPut(const LogEntry& entry, std::vector<std::string>* changed) {
+  auto [put, accepted_at] = DecodePut(entry.data);
+  PutResult result = ebonylift::ApplyPut(&trees.committed, put, accepted_at);
+  if (result.outcome == PutOutcome::kApplied) {
+    changed->push_back(put.path);
+    LogEvent(EventId::kConfigApplied, {{"revision", std::to_string(result.revision)},
+                                       {"path", put.path},
+                                       {"operator", put.operator_name}});
   }
+  puts.OnApplied(entry.index, put, result);
+}
 
-  // Applies `changes` to `tree`, writes the result to the journal and then publishes it.
-  void PersistPulledTree(ConfigTree tree, const std::vector<ConfigChange>& changes,
-                         const HostId& from) {
-    for (const ConfigChange& change : changes) ApplyChange(&tree, change);
-    if (tree.revision <= CurrentTree().revision) return;
-    if (!consensus || !storage_ok) {
-      ApplyPulledTree(std::move(tree), from);
-      return;
-    }
-    if (tree.revision <= pulled_revision_in_write) return;
-    pulled_revision_in_write = tree.revision;
-    log_bytes = 0;
-    uint64_t rewrite_id = ++journal_rewrites;
-    std::string bytes = JournalSnapshot(ToPersisted(*consensus), tree);
-    auto shared = std::make_shared<ConfigTree>(std::move(tree));
-    auto on_done = [this, shared, from, rewrite_id](bool ok) {
-      pulled_revision_in_write = 0;
-      if (!ok) FailStorage();
-      if (journal_rewrites != rewrite_id) {
-        // The journal was rewritten without this tree.
-        PersistPulledTree(std::move(*shared), {}, from);
-      } else {
-        ApplyPulledTree(std::move(*shared), from);
-      }
-    };
-    options.journal->Compact(std::move(bytes), OnControlThread(std::move(on_done)));
-  }
+void ConfigReplica::Impl::Publish(bool whole_tree, const std::vector<std::string>& changed) {
+  publisher.AddChanges(whole_tree, changed);
+  watches.Answer(CurrentTree(), clock.now());
+  publisher.PublishIfDue(CurrentTree());
+}
 
-  void ApplyPulledTree(ConfigTree tree, const HostId& from) {
-    uint64_t before = CurrentTree().revision;
-    if (tree.revision <= before) return;
-    pulled_tree = std::move(tree);
-    LogCaughtUp(before, from);
-    Publish(/*rebuild=*/true, {});
-  }
+void ConfigReplica::Impl::AnswerReads() {
+  reads.Answer(IsLeader() ? consensus.state() : nullptr, trees.committed);
+}
 
-  void LogCaughtUp(uint64_t before, const HostId& from) {
-    LogEvent(EventId::kConfigCaughtUp, {{"from", std::to_string(before)},
-                                        {"to", std::to_string(CurrentTree().revision)},
-                                        {"host", from.value()}});
+void ConfigReplica::Impl::ProposeQueuedPuts() {
+  while (consensus.MayPropose() && puts.HasQueued()) {
+    auto ready = puts.ProposeQueued(consensus.mutable_state());
+    if (ready) consensus.Process(std::move(*ready));
   }
+}
 
-  bool ReceiveSnapshotPart(ByteReader* reader, const HostId& from) {
-    uint64_t revision = reader->U64();
-    uint64_t total = reader->U64();
-    uint64_t offset = reader->U64();
-    std::string data = reader->String();
-    bool malformed = total > kMaxPulledSnapshotBytes || offset > total ||
-                     data.size() > total - offset || (data.empty() && total != offset);
-    if (malformed) throw Error(ErrorKind::kBadRequest, "malformed snapshot part");
-    if (revision <= CurrentTree().revision) {
-      partial_snapshot.clear();
-      return false;
-    }
-    if (revision != partial_snapshot_revision || offset == 0) partial_snapshot.clear();
-    partial_snapshot_revision = revision;
-    if (offset != partial_snapshot.size()) return true;  // continue at pull_offset()
-    partial_snapshot += data;
-    if (partial_snapshot.size() < total) return true;
-    ConfigTree tree = FromSnapshot(partial_snapshot);
-    partial_snapshot.clear();
-    LogEvent(EventId::kConfigSnapshotLoaded,
-             {{"revision", std::to_string(tree.revision)}, {"source", from.value()}});
-    PersistPulledTree(std::move(tree), {}, from);
-    return false;
-  }
+void ConfigReplica::Impl::RunTimers() {
+  if (publisher.view()->revision < CurrentTree().revision) publisher.PublishIfDue(CurrentTree());
+  AnswerReads();
+  watches.Answer(CurrentTree(), clock.now());
+  puts.AnswerOverdue(IsLeader());
+  voter_changes.AnswerOverdue();
+}
 
-  std::vector<HostId> CurrentVoters() const {
-    if (consensus && (IsMember() || LastIndex(*consensus) != 0)) {
-      return std::vector<HostId>(consensus->members.voters.begin(),
-                                 consensus->members.voters.end());
-    }
-    return voter_hint.empty() ? options.voters : voter_hint;
-  }
+std::optional<HostId> ConfigReplica::Impl::ChangeVoter(const HostId& host, bool add, PutDone done) {
+  if (!IsLeader()) return RouteToLeader(done);
+  auto ready = voter_changes.Propose(consensus.mutable_state(), host, add, std::move(done));
+  if (ready) consensus.Process(std::move(*ready));
+  return std::nullopt;
+}
 
-  void Start(Time start) {
-    now = std::max(start, options.clock());
-    if (!options.journal) return;
-    JournalContents contents = ReadJournal(options.journal.get());
-    if (!contents.empty) {
-      consensus = RestoreConsensus(options.self, std::move(contents.consensus), now, rng);
-      if (consensus->snapshot) committed_tree = FromSnapshot(*consensus->snapshot);
-      pulled_tree = std::move(contents.pulled_tree);
-      // Applies the entries that were committed before the restart.
-      ProcessReady(ebonylift::Tick(&*consensus, now, rng));
-    } else {
-      bool lost = options.journal->LostContents();
-      if (lost) LogEvent(EventId::kVoterDiskLost, {{"reason", "the journal is missing"}});
-      std::set<HostId> voters(options.voters.begin(), options.voters.end());
-      // The disk name must differ from that of a lost disk, so it is not derived from the seed.
-      bool may_bootstrap = options.may_bootstrap && !lost;
-      consensus = NewConsensus(options.self, voters, RandomHex(8), may_bootstrap, now, rng);
-      Outgoing item;
-      item.write_id = next_write_id++;
-      uint64_t write_id = item.write_id;
-      outgoing.push_back(std::move(item));
-      RewriteJournal([this, write_id](bool ok) { OnWritten(write_id, ok); });
-    }
-    if (CurrentTree().revision > view->revision) Publish(/*rebuild=*/true, {});
-  }
-};
+template <typename Done>
+std::optional<HostId> ConfigReplica::Impl::RouteToLeader(const Done& done) {
+  std::optional<HostId> host = locator.HostToAsk();
+  if (!host) AnswerNoQuorum(done);
+  return host;
+}
 
-ConfigReplica::ConfigReplica(Options options) : impl_(std::make_unique<Impl>()) {
+ConfigReplica::ConfigReplica(Options options) {
   bool voter =
       std::find(options.voters.begin(), options.voters.end(), options.self) != options.voters.end();
   if (voter && !options.journal) {
     throw Error(ErrorKind::kInternal, "a voter requires a data directory");
   }
-  impl_->rng.seed(options.seed);
-  impl_->options = std::move(options);
+  impl_ = std::make_unique<Impl>(std::move(options));
 }
 
 ConfigReplica::~ConfigReplica() = default;
 
 void ConfigReplica::Start(Time now) {
-  Impl::CallbackScope scope(impl_.get());
+  CallbackQueue::Scope scope(&impl_->callbacks);
   impl_->Start(now);
 }
 
 void ConfigReplica::OnMessage(const HostId& from, std::string_view bytes) {
-  Impl::CallbackScope scope(impl_.get());
-  if (!impl_->consensus || !impl_->storage_ok) return;
-  ConsensusMessage message;
-  try {
-    message = DecodeMessage(bytes);
-    if (message.from != from) throw Error(ErrorKind::kBadRequest, "sender host mismatch");
-  } catch (const Error& error) {
-    LogEvent(EventId::kPeerMessageRefused, {{"host", from.value()}, {"reason", error.what()}});
-    return;
-  }
-  impl_->ProcessReady(Step(&*impl_->consensus, message, impl_->Now(), impl_->rng));
+  CallbackQueue::Scope scope(&impl_->callbacks);
+  impl_->consensus.OnMessage(from, bytes);
 }
 
 void ConfigReplica::Tick(Time now) {
-  Impl::CallbackScope scope(impl_.get());
-  impl_->now = std::max(impl_->now, now);
-  impl_->RetryStorage();
-  if (impl_->consensus && impl_->storage_ok) {
-    impl_->ProcessReady(ebonylift::Tick(&*impl_->consensus, impl_->now, impl_->rng));
-  }
+  CallbackQueue::Scope scope(&impl_->callbacks);
+  impl_->clock.AdvanceTo(now);
+  impl_->consensus.Tick();
   impl_->RunTimers();
 }
 
 std::optional<HostId> ConfigReplica::Put(const ConfigPut& put, PutDone done) {
-  Impl::CallbackScope scope(impl_.get());
-  impl_->Now();
-  if (impl_->consensus && !impl_->storage_ok && impl_->IsMember()) {
-    impl_->Answer(std::move(done),
-                  MakeErrorAnswer(ErrorKind::kStorageFailed, "this host cannot write to its disk"));
+  CallbackQueue::Scope scope(&impl_->callbacks);
+  impl_->clock.Update();
+  if (impl_->consensus.IsMember() && !impl_->consensus.storage_ok()) {
+    QueueAnswer(&impl_->callbacks, std::move(done),
+                MakePutError(ErrorKind::kStorageFailed, "this host cannot write to its disk"));
     return std::nullopt;
   }
   if (!impl_->IsLeader()) return impl_->RouteToLeader(done);
-  if (impl_->puts.size() + impl_->queued_puts.size() >= kMaxPendingPuts) {
-    impl_->Answer(std::move(done), MakeErrorAnswer(ErrorKind::kOverloaded,
-                                                   "too many configuration changes are pending"));
+  if (impl_->puts.size() >= kMaxPendingPuts) {
+    QueueAnswer(&impl_->callbacks, std::move(done),
+                MakePutError(ErrorKind::kOverloaded, "too many configuration changes are pending"));
     return std::nullopt;
   }
-  PendingPut pending{put, std::move(done), impl_->now + kPutTimeout};
-  if (impl_->MayPropose()) {
-    impl_->ProposePut(std::move(pending));
-  } else {
-    impl_->queued_puts.push_back(std::move(pending));
+  if (!impl_->consensus.MayPropose()) {
+    impl_->puts.Enqueue(put, std::move(done));
+    return std::nullopt;
   }
+  auto ready = impl_->puts.Propose(impl_->consensus.mutable_state(), put, std::move(done));
+  if (ready) impl_->consensus.Process(std::move(*ready));
   return std::nullopt;
 }
 
 std::optional<HostId> ConfigReplica::ReadCurrent(const std::string& path, ReadDone done) {
-  Impl::CallbackScope scope(impl_.get());
+  CallbackQueue::Scope scope(&impl_->callbacks);
   if (!impl_->IsLeader()) return impl_->RouteToLeader(done);
-  Time now = impl_->Now();
-  impl_->reads.push_back({path, std::move(done), ReadIndex(*impl_->consensus), now + kReadTimeout});
+  impl_->reads.Add(*impl_->consensus.state(), path, std::move(done));
   impl_->AnswerReads();
   return std::nullopt;
 }
@@ -1056,63 +270,74 @@
 }
 
 void ConfigReplica::Watch(uint64_t from, Time deadline, WatchDone done) {
-  Impl::CallbackScope scope(impl_.get());
-  impl_->watches.push_back({from, deadline, std::move(done)});
-  impl_->AnswerWatches();
+  CallbackQueue::Scope scope(&impl_->callbacks);
+  impl_->watches.Add(from, deadline, std::move(done));
+  impl_->watches.Answer(impl_->CurrentTree(), impl_->clock.now());
 }
 
-std::optional<HostId> ConfigReplica::Leader() const { return impl_->KnownLeader(); }
+std::optional<HostId> ConfigReplica::Leader() const { return impl_->locator.Leader(); }
 bool ConfigReplica::IsLeader() const { return impl_->IsLeader(); }
 uint64_t ConfigReplica::term() const {
-  return impl_->consensus ? impl_->consensus->hard_state.term : 0;
+  const Consensus* state = impl_->consensus.state();
+  return state != nullptr ? state->hard_state.term : 0;
 }
-std::vector<HostId> ConfigReplica::Voters() const { return impl_->CurrentVoters(); }
+std::vector<HostId> ConfigReplica::Voters() const { return impl_->locator.Voters(); }
 bool ConfigReplica::IsVoter() const {
-  return impl_->consensus && ebonylift::IsVoter(*impl_->consensus);
+  const Consensus* state = impl_->consensus.state();
+  return state != nullptr && ebonylift::IsVoter(*state);
 }
 
 std::optional<HostId> ConfigReplica::AddVoter(const HostId& host, PutDone done) {
-  Impl::CallbackScope scope(impl_.get());
+  CallbackQueue::Scope scope(&impl_->callbacks);
   return impl_->ChangeVoter(host, /*add=*/true, std::move(done));
 }
 
 std::optional<HostId> ConfigReplica::RemoveVoter(const HostId& host, PutDone done) {
-  Impl::CallbackScope scope(impl_.get());
+  CallbackQueue::Scope scope(&impl_->callbacks);
   return impl_->ChangeVoter(host, /*add=*/false, std::move(done));
 }
 
 uint64_t ConfigReplica::revision() const { return impl_->CurrentTree().revision; }
 
 bool ConfigReplica::NeedsPull() const {
-  return !impl_->IsMember() || !impl_->consensus->hard_state.confirmed || !impl_->storage_ok;
+  const DurableConsensus& consensus = impl_->consensus;
+  return !consensus.IsMember() || !consensus.state()->hard_state.confirmed ||
+         !consensus.storage_ok();
 }
 
 std::string ConfigReplica::MakePullResponse(uint64_t revision, uint64_t offset) {
-  return impl_->MakePullResponse(revision, offset);
+  PullHints hints;
+  hints.leader = impl_->locator.Leader().value_or(HostId());
+  hints.voters = impl_->locator.Voters();
+  return EncodePullResponse(hints, impl_->CurrentTree(), revision, offset, &impl_->served_snapshot);
 }
 
-uint64_t ConfigReplica::pull_offset() const { return impl_->partial_snapshot.size(); }
+uint64_t ConfigReplica::pull_offset() const { return impl_->pulled.offset(); }
 
 bool ConfigReplica::ApplyPullResponse(std::string_view bytes, const HostId& from) {
-  Impl::CallbackScope scope(impl_.get());
-  return impl_->ApplyPullResponse(bytes, from);
+  CallbackQueue::Scope scope(&impl_->callbacks);
+  ByteReader reader(bytes);
+  impl_->locator.AddHints(DecodePullHints(&reader));
+  return impl_->pulled.Receive(DecodePullBody(&reader), from);
 }
 
-std::shared_ptr<const ConfigView> ConfigReplica::View() const { return impl_->view; }
+std::shared_ptr<const ConfigView> ConfigReplica::View() const { return impl_->publisher.view(); }
 void ConfigReplica::SetViewChangedCallback(std::function<void()> fn) {
-  impl_->view_changed = std::move(fn);
+  impl_->publisher.SetChangedCallback(std::move(fn));
 }
 
 bool ConfigReplica::DiskLost() const {
-  if (!impl_->consensus || impl_->consensus->hard_state.confirmed) return false;
-  if (impl_->consensus->members.voters.count(impl_->options.self) == 0) return false;
-  return impl_->consensus->disk_lost || !impl_->consensus->hard_state.may_bootstrap;
+  const Consensus* state = impl_->consensus.state();
+  if (state == nullptr || state->hard_state.confirmed) return false;
+  if (state->members.voters.count(impl_->options.self) == 0) return false;
+  return state->disk_lost || !state->hard_state.may_bootstrap;
 }
 
 bool ConfigReplica::DiskConfirmed() const {
-  return !impl_->consensus || impl_->consensus->hard_state.confirmed;
+  const Consensus* state = impl_->consensus.state();
+  return state == nullptr || state->hard_state.confirmed;
 }
 
-bool ConfigReplica::StorageOk() const { return impl_->storage_ok; }
+bool ConfigReplica::StorageOk() const { return impl_->consensus.storage_ok(); }
 
 }  // namespace ebonylift
