tests: measure the cut of a link from the accepted connection

CutLinkDeliversHeldBytesLater slept 300 ms from the start of the thread that calls, but the call measures its first byte from its own start. A thread that waited for a processor therefore failed the check: beside 10 busy processes in 8 of 15 runs (first byte after 297,035 us, at least 300,000 expected). The cut now lasts 300 ms from when the proxy has accepted the connection, which is after the start of the call; the bound of 300 ms is unchanged. New checks: the link forwards no byte in a cut direction while the cut lasts, and a request whose answer is cut off runs during the cut.

--- a/tests/integration/standin_faults_test.cc
+++ b/tests/integration/standin_faults_test.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE standin_faults
+#include <algorithm>
 #include <boost/test/included/unit_test.hpp>
 #include <csignal>
 #include <fstream>
@@ -18,6 +19,9 @@
 
 using nlohmann::json;
 
+// How long a cut lasts at least after the proxy has accepted the connection of the request.
+constexpr Duration kCutTime = milliseconds(300);
+
 const char kStreamRequestBody[] =
     R"({"model":"m","stream":true,"max_tokens":40,"messages":[{"role":"user","content":"a"}]})";
 
@@ -81,6 +85,18 @@
     Post(proxy_, "/proxy/set", faults);
   }
 
+  // The state of the link, with its counters; see ProxyLink::ToJson().
+  json LinkState() const {
+    return json::parse(Get("http://" + proxy_ + "/proxy/links").body).at("links").at(0);
+  }
+
+  // How many requests the engine has run to their end.
+  size_t CountCompletedRuns() const {
+    std::vector<json> record = ParseJsonLines(Get("http://" + engine_ + "/standin/record").body);
+    return std::count_if(record.begin(), record.end(),
+                         [](const json& run) { return run["outcome"] == "completed"; });
+  }
+
   const std::string& engine() const { return engine_; }
   const std::string& link() const { return link_; }
   Process& engine_process() { return *engine_process_; }
@@ -95,6 +111,33 @@
   std::optional<Process> proxy_process_;
 };
 
+// Sends a request over the link while it is cut in the given direction, and ends the cut. The cut
+// lasts kCutTime from when the proxy has accepted the connection, however late the calling thread
+// runs, so the call itself always starts at least kCutTime before the end of the cut.
+void CheckCutLink(EngineBehindProxy& deployment, const std::string& drop) {
+  deployment.SetLink({{"drop", drop}});
+  const json before = deployment.LinkState();
+  const size_t runs_before = deployment.CountCompletedRuns();
+  TestResponse answer;
+  std::thread caller([&] { answer = deployment.SendChat(deployment.link(), kStreamRequestBody); });
+  auto accepted = [&] { return deployment.LinkState()["accepted"] > before["accepted"]; };
+  BOOST_TEST(WaitFor(accepted, seconds(5)));
+  if (drop == "to_client") {
+    // The request passes, so the proxy now holds back the answer.
+    auto completed = [&] { return deployment.CountCompletedRuns() == runs_before + 1; };
+    BOOST_TEST(WaitFor(completed, seconds(3)));
+  }
+  std::this_thread::sleep_for(kCutTime);
+  const json during = deployment.LinkState();
+  BOOST_TEST(during["bytes_to_client"] == before["bytes_to_client"]);
+  if (drop != "to_client") BOOST_TEST(during["bytes_to_target"] == before["bytes_to_target"]);
+  deployment.SetLink({{"drop", "none"}});
+  caller.join();
+  BOOST_TEST(answer.complete);
+  BOOST_TEST(ParseSse(answer.body).text == standin::AnswerTextForBody(kStreamRequestBody));
+  BOOST_TEST(answer.first_byte.count() >= kCutTime.count());
+}
+
 }  // namespace
 
 // Guards against a resumed stream that repeats or skips text, and against a record that counts the
@@ -122,16 +165,7 @@
 BOOST_AUTO_TEST_CASE(CutLinkDeliversHeldBytesLater) {
   EngineBehindProxy deployment;
   for (const char* drop : {"both", "to_target", "to_client"}) {
-    deployment.SetLink({{"drop", drop}});
-    TestResponse answer;
-    std::thread caller(
-        [&] { answer = deployment.SendChat(deployment.link(), kStreamRequestBody); });
-    std::this_thread::sleep_for(milliseconds(300));
-    deployment.SetLink({{"drop", "none"}});
-    caller.join();
-    BOOST_TEST(answer.complete);
-    BOOST_TEST(ParseSse(answer.body).text == standin::AnswerTextForBody(kStreamRequestBody));
-    BOOST_TEST(answer.first_byte.count() >= 300'000);
+    BOOST_TEST_CONTEXT(drop) { CheckCutLink(deployment, drop); }
   }
 }
 
