tests: wait for the log lines of forged forwarding headers

ForgedCredentialsAreRefused read the daemon's log once, right after the answer, but a thread of its own writes the log. The test now waits up to 10 s for the lines and expects one for each of the two forged headers; before, a single line was enough.

--- a/tests/integration/residency_test.cc
+++ b/tests/integration/residency_test.cc
@@ -52,11 +52,19 @@
   return request;
 }
 
-bool FileContains(const std::string& path, const std::string& text) {
+// How often the text occurs in the file.
+size_t CountInFile(const std::string& path, const std::string& text) {
   std::ifstream in(path, std::ios::binary);
   std::stringstream content;
   content << in.rdbuf();
-  return content.str().find(text) != std::string::npos;
+  const std::string data = content.str();
+  size_t count = 0;
+  for (size_t at = data.find(text); at != std::string::npos; at = data.find(text, at + 1)) ++count;
+  return count;
+}
+
+bool FileContains(const std::string& path, const std::string& text) {
+  return CountInFile(path, text) > 0;
 }
 
 void CheckOnlyInEste(const Cluster& cluster) {
@@ -118,6 +126,7 @@
     const char* code;
   };
   std::string key = "Bearer " + cluster.spec().teams[0].key;
+  constexpr size_t kForgedForwards = 2;  // cases with the header x-ebonylift-forward
   const Case cases[] = {
       {"POST", "/v1/chat/completions", "{}", {{"x-ebonylift-forward", forged}}, "forward_refused"},
       {"POST", "/v1/chat/completions", "{}", {{"authorization", "Bearer guess"}}, "unauthorized"},
@@ -135,7 +144,10 @@
     BOOST_TEST(ErrorOf(answer).code == item.code, item.path << ": " << Describe(answer));
     BOOST_TEST(ErrorOf(answer).run == "not_run");
   }
-  BOOST_TEST(FileContains(cluster.host("este-a-1").log_file, "forward_rejected"));
+  // The daemon writes its log lines on a thread of their own, so a line may follow the answer.
+  const std::string& log_file = cluster.host("este-a-1").log_file;
+  BOOST_TEST(WaitFor([&] { return CountInFile(log_file, "forward_rejected") == kForgedForwards; },
+                     seconds(10)));
   ChatRequest request = RestrictedRequest("este-a-1", "local-after");
   BOOST_TEST(IsExpectedAnswer(cluster, request, Send(cluster, request)));
 }
