Claim a socket of the HTTP client only once it is connected

libcurl 7.88.1 closes a socket that was never connected before it ends the polling. The claim of the client ended only then, so another thread that opened and claimed the number in between was reported as descriptor_conflict: "claim server_connection client_socket", then "release client_socket server_connection", which are also lines of a real conflict. No data was at risk, as each thread has an epoll set of its own. A connecting socket is polled only for writing, so the client now claims a socket when libcurl first polls it for reading; libcurl ends the polling of a connected socket before it closes it.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -75,8 +75,8 @@
   }
 
   asio::posix::stream_descriptor descriptor;
-  DescriptorClaim claim;
-  int poll_mask = 0;  // events that libcurl waits for: CURL_POLL_IN, CURL_POLL_OUT, both or 0
+  DescriptorClaim claim;  // on `descriptor`, once it is connected
+  int poll_mask = 0;      // events that libcurl waits for: CURL_POLL_IN, CURL_POLL_OUT, both or 0
   bool read_wait_pending = false;
   bool write_wait_pending = false;
 };
@@ -384,6 +384,10 @@
       sockets_.erase(fd);
       return;
     }
+  }
+  // A socket that is still connecting is polled only for writing. It is not claimed: libcurl closes
+  // it before it ends the polling, and another thread may open and claim the number in between.
+  if ((poll_mask & CURL_POLL_IN) && !socket->claim.is_held()) {
     socket->claim = DescriptorClaim(fd, DescriptorUser::kClientSocket);
   }
   socket->poll_mask = poll_mask;
--- a/src/base/descriptor_claim.h
+++ b/src/base/descriptor_claim.h
@@ -41,6 +41,9 @@
   // same number at once. Does nothing if there is no claim.
   void Release();
 
+  // Whether a descriptor is claimed.
+  bool is_held() const { return fd_ >= 0; }
+
  private:
   int fd_ = -1;
   DescriptorUser user_ = DescriptorUser::kNone;
--- a/tests/http_client_sockets_test.cc
+++ b/tests/http_client_sockets_test.cc
@@ -1,5 +1,9 @@
 #define BOOST_TEST_MODULE http_client_sockets
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <asio.hpp>
+#include <atomic>
 #include <boost/test/included/unit_test.hpp>
 #include <string>
 #include <thread>
@@ -17,6 +21,12 @@
 constexpr Duration kCallTimeout = milliseconds(400);
 // Linux sends the first packet of a connection again after 1 s if it was not answered.
 constexpr Duration kSynRetransmitted = milliseconds(1300);
+// Enough for the two threads to meet: if connecting sockets are claimed, dozens to thousands of
+// these calls are reported as conflicts.
+constexpr int kConnectTimeouts = 20000;
+constexpr int kReopenedDescriptors = 100000;
+constexpr Duration kThreadsTimeout = seconds(60);
+constexpr int kConcurrentCalls = 20;
 
 tcp::endpoint Loopback() { return tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0); }
 
@@ -146,6 +156,44 @@
   BOOST_TEST(DescriptorConflictCount() == conflicts);
 }
 
+// Guards against false reports: libcurl closes the socket of a call that times out while it
+// connects before it tells the client, and another thread may open and claim the number in between.
+BOOST_AUTO_TEST_CASE(TimeoutWhileConnectingIsNoConflictWithAnotherThread) {
+  uint64_t conflicts = DescriptorConflictCount();
+  FullListener full(io);
+  std::atomic<bool> stop{false};
+  std::atomic<int> reopened{0};
+  std::thread other([&stop, &reopened] {
+    for (; !stop; ++reopened) {
+      int fd = socket(AF_INET, SOCK_STREAM, 0);
+      { DescriptorClaim claim(fd, DescriptorUser::kServerConnection); }
+      close(fd);
+    }
+  });
+
+  int timeouts = 0;
+  std::function<void()> start_call = [&] {
+    HttpCall call;
+    call.url = UrlOf(full.port(), "/timed-out");
+    call.timeout = milliseconds(1);
+    call.on_done = [&](const CallResult&) {
+      ++timeouts;
+      start_call();
+    };
+    client->Start(std::move(call));
+  };
+  for (int i = 0; i < kConcurrentCalls; ++i) start_call();
+  auto enough = [&] { return timeouts >= kConnectTimeouts && reopened >= kReopenedDescriptors; };
+  Time deadline = SteadyNow() + kThreadsTimeout;
+  while (!enough() && SteadyNow() < deadline) io.run_one_for(milliseconds(20));
+  stop = true;
+  other.join();
+  client.reset();
+
+  BOOST_TEST(enough());
+  BOOST_TEST(DescriptorConflictCount() == conflicts);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebonylift
