--- a/tests/standin_test.cc
+++ b/tests/standin_test.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE standin
+#include <asio.hpp>
 #include <boost/test/included/unit_test.hpp>
 
 #include "base/error.h"
@@ -6,8 +7,10 @@
 #include "testing/batch.h"
 #include "testing/faults.h"
 #include "testing/generation.h"
+#include "testing/listener.h"
 #include "testing/prefix_cache.h"
 #include "testing/proxy_link.h"
+#include "testing/sockets.h"
 #include "tests/support/test_client.h"
 
 namespace ebonylift::standin {
@@ -162,4 +165,41 @@
   BOOST_TEST(ApplyLinkFaults({}, {{"drop", "to_client"}}).drop_to_client);
 }
 
+// Guards against the event of a connection that is handled after the mode has changed: it must not
+// use the acceptor, which no longer exists.
+BOOST_AUTO_TEST_CASE(ListenerServesAfterItResetConnections) {
+  using asio::ip::tcp;
+  asio::io_context io;
+  Listener listener(io, "127.0.0.1:0", "",
+                    [](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
+                      responder->Send(200, {}, "served");
+                    });
+  listener.SetMode(ListenMode::kReset);
+  tcp::endpoint endpoint = ParseEndpoint(listener.address());
+  tcp::socket first(io);
+  tcp::socket second(io);
+  first.connect(endpoint);
+  second.connect(endpoint);
+  first.non_blocking(true);
+  // Accepts the first connection. The event of the second one is then queued.
+  auto first_is_open = [&first] {
+    char byte = 0;
+    asio::error_code error;
+    first.read_some(asio::buffer(&byte, 1), error);
+    return error == asio::error::would_block;
+  };
+  while (first_is_open()) BOOST_REQUIRE(io.run_one_for(seconds(5)) == 1u);
+
+  listener.SetMode(ListenMode::kServe);
+  tcp::socket caller(io);
+  caller.connect(endpoint);
+  asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\nConnection: close\r\n\r\n")));
+  std::string response;
+  bool done = false;
+  asio::async_read(caller, asio::dynamic_buffer(response),
+                   [&done](const asio::error_code&, size_t) { done = true; });
+  while (!done) BOOST_REQUIRE(io.run_one_for(seconds(5)) == 1u);
+  BOOST_TEST(response.find("served") != std::string::npos);
+}
+
 }  // namespace ebonylift::standin
