Ignore a connection of a listener that the stand-in has closed

What users of the stand-in would see: it stops with an access through a null pointer when it is told to serve or refuse connections while connections arrive that it resets.

Cause: Asio may complete the accept of a connection at once and queue its event. If the mode changed before the event ran, the handler accepted again on an acceptor that no longer existed, or on that of a later mode.

Fix: the handler holds a weak reference to its acceptor and accepts again only while that exists.

--- a/testing/listener.cc
+++ b/testing/listener.cc
@@ -45,16 +45,18 @@
     servers_.erase(std::remove_if(servers_.begin(), servers_.end(), idle), servers_.end());
     servers_.push_back(StartHttpServer(io_, address(), StandinLimits(), handler_));
   } else if (mode == ListenMode::kReset) {
-    reset_acceptor_ = std::make_unique<tcp::acceptor>(io_, ParseEndpoint(address()), true);
+    reset_acceptor_ = std::make_shared<tcp::acceptor>(io_, ParseEndpoint(address()), true);
     AcceptAndReset();
   }
 }
 
 void Listener::AcceptAndReset() {
-  reset_acceptor_->async_accept([this](const asio::error_code& error, tcp::socket socket) {
+  reset_acceptor_->async_accept([this, acceptor = std::weak_ptr<tcp::acceptor>(reset_acceptor_)](
+                                    const asio::error_code& error, tcp::socket socket) {
     if (error) return;
     ResetSocket(socket);
-    AcceptAndReset();
+    // The mode may have changed since the connection was accepted.
+    if (!acceptor.expired()) AcceptAndReset();
   });
 }
 
--- a/testing/listener.h
+++ b/testing/listener.h
@@ -42,7 +42,7 @@
   // In kServe the last one accepts connections. The others only serve their open connections.
   std::vector<std::unique_ptr<HttpServer>> servers_;
   std::unique_ptr<HttpServer> control_server_;
-  std::unique_ptr<asio::ip::tcp::acceptor> reset_acceptor_;
+  std::shared_ptr<asio::ip::tcp::acceptor> reset_acceptor_;  // set in kReset; has no other owner
 };
 
 }  // namespace ebonylift::standin
