--- a/src/core/consensus.h
+++ b/src/core/consensus.h
@@ -37,6 +37,9 @@
 // a voter when it is confirmed and has every committed entry. The first entry of each term contains
 // the member set, so that a host that starts with an empty log learns it.
 //
+// The messages and the stored state are in consensus_messages.h. The other headers consensus_*.h
+// are internal: members, log, sending, roles, election, replication, snapshots and disks.
+//
 // Memory: the log after the base (the caller compacts it with TakeSnapshot()), one snapshot, one
 // partially received snapshot and one Progress per member.
 
