Add the braces that clang-tidy requires in the HTTP client

scripts/lint src/adapters/http_client.cc failed: statement should be inside braces [readability-braces-around-statements,-warnings-as-errors]. It passes after this change.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -432,9 +432,10 @@
                                   [weak = weak_from_this(), socket](const asio::error_code& error) {
                                     socket->write_wait_pending = false;
                                     std::shared_ptr<CurlClient> client = weak.lock();
-                                    if (!error && client)
+                                    if (!error && client) {
                                       client->OnSocketReady(socket, CURL_POLL_OUT,
                                                             CURL_CSELECT_OUT);
+                                    }
                                   });
   }
 }
