End a call at once when its socket cannot be polled

What callers would see: a request that takes the whole of its deadline although its answer has arrived. Since libcurl owns the sockets, a socket is added to the epoll set for each call, also after the request was written on a reused connection. When that failed, for example with ENOSPC, the call waited for its timeout and nothing was said.

The call now ends with the error of the operating system.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -131,8 +131,10 @@
   void ConfigureHandle(CallState& call);
   void AddToMulti(CallId id);
   void Unpause(CallId id);
-  void StartPolling(curl_socket_t fd, int poll_mask);
+  asio::error_code StartPolling(curl_socket_t fd, int poll_mask);
   void StopPolling(curl_socket_t fd);
+  // Ends the call of the handle, whose socket cannot be polled.
+  void FailUnpolledCall(CURL* easy, const asio::error_code& error);
   void StartSocketWaits(const std::shared_ptr<PolledSocket>& socket);
   void OnSocketReady(const std::shared_ptr<PolledSocket>& socket, int poll_flag, int select_flag);
   void RunSocketAction(curl_socket_t fd, int events);
@@ -360,26 +362,25 @@
   return result == 0 ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
 }
 
-int CurlClient::OnSocket(CURL*, curl_socket_t fd, int what, void* user_data, void*) {
+int CurlClient::OnSocket(CURL* easy, curl_socket_t fd, int what, void* user_data, void*) {
   CurlClient& client = *static_cast<CurlClient*>(user_data);
   if (what == CURL_POLL_REMOVE) {
     client.StopPolling(fd);
-  } else {
-    client.StartPolling(fd, what & CURL_POLL_INOUT);
+  } else if (asio::error_code error = client.StartPolling(fd, what & CURL_POLL_INOUT)) {
+    client.FailUnpolledCall(easy, error);
   }
   return 0;
 }
 
-void CurlClient::StartPolling(curl_socket_t fd, int poll_mask) {
+asio::error_code CurlClient::StartPolling(curl_socket_t fd, int poll_mask) {
   std::shared_ptr<PolledSocket>& socket = sockets_[fd];
   if (!socket) {
     socket = std::make_shared<PolledSocket>(io_);
     asio::error_code error;
     socket->descriptor.assign(fd, error);
-    // Without polling, the call ends at its timeout.
     if (error) {
       sockets_.erase(fd);
-      return;
+      return error;
     }
   }
   // A socket that is still connecting is polled only for writing. It is not claimed: libcurl closes
@@ -389,6 +390,19 @@
   }
   socket->poll_mask = poll_mask;
   StartSocketWaits(socket);
+  return {};
+}
+
+void CurlClient::FailUnpolledCall(CURL* easy, const asio::error_code& error) {
+  char* user_data = nullptr;
+  curl_easy_getinfo(easy, CURLINFO_PRIVATE, &user_data);
+  CallId id = reinterpret_cast<CallState*>(user_data)->id;
+  RunOutsideLibcurl([this, id, reason = error.message()] {
+    auto it = calls_.find(id);
+    if (it == calls_.end()) return;
+    it->second->error = "cannot poll the socket: " + reason;
+    FinishCall(*it->second, CURLE_FAILED_INIT);
+  });
 }
 
 void CurlClient::StopPolling(curl_socket_t fd) {
--- a/tests/http_client_sockets_test.cc
+++ b/tests/http_client_sockets_test.cc
@@ -1,5 +1,8 @@
 #define BOOST_TEST_MODULE http_client_sockets
+#include <poll.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #include <asio.hpp>
@@ -15,15 +18,30 @@
 #include "adapters/http_server.h"
 #include "base/descriptor_claim.h"
 
+namespace {
+// Makes the next addition to an epoll set fail, as when the limit of watched descriptors is
+// reached.
+bool fail_next_epoll_add = false;
+}  // namespace
+
+// Replaces the function of the C library in the whole process, including Asio.
+extern "C" int epoll_ctl(int epoll_fd, int operation, int fd, epoll_event* event) {
+  if (fail_next_epoll_add && operation == EPOLL_CTL_ADD) {
+    fail_next_epoll_add = false;
+    errno = ENOSPC;
+    return -1;
+  }
+  return static_cast<int>(syscall(SYS_epoll_ctl, epoll_fd, operation, fd, event));
+}
+
 namespace ebonylift {
 namespace {
 
 using asio::ip::tcp;
 
 constexpr Duration kTestTimeout = seconds(10);
-constexpr Duration kCallTimeout = milliseconds(400);
-// Linux sends the first packet of a connection again after 1 s if it was not answered.
-constexpr Duration kSynRetransmitted = milliseconds(1300);
+// Ends before Linux sends the first packet of an unanswered connection again, which is after 1 s.
+constexpr Duration kCallTimeout = milliseconds(800);
 // Enough for the two threads to meet: if connecting sockets are claimed, dozens to thousands of
 // these calls are reported as conflicts.
 constexpr int kConnectTimeouts = 20000;
@@ -67,6 +85,11 @@
   }
   uint16_t port() const { return acceptor_.local_endpoint().port(); }
   void MakeSpace() { acceptor_.accept(queued_); }
+  // Waits for a late connect after MakeSpace(). No event loop runs meanwhile.
+  void WaitForConnection() {
+    pollfd listener = {acceptor_.native_handle(), POLLIN, 0};
+    BOOST_REQUIRE(poll(&listener, 1, static_cast<int>(ToMillis(kTestTimeout))) == 1);
+  }
   // Accepts all connections from now on, and keeps them open.
   void KeepAccepting() {
     acceptor_.async_accept([this](const asio::error_code& error, tcp::socket connection) {
@@ -164,12 +187,13 @@
 
   // The thread is busy until a response, the timeout, a new call, a late connect and a caller wait
   // for it, in this order.
+  BOOST_REQUIRE(!timed_out.done);
   std::this_thread::sleep_until(start + kCallTimeout + milliseconds(50));
   asio::write(backend_connection, asio::buffer(std::string(kEmptyResponse)));
   Reply next;
   Start(UrlOf(server->port(), "/next"), seconds(5), &next);
   full.MakeSpace();
-  std::this_thread::sleep_until(start + kSynRetransmitted);
+  full.WaitForConnection();
   caller.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), server->port()));
   asio::write(caller, asio::buffer(RequestOf("/caller")));
   RunUntil([&] { return timed_out.done && answered.done; }, "the first calls are done");
@@ -204,7 +228,6 @@
   Reply cancelled;
   Reply answered;
   Reply next;
-  Time start = SteadyNow();
   CallId cancelled_id = Start(std::move(connecting), &cancelled);
   canceller.async_wait(tcp::socket::wait_read, [&](const asio::error_code&) {
     client->Cancel(cancelled_id);
@@ -220,7 +243,7 @@
   asio::write(cancel_sender, asio::buffer("x", 1));
   asio::write(backend_connection, asio::buffer(std::string(kEmptyResponse)));
   full.MakeSpace();
-  std::this_thread::sleep_until(start + kSynRetransmitted);
+  full.WaitForConnection();
   caller.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), server->port()));
   asio::write(caller, asio::buffer(RequestOf("/caller")));
   RunUntil([&] { return answered.done; }, "the first call is done");
@@ -235,6 +258,28 @@
   BOOST_TEST(DescriptorConflictCount() == conflicts);
 }
 
+// Guards against a call that waits until its timeout because its socket cannot be polled.
+BOOST_AUTO_TEST_CASE(CallWhoseSocketCannotBePolledFailsAtOnce) {
+  HttpCall call;
+  call.url = UrlOf(server->port(), "/first");
+  Reply first;
+  Start(call, &first);
+  RunUntil([&] { return first.done; }, "the first call is done");
+  BOOST_TEST((first.result.outcome == CallOutcome::kComplete));
+
+  // The second call uses the connection of the first one, so its request is written before the
+  // polling starts.
+  Reply second;
+  Time start = SteadyNow();
+  Start(call, &second);
+  fail_next_epoll_add = true;
+  RunUntil([&] { return second.done; }, "the second call is done");
+  BOOST_TEST(!fail_next_epoll_add);
+  BOOST_TEST((second.result.outcome == CallOutcome::kFailed));
+  BOOST_TEST(second.result.error.find("cannot poll the socket") == 0u);
+  BOOST_TEST((SteadyNow() - start < seconds(5)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Load of random calls and callers, from a seed.
