tests: read daemon logs only when the lines must be there

Other tests read a log file once although a thread of its own writes it, or compared it with a time that ends before what was counted. Found by reading the tests; they were not seen to fail: - residency_test DataStaysInItsRegion searched the logs for prompt text while the daemons still ran, so it could miss a late line. It now ends them by SIGTERM, expects exit code 0 and searches the complete files. - config_test TornLastRecordIsRemovedAndCorruptionIsRefused waits for the event `ready` of the restart, which follows those of reading the journals. - leaving_test SilentServersGetNoWorkWhileTheControlHostIsCutOff waits for a dispatch of este-a-1 and reads the dispatches before the announcements, so that a line written between the two reads can't look like a dispatch without an announcement. - orders_test CheckFrozenOrderer waits for orderer_lease_ended; that no order was sent since the resumption is still checked, over a longer time. - orders_test UpgradeUnderLoadKeepsCapacity takes the end of its time after it has read the lease puts that it counts, and reads them before the load stops. All bounds are unchanged.

--- a/tests/integration/config_test.cc
+++ b/tests/integration/config_test.cc
@@ -286,16 +286,20 @@
   }
   BOOST_REQUIRE(!file.empty());
   std::filesystem::resize_file(file, std::filesystem::file_size(file) - 3);
-  auto logged = [&](const std::string& name) {
+  auto count_logged = [&](const std::string& name) {
     std::vector<json> events = LoggedEvents(cluster.host("norte-a-1"));
-    return std::any_of(events.begin(), events.end(),
-                       [&](const json& event) { return event["name"] == name; });
+    return std::count_if(events.begin(), events.end(),
+                         [&](const json& event) { return event["name"] == name; });
   };
+  // A daemon writes its log lines in order, but on a thread of their own, so they may follow its
+  // first answers. The event `ready` comes after those of reading the journals.
+  const auto starts_before = count_logged("ready");
   cluster.RestartHost("norte-a-1");
   BOOST_TEST(
       WaitFor([&] { return RevisionOf(cluster, "norte-a-1") >= newest_revision; }, seconds(15)));
-  BOOST_TEST(logged("journal_torn_tail"));
-  BOOST_TEST(!logged("journal_corrupt"));
+  BOOST_TEST(WaitFor([&] { return count_logged("ready") > starts_before; }, seconds(10)));
+  BOOST_TEST(count_logged("journal_torn_tail") > 0);
+  BOOST_TEST(count_logged("journal_corrupt") == 0);
 
   cluster.KillHost("norte-a-1");
   {
@@ -309,7 +313,7 @@
   cluster.LaunchHost("norte-a-1");
   std::optional<int> code = cluster.host("norte-a-1").process->Wait(seconds(10));
   BOOST_TEST(code.value_or(0) != 0);
-  BOOST_TEST(logged("journal_corrupt"));
+  BOOST_TEST(count_logged("journal_corrupt") > 0);
   Change change{"/teams/registros/limits", Limits(7)};
   PutUntilAccepted(cluster, "norte-a-2", change);
 }
--- a/tests/integration/leaving_test.cc
+++ b/tests/integration/leaving_test.cc
@@ -234,11 +234,16 @@
   WallMillis redirected = WallNow();
   BOOST_TEST(WaitFor([&] { return AllHostsUse(cluster, kEngines[2], redirected, {"este-a-1"}); },
                      seconds(15)));
+  // A daemon writes its log lines in order, but on a thread of their own, so the line of a dispatch
+  // may follow the run. The lines of the dispatches are read first, because the daemons go on.
+  auto sent_by = [&](const std::string& host) {
+    return EventTimes(cluster, host, "request_dispatched", kEngines[2], silent + kMaxDetectionMs);
+  };
+  BOOST_TEST(WaitFor([&] { return !sent_by("este-a-1").empty(); }, seconds(10)));
   for (const std::string& host : kHosts) {
+    std::vector<int64_t> sent = sent_by(host);
     std::vector<int64_t> announced =
         EventTimes(cluster, host, "server_announced", kEngines[2], silent);
-    std::vector<int64_t> sent =
-        EventTimes(cluster, host, "request_dispatched", kEngines[2], silent + kMaxDetectionMs);
     if (sent.empty()) continue;
     BOOST_REQUIRE(!announced.empty());
     BOOST_TEST(sent.front() >= announced.front());
--- a/tests/integration/orders_test.cc
+++ b/tests/integration/orders_test.cc
@@ -181,10 +181,11 @@
     return AllAnnounce(&cluster, engines, "2");
   };
   BOOST_REQUIRE(WaitFor(upgraded, seconds(90)));
-  const Duration upgrade_time = SteadyNow() - started;
-  load.Stop();
   json history = json::parse(
       ReadAdmin(&cluster, host, std::string("config/history?path=") + kOrdererPath).body);
+  // Taken after the history is read, so that all puts in it lie within this time.
+  const Duration upgrade_time = SteadyNow() - started;
+  load.Stop();
   json weights = json::parse(Get("http://" + control + "/standin/state").body);
   std::cout << "upgrade took " << ToMillis(upgrade_time) << " ms, at most " << max_loading_seen
             << " servers loading, weight store refused " << weights["refused"] << ", answered "
@@ -276,7 +277,8 @@
     // The test is meaningful only if the old host sends an order.
     BOOST_REQUIRE(WaitFor(old_host_orders, seconds(10)));
   } else {
-    BOOST_TEST(LogContains(old_handle, "orderer_lease_ended"));
+    BOOST_TEST(
+        WaitFor([&] { return LogContains(old_handle, "orderer_lease_ended"); }, seconds(10)));
     // The orderer decides ten times in 2 s.
     BOOST_TEST(!WaitFor(old_host_orders, seconds(2)));
   }
--- a/tests/integration/residency_test.cc
+++ b/tests/integration/residency_test.cc
@@ -103,7 +103,11 @@
       WaitFor([&] { return IsExpectedAnswer(cluster, unrestricted, Send(cluster, unrestricted)); },
               seconds(10)));
   CheckOnlyInEste(cluster);
+  // A daemon writes its log lines on a thread of their own; the files are complete when it has
+  // exited.
+  for (const std::string& id : cluster.HostIds()) cluster.host(id).process->Terminate();
   for (const std::string& id : cluster.HostIds()) {
+    BOOST_TEST((cluster.host(id).process->Wait(seconds(20)) == 0), id);
     BOOST_TEST(!FileContains(cluster.host(id).log_file, kPromptText), id);
     std::string records = cluster.host(id).data_dir + "/records.journal";
     if (cluster.host(id).region != "este") BOOST_TEST(!FileContains(records, kPromptText), id);
