--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -168,6 +168,9 @@
   prometheus::Gauge* peer_received =
       Gauge("ebonylift_peer_received_bytes",
             "Message bytes received from other daemons since the process started.");
+  prometheus::Gauge* descriptor_conflicts =
+      Gauge("ebonylift_descriptor_conflicts",
+            "Descriptors used by two parts of the process at once, since the process started.");
 };
 
 Metrics::Metrics() : families_(std::make_unique<Families>()) {}
@@ -240,6 +243,10 @@
   families_->peer_received->Set(static_cast<double>(received));
 }
 
+void Metrics::SetDescriptorConflicts(uint64_t conflicts) {
+  families_->descriptor_conflicts->Set(static_cast<double>(conflicts));
+}
+
 std::string Metrics::Render() const {
   std::ostringstream out;
   prometheus::TextSerializer().Serialize(out, families_->registry.Collect());
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -69,6 +69,7 @@
   // Sets the message bytes exchanged with other daemons since the process started, without TCP and
   // IP headers.
   void SetPeerBytes(uint64_t sent, uint64_t received);
+  void SetDescriptorConflicts(uint64_t conflicts);
 
   // Returns all metrics in the Prometheus text format, version 0.0.4.
   std::string Render() const;
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -11,6 +11,7 @@
 
 #include "adapters/http_client.h"
 #include "adapters/http_server.h"
+#include "base/descriptor_claim.h"
 #include "base/event.h"
 #include "base/hash.h"
 #include "base/log_output.h"
@@ -182,6 +183,7 @@
 
   void SendMetrics(HttpResponder* responder) {
     options_.metrics->SetLogDrops(DroppedLines());
+    options_.metrics->SetDescriptorConflicts(DescriptorConflictCount());
     responder->Send(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                     options_.metrics->Render());
   }
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -39,6 +39,7 @@
   metrics.SetLiveServers(18);
   metrics.SetConfigRevision(4300);
   metrics.SetPeerBytes(1500, 2500);
+  metrics.SetDescriptorConflicts(2);
   std::string text = metrics.Render();
   for (const char* line : {
            R"(ebonylift_requests_total{class="interactive"} 2)",
@@ -68,6 +69,7 @@
            R"(ebonylift_peer_sent_bytes 1500)",
            R"(ebonylift_peer_received_bytes 2500)",
            R"(ebonylift_config_revision 4300)",
+           R"(ebonylift_descriptor_conflicts 2)",
        }) {
     BOOST_TEST(HasLine(text, line), line << " is missing from\n" << text);
   }
