Hold requests until a started host has heard of their regions

A host that has its configuration still lacks the other regions for about 450 ms: it connects to a host there, logs in and exchanges rows, four round trips of 110 ms. Until then it refused requests that may not run in its own region as region_unreachable or no_server, with 2 s to come back.

Choose() now tells "not heard of yet" from "there is none". Of its own region a host has heard when it knows a server, of another one when it has a summary and a host of it. For one second after the first configuration, a request that an unknown region may serve waits in the queue; it is placed with the view that brings the region, or refused at the end of that second with the reason that then holds. A request that expires in the queue is now refused with the reason of its last placement too.

Weighed against it: not being ready does not help, because callers come by the directory and by lists they keep, not by the readiness check, and the own region could be served all the while. A refusal with a shorter time to come back is true as well, but callers repeat a refused request once, and again on a new connection.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -809,6 +809,33 @@
   return AnyUsableHost(query, view) ? ErrorKind::kNoServer : ErrorKind::kRegionUnreachable;
 }
 
+// True if this host has heard of the servers of the region: of its own servers directly, of those
+// of another region by summaries, for which it also needs a host to forward to.
+bool HasHeardOf(const RoutingView& view, const RegionId& region) {
+  if (region == view.self.region) return !view.servers.empty();
+  auto in_region = [&](const auto& entry) { return entry.region == region; };
+  return std::any_of(view.summaries.begin(), view.summaries.end(), in_region) &&
+         std::any_of(view.hosts.begin(), view.hosts.end(), in_region);
+}
+
+// True if a region that this host will probably hear of soon may serve the request.
+bool MayBeServedSoon(const RouteQuery& query, const RoutingView& view,
+                     const RoutingState& routing_state, Time now) {
+  if (now >= routing_state.learning_until || query.hops > 0) return false;
+  return std::any_of(
+      query.allowed_regions.begin(), query.allowed_regions.end(), [&](const RegionId& region) {
+        bool reachable = region == view.self.region || query.route->send_away;
+        return reachable && RegionAllowed(query, region) && !HasHeardOf(view, region);
+      });
+}
+
+Choice HoldUntil(Time time) {
+  Choice choice;
+  choice.kind = ChoiceKind::kQueue;
+  choice.hold_until = time;
+  return choice;
+}
+
 bool AnyRegionAllowed(const RouteQuery& query) {
   return std::any_of(query.allowed_regions.begin(), query.allowed_regions.end(),
                      [&](const RegionId& region) { return RegionAllowed(query, region); });
@@ -867,6 +894,9 @@
   if (local.count == 0) {
     Choice remote = ChooseRemote(query, view, routing_state, now, RemoteCapacity::kAny, rng);
     if (remote.kind == ChoiceKind::kForward) return remote;
+    if (MayBeServedSoon(query, view, routing_state, now)) {
+      return HoldUntil(std::min(routing_state.learning_until, query.deadline));
+    }
     return Refuse(RefusalReason(query, view, local_allowed));
   }
 
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -129,6 +129,10 @@
 // A request with a first-byte target waits in the local queue for at most the target divided by
 // this.
 constexpr int kQueueHoldDivisor = 8;
+// How long after its first configuration a host may still lack regions that it will hear of. It
+// needs four round trips between regions for that, about 450 ms, and an attempt to connect that is
+// lost costs 400 ms more.
+constexpr Duration kLearningTime = seconds(1);
 constexpr Duration kMinRetryAfter = milliseconds(200);
 constexpr Duration kMaxRetryAfter = seconds(5);
 constexpr int kFailuresToEject = 3;
@@ -212,6 +216,7 @@
   uint64_t round_robin_counter = 0;                       // advanced by OnDispatch()
   std::unordered_map<std::string, double> prefill_rates;  // tokens/s, by model or service name
   uint32_t next_cache_id = 1;
+  Time learning_until;  // see StartLearning(); Time(): no configuration yet
 };
 
 enum class ChoiceKind { kLocal, kForward, kQueue, kRefuse };
@@ -225,6 +230,7 @@
   bool crosses_region = false;             // kForward: the host is in another region
   ErrorKind error = ErrorKind::kNoServer;  // kRefuse
   Duration retry_after{0};                 // kRefuse; 0: a retry does not help
+  Time hold_until;                         // kQueue: see Choose(); Time(): servers are full
   double cost = 0;                         // of the chosen place, in weighted seconds
   int64_t hit_tokens = 0;                  // kLocal: predicted prefix cache hit
   int64_t prefill_tokens = 0;              // kLocal: neither cached there nor fetched
@@ -236,7 +242,10 @@
 
 // Chooses a place for the request. Does not change `routing_state`: record the decision with
 // OnDispatch() or OnForward() before the next call. kQueue means that there are servers but all are
-// full or, for a suspect, none is idle.
+// full or, for a suspect, none is idle. With `hold_until`, it means that this host has just started
+// and has not heard yet of a region that may serve the request; the request is placed or refused by
+// that time. A request that another host forwarded is refused instead, because that host knows the
+// regions.
 //
 // When a request is forwarded:
 // - A failure domain whose summary shows no free slot gets forwards only if no local server can run
@@ -306,6 +315,10 @@
 // corrects these cases.
 bool RanAlone(const RoutingState& routing_state, const BackendServer& server);
 
+// Starts the time in which this host learns of servers and regions, with the first view that has a
+// configuration. Call it with each view before it is used.
+void StartLearning(RoutingState& routing_state, const RoutingView& view, Time now);
+
 // Updates `routing_state` for a new view; call it with each one. Marks exclusive servers that
 // report other work, records membership changes, and drops servers and failure domains that have
 // left the view and have nothing in flight.
--- a/src/core/routing_record.cc
+++ b/src/core/routing_record.cc
@@ -195,6 +195,11 @@
          report.running + report.waiting <= 1;
 }
 
+void StartLearning(RoutingState& routing_state, const RoutingView& view, Time now) {
+  if (routing_state.learning_until != Time() || view.config->revision == 0) return;
+  routing_state.learning_until = now + kLearningTime;
+}
+
 void OnNewView(RoutingState& routing_state, const RoutingView& view, Time now) {
   uint64_t membership = MembershipHash(view);
   if (membership != routing_state.membership_hash) routing_state.membership_changed_at = now;
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -54,6 +54,7 @@
 
 Choice Dispatcher::Place(const RouteQuery& query, const RoutingView& view, Time now) {
   std::lock_guard<std::mutex> lock(mutex_);
+  StartLearning(routing_state_, view, now);
   routing_state_.queued_ahead = QueuedAhead(admission_, query.traffic_class);
   Choice choice = Choose(query, view, routing_state_, now, rng_);
   RecordPlacement(choice, query, now);
@@ -79,6 +80,20 @@
   *retry_after = RetryAfter(query, *view_, routing_state_, now, rng_);
 }
 
+// A request with a first-byte target waits in the queue for only a fraction of that target, and one
+// whose servers are unknown only while this host learns of them, so both can expire before their
+// deadline.
+Choice Dispatcher::RefusalOfExpired(const RouteQuery& query, Time now) {
+  if (now >= query.deadline) return RefusedChoice(ErrorKind::kDeadlineNotRun);
+  if (view_) {
+    Choice choice = Choose(query, *view_, routing_state_, now, rng_);
+    if (choice.kind == ChoiceKind::kRefuse) return choice;
+  }
+  Choice refused = RefusedChoice(ErrorKind::kOverloaded);
+  SetRetryAfter(query, now, &refused.retry_after);
+  return refused;
+}
+
 bool Dispatcher::Remove(const RequestId& request) {
   std::lock_guard<std::mutex> lock(mutex_);
   if (!ebonylift::Remove(admission_, request)) return false;
@@ -239,6 +254,7 @@
   {
     std::lock_guard<std::mutex> lock(mutex_);
     view_ = std::move(view);
+    StartLearning(routing_state_, *view_, now);
     OnNewView(routing_state_, *view_, now);
     PlaceQueued(now, &ready_callbacks);
   }
@@ -252,11 +268,7 @@
     for (const QueuedRequest& request : ebonylift::Expire(admission_, now)) {
       auto entry = waiting_.find(request.id);
       const RouteQuery& query = entry->second.query;
-      // A request with a first-byte target waits in the queue for only a fraction of that target,
-      // so it can expire before its deadline.
-      bool late = now >= query.deadline;
-      Choice refused = RefusedChoice(late ? ErrorKind::kDeadlineNotRun : ErrorKind::kOverloaded);
-      if (!late) SetRetryAfter(query, now, &refused.retry_after);
+      Choice refused = RefusalOfExpired(query, now);
       ready_callbacks.emplace_back(std::move(entry->second.on_ready), refused);
       waiting_.erase(entry);
     }
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -117,6 +117,7 @@
 
   void RecordPlacement(const Choice& choice, const RouteQuery& query, Time now);
   void PlaceQueued(Time now, ReadyCallbacks* ready_callbacks);
+  Choice RefusalOfExpired(const RouteQuery& query, Time now);
   void SetRetryAfter(const RouteQuery& query, Time now, Duration* retry_after);
   static void RunCallbacks(ReadyCallbacks ready_callbacks);
 
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -250,7 +250,7 @@
       return;
     }
     case ChoiceKind::kQueue:
-      EnqueueRequest();
+      EnqueueRequest(choice.hold_until);
       return;
     case ChoiceKind::kRefuse:
       // The error must also be true of the attempts made before.
@@ -263,7 +263,8 @@
   }
 }
 
-void Exchange::EnqueueRequest() {
+// `hold_until` is that of the choice.
+void Exchange::EnqueueRequest(Time hold_until) {
   QueuedRequest request;
   request.id = spec_.id;
   request.team = spec_.team;
@@ -272,8 +273,8 @@
   request.bytes = spec_.body.size();
   request.deadline = spec_.deadline;
   if (FirstByteDeadline() != Time()) {
-    Time hold_until = SteadyNow() + spec_.route->first_byte_target / kQueueHoldDivisor;
-    request.deadline = std::min(request.deadline, hold_until);
+    Time full_until = SteadyNow() + spec_.route->first_byte_target / kQueueHoldDivisor;
+    request.deadline = std::min(request.deadline, std::max(full_until, hold_until));
   }
   ExchangeTable* table = context_.table;
   asio::io_context* io = context_.io;
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -70,7 +70,7 @@
   void Place();
   bool RefreshView();
   void HandlePlacement(const Choice& choice);
-  void EnqueueRequest();
+  void EnqueueRequest(Time hold_until);
   void OnQueueResult(const Choice& choice);
   void DispatchToServer(const Choice& choice);
   void DispatchToHost(const HostEntry& host, bool crosses_region, const DomainId& domain);
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1369,4 +1369,78 @@
   BOOST_TEST(dispatched == 18);
 }
 
+// Guards against requests that a host which has just started refuses although it will hear of a
+// region that serves them: callers repeat a refused request once, and were sent away for 2 s from
+// hosts that needed half a second more.
+BOOST_AUTO_TEST_CASE(StartedHostHoldsRequestsUntilItHasHeardOfRegions) {
+  auto start = [](Fixture& f) {
+    f.config->revision = 1;
+    StartLearning(f.routing_state, f.view, kNow - kLearningTime + milliseconds(1));
+  };
+  auto only_norte = [](Fixture& f) { f.query.allowed_regions = {RegionId("norte")}; };
+  RunCases({
+      {"no configuration", "refuse no_server",
+       [](Fixture& f) { StartLearning(f.routing_state, f.view, kNow); }},
+      {"no server heard of", "queue", start},
+      {"the time is over", "refuse no_server",
+       [&](Fixture& f) {
+         f.config->revision = 1;
+         StartLearning(f.routing_state, f.view, kNow - kLearningTime);
+         StartLearning(f.routing_state, f.view, kNow);
+       }},
+      {"servers heard of", "local s1",
+       [&](Fixture& f) {
+         start(f);
+         f.AddServer("s1");
+       }},
+      {"other servers heard of, but not the other region", "queue",
+       [&](Fixture& f) {
+         start(f);
+         f.AddServer("s1").announced.models = {{ModelId("other"), {}, "1"}};
+       }},
+      {"no host of the other region", "queue",
+       [&](Fixture& f) {
+         start(f);
+         only_norte(f);
+         f.AddSummary("norte", "norte-a");
+       }},
+      {"no summary of the other region", "queue",
+       [&](Fixture& f) {
+         start(f);
+         only_norte(f);
+         f.AddHost("h1", "norte", "norte-a");
+       }},
+      {"other region heard of", "forward h1",
+       [&](Fixture& f) {
+         start(f);
+         only_norte(f);
+         f.AddHost("h1", "norte", "norte-a");
+         f.AddSummary("norte", "norte-a");
+       }},
+      {"the other region does not serve the model", "refuse no_server",
+       [&](Fixture& f) {
+         start(f);
+         only_norte(f);
+         f.AddHost("h1", "norte", "norte-a");
+         f.AddSummary("norte", "norte-a").served = "other";
+       }},
+      {"a forwarded request", "refuse no_server",
+       [&](Fixture& f) {
+         start(f);
+         f.query.hops = 1;
+       }},
+      {"route without send_away", "refuse residency_refused",
+       [&](Fixture& f) {
+         start(f);
+         only_norte(f);
+         f.route.send_away = false;
+       }},
+  });
+  Fixture f;
+  start(f);
+  BOOST_TEST((f.Run().hold_until == f.routing_state.learning_until));
+  f.query.deadline = kNow + Duration(500);
+  BOOST_TEST((f.Run().hold_until == f.query.deadline), "not longer than the request may take");
+}
+
 }  // namespace ebonylift
