--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -659,6 +659,19 @@
   BOOST_TEST(server->connection_count() == 0u);
 }
 
+// Guards against a shutdown that closes a connection whose accept is complete but not handled yet.
+BOOST_AUTO_TEST_CASE(StopAcceptingServesAConnectionThatIsAlreadyAccepted) {
+  Serve(Echo());
+  auto first = Connect();
+  auto second = Connect();
+  second->Send("GET / HTTP/1.1\r\n\r\n");
+  while (server->connection_count() == 0) BOOST_REQUIRE(io.run_one_for(kTestTimeout) == 1u);
+  server->StopAccepting();
+  RunUntil([&] { return second->closed || second->HasReceived("HTTP/1.1 200"); },
+           "the second connection is answered or closed");
+  BOOST_TEST(second->HasReceived("HTTP/1.1 200"));
+}
+
 // Guards against a connection limit that leaves clients waiting without a response.
 BOOST_AUTO_TEST_CASE(ConnectionsOverLimitAreRejected) {
   limits.max_connections = 2;
