Serve a connection that was accepted before the server stopped accepting

What callers would see: a new connection to a host that drains is closed without a response.

Cause: Asio completes an accept at once when another connection waits, and queues its event. If StopAccepting() ran before that event, its handler saw a closed acceptor and dropped the connection.

Evidence: StopAcceptingServesAConnectionThatIsAlreadyAccepted fails in three of three runs before and passes in three of three after; all 35 cases of http_test pass (one run).

Fix: the handler adds the connection whether or not the acceptor is still open, unless the server was shut down.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -675,9 +675,11 @@
 void Server::Accept() {
   acceptor_.async_accept(
       [self = shared_from_this()](const asio::error_code& error, tcp::socket socket) {
+        // The connection may have been accepted before StopAccepting(). After Shutdown() there is
+        // no handler.
+        if (!error && self->handler_) self->AddConnection(std::move(socket));
         if (!self->acceptor_.is_open()) return;
         if (!error) {
-          self->AddConnection(std::move(socket));
           self->Accept();
           return;
         }
