--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -478,7 +478,7 @@
   auto first = Connect();
   auto second = Connect();
   second->Send("GET / HTTP/1.1\r\n\r\n");
-  while (server->connection_count() == 0) BOOST_REQUIRE(io.run_one_for(kTestTimeout) == 1u);
+  while (server->connection_count() == 0) BOOST_REQUIRE(io.run_one_for(kHttpTestTimeout) == 1u);
   server->StopAccepting();
   RunUntil([&] { return second->closed || second->HasReceived("HTTP/1.1 200"); },
            "the second connection is answered or closed");
