--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -131,6 +131,8 @@
   void ConfigureHandle(CallState& call);
   void AddToMulti(CallId id);
   void Unpause(CallId id);
+  // Starts to poll a socket, or changes what it is polled for. Returns the error if it cannot be
+  // polled.
   asio::error_code StartPolling(curl_socket_t fd, int poll_mask);
   void StopPolling(curl_socket_t fd);
   // Ends the call of the handle, whose socket cannot be polled.
@@ -451,7 +453,8 @@
   }
 }
 
-// Ignores events that libcurl no longer waits for: Asio waits are not cancelled when it stops.
+// Ignores events that libcurl no longer waits for: a completed wait may already be queued when
+// libcurl ends or changes the polling.
 void CurlClient::OnSocketReady(const std::shared_ptr<PolledSocket>& socket, int poll_flag,
                                int select_flag) {
   if (!(socket->poll_mask & poll_flag)) return;
--- a/tests/http_client_sockets_test.cc
+++ b/tests/http_client_sockets_test.cc
@@ -17,6 +17,7 @@
 #include "adapters/http_client.h"
 #include "adapters/http_server.h"
 #include "base/descriptor_claim.h"
+#include "tests/support/http_fixture.h"
 
 namespace {
 // Makes the next addition to an epoll set fail, as when the limit of watched descriptors is
@@ -38,8 +39,9 @@
 namespace {
 
 using asio::ip::tcp;
+using test::kHttpTestTimeout;
+using test::Reply;
 
-constexpr Duration kTestTimeout = seconds(10);
 // Ends before Linux sends the first packet of an unanswered connection again, which is after 1 s.
 constexpr Duration kCallTimeout = milliseconds(800);
 // Enough for the two threads to meet: if connecting sockets are claimed, dozens to thousands of
@@ -88,7 +90,7 @@
   // Waits for a late connect after MakeSpace(). No event loop runs meanwhile.
   void WaitForConnection() {
     pollfd listener = {acceptor_.native_handle(), POLLIN, 0};
-    BOOST_REQUIRE(poll(&listener, 1, static_cast<int>(ToMillis(kTestTimeout))) == 1);
+    BOOST_REQUIRE(poll(&listener, 1, static_cast<int>(ToMillis(kHttpTestTimeout))) == 1);
   }
   // Accepts all connections from now on, and keeps them open.
   void KeepAccepting() {
@@ -108,57 +110,23 @@
   std::vector<tcp::socket> accepted_;
 };
 
-// What a call passed to its callbacks.
-struct Reply {
-  bool done = false;
-  std::string body;
-  CallResult result;
-};
-
-struct Fixture {
+// A client, and a server that answers with the path of the request.
+struct Fixture : test::HttpFixture {
   Fixture() {
-    server = StartHttpServer(
-        io, "127.0.0.1:0", limits,
-        [](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
-          responder->Send(200, {}, request.path);
-        });
+    Serve([](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+      responder->Send(200, {}, request.path);
+    });
   }
 
+  using HttpFixture::Start;
+  // Starts a call on a new connection.
   CallId Start(const std::string& url, Duration timeout, Reply* reply) {
-    HttpCall call;
-    call.url = url;
+    HttpCall call = Get(url);
     call.connect_timeout = milliseconds(500);
     call.timeout = timeout;
     call.new_connection = true;
     return Start(std::move(call), reply);
   }
-  // Sets the callbacks of the call and starts it.
-  CallId Start(HttpCall call, Reply* reply) {
-    call.on_data = [reply](std::string_view data) {
-      reply->body.append(data);
-      return true;
-    };
-    call.on_done = [reply](const CallResult& result) {
-      reply->done = true;
-      reply->result = result;
-    };
-    return client->Start(std::move(call));
-  }
-  void RunFor(Duration time) {
-    Time end = SteadyNow() + time;
-    while (SteadyNow() < end) io.run_one_for(milliseconds(5));
-  }
-  void RunUntil(const std::function<bool()>& condition, const char* description) {
-    Time deadline = SteadyNow() + kTestTimeout;
-    while (!condition() && SteadyNow() < deadline) io.run_one_for(milliseconds(20));
-    BOOST_REQUIRE_MESSAGE(condition(), "timed out waiting until " << description);
-  }
-
-  asio::io_context io;
-  asio::executor_work_guard<asio::io_context::executor_type> work_guard{io.get_executor()};
-  HttpLimits limits;
-  std::unique_ptr<HttpServer> server;
-  std::unique_ptr<HttpClient> client = MakeHttpClient(io);
 };
 
 }  // namespace
@@ -223,7 +191,7 @@
 
   HttpCall connecting;
   connecting.url = UrlOf(full.port(), "/cancelled");
-  connecting.connect_timeout = kTestTimeout;
+  connecting.connect_timeout = kHttpTestTimeout;
   connecting.new_connection = true;
   Reply cancelled;
   Reply answered;
@@ -328,9 +296,9 @@
     call.new_connection = true;
     Duration end = milliseconds(Random(985, 1015));
     bool cancel = Random(0, 1) == 0;
-    call.connect_timeout = cancel ? kTestTimeout : end;
+    call.connect_timeout = cancel ? kHttpTestTimeout : end;
     call.timeout = seconds(2);
-    connecting->cancel_at = SteadyNow() + (cancel ? end : kTestTimeout);
+    connecting->cancel_at = SteadyNow() + (cancel ? end : kHttpTestTimeout);
     connecting->id = Start(std::move(call), &connecting->reply);
     connecting_calls.push_back(std::move(connecting));
   }
@@ -344,8 +312,8 @@
     id_call->path = NewPath();
     HttpCall call;
     call.url = UrlOf(server->port(), id_call->path);
-    call.connect_timeout = kTestTimeout;
-    call.timeout = kTestTimeout;
+    call.connect_timeout = kHttpTestTimeout;
+    call.timeout = kHttpTestTimeout;
     call.new_connection = Random(0, 3) > 0;
     Start(std::move(call), &id_call->reply);
     id_calls.push_back(std::move(id_call));
