Log lines of a request carry the id of its caller

The lines of a request now have caller_request_id on every host that it passes, also where it is refused before it gets an id, and the timeline finds requests by it. attempt_failed has the content hash that suspects are kept by, and server_loss_not_recorded says why an attempt that its server broke off did not count as a loss of the server.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -27,12 +27,12 @@
       {EventId::kDescriptorConflict, 109, "descriptor_conflict", "Two parts of the process use one file descriptor number, so data may reach the wrong connection: descriptor, action (claim or release), user (the part that acts), other (the part that holds the claim)."},
       {EventId::kRequestReceived, 200, "request_received", "A request was accepted for processing: request_id, team, route, class, hops."},
       {EventId::kRequestDispatched, 201, "request_dispatched", "A request was sent to a backend server: request_id, attempt, server."},
-      {EventId::kRequestAnswered, 202, "request_answered", "The complete response was delivered: request_id, route, server, status, attempts; the inputs of the routing decision: tokens, hit_tokens, fetch_tokens, tokens_ahead; times since arrival: wait_ms (to the last dispatch), first_ms (to the first byte), ms (total); gap_ms (longest gap in the stream)."},
-      {EventId::kRequestRefused, 203, "request_refused", "A request ended with an error: request_id, kind, run; unless the error is relayed from another host, also route, attempts, tokens, retry_after_ms, ms."},
-      {EventId::kRequestForwarded, 204, "request_forwarded", "A request was forwarded to another entry host: request_id, host, hops, crossed (1 if into another region)."},
-      {EventId::kAttemptFailed, 205, "attempt_failed", "An attempt to run a request failed: request_id, attempt, server, outcome, status, run."},
+      {EventId::kRequestAnswered, 202, "request_answered", "The complete response was delivered: request_id, caller_request_id, route, server, status, attempts; the inputs of the routing decision: tokens, hit_tokens, fetch_tokens, tokens_ahead; times since arrival: wait_ms (to the last dispatch), first_ms (to the first byte), ms (total); gap_ms (longest gap in the stream)."},
+      {EventId::kRequestRefused, 203, "request_refused", "A request ended with an error: request_id, caller_request_id, kind, run; unless the error is relayed from another host, also route, attempts, tokens, retry_after_ms, ms. A request that is refused before it gets a request_id has only caller_request_id, kind and run."},
+      {EventId::kRequestForwarded, 204, "request_forwarded", "A request was forwarded to another entry host: request_id, caller_request_id, host, hops, crossed (1 if into another region)."},
+      {EventId::kAttemptFailed, 205, "attempt_failed", "An attempt to run a request failed: request_id, caller_request_id, attempt, server, outcome, status, run, content (hash of what was sent)."},
       {EventId::kAttemptRetried, 206, "attempt_retried", "A request is retried after a failed attempt: request_id, attempt."},
-      {EventId::kCallerGone, 207, "caller_gone", "The caller closed its connection before the response was complete: request_id."},
+      {EventId::kCallerGone, 207, "caller_gone", "The caller closed its connection before the response was complete: request_id, caller_request_id."},
       {EventId::kStreamResumed, 208, "stream_resumed", "An interrupted response stream was resumed: request_id, server, offset."},
       {EventId::kLateDataDropped, 209, "late_data_dropped", "Data received from an abandoned attempt was discarded: request_id, attempt."},
       {EventId::kForwardRejected, 210, "forward_rejected", "A forwarding header of another host was rejected: from, reason."},
@@ -83,6 +83,7 @@
       {EventId::kSuspectRecorded, 700, "suspect_recorded", "A backend server was lost while it ran a request with this content: content, server."},
       {EventId::kPoisonCondemned, 701, "poison_condemned", "Requests with this content are refused from now on: content, servers."},
       {EventId::kSuspectCleared, 702, "suspect_cleared", "A request with suspected content completed, so the suspicion was cleared: content."},
+      {EventId::kServerLossNotRecorded, 703, "server_loss_not_recorded", "A backend server broke off an attempt, but its loss was not recorded: request_id, content, server, reason."},
   };
   // clang-format on
   return table;
@@ -112,7 +113,8 @@
 
 bool HasRequestId(const Event& event, const std::string& request_id) {
   return std::any_of(event.fields.begin(), event.fields.end(), [&](const EventField& field) {
-    return field.name == "request_id" && field.value == request_id;
+    bool names_request = field.name == "request_id" || field.name == "caller_request_id";
+    return names_request && field.value == request_id;
   });
 }
 
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -98,6 +98,7 @@
   kSuspectRecorded = 700,
   kPoisonCondemned = 701,
   kSuspectCleared = 702,
+  kServerLossNotRecorded = 703,
 };
 
 struct EventInfo {
@@ -134,8 +135,8 @@
   void Add(Event event);
 
   // Returns at most `limit` events with a timestamp greater than `since`, in the order in which
-  // they were added. If `request_id` is not empty, returns only events whose field "request_id" has
-  // this value.
+  // they were added. If `request_id` is not empty, returns only events whose field "request_id" or
+  // "caller_request_id" has this value.
   std::vector<Event> Read(HlcStamp since, const std::string& request_id, size_t limit) const;
 
  private:
--- a/src/cli/log_files.cc
+++ b/src/cli/log_files.cc
@@ -16,7 +16,8 @@
 
 bool Matches(const json& event, const EventFilter& filter) {
   if (event["hlc"].get<HlcStamp>() <= filter.since) return false;
-  return filter.request_id.empty() || event.value("request_id", "") == filter.request_id;
+  return filter.request_id.empty() || event.value("request_id", "") == filter.request_id ||
+         event.value("caller_request_id", "") == filter.request_id;
 }
 
 }  // namespace
--- a/src/cli/log_files.h
+++ b/src/cli/log_files.h
@@ -17,8 +17,9 @@
 constexpr size_t kMaxLogEvents = 100'000;
 
 struct EventFilter {
-  std::string request_id;  // empty: events of any request, or of none
-  HlcStamp since = 0;      // only events with a greater timestamp
+  // The gateway's or the caller's id of a request; empty: events of any request, or of none.
+  std::string request_id;
+  HlcStamp since = 0;  // only events with a greater timestamp
 };
 
 // Appends the events of `log` that match `filter` to `events`. Text before the event on a line is
--- a/src/daemon/dialect.h
+++ b/src/daemon/dialect.h
@@ -28,8 +28,9 @@
 
 // Fields that the dialect extracts from a caller's request.
 struct DialectRequest {
-  std::string host;            // from the Host header, without the port
-  Duration caller_timeout{0};  // 0 if the caller specified none
+  std::string caller_request_id;  // identifies the request to its caller; empty if it has none
+  std::string host;               // from the Host header, without the port
+  Duration caller_timeout{0};     // 0 if the caller specified none
   ModelId model;
   int64_t prompt_tokens = 0;
   int64_t max_output_tokens = 0;
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -64,6 +64,14 @@
   ProbeServer(context_.dispatcher->CollectLossEvidence(*open_attempt_.server), result, kMaxProbes);
 }
 
+void Exchange::LogLossNotRecorded(const char* reason) const {
+  if (!open_attempt_.server) return;
+  LogEvent(EventId::kServerLossNotRecorded, {{"request_id", spec_.id.value()},
+                                             {"content", std::to_string(spec_.content_hash)},
+                                             {"server", open_attempt_.server->value()},
+                                             {"reason", reason}});
+}
+
 void Exchange::ProbeServer(const LossEvidence& evidence, const CallResult& result, int probes) {
   HttpCall call;
   call.url = "http://" + open_attempt_.address + "/healthz";
@@ -84,9 +92,9 @@
       });
       return;
     }
-    if (probe.outcome != CallOutcome::kComplete && !accepted) {
-      dispatcher->RecordServerLoss(evidence, SteadyNow());
-    }
+    bool lost = probe.outcome != CallOutcome::kComplete && !accepted;
+    if (lost) dispatcher->RecordServerLoss(evidence, SteadyNow());
+    if (!lost && exchange != nullptr) exchange->LogLossNotRecorded("accepts_connections");
     if (exchange != nullptr) exchange->OnAttemptFailed(result, ebonylift::Run::kMayHaveRun);
   };
   open_attempt_.call = context_.client->Start(std::move(call));
@@ -96,6 +104,8 @@
   open_attempt_.call = 0;
   LogEvent(EventId::kAttemptFailed,
            {{"request_id", spec_.id.value()},
+            {"caller_request_id", spec_.caller_request_id},
+            {"content", std::to_string(spec_.content_hash)},
             {"attempt", std::to_string(open_attempt_.number)},
             {"server", open_attempt_.server ? open_attempt_.server->value() : "forward"},
             {"outcome", CallOutcomeName(result.outcome)},
@@ -264,6 +274,7 @@
   HttpHeaders headers = MakeResponseHeaders();
   EndAttempt(ServerOutcome::kOk);
   LogEvent(EventId::kRequestRefused, {{"request_id", spec_.id.value()},
+                                      {"caller_request_id", spec_.caller_request_id},
                                       {"kind", LookupError(kind).code},
                                       {"run", RunName(RequestRun(attempts_))}});
   relay_.Send(relay_.status(), headers, relay_.body());
@@ -291,6 +302,7 @@
                                 SteadyNow() - spec_.arrived);
   LogEvent(EventId::kRequestAnswered,
            {{"request_id", spec_.id.value()},
+            {"caller_request_id", spec_.caller_request_id},
             {"route", spec_.route->id.value()},
             {"server", server},
             {"status", std::to_string(relay_.status())},
@@ -329,6 +341,7 @@
   kind = ErrorConsistentWithRun(kind, RequestRun(attempts_));
   LogEvent(EventId::kRequestRefused,
            {{"request_id", spec_.id.value()},
+            {"caller_request_id", spec_.caller_request_id},
             {"route", spec_.route->id.value()},
             {"kind", LookupError(kind).code},
             {"run", RunName(LookupError(kind).run)},
@@ -344,7 +357,8 @@
 void Exchange::OnCallerDisconnected() {
   relay_.DetachCaller();
   if (finished_) return;
-  LogEvent(EventId::kCallerGone, {{"request_id", spec_.id.value()}});
+  LogEvent(EventId::kCallerGone,
+           {{"request_id", spec_.id.value()}, {"caller_request_id", spec_.caller_request_id}});
   // Work dispatched under an idempotency key may not be repeated. It runs to completion, so that a
   // resend with the same key gets the full response.
   if (claim_.dispatched()) {
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -134,6 +134,7 @@
   open_attempt_.number =
       OnDispatch(attempts_, ServerId("host/" + host.id.value()), host.incarnation, now);
   LogEvent(EventId::kRequestForwarded, {{"request_id", spec_.id.value()},
+                                        {"caller_request_id", spec_.caller_request_id},
                                         {"host", host.id.value()},
                                         {"hops", std::to_string(spec_.hops + 1)},
                                         {"crossed", crosses_region ? "1" : "0"}});
@@ -229,6 +230,7 @@
       if (open_attempt_.server && spec_.dialect == nullptr) {
         CheckServerLost(result);
       } else {
+        LogLossNotRecorded("not_checked");
         OnAttemptFailed(result, ebonylift::Run::kMayHaveRun);
       }
       return;
@@ -244,6 +246,7 @@
   } else if (open_attempt_.server && spec_.dialect == nullptr) {
     CheckServerLost(broken);
   } else {
+    LogLossNotRecorded("not_checked");
     OnAttemptFailed(broken, ebonylift::Run::kMayHaveRun);
   }
 }
--- a/src/daemon/ingress_request.cc
+++ b/src/daemon/ingress_request.cc
@@ -27,6 +27,7 @@
   RequestSpec spec;
   spec.dialect = &dialect;
   spec.dialect_request = dialect.read_request(request);
+  spec.caller_request_id = spec.dialect_request.caller_request_id;
   spec.team = TeamId(kIngressTeam);
   spec.arrived = now;
   spec.method = request.method;
--- a/src/daemon/request.h
+++ b/src/daemon/request.h
@@ -23,7 +23,9 @@
 // dialect.
 struct RequestSpec {
   RequestId id;
-  std::string caller_request_id;  // echoed in the response; `id` identifies the request
+  // The caller's own name of the request, or of this try of it; empty: none. Only logged and, by
+  // the native interface, echoed in the response. `id` identifies the request.
+  std::string caller_request_id;
   std::shared_ptr<const RoutingView> view;
   const RouteConfig* route = nullptr;  // points into `view`
   TeamId team;
--- a/tests/log_files_test.cc
+++ b/tests/log_files_test.cc
@@ -50,4 +50,15 @@
   BOOST_TEST(Read(log, {"", 4}).size() == 1u);
 }
 
+// Guards against a request that cannot be found in any log by the id under which its caller reports
+// it.
+BOOST_AUTO_TEST_CASE(FilterByTheIdOfTheCaller) {
+  std::string log =
+      "{\"event\":202,\"name\":\"request_answered\",\"time\":1,\"hlc\":4,"
+      "\"daemon\":\"a\",\"request_id\":\"r-1\",\"caller_request_id\":\"39ed\"}\n" +
+      Line(5, "a", "r-2");
+  BOOST_TEST(Read(log, {"39ed", 0}).size() == 1u);
+  BOOST_TEST(Read(log, {"39", 0}).empty());
+}
+
 }  // namespace ebonylift
