Add a failing test of a request that crashes its servers on the platform

The test plays the users' record of BUDGET: one server of the service in each region, a request that crashes each of them, and callers that return through all gateways, one of which is frozen or restarted meanwhile, or all hosts are killed.

--- /dev/null
+++ b/tests/integration/platform_poison_test.cc
@@ -0,0 +1,155 @@
+#define BOOST_TEST_MODULE platform_poison
+#include <algorithm>
+#include <atomic>
+#include <boost/test/included/unit_test.hpp>
+#include <thread>
+
+#include "tests/support/platform_deployment.h"
+#include "tests/support/wait_for.h"
+
+// A request that crashes every replica that runs it, sent again and again through the gateways of
+// all regions. Each region has one replica of its service, so each crash is in another region than
+// the one before.
+
+namespace ebonylift::test {
+namespace {
+
+constexpr Duration kStartTimeout = seconds(20);
+// The platform's bound: of the requests that have crashed three replicas, at most this many more
+// may reach replicas later than kContactTime after the third crash.
+constexpr size_t kCrashesBeforeTheBound = 3;
+constexpr size_t kMaxLateRuns = 3;
+constexpr Duration kContactTime = seconds(5);
+constexpr Duration kCallerInterval = milliseconds(100);
+const std::string kCrashingPath = std::string("/look") + PlatformReplica::kCrashPath;
+
+class Deployment {
+ public:
+  Deployment() {
+    for (const std::string& zone : PlatformDeployment::Zones()) {
+      replicas_.push_back(platform.AddReplica("portal", zone));
+    }
+    platform.PutConfiguration(PlatformDeployment::Configuration(7));
+    for (const std::string& zone : PlatformDeployment::Zones()) {
+      BOOST_REQUIRE(WaitFor([&] { return Serves(zone); }, kStartTimeout));
+    }
+  }
+
+  // Sends a harmless request to the gateway of the zone.
+  bool Serves(const std::string& zone) {
+    std::string id = NextRequestId();
+    return platform.Request(zone, "GET", "/look/" + id, id).status == 200;
+  }
+
+  TestResponse SendCrashing(const std::string& zone) {
+    return platform.Request(zone, "GET", kCrashingPath, NextRequestId());
+  }
+
+  // Sends the crashing request to the gateways of `zones` in turn for `time`.
+  void SendCrashingFor(const std::vector<std::string>& zones, Duration time) {
+    Time end = SteadyNow() + time;
+    for (size_t i = 0; SteadyNow() < end; ++i) {
+      SendCrashing(zones[i % zones.size()]);
+      std::this_thread::sleep_for(kCallerInterval);
+    }
+  }
+
+  // When the crashing request ran, oldest first.
+  std::vector<Time> Runs() const {
+    std::vector<Time> runs;
+    for (PlatformReplica* replica : replicas_) {
+      std::vector<Time> times = replica->CrashTimes();
+      runs.insert(runs.end(), times.begin(), times.end());
+    }
+    std::sort(runs.begin(), runs.end());
+    return runs;
+  }
+
+  // The number of runs that count against kMaxLateRuns.
+  size_t LateRuns() const {
+    std::vector<Time> runs = Runs();
+    if (runs.size() < kCrashesBeforeTheBound) return 0;
+    Time from = runs[kCrashesBeforeTheBound - 1] + kContactTime;
+    return static_cast<size_t>(
+        std::count_if(runs.begin(), runs.end(), [from](Time run) { return run > from; }));
+  }
+
+  bool AllReplicasRun() const {
+    return std::all_of(replicas_.begin(), replicas_.end(),
+                       [](PlatformReplica* replica) { return replica->Running(); });
+  }
+
+  void WaitUntilAllServe() {
+    BOOST_REQUIRE(WaitFor([this] { return AllReplicasRun(); }, kStartTimeout));
+    for (const std::string& zone : PlatformDeployment::Zones()) {
+      BOOST_REQUIRE(WaitFor([&] { return Serves(zone); }, kStartTimeout));
+    }
+  }
+
+  PlatformDeployment platform;
+
+ private:
+  std::string NextRequestId() { return "request-" + std::to_string(++request_number_); }
+
+  std::vector<PlatformReplica*> replicas_;
+  std::atomic<int> request_number_{0};
+};
+
+}  // namespace
+
+// Guards against a request that crashes its servers and is run without end, because the gateways do
+// not record the losses, or because each region knows only its own; and against other requests that
+// are refused with it.
+BOOST_FIXTURE_TEST_CASE(RequestThatCrashesServersIsRefusedInAllRegions, Deployment) {
+  SendCrashingFor(PlatformDeployment::Zones(), 2 * kContactTime + seconds(2));
+  BOOST_REQUIRE(Runs().size() >= kCrashesBeforeTheBound);
+  BOOST_TEST(LateRuns() <= kMaxLateRuns);
+  WaitUntilAllServe();
+  size_t runs = Runs().size();
+  BOOST_TEST_MESSAGE("runs of the crashing request: " << runs);
+  for (const std::string& zone : PlatformDeployment::Zones()) {
+    TestResponse refusal = SendCrashing(zone);
+    BOOST_TEST(refusal.status == 503, zone);
+    BOOST_TEST(!refusal.Header("Retry-After").empty(), zone);
+    for (int i = 0; i < 20; ++i) BOOST_TEST(Serves(zone), zone);
+  }
+  BOOST_TEST(Runs().size() == runs);
+}
+
+// Guards against a gateway that runs a refused request again because it was frozen, or not running,
+// when the others learned of it.
+BOOST_FIXTURE_TEST_CASE(GatewayThatWasAwayRefusesTheRequest, Deployment) {
+  platform.StopGateway("norte-a");
+  SendCrashingFor({"este-a", "centro-a"}, kContactTime + seconds(2));
+  BOOST_REQUIRE(Runs().size() >= kCrashesBeforeTheBound);
+  platform.ContinueGateway("norte-a");
+  platform.KillGateway("este-a");
+  platform.StartGateway("este-a");
+  std::this_thread::sleep_for(kContactTime);
+  WaitUntilAllServe();
+  SendCrashingFor({"norte-a", "este-a"}, seconds(6));
+  BOOST_TEST(LateRuns() <= kMaxLateRuns);
+}
+
+// Guards against a request that crashes its servers anew after each time that all hosts were killed
+// at once.
+BOOST_FIXTURE_TEST_CASE(RefusalOutlivesAllProcesses, Deployment) {
+  SendCrashingFor(PlatformDeployment::Zones(), kContactTime + seconds(2));
+  BOOST_REQUIRE(Runs().size() >= kCrashesBeforeTheBound);
+  for (int round = 0; round < 2; ++round) {
+    for (size_t i = 0; i < PlatformDeployment::Zones().size(); ++i) {
+      platform.KillControl(static_cast<int>(i));
+      platform.KillGateway(PlatformDeployment::Zones()[i]);
+    }
+    for (size_t i = 0; i < PlatformDeployment::Zones().size(); ++i) {
+      platform.StartControl(static_cast<int>(i), false);
+      platform.StartGateway(PlatformDeployment::Zones()[i]);
+    }
+    WaitUntilAllServe();
+    std::this_thread::sleep_for(kContactTime);
+    SendCrashingFor(PlatformDeployment::Zones(), seconds(5));
+  }
+  BOOST_TEST(LateRuns() <= kMaxLateRuns);
+}
+
+}  // namespace ebonylift::test
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -18,6 +18,7 @@
 constexpr Duration kHeartbeatInterval = milliseconds(300);
 constexpr Duration kControlTimeout = milliseconds(1'500);
 constexpr Duration kStartTimeout = seconds(20);
+constexpr Duration kTimeToCrash = milliseconds(40);  // from the start of a request that crashes
 // Ports that a host listens on, as offsets from its base port.
 constexpr int kControlPortOffset = 20;
 constexpr int kDirectoryPortOffset = 21;
@@ -43,12 +44,8 @@
 
 PlatformReplica::PlatformReplica(const std::string& id, const std::string& ip,
                                  const std::string& service, const std::string& zone)
-    : id_(id), service_(service), zone_(zone) {
-  server_ = StartHttpServer(
-      io_, Endpoint(ip, 0), HttpLimits(),
-      [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
-        Handle(request, responder);
-      });
+    : first_id_(id), service_(service), zone_(zone), id_(id), born_(WallNow()) {
+  Listen(Endpoint(ip, 0));
   address_ = Endpoint(ip, server_->port());
   thread_ = std::thread([this] {
     auto work = asio::make_work_guard(io_);
@@ -61,28 +58,74 @@
   thread_.join();
 }
 
+void PlatformReplica::Listen(const std::string& address) {
+  server_ = StartHttpServer(
+      io_, address, HttpLimits(),
+      [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+        Handle(request, responder);
+      });
+}
+
+void PlatformReplica::RunAfter(Duration delay, std::function<void()> fn) {
+  auto timer = std::make_shared<asio::steady_timer>(io_, delay);
+  timer->async_wait([timer, fn = std::move(fn)](const asio::error_code& error) {
+    if (!error) fn();
+  });
+}
+
+void PlatformReplica::Crash() {
+  if (server_ == nullptr) return;  // another request crashed it first
+  server_.reset();
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    running_ = false;
+  }
+  RunAfter(kCrashedTime, [this] { Restart(); });
+}
+
+void PlatformReplica::Restart() {
+  Listen(address_);
+  std::lock_guard<std::mutex> lock(mutex_);
+  ++restarts_;
+  if (restarts_ % 2 == 1) id_ = first_id_ + "-" + std::to_string(restarts_);
+  born_ = WallNow();
+  sequence_ = 0;
+  running_ = true;
+}
+
+std::vector<Time> PlatformReplica::CrashTimes() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return crash_times_;
+}
+
+bool PlatformReplica::Running() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return running_;
+}
+
+std::string PlatformReplica::id() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return id_;
+}
+
 std::vector<std::string> PlatformReplica::ExecutedRequestIds() const {
   std::lock_guard<std::mutex> lock(mutex_);
   return runs_;
 }
 
 json PlatformReplica::Heartbeat(const std::string& state) {
-  return {{"service", service_},
-          {"address", address_},
-          {"zone", zone_},
-          {"version", "v1"},
-          {"slots", 8},
-          {"state", state},
-          {"sequence", ++sequence_},
-          {"cold_remaining_ms", 0},
+  std::lock_guard<std::mutex> lock(mutex_);
+  return {{"service", service_},     {"address", address_}, {"zone", zone_},
+          {"version", "v1"},         {"slots", 8},          {"state", state},
+          {"sequence", ++sequence_}, {"born", born_},       {"cold_remaining_ms", 0},
           {"models", json::array()}};
 }
 
 void PlatformReplica::Handle(const HttpRequest& request,
                              const std::shared_ptr<HttpResponder>& responder) {
   const std::string& expected = FindHeader(request.headers, "Expect-Instance");
-  if (expected != id_) {
-    responder->Send(421, {{"Instance-Id", id_}}, "");
+  if (expected != id()) {
+    responder->Send(421, {{"Instance-Id", id()}}, "");
     return;
   }
   ReplicaMode mode = mode_;
@@ -94,6 +137,12 @@
   {
     std::lock_guard<std::mutex> lock(mutex_);
     runs_.push_back(request_id);
+    if (request.path.find(kCrashPath) != std::string::npos) crash_times_.push_back(SteadyNow());
+  }
+  if (request.path.find(kCrashPath) != std::string::npos) {
+    // The responder keeps the connection open until the crash.
+    RunAfter(kTimeToCrash, [this, responder] { Crash(); });
+    return;
   }
   if (mode == ReplicaMode::kLoseAnswer) {
     responder->Abort();
@@ -104,7 +153,7 @@
     return;
   }
   if (mode == ReplicaMode::kWrongAttemptId) request_id = "another";
-  HttpHeaders headers = {{"Attempt-Id", request_id}, {"Server-Seal", id_}};
+  HttpHeaders headers = {{"Attempt-Id", request_id}, {"Server-Seal", id()}};
   int status = mode == ReplicaMode::kFail ? 500 : 200;
   responder->Send(status, headers, request.method + " " + request.path + " " + request.body);
 }
@@ -113,7 +162,7 @@
                              const std::shared_ptr<HttpResponder>& responder,
                              bool break_connection) {
   responder->Begin(200, {{"Attempt-Id", FindHeader(request.headers, "Attempt-Id")},
-                         {"Server-Seal", id_},
+                         {"Server-Seal", id()},
                          {"Content-Type", "text/event-stream"}});
   int first = std::atoi(FindHeader(request.headers, "Last-Event-Id").c_str()) + 1;
   for (int event = first; event <= kEventsPerStream; ++event) {
@@ -122,8 +171,7 @@
     if (break_connection && event == first + 2) {
       responder->Write(text.substr(0, text.size() / 2));
       // The delay lets the gateway receive the bytes written so far before the connection closes.
-      auto timer = std::make_shared<asio::steady_timer>(io_, milliseconds(50));
-      timer->async_wait([timer, responder](const asio::error_code&) { responder->Abort(); });
+      RunAfter(milliseconds(50), [responder] { responder->Abort(); });
       return;
     }
     responder->Write(text);
@@ -226,6 +274,25 @@
       StartDaemon(WriteSettings(name, ControlIp(host), zone, true, bootstrap), name);
 }
 
+void PlatformDeployment::KillGateway(const std::string& zone) {
+  gateways_[static_cast<size_t>(ZoneIndex(zone))].Kill();
+}
+
+void PlatformDeployment::StartGateway(const std::string& zone) {
+  int host = ZoneIndex(zone);
+  std::string name = "front-" + zone;
+  gateways_[static_cast<size_t>(host)] =
+      StartDaemon(WriteSettings(name, GatewayIp(host), zone, false, false), name);
+}
+
+void PlatformDeployment::StopGateway(const std::string& zone) {
+  gateways_[static_cast<size_t>(ZoneIndex(zone))].Stop();
+}
+
+void PlatformDeployment::ContinueGateway(const std::string& zone) {
+  gateways_[static_cast<size_t>(ZoneIndex(zone))].Continue();
+}
+
 void PlatformDeployment::WipeControl(int host) {
   std::filesystem::remove_all(dir_.path() + "/core-" + Zones()[static_cast<size_t>(host)]);
 }
@@ -238,6 +305,7 @@
       targets = heartbeat_addresses_;
     }
     for (const auto& [replica, address] : targets) {
+      if (!replica->Running()) continue;
       TestCall call;
       call.method = "POST";
       call.url = "http://" + address + "/Instances.Heartbeat/" + replica->id();
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -7,6 +7,7 @@
 
 #include <asio/io_context.hpp>
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -31,9 +32,15 @@
 };
 
 // A simulated service replica, which serves HTTP on a thread of its own. Thread safe.
+//
+// A request whose path contains kCrashPath crashes it: the replica closes its port and all its
+// connections, and starts again after kCrashedTime, by turns with a new id and with the id that it
+// had.
 class PlatformReplica {
  public:
   static constexpr int kEventsPerStream = 6;  // number of events in a complete stream
+  static constexpr char kCrashPath[] = "/crash";
+  static constexpr Duration kCrashedTime = milliseconds(1'000);
 
   PlatformReplica(const std::string& id, const std::string& ip, const std::string& service,
                   const std::string& zone);
@@ -44,7 +51,11 @@
   void SetMode(ReplicaMode mode) { mode_ = mode; }
   // Attempt-Ids of the requests that ran here, oldest first.
   std::vector<std::string> ExecutedRequestIds() const;
-  const std::string& id() const { return id_; }
+  // When requests that crash the replica began to run, oldest first.
+  std::vector<Time> CrashTimes() const;
+  // False from a crash until the restart.
+  bool Running() const;
+  std::string id() const;
   // The body of the next heartbeat, with the given `state` and the next sequence number.
   nlohmann::json Heartbeat(const std::string& state);
 
@@ -52,15 +63,24 @@
   void Handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
   void Stream(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder,
               bool break_connection);
+  void Listen(const std::string& address);
+  void Crash();
+  void Restart();
+  void RunAfter(Duration delay, std::function<void()> fn);
 
-  const std::string id_;
+  const std::string first_id_;
   const std::string service_;
   const std::string zone_;
   std::string address_;
   std::atomic<ReplicaMode> mode_{ReplicaMode::kServe};
-  std::atomic<int> sequence_{0};
   mutable std::mutex mutex_;
   std::vector<std::string> runs_;
+  std::vector<Time> crash_times_;
+  bool running_ = true;
+  int restarts_ = 0;
+  std::string id_;
+  int64_t born_ = 0;  // Unix milliseconds of the last start
+  int sequence_ = 0;  // of the heartbeats since the last start
   asio::io_context io_;
   std::unique_ptr<HttpServer> server_;
   std::thread thread_;
@@ -107,6 +127,12 @@
   void StartControl(int host, bool bootstrap);
   void WipeControl(int host);
 
+  // Of the gateway of the zone. StopGateway() sends SIGSTOP and ContinueGateway() SIGCONT.
+  void KillGateway(const std::string& zone);
+  void StartGateway(const std::string& zone);
+  void StopGateway(const std::string& zone);
+  void ContinueGateway(const std::string& zone);
+
   // True when GET /ready of the gateway of the zone returns 200.
   bool Ready(const std::string& zone);
 
