Record the loss of a server on the platform

Now it probes the server in both interfaces. With a dialect the probe only connects, because a health check waits for a slot, and only a refused connection proves a loss: a server that cannot be reached may be cut off. Suspects run like other requests there: the servers report no load, so none is known to be idle, and a region may have only one.

exchange_test LossOfAServerIsRecordedWithADialect fails without the change of exchange_run.cc (no probe is made) and passes with it. integration/platform_poison_test still fails: nothing condemns a content that never runs alone.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -7,6 +7,7 @@
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <cerrno>
 #include <cstdlib>
 #include <exception>
 #include <mutex>
@@ -266,8 +267,10 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ToTimeoutMillis(request.timeout));
   // A call that requires a new connection also closes it afterwards: if most calls are of this
   // kind, nothing would limit the number of idle connections.
-  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.new_connection ? 1L : 0L);
-  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.new_connection ? 1L : 0L);
+  bool new_connection = request.new_connection || request.connect_only;
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, new_connection ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, new_connection ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, request.connect_only ? 1L : 0L);
   if (request.unacknowledged_timeout.count() > 0) {
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &CurlClient::SetSocketOptions);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &call);
@@ -495,10 +498,12 @@
   result.status = call.status;
   result.body_received = call.body_received;
   // If the connection ends within the headers, libcurl accepts them without the final empty line.
-  if (code == CURLE_OK && call.headers_complete) {
+  if (code == CURLE_OK && (call.headers_complete || call.request.connect_only)) {
     result.outcome = CallOutcome::kComplete;
     return result;
   }
+  long connect_errno = 0;
+  curl_easy_getinfo(call.easy, CURLINFO_OS_ERRNO, &connect_errno);
   result.error = !call.error.empty() ? call.error
                  : code == CURLE_OK  ? "connection closed before the response headers were complete"
                                      : curl_easy_strerror(code);
@@ -514,6 +519,7 @@
   } else {
     bool connected = connect_us > 0 || pretransfer_us > 0;
     result.outcome = connected ? CallOutcome::kNothingWritten : CallOutcome::kNotConnected;
+    result.refused = code == CURLE_COULDNT_CONNECT && connect_errno == ECONNREFUSED;
   }
   return result;
 }
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -33,6 +33,7 @@
   CallOutcome outcome = CallOutcome::kFailed;
   int status = 0;              // 0 if no status line was received
   std::string error;           // description for logs
+  bool refused = false;        // kNotConnected: the machine answered that nothing listens there
   bool body_received = false;  // at least one body byte was received
 };
 
@@ -51,6 +52,9 @@
   // Opens a new connection and closes it after the call. Required for requests that must not be
   // sent twice: libcurl silently retries a request when a reused connection turns out to be closed.
   bool new_connection = false;
+  // Ends as kComplete, with status 0, when the connection is established; nothing is sent. Implies
+  // `new_connection`.
+  bool connect_only = false;
 
   // Runs at most once, when the headers of the final response are complete.
   std::function<void(int status, const HttpHeaders&)> on_headers;
--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -83,7 +83,7 @@
       {EventId::kSuspectRecorded, 700, "suspect_recorded", "A backend server was lost while it ran a request with this content: content, server."},
       {EventId::kPoisonCondemned, 701, "poison_condemned", "Requests with this content are refused from now on: content, servers."},
       {EventId::kSuspectCleared, 702, "suspect_cleared", "A request with suspected content completed, so the suspicion was cleared: content."},
-      {EventId::kServerLossNotRecorded, 703, "server_loss_not_recorded", "A backend server broke off an attempt, but its loss was not recorded: request_id, content, server, reason."},
+      {EventId::kServerLossNotRecorded, 703, "server_loss_not_recorded", "A backend server broke off an attempt, but its loss was not recorded: request_id, content, server, reason (the outcome of the probe of the server)."},
   };
   // clang-format on
   return table;
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -27,8 +27,9 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(ControlPort* control, RoutingPolicy policy, uint64_t seed)
-    : control_(control), rng_(seed) {
+Dispatcher::Dispatcher(ControlPort* control, RoutingPolicy policy,
+                       SuspectPlacement suspect_placement, uint64_t seed)
+    : control_(control), suspect_placement_(suspect_placement), rng_(seed) {
   routing_state_.policy = policy;
 }
 
@@ -202,7 +203,7 @@
     std::lock_guard<std::mutex> lock(mutex_);
     verdicts = OnServerLost(poison_, evidence.server, evidence.contents, evidence.alone, now,
                             evidence.incarnation);
-    routing_state_.set_aside_until = SetAsideUntil(poison_);
+    SetServersAside();
   }
   for (size_t i = 0; i < evidence.contents.size(); ++i) {
     uint64_t content = evidence.contents[i];
@@ -213,6 +214,12 @@
   }
 }
 
+// Precondition: the caller holds the mutex.
+void Dispatcher::SetServersAside() {
+  if (suspect_placement_ == SuspectPlacement::kAlone)
+    routing_state_.set_aside_until = SetAsideUntil(poison_);
+}
+
 void Dispatcher::OnRemoteSuspect(uint64_t content, const ServerId& server, bool alone,
                                  bool cleared) {
   std::lock_guard<std::mutex> lock(mutex_);
@@ -220,7 +227,7 @@
     ebonylift::OnCompleted(poison_, content);
   } else {
     OnLossReported(poison_, server, content, alone, SteadyNow());
-    routing_state_.set_aside_until = SetAsideUntil(poison_);
+    SetServersAside();
   }
 }
 
@@ -240,6 +247,11 @@
   return ebonylift::Verdict(poison_, content, now);
 }
 
+bool Dispatcher::MustRunAlone(uint64_t content, Time now) const {
+  return suspect_placement_ == SuspectPlacement::kAlone &&
+         Verdict(content, now) == PoisonVerdict::kSuspect;
+}
+
 void Dispatcher::CountRequest(const TeamId& team, int retry_percent) {
   std::lock_guard<std::mutex> lock(mutex_);
   DepositForRequest(FindOrCreateBudget(budgets_, team), retry_percent);
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -43,12 +43,19 @@
   size_t suspects = 0;
 };
 
+// How requests with suspected content (core/poison.h) run until they complete or are condemned.
+enum class SuspectPlacement {
+  kAlone,     // only on servers without other work
+  kAnywhere,  // like others: for servers that report no load, none of which is known to be idle
+};
+
 class Dispatcher {
  public:
   using PlacementCallback = std::function<void(Choice)>;
 
   // Suspects are reported to `control`, which must outlive the dispatcher.
-  Dispatcher(ControlPort* control, RoutingPolicy policy, uint64_t seed);
+  Dispatcher(ControlPort* control, RoutingPolicy policy, SuspectPlacement suspect_placement,
+             uint64_t seed);
 
   // Admits a request of a team, or returns the reason for the refusal. Each admitted request must
   // be released with Release() exactly once.
@@ -97,6 +104,8 @@
   // A request with this content completed here, which clears a suspicion.
   void OnCompleted(uint64_t content);
   PoisonVerdict Verdict(uint64_t content, Time now) const;
+  // Returns whether a request with this content must run alone on a server.
+  bool MustRunAlone(uint64_t content, Time now) const;
 
   // Retry budgets; see core/retry.h.
   void CountRequest(const TeamId& team, int retry_percent);
@@ -125,7 +134,10 @@
   void SetRetryAfter(const RouteQuery& query, Time now, Duration* retry_after);
   static void RunCallbacks(ReadyCallbacks ready_callbacks);
 
+  void SetServersAside();
+
   ControlPort* const control_;
+  const SuspectPlacement suspect_placement_;
   mutable std::mutex mutex_;
   std::mt19937_64 rng_;
   RoutingState routing_state_;
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -202,8 +202,7 @@
   query.first_byte_deadline = FirstByteDeadline();
   query.avoid_servers = failed_servers_;
   query.avoid_hosts = tried_hosts_;
-  query.suspect =
-      context_.dispatcher->Verdict(spec_.content_hash, SteadyNow()) == PoisonVerdict::kSuspect;
+  query.suspect = context_.dispatcher->MustRunAlone(spec_.content_hash, SteadyNow());
   return query;
 }
 
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -91,6 +91,7 @@
   void RecordAttemptFailure(ebonylift::Run run, ServerOutcome outcome);
   void ConfirmNotStarted(const CallResult& result);
   void CheckServerLost(const CallResult& result);
+  HttpCall MakeProbeCall() const;
   // Says why the open attempt, which its server broke off, does not count as a loss of the server.
   void LogLossNotRecorded(const char* reason) const;
   void ProbeServer(const LossEvidence& evidence, const CallResult& result, int probes);
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -57,11 +57,23 @@
   open_attempt_.call = context_.client->Start(std::move(call));
 }
 
-// Probes the server after its connection was lost. If it can't be reached or doesn't reply, one of
-// the requests that it was running may have crashed it, so the content of every request in flight
-// there becomes a suspect.
+// Probes the server after its connection was lost. If the server is gone, one of the requests that
+// it was running may have crashed it, so the content of every request in flight there becomes a
+// suspect.
 void Exchange::CheckServerLost(const CallResult& result) {
-  ProbeServer(context_.dispatcher->CollectLossEvidence(*open_attempt_.server), result, kMaxProbes);
+  int probes = spec_.dialect == nullptr ? kMaxProbes : 1;
+  ProbeServer(context_.dispatcher->CollectLossEvidence(*open_attempt_.server), result, probes);
+}
+
+// With a dialect, a probe only connects: a health check would wait for a slot of a busy server.
+HttpCall Exchange::MakeProbeCall() const {
+  HttpCall call;
+  call.url = "http://" + open_attempt_.address + "/healthz";
+  call.timeout = kProbeTimeout;
+  call.connect_timeout = kProbeConnectTimeout;
+  call.new_connection = true;
+  call.connect_only = spec_.dialect != nullptr;
+  return call;
 }
 
 void Exchange::LogLossNotRecorded(const char* reason) const {
@@ -73,13 +85,10 @@
 }
 
 void Exchange::ProbeServer(const LossEvidence& evidence, const CallResult& result, int probes) {
-  HttpCall call;
-  call.url = "http://" + open_attempt_.address + "/healthz";
-  call.timeout = kProbeTimeout;
-  call.connect_timeout = kProbeConnectTimeout;
-  call.new_connection = true;
+  HttpCall call = MakeProbeCall();
   ExchangeTable* table = context_.table;
   Dispatcher* dispatcher = context_.dispatcher;
+  bool connects_only = call.connect_only;
   call.on_done = [=, id = id_](const CallResult& probe) {
     Exchange* exchange = table->Find(id);
     // A server that accepts and then closes each connection has not crashed. A relay in front of a
@@ -92,9 +101,10 @@
       });
       return;
     }
-    bool lost = probe.outcome != CallOutcome::kComplete && !accepted;
+    bool lost =
+        connects_only ? probe.refused : probe.outcome != CallOutcome::kComplete && !accepted;
     if (lost) dispatcher->RecordServerLoss(evidence, SteadyNow());
-    if (!lost && exchange != nullptr) exchange->LogLossNotRecorded("accepts_connections");
+    if (!lost && exchange != nullptr) exchange->LogLossNotRecorded(CallOutcomeName(probe.outcome));
     if (exchange != nullptr) exchange->OnAttemptFailed(result, ebonylift::Run::kMayHaveRun);
   };
   open_attempt_.call = context_.client->Start(std::move(call));
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -227,10 +227,9 @@
       }
       return;
     case CallOutcome::kFailed:
-      if (open_attempt_.server && spec_.dialect == nullptr) {
+      if (open_attempt_.server) {
         CheckServerLost(result);
       } else {
-        LogLossNotRecorded("not_checked");
         OnAttemptFailed(result, ebonylift::Run::kMayHaveRun);
       }
       return;
@@ -243,10 +242,9 @@
                     "the stream ended without its end marker", true};
   if (relay_.stream_complete()) {
     SendResponse();
-  } else if (open_attempt_.server && spec_.dialect == nullptr) {
+  } else if (open_attempt_.server) {
     CheckServerLost(broken);
   } else {
-    LogLossNotRecorded("not_checked");
     OnAttemptFailed(broken, ebonylift::Run::kMayHaveRun);
   }
 }
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -84,7 +84,9 @@
     ControlOptions options = MakeControlOptions();
     control_ = StartControl(options);
     dispatcher_ = std::make_unique<Dispatcher>(
-        control_.get(), ParseRoutingPolicy(settings_.routing_policy).value(), seed());
+        control_.get(), ParseRoutingPolicy(settings_.routing_policy).value(),
+        options_.dialect == nullptr ? SuspectPlacement::kAlone : SuspectPlacement::kAnywhere,
+        seed());
     control_dispatcher_ = dispatcher_.get();
     TrafficOptions traffic;
     traffic.settings = settings_;
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -13,7 +13,7 @@
 struct DispatcherFixture {
   RouteConfig route;
   std::shared_ptr<RoutingView> view = std::make_shared<RoutingView>();
-  Dispatcher dispatcher{nullptr, RoutingPolicy::kCost, 1};
+  Dispatcher dispatcher{nullptr, RoutingPolicy::kCost, SuspectPlacement::kAlone, 1};
   RouteQuery query;
   std::vector<Choice> results;
 
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -4,10 +4,14 @@
 #include <asio/post.hpp>
 #include <boost/test/included/unit_test.hpp>
 #include <deque>
+#include <nlohmann/json.hpp>
 #include <thread>
 
+#include "core/ingress.h"
+#include "daemon/ingress_request.h"
 #include "daemon/job_api.h"
 #include "daemon/record_store.h"
+#include "platform/dialect.h"
 
 namespace ebonylift {
 namespace {
@@ -229,7 +233,7 @@
   Metrics metrics;
   std::shared_ptr<FakeJournal> journal = std::make_shared<FakeJournal>();
   RecordStore records{HostId("h0"), journal};
-  Dispatcher dispatcher{&control, RoutingPolicy(), 1};
+  Dispatcher dispatcher{&control, RoutingPolicy(), SuspectPlacement::kAlone, 1};
   ExchangeTable table;
   ExchangeContext context;
 };
@@ -275,6 +279,52 @@
   BOOST_TEST(caller->text == "data: {\"text\":\"a\"}\n\ndata: {\"text\":\"b\"}\n\n");
 }
 
+// A host with one server of a service, whose requests use the dialect of the platform.
+struct DialectFixture : Fixture {
+  DialectFixture() {
+    nlohmann::json route = {{"id", "look"},
+                            {"host", "a.example"},
+                            {"path_prefix", "/look/"},
+                            {"idempotent", true},
+                            {"resumable", false},
+                            {"deadline_ms", 3000},
+                            {"first_byte_target_ms", 800},
+                            {"rank", 0},
+                            {"max_attempts", 2},
+                            {"regions", {"este"}},
+                            {"backends", {{{"service", "portal"}, {"weight", 1}}}}};
+    nlohmann::json service = {{"id", "portal"},         {"health_path", "/health"},
+                              {"max_connections", 100}, {"cold_start_ms", 0},
+                              {"cold_per_s", 0.0},      {"fetch_tokens_per_s", 0.0}};
+    auto config = std::make_shared<ConfigView>(*control.view->config);
+    config->ingress = std::make_shared<IngressConfig>(
+        ParseIngress({{"version", 1}, {"routes", {route}}, {"services", {service}}}));
+    TeamConfig team;
+    team.id = TeamId(kIngressTeam);
+    team.regions = {RegionId("este")};
+    team.routes = config->ingress->route_configs;
+    config->teams[team.id] = team;
+    auto view = std::make_shared<RoutingView>(*control.view);
+    view->config = std::move(config);
+    view->servers[0].announced.kind = ServerKind::kService;
+    view->servers[0].announced.services = {"portal"};
+    control.view = view;
+    dispatcher.OnView(view, SteadyNow());
+  }
+
+  RequestSpec LookSpec() {
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/look/1";
+    request.headers = {{"Host", "a.example"}, {"Attempt-Id", "39ed"}, {"Deadline-Ms", "3000"}};
+    return ParseIngressRequest(request, control.view, platform::PlatformDialect(), SteadyNow());
+  }
+
+  PoisonVerdict VerdictOf(const RequestSpec& spec) {
+    return dispatcher.Verdict(spec.content_hash, SteadyNow());
+  }
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(exchange, Fixture)
@@ -353,6 +403,36 @@
   LoseServerBetweenProbes(kAfterProbeDelay);
 }
 
+// Guards against a request that crashes the servers of the platform and never becomes a suspect,
+// and against one that becomes a suspect although its server only reset the connection.
+BOOST_FIXTURE_TEST_CASE(LossOfAServerIsRecordedWithADialect, DialectFixture) {
+  const CallResult broken{CallOutcome::kFailed, 0, "connection reset", false};
+  CallResult connected;
+  connected.outcome = CallOutcome::kComplete;
+  CallResult not_connected;
+  not_connected.outcome = CallOutcome::kNotConnected;
+  CallResult refused = not_connected;
+  refused.refused = true;
+  struct Case {
+    CallResult probe;
+    PoisonVerdict verdict;
+  };
+  // A server that cannot be reached may be cut off.
+  for (const Case& row :
+       {Case{connected, PoisonVerdict::kClear}, Case{not_connected, PoisonVerdict::kClear},
+        Case{refused, PoisonVerdict::kSuspect}}) {
+    RequestSpec spec = LookSpec();
+    Start(spec);
+    size_t call = client.calls.size() - 1;
+    client.calls[call].on_done(broken);
+    BOOST_REQUIRE(client.calls.size() == call + 2);
+    BOOST_TEST(client.calls[call + 1].connect_only);
+    client.calls[call + 1].on_done(row.probe);
+    BOOST_TEST((VerdictOf(spec) == row.verdict));
+    RunQueuedEvents();
+  }
+}
+
 // Guards against work for a job that was cancelled while its start was being written.
 BOOST_AUTO_TEST_CASE(JobCancelledBeforeItStartsIsNotRun) {
   JobApi jobs(context);
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -45,6 +45,7 @@
   BOOST_TEST(refused.result.outcome == CallOutcome::kNotConnected);
   BOOST_TEST(refused.result.status == 0);
   BOOST_TEST(!refused.result.error.empty());
+  BOOST_TEST(refused.result.refused);
 
   BOOST_TEST(Fetch(Get("nonsense://x")).result.outcome == CallOutcome::kNotConnected);
   BOOST_TEST(Fetch(Get("http://127.0.0.1:1:1/")).result.outcome == CallOutcome::kNotConnected);
@@ -77,6 +78,33 @@
   call.connect_timeout = milliseconds(100);
   Reply reply = Fetch(std::move(call));
   BOOST_TEST(reply.result.outcome == CallOutcome::kNotConnected);
+  BOOST_TEST(!reply.result.refused);
+}
+
+// Guards against a probe of a server that sends it a request or leaves a connection open, and
+// against one that cannot tell a server that has ended from one that listens.
+BOOST_AUTO_TEST_CASE(ConnectOnlySendsNothing) {
+  RawServer raw(io);
+  HttpCall call = Get(raw.Url());
+  call.connect_only = true;
+  for (int i = 0; i < 3; ++i) {
+    Reply connected = Fetch(call);
+    BOOST_TEST(connected.result.outcome == CallOutcome::kComplete);
+    BOOST_TEST(connected.result.status == 0);
+  }
+  RunFor(milliseconds(20));
+  BOOST_REQUIRE(raw.peers.size() == 3u);
+  for (const auto& peer : raw.peers) {
+    BOOST_TEST(peer->received.empty());
+    BOOST_TEST(peer->closed);
+  }
+  {
+    RawServer closed_server(io);
+    call.url = closed_server.Url();
+  }
+  Reply refused = Fetch(call);
+  BOOST_TEST(refused.result.outcome == CallOutcome::kNotConnected);
+  BOOST_TEST(refused.result.refused);
 }
 
 // Guards against treating a truncated or malformed response as complete, wherever it ends.
