Condemn a content after three losses of servers in succession

What callers saw: a request that crashes its servers was run without end although its losses were recorded. Cause: a content was condemned only by a loss of a server on which it ran alone, as a suspect. On the platform suspects do not run alone, and in the own interface two crashing contents, or work of other hosts, keep a content from ever being alone. Now a dispatch remembers the losses that its host knew, and a loss counts on from there; three in succession condemn. Losses at the same moment, as of a failure domain, count once, and the highest number that a host has reported holds, so reports may come late, twice and in any order. A condemned request is refused before each dispatch, also one that was waiting, and the refusal says when the entry expires.

poison_test: the row 'many losses with other work on the server' expected a suspect after four losses. Under the platform's rule the number of retries after the third loss is bounded whatever ran beside, so three in succession now condemn; rows for two and three losses and for a completion in between replace it.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -176,6 +176,7 @@
   server @1 :Text;
   alone @2 :Bool;
   cleared @3 :Bool;
+  losses @4 :Int32;  # in succession; 0 from an older version
 }
 
 struct EventField {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -4056,6 +4056,8 @@
 
   inline bool getCleared() const;
 
+  inline  ::int32_t getLosses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4100,6 +4102,9 @@
   inline bool getCleared();
   inline void setCleared(bool value);
 
+  inline  ::int32_t getLosses();
+  inline void setLosses( ::int32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7485,6 +7490,20 @@
       ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int32_t SuspectNote::Reader::getLosses() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t SuspectNote::Builder::getLosses() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SuspectNote::Builder::setLosses( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EventField::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -394,6 +394,7 @@
   out.setServer(report.server.value());
   out.setAlone(report.alone);
   out.setCleared(report.cleared);
+  out.setLosses(report.losses);
 }
 
 SuspectReport ReadSuspectNote(wire::SuspectNote::Reader in) {
@@ -402,6 +403,7 @@
   report.server = ServerId(ToStdString(in.getServer()));
   report.alone = in.getAlone();
   report.cleared = in.getCleared();
+  report.losses = in.getLosses();
   return report;
 }
 
--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -92,15 +92,6 @@
   bool refresh = false;
 };
 
-// Reports that a request content is suspected of crashing a backend server, or no longer is; see
-// core/poison.h.
-struct SuspectReport {
-  uint64_t content = 0;  // content hash
-  ServerId server;       // the lost server; empty if `cleared`
-  bool alone = false;    // the content was the only work on the server
-  bool cleared = false;  // the content completed and is no longer suspected
-};
-
 struct TimelinePage {
   std::vector<Event> events;  // oldest first
   bool more = false;          // newer events exist beyond the limit
--- a/src/core/poison.cc
+++ b/src/core/poison.cc
@@ -35,16 +35,20 @@
 // Reverts the condemnation of other contents by the same loss, because they did not run alone.
 void RevokeCondemnations(PoisonState& poison, const ServerLoss& loss) {
   for (auto& [content, suspect] : poison.suspects) {
-    if (content == loss.content || !suspect.condemned) continue;
+    if (content == loss.content || !suspect.condemned_alone) continue;
     ServerLoss condemning_loss{content, suspect.condemned_on, suspect.condemned_incarnation,
                                suspect.condemned_at};
-    if (IsSameLoss(condemning_loss, loss)) suspect.condemned = false;
+    if (IsSameLoss(condemning_loss, loss)) suspect.condemned_alone = false;
   }
 }
 
+bool IsCondemned(const Suspect& suspect) {
+  return suspect.condemned_alone || suspect.losses >= kLossesToCondemn;
+}
+
 void EvictOne(PoisonState& poison) {
   auto evict_before = [](const auto& a, const auto& b) {
-    if (a.second.condemned != b.second.condemned) return b.second.condemned;
+    if (IsCondemned(a.second) != IsCondemned(b.second)) return IsCondemned(b.second);
     return a.second.last_loss < b.second.last_loss;
   };
   poison.suspects.erase(
@@ -66,45 +70,66 @@
   if (poison.losses.size() > kMaxLosses) poison.losses.pop_front();
 }
 
-PoisonVerdict RecordLoss(PoisonState& poison, const ServerLoss& loss, bool alone) {
-  if (IsRepeated(poison, loss)) return Verdict(poison, loss.content, loss.at);
+PoisonVerdict VerdictOn(const Suspect& suspect) {
+  return IsCondemned(suspect) ? PoisonVerdict::kCondemned : PoisonVerdict::kSuspect;
+}
+
+// `losses` is the number of losses in succession with which this one ends.
+LossFinding RecordLoss(PoisonState& poison, const ServerLoss& loss, bool alone, int losses) {
+  bool repeated = IsRepeated(poison, loss);
+  // The content completed after the first observation of this loss.
+  if (repeated && Verdict(poison, loss.content, loss.at) == PoisonVerdict::kClear)
+    return {loss.content, PoisonVerdict::kClear, 0, false};
   bool had_other_work = HadOtherWork(poison, loss);
-  AppendLoss(poison, loss);
-  RevokeCondemnations(poison, loss);
+  if (!repeated) {
+    AppendLoss(poison, loss);
+    RevokeCondemnations(poison, loss);
+  }
   Suspect& suspect = FindOrAdd(poison, loss.content, loss.at);
-  if (suspect.losses > 0 && alone && !had_other_work && !suspect.condemned) {
-    suspect.condemned = true;
+  LossFinding finding;
+  finding.content = loss.content;
+  finding.is_news = !repeated || losses > suspect.losses;
+  if (!repeated && suspect.losses > 0 && alone && !had_other_work && !suspect.condemned_alone) {
+    suspect.condemned_alone = true;
     suspect.condemned_on = loss.server;
     suspect.condemned_incarnation = loss.incarnation;
     suspect.condemned_at = loss.at;
   }
-  ++suspect.losses;
-  suspect.last_loss = loss.at;
-  return suspect.condemned ? PoisonVerdict::kCondemned : PoisonVerdict::kSuspect;
+  suspect.losses = std::max(suspect.losses, losses);
+  if (!repeated) suspect.last_loss = loss.at;
+  finding.losses = suspect.losses;
+  finding.verdict = VerdictOn(suspect);
+  return finding;
 }
 
 }  // namespace
 
-std::vector<PoisonVerdict> OnServerLost(PoisonState& poison, const ServerId& server,
-                                        const std::vector<uint64_t>& in_flight, bool alone,
-                                        Time now, uint64_t incarnation) {
-  std::vector<PoisonVerdict> verdicts;
-  verdicts.reserve(in_flight.size());
+int KnownLosses(const PoisonState& poison, uint64_t content, Time now) {
+  auto found = poison.suspects.find(content);
+  return found == poison.suspects.end() || IsExpired(found->second, now) ? 0 : found->second.losses;
+}
+
+std::vector<LossFinding> OnServerLost(PoisonState& poison, const ServerId& server,
+                                      const std::vector<RunningContent>& in_flight, bool alone,
+                                      Time now, uint64_t incarnation) {
+  std::vector<LossFinding> findings;
+  findings.reserve(in_flight.size());
   bool single = in_flight.size() == 1;
-  for (uint64_t content : in_flight) {
-    verdicts.push_back(RecordLoss(poison, {content, server, incarnation, now}, alone && single));
+  for (const RunningContent& running : in_flight) {
+    ServerLoss loss{running.content, server, incarnation, now};
+    findings.push_back(RecordLoss(poison, loss, alone && single, running.losses_known + 1));
   }
-  return verdicts;
+  return findings;
 }
 
-PoisonVerdict OnLossReported(PoisonState& poison, const ServerId& server, uint64_t content,
-                             bool alone, Time now) {
-  return RecordLoss(poison, {content, server, 0, now}, alone);
+LossFinding OnLossReported(PoisonState& poison, const ServerId& server, uint64_t content,
+                           bool alone, int losses, Time now) {
+  return RecordLoss(poison, {content, server, 0, now}, alone, std::max(losses, 1));
 }
 
 bool OnCompleted(PoisonState& poison, uint64_t content) {
   auto found = poison.suspects.find(content);
-  if (found == poison.suspects.end() || found->second.condemned) return false;
+  if (found == poison.suspects.end() || IsCondemned(found->second)) return false;
   poison.suspects.erase(found);
   return true;
 }
@@ -112,7 +137,13 @@
 PoisonVerdict Verdict(const PoisonState& poison, uint64_t content, Time now) {
   auto found = poison.suspects.find(content);
   if (found == poison.suspects.end() || IsExpired(found->second, now)) return PoisonVerdict::kClear;
-  return found->second.condemned ? PoisonVerdict::kCondemned : PoisonVerdict::kSuspect;
+  return VerdictOn(found->second);
+}
+
+Duration TimeToExpiry(const PoisonState& poison, uint64_t content, Time now) {
+  auto found = poison.suspects.find(content);
+  if (found == poison.suspects.end()) return Duration(0);
+  return std::max<Duration>(found->second.last_loss + kSuspectTtl - now, Duration(0));
 }
 
 Time SetAsideUntil(const PoisonState& poison) {
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -4,17 +4,23 @@
 // Detects poison requests, which crash the backend servers that run them. Requests are identified
 // by the hash of their content, called `content` here. A content is a suspect after it was in
 // flight on a server that was lost, and condemned after a further loss of a server that ran nothing
-// else.
+// else, or after kLossesToCondemn losses in succession.
 //
 // Contract:
-// - When a server is lost, every content in flight on it becomes a suspect.
-// - A suspect runs only on a server without other work (RouteQuery::suspect).
-// - When a server is lost while a suspect runs alone on it, the suspect is condemned: requests with
-//   this content are refused until the entry expires. The first loss of a content never condemns
-//   it, and neither does a loss with other work on the server.
+// - When a server is lost, every content in flight on it becomes a suspect. A content that is
+//   condemned is refused until the entry expires.
+// - A suspect that is placed alone (RouteQuery::suspect) and loses its server is condemned. The
+//   first loss of a content never condemns it in this way, and neither does a loss with other work
+//   on the server.
 // - A host learns of the work of other hosts only from load reports. If another content is reported
-//   for the same server within kSameLossWindow of the loss, the content did not run alone, and its
-//   condemnation by that loss is reverted to a suspicion.
+//   for the same server within kSameLossWindow of the loss, the content did not run alone, and this
+//   condemnation is reverted to a suspicion.
+// - Losses are in succession when each follows a dispatch by a host that knew of those before it.
+//   Servers that are lost at the same time, as with their failure domain, therefore count as one
+//   loss of the contents that they ran. kLossesToCondemn of them condemn a content whatever else
+//   the servers ran, and nothing reverts that.
+// - Reports of losses may arrive in any order and more than once: the number of losses in
+//   succession is the highest that any host has reported.
 // - A completed request clears the suspicion of its content. It does not clear a condemnation: a
 //   condemned content is not run, so the completion can only be that of an earlier attempt.
 //
@@ -33,6 +39,7 @@
 
 namespace ebonylift {
 
+constexpr int kLossesToCondemn = 3;
 constexpr size_t kMaxSuspects = 4'096;
 constexpr Duration kSuspectTtl = seconds(3600);
 constexpr size_t kMaxLosses = 4'096;
@@ -46,11 +53,11 @@
 };
 
 struct Suspect {
-  bool condemned = false;
-  ServerId condemned_on;  // the server whose loss condemned the content
+  bool condemned_alone = false;  // by a loss while it ran alone, which is described by:
+  ServerId condemned_on;         // the lost server
   uint64_t condemned_incarnation = 0;
   Time condemned_at;
-  int losses = 0;
+  int losses = 0;  // in succession
   Time last_loss;
 };
 
@@ -66,26 +73,46 @@
   std::deque<ServerLoss> losses;  // oldest first
 };
 
+// A content in flight on a server.
+struct RunningContent {
+  uint64_t content = 0;
+  int losses_known = 0;  // KnownLosses() when it was dispatched
+};
+
+// What the loss of a server means for one content.
+struct LossFinding {
+  uint64_t content = 0;
+  PoisonVerdict verdict = PoisonVerdict::kSuspect;
+  int losses = 0;        // in succession
+  bool is_news = false;  // this observation changed what the state says of the content
+};
+
+// Returns the losses in succession of the content; 0 if it is not a suspect.
+int KnownLosses(const PoisonState& poison, uint64_t content, Time now);
+
 // Records that a server was lost while it ran `in_flight`, all contents that this host had in
 // flight on it. `alone` is true when the one content ran as a suspect without other work on the
 // server (see RanAlone() in routing.h); it is ignored unless exactly one request was in flight.
 // `incarnation` distinguishes two losses of a server that restarts within kSameLossWindow; 0 means
-// unknown. Returns the verdict of each content, in the same order. The caller reports each content
-// to the other hosts with ControlPort::ReportSuspect.
-std::vector<PoisonVerdict> OnServerLost(PoisonState& poison, const ServerId& server,
-                                        const std::vector<uint64_t>& in_flight, bool alone,
-                                        Time now, uint64_t incarnation = 0);
+// unknown. Returns one finding for each content, in the same order. The caller reports those with
+// `is_news` to the other hosts with ControlPort::ReportSuspects.
+std::vector<LossFinding> OnServerLost(PoisonState& poison, const ServerId& server,
+                                      const std::vector<RunningContent>& in_flight, bool alone,
+                                      Time now, uint64_t incarnation = 0);
 
 // Records that another host reported `content` as in flight on a lost server. `alone` has the same
-// meaning as in OnServerLost(). Repeated reports of one loss have no further effect.
-PoisonVerdict OnLossReported(PoisonState& poison, const ServerId& server, uint64_t content,
-                             bool alone, Time now);
+// meaning as in OnServerLost(), `losses` is that of the other host's finding.
+LossFinding OnLossReported(PoisonState& poison, const ServerId& server, uint64_t content,
+                           bool alone, int losses, Time now);
 
 // Records that the content completed on this host or, by its report, on another. Returns true if
 // the content was a suspect; after a completion on this host, the caller then reports it to the
 // other hosts with ControlPort::ClearSuspect.
 bool OnCompleted(PoisonState& poison, uint64_t content);
 
+// Returns the time until the content expires; 0 if it is not a suspect.
+Duration TimeToExpiry(const PoisonState& poison, uint64_t content, Time now);
+
 // Returns how to treat a content that is about to be dispatched.
 PoisonVerdict Verdict(const PoisonState& poison, uint64_t content, Time now);
 
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -83,19 +83,8 @@
     });
   }
 
-  void ReportSuspect(uint64_t content, const ServerId& server, bool alone) override {
-    SuspectReport report;
-    report.content = content;
-    report.server = server;
-    report.alone = alone;
-    Post([report](ControlLoop* loop) { loop->BroadcastSuspect(report); });
-  }
-
-  void ClearSuspect(uint64_t content) override {
-    SuspectReport report;
-    report.content = content;
-    report.cleared = true;
-    Post([report](ControlLoop* loop) { loop->BroadcastSuspect(report); });
+  void ReportSuspects(std::vector<SuspectReport> reports) override {
+    Post([reports = std::move(reports)](ControlLoop* loop) { loop->BroadcastSuspects(reports); });
   }
 
   void Timeline(HlcStamp since, const std::string& request_id, size_t limit,
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -69,11 +69,8 @@
   std::string data_folder;  // empty: no disk
   MembershipParams membership;
 
-  // Called on the control thread when another host of the region reports that request content
-  // `content` is suspected of crashing `server`, or clears that suspicion (`cleared` is true and
-  // `server` empty). `alone` is true when the server ran nothing else.
-  std::function<void(uint64_t content, const ServerId& server, bool alone, bool cleared)>
-      on_suspect_report;
+  // Called on the control thread for each suspect that another host of the region reports.
+  std::function<void(const SuspectReport& report)> on_suspect_report;
 
   // Called on the control thread every kPeerBytesInterval with the total bytes sent to and received
   // from other daemons since the start.
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -259,17 +259,15 @@
 
 // ---- suspect reports ----
 
-void ControlLoop::BroadcastSuspect(const SuspectReport& report) {
-  suspect_history_.Add(report, SteadyNow());
+void ControlLoop::BroadcastSuspects(const std::vector<SuspectReport>& reports) {
+  for (const SuspectReport& report : reports) suspect_history_.Add(report, SteadyNow());
   auto same_region = [this](const Identity& peer) { return peer.region == options_->self.region; };
-  for (const HostId& host : gossip_.PeersWhere(same_region)) rpc_.Suspects(host, {report});
+  for (const HostId& host : gossip_.PeersWhere(same_region)) rpc_.Suspects(host, reports);
 }
 
 void ControlLoop::OnPeerSuspects(const std::vector<SuspectReport>& reports) {
   if (!options_->on_suspect_report) return;
-  for (const SuspectReport& report : reports) {
-    options_->on_suspect_report(report.content, report.server, report.alone, report.cleared);
-  }
+  for (const SuspectReport& report : reports) options_->on_suspect_report(report);
 }
 
 void ControlLoop::OnPeerConnection(const HostId& host, bool connected) {
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -79,7 +79,7 @@
     config_proposer_.Put(put, hops, done);
   }
   void ReadLinearizable(const std::string& path, const std::function<void(LinearizableRead)>& done);
-  void BroadcastSuspect(const SuspectReport& report);
+  void BroadcastSuspects(const std::vector<SuspectReport>& reports);
   void Timeline(HlcStamp since, const std::string& request_id, size_t limit,
                 std::function<void(std::vector<Event>)> done);
   StatusJson Status() const {
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -18,6 +18,16 @@
   return std::max(live, 1);
 }
 
+// `source` is "own" if this host observed the loss, "peer" if another one reported it.
+void LogLoss(const LossFinding& finding, const ServerId& server, const char* source) {
+  bool condemned = finding.verdict == PoisonVerdict::kCondemned;
+  LogEvent(condemned ? EventId::kPoisonCondemned : EventId::kSuspectRecorded,
+           {{"content", std::to_string(finding.content)},
+            {"server", server.value()},
+            {"losses", std::to_string(finding.losses)},
+            {"source", source}});
+}
+
 Choice RefusedChoice(ErrorKind kind) {
   Choice choice;
   choice.kind = ChoiceKind::kRefuse;
@@ -48,7 +58,8 @@
 void Dispatcher::RecordPlacement(const Choice& choice, const RouteQuery& query, Time now) {
   if (choice.kind == ChoiceKind::kLocal) {
     OnDispatch(routing_state_, query, choice, now);
-    running_contents_[choice.server].push_back(query.content_hash);
+    running_contents_[choice.server].push_back(
+        {query.content_hash, KnownLosses(poison_, query.content_hash, now)});
   } else if (choice.kind == ChoiceKind::kForward) {
     OnForward(routing_state_, choice.domain, now);
   }
@@ -161,8 +172,10 @@
     static const RoutingView kEmptyView;
     ejected = OnServerOutcome(routing_state_, view_ ? *view_ : kEmptyView, server, dispatched_at,
                               outcome, now, prefill_tokens);
-    std::vector<uint64_t>& contents = running_contents_[server];
-    auto found = std::find(contents.begin(), contents.end(), content);
+    std::vector<RunningContent>& contents = running_contents_[server];
+    auto found = std::find_if(
+        contents.begin(), contents.end(),
+        [content](const RunningContent& running) { return running.content == content; });
     if (found != contents.end()) contents.erase(found);
     if (contents.empty()) running_contents_.erase(server);
     PlaceQueued(now, &ready_callbacks);
@@ -198,20 +211,21 @@
 }
 
 void Dispatcher::RecordServerLoss(const LossEvidence& evidence, Time now) {
-  std::vector<PoisonVerdict> verdicts;
+  std::vector<LossFinding> findings;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    verdicts = OnServerLost(poison_, evidence.server, evidence.contents, evidence.alone, now,
+    findings = OnServerLost(poison_, evidence.server, evidence.contents, evidence.alone, now,
                             evidence.incarnation);
     SetServersAside();
   }
-  for (size_t i = 0; i < evidence.contents.size(); ++i) {
-    uint64_t content = evidence.contents[i];
-    bool condemned = verdicts[i] == PoisonVerdict::kCondemned;
-    LogEvent(condemned ? EventId::kPoisonCondemned : EventId::kSuspectRecorded,
-             {{"content", std::to_string(content)}, {"server", evidence.server.value()}});
-    control_->ReportSuspect(content, evidence.server, evidence.alone);
+  std::vector<SuspectReport> reports;
+  for (const LossFinding& finding : findings) {
+    if (!finding.is_news) continue;
+    LogLoss(finding, evidence.server, "own");
+    reports.push_back(
+        {finding.content, evidence.server, evidence.alone, /*cleared=*/false, finding.losses});
   }
+  if (!reports.empty()) control_->ReportSuspects(std::move(reports));
 }
 
 // Precondition: the caller holds the mutex.
@@ -220,15 +234,23 @@
     routing_state_.set_aside_until = SetAsideUntil(poison_);
 }
 
-void Dispatcher::OnRemoteSuspect(uint64_t content, const ServerId& server, bool alone,
-                                 bool cleared) {
-  std::lock_guard<std::mutex> lock(mutex_);
-  if (cleared) {
-    ebonylift::OnCompleted(poison_, content);
-  } else {
-    OnLossReported(poison_, server, content, alone, SteadyNow());
+void Dispatcher::OnRemoteSuspect(const SuspectReport& report) {
+  LossFinding finding;
+  bool was_condemned = false;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    if (report.cleared) {
+      ebonylift::OnCompleted(poison_, report.content);
+      return;
+    }
+    Time now = SteadyNow();
+    was_condemned = ebonylift::Verdict(poison_, report.content, now) == PoisonVerdict::kCondemned;
+    finding =
+        OnLossReported(poison_, report.server, report.content, report.alone, report.losses, now);
     SetServersAside();
   }
+  bool condemned = finding.verdict == PoisonVerdict::kCondemned;
+  if (condemned && !was_condemned) LogLoss(finding, report.server, "peer");
 }
 
 void Dispatcher::OnCompleted(uint64_t content) {
@@ -239,7 +261,10 @@
   }
   if (!cleared) return;
   LogEvent(EventId::kSuspectCleared, {{"content", std::to_string(content)}});
-  control_->ClearSuspect(content);
+  SuspectReport report;
+  report.content = content;
+  report.cleared = true;
+  control_->ReportSuspects({report});
 }
 
 PoisonVerdict Dispatcher::Verdict(uint64_t content, Time now) const {
@@ -247,6 +272,11 @@
   return ebonylift::Verdict(poison_, content, now);
 }
 
+Duration Dispatcher::TimeToExpiry(uint64_t content, Time now) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return ebonylift::TimeToExpiry(poison_, content, now);
+}
+
 bool Dispatcher::MustRunAlone(uint64_t content, Time now) const {
   return suspect_placement_ == SuspectPlacement::kAlone &&
          Verdict(content, now) == PoisonVerdict::kSuspect;
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -31,8 +31,8 @@
 struct LossEvidence {
   ServerId server;
   uint64_t incarnation = 0;
-  std::vector<uint64_t> contents;  // content hashes
-  bool alone = false;              // see RanAlone() in core/routing.h
+  std::vector<RunningContent> contents;
+  bool alone = false;  // see RanAlone() in core/routing.h
 };
 
 // Counts for metrics and the status API.
@@ -99,11 +99,16 @@
 
   // Records that the server was lost and reports its contents as suspects to the other hosts.
   void RecordServerLoss(const LossEvidence& evidence, Time now);
-  // Another host reported a suspect or, if `cleared`, that the content completed.
-  void OnRemoteSuspect(uint64_t content, const ServerId& server, bool alone, bool cleared);
+  // Another host reported a suspect, or that its content completed.
+  void OnRemoteSuspect(const SuspectReport& report);
   // A request with this content completed here, which clears a suspicion.
   void OnCompleted(uint64_t content);
   PoisonVerdict Verdict(uint64_t content, Time now) const;
+  // Returns the time until a condemned content may run again.
+  Duration TimeToExpiry(uint64_t content, Time now) const;
+  // Returns whether reports of other hosts may revoke a condemnation: only one by a loss of a
+  // server on which a suspect was placed alone.
+  bool MayRevokeCondemnations() const { return suspect_placement_ == SuspectPlacement::kAlone; }
   // Returns whether a request with this content must run alone on a server.
   bool MustRunAlone(uint64_t content, Time now) const;
 
@@ -147,7 +152,7 @@
   std::shared_ptr<const RoutingView> view_;
   std::unordered_map<QueueId, WaitingRequest> waiting_;
   std::atomic<uint64_t> last_queue_id_{0};
-  std::unordered_map<ServerId, std::vector<uint64_t>> running_contents_;  // in flight, by server
+  std::unordered_map<ServerId, std::vector<RunningContent>> running_contents_;  // in flight
 };
 
 }  // namespace ebonylift
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -58,10 +58,7 @@
   relay_.OnCallerClosed([table, id = id_] {
     if (Exchange* exchange = table->Find(id)) exchange->OnCallerDisconnected();
   });
-  if (context_.dispatcher->Verdict(spec_.content_hash, SteadyNow()) == PoisonVerdict::kCondemned) {
-    Refuse(ErrorKind::kPoison, "");
-    return;
-  }
+  if (RefuseIfCondemned()) return;
   // A team's limits are applied only once, by the host that received the request from the caller.
   if (!spec_.forwarded) {
     std::optional<Refusal> refusal =
@@ -206,7 +203,17 @@
   return query;
 }
 
+// A request may be condemned while it waits for a place, or between two attempts.
+bool Exchange::RefuseIfCondemned() {
+  Time now = SteadyNow();
+  if (context_.dispatcher->Verdict(spec_.content_hash, now) != PoisonVerdict::kCondemned)
+    return false;
+  Refuse(ErrorKind::kPoison, "", context_.dispatcher->TimeToExpiry(spec_.content_hash, now));
+  return true;
+}
+
 void Exchange::Place() {
+  if (RefuseIfCondemned()) return;
   Time now = SteadyNow();
   if (now >= spec_.deadline) {
     RefuseWithOutcomeKind();
@@ -307,6 +314,10 @@
 void Exchange::OnQueueResult(const Choice& choice) {
   queue_id_.reset();
   if (RefreshView()) {
+    if (RefuseIfCondemned()) {
+      context_.dispatcher->CancelPlacement(choice, spec_.content_hash, SteadyNow());
+      return;
+    }
     HandlePlacement(choice);
     return;
   }
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -71,6 +71,8 @@
   void OnClaim(const ClaimResult& result, std::optional<ErrorKind> error);
   void ForwardToOwner(const HostId& owner);
   void Place();
+  // Returns whether it refused the request, which ends the exchange.
+  bool RefuseIfCondemned();
   bool RefreshView();
   void HandlePlacement(const Choice& choice);
   void EnqueueRequest(Time hold_until);
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -193,17 +193,14 @@
 
 void Exchange::RetryOrRefuse(ebonylift::Run run) {
   Time now = SteadyNow();
-  if (context_.dispatcher->Verdict(spec_.content_hash, now) == PoisonVerdict::kCondemned) {
-    if (!condemnation_checked_) {
-      condemnation_checked_ = true;
-      RunAfter(kCondemnationRecheckDelay,
-               [run](Exchange* current) { current->RetryOrRefuse(run); });
-      return;
-    }
-    bool not_run = RequestRun(attempts_) == ebonylift::Run::kNotRun;
-    Refuse(not_run ? ErrorKind::kPoison : ErrorKind::kPoisonDetected, "");
+  bool condemned =
+      context_.dispatcher->Verdict(spec_.content_hash, now) == PoisonVerdict::kCondemned;
+  if (condemned && context_.dispatcher->MayRevokeCondemnations() && !condemnation_checked_) {
+    condemnation_checked_ = true;
+    RunAfter(kCondemnationRecheckDelay, [run](Exchange* current) { current->RetryOrRefuse(run); });
     return;
   }
+  if (RefuseIfCondemned()) return;
   if (to_key_owner_) {
     RefuseWithOutcomeKind();
     return;
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -129,10 +129,9 @@
     options.operator_address = settings_.operator_address;
     options.cluster_key = settings_.cluster_key;
     options.data_folder = settings_.data_dir;
-    options.on_suspect_report = [this](uint64_t content, const ServerId& server, bool alone,
-                                       bool cleared) {
+    options.on_suspect_report = [this](const SuspectReport& report) {
       Dispatcher* dispatcher = control_dispatcher_;
-      if (dispatcher != nullptr) dispatcher->OnRemoteSuspect(content, server, alone, cleared);
+      if (dispatcher != nullptr) dispatcher->OnRemoteSuspect(report);
     };
     options.on_peer_bytes = [this](uint64_t sent, uint64_t received) {
       metrics_.SetPeerBytes(sent, received);
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -68,6 +68,16 @@
   ConfigRead read;
 };
 
+// Says that a backend server was lost while it ran a request with this content, or that such a
+// request completed; see core/poison.h.
+struct SuspectReport {
+  uint64_t content = 0;  // content hash
+  ServerId server;       // the lost server; empty if `cleared`
+  bool alone = false;    // the content was the only work on the server
+  bool cleared = false;  // the content completed and is no longer suspected
+  int losses = 0;        // in succession, with this one; 0 if `cleared`
+};
+
 // The state of the daemon as JSON text, as shown by `ebonylift status`.
 using StatusJson = std::string;
 
@@ -106,11 +116,8 @@
   virtual void Watch(uint64_t from, Duration timeout,
                      std::function<void(std::vector<ConfigChange>)> done) = 0;
 
-  // Tell the hosts of the region that a server was lost while it ran a request with this content,
-  // and that a request with suspected content completed; see core/poison.h. `content` is a hash of
-  // the request. `alone` is true when nothing else ran on the server.
-  virtual void ReportSuspect(uint64_t content, const ServerId& server, bool alone) = 0;
-  virtual void ClearSuspect(uint64_t content) = 0;
+  // Tells the hosts of the region of suspects.
+  virtual void ReportSuspects(std::vector<SuspectReport> reports) = 0;
 
   // Returns the events of all reachable daemons in one total order, filtered as in
   // EventRecord::Read() in base/event.h.
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -136,7 +136,7 @@
   uint64_t incarnation = 1;
   std::string data_folder;
   bool voter = false;
-  std::function<void(uint64_t, const ServerId&, bool, bool)> on_suspect_report;
+  std::function<void(const SuspectReport&)> on_suspect_report;
   std::shared_ptr<ControlPort> port;
 };
 
@@ -510,7 +510,7 @@
   std::shared_future<void> resumed = resume.get_future().share();
   std::atomic<bool> suspended{false};
   // The callback runs on the control thread of b and blocks it.
-  hosts[1].on_suspect_report = [&suspended, resumed](uint64_t, const ServerId&, bool, bool) {
+  hosts[1].on_suspect_report = [&suspended, resumed](const SuspectReport&) {
     suspended = true;
     resumed.wait();
   };
@@ -521,7 +521,7 @@
   }));
   AnnounceTo(cluster.port(0), MakeAnnouncement("s1", 1, 1));
   BOOST_TEST_REQUIRE(WaitFor([&]() { return HasServer(cluster.port(1), "s1"); }));
-  cluster.port(0)->ReportSuspect(1, ServerId("s9"), false);
+  cluster.port(0)->ReportSuspects({{1, ServerId("s9"), false, false, 1}});
   BOOST_TEST_REQUIRE(WaitFor([&]() { return suspended.load(); }));
   // These announcements reach only the socket buffers of b.
   Duration longest{0};
@@ -594,10 +594,11 @@
   Received same_region;
   Received other_region;
   auto record_to = [](Received* to) {
-    return [to](uint64_t content, const ServerId& server, bool alone, bool cleared) {
+    return [to](const SuspectReport& report) {
       std::lock_guard<std::mutex> lock(to->mutex);
-      to->notes.insert(std::to_string(content) + server.value() + (alone ? "!" : "") +
-                       (cleared ? "-" : ""));
+      to->notes.insert(std::to_string(report.content) + report.server.value() +
+                       (report.alone ? "!" : "") + (report.cleared ? "-" : "") +
+                       std::string(static_cast<size_t>(report.losses), '+'));
     };
   };
   std::vector<TestHost> hosts = {MakeHost("a"), MakeHost("b", "d2", "r1"),
@@ -607,15 +608,15 @@
   Cluster cluster(std::move(hosts));
   BOOST_TEST_REQUIRE(WaitFor(
       [&]() { return SeesAlive(cluster.port(0), "b") && SeesAlive(cluster.port(0), "c"); }));
-  cluster.port(0)->ReportSuspect(7, ServerId("s1"), true);
-  BOOST_TEST(WaitFor([&]() { return same_region.Has("7s1!"); }));
-  cluster.port(0)->ClearSuspect(7);
+  cluster.port(0)->ReportSuspects({{7, ServerId("s1"), true, false, 2}});
+  BOOST_TEST(WaitFor([&]() { return same_region.Has("7s1!++"); }));
+  cluster.port(0)->ReportSuspects({{7, ServerId(), false, true, 0}});
   BOOST_TEST(WaitFor([&]() { return same_region.Has("7-"); }));
   cluster.Stop(1);
-  cluster.port(0)->ReportSuspect(8, ServerId("s2"), false);
+  cluster.port(0)->ReportSuspects({{8, ServerId("s2"), false, false, 1}});
   cluster.host(1).incarnation = 2;
   cluster.Start(1);
-  BOOST_TEST(WaitFor([&]() { return same_region.Has("8s2"); }));
+  BOOST_TEST(WaitFor([&]() { return same_region.Has("8s2+"); }));
   BOOST_TEST(other_region.notes.empty());
 }
 
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -94,8 +94,9 @@
                std::function<void(std::vector<ConfigChange>)> /*done*/) override {}
   void Watch(uint64_t /*from*/, Duration /*timeout*/,
              std::function<void(std::vector<ConfigChange>)> /*done*/) override {}
-  void ReportSuspect(uint64_t /*content*/, const ServerId& /*server*/, bool /*alone*/) override {}
-  void ClearSuspect(uint64_t /*content*/) override {}
+  void ReportSuspects(std::vector<SuspectReport> sent) override {
+    reports.insert(reports.end(), sent.begin(), sent.end());
+  }
   void Timeline(HlcStamp /*since*/, const std::string& /*request_id*/, size_t /*limit*/,
                 std::function<void(std::vector<Event>)> /*done*/) override {}
   void Status(std::function<void(StatusJson)> /*done*/) override {}
@@ -107,13 +108,15 @@
     return view;
   }
 
+  std::vector<SuspectReport> reports;
   std::shared_ptr<const RoutingView> view;
   mutable int reads = 0;
 };
 
 // A host with one backend server that runs one request at a time, and a team with one route.
 struct Fixture {
-  Fixture() {
+  explicit Fixture(SuspectPlacement suspect_placement = SuspectPlacement::kAlone)
+      : dispatcher(&control, RoutingPolicy(), suspect_placement, 1) {
     records.Recover(WallNow());
     records.OnDiskConfirmed();
     journal->Sync();
@@ -233,7 +236,7 @@
   Metrics metrics;
   std::shared_ptr<FakeJournal> journal = std::make_shared<FakeJournal>();
   RecordStore records{HostId("h0"), journal};
-  Dispatcher dispatcher{&control, RoutingPolicy(), SuspectPlacement::kAlone, 1};
+  Dispatcher dispatcher;
   ExchangeTable table;
   ExchangeContext context;
 };
@@ -281,7 +284,7 @@
 
 // A host with one server of a service, whose requests use the dialect of the platform.
 struct DialectFixture : Fixture {
-  DialectFixture() {
+  DialectFixture() : Fixture(SuspectPlacement::kAnywhere) {
     nlohmann::json route = {{"id", "look"},
                             {"host", "a.example"},
                             {"path_prefix", "/look/"},
@@ -290,7 +293,7 @@
                             {"deadline_ms", 3000},
                             {"first_byte_target_ms", 800},
                             {"rank", 0},
-                            {"max_attempts", 2},
+                            {"max_attempts", 1},
                             {"regions", {"este"}},
                             {"backends", {{{"service", "portal"}, {"weight", 1}}}}};
     nlohmann::json service = {{"id", "portal"},         {"health_path", "/health"},
@@ -433,6 +436,34 @@
   }
 }
 
+// Guards against a request that is run although it has crashed one server after the other, because
+// the losses are not counted or the waiting request is not checked again, and against reports that
+// other hosts cannot add their own losses to.
+BOOST_FIXTURE_TEST_CASE(RequestIsRefusedAfterLossesInSuccession, DialectFixture) {
+  const CallResult broken{CallOutcome::kFailed, 0, "connection reset", false};
+  CallResult gone;
+  gone.outcome = CallOutcome::kNotConnected;
+  gone.refused = true;
+  RequestSpec spec = LookSpec();
+  for (int losses = 1; losses <= kLossesToCondemn; ++losses) {
+    std::shared_ptr<FakeResponder> caller = Start(spec);
+    client.calls.back().on_done(broken);
+    client.calls.back().on_done(gone);
+    BOOST_TEST(caller->sent_status == 502);
+    BOOST_REQUIRE(control.reports.size() == static_cast<size_t>(losses));
+    BOOST_TEST(control.reports.back().losses == losses);
+    RunQueuedEvents();
+  }
+  size_t calls = client.calls.size();
+  std::shared_ptr<FakeResponder> refused = Start(spec);
+  BOOST_TEST(refused->sent_status == 503);
+  int64_t retry_after_ms =
+      nlohmann::json::parse(refused->text)["error"]["retry_after_ms"].get<int64_t>();
+  BOOST_TEST(retry_after_ms <= ToMillis(kSuspectTtl));
+  BOOST_TEST(retry_after_ms > ToMillis(kSuspectTtl - kTestTimeout));
+  BOOST_TEST(client.calls.size() == calls);
+}
+
 // Guards against work for a job that was cancelled while its start was being written.
 BOOST_AUTO_TEST_CASE(JobCancelledBeforeItStartsIsNotRun) {
   JobApi jobs(context);
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -35,6 +35,16 @@
   uint64_t incarnation = 0;
 };
 
+// The contents as a host dispatches them that knows all that the state says.
+std::vector<RunningContent> Dispatched(const PoisonState& poison,
+                                       const std::vector<uint64_t>& contents, Time now) {
+  std::vector<RunningContent> dispatched;
+  for (uint64_t content : contents) {
+    dispatched.push_back({content, KnownLosses(poison, content, now)});
+  }
+  return dispatched;
+}
+
 struct Row {
   const char* name;
   std::vector<Step> steps;
@@ -62,12 +72,28 @@
       {"two requests with the content on one server",
        {{'l', "s1", {1, 1}, true, 0}, {'l', "s2", {1, 1}, true, 60}},
        "suspect"},
-      {"many losses with other work on the server",
+      {"two losses in succession, never alone",
+       {{'l', "s1", {1, 2}, false, 0}, {'l', "s2", {1, 2}, false, 60}},
+       "suspect",
+       "suspect"},
+      {"three losses in succession, never alone",
        {{'l', "s1", {1, 2}, false, 0},
         {'l', "s2", {1, 2}, false, 60},
+        {'l', "s1", {1}, false, 120}},
+       "condemned",
+       "suspect"},
+      {"reverting a condemnation leaves the losses in succession",
+       {{'l', "s1", {1, 2}, false, 0},
+        {'l', "s2", {1}, true, 60},
         {'l', "s1", {1}, false, 120},
-        {'l', "s2", {1}, false, 180}},
-       "suspect",
+        {'r', "s2", {2}, false, 61}},
+       "condemned",
+       "suspect"},
+      {"a completion between the losses",
+       {{'l', "s1", {1}, false, 0},
+        {'l', "s2", {1}, false, 60},
+        {'c', "", {1}, false, 61},
+        {'l', "s1", {1}, false, 120}},
        "suspect"},
       {"completed", {{'l', "s1", {1}, false, 0}, {'c', "", {1}, false, 1}}, "clear"},
       {"completed, then lost alone: a first loss again",
@@ -116,9 +142,10 @@
       now = kNow + seconds(step.at_s);
       ServerId server(step.server);
       if (step.kind == 'l') {
-        OnServerLost(poison, server, step.contents, step.alone, now, step.incarnation);
+        OnServerLost(poison, server, Dispatched(poison, step.contents, now), step.alone, now,
+                     step.incarnation);
       } else if (step.kind == 'r') {
-        OnLossReported(poison, server, step.contents[0], step.alone, now);
+        OnLossReported(poison, server, step.contents[0], step.alone, 1, now);
       } else {
         OnCompleted(poison, step.contents[0]);
       }
@@ -133,9 +160,9 @@
 BOOST_AUTO_TEST_CASE(VerdictsExpire) {
   PoisonState poison;
   BOOST_TEST((SetAsideUntil(poison) == Time()));
-  OnServerLost(poison, kS1, {1}, false, kNow);
+  OnServerLost(poison, kS1, {{1, 0}}, false, kNow);
   BOOST_TEST((SetAsideUntil(poison) == kNow + kSetAsideDuration));
-  OnServerLost(poison, kS2, {1}, true, kNow + seconds(60));
+  OnServerLost(poison, kS2, {{1, 1}}, true, kNow + seconds(60));
   Time last = kNow + seconds(60) + kSuspectTtl;
   BOOST_TEST(VerdictName(Verdict(poison, 1, last - seconds(1))) == "condemned");
   BOOST_TEST(VerdictName(Verdict(poison, 1, last)) == "clear");
@@ -143,7 +170,7 @@
   BOOST_TEST(poison.suspects.empty());
   BOOST_TEST(poison.losses.empty());
 
-  OnServerLost(poison, kS1, {1}, false, last);
+  OnServerLost(poison, kS1, {{1, 0}}, false, last);
   OnCompleted(poison, 1);
   BOOST_TEST((SetAsideUntil(poison) == Time()));
 }
@@ -152,10 +179,10 @@
 // suspects that evict condemned contents.
 BOOST_AUTO_TEST_CASE(MemoryIsBounded) {
   PoisonState poison;
-  OnServerLost(poison, kS1, {1}, false, kNow);
-  OnServerLost(poison, kS2, {1}, true, kNow + seconds(60));
-  std::vector<uint64_t> many;
-  for (uint64_t i = 10; i < 10 + 2 * kMaxSuspects; ++i) many.push_back(i);
+  OnServerLost(poison, kS1, {{1, 0}}, false, kNow);
+  OnServerLost(poison, kS2, {{1, 1}}, true, kNow + seconds(60));
+  std::vector<RunningContent> many;
+  for (uint64_t i = 10; i < 10 + 2 * kMaxSuspects; ++i) many.push_back({i, 0});
   OnServerLost(poison, kS1, many, false, kNow + seconds(120));
   BOOST_TEST(poison.suspects.size() == kMaxSuspects);
   BOOST_TEST(poison.losses.size() <= kMaxLosses);
@@ -182,7 +209,7 @@
         if (verdict != PoisonVerdict::kSuspect) continue;
         now += seconds(10);
         if (content == 0) {
-          OnServerLost(poison, kS2, {content}, true, now);
+          OnServerLost(poison, kS2, Dispatched(poison, {content}, now), true, now);
           ++lost;
         } else {
           OnCompleted(poison, content);
@@ -190,7 +217,7 @@
       }
       bool crash = std::count(sent_together.begin(), sent_together.end(), 0u) > 0;
       if (crash) {
-        OnServerLost(poison, kS1, sent_together, false, now);
+        OnServerLost(poison, kS1, Dispatched(poison, sent_together, now), false, now);
         ++lost;
       }
       for (uint64_t content : sent_together) {
@@ -205,4 +232,43 @@
   }
 }
 
+// Guards against a harmless request that is condemned because all servers that ran it were lost at
+// the same moment, as with their failure domain, or because several hosts report one loss.
+BOOST_AUTO_TEST_CASE(LossesAtTheSameTimeAreNotInSuccession) {
+  PoisonState poison;
+  for (int i = 0; i < 2 * kLossesToCondemn; ++i) {
+    OnServerLost(poison, ServerId("s" + std::to_string(i)), {{1, 0}}, false, kNow);
+    OnLossReported(poison, ServerId("r" + std::to_string(i)), 1, false, 1, kNow);
+  }
+  BOOST_TEST(VerdictName(Verdict(poison, 1, kNow)) == "suspect");
+  BOOST_TEST(KnownLosses(poison, 1, kNow) == 1);
+}
+
+// Guards against a request that crashes one server after the other, each beside other work and each
+// reported by another host, and is never condemned; and against a report that arrives late.
+BOOST_AUTO_TEST_CASE(LossesOfSeveralHostsAreInSuccession) {
+  PoisonState poison;
+  OnLossReported(poison, kS2, 1, false, 2, kNow);
+  BOOST_TEST(KnownLosses(poison, 1, kNow) == 2);
+  LossFinding late = OnLossReported(poison, kS1, 1, false, 1, kNow);
+  BOOST_TEST(late.losses == 2);
+  std::vector<LossFinding> findings =
+      OnServerLost(poison, kS1, {{1, 2}, {2, 0}}, false, kNow + seconds(10));
+  BOOST_TEST(VerdictName(findings[0].verdict) == "condemned");
+  BOOST_TEST(findings[0].losses == kLossesToCondemn);
+  BOOST_TEST(findings[0].is_news);
+  BOOST_TEST(VerdictName(findings[1].verdict) == "suspect");
+}
+
+// Guards against reports of one loss that hosts send to each other again and again.
+BOOST_AUTO_TEST_CASE(RepeatedObservationIsNoNews) {
+  PoisonState poison;
+  BOOST_TEST(OnServerLost(poison, kS1, {{1, 0}}, false, kNow)[0].is_news);
+  BOOST_TEST(!OnServerLost(poison, kS1, {{1, 0}}, false, kNow)[0].is_news);
+  BOOST_TEST(!OnLossReported(poison, kS1, 1, false, 1, kNow).is_news);
+  OnCompleted(poison, 1);
+  BOOST_TEST(!OnLossReported(poison, kS1, 1, false, 1, kNow).is_news);
+  BOOST_TEST(VerdictName(Verdict(poison, 1, kNow)) == "clear");
+}
+
 }  // namespace ebonylift
