Report suspects to the hosts of all regions

Cause: reports of losses went to the hosts of the own region only, but its caller returns through any host, and each region has servers of its own. Now they go to all hosts.

--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -12,8 +12,9 @@
 // apart, or kLoadPublishInterval when only load reports changed, so a change becomes visible within
 // that time.
 //
-// Memory: what registry.h, membership.h, rpc.h, config_replica.h, config_proposer.h and
-// suspect_history.h state, and one entry per call of the traffic threads that is not answered yet.
+// Memory: what registry.h, membership.h, rpc.h, config_replica.h, config_proposer.h,
+// suspect_outbox.h and suspect_history.h state, and one entry per call of the traffic threads that
+// is not answered yet.
 
 #include <cstdint>
 #include <functional>
@@ -69,7 +70,7 @@
   std::string data_folder;  // empty: no disk
   MembershipParams membership;
 
-  // Called on the control thread for each suspect that another host of the region reports.
+  // Called on the control thread for each suspect that another host reports.
   std::function<void(const SuspectReport& report)> on_suspect_report;
 
   // Called on the control thread every kPeerBytesInterval with the total bytes sent to and received
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -260,9 +260,22 @@
 // ---- suspect reports ----
 
 void ControlLoop::BroadcastSuspects(const std::vector<SuspectReport>& reports) {
+  bool scheduled = !suspect_outbox_.IsEmpty();
+  for (const SuspectReport& report : reports) suspect_outbox_.Add(report);
+  if (suspect_outbox_.IsUrgent()) {
+    SendSuspects();
+  } else if (!scheduled) {
+    RunAfter(kSuspectReportDelay, [this]() { SendSuspects(); });
+  }
+}
+
+// Callers return through hosts of any region, so all hosts need to know.
+void ControlLoop::SendSuspects() {
+  std::vector<SuspectReport> reports = suspect_outbox_.Take();
+  if (reports.empty()) return;
   for (const SuspectReport& report : reports) suspect_history_.Add(report, SteadyNow());
-  auto same_region = [this](const Identity& peer) { return peer.region == options_->self.region; };
-  for (const HostId& host : gossip_.PeersWhere(same_region)) rpc_.Suspects(host, reports);
+  auto any = [](const Identity&) { return true; };
+  for (const HostId& host : gossip_.PeersWhere(any)) rpc_.Suspects(host, reports);
 }
 
 void ControlLoop::OnPeerSuspects(const std::vector<SuspectReport>& reports) {
@@ -280,7 +293,6 @@
   if (it == gossip_.membership().hosts.end()) return;
   const HostEntry& peer = it->second.entry;
   if (relay_.SharesServersWith({host, peer.region, peer.domain})) relay_.SendAll(host, now);
-  if (peer.region != options_->self.region) return;
   // The host may have missed reports while it was unreachable.
   std::vector<SuspectReport> reports = suspect_history_.Recent(now);
   if (!reports.empty()) rpc_.Suspects(host, reports);
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -6,8 +6,8 @@
 // ControlLoop creates the parts of the control thread, calls them at their times, passes messages
 // and calls to them, and builds the routing views from their states. Each part is a module of its
 // own: membership_gossip.h, server_registration.h, announcement_relay.h, config_replica.h,
-// config_proposer.h, config_puller.h, voter_maintenance.h, suspect_history.h, publish_timer.h,
-// timeline_merge.h and status_json.h.
+// config_proposer.h, config_puller.h, voter_maintenance.h, suspect_outbox.h, suspect_history.h,
+// publish_timer.h, timeline_merge.h and status_json.h.
 //
 // Messages, calls and new connections that concern several parts are handled here.
 //
@@ -39,6 +39,7 @@
 #include "daemon/server_registration.h"
 #include "daemon/status_json.h"
 #include "daemon/suspect_history.h"
+#include "daemon/suspect_outbox.h"
 #include "daemon/task_queue.h"
 #include "daemon/timeline_merge.h"
 #include "daemon/voter_maintenance.h"
@@ -134,6 +135,7 @@
   void RunPostedTasks();
   void OnTick(Time now);
   void ReportDomainSummaries(Time now);
+  void SendSuspects();
   void OnConfigApplied();
   void SchedulePublish(Duration interval) { publish_timer_.Schedule(interval); }
   void RunAfter(Duration delay, std::function<void()> fn);
@@ -154,6 +156,7 @@
   ConfigProposer config_proposer_;
   ConfigPuller config_puller_;
   VoterMaintenance voter_maintenance_;
+  SuspectOutbox suspect_outbox_;
   SuspectHistory suspect_history_;
   Time next_summary_;
   Time next_peer_bytes_report_;
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -116,7 +116,7 @@
   virtual void Watch(uint64_t from, Duration timeout,
                      std::function<void(std::vector<ConfigChange>)> done) = 0;
 
-  // Tells the hosts of the region of suspects.
+  // Tells the other hosts of suspects.
   virtual void ReportSuspects(std::vector<SuspectReport> reports) = 0;
 
   // Returns the events of all reachable daemons in one total order, filtered as in
