Tell a host that connects of all suspects that this host knows

Cause: a host sent its own reports of the last minute to a host that connects. A host that was cut off or down for longer, started later, or whose informant had ended in between, never learned of a condemned content and ran it again. Now each host sends what it knows, the condemned contents first, with the age of the last loss, so that an entry that is passed on expires as if it were not.

control_test HostThatConnectsLearnsAllThatOthersKnow and poison_test KnownSuspectsAreShared; neither compiles against the code before.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -177,6 +177,7 @@
   alone @2 :Bool;
   cleared @3 :Bool;
   losses @4 :Int32;  # in succession; 0 from an older version
+  ageMillis @5 :UInt32;
 }
 
 struct EventField {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -615,7 +615,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db1dd1f77bc263ed, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(db1dd1f77bc263ed, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4058,6 +4058,8 @@
 
   inline  ::int32_t getLosses() const;
 
+  inline  ::uint32_t getAgeMillis() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4105,6 +4107,9 @@
   inline  ::int32_t getLosses();
   inline void setLosses( ::int32_t value);
 
+  inline  ::uint32_t getAgeMillis();
+  inline void setAgeMillis( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7504,6 +7509,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t SuspectNote::Reader::getAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SuspectNote::Builder::getAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void SuspectNote::Builder::setAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EventField::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -395,6 +395,7 @@
   out.setAlone(report.alone);
   out.setCleared(report.cleared);
   out.setLosses(report.losses);
+  out.setAgeMillis(ClampToUnsigned(ToMillis(report.age)));
 }
 
 SuspectReport ReadSuspectNote(wire::SuspectNote::Reader in) {
@@ -404,6 +405,7 @@
   report.alone = in.getAlone();
   report.cleared = in.getCleared();
   report.losses = in.getLosses();
+  report.age = milliseconds(static_cast<int64_t>(in.getAgeMillis()));
   return report;
 }
 
--- a/src/core/poison.cc
+++ b/src/core/poison.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 
 namespace ebonylift {
 namespace {
@@ -127,6 +128,34 @@
   return RecordLoss(poison, {content, server, 0, now}, alone, std::max(losses, 1));
 }
 
+std::vector<KnownSuspect> KnownSuspects(const PoisonState& poison, size_t limit, Time now) {
+  std::vector<KnownSuspect> known;
+  for (const auto& [content, suspect] : poison.suspects) {
+    if (IsExpired(suspect, now)) continue;
+    bool final = suspect.condemned_alone && now - suspect.condemned_at > kSameLossWindow;
+    int losses = final ? std::max(suspect.losses, kLossesToCondemn) : suspect.losses;
+    known.push_back({content, losses, now - suspect.last_loss});
+  }
+  std::sort(known.begin(), known.end(), [](const KnownSuspect& a, const KnownSuspect& b) {
+    bool a_condemned = a.losses >= kLossesToCondemn;
+    bool b_condemned = b.losses >= kLossesToCondemn;
+    if (a_condemned != b_condemned) return a_condemned;
+    return std::tie(a.age, a.content) < std::tie(b.age, b.content);
+  });
+  if (known.size() > limit) known.resize(limit);
+  return known;
+}
+
+bool OnSuspectKnown(PoisonState& poison, const KnownSuspect& known, Time now) {
+  Time last_loss = now - std::max<Duration>(known.age, Duration(0));
+  if (known.losses <= 0 || now >= last_loss + kSuspectTtl) return false;
+  Suspect& suspect = FindOrAdd(poison, known.content, now);
+  bool was_condemned = IsCondemned(suspect);
+  suspect.losses = std::max(suspect.losses, known.losses);
+  suspect.last_loss = std::max(suspect.last_loss, last_loss);
+  return IsCondemned(suspect) && !was_condemned;
+}
+
 bool OnCompleted(PoisonState& poison, uint64_t content) {
   auto found = poison.suspects.find(content);
   if (found == poison.suspects.end() || IsCondemned(found->second)) return false;
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -105,6 +105,20 @@
 LossFinding OnLossReported(PoisonState& poison, const ServerId& server, uint64_t content,
                            bool alone, int losses, Time now);
 
+// What a host tells another that may have missed reports.
+struct KnownSuspect {
+  uint64_t content = 0;
+  int losses = 0;   // in succession; at least kLossesToCondemn if it is condemned
+  Duration age{0};  // since the last loss
+};
+
+// Returns at most `limit` suspects: those that are condemned first, then those with newer losses. A
+// condemnation that may still be reverted is not returned as one.
+std::vector<KnownSuspect> KnownSuspects(const PoisonState& poison, size_t limit, Time now);
+
+// Records what another host knows. Returns true if this condemns the content.
+bool OnSuspectKnown(PoisonState& poison, const KnownSuspect& known, Time now);
+
 // Records that the content completed on this host or, by its report, on another. Returns true if
 // the content was a suspect; after a completion on this host, the caller then reports it to the
 // other hosts with ControlPort::ClearSuspect.
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -73,6 +73,9 @@
   // Called on the control thread for each suspect that another host reports.
   std::function<void(const SuspectReport& report)> on_suspect_report;
 
+  // Called on the control thread when a host connects. Returns the suspects that this host knows.
+  std::function<std::vector<SuspectReport>()> known_suspects;
+
   // Called on the control thread every kPeerBytesInterval with the total bytes sent to and received
   // from other daemons since the start.
   std::function<void(uint64_t sent, uint64_t received)> on_peer_bytes;
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -293,8 +293,11 @@
   if (it == gossip_.membership().hosts.end()) return;
   const HostEntry& peer = it->second.entry;
   if (relay_.SharesServersWith({host, peer.region, peer.domain})) relay_.SendAll(host, now);
-  // The host may have missed reports while it was unreachable.
-  std::vector<SuspectReport> reports = suspect_history_.Recent(now);
+  // The host may have missed reports, of this host or of one that has ended since.
+  std::vector<SuspectReport> reports;
+  if (options_->known_suspects) reports = options_->known_suspects();
+  std::vector<SuspectReport> recent = suspect_history_.Recent(now);
+  reports.insert(reports.end(), recent.begin(), recent.end());
   if (!reports.empty()) rpc_.Suspects(host, reports);
 }
 
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -234,7 +234,35 @@
     routing_state_.set_aside_until = SetAsideUntil(poison_);
 }
 
+std::vector<SuspectReport> Dispatcher::KnownSuspects(Time now) const {
+  std::vector<SuspectReport> reports;
+  std::lock_guard<std::mutex> lock(mutex_);
+  for (const KnownSuspect& known : ebonylift::KnownSuspects(poison_, kMaxSharedSuspects, now)) {
+    SuspectReport report;
+    report.content = known.content;
+    report.losses = known.losses;
+    report.age = known.age;
+    reports.push_back(report);
+  }
+  return reports;
+}
+
+void Dispatcher::OnSuspectKnown(const SuspectReport& report) {
+  bool condemned = false;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    condemned = ebonylift::OnSuspectKnown(poison_, {report.content, report.losses, report.age},
+                                          SteadyNow());
+  }
+  LossFinding finding{report.content, PoisonVerdict::kCondemned, report.losses, true};
+  if (condemned) LogLoss(finding, report.server, "peer");
+}
+
 void Dispatcher::OnRemoteSuspect(const SuspectReport& report) {
+  if (!report.cleared && report.server.empty()) {
+    OnSuspectKnown(report);
+    return;
+  }
   LossFinding finding;
   bool was_condemned = false;
   {
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -27,6 +27,8 @@
 
 namespace ebonylift {
 
+constexpr size_t kMaxSharedSuspects = 256;  // in one message to a host that connects
+
 // The requests that this host had in flight on a server when the server was suspected to be lost.
 struct LossEvidence {
   ServerId server;
@@ -99,6 +101,8 @@
 
   // Records that the server was lost and reports its contents as suspects to the other hosts.
   void RecordServerLoss(const LossEvidence& evidence, Time now);
+  // Returns what this host knows of suspects, to tell a host that may have missed reports.
+  std::vector<SuspectReport> KnownSuspects(Time now) const;
   // Another host reported a suspect, or that its content completed.
   void OnRemoteSuspect(const SuspectReport& report);
   // A request with this content completed here, which clears a suspicion.
@@ -140,6 +144,7 @@
   static void RunCallbacks(ReadyCallbacks ready_callbacks);
 
   void SetServersAside();
+  void OnSuspectKnown(const SuspectReport& report);
 
   ControlPort* const control_;
   const SuspectPlacement suspect_placement_;
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -133,6 +133,11 @@
       Dispatcher* dispatcher = control_dispatcher_;
       if (dispatcher != nullptr) dispatcher->OnRemoteSuspect(report);
     };
+    options.known_suspects = [this] {
+      Dispatcher* dispatcher = control_dispatcher_;
+      return dispatcher == nullptr ? std::vector<SuspectReport>()
+                                   : dispatcher->KnownSuspects(SteadyNow());
+    };
     options.on_peer_bytes = [this](uint64_t sent, uint64_t received) {
       metrics_.SetPeerBytes(sent, received);
     };
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -69,13 +69,14 @@
 };
 
 // Says that a backend server was lost while it ran a request with this content, or that such a
-// request completed; see core/poison.h.
+// request completed, or what a host knows of a content; see core/poison.h.
 struct SuspectReport {
   uint64_t content = 0;  // content hash
-  ServerId server;       // the lost server; empty if `cleared`
+  ServerId server;       // the lost server; empty if `cleared` or if it reports no single loss
   bool alone = false;    // the content was the only work on the server
   bool cleared = false;  // the content completed and is no longer suspected
   int losses = 0;        // in succession, with this one; 0 if `cleared`
+  Duration age{0};       // since the last loss
 };
 
 // The state of the daemon as JSON text, as shown by `ebonylift status`.
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -137,6 +137,7 @@
   std::string data_folder;
   bool voter = false;
   std::function<void(const SuspectReport&)> on_suspect_report;
+  std::function<std::vector<SuspectReport>()> known_suspects;
   std::shared_ptr<ControlPort> port;
 };
 
@@ -163,6 +164,7 @@
     options.http_address = host.id + ":80";
     options.cluster_key = host.key;
     options.on_suspect_report = host.on_suspect_report;
+    options.known_suspects = host.known_suspects;
     options.data_folder = host.data_folder;
     for (const TestHost& peer : hosts_) {
       if (peer.voter) options.voters.emplace_back(peer.id);
@@ -622,6 +624,22 @@
   BOOST_TEST(WaitFor([&]() { return same_region.Has("8s2+") && other_region.Has("8s2+"); }));
 }
 
+// Guards against a host that never learns of suspects because the host that reported them has ended
+// before it started.
+BOOST_AUTO_TEST_CASE(HostThatConnectsLearnsAllThatOthersKnow) {
+  std::vector<TestHost> hosts = {MakeHost("a"), MakeHost("b", "d2", "r1"),
+                                 MakeHost("c", "d3", "r2")};
+  std::atomic<bool> learned{false};
+  hosts[1].known_suspects = [] {
+    return std::vector<SuspectReport>{{7, ServerId(), false, false, 3, seconds(5)}};
+  };
+  hosts[2].on_suspect_report = [&learned](const SuspectReport& report) {
+    if (report.content == 7 && report.losses == 3 && report.age == seconds(5)) learned = true;
+  };
+  Cluster cluster(std::move(hosts));
+  BOOST_TEST(WaitFor([&]() { return learned.load(); }));
+}
+
 // Guards against a timeline that is not sorted by time or waits for a daemon that has stopped.
 BOOST_AUTO_TEST_CASE(TimelineIsMergedInOrder) {
   Cluster cluster({MakeHost("a"), MakeHost("b"), MakeHost("c", "d2", "r2")});
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -271,4 +271,38 @@
   BOOST_TEST(VerdictName(Verdict(poison, 1, kNow)) == "clear");
 }
 
+// Guards against a host that missed the reports and runs a condemned request, against suspicions
+// that never expire because hosts tell each other of them, and against a condemnation that one host
+// reverts and another keeps.
+BOOST_AUTO_TEST_CASE(KnownSuspectsAreShared) {
+  PoisonState poison;
+  OnLossReported(poison, kS1, 1, false, kLossesToCondemn, kNow);
+  OnLossReported(poison, kS1, 2, false, 1, kNow + seconds(10));
+  OnLossReported(poison, kS1, 3, false, 1, kNow + seconds(20));
+  OnServerLost(poison, kS2, {{3, 1}}, true, kNow + seconds(30));
+  BOOST_TEST(VerdictName(Verdict(poison, 3, kNow + seconds(30))) == "condemned");
+  std::vector<KnownSuspect> known = KnownSuspects(poison, 2, kNow + seconds(31));
+  BOOST_REQUIRE(known.size() == 2u);
+  BOOST_TEST(known[0].content == 1u);
+  BOOST_TEST(known[1].content == 3u);
+  BOOST_TEST(known[1].losses == 2);
+  known = KnownSuspects(poison, 3, kNow + seconds(60));
+  BOOST_REQUIRE(known.size() == 3u);
+  BOOST_TEST(known[0].content == 3u);
+  BOOST_TEST(known[0].losses == kLossesToCondemn);
+
+  PoisonState other;
+  Time later = kNow + seconds(500'000);  // the steady clocks of two hosts differ
+  for (const KnownSuspect& suspect : known) {
+    bool condemned = suspect.losses >= kLossesToCondemn;
+    BOOST_TEST(OnSuspectKnown(other, suspect, later) == condemned);
+    BOOST_TEST(!OnSuspectKnown(other, suspect, later));
+  }
+  BOOST_TEST(VerdictName(Verdict(other, 1, later)) == "condemned");
+  BOOST_TEST(VerdictName(Verdict(other, 2, later)) == "suspect");
+  BOOST_TEST(VerdictName(Verdict(other, 1, later + kSuspectTtl - seconds(60))) == "clear");
+  BOOST_TEST(!OnSuspectKnown(other, {9, kLossesToCondemn, kSuspectTtl}, later));
+  BOOST_TEST(VerdictName(Verdict(other, 9, later)) == "clear");
+}
+
 }  // namespace ebonylift
