Keep condemned contents on disk

Cause: all hosts kept condemned contents in memory only, so after all processes were killed at once a request that crashes its servers could end three more of them, each time. Hosts with a disk now store each content that is condemned, with the time of its last loss, and pass them on to the hosts that connect.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -84,6 +84,7 @@
       {EventId::kPoisonCondemned, 701, "poison_condemned", "Requests with this content are refused from now on: content, server (the last one lost), losses (in succession), source (own, or peer if another host reported the loss)."},
       {EventId::kSuspectCleared, 702, "suspect_cleared", "A request with suspected content completed, so the suspicion was cleared: content."},
       {EventId::kServerLossNotRecorded, 703, "server_loss_not_recorded", "A backend server broke off an attempt, but its loss was not recorded: request_id, content, server, reason (the outcome of the probe of the server)."},
+      {EventId::kCondemnedNotKept, 704, "condemned_not_kept", "The file of condemned contents cannot be read, so they are not stored until the daemon restarts: reason."},
   };
   // clang-format on
   return table;
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -99,6 +99,7 @@
   kPoisonCondemned = 701,
   kSuspectCleared = 702,
   kServerLossNotRecorded = 703,
+  kCondemnedNotKept = 704,
 };
 
 struct EventInfo {
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -18,16 +18,6 @@
   return std::max(live, 1);
 }
 
-// `source` is "own" if this host observed the loss, "peer" if another one reported it.
-void LogLoss(const LossFinding& finding, const ServerId& server, const char* source) {
-  bool condemned = finding.verdict == PoisonVerdict::kCondemned;
-  LogEvent(condemned ? EventId::kPoisonCondemned : EventId::kSuspectRecorded,
-           {{"content", std::to_string(finding.content)},
-            {"server", server.value()},
-            {"losses", std::to_string(finding.losses)},
-            {"source", source}});
-}
-
 Choice RefusedChoice(ErrorKind kind) {
   Choice choice;
   choice.kind = ChoiceKind::kRefuse;
@@ -221,7 +211,7 @@
   std::vector<SuspectReport> reports;
   for (const LossFinding& finding : findings) {
     if (!finding.is_news) continue;
-    LogLoss(finding, evidence.server, "own");
+    HandleFinding(finding, evidence.server, "own");
     reports.push_back(
         {finding.content, evidence.server, evidence.alone, /*cleared=*/false, finding.losses});
   }
@@ -234,6 +224,26 @@
     routing_state_.set_aside_until = SetAsideUntil(poison_);
 }
 
+void Dispatcher::HandleFinding(const LossFinding& finding, const ServerId& server,
+                               const char* source, Duration age) {
+  bool condemned = finding.verdict == PoisonVerdict::kCondemned;
+  LogEvent(condemned ? EventId::kPoisonCondemned : EventId::kSuspectRecorded,
+           {{"content", std::to_string(finding.content)},
+            {"server", server.value()},
+            {"losses", std::to_string(finding.losses)},
+            {"source", source}});
+  if (condemned && on_condemned_) on_condemned_({finding.content, finding.losses, age});
+}
+
+void Dispatcher::RestoreCondemned(const std::vector<KnownSuspect>& contents,
+                                  CondemnedCallback on_condemned) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  for (const KnownSuspect& content : contents) {
+    ebonylift::OnSuspectKnown(poison_, content, SteadyNow());
+  }
+  on_condemned_ = std::move(on_condemned);
+}
+
 std::vector<SuspectReport> Dispatcher::KnownSuspects(Time now) const {
   std::vector<SuspectReport> reports;
   std::lock_guard<std::mutex> lock(mutex_);
@@ -255,7 +265,7 @@
                                           SteadyNow());
   }
   LossFinding finding{report.content, PoisonVerdict::kCondemned, report.losses, true};
-  if (condemned) LogLoss(finding, report.server, "peer");
+  if (condemned) HandleFinding(finding, report.server, "peer", report.age);
 }
 
 void Dispatcher::OnRemoteSuspect(const SuspectReport& report) {
@@ -278,7 +288,7 @@
     SetServersAside();
   }
   bool condemned = finding.verdict == PoisonVerdict::kCondemned;
-  if (condemned && !was_condemned) LogLoss(finding, report.server, "peer");
+  if (condemned && !was_condemned) HandleFinding(finding, report.server, "peer");
 }
 
 void Dispatcher::OnCompleted(uint64_t content) {
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -55,6 +55,9 @@
  public:
   using PlacementCallback = std::function<void(Choice)>;
 
+  // Runs without the mutex on the thread whose call condemned the content.
+  using CondemnedCallback = std::function<void(const KnownSuspect&)>;
+
   // Suspects are reported to `control`, which must outlive the dispatcher.
   Dispatcher(ControlPort* control, RoutingPolicy policy, SuspectPlacement suspect_placement,
              uint64_t seed);
@@ -101,6 +104,9 @@
 
   // Records that the server was lost and reports its contents as suspects to the other hosts.
   void RecordServerLoss(const LossEvidence& evidence, Time now);
+  // Records contents that were condemned before this process started, then calls `on_condemned` for
+  // each content that is condemned from now on. Call it before any other method.
+  void RestoreCondemned(const std::vector<KnownSuspect>& contents, CondemnedCallback on_condemned);
   // Returns what this host knows of suspects, to tell a host that may have missed reports.
   std::vector<SuspectReport> KnownSuspects(Time now) const;
   // Another host reported a suspect, or that its content completed.
@@ -145,9 +151,14 @@
 
   void SetServersAside();
   void OnSuspectKnown(const SuspectReport& report);
+  // Logs a loss, and passes on that it condemned the content. `source` is "own" if this host
+  // observed the loss, "peer" if another one reported it; `age` is the time since the loss.
+  void HandleFinding(const LossFinding& finding, const ServerId& server, const char* source,
+                     Duration age = Duration(0));
 
   ControlPort* const control_;
   const SuspectPlacement suspect_placement_;
+  CondemnedCallback on_condemned_;  // may be null
   mutable std::mutex mutex_;
   std::mt19937_64 rng_;
   RoutingState routing_state_;
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -13,6 +13,7 @@
 #include "base/error.h"
 #include "base/event.h"
 #include "base/log_output.h"
+#include "daemon/condemned_store.h"
 #include "daemon/control.h"
 #include "daemon/dispatcher.h"
 #include "daemon/record_store.h"
@@ -71,12 +72,15 @@
   }
 
   void OpenRecords() {
-    std::shared_ptr<Journal> journal;
-    if (!settings_.data_dir.empty()) {
-      journal = std::make_shared<FileJournal>(settings_.data_dir, "records");
-    }
-    records_ = std::make_unique<RecordStore>(settings_.host, journal);
+    records_ = std::make_unique<RecordStore>(settings_.host, OpenJournal("records"));
     records_->Recover(WallNow());
+    condemned_ = std::make_unique<CondemnedStore>(OpenJournal("condemned"));
+  }
+
+  // Returns null for a host without a disk.
+  std::shared_ptr<Journal> OpenJournal(const std::string& name) const {
+    if (settings_.data_dir.empty()) return nullptr;
+    return std::make_shared<FileJournal>(settings_.data_dir, name);
   }
 
   void StartThreads() {
@@ -87,6 +91,9 @@
         control_.get(), ParseRoutingPolicy(settings_.routing_policy).value(),
         options_.dialect == nullptr ? SuspectPlacement::kAlone : SuspectPlacement::kAnywhere,
         seed());
+    dispatcher_->RestoreCondemned(
+        condemned_->Load(WallNow()),
+        [this](const KnownSuspect& condemned) { condemned_->Add(condemned, WallNow()); });
     control_dispatcher_ = dispatcher_.get();
     TrafficOptions traffic;
     traffic.settings = settings_;
@@ -212,6 +219,7 @@
   asio::steady_timer timer_;
   Metrics metrics_;
   std::unique_ptr<RecordStore> records_;
+  std::unique_ptr<CondemnedStore> condemned_;
   std::unique_ptr<ControlPort> control_;
   std::unique_ptr<Dispatcher> dispatcher_;
   // Null until `dispatcher_` is constructed; read by the control thread, which starts earlier.
