Log the request limits that backend servers name

The dialect now reads it, the routing state keeps it, and server_limit_changed (event 313) is logged when a server names, changes or withdraws it. Nothing depends on it yet.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -50,6 +50,7 @@
       {EventId::kOrdererLeaseEnded, 310, "orderer_lease_ended", "This host no longer holds the lease to send orders: fencing, reason."},
       {EventId::kAnnouncementRefused, 311, "announcement_refused", "An announcement could not be parsed and was ignored: server, reason."},
       {EventId::kServersNotKept, 312, "servers_not_kept", "The on-disk snapshot of the backend servers cannot be used: reason."},
+      {EventId::kServerLimitChanged, 313, "server_limit_changed", "A backend server named, changed or withdrew its request limit in an answer: server, requests_per_s (from all hosts together; none if withdrawn)."},
       {EventId::kHostAlive, 400, "host_alive", "A host is reachable: host, incarnation."},
       {EventId::kHostSuspected, 401, "host_suspected", "A host did not answer probes and is suspected to have failed: host."},
       {EventId::kHostFailed, 402, "host_failed", "A host is considered failed: host, ms."},
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -61,6 +61,7 @@
   kOrdererLeaseEnded = 310,
   kAnnouncementRefused = 311,
   kServersNotKept = 312,
+  kServerLimitChanged = 313,
 
   kHostAlive = 400,
   kHostSuspected = 401,
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -135,6 +135,9 @@
 constexpr Duration kLearningTime = seconds(1);
 constexpr Duration kMinRetryAfter = milliseconds(200);
 constexpr Duration kMaxRetryAfter = seconds(5);
+// A lower limit named by a server counts as this one, so that the server still gets requests whose
+// answers show when it withdraws the limit.
+constexpr double kMinRequestLimitPerSecond = 0.1;
 constexpr int kFailuresToEject = 3;
 constexpr Duration kMinEjectionTime = seconds(1);
 constexpr Duration kMaxEjectionTime = seconds(30);
@@ -201,6 +204,7 @@
   Time full_until;                // of a failure domain: see kDomainFullBackoff
   Time incarnation_since;         // first dispatch to `incarnation`; older failures do not count
   uint64_t incarnation = 0;       // of the server at the last dispatch; a new one clears ejections
+  RequestLimit limit;             // of a server
 };
 
 struct RoutingState {
@@ -278,6 +282,11 @@
 void OnFirstByte(RoutingState& routing_state, const std::string& served, const Choice& choice,
                  Time dispatched_at, Time now);
 
+// Records the limit that an answer of the server named; nullopt: it named none. Returns true if the
+// limit changed.
+bool OnRequestLimit(RoutingState& routing_state, const ServerId& server, uint64_t incarnation,
+                    std::optional<double> per_s, Time now);
+
 // Records the end of a dispatch. `dispatched_at` is the `now` of its OnDispatch(), `prefill_tokens`
 // that of its choice, or 0 after OnFirstByte(). Returns true if this call ejected the server. At
 // most kMaxEjectedShare of the live servers of the view are ejected at a time, so that a fault in
--- a/src/core/routing_record.cc
+++ b/src/core/routing_record.cc
@@ -105,6 +105,7 @@
     state.ejected_until = Time();
     state.unreachable_at = Time();
     state.replaced = false;
+    state.limit = RequestLimit();
   }
   if (query.suspect) {
     state.exclusivity_lost = state.in_flight > 0;
@@ -135,6 +136,20 @@
   if (!first) rate->second += kPrefillRateSmoothing * (sample - rate->second);
 }
 
+bool OnRequestLimit(RoutingState& routing_state, const ServerId& server, uint64_t incarnation,
+                    std::optional<double> per_s, Time now) {
+  auto found = routing_state.servers.find(server);
+  if (found == routing_state.servers.end() || found->second.incarnation != incarnation)
+    return false;
+  RequestLimit& limit = found->second.limit;
+  bool never_named = limit.seen_at == Time();
+  if (never_named && !per_s) return false;
+  double before = limit.per_s;
+  limit.per_s = per_s ? std::max(*per_s, kMinRequestLimitPerSecond) : 0;
+  limit.seen_at = now;
+  return limit.per_s != before;
+}
+
 std::vector<ServerWork> WorkInFlight(const RoutingState& routing_state) {
   std::vector<ServerWork> work;
   for (const auto& [server, state] : routing_state.servers) {
--- a/src/daemon/dialect.h
+++ b/src/daemon/dialect.h
@@ -9,6 +9,7 @@
 // interface (/v1/... and /svc/...).
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,9 @@
   // Classifies a response by its status and headers.
   ResponseKind (*classify_response)(const HttpHeaders& caller, int status,
                                     const HttpHeaders& response);
+  // Returns the requests per second that the backend server, by this response, takes from all hosts
+  // together; nullopt if it names no limit or not a valid one.
+  std::optional<double> (*request_limit)(const HttpHeaders& response);
   // Sends an error response that the gateway generates itself.
   void (*send_error)(HttpResponder* responder, const ErrorResponse& response);
 };
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -148,6 +148,19 @@
   ebonylift::OnFirstByte(routing_state_, served, choice, dispatched_at, now);
 }
 
+void Dispatcher::OnRequestLimit(const ServerId& server, uint64_t incarnation,
+                                std::optional<double> per_s, Time now) {
+  bool changed = false;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    changed = ebonylift::OnRequestLimit(routing_state_, server, incarnation, per_s, now);
+  }
+  if (!changed) return;
+  LogEvent(
+      EventId::kServerLimitChanged,
+      {{"server", server.value()}, {"requests_per_s", per_s ? std::to_string(*per_s) : "none"}});
+}
+
 std::vector<ServerWork> Dispatcher::WorkInFlight() const {
   std::lock_guard<std::mutex> lock(mutex_);
   return ebonylift::WorkInFlight(routing_state_);
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -92,6 +92,10 @@
   // Records that the first byte of the response to a local dispatch arrived.
   void OnFirstByte(const std::string& served, const Choice& choice, Time dispatched_at, Time now);
 
+  // Records the limit that an answer to a local dispatch named; nullopt: it named none.
+  void OnRequestLimit(const ServerId& server, uint64_t incarnation, std::optional<double> per_s,
+                      Time now);
+
   // Returns the work that this host currently has at each backend server.
   std::vector<ServerWork> WorkInFlight() const;
 
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -150,6 +150,15 @@
   ResponseKind kind = ResponseKind::kAnswer;
   if (spec_.dialect != nullptr)
     kind = spec_.dialect->classify_response(spec_.headers, status, headers);
+  // Another server answers kWrongServer, and a response without a limit that cannot be attributed
+  // may not be of this server.
+  if (spec_.dialect != nullptr && open_attempt_.server && kind != ResponseKind::kWrongServer) {
+    std::optional<double> limit = spec_.dialect->request_limit(headers);
+    if (limit || kind != ResponseKind::kUnattributable) {
+      context_.dispatcher->OnRequestLimit(*open_attempt_.server, open_attempt_.choice.incarnation,
+                                          limit, SteadyNow());
+    }
+  }
   relay_.OnHeaders(status, headers, kind);
 }
 
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -183,6 +183,12 @@
 // its region. Requests for other servers are forwarded to a host that reaches them directly.
 enum class ServerScope { kDomain, kRegion };
 
+// The limit that a backend server named, or withdrew, in an answer.
+struct RequestLimit {
+  double per_s = 0;  // requests per second from all hosts together; 0: no limit
+  Time seen_at;      // when the answer arrived, by this host's clock; Time(): it never named one
+};
+
 // A live backend server as this host knows it.
 struct BackendServer {
   Announcement announced;
--- a/tests/platform_dialect_test.cc
+++ b/tests/platform_dialect_test.cc
@@ -136,4 +136,21 @@
   }
 }
 
+// Guards against a limit of a backend server that is not read, and against a malformed one that
+// stops all requests to the server.
+BOOST_AUTO_TEST_CASE(RequestLimitIsRead) {
+  struct Row {
+    const char* text;
+    std::optional<double> expected;
+  };
+  for (const Row& row :
+       {Row{"1.1", 1.1}, Row{"12", 12.0}, Row{"0", 0.0}, Row{"", std::nullopt},
+        Row{"-1", std::nullopt}, Row{"nan", std::nullopt}, Row{"inf", std::nullopt},
+        Row{"2/s", std::nullopt}, Row{"1.1 ", std::nullopt}, Row{"9e999", std::nullopt}}) {
+    std::optional<double> limit = kPlatformDialect.request_limit({{"server-limit", row.text}});
+    BOOST_TEST((limit == row.expected), row.text);
+  }
+  BOOST_TEST(!kPlatformDialect.request_limit({{"Server-Seal", "1"}}).has_value());
+}
+
 }  // namespace ebonylift::platform
