Add a failing test of a replica that names a request limit

The test plays the users' record of LIMIT on the stand-ins of the platform, with several hosts in a region, a limit that is withdrawn and named again, and a gateway that is killed, started and frozen.

--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -93,6 +93,16 @@
   running_ = true;
 }
 
+void PlatformReplica::SetLimit(const std::string& limit) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  limit_ = limit;
+}
+
+std::vector<Time> PlatformReplica::RunTimes() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return run_times_;
+}
+
 std::vector<Time> PlatformReplica::CrashTimes() const {
   std::lock_guard<std::mutex> lock(mutex_);
   return crash_times_;
@@ -137,6 +147,7 @@
   {
     std::lock_guard<std::mutex> lock(mutex_);
     runs_.push_back(request_id);
+    run_times_.push_back(SteadyNow());
     if (request.path.find(kCrashPath) != std::string::npos) crash_times_.push_back(SteadyNow());
   }
   if (request.path.find(kCrashPath) != std::string::npos) {
@@ -154,10 +165,16 @@
   }
   if (mode == ReplicaMode::kWrongAttemptId) request_id = "another";
   HttpHeaders headers = {{"Attempt-Id", request_id}, {"Server-Seal", id()}};
+  AddLimit(&headers);
   int status = mode == ReplicaMode::kFail ? 500 : 200;
   responder->Send(status, headers, request.method + " " + request.path + " " + request.body);
 }
 
+void PlatformReplica::AddLimit(HttpHeaders* headers) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (!limit_.empty()) headers->emplace_back("Server-Limit", limit_);
+}
+
 void PlatformReplica::Stream(const HttpRequest& request,
                              const std::shared_ptr<HttpResponder>& responder,
                              bool break_connection) {
@@ -194,8 +211,17 @@
   return "127.20.0." + std::to_string(host + 1);
 }
 
-std::string PlatformDeployment::GatewayIp(int host) {
-  return "127.20.1." + std::to_string(host + 1);
+std::string PlatformDeployment::GatewayIp(int host, int number) {
+  constexpr int kZonesPerNumber = 8;
+  return "127.20.1." + std::to_string(kZonesPerNumber * number + host + 1);
+}
+
+std::string PlatformDeployment::GatewayName(const std::string& zone, int number) const {
+  return "front-" + zone + "-" + std::to_string(number + 1);
+}
+
+size_t PlatformDeployment::GatewayIndex(const std::string& zone, int number) const {
+  return static_cast<size_t>(ZoneIndex(zone) * gateways_per_zone_ + number);
 }
 
 int PlatformDeployment::ZoneIndex(const std::string& zone) const {
@@ -205,16 +231,19 @@
   throw std::runtime_error("unknown zone " + zone);
 }
 
-PlatformDeployment::PlatformDeployment() : base_port_(FreeBasePort()) {
+PlatformDeployment::PlatformDeployment(int gateways_per_zone)
+    : gateways_per_zone_(gateways_per_zone), base_port_(FreeBasePort()) {
   controls_.reserve(Zones().size());
   for (size_t i = 0; i < Zones().size(); ++i) {
     int host = static_cast<int>(i);
     std::string name = "core-" + Zones()[i];
     controls_.push_back(
         StartDaemon(WriteSettings(name, ControlIp(host), Zones()[i], true, true), name));
-    name = "front-" + Zones()[i];
-    gateways_.push_back(
-        StartDaemon(WriteSettings(name, GatewayIp(host), Zones()[i], false, true), name));
+    for (int number = 0; number < gateways_per_zone_; ++number) {
+      name = GatewayName(Zones()[i], number);
+      std::string settings = WriteSettings(name, GatewayIp(host, number), Zones()[i], false, true);
+      gateways_.push_back(StartDaemon(settings, name));
+    }
   }
   heartbeat_thread_ = std::thread([this] { SendHeartbeats(); });
 }
@@ -275,22 +304,21 @@
 }
 
 void PlatformDeployment::KillGateway(const std::string& zone) {
-  gateways_[static_cast<size_t>(ZoneIndex(zone))].Kill();
+  gateways_[GatewayIndex(zone, 0)].Kill();
 }
 
 void PlatformDeployment::StartGateway(const std::string& zone) {
-  int host = ZoneIndex(zone);
-  std::string name = "front-" + zone;
-  gateways_[static_cast<size_t>(host)] =
-      StartDaemon(WriteSettings(name, GatewayIp(host), zone, false, false), name);
+  std::string name = GatewayName(zone, 0);
+  gateways_[GatewayIndex(zone, 0)] =
+      StartDaemon(WriteSettings(name, GatewayIp(ZoneIndex(zone), 0), zone, false, false), name);
 }
 
 void PlatformDeployment::StopGateway(const std::string& zone) {
-  gateways_[static_cast<size_t>(ZoneIndex(zone))].Stop();
+  gateways_[GatewayIndex(zone, 0)].Stop();
 }
 
 void PlatformDeployment::ContinueGateway(const std::string& zone) {
-  gateways_[static_cast<size_t>(ZoneIndex(zone))].Continue();
+  gateways_[GatewayIndex(zone, 0)].Continue();
 }
 
 void PlatformDeployment::WipeControl(int host) {
@@ -378,9 +406,12 @@
 }
 
 bool PlatformDeployment::Ready(const std::string& zone) {
-  return Get("http://" + Endpoint(GatewayIp(ZoneIndex(zone)), base_port_ + kReadyPortOffset) +
-             "/ready")
-             .status == 200;
+  for (int number = 0; number < gateways_per_zone_; ++number) {
+    std::string ip = GatewayIp(ZoneIndex(zone), number);
+    if (Get("http://" + Endpoint(ip, base_port_ + kReadyPortOffset) + "/ready").status != 200)
+      return false;
+  }
+  return true;
 }
 
 TestResponse PlatformDeployment::Request(
@@ -389,8 +420,8 @@
     const std::vector<std::pair<std::string, std::string>>& headers) {
   TestCall call;
   call.method = method;
-  call.url =
-      "http://" + Endpoint(GatewayIp(ZoneIndex(zone)), base_port_ + kCallerPortOffset) + path;
+  std::string ip = GatewayIp(ZoneIndex(zone), next_gateway_++ % gateways_per_zone_);
+  call.url = "http://" + Endpoint(ip, base_port_ + kCallerPortOffset) + path;
   call.headers = {{"Host", "a.example"}, {"Attempt-Id", request_id}, {"Deadline-Ms", "5000"}};
   call.headers.insert(call.headers.end(), headers.begin(), headers.end());
   if (method == "POST") call.body = "body of " + request_id;
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -53,6 +53,10 @@
   std::vector<std::string> ExecutedRequestIds() const;
   // When requests that crash the replica began to run, oldest first.
   std::vector<Time> CrashTimes() const;
+  // Names this limit, in requests per second, in all answers from now on; empty: names none.
+  void SetLimit(const std::string& limit);
+  // When requests began to run, oldest first.
+  std::vector<Time> RunTimes() const;
   // False from a crash until the restart.
   bool Running() const;
   std::string id() const;
@@ -63,6 +67,7 @@
   void Handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
   void Stream(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder,
               bool break_connection);
+  void AddLimit(HttpHeaders* headers) const;
   void Listen(const std::string& address);
   void Crash();
   void Restart();
@@ -75,7 +80,9 @@
   std::atomic<ReplicaMode> mode_{ReplicaMode::kServe};
   mutable std::mutex mutex_;
   std::vector<std::string> runs_;
+  std::vector<Time> run_times_;
   std::vector<Time> crash_times_;
+  std::string limit_;
   bool running_ = true;
   int restarts_ = 0;
   std::string id_;
@@ -86,10 +93,10 @@
   std::thread thread_;
 };
 
-// Three zones, each in a region of its own and with one control host and one gateway.
+// Three zones, each in a region of its own and with one control host and one gateway, or several.
 class PlatformDeployment {
  public:
-  PlatformDeployment();
+  explicit PlatformDeployment(int gateways_per_zone = 1);
   ~PlatformDeployment();
   PlatformDeployment(const PlatformDeployment&) = delete;
   PlatformDeployment& operator=(const PlatformDeployment&) = delete;
@@ -112,7 +119,7 @@
   // Asks the directory of a control host for the gateways that a client in the zone should use.
   TestResponse Resolve(int host, const std::string& zone);
 
-  // Sends a client request to the gateway of the zone.
+  // Sends a client request to the gateway of the zone, or to each of its gateways in turn.
   TestResponse Request(const std::string& zone, const std::string& method, const std::string& path,
                        const std::string& request_id,
                        const std::vector<std::pair<std::string, std::string>>& headers = {});
@@ -127,13 +134,13 @@
   void StartControl(int host, bool bootstrap);
   void WipeControl(int host);
 
-  // Of the gateway of the zone. StopGateway() sends SIGSTOP and ContinueGateway() SIGCONT.
+  // Of the first gateway of the zone. StopGateway() sends SIGSTOP and ContinueGateway() SIGCONT.
   void KillGateway(const std::string& zone);
   void StartGateway(const std::string& zone);
   void StopGateway(const std::string& zone);
   void ContinueGateway(const std::string& zone);
 
-  // True when GET /ready of the gateway of the zone returns 200.
+  // True when GET /ready of each gateway of the zone returns 200.
   bool Ready(const std::string& zone);
 
  private:
@@ -142,11 +149,16 @@
   Process StartDaemon(const std::string& settings_file, const std::string& name);
   void SendHeartbeats();
   static std::string ControlIp(int host);
-  static std::string GatewayIp(int host);
+  static std::string GatewayIp(int host, int number);
+  std::string GatewayName(const std::string& zone, int number) const;
+  // The index of a gateway in gateways_.
+  size_t GatewayIndex(const std::string& zone, int number) const;
   int ZoneIndex(const std::string& zone) const;
 
   TempDir dir_;
+  const int gateways_per_zone_;
   int base_port_ = 0;
+  std::atomic<int> next_gateway_{0};
   std::vector<Process> controls_;
   std::vector<Process> gateways_;
   std::mutex mutex_;
