Share the request limit that a server names among all hosts

Cause: nothing read or applied the limit. Class of fault: a bound over all hosts that no host knew of. Now a limit counts like the rate of a cold server: two hosts of the region, found by rendezvous hash without messages, share it, and the others send nothing. Since those get no answers, hosts tell each other in their work lists which limits they saw and when, and the newest holds, so all learn that a limit is withdrawn. A server with a limit is no choice for shared prefixes and long prompts, and its slots do not count in the summaries for other regions. cold_limit is now request_rate, which serves both.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -52,6 +52,12 @@
   server @0 :Text;
   inFlight @1 :Int32;
   prefillTokens @2 :Int64;
+  limit @3 :ObservedLimit;  # absent if the sender saw none
+}
+
+struct ObservedLimit {
+  perSecond @0 :Float64;
+  ageMillis @1 :UInt32;
 }
 
 enum HostStatus {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -42,6 +42,7 @@
 CAPNP_DECLARE_SCHEMA(cf10d05cdbba1d9b);
 CAPNP_DECLARE_SCHEMA(a2279965ab20f886);
 CAPNP_DECLARE_SCHEMA(9ec420e272a60b8b);
+CAPNP_DECLARE_SCHEMA(9a6e686a9f385f57);
 CAPNP_DECLARE_SCHEMA(94bb95454c725273);
 enum class HostStatus_94bb95454c725273: uint16_t {
   ALIVE,
@@ -433,7 +434,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9ec420e272a60b8b, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9ec420e272a60b8b, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ObservedLimit {
+  ObservedLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9a6e686a9f385f57, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2617,6 +2633,9 @@
 
   inline  ::int64_t getPrefillTokens() const;
 
+  inline bool hasLimit() const;
+  inline  ::ebonylift::wire::ObservedLimit::Reader getLimit() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2658,6 +2677,13 @@
   inline  ::int64_t getPrefillTokens();
   inline void setPrefillTokens( ::int64_t value);
 
+  inline bool hasLimit();
+  inline  ::ebonylift::wire::ObservedLimit::Builder getLimit();
+  inline void setLimit( ::ebonylift::wire::ObservedLimit::Reader value);
+  inline  ::ebonylift::wire::ObservedLimit::Builder initLimit();
+  inline void adoptLimit(::capnp::Orphan< ::ebonylift::wire::ObservedLimit>&& value);
+  inline ::capnp::Orphan< ::ebonylift::wire::ObservedLimit> disownLimit();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2676,6 +2702,88 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ebonylift::wire::ObservedLimit::Pipeline getLimit();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ObservedLimit::Reader {
+public:
+  typedef ObservedLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getAgeMillis() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ObservedLimit::Builder {
+public:
+  typedef ObservedLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getAgeMillis();
+  inline void setAgeMillis( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ObservedLimit::Pipeline {
+public:
+  typedef ObservedLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5589,6 +5697,73 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServerWork::Reader::hasLimit() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerWork::Builder::hasLimit() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ebonylift::wire::ObservedLimit::Reader ServerWork::Reader::getLimit() const {
+  return ::capnp::_::PointerHelpers< ::ebonylift::wire::ObservedLimit>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::ebonylift::wire::ObservedLimit::Builder ServerWork::Builder::getLimit() {
+  return ::capnp::_::PointerHelpers< ::ebonylift::wire::ObservedLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ebonylift::wire::ObservedLimit::Pipeline ServerWork::Pipeline::getLimit() {
+  return  ::ebonylift::wire::ObservedLimit::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void ServerWork::Builder::setLimit( ::ebonylift::wire::ObservedLimit::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonylift::wire::ObservedLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::ebonylift::wire::ObservedLimit::Builder ServerWork::Builder::initLimit() {
+  return ::capnp::_::PointerHelpers< ::ebonylift::wire::ObservedLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ServerWork::Builder::adoptLimit(
+    ::capnp::Orphan< ::ebonylift::wire::ObservedLimit>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonylift::wire::ObservedLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ebonylift::wire::ObservedLimit> ServerWork::Builder::disownLimit() {
+  return ::capnp::_::PointerHelpers< ::ebonylift::wire::ObservedLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline double ObservedLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double ObservedLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ObservedLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ObservedLimit::Reader::getAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ObservedLimit::Builder::getAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ObservedLimit::Builder::setAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostRow::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -1,6 +1,7 @@
 #include "adapters/peer_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -389,6 +390,28 @@
   return answer;
 }
 
+void WriteServerWork(const ServerWork& work, wire::ServerWork::Builder out) {
+  out.setServer(work.server.value());
+  out.setInFlight(work.in_flight);
+  out.setPrefillTokens(work.prefill_tokens);
+  if (!work.limit) return;
+  auto limit = out.initLimit();
+  limit.setPerSecond(work.limit->per_s);
+  limit.setAgeMillis(ClampToUnsigned(ToMillis(work.limit->age)));
+}
+
+ServerWork ReadServerWork(wire::ServerWork::Reader in) {
+  ServerWork work;
+  work.server = ServerId(ToStdString(in.getServer()));
+  work.in_flight = in.getInFlight();
+  work.prefill_tokens = in.getPrefillTokens();
+  if (!in.hasLimit()) return work;
+  double per_s = in.getLimit().getPerSecond();
+  if (std::isfinite(per_s) && per_s >= 0)
+    work.limit = ObservedLimit{per_s, milliseconds(int64_t{in.getLimit().getAgeMillis()})};
+  return work;
+}
+
 void WriteSuspectNote(const SuspectReport& report, wire::SuspectNote::Builder out) {
   out.setContent(report.content);
   out.setServer(report.server.value());
--- a/src/adapters/peer_codec.h
+++ b/src/adapters/peer_codec.h
@@ -35,6 +35,10 @@
 void WritePutAnswer(const PutAnswer& answer, wire::PutAnswer::Builder out);
 PutAnswer ReadPutAnswer(wire::PutAnswer::Reader in);
 
+void WriteServerWork(const ServerWork& work, wire::ServerWork::Builder out);
+// A limit that is not a valid number is ignored.
+ServerWork ReadServerWork(wire::ServerWork::Reader in);
+
 void WriteSuspectNote(const SuspectReport& report, wire::SuspectNote::Builder out);
 SuspectReport ReadSuspectNote(wire::SuspectNote::Reader in);
 
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -339,10 +339,7 @@
     auto params = context.getParams();
     ProcessClock().Receive(params.getHlc());
     std::vector<ServerWork> work;
-    for (wire::ServerWork::Reader row : params.getRows()) {
-      work.push_back(
-          {ServerId(ToStdString(row.getServer())), row.getInFlight(), row.getPrefillTokens()});
-    }
+    for (wire::ServerWork::Reader row : params.getRows()) work.push_back(ReadServerWork(row));
     handler_->OnPeerWorkList(session_->host, std::move(work));
     context.getResults().setHlc(ProcessClock().Now());
     return kj::READY_NOW;
@@ -840,11 +837,7 @@
   auto request = KJ_ASSERT_NONNULL(connection->client).workRequest();
   request.setHlc(ProcessClock().Now());
   auto rows = request.initRows(static_cast<uint32_t>(work.size()));
-  for (uint32_t i = 0; i < rows.size(); ++i) {
-    rows[i].setServer(work[i].server.value());
-    rows[i].setInFlight(work[i].in_flight);
-    rows[i].setPrefillTokens(work[i].prefill_tokens);
-  }
+  for (uint32_t i = 0; i < rows.size(); ++i) WriteServerWork(work[i], rows[i]);
   impl_->Call<bool>(
       connection, kj::mv(request), kNotificationTimeout, true, [](auto&) { return true; }, nullptr);
 }
--- a/src/core/domain_summary.cc
+++ b/src/core/domain_summary.cc
@@ -3,7 +3,7 @@
 #include <map>
 #include <utility>
 
-#include "core/cold_limit.h"
+#include "core/request_rate.h"
 
 namespace ebonylift {
 namespace {
@@ -12,7 +12,8 @@
 void AddServer(const BackendServer& server, Time now, DomainSummary* row) {
   const ServerLoad& load = server.announced.load;
   ++row->servers;
-  if (!IsCold(server, now)) row->slots += load.slots;
+  bool takes_work = !IsCold(server, now) && server.other_hosts_limit.per_s <= 0;
+  if (takes_work) row->slots += load.slots;
   row->running += load.running + server.other_hosts_requests;
   row->waiting += load.waiting;
   row->prefill_tokens += load.prefill_tokens_waiting + server.other_hosts_prefill_tokens;
--- a/src/core/domain_summary.h
+++ b/src/core/domain_summary.h
@@ -16,9 +16,9 @@
 // Returns the names of the models and services that the backend server serves.
 std::vector<std::string> ServedNames(const Announcement& announcement);
 
-// Returns one row for each model or service of the servers in the failure domain of `self`. A cold
-// server is included in the number of servers, but its slots are not counted: it accepts only a few
-// requests per second, which its own region uses up.
+// Returns one row for each model or service of the servers in the failure domain of `self`. A
+// server that is cold or names a request limit is included in the number of servers, but its slots
+// are not counted: it accepts only a few requests per second, which its own region uses up.
 std::vector<DomainSummary> SummarizeDomain(const Identity& self,
                                            const std::vector<BackendServer>& servers, Time now);
 
--- a/src/core/peer_work.cc
+++ b/src/core/peer_work.cc
@@ -14,12 +14,17 @@
 
 void ApplyPeerWork(const PeerWork& state, Time now, std::vector<BackendServer>* servers) {
   std::unordered_map<ServerId, ServerWork> sums;
+  std::unordered_map<ServerId, RequestLimit> limits;
   for (const auto& [host, list] : state.lists) {
     if (now - list.received_at >= kPeerWorkTtl) continue;
     for (const ServerWork& work : list.work) {
       ServerWork& sum = sums[work.server];
       sum.in_flight += work.in_flight;
       sum.prefill_tokens += work.prefill_tokens;
+      if (!work.limit) continue;
+      RequestLimit& newest = limits[work.server];
+      Time seen_at = list.received_at - work.limit->age;
+      if (seen_at > newest.seen_at) newest = {work.limit->per_s, seen_at};
     }
   }
   for (BackendServer& server : *servers) {
@@ -27,6 +32,8 @@
     bool known = found != sums.end();
     server.other_hosts_requests = known ? found->second.in_flight : 0;
     server.other_hosts_prefill_tokens = known ? found->second.prefill_tokens : 0;
+    auto limit = limits.find(server.announced.id);
+    server.other_hosts_limit = limit == limits.end() ? RequestLimit() : limit->second;
   }
 }
 
--- a/src/core/peer_work.h
+++ b/src/core/peer_work.h
@@ -40,7 +40,7 @@
 void OnPeerWork(PeerWork* state, const HostId& from, std::vector<ServerWork> work, Time now);
 
 // Sets `other_hosts_requests` and `other_hosts_prefill_tokens` of the servers to the sums over all
-// current lists.
+// current lists, and `other_hosts_limit` to the newest limit in them.
 void ApplyPeerWork(const PeerWork& state, Time now, std::vector<BackendServer>* servers);
 
 // Whether the waiting prompt tokens of some server have grown by kUrgentTokenIncrease or more from
--- a/src/core/cold_limit.cc
+++ b/src/core/request_rate.cc
@@ -1,4 +1,4 @@
-#include "core/cold_limit.h"
+#include "core/request_rate.h"
 
 #include <algorithm>
 #include <vector>
@@ -34,9 +34,15 @@
   return now < server.reported_at + server.announced.cold_for;
 }
 
-std::optional<Duration> ColdRequestInterval(const RoutingView& view, const BackendServer& server) {
-  double rate = ColdRequestRate(view, server);
-  if (rate <= 0) return Duration(0);
+double RequestRate(const RoutingView& view, const BackendServer& server, const RequestLimit& limit,
+                   Time now) {
+  double cold_rate = IsCold(server, now) ? ColdRequestRate(view, server) : 0;
+  if (cold_rate <= 0 || limit.per_s <= 0) return std::max(cold_rate, limit.per_s);
+  return std::min(cold_rate, limit.per_s);
+}
+
+std::optional<Duration> RequestInterval(const RoutingView& view, const BackendServer& server,
+                                        double rate) {
   uint64_t seed = Hash64(server.announced.id.value());
   uint64_t own_hash = Hash64(view.self.host.value(), seed);
   int hosts = 0;
@@ -46,8 +52,8 @@
     ++hosts;
     if (host.id != view.self.host && Hash64(host.id.value(), seed) > own_hash) ++higher_ranked;
   }
-  if (higher_ranked >= kColdSenders) return std::nullopt;
-  int senders = std::clamp(hosts, 1, kColdSenders);
+  if (higher_ranked >= kLimitedSenders) return std::nullopt;
+  int senders = std::clamp(hosts, 1, kLimitedSenders);
   return Duration(static_cast<int64_t>(senders * 1e6 / rate));
 }
 
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -5,9 +5,9 @@
 #include <limits>
 
 #include "base/hash.h"
-#include "core/cold_limit.h"
 #include "core/ingress.h"
 #include "core/poison.h"
+#include "core/request_rate.h"
 
 namespace ebonylift {
 namespace {
@@ -81,7 +81,8 @@
   bool ejected = false;                  // or unreachable
   bool is_long_prompt_server = false;    // one of LongPromptServers()
   bool has_long_prompt_servers = false;  // LongPromptServers() is not empty
-  Duration cold_interval{0};
+  double request_rate = 0;               // see RequestRate() in core/request_rate.h
+  Duration min_interval{0};              // between two requests from this host; 0: no limit
   double utilization() const { return static_cast<double>(requests) / slots; }
   int64_t cached_tokens() const { return hit_tokens + fetch_tokens; }
 };
@@ -331,13 +332,19 @@
   return &server == own && server.reported_at >= set_aside_since + kSetAsideSettleTime;
 }
 
-// False if the server is cold and its rate limit does not allow a request from this host now.
-bool AllowedByColdLimit(const RoutingView& view, Time now, Candidate* candidate) {
-  if (!IsCold(*candidate->server, now)) return true;
-  std::optional<Duration> interval = ColdRequestInterval(view, *candidate->server);
+// The newest limit of the server that this host knows.
+RequestLimit LimitOf(const Candidate& candidate) {
+  return SameIncarnation(candidate) ? candidate.state->limit : RequestLimit();
+}
+
+// False if the rate limit of the server does not allow a request from this host now.
+bool AllowedByRate(const RoutingView& view, Time now, Candidate* candidate) {
+  if (candidate->request_rate <= 0) return true;
+  std::optional<Duration> interval =
+      RequestInterval(view, *candidate->server, candidate->request_rate);
   if (!interval) return false;
-  candidate->cold_interval = *interval;
-  return candidate->state == nullptr || now >= candidate->state->next_cold_dispatch;
+  candidate->min_interval = *interval;
+  return candidate->state == nullptr || now >= candidate->state->next_limited_dispatch;
 }
 
 LocalServers FindLocalServers(const RouteQuery& query, const RoutingView& view,
@@ -357,9 +364,10 @@
     local.slots += candidate.slots;
     local.service_s += ServiceSeconds(candidate.state);
     candidate.ejected = IsEjected(candidate, now);
+    candidate.request_rate = RequestRate(view, server, LimitOf(candidate), now);
     if (!candidate.ejected) local.healthy.push_back(candidate);
     if (candidate.state != nullptr && candidate.state->exclusive) continue;
-    if (AllowedByColdLimit(view, now, &candidate)) local.usable.push_back(candidate);
+    if (AllowedByRate(view, now, &candidate)) local.usable.push_back(candidate);
   }
   return local;
 }
@@ -533,7 +541,8 @@
   for (const Candidate& candidate : healthy) {
     int64_t hit = PredictedHitTokens(hits, candidate);
     if (hit > 0) placement.cached.push_back({&candidate, hit});
-    if (!IsCold(*candidate.server, now)) warm.push_back(candidate.server);
+    bool takes_work = !IsCold(*candidate.server, now) && candidate.request_rate <= 0;
+    if (takes_work) warm.push_back(candidate.server);
   }
   if (query.prefix_tokens.empty()) return placement;
   placement.long_prompt_servers = LongPromptServers(warm, Hash64(ServedName(*query.route)));
@@ -601,7 +610,7 @@
   if (picked.fetch_from != nullptr) choice.fetch_from = picked.fetch_from->announced.id;
   choice.prefill_tokens = std::max<int64_t>(0, query.prompt_tokens - picked.cached_tokens());
   choice.tokens_ahead = picked.tokens_ahead;
-  choice.cold_interval = picked.cold_interval;
+  choice.min_interval = picked.min_interval;
   return choice;
 }
 
@@ -921,7 +930,12 @@
   for (const BackendServer& server : view.servers) {
     if (!CanServe(server, *query.route, view, now)) continue;
     Candidate candidate = MakeCandidate(query, server, routing_state);
-    min_wait = std::min(min_wait, PrefillSeconds(candidate.tokens_ahead, rate) + own);
+    candidate.request_rate = RequestRate(view, server, LimitOf(candidate), now);
+    bool allowed = AllowedByRate(view, now, &candidate);
+    if (!allowed && candidate.min_interval == Duration(0)) continue;  // only other hosts send to it
+    double wait = PrefillSeconds(candidate.tokens_ahead, rate) + own;
+    if (!allowed) wait = std::max(wait, ToSeconds(candidate.state->next_limited_dispatch - now));
+    min_wait = std::min(min_wait, wait);
   }
   double jitter = std::uniform_real_distribution<double>(0.5, 1.5)(rng);
   auto wait = Duration(static_cast<int64_t>(min_wait * jitter * 1e6));
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -137,7 +137,9 @@
 constexpr Duration kMaxRetryAfter = seconds(5);
 // A lower limit named by a server counts as this one, so that the server still gets requests whose
 // answers show when it withdraws the limit.
-constexpr double kMinRequestLimitPerSecond = 0.1;
+constexpr double kMinRequestLimitPerSecond = 0.4;
+// Longer than the interval between two work lists to any number of hosts (core/peer_work.h).
+constexpr Duration kWithdrawnLimitShareTime = seconds(20);
 constexpr int kFailuresToEject = 3;
 constexpr Duration kMinEjectionTime = seconds(1);
 constexpr Duration kMaxEjectionTime = seconds(30);
@@ -198,13 +200,14 @@
   Duration mean_service_time{0};  // 0: unknown
   uint32_t cache_id = 0;          // identifies the prefix cache; a new id invalidates the old cache
   int64_t prefill_tokens = 0;     // of the requests in flight whose response has not started
-  Time next_cold_dispatch;        // a cold server gets nothing from this host before this time
+  Time next_limited_dispatch;     // a server with a limited rate gets nothing before this time
   Time unreachable_at;            // last failed connection; Time(): none
   bool replaced = false;          // another server now answers at its address
   Time full_until;                // of a failure domain: see kDomainFullBackoff
   Time incarnation_since;         // first dispatch to `incarnation`; older failures do not count
   uint64_t incarnation = 0;       // of the server at the last dispatch; a new one clears ejections
-  RequestLimit limit;             // of a server
+  RequestLimit limit;             // of a server; the newest known to this host
+  Time own_limit_at;              // when this host last saw a limit named or withdrawn itself
 };
 
 struct RoutingState {
@@ -241,7 +244,7 @@
   int64_t fetch_tokens = 0;                // kLocal: to fetch from another server's cache
   ServerId fetch_from;                     // kLocal: the server to fetch from; empty: none
   int64_t tokens_ahead = 0;                // kLocal: of prompts that the server reads first
-  Duration cold_interval{0};               // kLocal: see ColdRequestInterval() in core/cold_limit.h
+  Duration min_interval{0};                // kLocal: see RequestInterval() in core/request_rate.h
 };
 
 // Chooses a place for the request. Does not change `routing_state`: record the decision with
@@ -295,8 +298,9 @@
                      Time dispatched_at, ServerOutcome outcome, Time now,
                      int64_t prefill_tokens = 0);
 
-// The work that this host has in flight at each backend server.
-std::vector<ServerWork> WorkInFlight(const RoutingState& routing_state);
+// The work that this host has in flight at each backend server, and the limits that this host has
+// seen, also for kWithdrawnLimitShareTime after they were withdrawn.
+std::vector<ServerWork> WorkInFlight(const RoutingState& routing_state, Time now);
 
 // The model or service name of the route: the key of summaries and of prefill rates.
 const std::string& ServedName(const RouteConfig& route);
@@ -329,8 +333,9 @@
 void StartLearning(RoutingState& routing_state, const RoutingView& view, Time now);
 
 // Updates `routing_state` for a new view; call it with each one. Marks exclusive servers that
-// report other work, records membership changes, and drops servers and failure domains that have
-// left the view and have nothing in flight.
+// report other work, takes over newer limits that other hosts have seen, records membership
+// changes, and drops servers and failure domains that have left the view and have nothing in
+// flight.
 void OnNewView(RoutingState& routing_state, const RoutingView& view, Time now);
 
 // Drops the prefixes expected in the server's cache: its cache events had a gap, or it evicted its
--- a/src/core/routing_record.cc
+++ b/src/core/routing_record.cc
@@ -68,6 +68,35 @@
   return true;
 }
 
+// What this host tells others of the limit. Only what it saw itself, so that no limit is passed on
+// for ever.
+std::optional<ObservedLimit> LimitToShare(const TargetState& state, Time now) {
+  const RequestLimit& limit = state.limit;
+  if (limit.seen_at == Time() || limit.seen_at != state.own_limit_at) return std::nullopt;
+  if (limit.per_s <= 0 && now - limit.seen_at > kWithdrawnLimitShareTime) return std::nullopt;
+  return ObservedLimit{limit.per_s, now - limit.seen_at};
+}
+
+// Takes over what other hosts have seen of the limits of servers, where that is newer. A limit that
+// was seen before the server started is of an earlier incarnation.
+void AdoptLimits(RoutingState& routing_state, const RoutingView& view) {
+  for (const BackendServer& server : view.servers) {
+    const RequestLimit& seen = server.other_hosts_limit;
+    if (seen.seen_at == Time() || seen.seen_at < server.first_seen) continue;
+    auto found = routing_state.servers.find(server.announced.id);
+    if (found == routing_state.servers.end()) {
+      if (seen.per_s <= 0) continue;
+      TargetState& added = routing_state.servers[server.announced.id];
+      added.cache_id = routing_state.next_cache_id++;
+      added.incarnation = server.announced.incarnation;
+      added.limit = seen;
+    } else if (found->second.incarnation == server.announced.incarnation &&
+               seen.seen_at > found->second.limit.seen_at) {
+      found->second.limit = seen;
+    }
+  }
+}
+
 bool IsKnownDomain(const RoutingView& view, const DomainId& domain) {
   return std::any_of(view.summaries.begin(), view.summaries.end(),
                      [&](const DomainSummary& summary) { return summary.domain == domain; });
@@ -106,6 +135,7 @@
     state.unreachable_at = Time();
     state.replaced = false;
     state.limit = RequestLimit();
+    state.own_limit_at = Time();
   }
   if (query.suspect) {
     state.exclusivity_lost = state.in_flight > 0;
@@ -115,7 +145,7 @@
   }
   AddDispatch(state, now);
   state.prefill_tokens += choice.prefill_tokens;
-  if (choice.cold_interval > Duration(0)) state.next_cold_dispatch = now + choice.cold_interval;
+  if (choice.min_interval > Duration(0)) state.next_limited_dispatch = now + choice.min_interval;
   RecordPrefixes(routing_state.prefixes, query.prefix_hashes, state.cache_id, now);
 }
 
@@ -147,13 +177,16 @@
   double before = limit.per_s;
   limit.per_s = per_s ? std::max(*per_s, kMinRequestLimitPerSecond) : 0;
   limit.seen_at = now;
+  found->second.own_limit_at = now;
   return limit.per_s != before;
 }
 
-std::vector<ServerWork> WorkInFlight(const RoutingState& routing_state) {
+std::vector<ServerWork> WorkInFlight(const RoutingState& routing_state, Time now) {
   std::vector<ServerWork> work;
   for (const auto& [server, state] : routing_state.servers) {
-    if (state.in_flight > 0) work.push_back({server, state.in_flight, state.prefill_tokens});
+    std::optional<ObservedLimit> limit = LimitToShare(state, now);
+    if (state.in_flight > 0 || limit)
+      work.push_back({server, state.in_flight, state.prefill_tokens, limit});
   }
   return work;
 }
@@ -219,6 +252,7 @@
   uint64_t membership = MembershipHash(view);
   if (membership != routing_state.membership_hash) routing_state.membership_changed_at = now;
   routing_state.membership_hash = membership;
+  AdoptLimits(routing_state, view);
   for (auto it = routing_state.servers.begin(); it != routing_state.servers.end();) {
     const BackendServer* server = FindServer(view, it->first);
     if (server == nullptr && it->second.in_flight == 0) {
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -163,7 +163,7 @@
 
 std::vector<ServerWork> Dispatcher::WorkInFlight() const {
   std::lock_guard<std::mutex> lock(mutex_);
-  return ebonylift::WorkInFlight(routing_state_);
+  return ebonylift::WorkInFlight(routing_state_, SteadyNow());
 }
 
 void Dispatcher::EndLocal(const ServerId& server, uint64_t content, Time dispatched_at,
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -96,7 +96,7 @@
   void OnRequestLimit(const ServerId& server, uint64_t incarnation, std::optional<double> per_s,
                       Time now);
 
-  // Returns the work that this host currently has at each backend server.
+  // Returns the work that this host currently has at each backend server, and the limits it saw.
   std::vector<ServerWork> WorkInFlight() const;
 
   // Ends a dispatch to another host and places queued requests.
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -199,6 +200,8 @@
   int other_hosts_requests = 0;
   // Prompt tokens of these requests that are still to be prefilled.
   int64_t other_hosts_prefill_tokens = 0;
+  // The newest limit that one of them saw.
+  RequestLimit other_hosts_limit;
 };
 
 // ---- hosts
@@ -237,11 +240,18 @@
   Time reported_at;            // by this host's clock
 };
 
-// The requests that one host has at a backend server.
+// A limit that a host saw a backend server name, or withdraw.
+struct ObservedLimit {
+  double per_s = 0;  // 0: withdrawn
+  Duration age{0};   // since the answer that showed it
+};
+
+// The requests that one host has at a backend server, and the limit that it saw there.
 struct ServerWork {
   ServerId server;
   int in_flight = 0;
-  int64_t prefill_tokens = 0;  // prompt tokens that are still to be prefilled
+  int64_t prefill_tokens = 0;          // prompt tokens that are still to be prefilled
+  std::optional<ObservedLimit> limit;  // nullopt: the host saw none
 };
 
 // A host and its location.
--- a/tests/peer_work_test.cc
+++ b/tests/peer_work_test.cc
@@ -20,9 +20,12 @@
 // that still count after they expire.
 BOOST_AUTO_TEST_CASE(OnlyNewestListOfEachHostCounts) {
   PeerWork state;
-  OnPeerWork(&state, HostId("a"), {{ServerId("s1"), 5, 5'000}, {ServerId("s2"), 1, 0}}, kNow);
-  OnPeerWork(&state, HostId("a"), {{ServerId("s1"), 2, 2'000}}, kNow);
-  OnPeerWork(&state, HostId("b"), {{ServerId("s1"), 1, 100}}, kNow + milliseconds(500));
+  OnPeerWork(&state, HostId("a"),
+             {{ServerId("s1"), 5, 5'000, std::nullopt}, {ServerId("s2"), 1, 0, std::nullopt}},
+             kNow);
+  OnPeerWork(&state, HostId("a"), {{ServerId("s1"), 2, 2'000, std::nullopt}}, kNow);
+  OnPeerWork(&state, HostId("b"), {{ServerId("s1"), 1, 100, std::nullopt}},
+             kNow + milliseconds(500));
   std::vector<BackendServer> servers = {Server("s1"), Server("s2")};
   ApplyPeerWork(state, kNow + milliseconds(600), &servers);
   BOOST_TEST(servers[0].other_hosts_requests == 3);
@@ -34,11 +37,12 @@
 
 // Guards against reporting a long prompt too late for other hosts to avoid its server.
 BOOST_AUTO_TEST_CASE(LongPromptsAreUrgent) {
-  std::vector<ServerWork> before = {{ServerId("s1"), 1, 1'000}};
-  BOOST_TEST(!HasUrgentIncrease(before, {{ServerId("s1"), 2, 2'000}}));
-  BOOST_TEST(HasUrgentIncrease(before, {{ServerId("s1"), 2, 1'000 + kUrgentTokenIncrease}}));
-  BOOST_TEST(HasUrgentIncrease(before, {{ServerId("s2"), 1, kUrgentTokenIncrease}}));
-  BOOST_TEST(!HasUrgentIncrease({{ServerId("s1"), 1, 50'000}}, before));
+  std::vector<ServerWork> before = {{ServerId("s1"), 1, 1'000, std::nullopt}};
+  BOOST_TEST(!HasUrgentIncrease(before, {{ServerId("s1"), 2, 2'000, std::nullopt}}));
+  BOOST_TEST(
+      HasUrgentIncrease(before, {{ServerId("s1"), 2, 1'000 + kUrgentTokenIncrease, std::nullopt}}));
+  BOOST_TEST(HasUrgentIncrease(before, {{ServerId("s2"), 1, kUrgentTokenIncrease, std::nullopt}}));
+  BOOST_TEST(!HasUrgentIncrease({{ServerId("s1"), 1, 50'000, std::nullopt}}, before));
 }
 
 // Guards against a number of lists sent by all hosts that grows with the square of their number.
@@ -50,4 +54,23 @@
   }
 }
 
+// Guards against a limit that is taken from a host that saw it earlier than another saw it
+// withdrawn, and against one that never ends because its host has failed.
+BOOST_AUTO_TEST_CASE(NewestLimitOfAllListsHolds) {
+  PeerWork state;
+  OnPeerWork(&state, HostId("a"), {{ServerId("s1"), 0, 0, ObservedLimit{1.2, seconds(3)}}}, kNow);
+  OnPeerWork(&state, HostId("b"), {{ServerId("s1"), 0, 0, ObservedLimit{0, seconds(1)}}}, kNow);
+  OnPeerWork(&state, HostId("c"), {{ServerId("s1"), 4, 0, std::nullopt}}, kNow);
+  std::vector<BackendServer> servers(1);
+  servers[0].announced.id = ServerId("s1");
+  ApplyPeerWork(state, kNow, &servers);
+  BOOST_TEST(servers[0].other_hosts_limit.per_s == 0);
+  BOOST_TEST((servers[0].other_hosts_limit.seen_at == kNow - seconds(1)));
+  OnPeerWork(&state, HostId("a"), {{ServerId("s1"), 0, 0, ObservedLimit{1.5, Duration(0)}}}, kNow);
+  ApplyPeerWork(state, kNow, &servers);
+  BOOST_TEST(servers[0].other_hosts_limit.per_s == 1.5);
+  ApplyPeerWork(state, kNow + kPeerWorkTtl, &servers);
+  BOOST_TEST((servers[0].other_hosts_limit.seen_at == Time()));
+}
+
 }  // namespace ebonylift
