End an attempt whose event never ends

Cause: the relay marked an event over 1 MiB as too large but went on to collect it (with a dialect) or to read it (own interface), and the attempt lasted until its deadline. Now the attempt ends at the limit and its connection is closed. The stream is not resumed on that server.

exchange_test EventWithoutEndEndsTheAttempt and EventWithoutEndEndsTheAttemptOfADialect: 4 MiB taken and no call ended before, both pass now.

--- a/src/daemon/answer_relay.h
+++ b/src/daemon/answer_relay.h
@@ -72,7 +72,7 @@
   // True when the stream may end here: it is complete, or ended with an error event.
   bool stream_complete() const;
   bool stream_failed() const { return stream_tracker_.error(); }
-  bool event_too_large() const { return event_relay_.too_large(); }
+  bool event_too_large() const { return event_relay_.too_large() || stream_tracker_.too_large(); }
   uint64_t generated_text_bytes() const { return stream_tracker_.generated_text_bytes(); }
   const std::string& last_event_id() const { return event_relay_.last_event_id(); }
 
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -126,6 +126,8 @@
   void StartAttempt(const std::string& address, const std::string& path, HttpHeaders headers,
                     Time now);
   void RelayStreamData(std::string_view data);
+  void RelayEvents(std::string events);
+  void EndOversizedAttempt(const char* reason);
   void RecordDataReceived();
   // Calls `step` after `delay`, unless the exchange has ended, CancelStep() is called or another
   // step is set before that.
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -171,6 +171,7 @@
 bool Exchange::TryResumeOnSameServer() {
   if (!open_attempt_.server || !open_attempt_.can_resume || SteadyNow() >= spec_.deadline)
     return false;
+  if (relay_.event_too_large()) return false;
   const BackendServer* server = FindServer(*spec_.view, *open_attempt_.server);
   const Attempt* attempt = FindAttempt(attempts_, open_attempt_.number);
   bool same = server != nullptr && attempt != nullptr &&
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -164,7 +164,12 @@
 
 void Exchange::RelayStreamData(std::string_view data) {
   std::string events = relay_.Feed(data);
-  if (events.empty()) return;
+  if (!events.empty()) RelayEvents(std::move(events));
+  if (relay_.event_too_large())
+    EndOversizedAttempt("an event of the stream exceeds its size limit");
+}
+
+void Exchange::RelayEvents(std::string events) {
   ExchangeTable* table = context_.table;
   relay_.Begin([this] { return MakeResponseHeaders(); },
                [table, id = id_] {
@@ -175,6 +180,13 @@
   relay_.Write(std::move(events), claim_.held());
 }
 
+// The server may send without end, so the connection is closed.
+void Exchange::EndOversizedAttempt(const char* reason) {
+  CancelAttempt();
+  OnAttemptFailed(CallResult{CallOutcome::kFailed, relay_.status(), reason, true},
+                  ebonylift::Run::kMayHaveRun);
+}
+
 void Exchange::RecordDataReceived() {
   Time now = SteadyNow();
   if (open_attempt_.server && !open_attempt_.response_started) {
@@ -207,10 +219,7 @@
   if (relay_.IsEventStream()) {
     RelayStreamData(data);
   } else if (!relay_.Buffer(data)) {
-    CancelAttempt();
-    OnAttemptFailed(CallResult{CallOutcome::kFailed, relay_.status(),
-                               "the response exceeds the buffer limit", true},
-                    ebonylift::Run::kMayHaveRun);
+    EndOversizedAttempt("the response exceeds the buffer limit");
   }
   return true;
 }
--- a/src/daemon/stream.cc
+++ b/src/daemon/stream.cc
@@ -73,6 +73,7 @@
   partial_event_.erase(0, start);
   if (partial_event_.size() > kMaxEventBytes) {
     error_ = true;
+    too_large_ = true;
     partial_event_.clear();
   }
   return out;
--- a/src/daemon/stream.h
+++ b/src/daemon/stream.h
@@ -27,8 +27,9 @@
   // generated_text_bytes().
   void DiscardPartialEvent() { partial_event_.clear(); }
 
-  bool done() const { return done_; }    // received the end marker
-  bool error() const { return error_; }  // received an error event or an oversized event
+  bool done() const { return done_; }            // received the end marker
+  bool error() const { return error_; }          // received an error event or an oversized event
+  bool too_large() const { return too_large_; }  // received an oversized event
   // The end marker as received. The caller sends it once the response is recorded.
   const std::string& end_marker() const { return end_marker_; }
 
@@ -43,6 +44,7 @@
   uint64_t generated_text_bytes_ = 0;
   bool done_ = false;
   bool error_ = false;
+  bool too_large_ = false;
 };
 
 // Returns the UTF-8 length of the generated text in one event: the decoded string value of the
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -221,6 +221,21 @@
     while (io.poll() > 0) {
     }
   }
+  void SendEventWithoutEnd(const RequestSpec& spec) {
+    const std::string chunk(64 << 10, 'x');
+    Start(spec);
+    BOOST_REQUIRE(client.calls.size() == 1u);
+    client.calls[0].on_headers(200, {{"content-type", "text/event-stream"},
+                                     {"Attempt-Id", spec.caller_request_id},
+                                     {"Server-Seal", "s1"}});
+    size_t received = 0;
+    while (client.cancelled.empty() && received < 4 * EventRelay::kMaxEventBytes) {
+      client.calls[0].on_data(chunk);
+      received += chunk.size();
+    }
+    BOOST_TEST(client.cancelled.size() == 1u);
+    BOOST_TEST(received <= EventRelay::kMaxEventBytes + chunk.size());
+  }
   void RunUntil(const std::function<bool()>& condition, const char* description) {
     Time deadline = SteadyNow() + kTestTimeout;
     while (!condition() && SteadyNow() < deadline) {
@@ -464,6 +479,15 @@
   BOOST_TEST(client.calls.size() == calls);
 }
 
+// Guards against a server whose event never ends: the bytes would fill the memory of this host
+// until the deadline.
+BOOST_AUTO_TEST_CASE(EventWithoutEndEndsTheAttempt) { SendEventWithoutEnd(Spec()); }
+
+// As above, with a dialect.
+BOOST_FIXTURE_TEST_CASE(EventWithoutEndEndsTheAttemptOfADialect, DialectFixture) {
+  SendEventWithoutEnd(LookSpec());
+}
+
 // Guards against work for a job that was cancelled while its start was being written.
 BOOST_AUTO_TEST_CASE(JobCancelledBeforeItStartsIsNotRun) {
   JobApi jobs(context);
