Limit the trailers of a response like its headers

Cause: lines after the body were not counted against the limit of 256 KiB for response headers, so a server that sends trailers without end kept a call, and its connection, until the timeout. Now they count.

http_client_test HeaderLinesWithoutEndFail: the call was not done after 4 MiB of trailers; fails in time now. Heads and interim responses without end were limited before.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -312,12 +312,12 @@
   size_t bytes = size * count;
   if (call.cancelled) return 0;
   call.last_byte = SteadyNow();
-  if (call.headers_complete) return bytes;  // trailer fields are ignored
   call.response_header_bytes += bytes;
   if (call.response_header_bytes > kMaxResponseHeaderBytes) {
-    call.error = "response headers exceed the size limit";
+    call.error = "response headers or trailers exceed the size limit";
     return 0;
   }
+  if (call.headers_complete) return bytes;  // trailer fields are ignored
   std::string_view line = Trim({data, bytes});
   if (int status = ParseStatus(line)) {
     call.status = status;
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -81,6 +81,39 @@
   BOOST_TEST(!reply.result.refused);
 }
 
+// Guards against a server that sends header lines without end, in the head, in interim responses or
+// after the body: the call would last until its timeout.
+BOOST_AUTO_TEST_CASE(HeaderLinesWithoutEndFail) {
+  constexpr size_t kMaxBytes = 4 << 20;
+  const std::string line = "x-filler: " + std::string(1'000, 'y') + "\r\n";
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n";
+  struct Case {
+    const char* name;
+    std::string start;
+    std::string repeated;
+  };
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n";
+  for (const Case& row : {Case{"head", "HTTP/1.1 200 OK\r\n", line}, Case{"interim", "", interim},
+                          Case{"trailers", chunked, line}}) {
+    RawServer raw(io);
+    Reply reply;
+    Start(Get(raw.Url()), &reply);
+    RunUntil([&] { return raw.PeerReceived(0, "\r\n\r\n"); }, "the request has arrived");
+    raw.peers[0]->Send(row.start);
+    size_t written = 0;
+    while (!reply.done && written < kMaxBytes) {
+      raw.peers[0]->Send(row.repeated);
+      written += row.repeated.size();
+      io.poll();
+      io.restart();
+    }
+    RunFor(milliseconds(200));
+    BOOST_TEST(reply.done, row.name);
+    BOOST_TEST((reply.result.outcome == CallOutcome::kFailed), row.name);
+  }
+}
+
 // Guards against a probe of a server that sends it a request or leaves a connection open, and
 // against one that cannot tell a server that has ended from one that listens.
 BOOST_AUTO_TEST_CASE(ConnectOnlySendsNothing) {
