A server that resets the probe of a lost attempt is not lost

Suspected cause of a known failure (refusals_test EveryEngineFails: 502 poison_detected where every server resets new connections): the reset of an accepted connection may arrive before the connection counts as established. The probe then ended as not connected, the server counted as lost, and the content became poison with the second one. The client now gives the errno of the failed connect, and a reset counts as a server that accepts and closes. exchange_test ServerThatResetsTheProbeIsNotLost fails without the check of ECONNRESET.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -7,7 +7,6 @@
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
-#include <cerrno>
 #include <cstdlib>
 #include <exception>
 #include <mutex>
@@ -502,8 +501,6 @@
     result.outcome = CallOutcome::kComplete;
     return result;
   }
-  long connect_errno = 0;
-  curl_easy_getinfo(call.easy, CURLINFO_OS_ERRNO, &connect_errno);
   result.error = !call.error.empty() ? call.error
                  : code == CURLE_OK  ? "connection closed before the response headers were complete"
                                      : curl_easy_strerror(code);
@@ -519,7 +516,10 @@
   } else {
     bool connected = connect_us > 0 || pretransfer_us > 0;
     result.outcome = connected ? CallOutcome::kNothingWritten : CallOutcome::kNotConnected;
-    result.refused = code == CURLE_COULDNT_CONNECT && connect_errno == ECONNREFUSED;
+    long connect_errno = 0;
+    if (code == CURLE_COULDNT_CONNECT)
+      curl_easy_getinfo(call.easy, CURLINFO_OS_ERRNO, &connect_errno);
+    result.connect_errno = static_cast<int>(connect_errno);
   }
   return result;
 }
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -31,9 +31,12 @@
 
 struct CallResult {
   CallOutcome outcome = CallOutcome::kFailed;
-  int status = 0;              // 0 if no status line was received
-  std::string error;           // description for logs
-  bool refused = false;        // kNotConnected: the machine answered that nothing listens there
+  int status = 0;     // 0 if no status line was received
+  std::string error;  // description for logs
+  // kNotConnected: the errno with which connecting failed, for example ECONNREFUSED where nothing
+  // listens, or ECONNRESET where the connection was accepted and reset at once; 0: none, as after a
+  // timeout.
+  int connect_errno = 0;
   bool body_received = false;  // at least one body byte was received
 };
 
--- a/src/daemon/attempt_call.cc
+++ b/src/daemon/attempt_call.cc
@@ -1,6 +1,7 @@
 #include "daemon/attempt_call.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <nlohmann/json.hpp>
 
 namespace ebonylift {
@@ -42,6 +43,25 @@
   return wrong_server ? ServerOutcome::kReplaced : ServerOutcome::kFailed;
 }
 
+ProbeFinding ClassifyProbe(const CallResult& probe, bool connects_only) {
+  switch (probe.outcome) {
+    case CallOutcome::kComplete:
+      return ProbeFinding::kNotLost;
+    case CallOutcome::kFailed:
+    case CallOutcome::kNothingWritten:
+      return ProbeFinding::kAcceptsAndCloses;
+    case CallOutcome::kNotConnected:
+      // The reset of an accepted connection may arrive before this host has seen that it was
+      // established.
+      if (probe.connect_errno == ECONNRESET) return ProbeFinding::kAcceptsAndCloses;
+      if (probe.connect_errno == ECONNREFUSED) return ProbeFinding::kLost;
+      break;
+    case CallOutcome::kTimedOut:
+      break;
+  }
+  return connects_only ? ProbeFinding::kNotLost : ProbeFinding::kLost;
+}
+
 Duration RemainingTime(const RequestSpec& spec, Time now) {
   return std::max<Duration>(spec.deadline - now, milliseconds(1));
 }
--- a/src/daemon/attempt_call.h
+++ b/src/daemon/attempt_call.h
@@ -48,6 +48,17 @@
 // Classifies a failed call, for the statistics of the target.
 ServerOutcome ClassifyFailure(const CallResult& result, ResponseKind response_kind);
 
+// What a probe of a server that broke off an attempt has found.
+enum class ProbeFinding {
+  kNotLost,  // it runs, or it may be cut off
+  kAcceptsAndCloses,
+  kLost,
+};
+
+// Classifies the result of a probe. A server that does not answer is lost if `connects_only` is
+// false; a probe that only connects cannot tell it from one that is cut off.
+ProbeFinding ClassifyProbe(const CallResult& probe, bool connects_only);
+
 // Returns the time until the request's deadline, at least 1 ms.
 Duration RemainingTime(const RequestSpec& spec, Time now);
 
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -91,18 +91,16 @@
   bool connects_only = call.connect_only;
   call.on_done = [=, id = id_](const CallResult& probe) {
     Exchange* exchange = table->Find(id);
+    ProbeFinding finding = ClassifyProbe(probe, connects_only);
     // A server that accepts and then closes each connection has not crashed. A relay in front of a
     // crashed server does this for the first connection only, so the probe is repeated.
-    bool accepted =
-        probe.outcome == CallOutcome::kFailed || probe.outcome == CallOutcome::kNothingWritten;
-    if (accepted && probes > 1 && exchange != nullptr) {
+    if (finding == ProbeFinding::kAcceptsAndCloses && probes > 1 && exchange != nullptr) {
       exchange->RunAfter(kProbeInterval, [evidence, result, probes](Exchange* current) {
         current->ProbeServer(evidence, result, probes - 1);
       });
       return;
     }
-    bool lost =
-        connects_only ? probe.refused : probe.outcome != CallOutcome::kComplete && !accepted;
+    bool lost = finding == ProbeFinding::kLost;
     if (lost) dispatcher->RecordServerLoss(evidence, SteadyNow());
     if (!lost && exchange != nullptr) exchange->LogLossNotRecorded(CallOutcomeName(probe.outcome));
     if (exchange != nullptr) exchange->OnAttemptFailed(result, ebonylift::Run::kMayHaveRun);
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -3,6 +3,7 @@
 
 #include <asio/post.hpp>
 #include <boost/test/included/unit_test.hpp>
+#include <cerrno>
 #include <deque>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -430,7 +431,7 @@
   CallResult not_connected;
   not_connected.outcome = CallOutcome::kNotConnected;
   CallResult refused = not_connected;
-  refused.refused = true;
+  refused.connect_errno = ECONNREFUSED;
   struct Case {
     CallResult probe;
     PoisonVerdict verdict;
@@ -451,6 +452,25 @@
   }
 }
 
+// Guards against a server that resets each connection and counts as crashed, because the reset of
+// the probe arrives before the connection counts as established: requests that it broke off were
+// then refused as poison.
+BOOST_AUTO_TEST_CASE(ServerThatResetsTheProbeIsNotLost) {
+  RequestSpec spec = Spec();
+  spec.idempotent = false;
+  spec.content_hash = 7;
+  std::shared_ptr<FakeResponder> caller = Start(spec);
+  client.calls[0].on_done(CallResult{CallOutcome::kFailed, 0, "connection reset", false});
+  CallResult reset;
+  reset.outcome = CallOutcome::kNotConnected;
+  reset.connect_errno = ECONNRESET;
+  for (size_t probe = 1; caller->sent_status == 0; ++probe) {
+    RunUntil([&] { return client.calls.size() > probe; }, "the server is probed");
+    client.calls[probe].on_done(reset);
+  }
+  BOOST_TEST((dispatcher.Verdict(spec.content_hash, SteadyNow()) == PoisonVerdict::kClear));
+}
+
 // Guards against a request that is run although it has crashed one server after the other, because
 // the losses are not counted or the waiting request is not checked again, and against reports that
 // other hosts cannot add their own losses to.
@@ -458,7 +478,7 @@
   const CallResult broken{CallOutcome::kFailed, 0, "connection reset", false};
   CallResult gone;
   gone.outcome = CallOutcome::kNotConnected;
-  gone.refused = true;
+  gone.connect_errno = ECONNREFUSED;
   RequestSpec spec = LookSpec();
   for (int losses = 1; losses <= kLossesToCondemn; ++losses) {
     std::shared_ptr<FakeResponder> caller = Start(spec);
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -45,7 +45,7 @@
   BOOST_TEST(refused.result.outcome == CallOutcome::kNotConnected);
   BOOST_TEST(refused.result.status == 0);
   BOOST_TEST(!refused.result.error.empty());
-  BOOST_TEST(refused.result.refused);
+  BOOST_TEST(refused.result.connect_errno == ECONNREFUSED);
 
   BOOST_TEST(Fetch(Get("nonsense://x")).result.outcome == CallOutcome::kNotConnected);
   BOOST_TEST(Fetch(Get("http://127.0.0.1:1:1/")).result.outcome == CallOutcome::kNotConnected);
@@ -78,7 +78,7 @@
   call.connect_timeout = milliseconds(100);
   Reply reply = Fetch(std::move(call));
   BOOST_TEST(reply.result.outcome == CallOutcome::kNotConnected);
-  BOOST_TEST(!reply.result.refused);
+  BOOST_TEST(reply.result.connect_errno == 0);
 }
 
 // Guards against a server that sends header lines without end, in the head, in interim responses or
@@ -137,7 +137,7 @@
   }
   Reply refused = Fetch(call);
   BOOST_TEST(refused.result.outcome == CallOutcome::kNotConnected);
-  BOOST_TEST(refused.result.refused);
+  BOOST_TEST(refused.result.connect_errno == ECONNREFUSED);
 }
 
 // Guards against treating a truncated or malformed response as complete, wherever it ends.
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -221,7 +221,8 @@
 }
 
 size_t PlatformDeployment::GatewayIndex(const std::string& zone, int number) const {
-  return static_cast<size_t>(ZoneIndex(zone) * gateways_per_zone_ + number);
+  int index = ZoneIndex(zone) * gateways_per_zone_ + number;
+  return static_cast<size_t>(index);
 }
 
 int PlatformDeployment::ZoneIndex(const std::string& zone) const {
