Move the choice of a failure domain out of routing.cc

The choice of another failure domain is now routing_remote.cc, and what it shares with the choice of a local server, also a function that routing_record.cc had a copy of, is routing_terms.cc. No behaviour changes.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -2,25 +2,17 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 #include "base/hash.h"
 #include "core/ingress.h"
 #include "core/poison.h"
 #include "core/request_rate.h"
+#include "core/routing_remote.h"
+#include "core/routing_terms.h"
 
 namespace ebonylift {
 namespace {
 
-constexpr double kInfinity = std::numeric_limits<double>::infinity();
-
-double ToSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
-template <typename T>
-bool Contains(const std::vector<T>& values, const T& value) {
-  return std::find(values.begin(), values.end(), value) != values.end();
-}
-
 Choice Refuse(ErrorKind error) {
   Choice choice;
   choice.kind = ChoiceKind::kRefuse;
@@ -29,24 +21,6 @@
   return choice;
 }
 
-bool RegionAllowed(const RouteQuery& query, const RegionId& region) {
-  return !region.empty() && Contains(query.allowed_regions, region) &&
-         Contains(query.route->regions, region);
-}
-
-// False if the configuration lists the failure domains of the region and `domain` is not one of
-// them. A host that announces the wrong region must not receive data that is confined to it.
-bool DomainMatchesConfig(const RoutingView& view, const DomainId& domain, const RegionId& region) {
-  if (view.config == nullptr) return false;
-  auto found = view.config->regions.find(region);
-  if (found == view.config->regions.end() || found->second.domains.empty()) return true;
-  return Contains(found->second.domains, domain);
-}
-
-bool IsEvacuated(const RoutingView& view, const DomainId& domain) {
-  return view.config != nullptr && view.config->evacuated.count(domain) != 0;
-}
-
 bool ServesModel(const Announcement& server, const RouteConfig& route) {
   for (const ServedModel& model : server.models) {
     if (model.name != route.model) continue;
@@ -56,18 +30,6 @@
   return false;
 }
 
-int DispatchedSince(const TargetState& state, Time since) {
-  return static_cast<int>(
-      state.dispatch_times.end() -
-      std::upper_bound(state.dispatch_times.begin(), state.dispatch_times.end(), since));
-}
-
-// Seconds until a new request starts on a server that already has `requests` requests.
-double WaitSeconds(int requests, int slots, double service_s) {
-  if (requests < slots) return 0;
-  return (requests - slots + 1) * service_s / slots;
-}
-
 // A local server that can serve the route, with what the choice depends on.
 struct Candidate {
   const BackendServer* server = nullptr;
@@ -87,18 +49,6 @@
   int64_t cached_tokens() const { return hit_tokens + fetch_tokens; }
 };
 
-double ServiceSeconds(const TargetState* state) {
-  if (state == nullptr || state->mean_service_time == Duration::zero())
-    return ToSeconds(kDefaultServiceTime);
-  return ToSeconds(state->mean_service_time);
-}
-
-double PrefillRate(const RouteQuery& query, const RoutingState& routing_state) {
-  auto found = routing_state.prefill_rates.find(ServedName(*query.route));
-  return found == routing_state.prefill_rates.end() ? kDefaultPrefillTokensPerSecond
-                                                    : found->second;
-}
-
 // Prefill rates for the query, and whether it can meet its first-byte target. The same for all
 // servers.
 struct PrefillEstimate {
@@ -109,10 +59,6 @@
   bool late_when_idle = false;  // misses its first-byte target even on an idle server
 };
 
-double PrefillSeconds(int64_t tokens, double rate) {
-  return static_cast<double>(std::max<int64_t>(tokens, 0)) / rate;
-}
-
 // The cost of the interference between a long prompt and other requests on the same server.
 double InterferenceSeconds(const RouteQuery& query, const Candidate& candidate,
                            const PrefillEstimate& estimate) {
@@ -199,11 +145,6 @@
   return wait <= std::max(left, ToSeconds(MaxLateWait(candidate, estimate)));
 }
 
-// True for a request without a prompt that has a first-byte target.
-bool IsPromptlessWithTarget(const RouteQuery& query) {
-  return query.prompt_tokens == 0 && query.first_byte_deadline != Time();
-}
-
 bool HasRoom(const RouteQuery& query, const RoutingState& routing_state, const Candidate& candidate,
              const PrefillEstimate& estimate, Time now) {
   if (!StartsInTime(query, candidate, estimate, now)) return false;
@@ -372,10 +313,6 @@
   return local;
 }
 
-size_t RandomIndex(size_t count, std::mt19937_64& rng) {
-  return std::uniform_int_distribution<size_t>(0, count - 1)(rng);
-}
-
 // A candidate and its cost. IsCheaper() breaks ties by the lower utilization.
 struct PricedCandidate {
   const Candidate* candidate = nullptr;
@@ -659,156 +596,12 @@
   return choice;
 }
 
-bool MayForwardTo(const RouteQuery& query, const RoutingView& view, const RegionId& region) {
-  if (query.hops >= kMaxHops || !RegionAllowed(query, region)) return false;
-  return region == view.self.region || (!query.crossed_region && query.route->send_away);
-}
-
-bool IsUsableHost(const RouteQuery& query, const RoutingView& view, const HostEntry& host) {
-  return host.status == HostStatus::kAlive && !host.overloaded && host.id != view.self.host &&
-         !host.region.empty() && !Contains(query.avoid_hosts, host.id);
-}
-
-// A random usable host of the failure domain, or null if there is none.
-const HostEntry* PickHost(const RouteQuery& query, const RoutingView& view,
-                          const DomainSummary& summary, std::mt19937_64& rng) {
-  const HostEntry* picked = nullptr;
-  size_t seen = 0;
-  for (const HostEntry& host : view.hosts) {
-    if (host.domain != summary.domain || host.region != summary.region) continue;
-    if (!IsUsableHost(query, view, host)) continue;
-    if (RandomIndex(++seen, rng) == 0) picked = &host;
-  }
-  return picked;
-}
-
-// Null if this host never forwarded to the failure domain.
-const TargetState* FindDomainState(const RoutingState& routing_state, const DomainId& domain) {
-  auto found = routing_state.domains.find(domain);
-  return found == routing_state.domains.end() ? nullptr : &found->second;
-}
-
-// Estimates the number of requests in the failure domain: those in its summary plus those forwarded
-// since. The other live hosts of the own failure domain see the same local load and are assumed to
-// have forwarded as many as this host.
-int RequestsAt(const RoutingView& view, const RoutingState& routing_state,
-               const DomainSummary& summary) {
-  int requests = std::max(summary.running, 0) + std::max(summary.waiting, 0);
-  const TargetState* state = FindDomainState(routing_state, summary.domain);
-  if (state == nullptr) return requests;
-  int dispatched = DispatchedSince(*state, summary.reported_at);
-  if (dispatched == 0) return requests;
-  int hosts = 1;
-  for (const HostEntry& host : view.hosts) {
-    if (host.domain != view.self.domain || host.id == view.self.host) continue;
-    if (host.status == HostStatus::kAlive) ++hosts;
-  }
-  return requests + dispatched * hosts;
-}
-
-// Seconds until a server of the failure domain starts to read the prompt: the round trip plus the
-// prompts ahead. Prompts forwarded since the summary are assumed to be as long as this one.
-double RemotePromptWaitSeconds(const RouteQuery& query, const RoutingView& view,
-                               const TargetState* state, const DomainSummary& summary,
-                               double rate) {
-  int64_t ahead = summary.prefill_tokens;
-  if (state != nullptr) ahead += DispatchedSince(*state, summary.reported_at) * query.prompt_tokens;
-  bool crosses_region = summary.region != view.self.region;
-  return PrefillSeconds(ahead, rate) / std::max(summary.servers, 1) +
-         ToSeconds(crosses_region ? kRegionRoundTrip : kDomainRoundTrip);
-}
-
-double RemoteCost(const RouteQuery& query, const RoutingView& view,
-                  const RoutingState& routing_state, const DomainSummary& summary, int requests) {
-  const TargetState* state = FindDomainState(routing_state, summary.domain);
-  bool crosses_region = summary.region != view.self.region;
-  double wait = WaitSeconds(requests, std::max(summary.slots, 1), ServiceSeconds(state));
-  double rate = PrefillRate(query, routing_state);
-  wait += RemotePromptWaitSeconds(query, view, state, summary, rate);
-  return query.route->weight_latency * wait +
-         query.route->weight_cost * PrefillSeconds(query.prompt_tokens, rate) +
-         (crosses_region ? query.route->weight_remote : 0);
-}
-
-// The capacity that a failure domain must have to get a forward.
-enum class RemoteCapacity {
-  kAny,          // no requirement
-  kFreeSlot,     // its summary and later forwards leave a slot free
-  kStartsInTime  // it can meet the first-byte target despite the prompts ahead
-};
-
-// Precondition: the query has a first-byte target.
-bool StartsInTimeRemotely(const RouteQuery& query, const RoutingView& view,
-                          const RoutingState& routing_state, const DomainSummary& summary,
-                          Time now) {
-  double rate = PrefillRate(query, routing_state);
-  double left =
-      ToSeconds(query.first_byte_deadline - now) - PrefillSeconds(query.prompt_tokens, rate);
-  return RemotePromptWaitSeconds(query, view, FindDomainState(routing_state, summary.domain),
-                                 summary, rate) <= left;
-}
-
-bool HasRemoteCapacity(const RouteQuery& query, const RoutingView& view,
-                       const RoutingState& routing_state, const DomainSummary& summary,
-                       int requests, RemoteCapacity required, Time now) {
-  if (required == RemoteCapacity::kAny) return true;
-  if (required == RemoteCapacity::kFreeSlot) return requests < summary.slots;
-  const TargetState* state = FindDomainState(routing_state, summary.domain);
-  if (state != nullptr && now < state->full_until) return false;
-  double backlog = IsPromptlessWithTarget(query) ? kPromptlessBacklogPerSlot : 0;
-  if (requests >= summary.slots * (1 + backlog)) return false;
-  return StartsInTimeRemotely(query, view, routing_state, summary, now);
-}
-
-Choice ChooseRemote(const RouteQuery& query, const RoutingView& view,
-                    const RoutingState& routing_state, Time now, RemoteCapacity required,
-                    std::mt19937_64& rng) {
-  Choice best;
-  best.cost = kInfinity;
-  for (const DomainSummary& summary : view.summaries) {
-    if (summary.servers <= 0 || summary.served != ServedName(*query.route)) continue;
-    if (summary.domain.empty() || IsEvacuated(view, summary.domain)) continue;
-    if (InScope(view.self, view.server_scope, summary.domain, summary.region)) continue;
-    if (now - summary.reported_at > kSummaryTtl) continue;
-    if (!MayForwardTo(query, view, summary.region)) continue;
-    if (!DomainMatchesConfig(view, summary.domain, summary.region)) continue;
-    const TargetState* state = FindDomainState(routing_state, summary.domain);
-    if (state != nullptr && now < state->ejected_until) continue;
-    int requests = RequestsAt(view, routing_state, summary);
-    if (!HasRemoteCapacity(query, view, routing_state, summary, requests, required, now)) continue;
-    double cost = RemoteCost(query, view, routing_state, summary, requests);
-    if (cost >= best.cost) continue;
-    const HostEntry* host = PickHost(query, view, summary, rng);
-    if (host == nullptr) continue;
-    best.kind = ChoiceKind::kForward;
-    best.host = host->id;
-    best.domain = summary.domain;
-    best.crosses_region = summary.region != view.self.region;
-    best.cost = cost;
-  }
-  return best;
-}
-
 // How much cheaper than the local choice a forward must be.
 double ForwardMargin(const RouteQuery& query, double local_cost) {
   return std::max(kHysteresisShare * local_cost,
                   query.route->weight_latency * ToSeconds(kHysteresisMin));
 }
 
-// A lower bound for the cost of a forward. Usually it is too high already, which saves the scan of
-// the summaries.
-double MinRemoteCost(const RouteQuery& query, const RoutingState& routing_state) {
-  return query.route->weight_latency * ToSeconds(kDomainRoundTrip) +
-         query.route->weight_cost *
-             PrefillSeconds(query.prompt_tokens, PrefillRate(query, routing_state));
-}
-
-bool AnyUsableHost(const RouteQuery& query, const RoutingView& view) {
-  return std::any_of(view.hosts.begin(), view.hosts.end(), [&](const HostEntry& host) {
-    return IsUsableHost(query, view, host) && RegionAllowed(query, host.region);
-  });
-}
-
 // Why the request can neither run on a local server nor be forwarded.
 ErrorKind RefusalReason(const RouteQuery& query, const RoutingView& view, bool local_allowed) {
   if (query.hops >= kMaxHops) return ErrorKind::kHopLimit;
--- a/src/core/routing_record.cc
+++ b/src/core/routing_record.cc
@@ -5,14 +5,13 @@
 
 #include "base/hash.h"
 #include "core/routing.h"
+#include "core/routing_terms.h"
 
 namespace ebonylift {
 namespace {
 
 constexpr double kServiceTimeSmoothing = 0.2;  // weight of the newest service time
 
-double ToSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 // Removes the newest entry that is not later than `dispatched_at`. The caller reads the clock again
 // after Choose(), so `dispatched_at` may be slightly later than the time that was recorded.
 void RemoveDispatch(TargetState& state, Time dispatched_at) {
