--- a/tests/integration/platform_limit_test.cc
+++ b/tests/integration/platform_limit_test.cc
@@ -4,7 +4,7 @@
 #include <boost/test/included/unit_test.hpp>
 #include <thread>
 
-#include "tests/support/platform_deployment.h"
+#include "tests/support/portal_deployment.h"
 #include "tests/support/wait_for.h"
 
 // A replica that names the requests a second that it takes from all hosts together, while callers
@@ -26,17 +26,9 @@
 constexpr double kLimit = 2;
 const char kLimitText[] = "2.0";
 
-class Deployment {
+class Deployment : public PortalDeployment {
  public:
-  Deployment() : platform(kGatewaysPerZone) {
-    for (const char* zone : {"este-a", "este-a", "este-a", "centro-a"}) {
-      replicas.push_back(platform.AddReplica("portal", zone));
-    }
-    platform.PutConfiguration(PlatformDeployment::Configuration(7));
-    for (const std::string& zone : PlatformDeployment::Zones()) {
-      BOOST_REQUIRE(WaitFor([&] { return platform.Ready(zone); }, kStartTimeout));
-      BOOST_REQUIRE(WaitFor([&] { return Serves(zone); }, kStartTimeout));
-    }
+  Deployment() : PortalDeployment(kGatewaysPerZone, {"este-a", "este-a", "este-a", "centro-a"}) {
     BOOST_REQUIRE(WaitFor(
         [this] {
           Serves("este-a");
@@ -49,11 +41,6 @@
   }
   ~Deployment() { StopCallers(); }
 
-  bool Serves(const std::string& zone) {
-    std::string id = "request-" + std::to_string(++request_number_);
-    return platform.Request(zone, "GET", "/look/" + id, id).status == 200;
-  }
-
   void StartCallers() {
     for (int i = 0; i < kCallers; ++i) {
       callers_.emplace_back([this, i] {
@@ -71,14 +58,11 @@
     callers_.clear();
   }
 
-  PlatformDeployment platform;
-  std::vector<PlatformReplica*> replicas;
   std::atomic<int> not_served{0};
 
  private:
   std::vector<std::thread> callers_;
   std::atomic<bool> stopping_{false};
-  std::atomic<int> request_number_{0};
 };
 
 // The most runs in any kLimitWindow that begins at `from` or later and ends by `to`.
--- a/tests/integration/platform_poison_test.cc
+++ b/tests/integration/platform_poison_test.cc
@@ -1,11 +1,9 @@
 #define BOOST_TEST_MODULE platform_poison
 #include <algorithm>
-#include <atomic>
 #include <boost/test/included/unit_test.hpp>
 #include <thread>
 
-#include "tests/support/platform_deployment.h"
-#include "tests/support/wait_for.h"
+#include "tests/support/portal_deployment.h"
 
 // A request that crashes every replica that runs it, sent again and again through the gateways of
 // all regions. Each region has one replica of its service, so each crash is in another region than
@@ -14,7 +12,6 @@
 namespace ebonylift::test {
 namespace {
 
-constexpr Duration kStartTimeout = seconds(20);
 // The platform's bound: of the requests that have crashed three replicas, at most this many more
 // may reach replicas later than kContactTime after the third crash.
 constexpr size_t kCrashesBeforeTheBound = 3;
@@ -23,23 +20,9 @@
 constexpr Duration kCallerInterval = milliseconds(100);
 const std::string kCrashingPath = std::string("/look") + PlatformReplica::kCrashPath;
 
-class Deployment {
+class Deployment : public PortalDeployment {
  public:
-  Deployment() {
-    for (const std::string& zone : PlatformDeployment::Zones()) {
-      replicas_.push_back(platform.AddReplica("portal", zone));
-    }
-    platform.PutConfiguration(PlatformDeployment::Configuration(7));
-    for (const std::string& zone : PlatformDeployment::Zones()) {
-      BOOST_REQUIRE(WaitFor([&] { return Serves(zone); }, kStartTimeout));
-    }
-  }
-
-  // Sends a harmless request to the gateway of the zone.
-  bool Serves(const std::string& zone) {
-    std::string id = NextRequestId();
-    return platform.Request(zone, "GET", "/look/" + id, id).status == 200;
-  }
+  Deployment() : PortalDeployment(1, PlatformDeployment::Zones()) {}
 
   TestResponse SendCrashing(const std::string& zone) {
     return platform.Request(zone, "GET", kCrashingPath, NextRequestId());
@@ -57,7 +40,7 @@
   // When the crashing request ran, oldest first.
   std::vector<Time> Runs() const {
     std::vector<Time> runs;
-    for (PlatformReplica* replica : replicas_) {
+    for (PlatformReplica* replica : replicas) {
       std::vector<Time> times = replica->CrashTimes();
       runs.insert(runs.end(), times.begin(), times.end());
     }
@@ -73,26 +56,6 @@
     return static_cast<size_t>(
         std::count_if(runs.begin(), runs.end(), [from](Time run) { return run > from; }));
   }
-
-  bool AllReplicasRun() const {
-    return std::all_of(replicas_.begin(), replicas_.end(),
-                       [](PlatformReplica* replica) { return replica->Running(); });
-  }
-
-  void WaitUntilAllServe() {
-    BOOST_REQUIRE(WaitFor([this] { return AllReplicasRun(); }, kStartTimeout));
-    for (const std::string& zone : PlatformDeployment::Zones()) {
-      BOOST_REQUIRE(WaitFor([&] { return Serves(zone); }, kStartTimeout));
-    }
-  }
-
-  PlatformDeployment platform;
-
- private:
-  std::string NextRequestId() { return "request-" + std::to_string(++request_number_); }
-
-  std::vector<PlatformReplica*> replicas_;
-  std::atomic<int> request_number_{0};
 };
 
 }  // namespace
@@ -104,7 +67,7 @@
   SendCrashingFor(PlatformDeployment::Zones(), 2 * kContactTime + seconds(2));
   BOOST_REQUIRE(Runs().size() >= kCrashesBeforeTheBound);
   BOOST_TEST(LateRuns() <= kMaxLateRuns);
-  WaitUntilAllServe();
+  BOOST_REQUIRE(WaitUntilAllServe());
   size_t runs = Runs().size();
   BOOST_TEST_MESSAGE("runs of the crashing request: " << runs);
   for (const std::string& zone : PlatformDeployment::Zones()) {
@@ -126,7 +89,7 @@
   platform.KillGateway("este-a");
   platform.StartGateway("este-a");
   std::this_thread::sleep_for(kContactTime);
-  WaitUntilAllServe();
+  BOOST_REQUIRE(WaitUntilAllServe());
   SendCrashingFor({"norte-a", "este-a"}, seconds(6));
   BOOST_TEST(LateRuns() <= kMaxLateRuns);
 }
@@ -145,7 +108,7 @@
       platform.StartControl(static_cast<int>(i), false);
       platform.StartGateway(PlatformDeployment::Zones()[i]);
     }
-    WaitUntilAllServe();
+    BOOST_REQUIRE(WaitUntilAllServe());
     std::this_thread::sleep_for(kContactTime);
     SendCrashingFor(PlatformDeployment::Zones(), seconds(5));
   }
--- /dev/null
+++ b/tests/support/portal_deployment.cc
@@ -0,0 +1,42 @@
+#include "tests/support/portal_deployment.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "tests/support/wait_for.h"
+
+namespace ebonylift::test {
+namespace {
+
+constexpr Duration kStartTimeout = seconds(20);
+
+}  // namespace
+
+PortalDeployment::PortalDeployment(int gateways_per_zone,
+                                   const std::vector<std::string>& replica_zones)
+    : platform(gateways_per_zone) {
+  for (const std::string& zone : replica_zones) {
+    replicas.push_back(platform.AddReplica("portal", zone));
+  }
+  platform.PutConfiguration(PlatformDeployment::Configuration(7));
+  if (!WaitUntilAllServe()) throw std::runtime_error("not all gateways serve requests");
+}
+
+bool PortalDeployment::Serves(const std::string& zone) {
+  std::string id = NextRequestId();
+  return platform.Request(zone, "GET", "/look/" + id, id).status == 200;
+}
+
+bool PortalDeployment::WaitUntilAllServe() {
+  const std::vector<std::string>& zones = PlatformDeployment::Zones();
+  auto all_serve = [&] {
+    return std::all_of(replicas.begin(), replicas.end(),
+                       [](PlatformReplica* replica) { return replica->Running(); }) &&
+           std::all_of(zones.begin(), zones.end(), [this](const std::string& zone) {
+             return platform.Ready(zone) && Serves(zone);
+           });
+  };
+  return WaitFor(all_serve, kStartTimeout);
+}
+
+}  // namespace ebonylift::test
