Say how large a change is and what waits to be sent to other daemons

The logs and metrics could not tell what fills the memory: config_applied did not say the size of a change, and no metric counted messages that are made and not yet written.

config_applied (500) now has the bytes of its log entry, and ebonylift_peer_unsent_bytes is the sum over all connections of messages whose writing has begun. No decision depends on either.

--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -168,6 +168,9 @@
   prometheus::Gauge* peer_received =
       Gauge("ebonylift_peer_received_bytes",
             "Message bytes received from other daemons since the process started.");
+  prometheus::Gauge* peer_unsent =
+      Gauge("ebonylift_peer_unsent_bytes",
+            "Message bytes to other daemons that are not yet written to their connections.");
   prometheus::Gauge* descriptor_conflicts =
       Gauge("ebonylift_descriptor_conflicts",
             "Descriptors used by two parts of the process at once, since the process started.");
@@ -238,9 +241,10 @@
   families_->unread_dropped->Set(static_cast<double>(drops.unread));
 }
 
-void Metrics::SetPeerBytes(uint64_t sent, uint64_t received) {
+void Metrics::SetPeerBytes(uint64_t sent, uint64_t received, uint64_t unsent) {
   families_->peer_sent->Set(static_cast<double>(sent));
   families_->peer_received->Set(static_cast<double>(received));
+  families_->peer_unsent->Set(static_cast<double>(unsent));
 }
 
 void Metrics::SetDescriptorConflicts(uint64_t conflicts) {
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -67,8 +67,8 @@
   void SetLogDrops(const LogDrops& drops);
 
   // Sets the message bytes exchanged with other daemons since the process started, without TCP and
-  // IP headers.
-  void SetPeerBytes(uint64_t sent, uint64_t received);
+  // IP headers, and those of the sent bytes that are not yet written out.
+  void SetPeerBytes(uint64_t sent, uint64_t received, uint64_t unsent);
   void SetDescriptorConflicts(uint64_t conflicts);
 
   // Returns all metrics in the Prometheus text format, version 0.0.4.
--- a/src/adapters/packed_stream.cc
+++ b/src/adapters/packed_stream.cc
@@ -138,8 +138,7 @@
   }
   auto out = kj::heap<kj::VectorOutputStream>();
   AppendFrame(segments, out.get());
-  counts_->sent += out->getArray().size();
-  return WriteAll(stream_, kj::mv(out));
+  return WriteCounted(kj::mv(out));
 }
 
 kj::Promise<void> PackedStream::writeMessages(kj::ArrayPtr<Segments> messages) {
@@ -149,8 +148,15 @@
   }
   auto out = kj::heap<kj::VectorOutputStream>();
   for (Segments segments : messages) AppendFrame(segments, out.get());
-  counts_->sent += out->getArray().size();
-  return WriteAll(stream_, kj::mv(out));
+  return WriteCounted(kj::mv(out));
+}
+
+kj::Promise<void> PackedStream::WriteCounted(kj::Own<kj::VectorOutputStream> out) {
+  size_t bytes = out->getArray().size();
+  counts_->sent += bytes;
+  counts_->unsent += bytes;
+  auto written = kj::defer([counts = counts_, bytes]() { counts->unsent -= bytes; });
+  return WriteAll(stream_, kj::mv(out)).attach(kj::mv(written));
 }
 
 }  // namespace ebonylift
--- a/src/adapters/packed_stream.h
+++ b/src/adapters/packed_stream.h
@@ -18,6 +18,7 @@
 
 #include <capnp/serialize-async.h>
 #include <kj/async-io.h>
+#include <kj/io.h>
 
 #include <cstdint>
 
@@ -28,8 +29,9 @@
 
 // Message bytes as written to and read from TCP. Several streams may share one object.
 struct ByteCounts {
-  uint64_t sent = 0;
+  uint64_t sent = 0;  // includes `unsent`
   uint64_t received = 0;
+  uint64_t unsent = 0;  // of messages whose writing has begun and not ended
 };
 
 class PackedStream final : public capnp::MessageStream {
@@ -38,7 +40,7 @@
   using capnp::MessageStream::writeMessage;
   using capnp::MessageStream::writeMessages;
 
-  // `stream` and `counts` must outlive this object.
+  // `stream` must outlive this object, and `counts` also the promises that it returns.
   PackedStream(kj::AsyncIoStream& stream, ByteCounts* counts);
 
   kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> tryReadMessage(
@@ -55,6 +57,9 @@
  private:
   using Message = kj::Maybe<capnp::MessageReaderAndFds>;
 
+  // Writes packed frames and counts them.
+  kj::Promise<void> WriteCounted(kj::Own<kj::VectorOutputStream> out);
+
   // Reads the `packed_bytes` that follow the header of a packed frame.
   kj::Promise<Message> ReadPackedFrame(uint32_t packed_bytes, capnp::ReaderOptions options);
   // Reads a plain message whose first four bytes, `header`, were already read.
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -234,10 +234,10 @@
   RpcOptions options;
   RpcHandler* handler;
   std::mt19937_64 rng;
+  ByteCounts byte_counts;  // before the connections, which use it
   std::map<HostId, OutgoingPeer> peers;
   size_t incoming_connections = 0;
   size_t pending_logins = 0;  // incoming connections that have not logged in
-  ByteCounts byte_counts;
   uint32_t port = 0;
   kj::Own<kj::ConnectionReceiver> receiver;
   kj::TaskSet tasks;  // last, so that it is destroyed first: its tasks use the members above
@@ -712,6 +712,8 @@
 
 uint64_t Rpc::sent_bytes() const { return impl_->byte_counts.sent; }
 
+uint64_t Rpc::unsent_bytes() const { return impl_->byte_counts.unsent; }
+
 uint64_t Rpc::received_bytes() const { return impl_->byte_counts.received; }
 
 uint32_t Rpc::port() const { return impl_->port; }
--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -161,6 +161,8 @@
 
   // Bytes of all messages sent to and received from peers, excluding TCP and IP headers.
   uint64_t sent_bytes() const;
+  // Of the sent bytes, those of messages that are not yet written out.
+  uint64_t unsent_bytes() const;
   uint64_t received_bytes() const;
 
   bool IsConnected(const HostId& host) const;
--- a/src/daemon/config_replica.cc
+++ b/src/daemon/config_replica.cc
@@ -157,6 +157,7 @@
     changed->push_back(put.path);
     LogEvent(EventId::kConfigApplied, {{"revision", std::to_string(result.revision)},
                                        {"path", put.path},
+                                       {"bytes", std::to_string(entry.data.size())},
                                        {"operator", put.operator_name}});
   }
   puts.OnApplied(entry.index, put, result);
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -77,8 +77,8 @@
   std::function<std::vector<SuspectReport>()> known_suspects;
 
   // Called on the control thread every kPeerBytesInterval with the total bytes sent to and received
-  // from other daemons since the start.
-  std::function<void(uint64_t sent, uint64_t received)> on_peer_bytes;
+  // from other daemons since the start, and the sent bytes that are not yet written out.
+  std::function<void(uint64_t sent, uint64_t received, uint64_t unsent)> on_peer_bytes;
 };
 
 // Throws Error(kInternal) when the peer address cannot be used or a required option is missing, and
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -149,7 +149,7 @@
   gossip_.HandleChanges();
   if (options_->on_peer_bytes && now >= next_peer_bytes_report_) {
     next_peer_bytes_report_ = now + kPeerBytesInterval;
-    options_->on_peer_bytes(rpc_.sent_bytes(), rpc_.received_bytes());
+    options_->on_peer_bytes(rpc_.sent_bytes(), rpc_.received_bytes(), rpc_.unsent_bytes());
   }
 }
 
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -145,8 +145,8 @@
       return dispatcher == nullptr ? std::vector<SuspectReport>()
                                    : dispatcher->KnownSuspects(SteadyNow());
     };
-    options.on_peer_bytes = [this](uint64_t sent, uint64_t received) {
-      metrics_.SetPeerBytes(sent, received);
+    options.on_peer_bytes = [this](uint64_t sent, uint64_t received, uint64_t unsent) {
+      metrics_.SetPeerBytes(sent, received, unsent);
     };
     return options;
   }
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -38,7 +38,7 @@
   metrics.SetLiveHosts(6);
   metrics.SetLiveServers(18);
   metrics.SetConfigRevision(4300);
-  metrics.SetPeerBytes(1500, 2500);
+  metrics.SetPeerBytes(1500, 2500, 700);
   metrics.SetDescriptorConflicts(2);
   std::string text = metrics.Render();
   for (const char* line : {
@@ -68,6 +68,7 @@
            R"(ebonylift_live_servers 18)",
            R"(ebonylift_peer_sent_bytes 1500)",
            R"(ebonylift_peer_received_bytes 2500)",
+           R"(ebonylift_peer_unsent_bytes 700)",
            R"(ebonylift_config_revision 4300)",
            R"(ebonylift_descriptor_conflicts 2)",
        }) {
