Keep and send large configuration values as differences

What was retained of the log was bounded in entries (512) and not in bytes.

The base is known wherever a difference is applied: the leader makes it from the value that the path has once its earlier proposals are applied, and a puller applies changes in the order of their revisions.

Ruled out: the processor. Building a view of 4,200 routes takes 50 ms, and the gateways' processors were not busy. The link by itself would have been late with larger documents; the differences serve both.

Before and after: config_replica_test VersionsOfALargeDocumentCostWhatTheyChange failed with 12.1 MB sent for each version of a 4 MB document to three hosts (1.5 MB allowed by the gateways' links) and 36 MB to a new host; now it passes, with about 2.3 KB for each version. integration/platform_config_test failed with 590 to 720 MB in the control hosts (256 allowed), now 148 to 204 MB.

--- a/src/core/config_tree.cc
+++ b/src/core/config_tree.cc
@@ -1,17 +1,27 @@
 #include "core/config_tree.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/hash.h"
 #include "core/codec.h"
+#include "core/value_difference.h"
 
 namespace ebonylift {
 namespace {
 
-constexpr uint8_t kSnapshotFormat = 1;
+// Snapshots in which every value is stored as it is; earlier versions of the program read them.
+constexpr uint8_t kPlainSnapshotFormat = 1;
+// Values of kMinDifferenceBytes or more are compressed, and changes may be differences.
+constexpr uint8_t kCompactSnapshotFormat = 2;
 
-size_t ChangeBytes(const ConfigChange& change) {
-  return sizeof(ConfigChange) + change.path.size() + (change.value ? change.value->size() : 0) +
+// How a change is encoded.
+constexpr uint8_t kDeleted = 0;
+constexpr uint8_t kWholeValue = 1;
+constexpr uint8_t kDifference = 2;
+
+size_t ChangeBytes(const StoredChange& change) {
+  return sizeof(StoredChange) + change.path.size() + (change.data ? change.data->size() : 0) +
          change.operator_name.size();
 }
 
@@ -36,7 +46,7 @@
   return Hash64(writer.Take());
 }
 
-void AddHistory(ConfigTree* tree, ConfigChange change) {
+void AddHistory(ConfigTree* tree, StoredChange change) {
   tree->history_bytes += ChangeBytes(change);
   tree->history.push_back(std::move(change));
   while (tree->history.size() > kMaxHistory || tree->history_bytes > kMaxHistoryBytes) {
@@ -46,6 +56,8 @@
 }
 
 void RecordResult(ConfigTree* tree, std::string key, RequestResult request) {
+  std::optional<std::string>& current = request.result.current_value;
+  if (current && current->size() > kMaxValueBytes) current.reset();
   tree->request_bytes += RequestBytes(key, request);
   tree->requests[key] = std::move(request);
   tree->request_order.push_back(std::move(key));
@@ -57,16 +69,17 @@
   }
 }
 
-void SetEntry(ConfigTree* tree, const std::string& path, const std::optional<std::string>& value) {
+void SetEntry(ConfigTree* tree, const std::string& path, std::optional<std::string> value) {
   if (value) {
-    tree->entries[path] = TreeEntry{*value, tree->revision};
+    tree->entries[path] = TreeEntry{*std::move(value), tree->revision};
   } else {
     tree->entries.erase(path);
   }
 }
 
 // Applies a put that was not processed before.
-PutResult ApplyNew(ConfigTree* tree, const ConfigPut& put, WallMillis accepted_at) {
+PutResult ApplyNew(ConfigTree* tree, const ConfigPut& put, WallMillis accepted_at,
+                   const std::string* difference) {
   PutResult result;
   auto current = tree->entries.find(put.path);
   uint64_t path_revision = current == tree->entries.end() ? 0 : current->second.revision;
@@ -82,25 +95,34 @@
   if (too_large || deletes_missing_path) return result;
   ++tree->revision;
   SetEntry(tree, put.path, put.value);
-  AddHistory(tree, {tree->revision, put.path, put.value, put.operator_name, accepted_at});
+  StoredChange change{tree->revision, put.path, put.value, false, put.operator_name, accepted_at};
+  if (difference != nullptr) {
+    change.data = *difference;
+    change.is_difference = true;
+  }
+  AddHistory(tree, std::move(change));
   result.outcome = PutOutcome::kApplied;
   result.revision = tree->revision;
   return result;
 }
 
-void WriteChange(ByteWriter* writer, const ConfigChange& change) {
+void WriteChange(ByteWriter* writer, const StoredChange& change) {
   writer->U64(change.revision);
   writer->String(change.path);
-  writer->OptionalString(change.value);
+  writer->U8(!change.data ? kDeleted : change.is_difference ? kDifference : kWholeValue);
+  if (change.data) writer->String(*change.data);
   writer->String(change.operator_name);
   writer->I64(change.accepted_at);
 }
 
-ConfigChange ReadChange(ByteReader* reader) {
-  ConfigChange change;
+StoredChange ReadChange(ByteReader* reader) {
+  StoredChange change;
   change.revision = reader->U64();
   change.path = reader->String();
-  change.value = reader->OptionalString();
+  uint8_t form = reader->U8();
+  if (form > kDifference) throw Error(ErrorKind::kBadRequest, "unknown form of a change");
+  if (form != kDeleted) change.data = reader->String();
+  change.is_difference = form == kDifference;
   change.operator_name = reader->String();
   change.accepted_at = reader->I64();
   return change;
@@ -113,6 +135,28 @@
   writer->OptionalString(result.current_value);
 }
 
+bool IsDifference(const StoredChange& change) { return change.is_difference; }
+
+bool NeedsCompactFormat(const ConfigTree& tree) {
+  auto is_large = [](const auto& entry) {
+    return entry.second.value.size() >= kMinDifferenceBytes;
+  };
+  return std::any_of(tree.entries.begin(), tree.entries.end(), is_large) ||
+         std::any_of(tree.history.begin(), tree.history.end(), IsDifference);
+}
+
+void WriteSnapshotValue(ByteWriter* writer, uint8_t format, const std::string& value) {
+  bool compressed = value.size() >= kMinDifferenceBytes;
+  if (format == kCompactSnapshotFormat) writer->Bool(compressed);
+  writer->String(compressed ? EncodeDifference("", value) : value);
+}
+
+std::string ReadSnapshotValue(ByteReader* reader, uint8_t format, const std::string& path) {
+  bool compressed = format == kCompactSnapshotFormat && reader->Bool();
+  std::string value = reader->String();
+  return compressed ? ApplyDifference("", value, MaxValueBytes(path)) : value;
+}
+
 PutResult ReadResult(ByteReader* reader) {
   PutResult result;
   result.outcome = static_cast<PutOutcome>(reader->U8());
@@ -149,13 +193,19 @@
   return result;
 }
 
-PutResult ApplyPut(ConfigTree* tree, const ConfigPut& put, WallMillis accepted_at) {
+PutResult ApplyPut(ConfigTree* tree, const ConfigPut& put, WallMillis accepted_at,
+                   const std::string* difference) {
   if (std::optional<PutResult> repeated = FindRecordedResult(*tree, put)) return *repeated;
-  PutResult result = ApplyNew(tree, put, accepted_at);
+  PutResult result = ApplyNew(tree, put, accepted_at, difference);
   if (!put.request_id.empty()) RecordResult(tree, RequestKey(put), {ContentHash(put), result});
   return result;
 }
 
+std::string_view ValueAt(const ConfigTree& tree, const std::string& path) {
+  auto found = tree.entries.find(path);
+  return found == tree.entries.end() ? std::string_view() : found->second.value;
+}
+
 uint64_t PathRevision(const ConfigTree& tree, const std::string& path) {
   auto found = tree.entries.find(path);
   return found == tree.entries.end() ? 0 : found->second.revision;
@@ -175,21 +225,37 @@
   return found;
 }
 
+ConfigChange ToConfigChange(const ConfigTree& tree, const StoredChange& stored) {
+  ConfigChange change;
+  change.revision = stored.revision;
+  change.path = stored.path;
+  change.operator_name = stored.operator_name;
+  change.accepted_at = stored.accepted_at;
+  if (!stored.is_difference) {
+    change.value = stored.data;
+    return change;
+  }
+  auto entry = tree.entries.find(stored.path);
+  change.value_omitted = entry == tree.entries.end() || entry->second.revision != stored.revision;
+  if (!change.value_omitted) change.value = entry->second.value;
+  return change;
+}
+
 std::vector<ConfigChange> ReadHistory(const ConfigTree& tree, const std::string& path,
                                       size_t limit) {
   std::vector<ConfigChange> found;
   for (auto it = tree.history.rbegin(); it != tree.history.rend() && found.size() < limit; ++it) {
-    if (IsAtOrBelow(it->path, path)) found.push_back(*it);
+    if (IsAtOrBelow(it->path, path)) found.push_back(ToConfigChange(tree, *it));
   }
   return found;
 }
 
-std::optional<std::vector<ConfigChange>> DeltasSince(const ConfigTree& tree, uint64_t revision,
+std::optional<std::vector<StoredChange>> DeltasSince(const ConfigTree& tree, uint64_t revision,
                                                      size_t max_bytes) {
   if (revision > tree.revision) return std::nullopt;
   uint64_t missing = tree.revision - revision;
   if (missing > tree.history.size()) return std::nullopt;
-  std::vector<ConfigChange> found;
+  std::vector<StoredChange> found;
   size_t bytes = 0;
   for (size_t i = tree.history.size() - missing; i < tree.history.size(); ++i) {
     bytes += ChangeBytes(tree.history[i]);
@@ -199,26 +265,31 @@
   return found;
 }
 
-bool ApplyChange(ConfigTree* tree, const ConfigChange& change) {
+bool ApplyChange(ConfigTree* tree, const StoredChange& change) {
   if (change.revision != tree->revision + 1) return false;
+  std::optional<std::string> value = change.data;
+  if (change.is_difference) {
+    value = ApplyDifference(ValueAt(*tree, change.path), *change.data, MaxValueBytes(change.path));
+  }
   tree->revision = change.revision;
-  SetEntry(tree, change.path, change.value);
+  SetEntry(tree, change.path, std::move(value));
   AddHistory(tree, change);
   return true;
 }
 
 std::string ToSnapshot(const ConfigTree& tree, bool with_requests) {
   ByteWriter writer;
-  writer.U8(kSnapshotFormat);
+  uint8_t format = NeedsCompactFormat(tree) ? kCompactSnapshotFormat : kPlainSnapshotFormat;
+  writer.U8(format);
   writer.U64(tree.revision);
   writer.U64(tree.entries.size());
   for (const auto& [path, entry] : tree.entries) {
     writer.String(path);
-    writer.String(entry.value);
+    WriteSnapshotValue(&writer, format, entry.value);
     writer.U64(entry.revision);
   }
   writer.U64(tree.history.size());
-  for (const ConfigChange& change : tree.history) WriteChange(&writer, change);
+  for (const StoredChange& change : tree.history) WriteChange(&writer, change);
   writer.U64(with_requests ? tree.request_order.size() : 0);
   if (!with_requests) return writer.Take();
   for (const std::string& key : tree.request_order) {
@@ -232,7 +303,8 @@
 
 ConfigTree FromSnapshot(std::string_view bytes) {
   ByteReader reader(bytes);
-  if (reader.U8() != kSnapshotFormat) {
+  uint8_t format = reader.U8();
+  if (format != kPlainSnapshotFormat && format != kCompactSnapshotFormat) {
     throw Error(ErrorKind::kBadRequest, "unknown configuration snapshot format");
   }
   ConfigTree tree;
@@ -240,7 +312,7 @@
   for (uint64_t n = reader.U64(); n > 0; --n) {
     std::string path = reader.String();
     TreeEntry entry;
-    entry.value = reader.String();
+    entry.value = ReadSnapshotValue(&reader, format, path);
     entry.revision = reader.U64();
     tree.entries.emplace_hint(tree.entries.end(), std::move(path), std::move(entry));
   }
@@ -280,18 +352,42 @@
   return {std::move(put), accepted_at};
 }
 
-std::string EncodeChanges(const std::vector<ConfigChange>& changes) {
+std::string EncodePutDifference(const ConfigPut& put, std::string_view base,
+                                WallMillis accepted_at) {
+  ConfigPut encoded;
+  encoded.path = put.path;
+  encoded.value = EncodeDifference(base, *put.value);
+  encoded.base_revision = put.base_revision;
+  encoded.request_id = put.request_id;
+  encoded.operator_name = put.operator_name;
+  return EncodePut(encoded, accepted_at);
+}
+
+PutResult ApplyPutDifference(ConfigTree* tree, std::string_view bytes, ConfigPut* put) {
+  auto [encoded, accepted_at] = DecodePut(bytes);
+  if (!encoded.value) throw Error(ErrorKind::kBadRequest, "a difference is missing");
+  std::string difference = *std::exchange(encoded.value, std::nullopt);
+  *put = std::move(encoded);
+  put->value = ApplyDifference(ValueAt(*tree, put->path), difference, MaxValueBytes(put->path));
+  return ApplyPut(tree, *put, accepted_at, &difference);
+}
+
+std::string EncodeChanges(const std::vector<StoredChange>& changes) {
   ByteWriter writer;
   writer.U64(changes.size());
-  for (const ConfigChange& change : changes) WriteChange(&writer, change);
+  for (const StoredChange& change : changes) WriteChange(&writer, change);
   return writer.Take();
 }
 
-std::vector<ConfigChange> DecodeChanges(std::string_view bytes) {
+std::vector<StoredChange> DecodeChanges(std::string_view bytes) {
   ByteReader reader(bytes);
-  std::vector<ConfigChange> changes;
+  std::vector<StoredChange> changes;
   for (uint64_t n = reader.U64(); n > 0; --n) changes.push_back(ReadChange(&reader));
   return changes;
 }
 
+bool HasDifference(const std::vector<StoredChange>& changes) {
+  return std::any_of(changes.begin(), changes.end(), IsDifference);
+}
+
 }  // namespace ebonylift
--- a/src/core/consensus.cc
+++ b/src/core/consensus.cc
@@ -246,11 +246,27 @@
   return Propose(state, EntryKind::kMembers, EncodeMembers(members), now);
 }
 
+namespace {
+
+// Returns the index before the first of the entries up to `index` that are kept.
+uint64_t OldestKept(const Consensus& state, uint64_t index, uint64_t keep, size_t keep_bytes) {
+  uint64_t base = index;
+  size_t bytes = 0;
+  while (base > state.base_index && index - base < keep) {
+    bytes += state.log[base - state.base_index - 1].data.size();
+    if (bytes > keep_bytes) break;
+    --base;
+  }
+  return base;
+}
+
+}  // namespace
+
 void TakeSnapshot(Consensus* state, uint64_t index, std::shared_ptr<const std::string> snapshot,
-                  uint64_t keep) {
+                  uint64_t keep, size_t keep_bytes) {
   bool valid_index = index <= state->delivered_index && index > state->snapshot_index;
   if (!valid_index || state->restore_pending) return;
-  uint64_t base = std::max(state->base_index, index > keep ? index - keep : 0);
+  uint64_t base = OldestKept(*state, index, keep, keep_bytes);
   MemberSet members = MembersAt(*state, base);
   uint64_t base_term = *TermAt(*state, base);
   while (!state->log.empty() && state->log.front().index <= base) state->log.pop_front();
--- a/src/core/consensus.h
+++ b/src/core/consensus.h
@@ -222,12 +222,12 @@
 bool IsVoter(const Consensus& state);
 uint64_t LastIndex(const Consensus& state);
 
-// Replaces the log up to `index` by a snapshot of its effect, but keeps the last `keep` of those
-// entries for peers that are slightly behind. Does nothing unless `index` has been returned as
-// committed and is after the current snapshot, or while `restore_pending` is set. The caller
-// persists the full state (ToPersisted()) next.
+// Replaces the log up to `index` by a snapshot of its effect, but keeps the last of those entries,
+// at most `keep` and `keep_bytes` of them, for peers that are slightly behind. Does nothing unless
+// `index` has been returned as committed and is after the current snapshot, or while
+// `restore_pending` is set. The caller persists the full state (ToPersisted()) next.
 void TakeSnapshot(Consensus* state, uint64_t index, std::shared_ptr<const std::string> snapshot,
-                  uint64_t keep);
+                  uint64_t keep, size_t keep_bytes);
 
 PersistedState ToPersisted(const Consensus& state);
 
--- a/src/core/consensus_messages.h
+++ b/src/core/consensus_messages.h
@@ -23,7 +23,13 @@
 
 // ---- the log and the durable state
 
-enum class EntryKind : uint8_t { kNoop, kPut, kMembers, kRejoin };
+enum class EntryKind : uint8_t {
+  kNoop,
+  kPut,
+  kMembers,
+  kRejoin,
+  kPutDifference,  // a put whose value is a difference (core/value_difference.h)
+};
 
 struct LogEntry {
   uint64_t index = 0;
--- a/src/daemon/config_journal_records.cc
+++ b/src/daemon/config_journal_records.cc
@@ -38,7 +38,7 @@
       ReadConsensusRecord(&reader, contents);
       return;
     case RecordKind::kPulled:
-      for (const ConfigChange& change : DecodeChanges(reader.String())) {
+      for (const StoredChange& change : DecodeChanges(reader.String())) {
         ApplyChange(&contents->pulled_tree, change);
       }
       return;
@@ -56,7 +56,7 @@
   return writer.Take();
 }
 
-std::string EncodePulledRecord(const std::vector<ConfigChange>& changes) {
+std::string EncodePulledRecord(const std::vector<StoredChange>& changes) {
   ByteWriter writer;
   writer.U8(static_cast<uint8_t>(RecordKind::kPulled));
   writer.String(EncodeChanges(changes));
--- a/src/daemon/config_journal_records.h
+++ b/src/daemon/config_journal_records.h
@@ -28,7 +28,7 @@
 std::string EncodeConsensusRecord(const Ready& ready, const HardState& hard_state);
 
 // Encodes changes that were pulled from a peer. They apply to the pulled tree of the journal.
-std::string EncodePulledRecord(const std::vector<ConfigChange>& changes);
+std::string EncodePulledRecord(const std::vector<StoredChange>& changes);
 
 // Encodes the whole state.
 std::string EncodeJournalSnapshot(const PersistedState& consensus, const ConfigTree& pulled_tree);
--- a/src/daemon/config_pull.cc
+++ b/src/daemon/config_pull.cc
@@ -10,7 +10,13 @@
 
 constexpr size_t kMaxPulledSnapshotBytes = 256 << 20;
 
-enum class PullResponseKind : uint8_t { kUpToDate = 0, kDeltas = 1, kSnapshot = 2 };
+enum class PullResponseKind : uint8_t {
+  kUpToDate = 0,
+  kDeltas = 1,
+  kSnapshot = 2,
+  // As kDeltas, with changes that hosts of earlier versions cannot read.
+  kDeltasWithDifferences = 3,
+};
 
 void WriteHints(ByteWriter* writer, const PullHints& hints) {
   writer->String(hints.leader.value());
@@ -88,7 +94,9 @@
     return writer.Take();
   }
   if (auto changes = DeltasSince(tree, revision, kMaxPullBytes)) {
-    writer.U8(static_cast<uint8_t>(PullResponseKind::kDeltas));
+    bool differences = HasDifference(*changes);
+    writer.U8(static_cast<uint8_t>(differences ? PullResponseKind::kDeltasWithDifferences
+                                               : PullResponseKind::kDeltas));
     writer.Bool(changes->back().revision < tree.revision);
     writer.String(EncodeChanges(*changes));
     return writer.Take();
@@ -109,7 +117,8 @@
   switch (static_cast<PullResponseKind>(reader->U8())) {
     case PullResponseKind::kUpToDate:
       return PullUpToDate();
-    case PullResponseKind::kDeltas: {
+    case PullResponseKind::kDeltas:
+    case PullResponseKind::kDeltasWithDifferences: {
       PullDeltas deltas;
       deltas.more = reader->Bool();
       deltas.changes = DecodeChanges(reader->String());
--- a/src/daemon/config_pull.h
+++ b/src/daemon/config_pull.h
@@ -38,7 +38,7 @@
 
 struct PullDeltas {
   bool more = false;  // the responding host has more changes after `changes`
-  std::vector<ConfigChange> changes;
+  std::vector<StoredChange> changes;
 };
 
 struct SnapshotPart {
--- a/src/daemon/config_puts.cc
+++ b/src/daemon/config_puts.cc
@@ -61,14 +61,23 @@
     Reject(pending, ErrorKind::kConfigInvalid, DescribeIssues(put.path, issues));
     return std::nullopt;
   }
-  std::optional<Proposal> proposal =
-      ebonylift::Propose(leader, EntryKind::kPut, EncodePut(put, wall_()), clock_->now());
   if (proposed_.empty()) changes_.Clear();
+  std::optional<Proposal> proposal = ProposeEntry(leader, put);
   changes_.Add(put, changes_tree);
   proposed_[proposal->index] = std::move(pending);
   return std::move(proposal->ready);
 }
 
+// A large value is logged as its difference from the one that the path has when the entry is
+// applied. That one is known, because only this leader adds entries before it.
+std::optional<Proposal> ConfigPuts::ProposeEntry(Consensus* leader, const ConfigPut& put) {
+  if (!put.value || put.value->size() < kMinDifferenceBytes) {
+    return ebonylift::Propose(leader, EntryKind::kPut, EncodePut(put, wall_()), clock_->now());
+  }
+  std::string data = EncodePutDifference(put, changes_.ValueAt(put.path), wall_());
+  return ebonylift::Propose(leader, EntryKind::kPutDifference, std::move(data), clock_->now());
+}
+
 void ConfigPuts::Reject(const Pending& pending, ErrorKind kind, const std::string& message) {
   LogEvent(EventId::kConfigRefused, {{"path", pending.put.path}, {"kind", LookupError(kind).code}});
   QueueAnswer(callbacks_, pending.done, MakePutError(kind, message));
--- a/src/daemon/config_puts.h
+++ b/src/daemon/config_puts.h
@@ -71,6 +71,7 @@
   };
 
   std::optional<Ready> Propose(Consensus* leader, Pending pending);
+  std::optional<Proposal> ProposeEntry(Consensus* leader, const ConfigPut& put);
   void Reject(const Pending& pending, ErrorKind kind, const std::string& message);
   void RejectQueued(bool is_leader);
 
--- a/src/daemon/config_replica.cc
+++ b/src/daemon/config_replica.cc
@@ -1,7 +1,10 @@
 #include "daemon/config_replica.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "base/event.h"
@@ -138,7 +141,8 @@
              {{"revision", std::to_string(trees.committed.revision)}, {"source", "consensus"}});
   }
   for (const LogEntry& entry : ready.committed) {
-    if (entry.kind == EntryKind::kPut) ApplyPut(entry, &changed);
+    bool is_put = entry.kind == EntryKind::kPut || entry.kind == EntryKind::kPutDifference;
+    if (is_put) ApplyPut(entry, &changed);
     if (entry.kind == EntryKind::kMembers) voter_changes.OnCommitted(DecodeMembers(entry.data));
   }
   if (trees.pulled.revision != 0 && trees.committed.revision >= trees.pulled.revision) {
@@ -150,9 +154,27 @@
   ProposeQueuedPuts();
 }
 
+namespace {
+
+PutResult ApplyPutEntry(const LogEntry& entry, ConfigTree* tree, ConfigPut* put) {
+  if (entry.kind == EntryKind::kPut) {
+    WallMillis accepted_at = 0;
+    std::tie(*put, accepted_at) = DecodePut(entry.data);
+    return ApplyPut(tree, *put, accepted_at);
+  }
+  try {
+    return ApplyPutDifference(tree, entry.data, put);
+  } catch (const Error& error) {
+    // Equal logs give equal trees, so this tree is corrupt and must not be served.
+    LOG(FATAL) << "a committed change of the configuration cannot be applied: " << error.what();
+  }
+}
+
+}  // namespace
+
 void ConfigReplica::Impl::ApplyPut(const LogEntry& entry, std::vector<std::string>* changed) {
-  auto [put, accepted_at] = DecodePut(entry.data);
-  PutResult result = ebonylift::ApplyPut(&trees.committed, put, accepted_at);
+  ConfigPut put;
+  PutResult result = ApplyPutEntry(entry, &trees.committed, &put);
   if (result.outcome == PutOutcome::kApplied) {
     changed->push_back(put.path);
     LogEvent(EventId::kConfigApplied, {{"revision", std::to_string(result.revision)},
--- a/src/daemon/config_replica.h
+++ b/src/daemon/config_replica.h
@@ -28,7 +28,9 @@
 //
 // Memory: one tree (a second one while pulled revisions are ahead of the consensus), one cached
 // snapshot, one partly received snapshot, the consensus log since the last compaction (at most
-// kMaxLogBytes plus uncommitted entries), and at most kMaxPendingPuts pending changes.
+// kMaxLogBytes plus uncommitted entries), and at most kMaxPendingPuts pending changes. The log, the
+// history of a tree and the snapshots hold large values as differences or compressed
+// (core/value_difference.h), so they grow with what changes and not with the number of versions.
 
 #include <cstdint>
 #include <functional>
--- a/src/daemon/config_watches.cc
+++ b/src/daemon/config_watches.cc
@@ -9,8 +9,13 @@
 
 std::vector<ConfigChange> ChangesSince(const ConfigTree& tree, uint64_t from) {
   if (from >= tree.revision) return {};
-  if (auto changes = DeltasSince(tree, from, kMaxPullBytes)) return *changes;
-  return std::vector<ConfigChange>(tree.history.begin(), tree.history.end());
+  std::vector<ConfigChange> changes;
+  if (auto deltas = DeltasSince(tree, from, kMaxPullBytes)) {
+    for (const StoredChange& change : *deltas) changes.push_back(ToConfigChange(tree, change));
+    return changes;
+  }
+  for (const StoredChange& change : tree.history) changes.push_back(ToConfigChange(tree, change));
+  return changes;
 }
 
 }  // namespace
--- a/src/daemon/durable_consensus.cc
+++ b/src/daemon/durable_consensus.cc
@@ -14,6 +14,7 @@
 constexpr Duration kStorageRetryInterval = seconds(5);
 // Log entries kept before a snapshot, so that members slightly behind do not need the snapshot.
 constexpr uint64_t kRetainedLogEntries = 512;
+constexpr size_t kRetainedLogBytes = 1 << 20;
 constexpr size_t kDiskIdBytes = 8;
 
 uint64_t LastTerm(const Consensus& state) {
@@ -165,7 +166,8 @@
 void DurableConsensus::Compact() {
   if (!state_ || state_->restore_pending || !storage_ok_) return;
   auto snapshot = std::make_shared<const std::string>(ToSnapshot(trees_->committed));
-  TakeSnapshot(&*state_, state_->delivered_index, std::move(snapshot), kRetainedLogEntries);
+  TakeSnapshot(&*state_, state_->delivered_index, std::move(snapshot), kRetainedLogEntries,
+               kRetainedLogBytes);
   DurableOutbox::Item item;
   item.needs_write = true;
   item.mark = {LastIndex(*state_), LastTerm(*state_), state_->hard_state.commit};
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -36,11 +36,13 @@
   json out = json::array();
   for (const ConfigChange& change : changes) {
     if (!HasAccess(principal, change.path)) continue;
-    out.push_back({{"revision", change.revision},
-                   {"path", change.path},
-                   {"value", ParseValue(change.value)},
-                   {"operator", change.operator_name},
-                   {"accepted_at", change.accepted_at}});
+    json entry = {{"revision", change.revision},
+                  {"path", change.path},
+                  {"value", ParseValue(change.value)},
+                  {"operator", change.operator_name},
+                  {"accepted_at", change.accepted_at}};
+    if (change.value_omitted) entry["value_omitted"] = true;
+    out.push_back(std::move(entry));
   }
   return out;
 }
--- a/src/daemon/proposed_changes.cc
+++ b/src/daemon/proposed_changes.cc
@@ -45,6 +45,12 @@
   return current == put.base_revision && (put.value || current != 0);
 }
 
+std::string_view ProposedChanges::ValueAt(const std::string& path) const {
+  auto change = by_path_.find(path);
+  if (change == by_path_.end()) return ebonylift::ValueAt(*committed_, path);
+  return change->second.value ? std::string_view(*change->second.value) : std::string_view();
+}
+
 std::vector<SchemaIssue> ProposedChanges::ValidateInTree(const ConfigPut& put) const {
   return ebonylift::ValidateInTree(Reader(*committed_, by_path_), put.path, put.value);
 }
--- a/src/daemon/proposed_changes.h
+++ b/src/daemon/proposed_changes.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -32,6 +33,10 @@
   // a retry) is still proposed, so that its answer is based on a committed state.
   bool WillChangeTree(const ConfigPut& put) const;
 
+  // Returns the value that the path has once all puts are applied, valid until the next call of
+  // another method; empty if the path does not exist then.
+  std::string_view ValueAt(const std::string& path) const;
+
   // Validates a put that will change the tree against the other paths.
   std::vector<SchemaIssue> ValidateInTree(const ConfigPut& put) const;
 
--- a/src/daemon/pulled_revisions.cc
+++ b/src/daemon/pulled_revisions.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "base/error.h"
 #include "base/event.h"
 #include "daemon/config_journal_records.h"
 
@@ -36,7 +37,7 @@
 }
 
 // Writes the changes to the journal, then applies and publishes them.
-void PulledRevisions::PersistChanges(const std::vector<ConfigChange>& changes, const HostId& from) {
+void PulledRevisions::PersistChanges(const std::vector<StoredChange>& changes, const HostId& from) {
   if (changes.empty()) return;
   uint64_t newest = changes.back().revision;
   if (newest <= trees_->Current().revision) return;
@@ -49,7 +50,7 @@
   // Journaled deltas apply to the pulled tree. The first pull writes that tree to the journal.
   if (trees_->pulled.revision == 0 && trees_->committed.revision != 0) {
     ConfigTree tree = trees_->committed;
-    for (const ConfigChange& change : changes) ApplyChange(&tree, change);
+    for (const StoredChange& change : changes) ApplyChange(&tree, change);
     PersistTree(std::move(tree), from);
     return;
   }
@@ -68,19 +69,30 @@
 }
 
 // Applies and publishes changes that are on disk or need not be.
-void PulledRevisions::ApplyChanges(const std::vector<ConfigChange>& changes, const HostId& from) {
+void PulledRevisions::ApplyChanges(const std::vector<StoredChange>& changes, const HostId& from) {
   uint64_t before = trees_->Current().revision;
   if (trees_->pulled.revision < trees_->committed.revision) trees_->pulled = trees_->committed;
-  std::vector<std::string> changed;
-  for (const ConfigChange& change : changes) {
-    if (ApplyChange(&trees_->pulled, change)) changed.push_back(change.path);
-  }
+  std::vector<std::string> changed = ApplyAll(changes, from);
   if (trees_->Current().revision <= before) return;
   LogCaughtUp(before, from);
   publish_(/*whole_tree=*/false, changed);
   consensus_->CompactIfLarge();
 }
 
+// Returns the paths of the changes that were applied. Those before one that is malformed remain.
+std::vector<std::string> PulledRevisions::ApplyAll(const std::vector<StoredChange>& changes,
+                                                   const HostId& from) {
+  std::vector<std::string> changed;
+  try {
+    for (const StoredChange& change : changes) {
+      if (ApplyChange(&trees_->pulled, change)) changed.push_back(change.path);
+    }
+  } catch (const Error& error) {
+    LogEvent(EventId::kPeerMessageRefused, {{"host", from.value()}, {"reason", error.what()}});
+  }
+  return changed;
+}
+
 // Writes the tree to the journal, then publishes it.
 void PulledRevisions::PersistTree(ConfigTree tree, const HostId& from) {
   if (tree.revision <= trees_->Current().revision) return;
--- a/src/daemon/pulled_revisions.h
+++ b/src/daemon/pulled_revisions.h
@@ -46,8 +46,9 @@
 
  private:
   bool ReceivePart(const SnapshotPart& part, const HostId& from);
-  void PersistChanges(const std::vector<ConfigChange>& changes, const HostId& from);
-  void ApplyChanges(const std::vector<ConfigChange>& changes, const HostId& from);
+  void PersistChanges(const std::vector<StoredChange>& changes, const HostId& from);
+  void ApplyChanges(const std::vector<StoredChange>& changes, const HostId& from);
+  std::vector<std::string> ApplyAll(const std::vector<StoredChange>& changes, const HostId& from);
   void PersistTree(ConfigTree tree, const HostId& from);
   void ApplyTree(ConfigTree tree, const HostId& from);
   void LogCaughtUp(uint64_t before, const HostId& from) const;
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -50,7 +50,11 @@
 struct ConfigChange {
   uint64_t revision = 0;
   std::string path;
-  std::optional<std::string> value;  // JSON text; std::nullopt: the path was deleted
+  // JSON text; std::nullopt: the path was deleted, or the value is omitted.
+  std::optional<std::string> value;
+  // The value is a large one that a later change has replaced; hosts keep only its difference from
+  // the one before.
+  bool value_omitted = false;
   std::string operator_name;
   WallMillis accepted_at = 0;
 };
--- a/tests/config_replica_test.cc
+++ b/tests/config_replica_test.cc
@@ -13,6 +13,8 @@
 
 #include "adapters/file_journal.h"
 #include "base/hash.h"
+#include "core/config_tree.h"
+#include "core/ingress.h"
 
 namespace ebonylift {
 namespace {
@@ -86,6 +88,7 @@
   void Start(const std::string& name, bool has_disk = true) {
     Host& host = hosts_[name];
     host.has_disk = has_disk;
+    if (!has_disk) host.served = 0;
     host.posted.clear();
     ConfigReplica::Options options;
     options.self = HostId(name);
@@ -95,6 +98,7 @@
     options.seed = rng_();
     options.send = [this, name](const HostId& to, std::string bytes) {
       BOOST_REQUIRE(bytes.size() <= ConfigReplica::kMaxMessageBytes);
+      sent_bytes += bytes.size();
       messages_.push_back({now_ + milliseconds(rng_() % 30), name, to.value(), std::move(bytes)});
     };
     options.post = [&host](std::function<void()> fn) { host.posted.push_back(std::move(fn)); };
@@ -197,6 +201,7 @@
       std::string bytes =
           Replica(from).MakePullResponse(Replica(to).revision(), Replica(to).pull_offset());
       BOOST_REQUIRE(bytes.size() <= ConfigReplica::kMaxMessageBytes);
+      sent_bytes += bytes.size();
       if (!Replica(to).ApplyPullResponse(bytes, HostId(from))) return i + 1;
       Step();
     }
@@ -208,6 +213,7 @@
   Disk& DiskOf(const std::string& name) { return hosts_[name].disk; }
   Time now() const { return now_; }
 
+  size_t sent_bytes = 0;           // between the voters, and by pulls
   std::set<std::string> isolated;  // hosts whose messages are dropped, to and from them
 
  private:
@@ -251,6 +257,31 @@
                  R"({"domains":[],"record_hosts":[)" + hosts + "]}");
 }
 
+// A document of nearly kMaxDocumentBytes, most of it the source text. Versions differ in one route.
+ConfigPut LargeDocumentPut(int version, uint64_t base) {
+  constexpr int kRoutes = 500;
+  std::string routes;
+  std::string source;
+  std::mt19937_64 rng(1);
+  while (source.size() < kMaxDocumentBytes * 15 / 16) source += std::to_string(rng()) + " route ";
+  for (int i = 0; i < kRoutes; ++i) {
+    std::string name = "r" + std::to_string(i);
+    int deadline = i == version ? 5'000 : 3'000;
+    routes += (i > 0 ? ",{" : "{") + (R"("id":")" + name) + R"(","host":"a","path_prefix":"/)" +
+              name + R"(/","idempotent":true,"resumable":false,"deadline_ms":)" +
+              std::to_string(deadline) + R"(,"first_byte_target_ms":0,"rank":0,"max_attempts":1,)" +
+              R"("regions":["este"],"backends":[{"service":"s","weight":1}]})";
+  }
+  std::string document =
+      R"({"version":)" + std::to_string(version) + R"(,"source":")" + source + R"(","routes":[)" +
+      routes +
+      R"(],"services":[{"id":"s","health_path":"/","max_connections":1,"cold_start_ms":0,)" +
+      R"("cold_per_s":0}]})";
+  BOOST_REQUIRE(document.size() <= kMaxDocumentBytes);
+  BOOST_REQUIRE(document.size() > kMaxDocumentBytes * 7 / 8);
+  return MakePut(kIngressPath, document, base, "v" + std::to_string(version));
+}
+
 const char* const kRegionValue = R"({"domains":["este-a"],"record_hosts":["a"]})";
 
 }  // namespace
@@ -698,4 +729,54 @@
   std::filesystem::remove_all(folder);
 }
 
+// Guards against hosts that store and send each version of a large document whole, and so run out
+// of memory, disk or time to send it when versions follow each other quickly or a host starts anew.
+BOOST_AUTO_TEST_CASE(VersionsOfALargeDocumentCostWhatTheyChange) {
+  constexpr int kVersions = 20;
+  constexpr Duration kVersionInterval = milliseconds(400);
+  // A gateway of the platform's sheets has a link of 10 Mbit/s.
+  constexpr size_t kLinkBytesPerSecond = 10'000'000 / 8;
+  constexpr size_t kMaxVersionBytes = kLinkBytesPerSecond * 400 / 1'000;
+  // A journal and the file that replaces it share a disk of 128 MB.
+  constexpr size_t kMaxJournalBytes = 128'000'000 / 2;
+  Cluster cluster({"a", "b", "c"});
+  cluster.Start("x", /*has_disk=*/false);
+  BOOST_REQUIRE(!cluster.Put(LargeDocumentPut(1, 0)).error);
+  cluster.Run(kVersionInterval);
+  cluster.Pull("x", "a");
+  for (int version = 2; version <= kVersions; ++version) {
+    cluster.sent_bytes = 0;
+    PutAnswer answer = cluster.Put(LargeDocumentPut(version, static_cast<uint64_t>(version) - 1));
+    BOOST_REQUIRE(!answer.error);
+    cluster.Run(kVersionInterval);
+    cluster.Pull("x", "a");
+    // Three hosts get the version.
+    BOOST_TEST(cluster.sent_bytes <= 3 * kMaxVersionBytes);
+  }
+  for (const std::string name : {"a", "b", "c", "x"}) {
+    BOOST_REQUIRE_EQUAL(cluster.Replica(name).View()->ingress->version, kVersions);
+    size_t journal = cluster.DiskOf(name).snapshot ? cluster.DiskOf(name).snapshot->size() : 0;
+    for (const std::string& record : cluster.DiskOf(name).records) journal += record.size();
+    BOOST_TEST(journal <= kMaxJournalBytes, name);
+  }
+  cluster.Restart("b");
+  cluster.RestartWithEmptyDisk("c");
+  cluster.Crash("x");
+  cluster.Start("x", /*has_disk=*/false);
+  cluster.sent_bytes = 0;
+  cluster.Pull("x", "a");
+  BOOST_TEST(cluster.sent_bytes <= kMaxDocumentBytes);
+  BOOST_REQUIRE(cluster.RunUntil([&] {
+    return cluster.Replica("b").revision() == kVersions &&
+           cluster.Replica("c").revision() == kVersions;
+  }));
+  BOOST_TEST(cluster.Replica("c").Read(kIngressPath).entries.front().value ==
+             cluster.Replica("x").Read(kIngressPath).entries.front().value);
+  std::vector<ConfigChange> changes = cluster.Replica("a").History(kIngressPath, 2);
+  BOOST_REQUIRE(changes.size() == 2u);
+  BOOST_TEST(changes[0].value.has_value());
+  BOOST_TEST(!changes[0].value_omitted);
+  BOOST_TEST(changes[1].value_omitted);
+}
+
 }  // namespace ebonylift
--- a/tests/config_tree_test.cc
+++ b/tests/config_tree_test.cc
@@ -136,15 +136,15 @@
     if (expected && !value) reference.erase(path);
     if (rng() % 10 == 0) {
       auto deltas = DeltasSince(tree, follower.revision, 500);
-      for (const ConfigChange& change : DecodeChanges(EncodeChanges(*deltas))) {
+      for (const StoredChange& change : DecodeChanges(EncodeChanges(*deltas))) {
         BOOST_REQUIRE(ApplyChange(&follower, change));
       }
     }
     if (rng() % 100 == 0) tree = FromSnapshot(ToSnapshot(tree));
   }
   while (follower.revision < tree.revision) {
-    std::vector<ConfigChange> deltas = DeltasSince(tree, follower.revision, 500).value();
-    for (const ConfigChange& change : deltas) {
+    std::vector<StoredChange> deltas = DeltasSince(tree, follower.revision, 500).value();
+    for (const StoredChange& change : deltas) {
       BOOST_REQUIRE(ApplyChange(&follower, change));
     }
   }
@@ -152,7 +152,7 @@
   BOOST_TEST(tree.entries.size() == reference.size());
   for (const auto& [path, value] : reference) BOOST_TEST(tree.entries.at(path).value == value);
   BOOST_TEST(ToSnapshot(FromSnapshot(ToSnapshot(tree))) == ToSnapshot(tree));
-  BOOST_TEST(!ApplyChange(&follower, ConfigChange()));
+  BOOST_TEST(!ApplyChange(&follower, StoredChange()));
 }
 
 // Guards against reads past the end of truncated input.
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -141,7 +141,7 @@
     SimulatedHost& host = hosts_.at(id);
     if (host.state.delivered_index == 0 || host.state.restore_pending) return;
     auto bytes = std::make_shared<const std::string>(ToSnapshot(host.tree));
-    TakeSnapshot(&host.state, host.state.delivered_index, bytes, keep);
+    TakeSnapshot(&host.state, host.state.delivered_index, bytes, keep, SIZE_MAX);
     Ready ready;
     ready.persist_all = true;
     ready.mark = {LastIndex(host.state),
--- /dev/null
+++ b/tests/integration/platform_config_test.cc
@@ -0,0 +1,92 @@
+#define BOOST_TEST_MODULE platform_config
+#include <boost/test/included/unit_test.hpp>
+#include <string>
+
+#include "tests/support/portal_deployment.h"
+#include "tests/support/wait_for.h"
+
+// Configurations of thousands of routes that change in quick succession. The bounds are those of
+// the platform's sheets: the memory of its machines, and the time until a change is in force.
+
+namespace ebonylift::test {
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kMegabyte = 1'000'000;
+constexpr size_t kControlMemory = 256 * kMegabyte;
+constexpr size_t kGatewayMemory = 160 * kMegabyte;
+constexpr Duration kApplyTime = seconds(4);
+constexpr int kGatewaysPerZone = 4;
+// The stored document is then just below its size limit of 4 MiB.
+constexpr int kExtraRoutes = 4'200;
+constexpr int kVersions = 40;
+
+class Deployment : public PortalDeployment {
+ public:
+  Deployment() : PortalDeployment(kGatewaysPerZone, PlatformDeployment::Zones()) {}
+
+  // A configuration of kExtraRoutes routes and one that only this version has.
+  static json LargeConfiguration(int version) {
+    json configuration = PlatformDeployment::Configuration(version);
+    PlatformDeployment::AddRoutes(kExtraRoutes, &configuration);
+    json newest = configuration["routes"].back();
+    newest["name"] = VersionName(version);
+    newest["path_prefix"] = "/" + VersionName(version) + "/";
+    configuration["routes"].push_back(newest);
+    return configuration;
+  }
+
+  static std::string VersionName(int version) { return "version-" + std::to_string(version); }
+
+  // Checks the most that the processes have used since their starts.
+  void CheckMemory() const {
+    for (int host = 0; host < 3; ++host) {
+      size_t peak = platform.PeakControlMemory(host);
+      BOOST_TEST_MESSAGE("control host " << host << ": " << peak / kMegabyte << " MB");
+      BOOST_TEST(peak <= kControlMemory, "memory of control host " << host);
+    }
+    size_t peak = platform.PeakGatewayMemory();
+    BOOST_TEST_MESSAGE("gateways: " << peak / kMegabyte << " MB");
+    BOOST_TEST(peak <= kGatewayMemory, "memory of a gateway");
+  }
+
+  // Whether all gateways of all zones have the route of the version.
+  bool InForce(int version) {
+    for (const std::string& zone : PlatformDeployment::Zones()) {
+      for (int i = 0; i < kGatewaysPerZone; ++i) {
+        std::string path = "/" + VersionName(version) + "/a";
+        if (platform.Request(zone, "GET", path, NextRequestId()).status != 200) return false;
+      }
+    }
+    return true;
+  }
+};
+
+}  // namespace
+
+// Guards against control hosts that run out of memory, and gateways that serve an old
+// configuration, because each version of a large document is stored and sent whole.
+BOOST_FIXTURE_TEST_CASE(ManyVersionsOfALargeDocumentFitTheMachines, Deployment) {
+  constexpr int kFirstVersion = 100;
+  constexpr int kLastVersion = kFirstVersion + kVersions;
+  for (int version = kFirstVersion; version <= kLastVersion; ++version) {
+    platform.PutConfiguration(LargeConfiguration(version));
+  }
+  BOOST_TEST(WaitFor([&] { return InForce(kLastVersion); }, kApplyTime));
+  CheckMemory();
+  // A control host that starts again takes the whole state from its disk, and one that lost its
+  // disk from the others.
+  platform.KillControl(0);
+  platform.StartControl(0, false);
+  platform.KillControl(1);
+  platform.WipeControl(1);
+  platform.StartControl(1, false);
+  platform.KillGateway("este-a");
+  platform.StartGateway("este-a");
+  platform.PutConfiguration(LargeConfiguration(kLastVersion + 1));
+  BOOST_TEST(WaitFor([&] { return InForce(kLastVersion + 1); }, kApplyTime));
+  CheckMemory();
+}
+
+}  // namespace ebonylift::test
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -1,5 +1,6 @@
 #include "tests/support/platform_deployment.h"
 
+#include <algorithm>
 #include <asio/executor_work_guard.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdlib>
@@ -198,6 +199,27 @@
 
 // ---- PlatformDeployment
 
+namespace {
+
+json RouteJson(const std::string& name, const std::string& type, bool resumable,
+               const std::string& service, int attempts) {
+  return {{"name", name},
+          {"host", "a.example"},
+          {"path_prefix", "/" + name + "/"},
+          {"route_type", type},
+          {"timeout_ms", 3000},
+          {"target_latency_ms", 800},
+          {"priority", 0},
+          {"service", service},
+          {"max_attempts", attempts},
+          {"session_affinity", false},
+          {"resumable", resumable},
+          {"gap_target_ms", 400},
+          {"home_regions", json::array()}};
+}
+
+}  // namespace
+
 const std::vector<std::string>& PlatformDeployment::Zones() {
   static const std::vector<std::string> zones = {"este-a", "centro-a", "norte-a"};
   return zones;
@@ -430,22 +452,6 @@
 }
 
 json PlatformDeployment::Configuration(int version) {
-  auto route = [](const std::string& name, const std::string& type, bool resumable,
-                  const std::string& service, int attempts) {
-    return json{{"name", name},
-                {"host", "a.example"},
-                {"path_prefix", "/" + name + "/"},
-                {"route_type", type},
-                {"timeout_ms", 3000},
-                {"target_latency_ms", 800},
-                {"priority", 0},
-                {"service", service},
-                {"max_attempts", attempts},
-                {"session_affinity", false},
-                {"resumable", resumable},
-                {"gap_target_ms", 400},
-                {"home_regions", json::array()}};
-  };
   auto service = [](const std::string& name) {
     return json{{"name", name},
                 {"health_path", "/health"},
@@ -453,15 +459,32 @@
                 {"cold_start_s", 0.0},
                 {"cold_per_s", 0.0}};
   };
-  json check = route("check", "streaming", false, "model", 1);
+  json check = RouteJson("check", "streaming", false, "model", 1);
   check["home_regions"] = {"este", "centro"};
-  return {
-      {"version", version},
-      {"routes",
-       {route("stream", "streaming", true, "model", 2), check,
-        route("post", "unsafe", false, "portal", 1), route("look", "safe", false, "portal", 2)}},
-      {"services", {service("model"), service("portal")}},
-      {"limits", {{"max_header_bytes", 16384}}}};
+  return {{"version", version},
+          {"routes",
+           {RouteJson("stream", "streaming", true, "model", 2), check,
+            RouteJson("post", "unsafe", false, "portal", 1),
+            RouteJson("look", "safe", false, "portal", 2)}},
+          {"services", {service("model"), service("portal")}},
+          {"limits", {{"max_header_bytes", 16384}}}};
+}
+
+void PlatformDeployment::AddRoutes(int count, json* configuration) {
+  for (int i = 0; i < count; ++i) {
+    (*configuration)["routes"].push_back(
+        RouteJson("extra-" + std::to_string(i), "safe", false, "portal", 2));
+  }
+}
+
+size_t PlatformDeployment::PeakControlMemory(int host) const {
+  return PeakMemoryBytes(controls_[static_cast<size_t>(host)].pid());
+}
+
+size_t PlatformDeployment::PeakGatewayMemory() const {
+  size_t peak = 0;
+  for (const Process& gateway : gateways_) peak = std::max(peak, PeakMemoryBytes(gateway.pid()));
+  return peak;
 }
 
 void PlatformDeployment::PutConfiguration(const json& configuration) {
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -129,6 +129,13 @@
   static nlohmann::json Configuration(int version);
   void PutConfiguration(const nlohmann::json& configuration);
 
+  // Adds `count` safe routes to the service "portal", /extra-0/ and so on, to a configuration.
+  static void AddRoutes(int count, nlohmann::json* configuration);
+
+  // The most memory that a control host, or any gateway, has used since its start, in bytes.
+  size_t PeakControlMemory(int host) const;
+  size_t PeakGatewayMemory() const;
+
   // KillControl() sends SIGKILL; WipeControl() deletes the data directory of a control host.
   void KillControl(int host);
   void StartControl(int host, bool bootstrap);
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -8,7 +8,9 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <stdexcept>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -134,6 +136,17 @@
   return exit_status_;
 }
 
+size_t PeakMemoryBytes(pid_t pid) {
+  constexpr size_t kBytesPerKilobyte = 1'024;
+  const std::string key = "VmHWM:";
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.compare(0, key.size(), key) != 0) continue;
+    return std::stoul(line.substr(key.size())) * kBytesPerKilobyte;
+  }
+  throw std::runtime_error("process " + std::to_string(pid) + " does not run");
+}
+
 std::string DaemonBinary() { return EnvironmentVariableOr("EBONYLIFT_BINARY", "build/ebonylift"); }
 
 std::string StandinBinary() {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -56,6 +56,10 @@
   std::optional<int> exit_status_;
 };
 
+// Returns the most memory that the process has used since its start, in bytes. Throws
+// std::runtime_error when the process does not run.
+size_t PeakMemoryBytes(pid_t pid);
+
 // Path of the daemon under test: the environment variable EBONYLIFT_BINARY, or build/ebonylift.
 std::string DaemonBinary();
 
