Ask a second host when a pull of the configuration takes long

What callers may see: an old configuration, or a server of an evacuated failure domain, for more than 5 s at one gateway.

Cause: a host that does not vote has one pull in progress, which ends after 5 s. The host that it asks may have been stopped or cut off after it announced the revision; gossip suspects it only later. 5 s is more than the time in which a change must be in force on the smaller deployments (3 s).

The puller takes its calls as options, so that it is tested without connections.

Before and after: config_puller_test PullFromStoppedHostDoesNotDelayTheChange cannot be built on the earlier class, which waited 5 s by construction (kPullTimeout); it passes now.

--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -558,18 +558,21 @@
   for (const DomainSummary& row : removed) ReportSummary(state, row, stamp, now);
 }
 
-std::optional<HostId> PullTarget(const Membership& state, std::mt19937_64& rng) {
+std::optional<HostId> PullTarget(const Membership& state, std::mt19937_64& rng,
+                                 const std::set<HostId>& excluded) {
   if (state.newest_revision <= state.revision) return std::nullopt;
   std::vector<HostId> local;
   std::vector<HostId> remote;
   for (const auto& [id, host] : state.hosts) {
     if (id == state.self.host || host.revision <= state.revision) continue;
+    if (excluded.count(id) != 0) continue;
     if (host.unreachable || !IsLive(host.row.status)) continue;
     (SameDomain(state, host) ? local : remote).push_back(id);
   }
   const std::vector<HostId>& from = local.empty() ? remote : local;
   if (!from.empty()) return from[rng() % from.size()];
   if (state.newest_holder.empty() || state.newest_holder == state.self.host) return std::nullopt;
+  if (excluded.count(state.newest_holder) != 0) return std::nullopt;
   return state.newest_holder;
 }
 
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -222,8 +222,9 @@
 
 // The host to pull the configuration from if a newer revision is known: a random reachable host
 // with a newer revision, preferably in this failure domain; else the host that is said to have the
-// newest one.
-std::optional<HostId> PullTarget(const Membership& state, std::mt19937_64& rng);
+// newest one. Never one of `excluded`.
+std::optional<HostId> PullTarget(const Membership& state, std::mt19937_64& rng,
+                                 const std::set<HostId>& excluded = {});
 
 // All hosts as the routing view shows them, ordered by id.
 std::vector<HostEntry> HostEntries(const Membership& state);
--- a/src/daemon/config_puller.cc
+++ b/src/daemon/config_puller.cc
@@ -1,38 +1,46 @@
 #include "daemon/config_puller.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "base/error.h"
 #include "base/event.h"
 
 namespace ebonylift {
-namespace {
-
-constexpr Duration kPullTimeout = seconds(5);
-constexpr Duration kPullRetryDelay = milliseconds(200);  // after a failed pull
 
-}  // namespace
+bool ConfigPuller::MayPull(Time now) const {
+  if (now < next_pull_ || !options_.needs_pull()) return false;
+  if (pending_.empty()) return true;
+  Duration patience = options_.in_snapshot() ? kSlowSnapshotPull : kSlowPull;
+  return pending_.size() < kMaxPulls && now - pending_.back().started >= patience;
+}
 
-void ConfigPuller::Tick(Time now) {
-  if (in_progress_ || now < next_pull_ || !replica_->NeedsPull()) return;
-  std::optional<HostId> host = PullTarget(*membership_, *rng_);
+void ConfigPuller::Tick() {
+  if (!MayPull(options_.clock())) return;
+  std::set<HostId> asked;
+  for (const PendingPull& pull : pending_) asked.insert(pull.host);
+  std::optional<HostId> host = options_.choose_host(asked);
   if (host) PullFrom(*host);
 }
 
 void ConfigPuller::PullFrom(const HostId& host) {
-  in_progress_ = true;
-  rpc_->ConfigSince(host, replica_->revision(), replica_->pull_offset(), kPullTimeout,
-                    [this, host](const std::optional<std::string>& data) { OnPulled(host, data); });
+  pending_.push_back({host, options_.clock()});
+  options_.pull(host, kPullTimeout,
+                [this, host](const std::optional<std::string>& data) { OnPulled(host, data); });
 }
 
 void ConfigPuller::OnPulled(const HostId& host, const std::optional<std::string>& data) {
-  in_progress_ = false;
+  auto pull = std::find_if(pending_.begin(), pending_.end(),
+                           [&](const PendingPull& pending) { return pending.host == host; });
+  if (pull != pending_.end()) pending_.erase(pull);
   if (!data) {
-    next_pull_ = SteadyNow() + kPullRetryDelay;
+    next_pull_ = options_.clock() + kPullRetryDelay;
     return;
   }
   try {
-    if (replica_->ApplyPullResponse(*data, host)) PullFrom(host);
+    if (options_.apply(*data, host)) PullFrom(host);
   } catch (const Error& e) {
-    next_pull_ = SteadyNow() + kPullRetryDelay;
+    next_pull_ = options_.clock() + kPullRetryDelay;
     LogEvent(EventId::kPeerMessageRefused, {{"host", host.value()}, {"reason", e.what()}});
   }
 }
--- a/src/daemon/config_puller.h
+++ b/src/daemon/config_puller.h
@@ -4,40 +4,67 @@
 // Pulls new revisions of the configuration from other hosts, on hosts that do not get them by
 // consensus; see daemon/config_replica.h.
 //
-// Not thread safe: all methods run on the control thread. Memory: one pending pull.
+// A host that was stopped or cut off is not known to be so at once, and a pull from it ends only
+// after kPullTimeout. So when a pull takes long, a second one goes to another host.
+//
+// Not thread safe: all methods and callbacks run on the control thread. Memory: kMaxPulls pending
+// pulls.
 
+#include <cstddef>
+#include <functional>
 #include <optional>
-#include <random>
+#include <set>
 #include <string>
+#include <vector>
 
-#include "adapters/rpc.h"
 #include "base/ids.h"
 #include "base/time.h"
-#include "core/membership.h"
-#include "daemon/config_replica.h"
 
 namespace ebonylift {
 
+constexpr Duration kPullTimeout = seconds(5);
+constexpr Duration kPullRetryDelay = milliseconds(200);  // after a failed pull
+// After this time without a response, another host is asked as well. A response of differences
+// takes a fraction of it; a part of a snapshot may take longer, so a transfer in parts waits more.
+constexpr Duration kSlowPull = milliseconds(700);
+constexpr Duration kSlowSnapshotPull = milliseconds(2'500);
+constexpr size_t kMaxPulls = 2;
+
 class ConfigPuller {
  public:
-  // The arguments must outlive this object, and this object must outlive `rpc`'s pending calls.
-  // They need not be constructed yet.
-  ConfigPuller(ConfigReplica* replica, const Membership* membership, std::mt19937_64* rng, Rpc* rpc)
-      : replica_(replica), membership_(membership), rng_(rng), rpc_(rpc) {}
+  using PullDone = std::function<void(const std::optional<std::string>& data)>;
+
+  struct Options {
+    // ConfigReplica::NeedsPull(), and whether a snapshot is partly received.
+    std::function<bool()> needs_pull;
+    std::function<bool()> in_snapshot;
+    // Returns a host with a newer revision that is not one of `excluded`.
+    std::function<std::optional<HostId>(const std::set<HostId>& excluded)> choose_host;
+    // Rpc::ConfigSince() for what the replica lacks.
+    std::function<void(const HostId& host, Duration timeout, PullDone done)> pull;
+    // ConfigReplica::ApplyPullResponse().
+    std::function<bool(const std::string& data, const HostId& host)> apply;
+    std::function<Time()> clock = SteadyNow;  // steady clock
+  };
 
-  // Starts a pull if the replica needs one, a host with a newer revision is known, and no pull is
-  // in progress. Call it at short intervals.
-  void Tick(Time now);
+  explicit ConfigPuller(Options options) : options_(std::move(options)) {}
+
+  // Starts a pull if the replica needs one and a host with a newer revision is known. Call it at
+  // short intervals.
+  void Tick();
 
  private:
+  struct PendingPull {
+    HostId host;
+    Time started;
+  };
+
+  bool MayPull(Time now) const;
   void PullFrom(const HostId& host);
   void OnPulled(const HostId& host, const std::optional<std::string>& data);
 
-  ConfigReplica* replica_;
-  const Membership* membership_;
-  std::mt19937_64* rng_;
-  Rpc* rpc_;
-  bool in_progress_ = false;
+  const Options options_;
+  std::vector<PendingPull> pending_;  // oldest first
   Time next_pull_;
 };
 
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -1,5 +1,6 @@
 #include "daemon/control_loop.h"
 
+#include <set>
 #include <utility>
 
 #include "adapters/file_journal.h"
@@ -38,7 +39,7 @@
               &rng_, &rpc_, [this]() { SchedulePublish(kPublishInterval); }),
       relay_(MakeRelayOptions()),
       config_proposer_(MakeProposerOptions()),
-      config_puller_(&replica_, &gossip_.membership(), &rng_, &rpc_),
+      config_puller_(MakePullerOptions()),
       voter_maintenance_(&gossip_.membership(), &replica_),
       rpc_(io, MakeRpcOptions(*options), this),
       replica_(MakeReplicaOptions()),
@@ -102,6 +103,22 @@
   return proposer;
 }
 
+ConfigPuller::Options ControlLoop::MakePullerOptions() {
+  ConfigPuller::Options puller;
+  puller.needs_pull = [this]() { return replica_.NeedsPull(); };
+  puller.in_snapshot = [this]() { return replica_.pull_offset() != 0; };
+  puller.choose_host = [this](const std::set<HostId>& excluded) {
+    return PullTarget(gossip_.membership(), rng_, excluded);
+  };
+  puller.pull = [this](const HostId& host, Duration timeout, ConfigPuller::PullDone done) {
+    rpc_.ConfigSince(host, replica_.revision(), replica_.pull_offset(), timeout, std::move(done));
+  };
+  puller.apply = [this](const std::string& data, const HostId& host) {
+    return replica_.ApplyPullResponse(data, host);
+  };
+  return puller;
+}
+
 // ---- loops ----
 
 kj::Promise<void> ControlLoop::TickLoop() {
@@ -143,7 +160,7 @@
     next_summary_ = now + kSummaryInterval;
     ReportDomainSummaries(now);
   }
-  config_puller_.Tick(now);
+  config_puller_.Tick();
   servers_.SaveIfDue(now);
   if (options_->find_hosts) voter_maintenance_.Tick(now);
   gossip_.HandleChanges();
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -129,6 +129,7 @@
   ConfigReplica::Options MakeReplicaOptions();
   AnnouncementRelay::Options MakeRelayOptions();
   ConfigProposer::Options MakeProposerOptions();
+  ConfigPuller::Options MakePullerOptions();
   kj::Timer& timer() { return io_->provider->getTimer(); }
   kj::Promise<void> TickLoop();
   kj::Promise<void> TaskQueueLoop();
