Do not let an old order to evacuate, or its end, take effect over a newer one

Causes, of one class (an order is applied or acknowledged without regard to what was accepted since it was given): - The id of a change was derived from the path, the base revision and the value. Orders recur: "evacuate" on the outdated base of a host that lags counted as the earlier, identical order, was acknowledged and had no effect. - A conflict was answered by proposing the same value again on top of the newer one. An order that had waited at a stopped host, while its caller repeated it elsewhere and gave the opposite order later, undid that. - An order was carried out although its caller had left, for the same reason.

Now such a change has no id (the base revision makes it safe to repeat), a conflict fails unless the newest value is the wanted one, so that the caller decides anew, and a caller that has closed its connection is noticed before anything is proposed. Documents keep the retry, because the highest version wins in any order.

The fake control port of exchange_test moves to tests/support.

--- a/src/daemon/config_changes.cc
+++ b/src/daemon/config_changes.cc
@@ -3,6 +3,7 @@
 #include <memory>
 #include <utility>
 
+#include "base/event.h"
 #include "base/hash.h"
 #include "core/config_tree.h"
 #include "core/ingress.h"
@@ -17,6 +18,7 @@
   ControlPort* control = nullptr;
   std::string path;
   std::string value;
+  bool retry_on_conflict = false;
   // Returns whether the stored value makes the change unnecessary. `committed` is true for a value
   // that the leader returned, and false for one of the local replica, which may be outdated.
   std::function<bool(const std::string& stored, bool committed)> satisfied;
@@ -29,9 +31,12 @@
 
 void OnPutAnswer(const std::shared_ptr<PendingChange>& change, const PutAnswer& answer) {
   if (!answer.error) return change->done(std::nullopt);
-  if (*answer.error == ErrorKind::kConfigConflict && change->attempts < kMaxPutAttempts) {
-    return TryChange(change, answer.revision, answer.current_value.value_or(""), true);
+  bool conflict = *answer.error == ErrorKind::kConfigConflict;
+  const std::string stored = answer.current_value.value_or("");
+  if (conflict && change->retry_on_conflict && change->attempts < kMaxPutAttempts) {
+    return TryChange(change, answer.revision, stored, true);
   }
+  if (conflict && change->satisfied(stored, true)) return change->done(std::nullopt);
   change->done(Error(*answer.error, answer.message));
 }
 
@@ -43,10 +48,13 @@
   put.path = change->path;
   put.value = change->value;
   put.base_revision = base_revision;
-  // The id is derived from the change, so that a retry through another host on the same base
-  // revision counts as the same change.
-  put.request_id = change->path + "-" + std::to_string(base_revision) + "-" +
-                   std::to_string(Hash64(change->value));
+  // The value of a document names its version, so a retry through another host on the same base
+  // revision is the same change. The values of other changes recur: with an id derived from them, a
+  // change on an outdated base would count as an earlier one and succeed without an effect.
+  if (change->retry_on_conflict) {
+    put.request_id = change->path + "-" + std::to_string(base_revision) + "-" +
+                     std::to_string(Hash64(change->value));
+  }
   put.operator_name = "ingress";
   change->control->Put(put, [change](const PutAnswer& answer) { OnPutAnswer(change, answer); });
 }
@@ -72,11 +80,13 @@
   change->satisfied = [version](const std::string& stored, bool) {
     return IngressVersion(stored) >= version;
   };
+  change->retry_on_conflict = true;
   change->done = std::move(done);
   StartChange(change);
 }
 
-void SetEvacuated(ControlPort* control, const DomainId& domain, bool evacuated, ChangeDone done) {
+void SetEvacuated(ControlPort* control, const DomainId& domain, bool evacuated,
+                  const CallerCheck& check, ChangeDone done) {
   auto change = std::make_shared<PendingChange>();
   change->control = control;
   change->path = "/deployment/evacuations/" + domain.value();
@@ -86,7 +96,11 @@
     return committed && stored == value;
   };
   change->done = std::move(done);
-  StartChange(change);
+  check([change](bool waits) {
+    if (waits) return StartChange(change);
+    LogEvent(EventId::kConfigRefused, {{"path", change->path}, {"kind", "caller_gone"}});
+    change->done(Error(ErrorKind::kConfigUnknown, "the caller no longer waits"));
+  });
 }
 
 }  // namespace ebonylift
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -13,10 +13,13 @@
 #include "daemon/job_api.h"
 #include "daemon/record_store.h"
 #include "platform/dialect.h"
+#include "tests/support/fake_control.h"
 
 namespace ebonylift {
 namespace {
 
+using test::FakeControl;
+
 constexpr Duration kTestTimeout = seconds(10);
 constexpr size_t kMaxCalls = 100;
 // The exchange checks a silent server every 250 ms, and repeats a probe after 50 ms.
@@ -80,40 +83,6 @@
   std::function<void()> on_closed;
 };
 
-// Publishes a view and counts how often it is read. Ignores all else.
-class FakeControl : public ControlPort {
- public:
-  void Announce(const Announcement& /*announcement*/,
-                std::function<void(std::optional<Error>)> /*done*/) override {}
-  void Leave(const ServerId& /*server*/, uint64_t /*incarnation*/,
-             std::function<void()> /*done*/) override {}
-  void Put(const ConfigPut& /*put*/, std::function<void(PutAnswer)> /*done*/) override {}
-  void Read(const std::string& /*path*/, std::function<void(ConfigRead)> /*done*/) override {}
-  void ReadLinearizable(const std::string& /*path*/,
-                        std::function<void(LinearizableRead)> /*done*/) override {}
-  void History(const std::string& /*path*/, size_t /*limit*/,
-               std::function<void(std::vector<ConfigChange>)> /*done*/) override {}
-  void Watch(uint64_t /*from*/, Duration /*timeout*/,
-             std::function<void(std::vector<ConfigChange>)> /*done*/) override {}
-  void ReportSuspects(std::vector<SuspectReport> sent) override {
-    reports.insert(reports.end(), sent.begin(), sent.end());
-  }
-  void Timeline(HlcStamp /*since*/, const std::string& /*request_id*/, size_t /*limit*/,
-                std::function<void(std::vector<Event>)> /*done*/) override {}
-  void Status(std::function<void(StatusJson)> /*done*/) override {}
-  void ShareWork(std::vector<ServerWork> /*work*/) override {}
-  void StartDrain() override {}
-  void SetOverloaded(bool /*overloaded*/) override {}
-  std::shared_ptr<const RoutingView> View() const override {
-    ++reads;
-    return view;
-  }
-
-  std::vector<SuspectReport> reports;
-  std::shared_ptr<const RoutingView> view;
-  mutable int reads = 0;
-};
-
 // A host with one backend server that runs one request at a time, and a team with one route.
 struct Fixture {
   explicit Fixture(SuspectPlacement suspect_placement = SuspectPlacement::kAlone)
--- a/tests/integration/platform_config_test.cc
+++ b/tests/integration/platform_config_test.cc
@@ -1,6 +1,9 @@
 #define BOOST_TEST_MODULE platform_config
+#include <atomic>
 #include <boost/test/included/unit_test.hpp>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "tests/support/portal_deployment.h"
 #include "tests/support/wait_for.h"
@@ -17,6 +20,8 @@
 constexpr size_t kControlMemory = 256 * kMegabyte;
 constexpr size_t kGatewayMemory = 160 * kMegabyte;
 constexpr Duration kApplyTime = seconds(4);
+// `ack_timeout_ms`, and 3 ms more for each route.
+constexpr Duration kAcknowledgeTime = seconds(8) + milliseconds(3 * 4'200);
 constexpr int kGatewaysPerZone = 4;
 // The stored document is then just below its size limit of 4 MiB.
 constexpr int kExtraRoutes = 4'200;
@@ -37,6 +42,8 @@
     return configuration;
   }
 
+  std::atomic<int> not_accepted{0};  // changes
+
   static std::string VersionName(int version) { return "version-" + std::to_string(version); }
 
   // Checks the most that the processes have used since their starts.
@@ -89,4 +96,31 @@
   CheckMemory();
 }
 
+// Guards against control hosts that run out of memory because they hold many copies of each large
+// document that is being changed at the same time.
+BOOST_FIXTURE_TEST_CASE(ConcurrentChangesOfALargeDocumentFitTheMachines, Deployment) {
+  // The platform's operators have at most this many changes in progress.
+  constexpr int kChangesInProgress = 8;
+  constexpr int kFirstVersion = 200;
+  constexpr int kRounds = 3;
+  platform.PutConfiguration(LargeConfiguration(kFirstVersion));
+  int version = kFirstVersion;
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<std::thread> operators;
+    for (int i = 0; i < kChangesInProgress; ++i) {
+      std::string body = LargeConfiguration(++version).dump();
+      operators.emplace_back([this, body, host = i % 3] {
+        bool accepted = WaitFor(
+            [&] { return platform.Control(host, "POST", "/Config.Replace", body).status == 200; },
+            kAcknowledgeTime);
+        if (!accepted) ++not_accepted;
+      });
+    }
+    for (std::thread& thread : operators) thread.join();
+  }
+  BOOST_TEST(not_accepted == 0);
+  BOOST_TEST(WaitFor([&] { return InForce(version); }, kApplyTime));
+  CheckMemory();
+}
+
 }  // namespace ebonylift::test
