Refuse requests with a part of a prompt that crashes servers

Cause: suspicion was counted by the hash of the whole request. Of requests that are no two alike each content has one loss, and nothing adds up.

Now parts of prompts other than the last are counted in the same way, in a state of their own, and reported, kept and restored with the contents.

Beside it: a stream of neither length nor chunks that ends before its first event is broken off and not complete, and one that only its connection ends proves nothing.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -184,6 +184,7 @@
   cleared @3 :Bool;
   losses @4 :Int32;  # in succession; 0 from an older version
   ageMillis @5 :UInt32;
+  isPart @6 :Bool;  # the content is a part of a prompt
 }
 
 struct EventField {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -4168,6 +4168,8 @@
 
   inline  ::uint32_t getAgeMillis() const;
 
+  inline bool getIsPart() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4218,6 +4220,9 @@
   inline  ::uint32_t getAgeMillis();
   inline void setAgeMillis( ::uint32_t value);
 
+  inline bool getIsPart();
+  inline void setIsPart(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7698,6 +7703,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SuspectNote::Reader::getIsPart() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool SuspectNote::Builder::getIsPart() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void SuspectNote::Builder::setIsPart(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EventField::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -419,6 +419,7 @@
   out.setCleared(report.cleared);
   out.setLosses(report.losses);
   out.setAgeMillis(ClampToUnsigned(ToMillis(report.age)));
+  out.setIsPart(report.is_part);
 }
 
 SuspectReport ReadSuspectNote(wire::SuspectNote::Reader in) {
@@ -429,6 +430,7 @@
   report.cleared = in.getCleared();
   report.losses = in.getLosses();
   report.age = milliseconds(static_cast<int64_t>(in.getAgeMillis()));
+  report.is_part = in.getIsPart();
   return report;
 }
 
--- a/src/core/poison.cc
+++ b/src/core/poison.cc
@@ -163,6 +163,10 @@
   return true;
 }
 
+bool OnDisproved(PoisonState& poison, uint64_t content) {
+  return poison.suspects.erase(content) != 0;
+}
+
 PoisonVerdict Verdict(const PoisonState& poison, uint64_t content, Time now) {
   auto found = poison.suspects.find(content);
   if (found == poison.suspects.end() || IsExpired(found->second, now)) return PoisonVerdict::kClear;
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -2,7 +2,9 @@
 #define EBONYLIFT_CORE_POISON_H_
 
 // Detects poison requests, which crash the backend servers that run them. Requests are identified
-// by the hash of their content, called `content` here. A content is a suspect after it was in
+// by the hash of their content, called `content` here. A part of the prompt may crash servers
+// whatever else a request holds; the hashes of parts are contents in a PoisonState of their own. A
+// content is a suspect after it was in
 // flight on a server that was lost, and condemned after a further loss of a server that ran nothing
 // else, or after kLossesToCondemn losses in succession.
 //
@@ -52,6 +54,12 @@
   kCondemned,  // refuse it as kPoison, or kPoisonDetected if it was running
 };
 
+// What a request may be refused for.
+struct RequestContent {
+  uint64_t content = 0;         // hash of the whole request
+  std::vector<uint64_t> parts;  // hashes of the parts of the prompt that other requests may share
+};
+
 struct Suspect {
   bool condemned_alone = false;  // by a loss while it ran alone, which is described by:
   ServerId condemned_on;         // the lost server
@@ -124,6 +132,11 @@
 // other hosts with ControlPort::ClearSuspect.
 bool OnCompleted(PoisonState& poison, uint64_t content);
 
+// Removes a content that a server has answered, also if it is condemned. For parts of prompts: a part
+// that crashes servers does so whenever an answer on it begins, so an answer disproves it. Returns
+// true if the content was a suspect.
+bool OnDisproved(PoisonState& poison, uint64_t content);
+
 // Returns the time until the content expires; 0 if it is not a suspect.
 Duration TimeToExpiry(const PoisonState& poison, uint64_t content, Time now);
 
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -170,7 +170,8 @@
   std::vector<uint64_t> prefix_hashes;
   // Length of each prefix. If empty, each one is kPrefixBlockTokens longer than the one before.
   std::vector<int64_t> prefix_tokens;
-  uint64_t content_hash = 0;    // hash that identifies the model and the body
+  uint64_t content_hash = 0;            // hash that identifies the model and the body
+  std::vector<uint64_t> content_parts;  // see RequestContent::parts
   int hops = 0;                 // forwards between hosts so far
   bool crossed_region = false;  // one of these forwards went to another region
   Time deadline;
--- a/src/daemon/answer_relay.cc
+++ b/src/daemon/answer_relay.cc
@@ -68,8 +68,15 @@
 bool AnswerRelay::Resume() { return std::exchange(paused_, false); }
 
 bool AnswerRelay::stream_complete() const {
-  return dialect_ == nullptr ? stream_tracker_.done() || stream_tracker_.error()
-                             : event_relay_.at_event_boundary();
+  if (dialect_ == nullptr) return stream_tracker_.done() || stream_tracker_.error();
+  // A connection that ends before the first event was more likely lost than complete.
+  if (!begun_ && ends_with_connection()) return false;
+  return event_relay_.at_event_boundary();
+}
+
+bool AnswerRelay::ends_with_connection() const {
+  return FindHeader(headers_, "content-length").empty() &&
+         FindHeader(headers_, "transfer-encoding").empty();
 }
 
 void AnswerRelay::Reset() {
--- a/src/daemon/answer_relay.h
+++ b/src/daemon/answer_relay.h
@@ -71,6 +71,9 @@
   bool Resume();
   // True when the stream may end here: it is complete, or ended with an error event.
   bool stream_complete() const;
+  // True when only the end of its connection ends the response, which the loss of the server ends,
+  // too: the response has neither a length nor chunks.
+  bool ends_with_connection() const;
   bool stream_failed() const { return stream_tracker_.error(); }
   bool event_too_large() const { return event_relay_.too_large() || stream_tracker_.too_large(); }
   uint64_t generated_text_bytes() const { return stream_tracker_.generated_text_bytes(); }
--- a/src/daemon/attempt_call.h
+++ b/src/daemon/attempt_call.h
@@ -33,6 +33,8 @@
   bool can_cancel = false;  // the server has the capability `cancel`
   Choice choice;
   bool response_started = false;  // the first byte of the response arrived
+  Time first_data_at;             // set if `response_started`
+  bool parts_answered = false;    // Dispatcher::OnPartsAnswered() was called
 
   // Set for an attempt through another host.
   bool forwarding = false;
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "daemon/dispatcher.h"
 
 #include <algorithm>
+#include <map>
 #include <string>
 
 #include "base/event.h"
@@ -18,6 +19,8 @@
   return std::max(live, 1);
 }
 
+const char* KindName(bool is_part) { return is_part ? "prompt_part" : "request"; }
+
 Choice RefusedChoice(ErrorKind kind) {
   Choice choice;
   choice.kind = ChoiceKind::kRefuse;
@@ -48,8 +51,12 @@
 void Dispatcher::RecordPlacement(const Choice& choice, const RouteQuery& query, Time now) {
   if (choice.kind == ChoiceKind::kLocal) {
     OnDispatch(routing_state_, query, choice, now);
-    running_contents_[choice.server].push_back(
-        {query.content_hash, KnownLosses(poison_, query.content_hash, now)});
+    RunningRequest running;
+    running.content = {query.content_hash, KnownLosses(poison_, query.content_hash, now)};
+    for (uint64_t part : query.content_parts) {
+      running.parts.push_back({part, KnownLosses(part_poison_, part, now)});
+    }
+    running_[choice.server].push_back(std::move(running));
   } else if (choice.kind == ChoiceKind::kForward) {
     OnForward(routing_state_, choice.domain, now);
   }
@@ -175,12 +182,12 @@
     static const RoutingView kEmptyView;
     ejected = OnServerOutcome(routing_state_, view_ ? *view_ : kEmptyView, server, dispatched_at,
                               outcome, now, prefill_tokens);
-    std::vector<RunningContent>& contents = running_contents_[server];
+    std::vector<RunningRequest>& requests = running_[server];
     auto found = std::find_if(
-        contents.begin(), contents.end(),
-        [content](const RunningContent& running) { return running.content == content; });
-    if (found != contents.end()) contents.erase(found);
-    if (contents.empty()) running_contents_.erase(server);
+        requests.begin(), requests.end(),
+        [content](const RunningRequest& running) { return running.content.content == content; });
+    if (found != requests.end()) requests.erase(found);
+    if (requests.empty()) running_.erase(server);
     PlaceQueued(now, &ready_callbacks);
   }
   if (ejected) LogEvent(EventId::kServerEjected, {{"server", server.value()}});
@@ -202,8 +209,20 @@
   std::lock_guard<std::mutex> lock(mutex_);
   LossEvidence evidence;
   evidence.server = server;
-  auto contents = running_contents_.find(server);
-  if (contents != running_contents_.end()) evidence.contents = contents->second;
+  auto running = running_.find(server);
+  if (running != running_.end()) {
+    std::map<uint64_t, int> losses_known;
+    for (const RunningRequest& request : running->second) {
+      evidence.contents.push_back(request.content);
+      for (const RunningContent& part : request.parts) {
+        int& known = losses_known[part.content];
+        known = std::max(known, part.losses_known);
+      }
+    }
+    for (const auto& [part, known] : losses_known) {
+      if (!IsProven(proven_parts_, part, SteadyNow())) evidence.parts.push_back({part, known});
+    }
+  }
   if (!view_) return evidence;
   for (const BackendServer& known : view_->servers) {
     if (known.announced.id != server) continue;
@@ -215,20 +234,34 @@
 
 void Dispatcher::RecordServerLoss(const LossEvidence& evidence, Time now) {
   std::vector<LossFinding> findings;
+  std::vector<LossFinding> part_findings;
   {
     std::lock_guard<std::mutex> lock(mutex_);
     findings = OnServerLost(poison_, evidence.server, evidence.contents, evidence.alone, now,
                             evidence.incarnation);
+    part_findings = OnServerLost(part_poison_, evidence.server, evidence.parts, /*alone=*/false,
+                                 now, evidence.incarnation);
     SetServersAside();
   }
   std::vector<SuspectReport> reports;
+  AddReports(findings, evidence, /*is_part=*/false, &reports);
+  AddReports(part_findings, evidence, /*is_part=*/true, &reports);
+  if (!reports.empty()) control_->ReportSuspects(std::move(reports));
+}
+
+void Dispatcher::AddReports(const std::vector<LossFinding>& findings, const LossEvidence& evidence,
+                            bool is_part, std::vector<SuspectReport>* reports) {
   for (const LossFinding& finding : findings) {
     if (!finding.is_news) continue;
-    HandleFinding(finding, evidence.server, "own");
-    reports.push_back(
-        {finding.content, evidence.server, evidence.alone, /*cleared=*/false, finding.losses});
+    HandleFinding(finding, is_part, evidence.server, "own");
+    SuspectReport report;
+    report.content = finding.content;
+    report.server = evidence.server;
+    report.alone = !is_part && evidence.alone;
+    report.losses = finding.losses;
+    report.is_part = is_part;
+    reports->push_back(std::move(report));
   }
-  if (!reports.empty()) control_->ReportSuspects(std::move(reports));
 }
 
 // Precondition: the caller holds the mutex.
@@ -237,11 +270,12 @@
     routing_state_.set_aside_until = SetAsideUntil(poison_);
 }
 
-void Dispatcher::HandleFinding(const LossFinding& finding, const ServerId& server,
+void Dispatcher::HandleFinding(const LossFinding& finding, bool is_part, const ServerId& server,
                                const char* source, Duration age) {
   bool condemned = finding.verdict == PoisonVerdict::kCondemned;
   LogEvent(condemned ? EventId::kPoisonCondemned : EventId::kSuspectRecorded,
            {{"content", std::to_string(finding.content)},
+            {"kind", KindName(is_part)},
             {"server", server.value()},
             {"losses", std::to_string(finding.losses)},
             {"source", source}});
@@ -252,7 +286,9 @@
                                   CondemnedCallback on_condemned) {
   std::lock_guard<std::mutex> lock(mutex_);
   for (const KnownSuspect& content : contents) {
+    // The hashes of requests and of parts of prompts do not coincide.
     ebonylift::OnSuspectKnown(poison_, content, SteadyNow());
+    ebonylift::OnSuspectKnown(part_poison_, content, SteadyNow());
   }
   on_condemned_ = std::move(on_condemned);
 }
@@ -260,12 +296,16 @@
 std::vector<SuspectReport> Dispatcher::KnownSuspects(Time now) const {
   std::vector<SuspectReport> reports;
   std::lock_guard<std::mutex> lock(mutex_);
-  for (const KnownSuspect& known : ebonylift::KnownSuspects(poison_, kMaxSharedSuspects, now)) {
-    SuspectReport report;
-    report.content = known.content;
-    report.losses = known.losses;
-    report.age = known.age;
-    reports.push_back(report);
+  for (bool is_part : {false, true}) {
+    const PoisonState& poison = is_part ? part_poison_ : poison_;
+    for (const KnownSuspect& known : ebonylift::KnownSuspects(poison, kMaxSharedSuspects, now)) {
+      SuspectReport report;
+      report.content = known.content;
+      report.losses = known.losses;
+      report.age = known.age;
+      report.is_part = is_part;
+      reports.push_back(report);
+    }
   }
   return reports;
 }
@@ -274,11 +314,26 @@
   bool condemned = false;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    condemned = ebonylift::OnSuspectKnown(poison_, {report.content, report.losses, report.age},
-                                          SteadyNow());
+    if (IsAnsweredHere(report, SteadyNow())) return;
+    condemned = ebonylift::OnSuspectKnown(PoisonOf(report.is_part),
+                                          {report.content, report.losses, report.age}, SteadyNow());
   }
   LossFinding finding{report.content, PoisonVerdict::kCondemned, report.losses, true};
-  if (condemned) HandleFinding(finding, report.server, "peer", report.age);
+  if (condemned) HandleFinding(finding, report.is_part, report.server, "peer", report.age);
+}
+
+// Precondition: the caller holds the mutex.
+bool Dispatcher::IsAnsweredHere(const SuspectReport& report, Time now) const {
+  return report.is_part && IsProven(proven_parts_, report.content, now);
+}
+
+// Precondition: the caller holds the mutex.
+void Dispatcher::ClearSuspicion(const SuspectReport& report) {
+  if (report.is_part) {
+    OnDisproved(part_poison_, report.content);
+  } else {
+    ebonylift::OnCompleted(poison_, report.content);
+  }
 }
 
 void Dispatcher::OnRemoteSuspect(const SuspectReport& report) {
@@ -291,17 +346,19 @@
   {
     std::lock_guard<std::mutex> lock(mutex_);
     if (report.cleared) {
-      ebonylift::OnCompleted(poison_, report.content);
+      ClearSuspicion(report);
       return;
     }
     Time now = SteadyNow();
-    was_condemned = ebonylift::Verdict(poison_, report.content, now) == PoisonVerdict::kCondemned;
+    if (IsAnsweredHere(report, now)) return;
+    PoisonState& poison = PoisonOf(report.is_part);
+    was_condemned = ebonylift::Verdict(poison, report.content, now) == PoisonVerdict::kCondemned;
     finding =
-        OnLossReported(poison_, report.server, report.content, report.alone, report.losses, now);
+        OnLossReported(poison, report.server, report.content, report.alone, report.losses, now);
     SetServersAside();
   }
   bool condemned = finding.verdict == PoisonVerdict::kCondemned;
-  if (condemned && !was_condemned) HandleFinding(finding, report.server, "peer");
+  if (condemned && !was_condemned) HandleFinding(finding, report.is_part, report.server, "peer");
 }
 
 void Dispatcher::OnCompleted(uint64_t content) {
@@ -310,11 +367,28 @@
     std::lock_guard<std::mutex> lock(mutex_);
     cleared = ebonylift::OnCompleted(poison_, content);
   }
-  if (!cleared) return;
-  LogEvent(EventId::kSuspectCleared, {{"content", std::to_string(content)}});
+  if (cleared) ReportCompletion(content, /*is_part=*/false);
+}
+
+void Dispatcher::OnPartsAnswered(const std::vector<uint64_t>& parts) {
+  std::vector<uint64_t> cleared;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    for (uint64_t part : parts) {
+      MarkProven(proven_parts_, part, SteadyNow());
+      if (OnDisproved(part_poison_, part)) cleared.push_back(part);
+    }
+  }
+  for (uint64_t part : cleared) ReportCompletion(part, /*is_part=*/true);
+}
+
+void Dispatcher::ReportCompletion(uint64_t content, bool is_part) {
+  LogEvent(EventId::kSuspectCleared,
+           {{"content", std::to_string(content)}, {"kind", KindName(is_part)}});
   SuspectReport report;
   report.content = content;
   report.cleared = true;
+  report.is_part = is_part;
   control_->ReportSuspects({report});
 }
 
@@ -323,9 +397,17 @@
   return ebonylift::Verdict(poison_, content, now);
 }
 
-Duration Dispatcher::TimeToExpiry(uint64_t content, Time now) const {
+std::optional<Duration> Dispatcher::RefusedFor(const RequestContent& content, Time now) const {
+  std::optional<Duration> refused_for;
   std::lock_guard<std::mutex> lock(mutex_);
-  return ebonylift::TimeToExpiry(poison_, content, now);
+  auto check = [&](const PoisonState& poison, uint64_t hash) {
+    if (ebonylift::Verdict(poison, hash, now) != PoisonVerdict::kCondemned) return;
+    Duration left = TimeToExpiry(poison, hash, now);
+    refused_for = std::max(left, refused_for.value_or(left));
+  };
+  check(poison_, content.content);
+  for (uint64_t part : content.parts) check(part_poison_, part);
+  return refused_for;
 }
 
 bool Dispatcher::MustRunAlone(uint64_t content, Time now) const {
@@ -369,6 +451,7 @@
       waiting_.erase(entry);
     }
     ebonylift::Expire(poison_, now);
+    ebonylift::Expire(part_poison_, now);
     PlaceQueued(now, &ready_callbacks);
   }
   RunCallbacks(std::move(ready_callbacks));
@@ -379,8 +462,8 @@
   DispatcherStats stats;
   stats.queued = QueueLength(admission_);
   for (size_t i = 0; i < 3; ++i) stats.queued_by_class[i] = admission_.queues[i].size();
-  for (const auto& [server, contents] : running_contents_) stats.in_flight += contents.size();
-  stats.suspects = poison_.suspects.size();
+  for (const auto& [server, requests] : running_) stats.in_flight += requests.size();
+  stats.suspects = poison_.suspects.size() + part_poison_.suspects.size();
   return stats;
 }
 
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -21,12 +21,16 @@
 
 #include "core/admission.h"
 #include "core/poison.h"
+#include "core/proven_contents.h"
 #include "core/retry.h"
 #include "core/routing.h"
 #include "ports/control_port.h"
 
 namespace ebonylift {
 
+// A part of a prompt that crashes servers does so within about a tenth of a second after the answer
+// begins.
+constexpr Duration kPartProofTime = milliseconds(500);
 constexpr size_t kMaxSharedSuspects = 256;  // in one message to a host that connects
 
 // The requests that this host had in flight on a server when the server was suspected to be lost.
@@ -34,6 +38,8 @@
   ServerId server;
   uint64_t incarnation = 0;
   std::vector<RunningContent> contents;
+  // Parts of their prompts, each once, of which no server has answered a request recently.
+  std::vector<RunningContent> parts;
   bool alone = false;  // see RanAlone() in core/routing.h
 };
 
@@ -117,9 +123,13 @@
   void OnRemoteSuspect(const SuspectReport& report);
   // A request with this content completed here, which clears a suspicion.
   void OnCompleted(uint64_t content);
+  // A server has written an answer to a request with these parts for kPartProofTime, or the whole
+  // answer.
+  void OnPartsAnswered(const std::vector<uint64_t>& parts);
   PoisonVerdict Verdict(uint64_t content, Time now) const;
-  // Returns the time until a condemned content may run again.
-  Duration TimeToExpiry(uint64_t content, Time now) const;
+  // Returns the time until a request may run again whose content or one of whose parts is
+  // condemned; nullopt if none is.
+  std::optional<Duration> RefusedFor(const RequestContent& content, Time now) const;
   // Returns whether reports of other hosts may revoke a condemnation: only one by a loss of a
   // server on which a suspect was placed alone.
   bool MayRevokeCondemnations() const { return suspect_placement_ == SuspectPlacement::kAlone; }
@@ -154,11 +164,25 @@
   static void RunCallbacks(ReadyCallbacks ready_callbacks);
 
   void SetServersAside();
+  // A request in flight on a server.
+  struct RunningRequest {
+    RunningContent content;
+    std::vector<RunningContent> parts;
+  };
+
+  PoisonState& PoisonOf(bool is_part) { return is_part ? part_poison_ : poison_; }
   void OnSuspectKnown(const SuspectReport& report);
+  // Whether the report is of a part that servers answer for this host, which disproves it.
+  bool IsAnsweredHere(const SuspectReport& report, Time now) const;
+  void ClearSuspicion(const SuspectReport& report);
+  void ReportCompletion(uint64_t content, bool is_part);
+  // Appends reports of the findings that are news.
+  void AddReports(const std::vector<LossFinding>& findings, const LossEvidence& evidence,
+                  bool is_part, std::vector<SuspectReport>* reports);
   // Logs a loss, and passes on that it condemned the content. `source` is "own" if this host
   // observed the loss, "peer" if another one reported it; `age` is the time since the loss.
-  void HandleFinding(const LossFinding& finding, const ServerId& server, const char* source,
-                     Duration age = Duration(0));
+  void HandleFinding(const LossFinding& finding, bool is_part, const ServerId& server,
+                     const char* source, Duration age = Duration(0));
 
   ControlPort* const control_;
   const SuspectPlacement suspect_placement_;
@@ -168,11 +192,13 @@
   RoutingState routing_state_;
   Admission admission_;
   RetryBudgets budgets_;
-  PoisonState poison_;
+  PoisonState poison_;       // of whole requests
+  PoisonState part_poison_;  // of parts of prompts
+  ProvenContents proven_parts_;
   std::shared_ptr<const RoutingView> view_;
   std::unordered_map<QueueId, WaitingRequest> waiting_;
   std::atomic<uint64_t> last_queue_id_{0};
-  std::unordered_map<ServerId, std::vector<RunningContent>> running_contents_;  // in flight
+  std::unordered_map<ServerId, std::vector<RunningRequest>> running_;  // in flight
 };
 
 }  // namespace ebonylift
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -192,23 +192,24 @@
   query.prompt_tokens = spec_.prompt_tokens;
   query.prefix_hashes = spec_.prefix_hashes;
   query.prefix_tokens = spec_.prefix_tokens;
-  query.content_hash = spec_.content_hash;
+  query.content_hash = spec_.content.content;
+  query.content_parts = spec_.content.parts;
   query.hops = spec_.hops;
   query.crossed_region = spec_.crossed_region;
   query.deadline = spec_.deadline;
   query.first_byte_deadline = FirstByteDeadline();
   query.avoid_servers = failed_servers_;
   query.avoid_hosts = tried_hosts_;
-  query.suspect = context_.dispatcher->MustRunAlone(spec_.content_hash, SteadyNow());
+  query.suspect = context_.dispatcher->MustRunAlone(spec_.content.content, SteadyNow());
   return query;
 }
 
 // A request may be condemned while it waits for a place, or between two attempts.
 bool Exchange::RefuseIfCondemned() {
   Time now = SteadyNow();
-  if (context_.dispatcher->Verdict(spec_.content_hash, now) != PoisonVerdict::kCondemned)
-    return false;
-  Refuse(ErrorKind::kPoison, "", context_.dispatcher->TimeToExpiry(spec_.content_hash, now));
+  std::optional<Duration> refused_for = context_.dispatcher->RefusedFor(spec_.content, now);
+  if (!refused_for) return false;
+  Refuse(ErrorKind::kPoison, "", *refused_for);
   return true;
 }
 
@@ -249,7 +250,7 @@
     case ChoiceKind::kForward: {
       const HostEntry* host = FindHost(*spec_.view, choice.host);
       if (host == nullptr) {
-        context_.dispatcher->CancelPlacement(choice, spec_.content_hash, SteadyNow());
+        context_.dispatcher->CancelPlacement(choice, spec_.content.content, SteadyNow());
         Refuse(ErrorKind::kRegionUnreachable, "");
         return;
       }
@@ -286,7 +287,7 @@
   ExchangeTable* table = context_.table;
   asio::io_context* io = context_.io;
   Dispatcher* dispatcher = context_.dispatcher;
-  uint64_t content = spec_.content_hash;
+  uint64_t content = spec_.content.content;
   auto on_ready = [=, id = id_](const Choice& choice) {
     asio::post(*io, [=] {
       if (Exchange* exchange = table->Find(id)) {
@@ -315,13 +316,13 @@
   queue_id_.reset();
   if (RefreshView()) {
     if (RefuseIfCondemned()) {
-      context_.dispatcher->CancelPlacement(choice, spec_.content_hash, SteadyNow());
+      context_.dispatcher->CancelPlacement(choice, spec_.content.content, SteadyNow());
       return;
     }
     HandlePlacement(choice);
     return;
   }
-  context_.dispatcher->CancelPlacement(choice, spec_.content_hash, SteadyNow());
+  context_.dispatcher->CancelPlacement(choice, spec_.content.content, SteadyNow());
   Refuse(ErrorKind::kUnknownModel, "the route was removed");
 }
 
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -79,7 +79,7 @@
 void Exchange::LogLossNotRecorded(const char* reason) const {
   if (!open_attempt_.server) return;
   LogEvent(EventId::kServerLossNotRecorded, {{"request_id", spec_.id.value()},
-                                             {"content", std::to_string(spec_.content_hash)},
+                                             {"content", std::to_string(spec_.content.content)},
                                              {"server", open_attempt_.server->value()},
                                              {"reason", reason}});
 }
@@ -113,7 +113,7 @@
   LogEvent(EventId::kAttemptFailed,
            {{"request_id", spec_.id.value()},
             {"caller_request_id", spec_.caller_request_id},
-            {"content", std::to_string(spec_.content_hash)},
+            {"content", std::to_string(spec_.content.content)},
             {"attempt", std::to_string(open_attempt_.number)},
             {"server", open_attempt_.server ? open_attempt_.server->value() : "forward"},
             {"outcome", CallOutcomeName(result.outcome)},
@@ -192,8 +192,7 @@
 
 void Exchange::RetryOrRefuse(ebonylift::Run run) {
   Time now = SteadyNow();
-  bool condemned =
-      context_.dispatcher->Verdict(spec_.content_hash, now) == PoisonVerdict::kCondemned;
+  bool condemned = context_.dispatcher->RefusedFor(spec_.content, now).has_value();
   if (condemned && context_.dispatcher->MayRevokeCondemnations() && !condemnation_checked_) {
     condemnation_checked_ = true;
     RunAfter(kCondemnationRecheckDelay, [run](Exchange* current) { current->RetryOrRefuse(run); });
@@ -302,7 +301,9 @@
     context_.metrics->AddCostUnits(spec_.traffic_class, units);
   }
   EndAttempt(ServerOutcome::kOk);
-  if (local) context_.dispatcher->OnCompleted(spec_.content_hash);
+  if (local) context_.dispatcher->OnCompleted(spec_.content.content);
+  bool answered = relay_.status() < 300 && !relay_.ends_with_connection();
+  if (local && answered) context_.dispatcher->OnPartsAnswered(spec_.content.parts);
   context_.metrics->ObserveWait(spec_.traffic_class, open_attempt_.dispatched_at - spec_.arrived);
   context_.metrics->CountAnswer(spec_.traffic_class, static_cast<int>(attempts_.attempts.size()),
                                 SteadyNow() - spec_.arrived);
@@ -392,7 +393,7 @@
   if (open_attempt_.server) {
     int64_t unread_tokens =
         open_attempt_.response_started ? 0 : open_attempt_.choice.prefill_tokens;
-    context_.dispatcher->EndLocal(*open_attempt_.server, spec_.content_hash,
+    context_.dispatcher->EndLocal(*open_attempt_.server, spec_.content.content,
                                   open_attempt_.dispatched_at, outcome, now, unread_tokens);
   }
   if (open_attempt_.forward_domain) {
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -48,7 +48,7 @@
   Time now = SteadyNow();
   const BackendServer* server = FindServer(*spec_.view, choice.server);
   if (!claim_.MarkDispatched()) {
-    context_.dispatcher->CancelPlacement(choice, spec_.content_hash, now);
+    context_.dispatcher->CancelPlacement(choice, spec_.content.content, now);
     Refuse(ErrorKind::kStorageFailed, "the claim on the idempotency key is no longer valid");
     return;
   }
@@ -191,9 +191,17 @@
   Time now = SteadyNow();
   if (open_attempt_.server && !open_attempt_.response_started) {
     open_attempt_.response_started = true;
+    open_attempt_.first_data_at = now;
     context_.dispatcher->OnFirstByte(ServedName(*spec_.route), open_attempt_.choice,
                                      open_attempt_.dispatched_at, now);
   }
+  bool parts_answered = open_attempt_.server && !open_attempt_.parts_answered &&
+                        relay_.status() < 300 &&
+                        now - open_attempt_.first_data_at >= kPartProofTime;
+  if (parts_answered) {
+    open_attempt_.parts_answered = true;
+    context_.dispatcher->OnPartsAnswered(spec_.content.parts);
+  }
   if (!first_byte_seen_) {
     context_.metrics->ObserveFirstToken(spec_.traffic_class, now - spec_.arrived);
   } else if (relay_.begun()) {
--- a/src/daemon/ingress_request.cc
+++ b/src/daemon/ingress_request.cc
@@ -10,6 +10,16 @@
 namespace ebonylift {
 namespace {
 
+// Sets the hashes of the parts of the prompt that other requests may share: all but the last. Each
+// covers the model and the part alone.
+void SetContentParts(RequestSpec* spec) {
+  uint64_t model = Hash64("part of a prompt for " + spec->dialect_request.model.value());
+  const std::vector<PromptPart>& prompt = spec->dialect_request.prompt;
+  for (size_t i = 0; i + 1 < prompt.size(); ++i) {
+    spec->content.parts.push_back(Hash64(std::to_string(prompt[i].id), model));
+  }
+}
+
 // Sets the hash and token count of every prefix of the prompt. Hashes are chained, so each one
 // covers the model and all preceding parts.
 void SetPrefixHashes(RequestSpec* spec) {
@@ -36,10 +46,11 @@
   spec.query = request.query;
   spec.headers = EndToEndHeaders(request.headers, HeaderSet::kWithHostAndAuthorization);
   spec.body = std::move(request.body);
-  spec.content_hash =
+  spec.content.content =
       Hash64(spec.body, Hash64(spec.method + spec.dialect_request.host + spec.path + spec.query));
   spec.prompt_tokens = spec.dialect_request.prompt_tokens;
   SetPrefixHashes(&spec);
+  SetContentParts(&spec);
   return spec;
 }
 
--- a/src/daemon/request.cc
+++ b/src/daemon/request.cc
@@ -300,7 +300,7 @@
   ApplyCallerHeaders(&spec, request.headers, now);
   if (!forward.empty()) ApplyForwardHeader(&spec, forward_header, now);
   spec.idempotency_key = IdempotencyKeyOf(spec, request.headers);
-  spec.content_hash = Hash64(spec.body, Hash64(spec.route->model.value() + spec.route->service));
+  spec.content.content = Hash64(spec.body, Hash64(spec.route->model.value() + spec.route->service));
   spec.headers = EndToEndHeaders(request.headers);
   CheckResidency(spec);
   return spec;
--- a/src/daemon/request.h
+++ b/src/daemon/request.h
@@ -13,6 +13,7 @@
 
 #include "adapters/http_server.h"
 #include "base/error.h"
+#include "core/poison.h"
 #include "daemon/dialect.h"
 #include "daemon/forward.h"
 #include "ports/views.h"
@@ -39,7 +40,8 @@
   int64_t prompt_tokens = 0;
   std::vector<uint64_t> prefix_hashes;  // one per prefix of the prompt, shortest first
   std::vector<int64_t> prefix_tokens;   // length of each; empty: multiples of kPrefixBlockTokens
-  uint64_t content_hash = 0;    // hash of target and body; identifies requests that crash servers
+  // Identifies requests that crash servers: the hash of target and body, and the shared parts.
+  RequestContent content;
   std::string body_sha256;      // computed on demand by BodyHash()
   int hops = 0;                 // forwards between hosts so far
   bool crossed_region = false;  // a forward has already crossed a region boundary
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -81,6 +81,7 @@
   bool cleared = false;  // the content completed and is no longer suspected
   int losses = 0;        // in succession, with this one; 0 if `cleared`
   Duration age{0};       // since the last loss
+  bool is_part = false;  // `content` is the hash of a part of a prompt
 };
 
 // The state of the daemon as JSON text, as shown by `ebonylift status`.
--- a/tests/answer_relay_test.cc
+++ b/tests/answer_relay_test.cc
@@ -158,4 +158,26 @@
   BOOST_TEST(view.body.empty());
 }
 
+// Guards against a stream that looks complete to the caller although its server was lost: a response
+// with neither a length nor chunks ends with its connection in both cases.
+BOOST_AUTO_TEST_CASE(StreamThatEndsWithItsConnectionNeedsAWholeEvent) {
+  CallerView caller;
+  Dialect dialect = TestDialect();
+  AnswerRelay relay(std::make_shared<FakeResponder>(&caller), &dialect);
+  relay.OnHeaders(200, kStream, ResponseKind::kAnswer);
+  BOOST_TEST(relay.ends_with_connection());
+  BOOST_TEST(!relay.stream_complete());
+  RelayEvents(&relay, "id: 1\ndata: a\n\nid: 2\nda");
+  BOOST_TEST(!relay.stream_complete());
+  RelayEvents(&relay, "ta: b\n\n");
+  BOOST_TEST(relay.stream_complete());
+
+  AnswerRelay framed(std::make_shared<FakeResponder>(&caller), &dialect);
+  HttpHeaders headers = kStream;
+  headers.emplace_back("Transfer-Encoding", "chunked");
+  framed.OnHeaders(200, headers, ResponseKind::kAnswer);
+  BOOST_TEST(!framed.ends_with_connection());
+  BOOST_TEST(framed.stream_complete());
+}
+
 }  // namespace ebonylift
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -3,6 +3,8 @@
 
 #include <boost/test/included/unit_test.hpp>
 
+#include "tests/support/fake_control.h"
+
 namespace ebonylift {
 namespace {
 
@@ -77,4 +79,123 @@
   BOOST_TEST(LookupError(results[0].error).code == std::string("no_server"));
 }
 
+namespace {
+
+// Parts of prompts. Requests with kCrashing crash their server; all share kCommon.
+constexpr uint64_t kCommon = 1;
+constexpr uint64_t kCrashing = 2;
+constexpr uint64_t kSound = 3;
+
+// Two hosts whose reports reach each other at once.
+struct PartsFixture {
+  struct Host {
+    test::FakeControl control;
+    Dispatcher dispatcher{&control, RoutingPolicy::kCost, SuspectPlacement::kAnywhere, 1};
+  };
+
+  PartsFixture() {
+    view.config = std::make_shared<ConfigView>();
+    view.self = {HostId("h0"), RegionId("este"), DomainId("este-a")};
+    route.kind = ServerKind::kService;
+    route.service = "portal";
+    route.regions = {RegionId("este")};
+  }
+
+  // Dispatches a new request to the server, which runs nothing else of this host.
+  void Dispatch(Host& host, const std::string& server, const std::vector<uint64_t>& parts) {
+    BackendServer entry;
+    entry.announced.id = ServerId(server);
+    entry.announced.kind = ServerKind::kService;
+    entry.announced.services = {route.service};
+    entry.announced.domain = view.self.domain;
+    entry.announced.region = view.self.region;
+    entry.announced.load.slots = 100;
+    entry.expires_at = SteadyNow() + seconds(60);
+    view.servers = {entry};
+    RouteQuery query;
+    query.route = &route;
+    query.allowed_regions = route.regions;
+    query.deadline = SteadyNow() + seconds(10);
+    query.content_hash = ++last_content;
+    query.content_parts = parts;
+    BOOST_REQUIRE((host.dispatcher.Place(query, view, SteadyNow()).kind == ChoiceKind::kLocal));
+  }
+
+  void Lose(Host& host, const std::string& server) {
+    host.dispatcher.RecordServerLoss(host.dispatcher.CollectLossEvidence(ServerId(server)),
+                                     SteadyNow());
+    ExchangeReports();
+  }
+
+  void ExchangeReports() {
+    for (auto [from, to] : {std::pair{&a, &b}, std::pair{&b, &a}}) {
+      for (const SuspectReport& report : std::exchange(from->control.reports, {})) {
+        to->dispatcher.OnRemoteSuspect(report);
+      }
+    }
+  }
+
+  bool IsRefused(Host& host, uint64_t part) {
+    return host.dispatcher.RefusedFor({++last_content, {part}}, SteadyNow()).has_value();
+  }
+
+  Host a;
+  Host b;
+  RouteConfig route;
+  RoutingView view;
+  uint64_t last_content = 1'000;
+};
+
+}  // namespace
+
+// Guards against requests that are new each time and crash their servers by a part that they share,
+// and against refusing the parts that sound requests share with them.
+BOOST_FIXTURE_TEST_CASE(PartInFlightOnThreeLostServersIsRefused, PartsFixture) {
+  for (int loss = 0; loss < kLossesToCondemn; ++loss) {
+    Host& host = loss % 2 == 0 ? a : b;
+    std::string server = "s" + std::to_string(loss);
+    BOOST_TEST(!IsRefused(host, kCrashing));
+    Dispatch(host, server, {kCommon, kCrashing});
+    Dispatch(host, server, {kCommon, kSound});
+    Lose(host, server);
+    host.dispatcher.OnPartsAnswered({kCommon, kSound});
+    ExchangeReports();
+  }
+  for (Host* host : {&a, &b}) {
+    BOOST_TEST(IsRefused(*host, kCrashing));
+    BOOST_TEST(!IsRefused(*host, kCommon));
+    BOOST_TEST(!IsRefused(*host, kSound));
+  }
+}
+
+// Guards against losses of several servers at once, as with their failure domain, that condemn what
+// they ran.
+BOOST_FIXTURE_TEST_CASE(SimultaneousLossesDoNotCondemnAPart, PartsFixture) {
+  for (const char* server : {"s1", "s2", "s3", "s4"}) Dispatch(a, server, {kSound});
+  for (const char* server : {"s1", "s2", "s3", "s4"}) Lose(a, server);
+  BOOST_TEST(!IsRefused(a, kSound));
+  BOOST_TEST(!IsRefused(b, kSound));
+}
+
+// Guards against a sound part that stays refused, on any host, because its first answers took
+// longer than the losses of the servers that it shared with a part that crashes them.
+BOOST_FIXTURE_TEST_CASE(AnswerDisprovesACondemnation, PartsFixture) {
+  for (const char* server : {"s1", "s2", "s3"}) {
+    Dispatch(a, server, {kSound});
+    Lose(a, server);
+  }
+  BOOST_TEST(IsRefused(a, kSound));
+  BOOST_TEST(IsRefused(b, kSound));
+  b.dispatcher.OnPartsAnswered({kSound});
+  ExchangeReports();
+  BOOST_TEST(!IsRefused(a, kSound));
+  BOOST_TEST(!IsRefused(b, kSound));
+  // What servers answer for a host is not refused there because of losses elsewhere.
+  for (const char* server : {"s1", "s2", "s3"}) {
+    Dispatch(a, server, {kSound});
+    Lose(a, server);
+  }
+  BOOST_TEST(!IsRefused(b, kSound));
+}
+
 }  // namespace ebonylift
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -309,7 +309,7 @@
   }
 
   PoisonVerdict VerdictOf(const RequestSpec& spec) {
-    return dispatcher.Verdict(spec.content_hash, SteadyNow());
+    return dispatcher.Verdict(spec.content.content, SteadyNow());
   }
 };
 
@@ -427,7 +427,7 @@
 BOOST_AUTO_TEST_CASE(ServerThatResetsTheProbeIsNotLost) {
   RequestSpec spec = Spec();
   spec.idempotent = false;
-  spec.content_hash = 7;
+  spec.content.content = 7;
   std::shared_ptr<FakeResponder> caller = Start(spec);
   client.calls[0].on_done(CallResult{CallOutcome::kFailed, 0, "connection reset", false});
   CallResult reset;
@@ -437,7 +437,7 @@
     RunUntil([&] { return client.calls.size() > probe; }, "the server is probed");
     client.calls[probe].on_done(reset);
   }
-  BOOST_TEST((dispatcher.Verdict(spec.content_hash, SteadyNow()) == PoisonVerdict::kClear));
+  BOOST_TEST((dispatcher.Verdict(spec.content.content, SteadyNow()) == PoisonVerdict::kClear));
 }
 
 // Guards against a request that is run although it has crashed one server after the other, because
--- a/tests/integration/platform_poison_test.cc
+++ b/tests/integration/platform_poison_test.cc
@@ -15,6 +15,7 @@
 // The platform's bound: of the requests that have crashed three replicas, at most this many more
 // may reach replicas later than kContactTime after the third crash.
 constexpr size_t kCrashesBeforeTheBound = 3;
+constexpr size_t kPartCrashesBeforeTheBound = 5;  // the same for a part of a prompt
 constexpr size_t kMaxLateRuns = 3;
 constexpr Duration kContactTime = seconds(5);
 constexpr Duration kCallerInterval = milliseconds(100);
@@ -37,6 +38,33 @@
     }
   }
 
+  // Sends requests that share a part of their prompt that crashes replicas, no two alike, and three
+  // times as many sound ones that share the other parts, to the gateways of all zones in turn.
+  void SendCrashingPartFor(Duration time) {
+    Time end = SteadyNow() + time;
+    for (size_t i = 0; SteadyNow() < end; ++i) {
+      for (int k = 0; k < 4; ++k) {
+        const std::string& zone = PlatformDeployment::Zones()[(i + k) % 3];
+        bool served = SendPrompt(zone, /*crashing=*/k == 0).status == 200;
+        if (k > 0 && served) ++sound_served;
+        if (k > 0) ++sound_sent;
+      }
+      std::this_thread::sleep_for(kCallerInterval);
+    }
+  }
+
+  TestResponse SendPrompt(const std::string& zone, bool crashing) {
+    std::string id = NextRequestId();
+    std::string own_part = std::to_string(++last_part_) + ":20";
+    std::string prompt = std::string("a1:800,b2:400,") +
+                         (crashing ? PlatformReplica::kCrashPart : "c3:100,") + own_part;
+    return platform.Request(zone, "GET", "/look/" + id, id,
+                            {{"Model", "m"}, {"Prompt-Prefix", prompt}});
+  }
+
+  int sound_sent = 0;
+  int sound_served = 0;
+
   // When the crashing request ran, oldest first.
   std::vector<Time> Runs() const {
     std::vector<Time> runs;
@@ -49,13 +77,16 @@
   }
 
   // The number of runs that count against kMaxLateRuns.
-  size_t LateRuns() const {
+  size_t LateRuns(size_t crashes_before = kCrashesBeforeTheBound) const {
     std::vector<Time> runs = Runs();
-    if (runs.size() < kCrashesBeforeTheBound) return 0;
-    Time from = runs[kCrashesBeforeTheBound - 1] + kContactTime;
+    if (runs.size() < crashes_before) return 0;
+    Time from = runs[crashes_before - 1] + kContactTime;
     return static_cast<size_t>(
         std::count_if(runs.begin(), runs.end(), [from](Time run) { return run > from; }));
   }
+
+ private:
+  int last_part_ = 0x100000;
 };
 
 }  // namespace
@@ -115,4 +146,26 @@
   BOOST_TEST(LateRuns() <= kMaxLateRuns);
 }
 
+// Guards against requests that crash their servers one after the other because each of them is new
+// and only a part of their prompts is the same, and against sound requests that are refused because
+// they share the other parts.
+BOOST_FIXTURE_TEST_CASE(PartOfAPromptThatCrashesServersIsRefused, Deployment) {
+  SendCrashingPartFor(2 * kContactTime + seconds(4));
+  BOOST_TEST(Runs().size() >= kCrashesBeforeTheBound);
+  BOOST_TEST_MESSAGE("runs of requests with the part: " << Runs().size());
+  BOOST_TEST(LateRuns(kPartCrashesBeforeTheBound) <= kMaxLateRuns);
+  BOOST_REQUIRE(WaitUntilAllServe());
+  sound_sent = 0;
+  sound_served = 0;
+  size_t runs = Runs().size();
+  SendCrashingPartFor(seconds(3));
+  BOOST_TEST(Runs().size() == runs);
+  BOOST_TEST(sound_served == sound_sent);
+  for (const std::string& zone : PlatformDeployment::Zones()) {
+    TestResponse refusal = SendPrompt(zone, /*crashing=*/true);
+    BOOST_TEST(refusal.status == 503, zone);
+    BOOST_TEST(!refusal.Header("Retry-After").empty(), zone);
+  }
+}
+
 }  // namespace ebonylift::test
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -145,13 +145,15 @@
     return;
   }
   std::string request_id = FindHeader(request.headers, "Attempt-Id");
+  bool crashes = request.path.find(kCrashPath) != std::string::npos ||
+                 FindHeader(request.headers, "Prompt-Prefix").find(kCrashPart) != std::string::npos;
   {
     std::lock_guard<std::mutex> lock(mutex_);
     runs_.push_back(request_id);
     run_times_.push_back(SteadyNow());
-    if (request.path.find(kCrashPath) != std::string::npos) crash_times_.push_back(SteadyNow());
+    if (crashes) crash_times_.push_back(SteadyNow());
   }
-  if (request.path.find(kCrashPath) != std::string::npos) {
+  if (crashes) {
     // The responder keeps the connection open until the crash.
     RunAfter(kTimeToCrash, [this, responder] { Crash(); });
     return;
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -33,13 +33,15 @@
 
 // A simulated service replica, which serves HTTP on a thread of its own. Thread safe.
 //
-// A request whose path contains kCrashPath crashes it: the replica closes its port and all its
+// A request whose path contains kCrashPath, or whose prompt has the part kCrashPart before the last
+// one, crashes it: the replica closes its port and all its
 // connections, and starts again after kCrashedTime, by turns with a new id and with the id that it
 // had.
 class PlatformReplica {
  public:
   static constexpr int kEventsPerStream = 6;  // number of events in a complete stream
   static constexpr char kCrashPath[] = "/crash";
+  static constexpr char kCrashPart[] = "dead:100,";  // in the Prompt-Prefix header
   static constexpr Duration kCrashedTime = milliseconds(1'000);
 
   PlatformReplica(const std::string& id, const std::string& ip, const std::string& service,
