--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -81,9 +81,9 @@
       {EventId::kJobFinished, 621, "job_finished", "A batch job reached its final state: job, state."},
       {EventId::kJobCancelled, 622, "job_cancelled", "A batch job was cancelled: job."},
       {EventId::kJobsRecovered, 623, "jobs_recovered", "Batch jobs were loaded at startup: jobs, open."},
-      {EventId::kSuspectRecorded, 700, "suspect_recorded", "A backend server was lost while it ran a request with this content: content, server, losses (in succession), source (own)."},
-      {EventId::kPoisonCondemned, 701, "poison_condemned", "Requests with this content are refused from now on: content, server (the last one lost), losses (in succession), source (own, or peer if another host reported the loss)."},
-      {EventId::kSuspectCleared, 702, "suspect_cleared", "A request with suspected content completed, so the suspicion was cleared: content."},
+      {EventId::kSuspectRecorded, 700, "suspect_recorded", "A backend server was lost while it ran a request with this content: content, kind (request or prompt_part), server, losses (in succession), source (own)."},
+      {EventId::kPoisonCondemned, 701, "poison_condemned", "Requests with this content are refused from now on: content, kind, server (the last one lost), losses (in succession), source (own, or peer if another host reported the loss)."},
+      {EventId::kSuspectCleared, 702, "suspect_cleared", "A request with suspected content completed, or a part of a prompt was answered, so the suspicion was cleared: content, kind."},
       {EventId::kServerLossNotRecorded, 703, "server_loss_not_recorded", "A backend server broke off an attempt, but its loss was not recorded: request_id, content, server, reason (the outcome of the probe of the server)."},
       {EventId::kCondemnedNotKept, 704, "condemned_not_kept", "The file of condemned contents cannot be read, so they are not stored until the daemon restarts: reason."},
   };
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -132,9 +132,9 @@
 // other hosts with ControlPort::ClearSuspect.
 bool OnCompleted(PoisonState& poison, uint64_t content);
 
-// Removes a content that a server has answered, also if it is condemned. For parts of prompts: a part
-// that crashes servers does so whenever an answer on it begins, so an answer disproves it. Returns
-// true if the content was a suspect.
+// Removes a content that a server has answered, also if it is condemned. For parts of prompts: a
+// part that crashes servers does so whenever an answer on it begins, so an answer disproves it.
+// Returns true if the content was a suspect.
 bool OnDisproved(PoisonState& poison, uint64_t content);
 
 // Returns the time until the content expires; 0 if it is not a suspect.
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -172,8 +172,8 @@
   std::vector<int64_t> prefix_tokens;
   uint64_t content_hash = 0;            // hash that identifies the model and the body
   std::vector<uint64_t> content_parts;  // see RequestContent::parts
-  int hops = 0;                 // forwards between hosts so far
-  bool crossed_region = false;  // one of these forwards went to another region
+  int hops = 0;                         // forwards between hosts so far
+  bool crossed_region = false;          // one of these forwards went to another region
   Time deadline;
   // First-byte target: the response is worth most when it starts before this time. Time(): none.
   Time first_byte_deadline;
--- a/tests/answer_relay_test.cc
+++ b/tests/answer_relay_test.cc
@@ -158,8 +158,8 @@
   BOOST_TEST(view.body.empty());
 }
 
-// Guards against a stream that looks complete to the caller although its server was lost: a response
-// with neither a length nor chunks ends with its connection in both cases.
+// Guards against a stream that looks complete to the caller although its server was lost: a
+// response with neither a length nor chunks ends with its connection in both cases.
 BOOST_AUTO_TEST_CASE(StreamThatEndsWithItsConnectionNeedsAWholeEvent) {
   CallerView caller;
   Dialect dialect = TestDialect();
