Give each test process TCP ports of its own

Tests drew random ports between 10,000 and 32,000 and freed them while a host restarted, so another process could take them; control_test drew its own, outside the ports of tests/support.

Now a process claims a block of 500 ports by a file lock that ends with it, control_test uses the same function, and a deployment takes 32 consecutive ports of the block instead of those below a free one.

--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -13,13 +13,13 @@
 #include <filesystem>
 #include <future>
 #include <mutex>
-#include <random>
 #include <set>
 #include <thread>
 
 #include "adapters/rpc.h"
 #include "base/hash.h"
 #include "peer.capnp.h"
+#include "tests/support/free_port.h"
 
 // Runs several control threads in one process, connected over loopback TCP.
 
@@ -37,21 +37,18 @@
   return true;
 }
 
-// Listens on a port of 127.0.0.1 below the ephemeral range, so that no outgoing connection takes
-// the port after Close().
+// Listens on a port of 127.0.0.1 that nothing else takes after Close(); see FreePort().
 class TestListener {
  public:
   TestListener() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    static std::mt19937 rng(std::random_device{}());
     int on = 1;
     setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    do {
-      port_ = static_cast<uint16_t>(10'000 + rng() % 22'000);
-      address.sin_port = htons(port_);
-    } while (bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0);
+    port_ = test::FreePort();
+    address.sin_port = htons(port_);
+    BOOST_REQUIRE(bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
     listen(fd_, 64);
   }
   ~TestListener() { Close(); }
@@ -69,7 +66,7 @@
   uint16_t port_ = 0;
 };
 
-std::string FreeAddress() { return TestListener().address(); }
+using test::FreeAddress;
 
 int ConnectTo(const std::string& address) {
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/tests/support/free_port.cc
+++ b/tests/support/free_port.cc
@@ -1,10 +1,13 @@
 #include "tests/support/free_port.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <mutex>
 #include <random>
 #include <stdexcept>
@@ -12,10 +15,10 @@
 namespace ebonylift::test {
 namespace {
 
-// The ports from 10000 to 31999 are handed out: by default, Linux uses ports from 32768 on for
-// outgoing connections.
+// The blocks lie from 10000 to 31999: by default, Linux uses ports from 32768 on for outgoing
+// connections.
 constexpr int kFirstPort = 10'000;
-constexpr int kPortCount = 22'000;
+constexpr int kBlocks = 44;
 
 bool CanBind(uint16_t port) {
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -29,20 +32,55 @@
   return bound;
 }
 
+// Returns whether this process now holds the block. The lock ends with the process.
+bool ClaimBlock(int block) {
+  std::filesystem::path path = std::filesystem::temp_directory_path() /
+                               ("ebonylift-test-ports-" + std::to_string(block) + ".lock");
+  int fd = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+  if (fd < 0) return false;
+  if (flock(fd, LOCK_EX | LOCK_NB) == 0) return true;
+  close(fd);
+  return false;
+}
+
+// Returns the first port of the block that this process claims.
+int FirstPortOfBlock() {
+  int first = static_cast<int>(std::random_device()() % kBlocks);
+  for (int tried = 0; tried < kBlocks; ++tried) {
+    int block = (first + tried) % kBlocks;
+    if (ClaimBlock(block)) return kFirstPort + block * kBlockPorts;
+  }
+  throw std::runtime_error("all blocks of TCP ports are claimed by other test processes");
+}
+
+bool CanBindAll(int first_port, int count) {
+  for (int port = first_port; port < first_port + count; ++port) {
+    if (!CanBind(static_cast<uint16_t>(port))) return false;
+  }
+  return true;
+}
+
 }  // namespace
 
-uint16_t FreePort() {
+uint16_t FreePorts(int count) {
   static std::mutex mutex;
-  static int next_offset = static_cast<int>(std::random_device()() % kPortCount);
+  static const int block_start = FirstPortOfBlock();
+  static int next_offset = 0;
   std::lock_guard<std::mutex> lock(mutex);
-  for (int tried = 0; tried < kPortCount; ++tried) {
-    auto port = static_cast<uint16_t>(kFirstPort + next_offset);
-    next_offset = (next_offset + 1) % kPortCount;
-    if (CanBind(port)) return port;
+  for (int tried = 0; tried < kBlockPorts; ++tried) {
+    if (next_offset + count > kBlockPorts) next_offset = 0;
+    int port = block_start + next_offset;
+    if (CanBindAll(port, count)) {
+      next_offset += count;
+      return static_cast<uint16_t>(port);
+    }
+    ++next_offset;
   }
   throw std::runtime_error("no free TCP port on 127.0.0.1");
 }
 
+uint16_t FreePort() { return FreePorts(1); }
+
 std::string FreeAddress() { return "127.0.0.1:" + std::to_string(FreePort()); }
 
 }  // namespace ebonylift::test
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -35,10 +35,10 @@
 std::string Endpoint(const std::string& ip, int port) { return ip + ":" + std::to_string(port); }
 
 int FreeBasePort() {
+  // Only deployments like this one listen on addresses of 127.20.0.0/16, and each process has ports
+  // of its own.
   constexpr int kPortsPerHost = 32;
-  // Other processes listen on 127.0.0.1 only, so the ports from the base port on are free on the
-  // 127.20.0.0/16 addresses of this deployment.
-  return FreePort() - kPortsPerHost;
+  return FreePorts(kPortsPerHost);
 }
 
 }  // namespace
