Act on what servers say in their answers: that they leave, or want nothing for a time

Neither was read: the dialect decoded only the limit on the rate.

Now the dialect decodes one typed notice (limit, leaving, pause), and core/server_notice.h decides what excludes a server. A notice holds for one incarnation, survives the loss and return of the registry entry, and needs no connection to other hosts. A pause never becomes shorter by an answer that was overtaken, is at most an hour, and ends with a slow start. When pauses exclude all servers, the caller is refused until the first of them ends.

--- a/src/base/event.h
+++ b/src/base/event.h
@@ -62,6 +62,7 @@
   kAnnouncementRefused = 311,
   kServersNotKept = 312,
   kServerLimitChanged = 313,
+  kServerPaused = 314,
 
   kHostAlive = 400,
   kHostSuspected = 401,
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -110,7 +110,8 @@
   std::vector<Candidate> in_slow_start;  // skipped for this request by slow start
   std::vector<Candidate> ejected;
   const BackendServer* own_server_set_aside = nullptr;
-  int count = 0;  // servers, except those that the query avoids
+  int count = 0;  // servers, except those that the query avoids or that are excluded by a notice
+  Time first_pause_end;  // of servers that asked for a pause; Time(): none
   int slots = 0;
   double service_s = 0;  // sum of the mean service times of these servers
 };
@@ -186,10 +187,12 @@
   return SameIncarnation(candidate) && candidate.state->replaced;
 }
 
-// Admits a new server to a random share of the choices. The share grows linearly to all choices
-// over kSlowStartDuration.
-bool PassesSlowStart(const BackendServer& server, Time now, std::mt19937_64& rng) {
-  Duration age = now - server.first_seen;
+// Admits a server that is new, or whose pause has ended, to a random share of the choices. The
+// share grows linearly to all choices over kSlowStartDuration.
+bool PassesSlowStart(const Candidate& candidate, Time now, std::mt19937_64& rng) {
+  Time since = candidate.server->first_seen;
+  if (SameIncarnation(candidate)) since = std::max(since, candidate.state->notices.paused_until);
+  Duration age = now - since;
   if (age >= kSlowStartDuration) return true;
   return std::uniform_real_distribution<double>(0, 1)(rng) <
          ToSeconds(age) / ToSeconds(kSlowStartDuration);
@@ -278,6 +281,10 @@
   return SameIncarnation(candidate) ? candidate.state->limit : RequestLimit();
 }
 
+SeenNotices NoticesOf(const Candidate& candidate) {
+  return SameIncarnation(candidate) ? candidate.state->notices : SeenNotices();
+}
+
 // False if the rate limit of the server does not allow a request from this host now.
 bool AllowedByRate(const RoutingView& view, Time now, Candidate* candidate) {
   if (candidate->request_rate <= 0) return true;
@@ -301,6 +308,13 @@
     if (Contains(query.avoid_servers, server.announced.id)) continue;
     Candidate candidate = MakeCandidate(query, server, routing_state);
     if (IsReplaced(candidate) || IsBeingProbed(candidate, now)) continue;
+    NoticeReason excluded = ExcludedBy(NoticesOf(candidate), now);
+    if (excluded == NoticeReason::kPaused) {
+      Time end = NoticesOf(candidate).paused_until;
+      bool first = local.first_pause_end == Time() || end < local.first_pause_end;
+      if (first) local.first_pause_end = end;
+    }
+    if (excluded != NoticeReason::kNone) continue;
     ++local.count;
     local.slots += candidate.slots;
     local.service_s += ServiceSeconds(candidate.state);
@@ -564,7 +578,7 @@
     if (!fits) continue;
     if (candidate.ejected) {
       local->ejected.push_back(candidate);
-    } else if (PassesSlowStart(server, now, rng)) {
+    } else if (PassesSlowStart(candidate, now, rng)) {
       local->with_room.push_back(candidate);
     } else {
       local->in_slow_start.push_back(candidate);
@@ -631,6 +645,15 @@
       });
 }
 
+// Refuses the request until some time after `pause_end`, so that callers do not return together.
+Choice RefusePaused(Time pause_end, Time now, std::mt19937_64& rng) {
+  constexpr double kMaxDelaySeconds = 1;
+  double delay = std::uniform_real_distribution<double>(0, kMaxDelaySeconds)(rng);
+  Choice choice = Refuse(ErrorKind::kOverloaded);
+  choice.retry_after = pause_end - now + Duration(static_cast<int64_t>(delay * 1e6));
+  return choice;
+}
+
 Choice HoldUntil(Time time) {
   Choice choice;
   choice.kind = ChoiceKind::kQueue;
@@ -699,6 +722,7 @@
     if (MayBeServedSoon(query, view, routing_state, now)) {
       return HoldUntil(std::min(routing_state.learning_until, query.deadline));
     }
+    if (local.first_pause_end != Time()) return RefusePaused(local.first_pause_end, now, rng);
     return Refuse(RefusalReason(query, view, local_allowed));
   }
 
@@ -724,10 +748,15 @@
     if (!CanServe(server, *query.route, view, now)) continue;
     Candidate candidate = MakeCandidate(query, server, routing_state);
     candidate.request_rate = RequestRate(view, server, LimitOf(candidate), now);
+    NoticeReason excluded = ExcludedBy(NoticesOf(candidate), now);
+    if (excluded == NoticeReason::kLeaving) continue;
     bool allowed = AllowedByRate(view, now, &candidate);
     if (!allowed && candidate.min_interval == Duration(0)) continue;  // only other hosts send to it
     double wait = PrefillSeconds(candidate.tokens_ahead, rate) + own;
     if (!allowed) wait = std::max(wait, ToSeconds(candidate.state->next_limited_dispatch - now));
+    if (excluded == NoticeReason::kPaused) {
+      wait = std::max(wait, ToSeconds(NoticesOf(candidate).paused_until - now));
+    }
     min_wait = std::min(min_wait, wait);
   }
   double jitter = std::uniform_real_distribution<double>(0.5, 1.5)(rng);
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -51,6 +51,7 @@
 #include "base/time.h"
 #include "core/prefix_index.h"
 #include "core/server_affinity.h"
+#include "core/server_notice.h"
 #include "ports/views.h"
 
 namespace ebonylift {
@@ -209,6 +210,7 @@
   uint64_t incarnation = 0;       // of the server at the last dispatch; a new one clears ejections
   RequestLimit limit;             // of a server; the newest known to this host
   Time own_limit_at;              // when this host last saw a limit named or withdrawn itself
+  SeenNotices notices;            // of `incarnation`
 };
 
 struct RoutingState {
@@ -255,6 +257,10 @@
 // that time. A request that another host forwarded is refused instead, because that host knows the
 // regions.
 //
+// A server that said in an answer that it leaves, or that it wants nothing for a time, gets
+// nothing. If this excludes all servers and no other failure domain can run the request, it is
+// refused until the first of the pauses ends.
+//
 // When a request is forwarded:
 // - A failure domain whose summary shows no free slot gets forwards only if no local server can run
 //   the request. Summaries do not include the queues of that domain's gateways, so a full domain
@@ -291,6 +297,10 @@
 bool OnRequestLimit(RoutingState& routing_state, const ServerId& server, uint64_t incarnation,
                     std::optional<double> per_s, Time now);
 
+// Records what an answer of the server says, except for its limit.
+NoticeChange OnServerNotice(RoutingState& routing_state, const ServerId& server,
+                            uint64_t incarnation, const ServerNotice& notice, Time now);
+
 // Records the end of a dispatch. `dispatched_at` is the `now` of its OnDispatch(), `prefill_tokens`
 // that of its choice, or 0 after OnFirstByte(). Returns true if this call ejected the server. At
 // most kMaxEjectedShare of the live servers of the view are ejected at a time, so that a fault in
--- a/src/core/routing_record.cc
+++ b/src/core/routing_record.cc
@@ -135,6 +135,7 @@
     state.replaced = false;
     state.limit = RequestLimit();
     state.own_limit_at = Time();
+    state.notices = SeenNotices();
   }
   if (query.suspect) {
     state.exclusivity_lost = state.in_flight > 0;
@@ -180,6 +181,13 @@
   return limit.per_s != before;
 }
 
+NoticeChange OnServerNotice(RoutingState& routing_state, const ServerId& server,
+                            uint64_t incarnation, const ServerNotice& notice, Time now) {
+  auto found = routing_state.servers.find(server);
+  if (found == routing_state.servers.end() || found->second.incarnation != incarnation) return {};
+  return OnNotice(found->second.notices, notice, now);
+}
+
 std::vector<ServerWork> WorkInFlight(const RoutingState& routing_state, Time now) {
   std::vector<ServerWork> work;
   for (const auto& [server, state] : routing_state.servers) {
@@ -254,7 +262,8 @@
   AdoptLimits(routing_state, view);
   for (auto it = routing_state.servers.begin(); it != routing_state.servers.end();) {
     const BackendServer* server = FindServer(view, it->first);
-    if (server == nullptr && it->second.in_flight == 0) {
+    bool unused = it->second.in_flight == 0 && !MustKeep(it->second.notices, now);
+    if (server == nullptr && unused) {
       it = routing_state.servers.erase(it);
       continue;
     }
--- /dev/null
+++ b/src/core/server_notice.h
@@ -0,0 +1,59 @@
+#ifndef EBONYLIFT_CORE_SERVER_NOTICE_H_
+#define EBONYLIFT_CORE_SERVER_NOTICE_H_
+
+// What backend servers say of themselves in their answers, and which of it keeps a server from
+// getting requests of this host.
+//
+// A notice holds for the incarnation that gave it, whatever announcements say, and whether or not
+// this host is connected to others. Limits on the rate of requests are in request_rate.h.
+//
+// All functions are pure and thread safe.
+
+#include <optional>
+
+#include "base/time.h"
+
+namespace ebonylift {
+
+// A server's wish for a longer pause counts as this one.
+constexpr Duration kMaxServerPause = seconds(3'600);
+// The state of a server that leaves is kept for at least this long after its last such answer. It
+// exits earlier.
+constexpr Duration kLeavingRetention = seconds(120);
+
+// What one answer says.
+struct ServerNotice {
+  std::optional<double> requests_per_s;  // from all hosts together
+  bool leaving = false;
+  // The server turned the request away and wants nothing from this host for this time; 0: it does
+  // not say so.
+  Duration pause{0};
+};
+
+// What this host has seen of one incarnation of a server.
+struct SeenNotices {
+  Time leaving_at;    // the last answer that said that the server leaves; Time(): none
+  Time paused_until;  // Time(): no pause
+};
+
+// What changed by a notice.
+struct NoticeChange {
+  bool leaving = false;  // the server had not said that it leaves before
+  bool pause = false;    // a pause began or became longer
+};
+
+// Why a server gets nothing from this host.
+enum class NoticeReason { kNone, kLeaving, kPaused };
+
+// Records the notice. A pause never becomes shorter by a later answer, because answers overtake
+// each other.
+NoticeChange OnNotice(SeenNotices& seen, const ServerNotice& notice, Time now);
+
+NoticeReason ExcludedBy(const SeenNotices& seen, Time now);
+
+// Whether the notices must be kept although the server is not announced any more.
+bool MustKeep(const SeenNotices& seen, Time now);
+
+}  // namespace ebonylift
+
+#endif  // EBONYLIFT_CORE_SERVER_NOTICE_H_
--- a/src/daemon/dialect.h
+++ b/src/daemon/dialect.h
@@ -16,6 +16,7 @@
 #include "adapters/http_server.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "core/server_notice.h"
 #include "daemon/answers.h"
 
 namespace ebonylift {
@@ -68,9 +69,9 @@
   // Classifies a response by its status and headers.
   ResponseKind (*classify_response)(const HttpHeaders& caller, int status,
                                     const HttpHeaders& response);
-  // Returns the requests per second that the backend server, by this response, takes from all hosts
-  // together; nullopt if it names no limit or not a valid one.
-  std::optional<double> (*request_limit)(const HttpHeaders& response);
+  // Returns what the backend server says of itself in a response. Values that are not valid are
+  // left out.
+  ServerNotice (*server_notice)(int status, const HttpHeaders& response);
   // Sends an error response that the gateway generates itself.
   void (*send_error)(HttpResponder* responder, const ErrorResponse& response);
 };
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -155,17 +155,31 @@
   ebonylift::OnFirstByte(routing_state_, served, choice, dispatched_at, now);
 }
 
-void Dispatcher::OnRequestLimit(const ServerId& server, uint64_t incarnation,
-                                std::optional<double> per_s, Time now) {
-  bool changed = false;
+void Dispatcher::OnServerNotice(const ServerId& server, uint64_t incarnation,
+                                const ServerNotice& notice, bool has_limit, Time now) {
+  bool limit_changed = false;
+  NoticeChange change;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    changed = ebonylift::OnRequestLimit(routing_state_, server, incarnation, per_s, now);
+    if (has_limit) {
+      limit_changed =
+          OnRequestLimit(routing_state_, server, incarnation, notice.requests_per_s, now);
+    }
+    change = ebonylift::OnServerNotice(routing_state_, server, incarnation, notice, now);
+  }
+  if (limit_changed) {
+    const std::optional<double>& limit = notice.requests_per_s;
+    LogEvent(
+        EventId::kServerLimitChanged,
+        {{"server", server.value()}, {"requests_per_s", limit ? std::to_string(*limit) : "none"}});
+  }
+  if (change.leaving) {
+    LogEvent(EventId::kServerLeaving, {{"server", server.value()}, {"source", "answer"}});
+  }
+  if (change.pause) {
+    LogEvent(EventId::kServerPaused,
+             {{"server", server.value()}, {"ms", std::to_string(ToMillis(notice.pause))}});
   }
-  if (!changed) return;
-  LogEvent(
-      EventId::kServerLimitChanged,
-      {{"server", server.value()}, {"requests_per_s", per_s ? std::to_string(*per_s) : "none"}});
 }
 
 std::vector<ServerWork> Dispatcher::WorkInFlight() const {
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -98,9 +98,10 @@
   // Records that the first byte of the response to a local dispatch arrived.
   void OnFirstByte(const std::string& served, const Choice& choice, Time dispatched_at, Time now);
 
-  // Records the limit that an answer to a local dispatch named; nullopt: it named none.
-  void OnRequestLimit(const ServerId& server, uint64_t incarnation, std::optional<double> per_s,
-                      Time now);
+  // Records what the server says in an answer to a local dispatch. `has_limit` is false if the
+  // answer does not show whether the server names a limit.
+  void OnServerNotice(const ServerId& server, uint64_t incarnation, const ServerNotice& notice,
+                      bool has_limit, Time now);
 
   // Returns the work that this host currently has at each backend server, and the limits it saw.
   std::vector<ServerWork> WorkInFlight() const;
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -153,11 +153,10 @@
   // Another server answers kWrongServer, and a response without a limit that cannot be attributed
   // may not be of this server.
   if (spec_.dialect != nullptr && open_attempt_.server && kind != ResponseKind::kWrongServer) {
-    std::optional<double> limit = spec_.dialect->request_limit(headers);
-    if (limit || kind != ResponseKind::kUnattributable) {
-      context_.dispatcher->OnRequestLimit(*open_attempt_.server, open_attempt_.choice.incarnation,
-                                          limit, SteadyNow());
-    }
+    ServerNotice notice = spec_.dialect->server_notice(status, headers);
+    bool has_limit = notice.requests_per_s || kind != ResponseKind::kUnattributable;
+    context_.dispatcher->OnServerNotice(*open_attempt_.server, open_attempt_.choice.incarnation,
+                                        notice, has_limit, SteadyNow());
   }
   relay_.OnHeaders(status, headers, kind);
 }
--- /dev/null
+++ b/tests/integration/platform_notice_test.cc
@@ -0,0 +1,94 @@
+#define BOOST_TEST_MODULE platform_notice
+#include <algorithm>
+#include <atomic>
+#include <boost/test/included/unit_test.hpp>
+#include <thread>
+
+#include "tests/support/portal_deployment.h"
+#include "tests/support/wait_for.h"
+
+// Replicas that say in their answers that they leave, or that they want nothing for a time, while
+// callers send requests through the gateways of all regions.
+
+namespace ebonylift::test {
+namespace {
+
+constexpr int kGatewaysPerZone = 2;
+constexpr Duration kCallerInterval = milliseconds(30);
+constexpr int kCallers = 4;
+// The platform's bounds: what a client sent later than kDrainTime after a gateway had passed on an
+// answer that says that the replica leaves does not reach it from that gateway, and from kReactTime
+// after a 503 with Retry-After to its end at most kMaxLateRequests reach it from that gateway.
+constexpr Duration kDrainTime = seconds(3);
+constexpr Duration kReactTime = milliseconds(500);
+constexpr int kMaxLateRequests = 2;
+
+class Deployment : public PortalDeployment {
+ public:
+  Deployment() : PortalDeployment(kGatewaysPerZone, {"este-a", "este-a", "centro-a"}) {
+    for (int i = 0; i < kCallers; ++i) {
+      callers_.emplace_back([this, i] {
+        const std::string& zone = PlatformDeployment::Zones()[i % 2];
+        while (!stopping_) {
+          if (!Serves(zone)) ++not_served;
+          std::this_thread::sleep_for(kCallerInterval);
+        }
+      });
+    }
+    std::this_thread::sleep_for(seconds(1));
+  }
+  ~Deployment() {
+    stopping_ = true;
+    for (std::thread& caller : callers_) caller.join();
+  }
+
+  static long Arrivals(const PlatformReplica& replica, Time from, Time to) {
+    std::vector<Time> times = replica.ArrivalTimes();
+    return std::count_if(times.begin(), times.end(),
+                         [&](Time time) { return time >= from && time < to; });
+  }
+
+  std::atomic<int> not_served{0};
+
+ private:
+  std::vector<std::thread> callers_;
+  std::atomic<bool> stopping_{false};
+};
+
+}  // namespace
+
+// Guards against requests to a replica that leaves, which the gateways know only from its answers:
+// also at a gateway that was stopped meanwhile and one that no control host reaches.
+BOOST_FIXTURE_TEST_CASE(ReplicaThatSaysThatItLeavesGetsNothing, Deployment) {
+  PlatformReplica* leaving = replicas[0];
+  BOOST_TEST(Arrivals(*leaving, Time(), SteadyNow()) > 0);
+  for (int host = 0; host < 3; ++host) platform.KillControl(host);
+  leaving->SetLeaving();
+  Time said = SteadyNow();
+  platform.StopGateway("centro-a");
+  std::this_thread::sleep_for(seconds(1));
+  platform.ContinueGateway("centro-a");
+  std::this_thread::sleep_for(kDrainTime + seconds(2));
+  BOOST_TEST(Arrivals(*leaving, said + kDrainTime, SteadyNow()) == 0);
+  BOOST_TEST(Arrivals(*replicas[1], said + kDrainTime, SteadyNow()) > 0);
+  BOOST_TEST(not_served == 0);
+}
+
+// Guards against requests to a replica in the time in which it wants none, against callers who pay
+// for it although another replica has room, and against a replica that is left alone for ever.
+BOOST_FIXTURE_TEST_CASE(ReplicaIsLeftAloneForTheTimeThatItNames, Deployment) {
+  constexpr Duration kPause = seconds(4);
+  constexpr int kGateways = 3 * kGatewaysPerZone;
+  PlatformReplica* paused = replicas[0];
+  paused->SetPause("4");
+  Time began = SteadyNow();
+  std::this_thread::sleep_for(kPause);
+  // A gateway whose first request comes later has a pause that ends later.
+  BOOST_TEST(Arrivals(*paused, began + kReactTime, began + kPause) <= kMaxLateRequests * kGateways);
+  BOOST_TEST(not_served == 0);
+  paused->SetPause("");
+  std::this_thread::sleep_for(kPause + seconds(3));
+  BOOST_TEST(Arrivals(*paused, SteadyNow() - seconds(1), SteadyNow()) > 0);
+}
+
+}  // namespace ebonylift::test
--- a/tests/platform_dialect_test.cc
+++ b/tests/platform_dialect_test.cc
@@ -147,10 +147,40 @@
        {Row{"1.1", 1.1}, Row{"12", 12.0}, Row{"0", 0.0}, Row{"", std::nullopt},
         Row{"-1", std::nullopt}, Row{"nan", std::nullopt}, Row{"inf", std::nullopt},
         Row{"2/s", std::nullopt}, Row{"1.1 ", std::nullopt}, Row{"9e999", std::nullopt}}) {
-    std::optional<double> limit = kPlatformDialect.request_limit({{"server-limit", row.text}});
-    BOOST_TEST((limit == row.expected), row.text);
+    ServerNotice notice = kPlatformDialect.server_notice(200, {{"server-limit", row.text}});
+    BOOST_TEST((notice.requests_per_s == row.expected), row.text);
+  }
+  ServerNotice none = kPlatformDialect.server_notice(200, {{"Server-Seal", "1"}});
+  BOOST_TEST(!none.requests_per_s.has_value());
+}
+
+// Guards against a server that leaves and is not noticed, and against another header or value that
+// takes a server out of use.
+BOOST_AUTO_TEST_CASE(LeavingIsRead) {
+  for (int status : {200, 500, 503}) {
+    BOOST_TEST(kPlatformDialect.server_notice(status, {{"server-leaving", "1"}}).leaving);
+  }
+  BOOST_TEST(!kPlatformDialect.server_notice(200, {{"Server-Leaving", "0"}}).leaving);
+  BOOST_TEST(!kPlatformDialect.server_notice(200, {}).leaving);
+}
+
+// Guards against a wish for a pause that is not read, against one without end, and against pauses
+// because of answers that did not turn the request away.
+BOOST_AUTO_TEST_CASE(PauseIsRead) {
+  struct Row {
+    int status;
+    const char* text;
+    Duration expected;
+  };
+  for (const Row& row :
+       {Row{503, "2", seconds(2)}, Row{503, "0.25", milliseconds(250)}, Row{503, "0", Duration(0)},
+        Row{503, "", Duration(0)}, Row{503, "-1", Duration(0)}, Row{503, "nan", Duration(0)},
+        Row{503, "soon", Duration(0)}, Row{503, "1e12", Duration(0)},
+        Row{503, "999999999999", kMaxServerPause}, Row{500, "2", Duration(0)},
+        Row{200, "2", Duration(0)}}) {
+    ServerNotice notice = kPlatformDialect.server_notice(row.status, {{"retry-after", row.text}});
+    BOOST_TEST((notice.pause == row.expected), row.status << " " << row.text);
   }
-  BOOST_TEST(!kPlatformDialect.request_limit({{"Server-Seal", "1"}}).has_value());
 }
 
 }  // namespace ebonylift::platform
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -99,6 +99,16 @@
   limit_ = limit;
 }
 
+void PlatformReplica::SetPause(const std::string& retry_after) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  pause_ = retry_after;
+}
+
+std::vector<Time> PlatformReplica::ArrivalTimes() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return arrival_times_;
+}
+
 std::vector<Time> PlatformReplica::RunTimes() const {
   std::lock_guard<std::mutex> lock(mutex_);
   return run_times_;
@@ -140,8 +150,17 @@
     return;
   }
   ReplicaMode mode = mode_;
-  if (mode == ReplicaMode::kRefuse) {
-    responder->Send(503, {{"Not-Executed", "1"}}, "");
+  std::string pause;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    arrival_times_.push_back(SteadyNow());
+    pause = pause_;
+  }
+  if (mode == ReplicaMode::kRefuse || !pause.empty()) {
+    HttpHeaders refusal = {{"Not-Executed", "1"}};
+    if (!pause.empty()) refusal.emplace_back("Retry-After", pause);
+    AddNotices(&refusal);
+    responder->Send(503, refusal, "");
     return;
   }
   std::string request_id = FindHeader(request.headers, "Attempt-Id");
@@ -168,12 +187,13 @@
   }
   if (mode == ReplicaMode::kWrongAttemptId) request_id = "another";
   HttpHeaders headers = {{"Attempt-Id", request_id}, {"Server-Seal", id()}};
-  AddLimit(&headers);
+  AddNotices(&headers);
   int status = mode == ReplicaMode::kFail ? 500 : 200;
   responder->Send(status, headers, request.method + " " + request.path + " " + request.body);
 }
 
-void PlatformReplica::AddLimit(HttpHeaders* headers) const {
+void PlatformReplica::AddNotices(HttpHeaders* headers) const {
+  if (leaving_) headers->emplace_back("Server-Leaving", "1");
   std::lock_guard<std::mutex> lock(mutex_);
   if (!limit_.empty()) headers->emplace_back("Server-Limit", limit_);
 }
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -57,6 +57,12 @@
   std::vector<Time> CrashTimes() const;
   // Names this limit, in requests per second, in all answers from now on; empty: names none.
   void SetLimit(const std::string& limit);
+  // Says in all answers from now on that it leaves; its heartbeats do not say so.
+  void SetLeaving() { leaving_ = true; }
+  // Answers every request with 503 and this Retry-After from now on; empty: runs them again.
+  void SetPause(const std::string& retry_after);
+  // When requests arrived that were meant for this replica, oldest first.
+  std::vector<Time> ArrivalTimes() const;
   // When requests began to run, oldest first.
   std::vector<Time> RunTimes() const;
   // False from a crash until the restart.
@@ -69,7 +75,8 @@
   void Handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
   void Stream(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder,
               bool break_connection);
-  void AddLimit(HttpHeaders* headers) const;
+  // Adds what the replica says of itself.
+  void AddNotices(HttpHeaders* headers) const;
   void Listen(const std::string& address);
   void Crash();
   void Restart();
@@ -84,7 +91,10 @@
   std::vector<std::string> runs_;
   std::vector<Time> run_times_;
   std::vector<Time> crash_times_;
+  std::vector<Time> arrival_times_;
   std::string limit_;
+  std::string pause_;
+  std::atomic<bool> leaving_{false};
   bool running_ = true;
   int restarts_ = 0;
   std::string id_;
