Split the answering side of connections between daemons from rpc.cc

GateServer takes its three callbacks as one struct, and ToData() moves to kj_types.h. No behaviour changes: control_test and packed_stream_test pass before and after.

--- a/src/adapters/kj_types.h
+++ b/src/adapters/kj_types.h
@@ -24,6 +24,11 @@
   return std::string(reinterpret_cast<const char*>(data.begin()), data.size());
 }
 
+// The result refers to `bytes`, which must outlive it.
+inline capnp::Data::Reader ToData(const std::string& bytes) {
+  return capnp::Data::Reader(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size());
+}
+
 }  // namespace ebonylift
 
 #endif  // EBONYLIFT_ADAPTERS_KJ_TYPES_H_
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -14,8 +14,10 @@
 #include <utility>
 
 #include "adapters/kj_types.h"
-#include "adapters/packed_stream.h"
 #include "adapters/peer_codec.h"
+#include "adapters/peer_login.h"
+#include "adapters/peer_server.h"
+#include "adapters/peer_stream.h"
 #include "base/descriptor_claim.h"
 #include "base/hash.h"
 
@@ -25,9 +27,7 @@
 using VatId = capnp::rpc::twoparty::VatId;
 using Side = capnp::rpc::twoparty::Side;
 
-constexpr size_t kNonceBytes = 16;
 constexpr size_t kMaxPendingLogins = 64;
-constexpr size_t kMaxHostIdBytes = 256;
 constexpr int kKeepAliveIdleSeconds = 5;
 constexpr int kKeepAliveIntervalSeconds = 2;
 constexpr int kKeepAliveCount = 3;
@@ -37,28 +37,6 @@
 // Also the time for which a connection stays open after its login was refused.
 constexpr Duration kAcceptRetryDelay = milliseconds(100);
 
-capnp::Data::Reader ToData(const std::string& bytes) {
-  return capnp::Data::Reader(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size());
-}
-
-[[noreturn]] void ThrowCallFailed(const std::string& reason) {
-  kj::throwFatalException(
-      kj::Exception(kj::Exception::Type::FAILED, __FILE__, __LINE__, kj::str(reason.c_str())));
-}
-
-// The MAC covers a label and `to`, the id of the host that checks it, so that it cannot be reused
-// for another purpose or on another host.
-std::string LoginMac(const std::string& key, const std::string& nonce, const std::string& to,
-                     const std::string& from, uint64_t incarnation) {
-  return HmacHex(key,
-                 "login\n" + nonce + "\n" + to + "\n" + from + "\n" + std::to_string(incarnation));
-}
-
-// Proves to the host that logs in that `host`, which accepts the login, has the cluster key, too.
-std::string ProofMac(const std::string& key, const std::string& nonce, const std::string& host) {
-  return HmacHex(key, "proof\n" + nonce + "\n" + host);
-}
-
 // Makes the kernel close a connection within about 11 s after the remote host has disappeared.
 void SetSocketOptions(kj::AsyncIoStream* stream) {
   int on = 1;
@@ -82,55 +60,6 @@
   return options;
 }
 
-// A PackedStream that reports why a message could not be read. The RPC system alone would close the
-// connection without giving the reason.
-class ErrorReportingStream final : public capnp::MessageStream {
- public:
-  using ErrorCallback = std::function<void(const std::string& reason)>;
-
-  // `stream` and `counts` must outlive this object.
-  ErrorReportingStream(kj::AsyncIoStream& stream, ByteCounts* counts, ErrorCallback on_error)
-      : inner_(stream, counts), on_error_(std::move(on_error)) {}
-
-  kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> tryReadMessage(
-      kj::ArrayPtr<kj::AutoCloseFd> fd_space, capnp::ReaderOptions options,
-      kj::ArrayPtr<capnp::word> scratch) override {
-    return inner_.tryReadMessage(fd_space, options, scratch)
-        .catch_([this](kj::Exception&& e) -> kj::Maybe<capnp::MessageReaderAndFds> {
-          // FAILED means a malformed or oversized message; a lost connection has another type.
-          if (e.getType() == kj::Exception::Type::FAILED) on_error_(e.getDescription().cStr());
-          kj::throwFatalException(kj::mv(e));
-        });
-  }
-
-  kj::Promise<void> writeMessage(
-      kj::ArrayPtr<const int> fds,
-      kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) override {
-    return inner_.writeMessage(fds, segments);
-  }
-
-  kj::Promise<void> writeMessages(
-      kj::ArrayPtr<kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>>> messages) override {
-    return inner_.writeMessages(messages);
-  }
-
-  kj::Maybe<int> getSendBufferSize() override { return inner_.getSendBufferSize(); }
-  kj::Promise<void> end() override { return inner_.end(); }
-
- private:
-  PackedStream inner_;
-  ErrorCallback on_error_;
-};
-
-// The login state of an incoming connection.
-struct Session {
-  std::string nonce;
-  bool login_attempted = false;
-  bool logged_in = false;
-  HostId host;
-  std::shared_ptr<void> pending_login;  // counted in Impl::pending_logins until this is released
-};
-
 // An incoming connection. Members are destroyed in reverse order: the RPC system before the
 // network, and the network before the stream.
 struct IncomingConnection {
@@ -243,199 +172,6 @@
   kj::TaskSet tasks;  // last, so that it is destroyed first: its tasks use the members above
 };
 
-namespace {
-
-// Passes the calls of a logged-in peer to the handler.
-class PeerServer final : public wire::Peer::Server {
- public:
-  PeerServer(RpcHandler* handler, std::shared_ptr<Session> session)
-      : handler_(handler), session_(std::move(session)) {}
-
-  kj::Promise<void> gossip(GossipContext context) override {
-    auto params = context.getParams();
-    ProcessClock().Receive(params.getHlc());
-    auto paf = kj::newPromiseAndFulfiller<GossipReply>();
-    auto fulfiller =
-        std::make_shared<kj::Own<kj::PromiseFulfiller<GossipReply>>>(kj::mv(paf.fulfiller));
-    handler_->OnPeerGossip(session_->host, ReadDigest(params.getDigest(), SteadyNow()),
-                           HostId(ToStdString(params.getTarget())),
-                           [fulfiller](GossipMessage message, bool reached) {
-                             (*fulfiller)->fulfill(GossipReply{std::move(message), reached});
-                           });
-    return paf.promise.then([context](GossipReply&& reply) mutable {
-      auto results = context.getResults();
-      results.setHlc(ProcessClock().Now());
-      WriteDigest(reply.message, SteadyNow(), results.initDigest());
-      results.setReached(reply.reached);
-    });
-  }
-
-  kj::Promise<void> announce(AnnounceContext context) override {
-    auto params = context.getParams();
-    ProcessClock().Receive(params.getHlc());
-    std::vector<RelayedAnnouncement> announcements;
-    for (wire::Relayed::Reader row : params.getAnnouncements()) {
-      RelayedAnnouncement relayed;
-      relayed.announcement = ReadAnnouncement(row.getAnnouncement());
-      relayed.age = Duration(static_cast<int64_t>(std::min<uint64_t>(
-          row.getAgeMicros(), static_cast<uint64_t>(seconds(3600).count()) * 1'000'000)));
-      announcements.push_back(std::move(relayed));
-    }
-    std::vector<uint64_t> unknown =
-        handler_->OnPeerAnnounce(session_->host, Duration(params.getSentAtMicros()), announcements,
-                                 ReadRefreshes(ToStdString(params.getRefreshes())));
-    auto results = context.getResults();
-    results.setHlc(ProcessClock().Now());
-    auto keys = results.initUnknown(static_cast<uint32_t>(unknown.size()));
-    for (uint32_t i = 0; i < keys.size(); ++i) keys.set(i, unknown[i]);
-    return kj::READY_NOW;
-  }
-
-  kj::Promise<void> consensus(ConsensusContext context) override {
-    auto params = context.getParams();
-    ProcessClock().Receive(params.getHlc());
-    handler_->OnPeerConsensus(session_->host, ToStdString(params.getMessage()));
-    context.getResults().setHlc(ProcessClock().Now());
-    return kj::READY_NOW;
-  }
-
-  kj::Promise<void> configSince(ConfigSinceContext context) override {
-    auto params = context.getParams();
-    ProcessClock().Receive(params.getHlc());
-    std::string data = handler_->OnPeerConfigSince(params.getRevision(), params.getOffset());
-    auto results = context.getResults();
-    results.setHlc(ProcessClock().Now());
-    results.setData(ToData(data));
-    return kj::READY_NOW;
-  }
-
-  kj::Promise<void> proposePut(ProposePutContext context) override {
-    auto params = context.getParams();
-    ProcessClock().Receive(params.getHlc());
-    auto paf = kj::newPromiseAndFulfiller<kj::Own<PutAnswer>>();
-    auto fulfiller =
-        std::make_shared<kj::Own<kj::PromiseFulfiller<kj::Own<PutAnswer>>>>(kj::mv(paf.fulfiller));
-    handler_->OnPeerPut(ReadPut(params.getPut()), params.getHops(), [fulfiller](PutAnswer answer) {
-      (*fulfiller)->fulfill(kj::heap<PutAnswer>(std::move(answer)));
-    });
-    return paf.promise.then([context](kj::Own<PutAnswer>&& answer) mutable {
-      auto results = context.getResults();
-      results.setHlc(ProcessClock().Now());
-      WritePutAnswer(*answer, results.initAnswer());
-    });
-  }
-
-  kj::Promise<void> suspect(SuspectContext context) override {
-    auto params = context.getParams();
-    ProcessClock().Receive(params.getHlc());
-    std::vector<SuspectReport> reports;
-    for (wire::SuspectNote::Reader row : params.getNotes()) reports.push_back(ReadSuspectNote(row));
-    handler_->OnPeerSuspects(reports);
-    context.getResults().setHlc(ProcessClock().Now());
-    return kj::READY_NOW;
-  }
-
-  kj::Promise<void> work(WorkContext context) override {
-    auto params = context.getParams();
-    ProcessClock().Receive(params.getHlc());
-    std::vector<ServerWork> work;
-    for (wire::ServerWork::Reader row : params.getRows()) work.push_back(ReadServerWork(row));
-    handler_->OnPeerWorkList(session_->host, std::move(work));
-    context.getResults().setHlc(ProcessClock().Now());
-    return kj::READY_NOW;
-  }
-
-  kj::Promise<void> timeline(TimelineContext context) override {
-    auto params = context.getParams();
-    ProcessClock().Receive(params.getHlc());
-    TimelinePage page = handler_->OnPeerTimeline(
-        params.getSince(), ToStdString(params.getRequestId()), params.getLimit());
-    auto results = context.getResults();
-    results.setHlc(ProcessClock().Now());
-    results.setMore(page.more);
-    auto rows = results.initEvents(static_cast<uint32_t>(page.events.size()));
-    for (uint32_t i = 0; i < rows.size(); ++i) WriteEvent(page.events[i], rows[i]);
-    return kj::READY_NOW;
-  }
-
- private:
-  RpcHandler* handler_;
-  std::shared_ptr<Session> session_;
-};
-
-// The bootstrap interface of an incoming connection, on which the peer logs in.
-class GateServer final : public wire::Gate::Server {
- public:
-  using RefusalCallback = std::function<void(const std::string& host, const std::string& reason)>;
-
-  GateServer(const RpcOptions* options, RpcHandler* handler, std::shared_ptr<Session> session,
-             RefusalCallback on_refused, std::function<bool(const HostId&)> is_allowed,
-             std::function<void(const HostId&)> on_login)
-      : options_(options),
-        handler_(handler),
-        session_(std::move(session)),
-        on_refused_(std::move(on_refused)),
-        is_allowed_(std::move(is_allowed)),
-        on_login_(std::move(on_login)) {}
-
-  kj::Promise<void> challenge(ChallengeContext context) override {
-    auto results = context.getResults();
-    results.setHlc(ProcessClock().Now());
-    results.setHost(options_->self.value());
-    results.setNonce(session_->nonce);
-    return kj::READY_NOW;
-  }
-
-  kj::Promise<void> login(LoginContext context) override {
-    auto params = context.getParams();
-    std::string host = ToStdString(params.getHost());
-    if (host.size() > kMaxHostIdBytes) host.resize(kMaxHostIdBytes);
-    std::string reason =
-        LoginRefusalReason(host, params.getIncarnation(), ToStdString(params.getMac()));
-    session_->login_attempted = true;
-    if (!reason.empty()) {
-      on_refused_(host, reason);
-      ThrowCallFailed("login refused: " + reason);
-    }
-    // Only after the check: a caller without the key must not be able to advance the clock.
-    ProcessClock().Receive(params.getHlc());
-    session_->logged_in = true;
-    session_->pending_login = nullptr;
-    session_->host = HostId(host);
-    LogEvent(EventId::kPeerConnected, {{"host", host}, {"direction", "in"}});
-    on_login_(session_->host);
-    handler_->OnPeerLogin(session_->host, params.getIncarnation());
-    auto results = context.getResults();
-    results.setHlc(ProcessClock().Now());
-    results.setProof(
-        ProofMac(options_->cluster_key, ToStdString(params.getNonce()), options_->self.value()));
-    results.setPeer(kj::heap<PeerServer>(handler_, session_));
-    return kj::READY_NOW;
-  }
-
- private:
-  // Returns an empty string if the login is accepted. Each nonce is valid for a single login, so a
-  // recorded login cannot be replayed on the same or another connection.
-  std::string LoginRefusalReason(const std::string& host, uint64_t incarnation,
-                                 const std::string& mac) const {
-    if (session_->login_attempted) return "second login on a connection";
-    std::string expected =
-        LoginMac(options_->cluster_key, session_->nonce, options_->self.value(), host, incarnation);
-    if (!ConstantTimeEqual(mac, expected)) return "wrong mac";
-    if (!is_allowed_(HostId(host))) return "unknown host";
-    return "";
-  }
-
-  const RpcOptions* options_;
-  RpcHandler* handler_;
-  std::shared_ptr<Session> session_;
-  RefusalCallback on_refused_;
-  std::function<bool(const HostId&)> is_allowed_;
-  std::function<void(const HostId&)> on_login_;
-};
-
-}  // namespace
-
 // ---- incoming ----
 
 void Rpc::Impl::Listen() {
@@ -495,14 +231,14 @@
   in->network = kj::heap<capnp::TwoPartyVatNetwork>(*in->messages, Side::SERVER, ReaderLimits());
   auto refusal = kj::newPromiseAndFulfiller<void>();
   auto close = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(refusal.fulfiller));
-  auto gate = kj::heap<GateServer>(
-      &options, handler, session,
-      [this, close](const std::string& host, const std::string& reason) {
-        LogLoginRefused(host, reason);
-        (*close)->fulfill();
-      },
-      [this](const HostId& host) { return IsLoginAllowed(host); },
-      [this](const HostId& host) { ReconnectNow(host); });
+  GateCallbacks callbacks;
+  callbacks.on_refused = [this, close](const std::string& host, const std::string& reason) {
+    LogLoginRefused(host, reason);
+    (*close)->fulfill();
+  };
+  callbacks.is_allowed = [this](const HostId& host) { return IsLoginAllowed(host); };
+  callbacks.on_login = [this](const HostId& host) { ReconnectNow(host); };
+  auto gate = MakeGate(&options, handler, session, std::move(callbacks));
   in->system = kj::heap(capnp::makeRpcServer(*in->network, wire::Gate::Client(kj::mv(gate))));
   auto login_timed_out = timer()
                              .afterDelay(ToKjDuration(options.login_timeout))
