--- a/tests/integration/platform_limit_test.cc
+++ b/tests/integration/platform_limit_test.cc
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE platform_limit
 #include <algorithm>
-#include <atomic>
 #include <boost/test/included/unit_test.hpp>
+#include <memory>
 #include <thread>
 
 #include "tests/support/portal_deployment.h"
@@ -39,30 +39,13 @@
         },
         kStartTimeout));
   }
-  ~Deployment() { StopCallers(); }
 
   void StartCallers() {
-    for (int i = 0; i < kCallers; ++i) {
-      callers_.emplace_back([this, i] {
-        const std::string& zone = PlatformDeployment::Zones()[i % 2];
-        while (!stopping_) {
-          if (!Serves(zone)) ++not_served;
-          std::this_thread::sleep_for(kCallerInterval);
-        }
-      });
-    }
+    callers = std::make_unique<PortalCallers>(this, kCallers, kCallerInterval);
   }
-  void StopCallers() {
-    stopping_ = true;
-    for (std::thread& caller : callers_) caller.join();
-    callers_.clear();
-  }
-
-  std::atomic<int> not_served{0};
+  void StopCallers() { callers->Stop(); }
 
- private:
-  std::vector<std::thread> callers_;
-  std::atomic<bool> stopping_{false};
+  std::unique_ptr<PortalCallers> callers;
 };
 
 // The most runs in any kLimitWindow that begins at `from` or later and ends by `to`.
@@ -105,7 +88,7 @@
     BOOST_TEST(MostRuns(limited->RunTimes(), withdrawn, SteadyNow()) > 2 * AllowedRuns());
   }
   StopCallers();
-  BOOST_TEST(not_served == 0);
+  BOOST_TEST(callers->not_served() == 0);
 }
 
 // Guards against a gateway that takes all of the limit for itself after it was frozen or started
--- a/tests/integration/platform_notice_test.cc
+++ b/tests/integration/platform_notice_test.cc
@@ -1,6 +1,5 @@
 #define BOOST_TEST_MODULE platform_notice
 #include <algorithm>
-#include <atomic>
 #include <boost/test/included/unit_test.hpp>
 #include <thread>
 
@@ -26,21 +25,8 @@
 class Deployment : public PortalDeployment {
  public:
   Deployment() : PortalDeployment(kGatewaysPerZone, {"este-a", "este-a", "centro-a"}) {
-    for (int i = 0; i < kCallers; ++i) {
-      callers_.emplace_back([this, i] {
-        const std::string& zone = PlatformDeployment::Zones()[i % 2];
-        while (!stopping_) {
-          if (!Serves(zone)) ++not_served;
-          std::this_thread::sleep_for(kCallerInterval);
-        }
-      });
-    }
     std::this_thread::sleep_for(seconds(1));
   }
-  ~Deployment() {
-    stopping_ = true;
-    for (std::thread& caller : callers_) caller.join();
-  }
 
   static long Arrivals(const PlatformReplica& replica, Time from, Time to) {
     std::vector<Time> times = replica.ArrivalTimes();
@@ -48,11 +34,7 @@
                          [&](Time time) { return time >= from && time < to; });
   }
 
-  std::atomic<int> not_served{0};
-
- private:
-  std::vector<std::thread> callers_;
-  std::atomic<bool> stopping_{false};
+  PortalCallers callers{this, kCallers, kCallerInterval};
 };
 
 }  // namespace
@@ -71,7 +53,7 @@
   std::this_thread::sleep_for(kDrainTime + seconds(2));
   BOOST_TEST(Arrivals(*leaving, said + kDrainTime, SteadyNow()) == 0);
   BOOST_TEST(Arrivals(*replicas[1], said + kDrainTime, SteadyNow()) > 0);
-  BOOST_TEST(not_served == 0);
+  BOOST_TEST(callers.not_served() == 0);
 }
 
 // Guards against requests to a replica in the time in which it wants none, against callers who pay
@@ -85,7 +67,7 @@
   std::this_thread::sleep_for(kPause);
   // A gateway whose first request comes later has a pause that ends later.
   BOOST_TEST(Arrivals(*paused, began + kReactTime, began + kPause) <= kMaxLateRequests * kGateways);
-  BOOST_TEST(not_served == 0);
+  BOOST_TEST(callers.not_served() == 0);
   paused->SetPause("");
   std::this_thread::sleep_for(kPause + seconds(3));
   BOOST_TEST(Arrivals(*paused, SteadyNow() - seconds(1), SteadyNow()) > 0);
--- a/tests/support/portal_deployment.cc
+++ b/tests/support/portal_deployment.cc
@@ -39,4 +39,22 @@
   return WaitFor(all_serve, kStartTimeout);
 }
 
+PortalCallers::PortalCallers(PortalDeployment* deployment, int count, Duration interval) {
+  for (int i = 0; i < count; ++i) {
+    threads_.emplace_back([this, deployment, interval, i] {
+      const std::string& zone = PlatformDeployment::Zones()[static_cast<size_t>(i % 2)];
+      while (!stopping_) {
+        if (!deployment->Serves(zone)) ++not_served_;
+        std::this_thread::sleep_for(interval);
+      }
+    });
+  }
+}
+
+void PortalCallers::Stop() {
+  stopping_ = true;
+  for (std::thread& thread : threads_) thread.join();
+  threads_.clear();
+}
+
 }  // namespace ebonylift::test
--- a/tests/support/portal_deployment.h
+++ b/tests/support/portal_deployment.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "tests/support/platform_deployment.h"
@@ -33,6 +34,25 @@
   std::atomic<int> request_number_{0};
 };
 
+// Callers that send harmless requests to the gateways of the first two zones until Stop().
+class PortalCallers {
+ public:
+  // Each of `count` callers sends a request, waits for the answer and then for `interval`.
+  // `deployment` must outlive this object.
+  PortalCallers(PortalDeployment* deployment, int count, Duration interval);
+  ~PortalCallers() { Stop(); }
+  PortalCallers(const PortalCallers&) = delete;
+  PortalCallers& operator=(const PortalCallers&) = delete;
+
+  void Stop();
+  int not_served() const { return not_served_; }
+
+ private:
+  std::atomic<int> not_served_{0};
+  std::atomic<bool> stopping_{false};
+  std::vector<std::thread> threads_;
+};
+
 }  // namespace ebonylift::test
 
 #endif  // EBONYLIFT_TESTS_SUPPORT_PORTAL_DEPLOYMENT_H_
