Forget a condemned part of a prompt on disk when an answer revokes it

An answer revokes the condemnation of a part on all hosts, but hosts with a disk kept it: after a restart of all of them the sound part was refused again, and as nothing with it ran any more, nothing could show once more that it is harmless. Now the revocation removes it from the store.

CollectLossEvidence() loses the collection of parts to a function of its own.

--- a/src/daemon/condemned_store.cc
+++ b/src/daemon/condemned_store.cc
@@ -41,6 +41,14 @@
   journal_->Compact(Encode(), [](bool) {});
 }
 
+void CondemnedStore::Remove(uint64_t content, WallMillis now) {
+  if (journal_ == nullptr) return;
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (last_losses_.erase(content) == 0) return;
+  RemoveExpired(now);
+  journal_->Compact(Encode(), [](bool) {});
+}
+
 // Also removes the oldest entries beyond kMaxSuspects.
 void CondemnedStore::RemoveExpired(WallMillis now) {
   for (auto it = last_losses_.begin(); it != last_losses_.end();) {
--- a/src/daemon/condemned_store.h
+++ b/src/daemon/condemned_store.h
@@ -6,9 +6,9 @@
 //
 // A failed write is logged by the journal; the next condemned content leads to another attempt.
 //
-// Load() is called once, before any other method and on one thread. Add() is thread safe and does
-// not wait for the disk. Memory: kMaxSuspects entries of 16 bytes, and one encoded list for each
-// write that has not ended.
+// Load() is called once, before any other method and on one thread. Add() and Remove() are thread
+// safe and do not wait for the disk. Memory: kMaxSuspects entries of 16 bytes, and one encoded list
+// for each write that has not ended.
 
 #include <cstdint>
 #include <map>
@@ -35,6 +35,9 @@
   // Stores a content that was condemned.
   void Add(const KnownSuspect& condemned, WallMillis now);
 
+  // Removes a content whose condemnation was revoked; does nothing if it is not stored.
+  void Remove(uint64_t content, WallMillis now);
+
  private:
   void RemoveExpired(WallMillis now);
   std::string Encode() const;
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -225,17 +225,10 @@
   evidence.server = server;
   auto running = running_.find(server);
   if (running != running_.end()) {
-    std::map<uint64_t, int> losses_known;
     for (const RunningRequest& request : running->second) {
       evidence.contents.push_back(request.content);
-      for (const RunningContent& part : request.parts) {
-        int& known = losses_known[part.content];
-        known = std::max(known, part.losses_known);
-      }
-    }
-    for (const auto& [part, known] : losses_known) {
-      if (!IsProven(proven_parts_, part, SteadyNow())) evidence.parts.push_back({part, known});
     }
+    evidence.parts = UnprovenParts(running->second);
   }
   if (!view_) return evidence;
   for (const BackendServer& known : view_->servers) {
@@ -246,6 +239,23 @@
   return evidence;
 }
 
+// Precondition: the caller holds the mutex.
+std::vector<RunningContent> Dispatcher::UnprovenParts(
+    const std::vector<RunningRequest>& requests) const {
+  std::map<uint64_t, int> losses_known;
+  for (const RunningRequest& request : requests) {
+    for (const RunningContent& part : request.parts) {
+      int& known = losses_known[part.content];
+      known = std::max(known, part.losses_known);
+    }
+  }
+  std::vector<RunningContent> parts;
+  for (const auto& [part, known] : losses_known) {
+    if (!IsProven(proven_parts_, part, SteadyNow())) parts.push_back({part, known});
+  }
+  return parts;
+}
+
 void Dispatcher::RecordServerLoss(const LossEvidence& evidence, Time now) {
   std::vector<LossFinding> findings;
   std::vector<LossFinding> part_findings;
@@ -297,7 +307,7 @@
 }
 
 void Dispatcher::RestoreCondemned(const std::vector<KnownSuspect>& contents,
-                                  CondemnedCallback on_condemned) {
+                                  CondemnedCallback on_condemned, RevokedCallback on_revoked) {
   std::lock_guard<std::mutex> lock(mutex_);
   for (const KnownSuspect& content : contents) {
     // The hashes of requests and of parts of prompts do not coincide.
@@ -305,6 +315,7 @@
     ebonylift::OnSuspectKnown(part_poison_, content, SteadyNow());
   }
   on_condemned_ = std::move(on_condemned);
+  on_revoked_ = std::move(on_revoked);
 }
 
 std::vector<SuspectReport> Dispatcher::KnownSuspects(Time now) const {
@@ -341,10 +352,17 @@
   return report.is_part && IsProven(proven_parts_, report.content, now);
 }
 
+// Precondition: the caller holds the mutex.
+bool Dispatcher::RemovePart(uint64_t part) {
+  bool was_suspect = OnDisproved(part_poison_, part);
+  if (was_suspect && on_revoked_) on_revoked_(part);
+  return was_suspect;
+}
+
 // Precondition: the caller holds the mutex.
 void Dispatcher::ClearSuspicion(const SuspectReport& report) {
   if (report.is_part) {
-    OnDisproved(part_poison_, report.content);
+    RemovePart(report.content);
   } else {
     ebonylift::OnCompleted(poison_, report.content);
   }
@@ -390,7 +408,7 @@
     std::lock_guard<std::mutex> lock(mutex_);
     for (uint64_t part : parts) {
       MarkProven(proven_parts_, part, SteadyNow());
-      if (OnDisproved(part_poison_, part)) cleared.push_back(part);
+      if (RemovePart(part)) cleared.push_back(part);
     }
   }
   for (uint64_t part : cleared) ReportCompletion(part, /*is_part=*/true);
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -63,6 +63,8 @@
 
   // Runs without the mutex on the thread whose call condemned the content.
   using CondemnedCallback = std::function<void(const KnownSuspect&)>;
+  // Runs with the mutex held.
+  using RevokedCallback = std::function<void(uint64_t content)>;
 
   // Suspects are reported to `control`, which must outlive the dispatcher.
   Dispatcher(ControlPort* control, RoutingPolicy policy, SuspectPlacement suspect_placement,
@@ -116,8 +118,10 @@
   // Records that the server was lost and reports its contents as suspects to the other hosts.
   void RecordServerLoss(const LossEvidence& evidence, Time now);
   // Records contents that were condemned before this process started, then calls `on_condemned` for
-  // each content that is condemned from now on. Call it before any other method.
-  void RestoreCondemned(const std::vector<KnownSuspect>& contents, CondemnedCallback on_condemned);
+  // each content that is condemned from now on, and `on_revoked` for each part that is no longer
+  // suspected. Call it before any other method.
+  void RestoreCondemned(const std::vector<KnownSuspect>& contents, CondemnedCallback on_condemned,
+                        RevokedCallback on_revoked);
   // Returns what this host knows of suspects, to tell a host that may have missed reports.
   std::vector<SuspectReport> KnownSuspects(Time now) const;
   // Another host reported a suspect, or that its content completed.
@@ -176,6 +180,10 @@
   // Whether the report is of a part that servers answer for this host, which disproves it.
   bool IsAnsweredHere(const SuspectReport& report, Time now) const;
   void ClearSuspicion(const SuspectReport& report);
+  // Removes a part that was answered. Returns whether it was a suspect.
+  bool RemovePart(uint64_t part);
+  // The parts of the requests, each once, of which no server has answered a request recently.
+  std::vector<RunningContent> UnprovenParts(const std::vector<RunningRequest>& requests) const;
   void ReportCompletion(uint64_t content, bool is_part);
   // Appends reports of the findings that are news.
   void AddReports(const std::vector<LossFinding>& findings, const LossEvidence& evidence,
@@ -188,6 +196,7 @@
   ControlPort* const control_;
   const SuspectPlacement suspect_placement_;
   CondemnedCallback on_condemned_;  // may be null
+  RevokedCallback on_revoked_;      // may be null
   mutable std::mutex mutex_;
   std::mt19937_64 rng_;
   RoutingState routing_state_;
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -93,7 +93,8 @@
         seed());
     dispatcher_->RestoreCondemned(
         condemned_->Load(WallNow()),
-        [this](const KnownSuspect& condemned) { condemned_->Add(condemned, WallNow()); });
+        [this](const KnownSuspect& condemned) { condemned_->Add(condemned, WallNow()); },
+        [this](uint64_t content) { condemned_->Remove(content, WallNow()); });
     control_dispatcher_ = dispatcher_.get();
     TrafficOptions traffic;
     traffic.settings = settings_;
--- a/tests/condemned_store_test.cc
+++ b/tests/condemned_store_test.cc
@@ -52,6 +52,23 @@
   store.Add({7, kLossesToCondemn, seconds(0)}, kNow);
 }
 
+// Guards against a content that is refused again after a restart although its condemnation was
+// revoked: nothing that is refused can show once more that it is harmless.
+BOOST_AUTO_TEST_CASE(RevokedContentIsNotLoaded) {
+  test::TempDir dir;
+  {
+    CondemnedStore store(std::make_shared<FileJournal>(dir.path(), "condemned"));
+    store.Load(kNow);
+    store.Add({7, kLossesToCondemn, seconds(0)}, kNow);
+    store.Add({8, kLossesToCondemn, seconds(0)}, kNow);
+    store.Remove(7, kNow);
+    store.Remove(9, kNow);
+  }
+  std::vector<KnownSuspect> loaded = LoadAt(dir, kNow);
+  BOOST_REQUIRE(loaded.size() == 1u);
+  BOOST_TEST(loaded[0].content == 8u);
+}
+
 // Guards against a host without a disk that fails.
 BOOST_AUTO_TEST_CASE(NothingIsStoredWithoutAJournal) {
   CondemnedStore store(nullptr);
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -180,6 +180,10 @@
 // Guards against a sound part that stays refused, on any host, because its first answers took
 // longer than the losses of the servers that it shared with a part that crashes them.
 BOOST_FIXTURE_TEST_CASE(AnswerDisprovesACondemnation, PartsFixture) {
+  int revoked = 0;
+  for (Host* host : {&a, &b}) {
+    host->dispatcher.RestoreCondemned({}, nullptr, [&revoked](uint64_t) { ++revoked; });
+  }
   for (const char* server : {"s1", "s2", "s3"}) {
     Dispatch(a, server, {kSound});
     Lose(a, server);
@@ -188,6 +192,7 @@
   BOOST_TEST(IsRefused(b, kSound));
   b.dispatcher.OnPartsAnswered({kSound});
   ExchangeReports();
+  BOOST_TEST(revoked == 2);
   BOOST_TEST(!IsRefused(a, kSound));
   BOOST_TEST(!IsRefused(b, kSound));
   // What servers answer for a host is not refused there because of losses elsewhere.
