--- a/src/daemon/config_changes.h
+++ b/src/daemon/config_changes.h
@@ -4,8 +4,9 @@
 // Configuration changes for callers that do not supply a base revision.
 //
 // Each change is first proposed on the revision in the local replica. Thread safe. `done` runs
-// once, on the control thread; it gets std::nullopt when the change is durable on a majority of the
-// voters, or when the durable configuration already makes the change unnecessary.
+// once, on the control thread or on that of a CallerCheck; it gets std::nullopt when the change is
+// durable on a majority of the voters, or when the durable configuration already makes the change
+// unnecessary.
 
 #include <cstdint>
 #include <functional>
@@ -14,16 +15,13 @@
 
 #include "base/error.h"
 #include "base/ids.h"
+#include "daemon/caller_check.h"
 #include "ports/control_port.h"
 
 namespace ebonylift {
 
 using ChangeDone = std::function<void(std::optional<Error>)>;
 
-// Finds out whether the caller still waits for the change, and passes the result to its argument,
-// on any thread.
-using CallerCheck = std::function<void(std::function<void(bool waits)> done)>;
-
 // Replaces the document at kIngressPath, unless the stored document has version `version` or a
 // higher one. On a conflict it is retried on the revision that the leader returned, because the
 // highest version wins in any order. Fails with kConfigInvalid or with the errors of
