--- a/src/core/config_tree.cc
+++ b/src/core/config_tree.cc
@@ -106,10 +106,15 @@
   return result;
 }
 
+uint8_t FormOf(const StoredChange& change) {
+  if (!change.data) return kDeleted;
+  return change.is_difference ? kDifference : kWholeValue;
+}
+
 void WriteChange(ByteWriter* writer, const StoredChange& change) {
   writer->U64(change.revision);
   writer->String(change.path);
-  writer->U8(!change.data ? kDeleted : change.is_difference ? kDifference : kWholeValue);
+  writer->U8(FormOf(change));
   if (change.data) writer->String(*change.data);
   writer->String(change.operator_name);
   writer->I64(change.accepted_at);
