--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -129,6 +129,7 @@
   void RelayEvents(std::string events);
   void EndOversizedAttempt(const char* reason);
   void RecordDataReceived();
+  void ReportAnsweredParts(Time now);
   // Calls `step` after `delay`, unless the exchange has ended, CancelStep() is called or another
   // step is set before that.
   void RunAfter(Duration delay, std::function<void(Exchange*)> step);
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -186,6 +186,15 @@
                   ebonylift::Run::kMayHaveRun);
 }
 
+// An answer that has been going on for kPartProofTime shows that no part of the prompt crashes
+// servers.
+void Exchange::ReportAnsweredParts(Time now) {
+  if (!open_attempt_.server || open_attempt_.parts_answered || relay_.status() >= 300) return;
+  if (now - open_attempt_.first_data_at < kPartProofTime) return;
+  open_attempt_.parts_answered = true;
+  context_.dispatcher->OnPartsAnswered(spec_.content.parts);
+}
+
 void Exchange::RecordDataReceived() {
   Time now = SteadyNow();
   if (open_attempt_.server && !open_attempt_.response_started) {
@@ -194,13 +203,7 @@
     context_.dispatcher->OnFirstByte(ServedName(*spec_.route), open_attempt_.choice,
                                      open_attempt_.dispatched_at, now);
   }
-  bool parts_answered = open_attempt_.server && !open_attempt_.parts_answered &&
-                        relay_.status() < 300 &&
-                        now - open_attempt_.first_data_at >= kPartProofTime;
-  if (parts_answered) {
-    open_attempt_.parts_answered = true;
-    context_.dispatcher->OnPartsAnswered(spec_.content.parts);
-  }
+  ReportAnsweredParts(now);
   if (!first_byte_seen_) {
     context_.metrics->ObserveFirstToken(spec_.traffic_class, now - spec_.arrived);
   } else if (relay_.begun()) {
