Software versions of servers in announcements and in log lines of streams

Announcements now carry it between hosts; server_announced and stream_resumed name it, and stream_taken_up says that a caller takes up a stream. Routing does not use it yet. A heartbeat without a version, or with one that is not text, registers nothing, like other malformed ones.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -148,6 +148,7 @@
   slots @17 :Int32;
   prefillTokensWaiting @18 :Int64;
   coldMicros @19 :UInt64;
+  softwareVersion @20 :Text;
 }
 
 # The backend servers that a host keeps on its disk.
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -556,7 +556,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aab5e7ca71489683, 8, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(aab5e7ca71489683, 8, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3590,6 +3590,9 @@
 
   inline  ::uint64_t getColdMicros() const;
 
+  inline bool hasSoftwareVersion() const;
+  inline  ::capnp::Text::Reader getSoftwareVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3712,6 +3715,13 @@
   inline  ::uint64_t getColdMicros();
   inline void setColdMicros( ::uint64_t value);
 
+  inline bool hasSoftwareVersion();
+  inline  ::capnp::Text::Builder getSoftwareVersion();
+  inline void setSoftwareVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftwareVersion(unsigned int size);
+  inline void adoptSoftwareVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftwareVersion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7218,6 +7228,40 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Announcement::Reader::hasSoftwareVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Announcement::Builder::hasSoftwareVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Announcement::Reader::getSoftwareVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Announcement::Builder::getSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Announcement::Builder::setSoftwareVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Announcement::Builder::initSoftwareVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Announcement::Builder::adoptSoftwareVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline bool ServerList::Reader::hasServers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -261,6 +261,7 @@
     models[i].setVersion(model.version);
   }
   WriteTextList(announcement.services, out.initServices(ListSize(announcement.services.size())));
+  out.setSoftwareVersion(announcement.software_version);
   out.setRole(announcement.role);
   WriteTextList(announcement.capabilities,
                 out.initCapabilities(ListSize(announcement.capabilities.size())));
@@ -292,6 +293,7 @@
     announcement.models.push_back(model);
   }
   announcement.services = ReadTextList(in.getServices());
+  announcement.software_version = ToStdString(in.getSoftwareVersion());
   announcement.role = ToStdString(in.getRole());
   announcement.capabilities = ReadTextList(in.getCapabilities());
   announcement.checks_fencing = in.getChecksFencing();
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -47,6 +47,7 @@
   kLateDataDropped = 209,
   kForwardRejected = 210,
   kResidencyViolationRefused = 211,
+  kStreamTakenUp = 212,
 
   kServerAnnounced = 300,
   kServerExpired = 301,
--- a/src/core/registry.cc
+++ b/src/core/registry.cc
@@ -82,6 +82,7 @@
   }
   add_number(announcement.services.size());
   for (const std::string& service : announcement.services) add(service);
+  add(announcement.software_version);
   add(announcement.role);
   add_number(announcement.capabilities.size());
   for (const std::string& capability : announcement.capabilities) add(capability);
--- a/src/daemon/announce.cc
+++ b/src/daemon/announce.cc
@@ -135,6 +135,7 @@
   if (!IsAddress(out.address)) ThrowInvalidField("address", "ip:port");
   out.models = ParseModels(body);
   out.services = ParseStrings(body, "services");
+  out.software_version = ParseString(body, "software_version", false);
   out.role = ParseString(body, "role", false);
   out.capabilities = ParseStrings(body, "capabilities");
   out.checks_fencing = ParseBool(body, "checks_fencing");
--- a/src/daemon/attempt_call.h
+++ b/src/daemon/attempt_call.h
@@ -29,8 +29,9 @@
   std::string address;
   // Address of the server whose cache holds more of the prompt; empty: none.
   std::string fetch_from;
-  bool can_resume = false;  // the server has the capability `resume`
-  bool can_cancel = false;  // the server has the capability `cancel`
+  std::string software_version;  // of the server; empty: unknown
+  bool can_resume = false;       // the server has the capability `resume`
+  bool can_cancel = false;       // the server has the capability `cancel`
   Choice choice;
   bool response_started = false;  // the first byte of the response arrived
   Time first_data_at;             // set if `response_started`
--- a/src/daemon/dialect.h
+++ b/src/daemon/dialect.h
@@ -31,8 +31,12 @@
 // Fields that the dialect extracts from a caller's request.
 struct DialectRequest {
   std::string caller_request_id;  // identifies the request to its caller; empty if it has none
-  std::string host;               // from the Host header, without the port
-  Duration caller_timeout{0};     // 0 if the caller specified none
+  // The caller_request_id of the request that brought the first event of a stream, which this
+  // request takes up after `resume_after`; empty if the caller names none.
+  std::string resumes;
+  std::string resume_after;    // id of the last event that the caller has; empty: none
+  std::string host;            // from the Host header, without the port
+  Duration caller_timeout{0};  // 0 if the caller specified none
   ModelId model;
   int64_t prompt_tokens = 0;
   int64_t max_output_tokens = 0;
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -58,6 +58,12 @@
   relay_.OnCallerClosed([table, id = id_] {
     if (Exchange* exchange = table->Find(id)) exchange->OnCallerDisconnected();
   });
+  if (!spec_.forwarded && !spec_.dialect_request.resumes.empty()) {
+    LogEvent(EventId::kStreamTakenUp, {{"request_id", spec_.id.value()},
+                                       {"caller_request_id", spec_.caller_request_id},
+                                       {"resumes", spec_.dialect_request.resumes},
+                                       {"offset", spec_.dialect_request.resume_after}});
+  }
   if (RefuseIfCondemned()) return;
   // A team's limits are applied only once, by the host that received the request from the caller.
   if (!spec_.forwarded) {
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -152,6 +152,8 @@
   bool finished_ = false;
   bool to_key_owner_ = false;  // the open attempt goes to the host that owns the idempotency key
   bool condemnation_checked_ = false;
+  // The software version of the server that began the stream; empty: unknown, or not begun.
+  std::string stream_software_;
   std::vector<ServerId> failed_servers_;  // attempts there failed
   std::vector<HostId> tried_hosts_;       // already forwarded to
 
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -159,8 +159,10 @@
       RetryBudgetKey(), CurrentRetryState(), ebonylift::Run::kMayHaveRun, spec_.deadline, now);
   if (decision != RetryDecision::kRetry) return false;
   relay_.ContinueStream();
-  LogEvent(EventId::kStreamResumed,
-           {{"request_id", spec_.id.value()}, {"offset", relay_.last_event_id()}});
+  LogEvent(EventId::kStreamResumed, {{"request_id", spec_.id.value()},
+                                     {"caller_request_id", spec_.caller_request_id},
+                                     {"offset", relay_.last_event_id()},
+                                     {"software", stream_software_}});
   Place();
   return true;
 }
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -66,6 +66,7 @@
   open_attempt_.address = server->announced.address;
   const BackendServer* cache_source = FindServer(*spec_.view, choice.fetch_from);
   if (cache_source != nullptr) open_attempt_.fetch_from = cache_source->announced.address;
+  open_attempt_.software_version = server->announced.software_version;
   open_attempt_.can_resume = Contains(server->announced.capabilities, "resume");
   open_attempt_.can_cancel = Contains(server->announced.capabilities, "cancel");
   if (spec_.dialect == nullptr || open_attempt_.number > 1) {
@@ -169,6 +170,7 @@
 }
 
 void Exchange::RelayEvents(std::string events) {
+  if (!relay_.begun()) stream_software_ = open_attempt_.software_version;
   ExchangeTable* table = context_.table;
   relay_.Begin([this] { return MakeResponseHeaders(); },
                [table, id = id_] {
--- a/src/daemon/server_registration.cc
+++ b/src/daemon/server_registration.cc
@@ -45,7 +45,8 @@
       LogEvent(EventId::kServerAnnounced,
                {{"server", server_id},
                 {"incarnation", std::to_string(announcement.incarnation)},
-                {"kind", announcement.kind == ServerKind::kModel ? "model" : "service"}});
+                {"kind", announcement.kind == ServerKind::kModel ? "model" : "service"},
+                {"software", announcement.software_version}});
       snapshot_.MarkChanged(false);
       schedule_publish_(kPublishInterval);
       break;
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -171,6 +171,8 @@
   std::string address;  // host:port
   std::vector<ServedModel> models;
   std::vector<std::string> services;
+  // Of its software, not of the models' weights; empty: unknown. Versions have no order.
+  std::string software_version;
   std::string role;
   std::vector<std::string> capabilities;  // resume, cancel, kv_export, kv_import, priorities
   bool checks_fencing = false;            // rejects orders with an outdated fencing token
--- a/tests/platform_messages_test.cc
+++ b/tests/platform_messages_test.cc
@@ -47,6 +47,7 @@
   BOOST_TEST(announcement.seq == 4u);
   BOOST_TEST(announcement.services[0] == "huvo11a");
   BOOST_TEST(announcement.region.value() == "este");
+  BOOST_TEST(announcement.software_version == "v1");
   BOOST_TEST(!announcement.leaving);
   BOOST_TEST((announcement.cold_for == milliseconds(1'500)));
   BOOST_TEST(announcement.load.slots == 32);
@@ -59,7 +60,7 @@
 
 // Guards against a malformed heartbeat that registers a backend server.
 BOOST_AUTO_TEST_CASE(RejectsMalformedHeartbeats) {
-  for (const char* key : {"service", "address", "zone", "slots", "state", "sequence"}) {
+  for (const char* key : {"service", "address", "zone", "version", "slots", "state", "sequence"}) {
     json missing = Heartbeat();
     missing.erase(key);
     BOOST_CHECK_THROW(ParseTestHeartbeat(missing), Error);
