--- /dev/null
+++ b/tests/integration/platform_stream_test.cc
@@ -0,0 +1,171 @@
+#define BOOST_TEST_MODULE platform_stream
+#include <algorithm>
+#include <boost/test/included/unit_test.hpp>
+#include <set>
+
+#include "tests/support/platform_deployment.h"
+#include "tests/support/wait_for.h"
+
+// Streams that break while replicas of two software versions serve side by side: the rest of a
+// stream may only come from a replica of the version that began it, in the same answer and when the
+// client takes it up with another request.
+
+namespace ebonylift::test {
+namespace {
+
+constexpr Duration kStartTimeout = seconds(20);
+constexpr int kGatewaysPerZone = 2;
+constexpr int kStreams = 8;
+// From the first event of a stream until the gateway that relayed it may be lost.
+constexpr Duration kShareTime = milliseconds(500);
+// A client whose request is refused comes back this often.
+constexpr int kMaxTries = 3;
+
+struct Deployment {
+  Deployment() : platform(kGatewaysPerZone) {
+    platform.PutConfiguration(PlatformDeployment::Configuration(1));
+    for (const char* version : {"v1", "v2"}) {
+      for (int i = 0; i < 3; ++i) {
+        replicas.push_back(platform.AddReplica("model", "este-a", version));
+      }
+    }
+    BOOST_REQUIRE(WaitFor([this] { return AllServe(); }, kStartTimeout));
+  }
+
+  bool AllServe() {
+    for (const std::string& zone : PlatformDeployment::Zones()) {
+      for (int gateway = 0; gateway < kGatewaysPerZone; ++gateway) {
+        TestResponse response =
+            platform.RequestAt(zone, gateway, "POST", "/stream/x", NextRequestId());
+        if (!response.complete) return false;
+      }
+    }
+    return std::all_of(replicas.begin(), replicas.end(), [](PlatformReplica* replica) {
+      return !replica->ExecutedRequestIds().empty();
+    });
+  }
+
+  std::string NextRequestId() { return "request-" + std::to_string(++request_number); }
+
+  void SetMode(ReplicaMode mode) {
+    for (PlatformReplica* replica : replicas) replica->SetMode(mode);
+  }
+
+  // The retry budget pays for few continued streams, so others are answered in between.
+  void EarnRetries() {
+    constexpr int kRequestsPerRetry = 10;
+    for (int i = 0; i < kRequestsPerRetry; ++i) {
+      platform.Request("este-a", "POST", "/check/x", NextRequestId());
+    }
+  }
+
+  // The versions of the replicas that ran the request.
+  std::multiset<std::string> VersionsThatRan(const std::string& id) const {
+    std::multiset<std::string> versions;
+    for (PlatformReplica* replica : replicas) {
+      std::vector<std::string> ids = replica->ExecutedRequestIds();
+      for (auto i = std::count(ids.begin(), ids.end(), id); i > 0; --i) {
+        versions.insert(replica->version());
+      }
+    }
+    return versions;
+  }
+
+  // Begins kStreams streams at a gateway of the zone, all of which break. Returns their ids.
+  std::vector<std::string> BeginStreams(const std::string& zone) {
+    SetMode(ReplicaMode::kBreakStream);
+    std::vector<std::string> ids;
+    for (int i = 0; i < kStreams; ++i) {
+      ids.push_back(NextRequestId());
+      TestResponse broken = platform.RequestAt(zone, 0, "POST", "/stream/1", ids.back());
+      BOOST_TEST(broken.status == 200);
+      BOOST_TEST(!broken.complete);
+    }
+    SetMode(ReplicaMode::kServe);
+    return ids;
+  }
+
+  // Takes the streams up at a gateway of the zone, each after its second event, as a client does
+  // that lost its connection. Returns how many went on, and counts those that went on at another
+  // version than the one that began them.
+  int TakeUp(const std::vector<std::string>& ids, const std::string& zone, int gateway) {
+    int went_on = 0;
+    for (const std::string& id : ids) {
+      std::multiset<std::string> began_at = VersionsThatRan(id);
+      for (int i = 0; i < kMaxTries; ++i) {
+        std::string next = NextRequestId();
+        TestResponse response = platform.RequestAt(zone, gateway, "POST", "/stream/1", next,
+                                                   {{"Last-Event-Id", "2"}, {"Resumes", id}});
+        std::multiset<std::string> versions = VersionsThatRan(next);
+        BOOST_TEST((response.status == 200) == !versions.empty());
+        if (versions.empty()) continue;
+        if (began_at.count(*versions.begin()) == 0) ++at_other_version;
+        ++went_on;
+        break;
+      }
+    }
+    return went_on;
+  }
+
+  PlatformDeployment platform;
+  std::vector<PlatformReplica*> replicas;
+  int request_number = 0;
+  int at_other_version = 0;
+};
+
+}  // namespace
+
+// Guards against a gateway that continues a broken stream, within one answer, at a replica of
+// another software version.
+BOOST_FIXTURE_TEST_CASE(AnswerKeepsItsSoftwareVersion, Deployment) {
+  replicas[0]->SetMode(ReplicaMode::kBreakStream);
+  replicas[3]->SetMode(ReplicaMode::kBreakStream);
+  int continued = 0;
+  for (const char* zone : {"este-a", "norte-a"}) {
+    for (int i = 0; i < 3 * kStreams; ++i) {
+      std::string id = NextRequestId();
+      EarnRetries();
+      platform.Request(zone, "POST", "/stream/1", id);
+      std::multiset<std::string> versions = VersionsThatRan(id);
+      if (versions.size() < 2) continue;
+      ++continued;
+      BOOST_TEST(versions.count(*versions.begin()) == versions.size(), "stream " << id);
+    }
+  }
+  BOOST_TEST(continued > kStreams / 2);
+}
+
+// Guards against a stream that goes on at another software version when the client takes it up at
+// the gateway that began it, at another one, or in another region, and against one that is refused
+// although replicas of its version serve.
+BOOST_FIXTURE_TEST_CASE(ClientTakesStreamUpAtItsSoftwareVersion, Deployment) {
+  for (const char* zone : {"este-a", "norte-a"}) {
+    std::vector<std::string> ids = BeginStreams(zone);
+    BOOST_TEST(TakeUp(ids, zone, 0) == kStreams);
+    BOOST_TEST(TakeUp(ids, zone, 1) == kStreams);
+    BOOST_TEST(TakeUp(ids, "centro-a", 0) == kStreams);
+  }
+  BOOST_TEST(at_other_version == 0);
+}
+
+// Guards against streams whose version only the gateway knew that relayed their first event: after
+// its end the client takes them up at the others.
+BOOST_FIXTURE_TEST_CASE(VersionOutlivesTheGateway, Deployment) {
+  std::vector<std::string> ids = BeginStreams("este-a");
+  std::this_thread::sleep_for(kShareTime);
+  platform.KillGateway("este-a");
+  BOOST_TEST(TakeUp(ids, "este-a", 1) == kStreams);
+  BOOST_TEST(TakeUp(ids, "centro-a", 0) == kStreams);
+  BOOST_TEST(at_other_version == 0);
+}
+
+// Guards against a stream that is continued by guess when no gateway knows which version began it.
+BOOST_FIXTURE_TEST_CASE(UnknownStreamIsRefused, Deployment) {
+  std::string id = NextRequestId();
+  TestResponse response = platform.Request(
+      "este-a", "POST", "/stream/1", id, {{"Last-Event-Id", "2"}, {"Resumes", "no-such-request"}});
+  BOOST_TEST(response.status == 503);
+  BOOST_TEST(VersionsThatRan(id).empty());
+}
+
+}  // namespace ebonylift::test
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -44,8 +44,9 @@
 }  // namespace
 
 PlatformReplica::PlatformReplica(const std::string& id, const std::string& ip,
-                                 const std::string& service, const std::string& zone)
-    : first_id_(id), service_(service), zone_(zone), id_(id), born_(WallNow()) {
+                                 const std::string& service, const std::string& zone,
+                                 const std::string& version)
+    : first_id_(id), service_(service), zone_(zone), version_(version), id_(id), born_(WallNow()) {
   Listen(Endpoint(ip, 0));
   address_ = Endpoint(ip, server_->port());
   thread_ = std::thread([this] {
@@ -137,7 +138,7 @@
 json PlatformReplica::Heartbeat(const std::string& state) {
   std::lock_guard<std::mutex> lock(mutex_);
   return {{"service", service_},     {"address", address_}, {"zone", zone_},
-          {"version", "v1"},         {"slots", 8},          {"state", state},
+          {"version", version_},     {"slots", 8},          {"state", state},
           {"sequence", ++sequence_}, {"born", born_},       {"cold_remaining_ms", 0},
           {"models", json::array()}};
 }
@@ -395,12 +396,12 @@
   }
 }
 
-PlatformReplica* PlatformDeployment::AddReplica(const std::string& service,
-                                                const std::string& zone) {
+PlatformReplica* PlatformDeployment::AddReplica(const std::string& service, const std::string& zone,
+                                                const std::string& version) {
   size_t number = replicas_.size() + 1;
   std::string ip = "127.20.2." + std::to_string(number);
   replicas_.push_back(
-      std::make_unique<PlatformReplica>("i-" + std::to_string(number), ip, service, zone));
+      std::make_unique<PlatformReplica>("i-" + std::to_string(number), ip, service, zone, version));
   PlatformReplica* replica = replicas_.back().get();
   std::lock_guard<std::mutex> lock(mutex_);
   heartbeat_addresses_[replica] = Endpoint(ControlIp(0), base_port_ + kControlPortOffset);
@@ -463,9 +464,17 @@
     const std::string& zone, const std::string& method, const std::string& path,
     const std::string& request_id,
     const std::vector<std::pair<std::string, std::string>>& headers) {
+  int gateway = next_gateway_++ % gateways_per_zone_;
+  return RequestAt(zone, gateway, method, path, request_id, headers);
+}
+
+TestResponse PlatformDeployment::RequestAt(
+    const std::string& zone, int gateway, const std::string& method, const std::string& path,
+    const std::string& request_id,
+    const std::vector<std::pair<std::string, std::string>>& headers) {
   TestCall call;
   call.method = method;
-  std::string ip = GatewayIp(ZoneIndex(zone), next_gateway_++ % gateways_per_zone_);
+  std::string ip = GatewayIp(ZoneIndex(zone), gateway);
   call.url = "http://" + Endpoint(ip, base_port_ + kCallerPortOffset) + path;
   call.headers = {{"Host", "a.example"}, {"Attempt-Id", request_id}, {"Deadline-Ms", "5000"}};
   call.headers.insert(call.headers.end(), headers.begin(), headers.end());
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -45,7 +45,7 @@
   static constexpr Duration kCrashedTime = milliseconds(1'000);
 
   PlatformReplica(const std::string& id, const std::string& ip, const std::string& service,
-                  const std::string& zone);
+                  const std::string& zone, const std::string& version);
   ~PlatformReplica();
   PlatformReplica(const PlatformReplica&) = delete;
   PlatformReplica& operator=(const PlatformReplica&) = delete;
@@ -68,6 +68,8 @@
   // False from a crash until the restart.
   bool Running() const;
   std::string id() const;
+  // Of its software.
+  const std::string& version() const { return version_; }
   // The body of the next heartbeat, with the given `state` and the next sequence number.
   nlohmann::json Heartbeat(const std::string& state);
 
@@ -85,6 +87,7 @@
   const std::string first_id_;
   const std::string service_;
   const std::string zone_;
+  const std::string version_;
   std::string address_;
   std::atomic<ReplicaMode> mode_{ReplicaMode::kServe};
   mutable std::mutex mutex_;
@@ -117,7 +120,8 @@
   static std::string RegionOf(const std::string& zone);
 
   // Adds a replica of the service "model" or "portal". Its heartbeats go on until Drain().
-  PlatformReplica* AddReplica(const std::string& service, const std::string& zone);
+  PlatformReplica* AddReplica(const std::string& service, const std::string& zone,
+                              const std::string& version = "v1");
   // Announces that the replica is draining and ends its heartbeats. Returns the HTTP status of the
   // announcement.
   int Drain(PlatformReplica* replica);
@@ -135,6 +139,10 @@
   TestResponse Request(const std::string& zone, const std::string& method, const std::string& path,
                        const std::string& request_id,
                        const std::vector<std::pair<std::string, std::string>>& headers = {});
+  // The same, to the gateway with this number in the zone.
+  TestResponse RequestAt(const std::string& zone, int gateway, const std::string& method,
+                         const std::string& path, const std::string& request_id,
+                         const std::vector<std::pair<std::string, std::string>>& headers = {});
 
   // A configuration with the routes /stream/ (streaming, resumable), /check/ (streaming, not
   // resumable, home regions este and centro), /post/ (unsafe) and /look/ (safe).
