Proven contents are forgotten after two intervals also when nothing is answered

IsProven() could hold for up to three intervals (90 s): the contents of the previous interval counted until the next answer began a new one. The two generations are now a map of their own, RecentMap, which ignores the previous interval once the current one is over, and which other records can use. recent_map_test checks the time with and without later entries.

--- a/src/core/proven_contents.h
+++ b/src/core/proven_contents.h
@@ -3,12 +3,12 @@
 
 // Remembers contents (core/poison.h) that a backend server has answered recently and survived.
 //
-// Not thread safe. Memory: two sets of at most kMaxProvenContents hashes.
+// Not thread safe. Memory: see base/recent_map.h.
 
 #include <cstddef>
-#include <cstdint>
-#include <unordered_set>
+#include <variant>
 
+#include "base/recent_map.h"
 #include "base/time.h"
 
 namespace ebonylift {
@@ -18,15 +18,17 @@
 constexpr Duration kProvenInterval = seconds(30);
 
 struct ProvenContents {
-  std::unordered_set<uint64_t> current;
-  std::unordered_set<uint64_t> previous;  // of the interval before
-  Time interval_start;
+  RecentMap<std::monostate> answered{kProvenInterval, kMaxProvenContents};
 };
 
 // Records that a server has answered a request with this content.
-void MarkProven(ProvenContents& proven, uint64_t content, Time now);
+inline void MarkProven(ProvenContents& proven, uint64_t content, Time now) {
+  proven.answered.Set(content, {}, now);
+}
 
-bool IsProven(const ProvenContents& proven, uint64_t content, Time now);
+inline bool IsProven(const ProvenContents& proven, uint64_t content, Time now) {
+  return proven.answered.Find(content, now) != nullptr;
+}
 
 }  // namespace ebonylift
 
