--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -46,6 +46,19 @@
 
   # What the caller has at the backend servers that both send work to; replaces the list before.
   work @7 (hlc :UInt64, rows :List(ServerWork)) -> (hlc :UInt64);
+
+  # Streams that began at the caller, for the receiver to keep.
+  streams @8 (hlc :UInt64, rows :List(Stream)) -> (hlc :UInt64);
+
+  # `found` is absent if the receiver does not know the stream.
+  findStream @9 (hlc :UInt64, stream :UInt64) -> (hlc :UInt64, found :Stream);
+}
+
+# A stream and the servers that may continue it.
+struct Stream {
+  stream @0 :UInt64;
+  service @1 :Text;
+  softwareVersion @2 :Text;
 }
 
 struct ServerWork {
@@ -109,6 +122,8 @@
   reporter @2 :Text;
   newestVersion @3 :UInt64;
   rows @4 :Data;
+  # For each row, the number of software versions of its servers, and each of them with its length.
+  softwareVersions @5 :Data;
 }
 
 struct Digest {
--- a/schema/peer.capnp.c++
+++ b/schema/peer.capnp.c++
@@ -357,7 +357,7 @@
   1, 3, i_92cd161fceb8ff7f, nullptr, nullptr, { &s_92cd161fceb8ff7f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<102> b_8625dd80189baf94 = {
+static const ::capnp::_::AlignedData<123> b_8625dd80189baf94 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     148, 175, 155,  24, 128, 221,  37, 134,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -367,77 +367,93 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   7,   2,   0,   0,
-    105,   1,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 135,   2,   0,   0,
+    189,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     32,   0,   0,   0,   3,   0,   5,   0,
+     40,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     173, 230, 108,  55, 186, 152,  35, 198,
      78, 100, 243, 221, 195, 194,  25, 136,
-    241,   0,   0,   0,  58,   0,   0,   0,
+     49,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    229,   0,   0,   0,   7,   0,   0,   0,
+     37,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     222, 253, 173, 230, 173, 195, 109, 149,
     108, 126, 146,  47, 200,  13, 165, 195,
-    217,   0,   0,   0,  74,   0,   0,   0,
+     25,   1,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    209,   0,   0,   0,   7,   0,   0,   0,
+     17,   1,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     200, 222,   2,  60, 198, 229, 199, 213,
      24, 113, 114, 156,  61,  22, 215, 186,
-    197,   0,   0,   0,  82,   0,   0,   0,
+      5,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    189,   0,   0,   0,   7,   0,   0,   0,
+    253,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      88, 232,  31,   7, 142,  78, 184, 207,
     205,  14, 108,  79, 114,  44,  27, 189,
-    177,   0,   0,   0,  98,   0,   0,   0,
+    241,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   0,   0,   0,   7,   0,   0,   0,
+    233,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     241,  29, 182,  72, 251, 193, 162, 140,
     110, 191,  69, 128,  64,  89, 134, 144,
-    157,   0,   0,   0,  90,   0,   0,   0,
+    221,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    149,   0,   0,   0,   7,   0,   0,   0,
+    213,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     123, 240,  70,  46, 187, 232,  59, 156,
     191, 209,  67, 139, 131,  75,  74, 160,
-    137,   0,   0,   0,  66,   0,   0,   0,
+    201,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    125,   0,   0,   0,   7,   0,   0,   0,
+    189,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     127, 255, 188,  94, 139, 168, 250, 190,
     187, 110,  75,  14, 169, 100,  33, 160,
-    113,   0,   0,   0,  74,   0,   0,   0,
+    177,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+    169,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
     155,  29, 186, 219,  92, 208,  16, 207,
     134, 248,  32, 171, 101, 153,  39, 162,
-     93,   0,   0,   0,  42,   0,   0,   0,
+    157,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+    145,   0,   0,   0,   7,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+     97, 245,  86, 140,   2,  77, 127, 236,
+    173, 209, 134,  96,  70, 131, 144, 198,
+    133,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    121,   0,   0,   0,   7,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+    216, 230,  21, 151, 197,  42,  33, 135,
+    144,   4, 164, 122,  57, 120, 182, 141,
+    109,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,   7,   0,   0,   0,
     103, 111, 115, 115, 105, 112,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      97, 110, 110, 111, 117, 110,  99, 101,
@@ -459,13 +475,20 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     119, 111, 114, 107,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    115, 116, 114, 101,  97, 109, 115,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+    102, 105, 110, 100,  83, 116, 114, 101,
+     97, 109,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_8625dd80189baf94 = b_8625dd80189baf94.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_8625dd80189baf94[] = {
+  &s_87212ac59715e6d8,
   &s_8819c2c3ddf3644e,
   &s_8ca2c1fb48b61df1,
+  &s_8db678397aa40490,
   &s_908659408045bf6e,
   &s_956dc3ade6adfdde,
   &s_9c3be8bb2e46f07b,
@@ -477,14 +500,16 @@
   &s_befaa88b5ebcff7f,
   &s_c3a50dc82f927e6c,
   &s_c62398ba376ce6ad,
+  &s_c69083466086d1ad,
   &s_cf10d05cdbba1d9b,
   &s_cfb84e8e071fe858,
   &s_d5c7e5c63c02dec8,
+  &s_ec7f4d028c56f561,
 };
-static const uint16_t m_8625dd80189baf94[] = {1, 3, 2, 0, 4, 5, 6, 7};
+static const uint16_t m_8625dd80189baf94[] = {1, 3, 2, 9, 0, 4, 8, 5, 6, 7};
 const ::capnp::_::RawSchema s_8625dd80189baf94 = {
-  0x8625dd80189baf94, b_8625dd80189baf94.words, 102, d_8625dd80189baf94, m_8625dd80189baf94,
-  16, 8, nullptr, nullptr, nullptr, { &s_8625dd80189baf94, nullptr, nullptr, 0, 0, nullptr }
+  0x8625dd80189baf94, b_8625dd80189baf94.words, 123, d_8625dd80189baf94, m_8625dd80189baf94,
+  20, 10, nullptr, nullptr, nullptr, { &s_8625dd80189baf94, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<62> b_c62398ba376ce6ad = {
@@ -1562,6 +1587,309 @@
   0, 1, i_a2279965ab20f886, nullptr, nullptr, { &s_a2279965ab20f886, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<51> b_ec7f4d028c56f561 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     97, 245,  86, 140,   2,  77, 127, 236,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 250,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    115, 116, 114, 101,  97, 109, 115,  36,
+     80,  97, 114,  97, 109, 115,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     68,   0,   0,   0,   2,   0,   1,   0,
+    104, 108,  99,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 111, 119, 115,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    233, 164,  19,  17, 215,  54,  51, 199,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ec7f4d028c56f561 = b_ec7f4d028c56f561.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_ec7f4d028c56f561[] = {
+  &s_c73336d71113a4e9,
+};
+static const uint16_t m_ec7f4d028c56f561[] = {0, 1};
+static const uint16_t i_ec7f4d028c56f561[] = {0, 1};
+const ::capnp::_::RawSchema s_ec7f4d028c56f561 = {
+  0xec7f4d028c56f561, b_ec7f4d028c56f561.words, 51, d_ec7f4d028c56f561, m_ec7f4d028c56f561,
+  1, 2, i_ec7f4d028c56f561, nullptr, nullptr, { &s_ec7f4d028c56f561, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<32> b_c69083466086d1ad = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    173, 209, 134,  96,  70, 131, 144, 198,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   2,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    115, 116, 114, 101,  97, 109, 115,  36,
+     82, 101, 115, 117, 108, 116, 115,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    104, 108,  99,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c69083466086d1ad = b_c69083466086d1ad.words;
+#if !CAPNP_LITE
+static const uint16_t m_c69083466086d1ad[] = {0};
+static const uint16_t i_c69083466086d1ad[] = {0};
+const ::capnp::_::RawSchema s_c69083466086d1ad = {
+  0xc69083466086d1ad, b_c69083466086d1ad.words, 32, nullptr, m_c69083466086d1ad,
+  0, 1, i_c69083466086d1ad, nullptr, nullptr, { &s_c69083466086d1ad, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_87212ac59715e6d8 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    216, 230,  21, 151, 197,  42,  33, 135,
+     16,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  18,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    102, 105, 110, 100,  83, 116, 114, 101,
+     97, 109,  36,  80,  97, 114,  97, 109,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    104, 108,  99,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116, 114, 101,  97, 109,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_87212ac59715e6d8 = b_87212ac59715e6d8.words;
+#if !CAPNP_LITE
+static const uint16_t m_87212ac59715e6d8[] = {0, 1};
+static const uint16_t i_87212ac59715e6d8[] = {0, 1};
+const ::capnp::_::RawSchema s_87212ac59715e6d8 = {
+  0x87212ac59715e6d8, b_87212ac59715e6d8.words, 48, nullptr, m_87212ac59715e6d8,
+  0, 2, i_87212ac59715e6d8, nullptr, nullptr, { &s_87212ac59715e6d8, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_8db678397aa40490 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    144,   4, 164, 122,  57, 120, 182, 141,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  26,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    102, 105, 110, 100,  83, 116, 114, 101,
+     97, 109,  36,  82, 101, 115, 117, 108,
+    116, 115,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    104, 108,  99,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 111, 117, 110, 100,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    233, 164,  19,  17, 215,  54,  51, 199,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8db678397aa40490 = b_8db678397aa40490.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_8db678397aa40490[] = {
+  &s_c73336d71113a4e9,
+};
+static const uint16_t m_8db678397aa40490[] = {1, 0};
+static const uint16_t i_8db678397aa40490[] = {0, 1};
+const ::capnp::_::RawSchema s_8db678397aa40490 = {
+  0x8db678397aa40490, b_8db678397aa40490.words, 48, d_8db678397aa40490, m_8db678397aa40490,
+  1, 2, i_8db678397aa40490, nullptr, nullptr, { &s_8db678397aa40490, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<63> b_c73336d71113a4e9 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    233, 164,  19,  17, 215,  54,  51, 199,
+     11,   0,   0,   0,   1,   0,   1,   0,
+     62,  29,  25,  82,  23, 124,  61, 236,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 146,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 116, 114, 101,  97,
+    109,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0, 130,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    115, 116, 114, 101,  97, 109,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 111, 102, 116, 119,  97, 114, 101,
+     86, 101, 114, 115, 105, 111, 110,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c73336d71113a4e9 = b_c73336d71113a4e9.words;
+#if !CAPNP_LITE
+static const uint16_t m_c73336d71113a4e9[] = {1, 2, 0};
+static const uint16_t i_c73336d71113a4e9[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_c73336d71113a4e9 = {
+  0xc73336d71113a4e9, b_c73336d71113a4e9.words, 63, nullptr, m_c73336d71113a4e9,
+  0, 3, i_c73336d71113a4e9, nullptr, nullptr, { &s_c73336d71113a4e9, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<79> b_9ec420e272a60b8b = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     139,  11, 166, 114, 226,  32, 196, 158,
@@ -2201,59 +2529,66 @@
   0, 10, i_84309d295dcb1e94, nullptr, nullptr, { &s_84309d295dcb1e94, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<94> b_9b1e4819551e826d = {
+static const ::capnp::_::AlignedData<111> b_9b1e4819551e826d = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     109, 130,  30,  85,  25,  72,  30, 155,
      11,   0,   0,   0,   1,   0,   1,   0,
      62,  29,  25,  82,  23, 124,  61, 236,
-      4,   0,   7,   0,   0,   0,   0,   0,
+      5,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 194,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  31,   1,   0,   0,
+     25,   0,   0,   0,  87,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  83, 117, 109, 109,  97,
     114, 121,  71, 114, 111, 117, 112,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     20,   0,   0,   0,   3,   0,   4,   0,
+     24,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    125,   0,   0,   0,  58,   0,   0,   0,
+    153,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    120,   0,   0,   0,   3,   0,   1,   0,
-    132,   0,   0,   0,   2,   0,   1,   0,
+    148,   0,   0,   0,   3,   0,   1,   0,
+    160,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    129,   0,   0,   0,  58,   0,   0,   0,
+    157,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    124,   0,   0,   0,   3,   0,   1,   0,
-    136,   0,   0,   0,   2,   0,   1,   0,
+    152,   0,   0,   0,   3,   0,   1,   0,
+    164,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    133,   0,   0,   0,  74,   0,   0,   0,
+    161,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    132,   0,   0,   0,   3,   0,   1,   0,
-    144,   0,   0,   0,   2,   0,   1,   0,
+    160,   0,   0,   0,   3,   0,   1,   0,
+    172,   0,   0,   0,   2,   0,   1,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    141,   0,   0,   0, 114,   0,   0,   0,
+    169,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    140,   0,   0,   0,   3,   0,   1,   0,
-    152,   0,   0,   0,   2,   0,   1,   0,
+    168,   0,   0,   0,   3,   0,   1,   0,
+    180,   0,   0,   0,   2,   0,   1,   0,
       4,   0,   0,   0,   3,   0,   0,   0,
       0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    149,   0,   0,   0,  42,   0,   0,   0,
+    177,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    144,   0,   0,   0,   3,   0,   1,   0,
-    156,   0,   0,   0,   2,   0,   1,   0,
+    172,   0,   0,   0,   3,   0,   1,   0,
+    184,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   4,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    181,   0,   0,   0, 138,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    184,   0,   0,   0,   3,   0,   1,   0,
+    196,   0,   0,   0,   2,   0,   1,   0,
     100, 111, 109,  97, 105, 110,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -2289,6 +2624,16 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     114, 111, 119, 115,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 111, 102, 116, 119,  97, 114, 101,
+     86, 101, 114, 115, 105, 111, 110, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
      13,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -2299,11 +2644,11 @@
 };
 ::capnp::word const* const bp_9b1e4819551e826d = b_9b1e4819551e826d.words;
 #if !CAPNP_LITE
-static const uint16_t m_9b1e4819551e826d[] = {0, 3, 1, 2, 4};
-static const uint16_t i_9b1e4819551e826d[] = {0, 1, 2, 3, 4};
+static const uint16_t m_9b1e4819551e826d[] = {0, 3, 1, 2, 4, 5};
+static const uint16_t i_9b1e4819551e826d[] = {0, 1, 2, 3, 4, 5};
 const ::capnp::_::RawSchema s_9b1e4819551e826d = {
-  0x9b1e4819551e826d, b_9b1e4819551e826d.words, 94, nullptr, m_9b1e4819551e826d,
-  0, 5, i_9b1e4819551e826d, nullptr, nullptr, { &s_9b1e4819551e826d, nullptr, nullptr, 0, 0, nullptr }
+  0x9b1e4819551e826d, b_9b1e4819551e826d.words, 111, nullptr, m_9b1e4819551e826d,
+  0, 6, i_9b1e4819551e826d, nullptr, nullptr, { &s_9b1e4819551e826d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<139> b_d5ee934a3f6406b2 = {
@@ -3717,6 +4062,26 @@
       "peer.capnp:Peer", "work",
       0x8625dd80189baf94ull, 7);
 }
+::capnp::Request< ::ebonylift::wire::Peer::StreamsParams,  ::ebonylift::wire::Peer::StreamsResults>
+Peer::Client::streamsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::ebonylift::wire::Peer::StreamsParams,  ::ebonylift::wire::Peer::StreamsResults>(
+      0x8625dd80189baf94ull, 8, sizeHint);
+}
+::kj::Promise<void> Peer::Server::streams(StreamsContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "streams",
+      0x8625dd80189baf94ull, 8);
+}
+::capnp::Request< ::ebonylift::wire::Peer::FindStreamParams,  ::ebonylift::wire::Peer::FindStreamResults>
+Peer::Client::findStreamRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::ebonylift::wire::Peer::FindStreamParams,  ::ebonylift::wire::Peer::FindStreamResults>(
+      0x8625dd80189baf94ull, 9, sizeHint);
+}
+::kj::Promise<void> Peer::Server::findStream(FindStreamContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "findStream",
+      0x8625dd80189baf94ull, 9);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3779,6 +4144,18 @@
              ::ebonylift::wire::Peer::WorkParams,  ::ebonylift::wire::Peer::WorkResults>(context)),
         false
       };
+    case 8:
+      return {
+        streams(::capnp::Capability::Server::internalGetTypedContext<
+             ::ebonylift::wire::Peer::StreamsParams,  ::ebonylift::wire::Peer::StreamsResults>(context)),
+        false
+      };
+    case 9:
+      return {
+        findStream(::capnp::Capability::Server::internalGetTypedContext<
+             ::ebonylift::wire::Peer::FindStreamParams,  ::ebonylift::wire::Peer::FindStreamResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3922,6 +4299,46 @@
 constexpr ::capnp::_::RawSchema const* Peer::WorkResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::StreamsParams
+constexpr uint16_t Peer::StreamsParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::StreamsParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::StreamsParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::StreamsParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::StreamsResults
+constexpr uint16_t Peer::StreamsResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::StreamsResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::StreamsResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::StreamsResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::FindStreamParams
+constexpr uint16_t Peer::FindStreamParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::FindStreamParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::FindStreamParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::FindStreamParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::FindStreamResults
+constexpr uint16_t Peer::FindStreamResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::FindStreamResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::FindStreamResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::FindStreamResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Stream
+constexpr uint16_t Stream::_capnpPrivate::dataWordSize;
+constexpr uint16_t Stream::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Stream::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Stream::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // ServerWork
 constexpr uint16_t ServerWork::_capnpPrivate::dataWordSize;
 constexpr uint16_t ServerWork::_capnpPrivate::pointerCount;
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -41,6 +41,11 @@
 CAPNP_DECLARE_SCHEMA(a02164a90e4b6ebb);
 CAPNP_DECLARE_SCHEMA(cf10d05cdbba1d9b);
 CAPNP_DECLARE_SCHEMA(a2279965ab20f886);
+CAPNP_DECLARE_SCHEMA(ec7f4d028c56f561);
+CAPNP_DECLARE_SCHEMA(c69083466086d1ad);
+CAPNP_DECLARE_SCHEMA(87212ac59715e6d8);
+CAPNP_DECLARE_SCHEMA(8db678397aa40490);
+CAPNP_DECLARE_SCHEMA(c73336d71113a4e9);
 CAPNP_DECLARE_SCHEMA(9ec420e272a60b8b);
 CAPNP_DECLARE_SCHEMA(9a6e686a9f385f57);
 CAPNP_DECLARE_SCHEMA(94bb95454c725273);
@@ -177,6 +182,10 @@
   struct TimelineResults;
   struct WorkParams;
   struct WorkResults;
+  struct StreamsParams;
+  struct StreamsResults;
+  struct FindStreamParams;
+  struct FindStreamResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -426,6 +435,81 @@
   };
 };
 
+struct Peer::StreamsParams {
+  StreamsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec7f4d028c56f561, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::StreamsResults {
+  StreamsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c69083466086d1ad, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::FindStreamParams {
+  FindStreamParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(87212ac59715e6d8, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::FindStreamResults {
+  FindStreamResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8db678397aa40490, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Stream {
+  Stream() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c73336d71113a4e9, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ServerWork {
   ServerWork() = delete;
 
@@ -511,7 +595,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9b1e4819551e826d, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(9b1e4819551e826d, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1148,6 +1232,10 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::ebonylift::wire::Peer::WorkParams,  ::ebonylift::wire::Peer::WorkResults> workRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonylift::wire::Peer::StreamsParams,  ::ebonylift::wire::Peer::StreamsResults> streamsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonylift::wire::Peer::FindStreamParams,  ::ebonylift::wire::Peer::FindStreamResults> findStreamRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1196,6 +1284,14 @@
   typedef  ::ebonylift::wire::Peer::WorkResults WorkResults;
   typedef ::capnp::CallContext<WorkParams, WorkResults> WorkContext;
   virtual ::kj::Promise<void> work(WorkContext context);
+  typedef  ::ebonylift::wire::Peer::StreamsParams StreamsParams;
+  typedef  ::ebonylift::wire::Peer::StreamsResults StreamsResults;
+  typedef ::capnp::CallContext<StreamsParams, StreamsResults> StreamsContext;
+  virtual ::kj::Promise<void> streams(StreamsContext context);
+  typedef  ::ebonylift::wire::Peer::FindStreamParams FindStreamParams;
+  typedef  ::ebonylift::wire::Peer::FindStreamResults FindStreamResults;
+  typedef ::capnp::CallContext<FindStreamParams, FindStreamResults> FindStreamContext;
+  virtual ::kj::Promise<void> findStream(FindStreamContext context);
 
   inline  ::ebonylift::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2317,19 +2413,434 @@
   inline  ::uint64_t getHlc();
   inline void setHlc( ::uint64_t value);
 
-  inline  ::uint64_t getSince();
-  inline void setSince( ::uint64_t value);
-
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
-
-  inline  ::uint32_t getLimit();
-  inline void setLimit( ::uint32_t value);
-
+  inline  ::uint64_t getSince();
+  inline void setSince( ::uint64_t value);
+
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
+  inline  ::uint32_t getLimit();
+  inline void setLimit( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::TimelineParams::Pipeline {
+public:
+  typedef TimelineParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::TimelineResults::Reader {
+public:
+  typedef TimelineResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc() const;
+
+  inline bool hasEvents() const;
+  inline  ::capnp::List< ::ebonylift::wire::EventEntry,  ::capnp::Kind::STRUCT>::Reader getEvents() const;
+
+  inline bool getMore() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::TimelineResults::Builder {
+public:
+  typedef TimelineResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc();
+  inline void setHlc( ::uint64_t value);
+
+  inline bool hasEvents();
+  inline  ::capnp::List< ::ebonylift::wire::EventEntry,  ::capnp::Kind::STRUCT>::Builder getEvents();
+  inline void setEvents( ::capnp::List< ::ebonylift::wire::EventEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ebonylift::wire::EventEntry,  ::capnp::Kind::STRUCT>::Builder initEvents(unsigned int size);
+  inline void adoptEvents(::capnp::Orphan< ::capnp::List< ::ebonylift::wire::EventEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::EventEntry,  ::capnp::Kind::STRUCT>> disownEvents();
+
+  inline bool getMore();
+  inline void setMore(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::TimelineResults::Pipeline {
+public:
+  typedef TimelineResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::WorkParams::Reader {
+public:
+  typedef WorkParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc() const;
+
+  inline bool hasRows() const;
+  inline  ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Reader getRows() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::WorkParams::Builder {
+public:
+  typedef WorkParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc();
+  inline void setHlc( ::uint64_t value);
+
+  inline bool hasRows();
+  inline  ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Builder getRows();
+  inline void setRows( ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Builder initRows(unsigned int size);
+  inline void adoptRows(::capnp::Orphan< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>> disownRows();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::WorkParams::Pipeline {
+public:
+  typedef WorkParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::WorkResults::Reader {
+public:
+  typedef WorkResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::WorkResults::Builder {
+public:
+  typedef WorkResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc();
+  inline void setHlc( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::WorkResults::Pipeline {
+public:
+  typedef WorkResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::StreamsParams::Reader {
+public:
+  typedef StreamsParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc() const;
+
+  inline bool hasRows() const;
+  inline  ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>::Reader getRows() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::StreamsParams::Builder {
+public:
+  typedef StreamsParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc();
+  inline void setHlc( ::uint64_t value);
+
+  inline bool hasRows();
+  inline  ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>::Builder getRows();
+  inline void setRows( ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>::Builder initRows(unsigned int size);
+  inline void adoptRows(::capnp::Orphan< ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>> disownRows();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::StreamsParams::Pipeline {
+public:
+  typedef StreamsParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::StreamsResults::Reader {
+public:
+  typedef StreamsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::StreamsResults::Builder {
+public:
+  typedef StreamsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc();
+  inline void setHlc( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2340,9 +2851,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::TimelineParams::Pipeline {
+class Peer::StreamsResults::Pipeline {
 public:
-  typedef TimelineParams Pipelines;
+  typedef StreamsResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2356,9 +2867,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::TimelineResults::Reader {
+class Peer::FindStreamParams::Reader {
 public:
-  typedef TimelineResults Reads;
+  typedef FindStreamParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2375,10 +2886,7 @@
 
   inline  ::uint64_t getHlc() const;
 
-  inline bool hasEvents() const;
-  inline  ::capnp::List< ::ebonylift::wire::EventEntry,  ::capnp::Kind::STRUCT>::Reader getEvents() const;
-
-  inline bool getMore() const;
+  inline  ::uint64_t getStream() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2392,9 +2900,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::TimelineResults::Builder {
+class Peer::FindStreamParams::Builder {
 public:
-  typedef TimelineResults Builds;
+  typedef FindStreamParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2411,15 +2919,8 @@
   inline  ::uint64_t getHlc();
   inline void setHlc( ::uint64_t value);
 
-  inline bool hasEvents();
-  inline  ::capnp::List< ::ebonylift::wire::EventEntry,  ::capnp::Kind::STRUCT>::Builder getEvents();
-  inline void setEvents( ::capnp::List< ::ebonylift::wire::EventEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ebonylift::wire::EventEntry,  ::capnp::Kind::STRUCT>::Builder initEvents(unsigned int size);
-  inline void adoptEvents(::capnp::Orphan< ::capnp::List< ::ebonylift::wire::EventEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::EventEntry,  ::capnp::Kind::STRUCT>> disownEvents();
-
-  inline bool getMore();
-  inline void setMore(bool value);
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2431,9 +2932,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::TimelineResults::Pipeline {
+class Peer::FindStreamParams::Pipeline {
 public:
-  typedef TimelineResults Pipelines;
+  typedef FindStreamParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2447,9 +2948,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::WorkParams::Reader {
+class Peer::FindStreamResults::Reader {
 public:
-  typedef WorkParams Reads;
+  typedef FindStreamResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2466,8 +2967,8 @@
 
   inline  ::uint64_t getHlc() const;
 
-  inline bool hasRows() const;
-  inline  ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Reader getRows() const;
+  inline bool hasFound() const;
+  inline  ::ebonylift::wire::Stream::Reader getFound() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2481,9 +2982,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::WorkParams::Builder {
+class Peer::FindStreamResults::Builder {
 public:
-  typedef WorkParams Builds;
+  typedef FindStreamResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2500,12 +3001,12 @@
   inline  ::uint64_t getHlc();
   inline void setHlc( ::uint64_t value);
 
-  inline bool hasRows();
-  inline  ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Builder getRows();
-  inline void setRows( ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Builder initRows(unsigned int size);
-  inline void adoptRows(::capnp::Orphan< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>> disownRows();
+  inline bool hasFound();
+  inline  ::ebonylift::wire::Stream::Builder getFound();
+  inline void setFound( ::ebonylift::wire::Stream::Reader value);
+  inline  ::ebonylift::wire::Stream::Builder initFound();
+  inline void adoptFound(::capnp::Orphan< ::ebonylift::wire::Stream>&& value);
+  inline ::capnp::Orphan< ::ebonylift::wire::Stream> disownFound();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2517,14 +3018,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::WorkParams::Pipeline {
+class Peer::FindStreamResults::Pipeline {
 public:
-  typedef WorkParams Pipelines;
+  typedef FindStreamResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ebonylift::wire::Stream::Pipeline getFound();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2533,9 +3035,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::WorkResults::Reader {
+class Stream::Reader {
 public:
-  typedef WorkResults Reads;
+  typedef Stream Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2550,7 +3052,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHlc() const;
+  inline  ::uint64_t getStream() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasSoftwareVersion() const;
+  inline  ::capnp::Text::Reader getSoftwareVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2564,9 +3072,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::WorkResults::Builder {
+class Stream::Builder {
 public:
-  typedef WorkResults Builds;
+  typedef Stream Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2580,8 +3088,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHlc();
-  inline void setHlc( ::uint64_t value);
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasSoftwareVersion();
+  inline  ::capnp::Text::Builder getSoftwareVersion();
+  inline void setSoftwareVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftwareVersion(unsigned int size);
+  inline void adoptSoftwareVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftwareVersion();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2593,9 +3115,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::WorkResults::Pipeline {
+class Stream::Pipeline {
 public:
-  typedef WorkResults Pipelines;
+  typedef Stream Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3212,6 +3734,9 @@
   inline bool hasRows() const;
   inline  ::capnp::Data::Reader getRows() const;
 
+  inline bool hasSoftwareVersions() const;
+  inline  ::capnp::Data::Reader getSoftwareVersions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3271,6 +3796,13 @@
   inline void adoptRows(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownRows();
 
+  inline bool hasSoftwareVersions();
+  inline  ::capnp::Data::Builder getSoftwareVersions();
+  inline void setSoftwareVersions( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initSoftwareVersions(unsigned int size);
+  inline void adoptSoftwareVersions(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownSoftwareVersions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5650,6 +6182,231 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Peer::StreamsParams::Reader::getHlc() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::StreamsParams::Builder::getHlc() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::StreamsParams::Builder::setHlc( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::StreamsParams::Reader::hasRows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::StreamsParams::Builder::hasRows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>::Reader Peer::StreamsParams::Reader::getRows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>::Builder Peer::StreamsParams::Builder::getRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::StreamsParams::Builder::setRows( ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>::Builder Peer::StreamsParams::Builder::initRows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::StreamsParams::Builder::adoptRows(
+    ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>> Peer::StreamsParams::Builder::disownRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonylift::wire::Stream,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::StreamsResults::Reader::getHlc() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::StreamsResults::Builder::getHlc() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::StreamsResults::Builder::setHlc( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Peer::FindStreamParams::Reader::getHlc() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::FindStreamParams::Builder::getHlc() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::FindStreamParams::Builder::setHlc( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Peer::FindStreamParams::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::FindStreamParams::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::FindStreamParams::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Peer::FindStreamResults::Reader::getHlc() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::FindStreamResults::Builder::getHlc() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::FindStreamResults::Builder::setHlc( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::FindStreamResults::Reader::hasFound() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FindStreamResults::Builder::hasFound() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ebonylift::wire::Stream::Reader Peer::FindStreamResults::Reader::getFound() const {
+  return ::capnp::_::PointerHelpers< ::ebonylift::wire::Stream>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ebonylift::wire::Stream::Builder Peer::FindStreamResults::Builder::getFound() {
+  return ::capnp::_::PointerHelpers< ::ebonylift::wire::Stream>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ebonylift::wire::Stream::Pipeline Peer::FindStreamResults::Pipeline::getFound() {
+  return  ::ebonylift::wire::Stream::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::FindStreamResults::Builder::setFound( ::ebonylift::wire::Stream::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonylift::wire::Stream>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ebonylift::wire::Stream::Builder Peer::FindStreamResults::Builder::initFound() {
+  return ::capnp::_::PointerHelpers< ::ebonylift::wire::Stream>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::FindStreamResults::Builder::adoptFound(
+    ::capnp::Orphan< ::ebonylift::wire::Stream>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonylift::wire::Stream>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ebonylift::wire::Stream> Peer::FindStreamResults::Builder::disownFound() {
+  return ::capnp::_::PointerHelpers< ::ebonylift::wire::Stream>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Stream::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Stream::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Stream::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Stream::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Stream::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Stream::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Stream::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Stream::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Stream::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Stream::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Stream::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Stream::Reader::hasSoftwareVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Stream::Builder::hasSoftwareVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Stream::Reader::getSoftwareVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Stream::Builder::getSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Stream::Builder::setSoftwareVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Stream::Builder::initSoftwareVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Stream::Builder::adoptSoftwareVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Stream::Builder::disownSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool ServerWork::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6496,6 +7253,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool SummaryGroup::Reader::hasSoftwareVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool SummaryGroup::Builder::hasSoftwareVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader SummaryGroup::Reader::getSoftwareVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder SummaryGroup::Builder::getSoftwareVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void SummaryGroup::Builder::setSoftwareVersions( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder SummaryGroup::Builder::initSoftwareVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void SummaryGroup::Builder::adoptSoftwareVersions(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> SummaryGroup::Builder::disownSoftwareVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Digest::Reader::getHostsHash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -80,6 +80,20 @@
   return std::nullopt;
 }
 
+// A text is encoded as its length and its bytes.
+void AppendText(const std::string& text, std::string* out) {
+  AppendVarint(text.size(), out);
+  *out += text;
+}
+
+std::optional<std::string> ConsumeText(std::string_view* bytes) {
+  std::optional<uint64_t> length = ConsumeVarint(bytes);
+  if (!length || *length > bytes->size()) return std::nullopt;
+  std::string text(bytes->substr(0, *length));
+  bytes->remove_prefix(*length);
+  return text;
+}
+
 uint64_t ClampToUnsigned(int64_t value) { return value < 0 ? 0 : static_cast<uint64_t>(value); }
 
 int ClampToInt(uint64_t value) { return static_cast<int>(std::min<uint64_t>(value, INT32_MAX)); }
@@ -163,10 +177,12 @@
   uint64_t newest = 0;
   for (const SummaryRow* row : rows) newest = std::max(newest, row->summary.version);
   std::string bytes;
+  std::string software;
   for (const SummaryRow* row : rows) {
     const DomainSummary& summary = row->summary;
-    AppendVarint(summary.served.size(), &bytes);
-    bytes += summary.served;
+    AppendVarint(summary.software_versions.size(), &software);
+    for (const std::string& version : summary.software_versions) AppendText(version, &software);
+    AppendText(summary.served, &bytes);
     AppendVarint(newest - summary.version, &bytes);
     AppendVarint(ClampToUnsigned(summary.servers), &bytes);
     AppendVarint(ClampToUnsigned(summary.slots), &bytes);
@@ -179,7 +195,24 @@
   out.setRegion(std::get<1>(key));
   out.setReporter(std::get<2>(key));
   out.setNewestVersion(newest);
-  out.setRows(capnp::Data::Reader(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+  out.setRows(ToData(bytes));
+  out.setSoftwareVersions(ToData(software));
+}
+
+// Reads and removes the software versions of one row. Returns none if they are malformed, or
+// missing as in the messages of earlier versions.
+std::vector<std::string> ConsumeSoftwareVersions(std::string_view* bytes) {
+  std::vector<std::string> versions;
+  std::optional<uint64_t> count = ConsumeVarint(bytes);
+  for (uint64_t i = 0; count && i < *count; ++i) {
+    std::optional<std::string> version = ConsumeText(bytes);
+    if (!version) {
+      *bytes = {};
+      return {};
+    }
+    versions.push_back(std::move(*version));
+  }
+  return versions;
 }
 
 // Stops at the first malformed row. Each row holds the name and the numbers in the order in which
@@ -188,12 +221,14 @@
   constexpr size_t kVarintCount = 7;
   auto rows = in.getRows();
   std::string_view bytes(reinterpret_cast<const char*>(rows.begin()), rows.size());
+  auto versions = in.getSoftwareVersions();
+  std::string_view software(reinterpret_cast<const char*>(versions.begin()), versions.size());
   while (!bytes.empty()) {
-    std::optional<uint64_t> length = ConsumeVarint(&bytes);
-    if (!length || *length > bytes.size()) return;
+    std::optional<std::string> served = ConsumeText(&bytes);
+    if (!served) return;
     SummaryRow row;
-    row.summary.served = std::string(bytes.substr(0, *length));
-    bytes.remove_prefix(*length);
+    row.summary.served = std::move(*served);
+    row.summary.software_versions = ConsumeSoftwareVersions(&software);
     uint64_t numbers[kVarintCount];
     for (uint64_t& number : numbers) {
       std::optional<uint64_t> value = ConsumeVarint(&bytes);
@@ -436,6 +471,21 @@
   return report;
 }
 
+void WriteStream(const StreamRecord& record, wire::Stream::Builder out) {
+  out.setStream(record.stream);
+  out.setService(record.origin.service);
+  out.setSoftwareVersion(record.origin.software_version);
+}
+
+std::optional<StreamRecord> ReadStream(wire::Stream::Reader in) {
+  StreamRecord record;
+  record.stream = in.getStream();
+  record.origin.service = ToStdString(in.getService());
+  record.origin.software_version = ToStdString(in.getSoftwareVersion());
+  if (record.origin.software_version.empty()) return std::nullopt;
+  return record;
+}
+
 void WriteEvent(const Event& event, wire::EventEntry::Builder out) {
   out.setHlc(event.hlc);
   out.setEvent(static_cast<int32_t>(event.id));
--- a/src/adapters/peer_codec.h
+++ b/src/adapters/peer_codec.h
@@ -42,6 +42,10 @@
 void WriteSuspectNote(const SuspectReport& report, wire::SuspectNote::Builder out);
 SuspectReport ReadSuspectNote(wire::SuspectNote::Reader in);
 
+void WriteStream(const StreamRecord& record, wire::Stream::Builder out);
+// Returns nullopt if the row has no software version.
+std::optional<StreamRecord> ReadStream(wire::Stream::Reader in);
+
 void WriteEvent(const Event& event, wire::EventEntry::Builder out);
 // The event id may be unknown to this version; check it with IsKnownEvent().
 Event ReadEvent(wire::EventEntry::Reader in);
--- a/src/adapters/peer_server.cc
+++ b/src/adapters/peer_server.cc
@@ -116,6 +116,28 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> streams(StreamsContext context) override {
+    auto params = context.getParams();
+    ProcessClock().Receive(params.getHlc());
+    std::vector<StreamRecord> records;
+    for (wire::Stream::Reader row : params.getRows()) {
+      if (std::optional<StreamRecord> record = ReadStream(row)) records.push_back(*record);
+    }
+    handler_->OnPeerStreams(records);
+    context.getResults().setHlc(ProcessClock().Now());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> findStream(FindStreamContext context) override {
+    auto params = context.getParams();
+    ProcessClock().Receive(params.getHlc());
+    std::optional<StreamOrigin> origin = handler_->OnPeerFindStream(params.getStream());
+    auto results = context.getResults();
+    results.setHlc(ProcessClock().Now());
+    if (origin) WriteStream({params.getStream(), *origin}, results.initFound());
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> timeline(TimelineContext context) override {
     auto params = context.getParams();
     ProcessClock().Receive(params.getHlc());
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -580,6 +580,35 @@
       connection, kj::mv(request), kNotificationTimeout, true, [](auto&) { return true; }, nullptr);
 }
 
+void Rpc::Streams(const HostId& to, const std::vector<StreamRecord>& records) {
+  std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, 0);
+  if (connection == nullptr) return;
+  auto request = KJ_ASSERT_NONNULL(connection->client).streamsRequest();
+  request.setHlc(ProcessClock().Now());
+  auto rows = request.initRows(static_cast<uint32_t>(records.size()));
+  for (uint32_t i = 0; i < rows.size(); ++i) WriteStream(records[i], rows[i]);
+  impl_->Call<bool>(
+      connection, kj::mv(request), kNotificationTimeout, true, [](auto&) { return true; }, nullptr);
+}
+
+void Rpc::FindStream(const HostId& to, uint64_t stream, Duration timeout,
+                     std::function<void(std::optional<std::optional<StreamOrigin>>)> done) {
+  std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, 0);
+  if (connection == nullptr) return impl_->CompleteWithoutResult(std::move(done));
+  auto request = KJ_ASSERT_NONNULL(connection->client).findStreamRequest();
+  request.setHlc(ProcessClock().Now());
+  request.setStream(stream);
+  auto parse_response = [](auto& response) {
+    std::optional<StreamOrigin> origin;
+    if (!response.hasFound()) return origin;
+    std::optional<StreamRecord> record = ReadStream(response.getFound());
+    if (record) origin = std::move(record->origin);
+    return origin;
+  };
+  impl_->Call<std::optional<StreamOrigin>>(connection, kj::mv(request), timeout, false,
+                                           parse_response, std::move(done));
+}
+
 void Rpc::Timeline(const HostId& to, HlcStamp since, const std::string& request_id, size_t limit,
                    Duration timeout, std::function<void(std::optional<TimelinePage>)> done) {
   std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, 0);
--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -129,6 +129,8 @@
                                       size_t limit) = 0;
   // `work` replaces the list received from this peer before.
   virtual void OnPeerWorkList(const HostId& from, std::vector<ServerWork> work) = 0;
+  virtual void OnPeerStreams(const std::vector<StreamRecord>& records) = 0;
+  virtual std::optional<StreamOrigin> OnPeerFindStream(uint64_t stream) = 0;
   // A peer logged in on an incoming connection.
   virtual void OnPeerLogin(const HostId& host, uint64_t incarnation) = 0;
   // An outgoing connection to the peer has logged in, or was lost.
@@ -191,6 +193,12 @@
   // Sends the work that this host has on the backend servers that both hosts use. It replaces the
   // list sent before.
   void Work(const HostId& to, const std::vector<ServerWork>& work);
+  // Sends streams that began at this host.
+  void Streams(const HostId& to, const std::vector<StreamRecord>& records);
+  // Asks where a stream began. The result of `done` is empty if the peer did not answer, the inner
+  // one if it does not know the stream.
+  void FindStream(const HostId& to, uint64_t stream, Duration timeout,
+                  std::function<void(std::optional<std::optional<StreamOrigin>>)> done);
   // Requests the events after `since`, or only those of one request if `request_id` is not empty.
   void Timeline(const HostId& to, HlcStamp since, const std::string& request_id, size_t limit,
                 Duration timeout, std::function<void(std::optional<TimelinePage>)> done);
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -23,6 +23,7 @@
       {ErrorKind::kRateLimited, "rate_limited", 429, Run::kNotRun, 1000, "The team exceeded its rate or concurrency limit."},
       {ErrorKind::kOverloaded, "overloaded", 503, Run::kNotRun, 1000, "The request queue or a store is full."},
       {ErrorKind::kNoServer, "no_server", 503, Run::kNotRun, 2000, "No backend server is available that is allowed to run the request."},
+      {ErrorKind::kStreamUnknown, "stream_unknown", 503, Run::kNotRun, 500, "No host knows which software version began the stream, so no server may continue it."},
       {ErrorKind::kOwnerUnreachable, "owner_unreachable", 503, Run::kNotRun, 2000, "The host that owns the idempotency key cannot be reached."},
       {ErrorKind::kRegionUnreachable, "region_unreachable", 503, Run::kNotRun, 2000, "No host in an allowed region can be reached."},
       {ErrorKind::kServerRefused, "server_refused", 503, Run::kNotRun, 1000, "Every backend server that was tried refused the connection or the request."},
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -37,6 +37,7 @@
   kRateLimited,
   kOverloaded,
   kNoServer,
+  kStreamUnknown,
   kOwnerUnreachable,
   kRegionUnreachable,
   kServerRefused,
--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -37,7 +37,7 @@
       {EventId::kLateDataDropped, 209, "late_data_dropped", "Data received from an abandoned attempt was discarded: request_id, attempt."},
       {EventId::kForwardRejected, 210, "forward_rejected", "A forwarding header of another host was rejected: from, reason."},
       {EventId::kResidencyViolationRefused, 211, "residency_violation_refused", "A request was refused because the data residency rule does not allow its region: request_id, team, route, region."},
-      {EventId::kStreamTakenUp, 212, "stream_taken_up", "A caller takes up a stream that an earlier request of it began: request_id, caller_request_id, resumes (caller_request_id of that request), offset."},
+      {EventId::kStreamTakenUp, 212, "stream_taken_up", "A caller takes up a stream that an earlier request of it began: request_id, caller_request_id, resumes (caller_request_id of that request), offset, software (the version that began it; empty: unknown), ms (until it was found)."},
       {EventId::kServerAnnounced, 300, "server_announced", "A backend server was announced for the first time or with a new incarnation: server, incarnation, kind, software (its version)."},
       {EventId::kServerExpired, 301, "server_expired", "A backend server sent no announcement within its time to live: server."},
       {EventId::kServerLeaving, 302, "server_leaving", "A backend server announced that it is shutting down, or said so in an answer: server, source (answer)."},
--- a/src/core/domain_summary.cc
+++ b/src/core/domain_summary.cc
@@ -1,5 +1,6 @@
 #include "core/domain_summary.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -8,8 +9,15 @@
 namespace ebonylift {
 namespace {
 
+void AddSoftwareVersion(const std::string& version, std::vector<std::string>* versions) {
+  if (version.empty()) return;
+  auto place = std::lower_bound(versions->begin(), versions->end(), version);
+  if (place == versions->end() || *place != version) versions->insert(place, version);
+}
+
 // Adds the server's capacity and load to a row.
 void AddServer(const BackendServer& server, Time now, DomainSummary* row) {
+  AddSoftwareVersion(server.announced.software_version, &row->software_versions);
   const ServerLoad& load = server.announced.load;
   ++row->servers;
   bool takes_work = !IsCold(server, now) && server.other_hosts_limit.per_s <= 0;
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -385,7 +385,9 @@
 // The minimum time between the reports of `last` and `next`.
 Duration ReportInterval(const MembershipParams& params, const DomainSummary& last,
                         const DomainSummary& next) {
-  if (last.servers != next.servers) return Duration(0);
+  bool other_servers =
+      last.servers != next.servers || last.software_versions != next.software_versions;
+  if (other_servers) return Duration(0);
   if (SameLoad(last, next)) return params.summary_refresh;
   int job_delta = std::abs((next.running + next.waiting) - (last.running + last.waiting));
   bool large_change = job_delta > 0 && job_delta >= next.slots / params.summary_load_divisor;
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -30,6 +30,14 @@
   return false;
 }
 
+// Whether the server may run the request now, if it has room.
+bool CanRun(const RouteQuery& query, const BackendServer& server, const RoutingView& view,
+            Time now) {
+  bool other_software = !query.software_version.empty() &&
+                        server.announced.software_version != query.software_version;
+  return !other_software && CanServe(server, *query.route, view, now);
+}
+
 // A local server that can serve the route, with what the choice depends on.
 struct Candidate {
   const BackendServer* server = nullptr;
@@ -302,7 +310,7 @@
   if (now < routing_state.set_aside_until) set_aside = ServersSetAside(*query.route, view);
   local.own_server_set_aside = OwnServerSetAside(set_aside, view);
   for (const BackendServer& server : view.servers) {
-    if (!CanServe(server, *query.route, view, now)) continue;
+    if (!CanRun(query, server, view, now)) continue;
     bool is_set_aside = std::find(set_aside.begin(), set_aside.end(), &server) != set_aside.end();
     if (is_set_aside && !query.suspect) continue;
     if (Contains(query.avoid_servers, server.announced.id)) continue;
@@ -745,7 +753,7 @@
   double own = PrefillSeconds(query.prompt_tokens, rate);
   double min_wait = ToSeconds(kMaxRetryAfter);
   for (const BackendServer& server : view.servers) {
-    if (!CanServe(server, *query.route, view, now)) continue;
+    if (!CanRun(query, server, view, now)) continue;
     Candidate candidate = MakeCandidate(query, server, routing_state);
     candidate.request_rate = RequestRate(view, server, LimitOf(candidate), now);
     NoticeReason excluded = ExcludedBy(NoticesOf(candidate), now);
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -181,6 +181,9 @@
   std::vector<ServerId> avoid_servers;  // already tried
   std::vector<HostId> avoid_hosts;      // the sender of a forward, and hosts that refused
   bool suspect = false;                 // must run on a server without other work
+  // The servers must have this version of their software, as the one that began the stream that the
+  // request continues; empty: any.
+  std::string software_version;
   // Set for a chapter at its turn; see kReservedShare.
   bool may_use_reserved_slots = false;
 };
--- a/src/core/routing_remote.cc
+++ b/src/core/routing_remote.cc
@@ -12,6 +12,13 @@
   return region == view.self.region || (!query.crossed_region && query.route->send_away);
 }
 
+// False if no server of the failure domain has the software version that the request needs.
+bool MayHaveSoftware(const RouteQuery& query, const DomainSummary& summary) {
+  const std::vector<std::string>& versions = summary.software_versions;
+  return query.software_version.empty() || versions.empty() ||
+         Contains(versions, query.software_version);
+}
+
 bool IsUsableHost(const RouteQuery& query, const RoutingView& view, const HostEntry& host) {
   return host.status == HostStatus::kAlive && !host.overloaded && host.id != view.self.host &&
          !host.region.empty() && !Contains(query.avoid_hosts, host.id);
@@ -114,6 +121,7 @@
     if (InScope(view.self, view.server_scope, summary.domain, summary.region)) continue;
     if (now - summary.reported_at > kSummaryTtl) continue;
     if (!MayForwardTo(query, view, summary.region)) continue;
+    if (!MayHaveSoftware(query, summary)) continue;
     if (!DomainMatchesConfig(view, summary.domain, summary.region)) continue;
     const TargetState* state = FindDomainState(routing_state, summary.domain);
     if (state != nullptr && now < state->ejected_until) continue;
--- a/src/daemon/attempt_call.cc
+++ b/src/daemon/attempt_call.cc
@@ -108,9 +108,12 @@
   forward_header.time = WallNow();
   bool own_interface = spec->dialect == nullptr;
   std::string key = own_interface ? FindHeader(spec->headers, "idempotency-key") : std::string();
-  ForwardBinding binding{spec->method, spec->request_path + "?" + spec->query, key, BodyHash(spec)};
+  ForwardBinding binding{spec->method, spec->request_path + "?" + spec->query, key, BodyHash(spec),
+                         spec->software_version};
   HttpHeaders headers =
       own_interface ? spec->headers : MakeDialectHeaders(*spec, open, last_event_id, now);
+  if (!spec->software_version.empty())
+    headers.emplace_back(kSoftwareVersionHeader, spec->software_version);
   headers.emplace_back(kForwardHeader, EncodeForward(forward_header, binding, cluster_key));
   return headers;
 }
--- a/src/daemon/attempt_call.h
+++ b/src/daemon/attempt_call.h
@@ -24,14 +24,17 @@
   bool reached_server = true;  // the request reached a backend server
   bool refused = false;        // the target stated that it did not run the request
 
+  // Of the backend server's software; of an attempt through another host, once its answer has
+  // begun. Empty: unknown.
+  std::string software_version;
+
   // Set for an attempt on a backend server.
   std::optional<ServerId> server;
   std::string address;
   // Address of the server whose cache holds more of the prompt; empty: none.
   std::string fetch_from;
-  std::string software_version;  // of the server; empty: unknown
-  bool can_resume = false;       // the server has the capability `resume`
-  bool can_cancel = false;       // the server has the capability `cancel`
+  bool can_resume = false;  // the server has the capability `resume`
+  bool can_cancel = false;  // the server has the capability `cancel`
   Choice choice;
   bool response_started = false;  // the first byte of the response arrived
   Time first_data_at;             // set if `response_started`
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -102,6 +102,17 @@
     Post([work = std::move(work)](ControlLoop* loop) mutable { loop->ShareWork(std::move(work)); });
   }
 
+  void ShareStreams(std::map<HostId, std::vector<StreamRecord>> by_holder) override {
+    Post([by_holder = std::move(by_holder)](ControlLoop* loop) { loop->ShareStreams(by_holder); });
+  }
+
+  void FindStream(std::vector<HostId> hosts, uint64_t stream,
+                  std::function<void(std::optional<StreamOrigin>)> done) override {
+    Post([hosts = std::move(hosts), stream, done = std::move(done)](ControlLoop* loop) {
+      loop->FindStream(hosts, stream, done);
+    });
+  }
+
   void StartDrain() override {
     Post([](ControlLoop* loop) { loop->StartDrain(); });
   }
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -76,6 +76,11 @@
   // Called on the control thread when a host connects. Returns the suspects that this host knows.
   std::function<std::vector<SuspectReport>()> known_suspects;
 
+  // Called on the control thread with streams that began at another host, and for a stream that
+  // another host asks for.
+  std::function<void(const std::vector<StreamRecord>&)> on_streams;
+  std::function<std::optional<StreamOrigin>(uint64_t stream)> find_stream;
+
   // Called on the control thread every kPeerBytesInterval with the total bytes sent to and received
   // from other daemons since the start, and the sent bytes that are not yet written out.
   std::function<void(uint64_t sent, uint64_t received, uint64_t unsent)> on_peer_bytes;
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -17,6 +17,8 @@
 constexpr Duration kTickInterval = milliseconds(50);
 constexpr Duration kSummaryInterval = milliseconds(500);
 constexpr Duration kTimelineTimeout = seconds(2);
+// Three round trips between regions.
+constexpr Duration kFindStreamTimeout = milliseconds(350);
 // The leader pushes a new revision to at most this many hosts; the others learn it by gossip.
 constexpr size_t kMaxRevisionPushes = 128;
 
@@ -337,6 +339,29 @@
   SchedulePublish(kPublishInterval);
 }
 
+// ---- origins of streams ----
+
+void ControlLoop::ShareStreams(const std::map<HostId, std::vector<StreamRecord>>& by_holder) {
+  for (const auto& [host, records] : by_holder) rpc_.Streams(host, records);
+}
+
+void ControlLoop::FindStream(const std::vector<HostId>& hosts, uint64_t stream,
+                             const std::function<void(std::optional<StreamOrigin>)>& done) {
+  if (hosts.empty()) return done(std::nullopt);
+  auto waiting = std::make_shared<size_t>(hosts.size());  // answers; 0 once `done` has run
+  for (const HostId& host : hosts) {
+    rpc_.FindStream(host, stream, kFindStreamTimeout,
+                    [waiting, done](std::optional<std::optional<StreamOrigin>> answer) {
+                      if (*waiting == 0) return;
+                      --*waiting;
+                      bool found = answer && *answer;
+                      if (!found && *waiting > 0) return;
+                      *waiting = 0;
+                      done(found ? *answer : std::nullopt);
+                    });
+  }
+}
+
 // ---- timeline ----
 
 void ControlLoop::Timeline(HlcStamp since, const std::string& request_id, size_t limit,
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -17,6 +17,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -87,6 +88,9 @@
     return MakeStatusJson(*options_, replica_, gossip_.membership(), servers_.registry(), rpc_);
   }
   void ShareWork(std::vector<ServerWork> work);
+  void ShareStreams(const std::map<HostId, std::vector<StreamRecord>>& by_holder);
+  void FindStream(const std::vector<HostId>& hosts, uint64_t stream,
+                  const std::function<void(std::optional<StreamOrigin>)>& done);
   void StartDrain() { gossip_.StartDrain(); }
   void UpdateOverloaded(bool overloaded) { gossip_.UpdateOverloaded(overloaded); }
   ConfigReplica* replica() { return &replica_; }
@@ -116,6 +120,12 @@
     return ReadTimelinePage(since, request_id, limit);
   }
   void OnPeerWorkList(const HostId& from, std::vector<ServerWork> work) override;
+  void OnPeerStreams(const std::vector<StreamRecord>& records) override {
+    if (options_->on_streams) options_->on_streams(records);
+  }
+  std::optional<StreamOrigin> OnPeerFindStream(uint64_t stream) override {
+    return options_->find_stream ? options_->find_stream(stream) : std::nullopt;
+  }
   void OnPeerLogin(const HostId& host, uint64_t incarnation) override {
     servers_.OnLogin(host, incarnation);
   }
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -2,12 +2,21 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <functional>
 
 #include "base/event.h"
 #include "base/hash.h"
 #include "daemon/ingress_request.h"
 
 namespace ebonylift {
+namespace {
+
+// A caller may take up a stream before the holders of its origin were told; see
+// kOriginSendInterval.
+constexpr int kMaxOriginSearches = 2;
+constexpr Duration kOriginSearchInterval = 2 * kOriginSendInterval;
+
+}  // namespace
 
 void ExchangeTable::Start(const ExchangeContext& context, RequestSpec spec,
                           std::shared_ptr<HttpResponder> responder) {
@@ -58,12 +67,6 @@
   relay_.OnCallerClosed([table, id = id_] {
     if (Exchange* exchange = table->Find(id)) exchange->OnCallerDisconnected();
   });
-  if (!spec_.forwarded && !spec_.dialect_request.resumes.empty()) {
-    LogEvent(EventId::kStreamTakenUp, {{"request_id", spec_.id.value()},
-                                       {"caller_request_id", spec_.caller_request_id},
-                                       {"resumes", spec_.dialect_request.resumes},
-                                       {"offset", spec_.dialect_request.resume_after}});
-  }
   if (RefuseIfCondemned()) return;
   // A team's limits are applied only once, by the host that received the request from the caller.
   if (!spec_.forwarded) {
@@ -80,11 +83,66 @@
   }
   if (NeedsKeyClaim()) {
     ClaimKey();
+  } else if (TakesUpStream()) {
+    FindOrigin();
   } else {
     Place();
   }
 }
 
+// Whether the caller has a part of the stream, from an earlier request.
+bool Exchange::TakesUpStream() const {
+  return spec_.dialect != nullptr && !spec_.forwarded && spec_.route->resumable &&
+         !(spec_.dialect_request.resumes.empty() && spec_.dialect_request.resume_after.empty());
+}
+
+// Finds out which servers may continue the stream that the caller takes up.
+void Exchange::FindOrigin() {
+  const std::string& resumes = spec_.dialect_request.resumes;
+  if (resumes.empty()) {
+    OnOriginFound(OnlyOrigin(*spec_.view, *spec_.route, SteadyNow()));
+    return;
+  }
+  uint64_t stream = StreamKey(resumes);
+  std::optional<StreamOrigin> known = context_.stream_origins->Find(stream, SteadyNow());
+  if (known) {
+    OnOriginFound(known);
+    return;
+  }
+  ++origin_searches_;
+  ExchangeTable* table = context_.table;
+  asio::io_context* io = context_.io;
+  context_.control->FindStream(HoldersToAsk(spec_.view->hosts, spec_.view->self, stream), stream,
+                               [=, id = id_](std::optional<StreamOrigin> origin) {
+                                 asio::post(*io, [=] {
+                                   if (Exchange* exchange = table->Find(id))
+                                     exchange->OnOriginFound(origin);
+                                 });
+                               });
+}
+
+void Exchange::OnOriginFound(const std::optional<StreamOrigin>& origin) {
+  bool on_its_way = !spec_.dialect_request.resumes.empty() && origin_searches_ < kMaxOriginSearches;
+  if (!origin && on_its_way) {
+    RunAfter(kOriginSearchInterval, std::mem_fn(&Exchange::FindOrigin));
+    return;
+  }
+  LogEvent(EventId::kStreamTakenUp,
+           {{"request_id", spec_.id.value()},
+            {"caller_request_id", spec_.caller_request_id},
+            {"resumes", spec_.dialect_request.resumes},
+            {"offset", spec_.dialect_request.resume_after},
+            {"software", origin ? origin->software_version : ""},
+            {"ms", std::to_string(ToMillis(SteadyNow() - spec_.arrived))}});
+  if (!origin) {
+    Refuse(ErrorKind::kStreamUnknown, "");
+    return;
+  }
+  spec_.software_version = origin->software_version;
+  spec_.stream_service = origin->service;
+  Place();
+}
+
 // With a dialect, each service of a team has its own retry budget. With the gateway's own
 // interface, a team has one budget for all its requests.
 TeamId Exchange::RetryBudgetKey() const {
@@ -206,6 +264,7 @@
   query.first_byte_deadline = FirstByteDeadline();
   query.avoid_servers = failed_servers_;
   query.avoid_hosts = tried_hosts_;
+  query.software_version = spec_.software_version;
   query.suspect = context_.dispatcher->MustRunAlone(spec_.content.content, SteadyNow());
   return query;
 }
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -32,6 +32,7 @@
 #include "daemon/dispatcher.h"
 #include "daemon/key_claim.h"
 #include "daemon/request.h"
+#include "daemon/stream_origin_table.h"
 #include "ports/control_port.h"
 
 namespace ebonylift {
@@ -45,6 +46,7 @@
   HttpClient* client = nullptr;
   Dispatcher* dispatcher = nullptr;
   RecordStore* records = nullptr;
+  StreamOriginTable* stream_origins = nullptr;
   ControlPort* control = nullptr;
   Metrics* metrics = nullptr;
   std::string cluster_key;
@@ -70,6 +72,9 @@
   void ClaimKey();
   void OnClaim(const ClaimResult& result, std::optional<ErrorKind> error);
   void ForwardToOwner(const HostId& owner);
+  bool TakesUpStream() const;
+  void FindOrigin();
+  void OnOriginFound(const std::optional<StreamOrigin>& origin);
   void Place();
   // Returns whether it refused the request, which ends the exchange.
   bool RefuseIfCondemned();
@@ -127,6 +132,7 @@
                     Time now);
   void RelayStreamData(std::string_view data);
   void RelayEvents(std::string events);
+  void RecordStreamBegin();
   void EndOversizedAttempt(const char* reason);
   void RecordDataReceived();
   void ReportAnsweredParts(Time now);
@@ -152,8 +158,7 @@
   bool finished_ = false;
   bool to_key_owner_ = false;  // the open attempt goes to the host that owns the idempotency key
   bool condemnation_checked_ = false;
-  // The software version of the server that began the stream; empty: unknown, or not begun.
-  std::string stream_software_;
+  int origin_searches_ = 0;
   std::vector<ServerId> failed_servers_;  // attempts there failed
   std::vector<HostId> tried_hosts_;       // already forwarded to
 
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -154,6 +154,8 @@
 bool Exchange::TryContinueOnOtherServer() {
   if (!spec_.route->resumable || relay_.event_too_large() || relay_.caller_disconnected())
     return false;
+  // Unknown if a host of an earlier version forwarded the request to the server.
+  if (spec_.software_version.empty()) return false;
   Time now = SteadyNow();
   RetryDecision decision = context_.dispatcher->MayRetry(
       RetryBudgetKey(), CurrentRetryState(), ebonylift::Run::kMayHaveRun, spec_.deadline, now);
@@ -162,7 +164,7 @@
   LogEvent(EventId::kStreamResumed, {{"request_id", spec_.id.value()},
                                      {"caller_request_id", spec_.caller_request_id},
                                      {"offset", relay_.last_event_id()},
-                                     {"software", stream_software_}});
+                                     {"software", spec_.software_version}});
   Place();
   return true;
 }
@@ -243,7 +245,11 @@
 
 HttpHeaders Exchange::MakeResponseHeaders() const {
   HttpHeaders headers = EndToEndHeaders(relay_.headers());
-  if (spec_.dialect != nullptr) return headers;
+  if (spec_.dialect != nullptr) {
+    if (spec_.forwarded && !open_attempt_.software_version.empty())
+      headers.emplace_back(kSoftwareVersionHeader, open_attempt_.software_version);
+    return headers;
+  }
   headers.emplace_back(kRequestIdHeader, spec_.id.value());
   // The response of another host already has this header, so it is replaced rather than added.
   if (!spec_.caller_request_id.empty()) {
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -159,6 +159,8 @@
     context_.dispatcher->OnServerNotice(*open_attempt_.server, open_attempt_.choice.incarnation,
                                         notice, has_limit, SteadyNow());
   }
+  if (open_attempt_.forwarding)
+    open_attempt_.software_version = FindHeader(headers, kSoftwareVersionHeader);
   relay_.OnHeaders(status, headers, kind);
 }
 
@@ -169,8 +171,20 @@
     EndOversizedAttempt("an event of the stream exceeds its size limit");
 }
 
+// From now on the stream may only go on at the software version of this server.
+void Exchange::RecordStreamBegin() {
+  if (spec_.dialect == nullptr || !spec_.route->resumable || !spec_.software_version.empty())
+    return;
+  spec_.software_version = open_attempt_.software_version;
+  spec_.stream_service = spec_.route->service;
+  bool caller_may_return = !spec_.forwarded && !spec_.caller_request_id.empty();
+  if (!caller_may_return || spec_.software_version.empty()) return;
+  StreamOrigin origin{spec_.stream_service, spec_.software_version};
+  context_.stream_origins->Begin({StreamKey(spec_.caller_request_id), origin}, SteadyNow());
+}
+
 void Exchange::RelayEvents(std::string events) {
-  if (!relay_.begun()) stream_software_ = open_attempt_.software_version;
+  if (!relay_.begun()) RecordStreamBegin();
   ExchangeTable* table = context_.table;
   relay_.Begin([this] { return MakeResponseHeaders(); },
                [table, id = id_] {
--- a/src/daemon/forward.cc
+++ b/src/daemon/forward.cc
@@ -14,8 +14,11 @@
 
 std::string ComputeMac(const std::string& fields, const ForwardBinding& binding,
                        const std::string& cluster_key) {
-  return HmacHex(cluster_key, fields + "\n" + binding.method + "\n" + binding.path + "\n" +
-                                  Sha256Hex(binding.idempotency_key) + "\n" + binding.body_sha256);
+  std::string text = fields + "\n" + binding.method + "\n" + binding.path + "\n" +
+                     Sha256Hex(binding.idempotency_key) + "\n" + binding.body_sha256;
+  // Left out if empty, as by earlier versions, which refuse a request that has one.
+  if (!binding.software_version.empty()) text += "\n" + Sha256Hex(binding.software_version);
+  return HmacHex(cluster_key, text);
 }
 
 std::vector<std::string> SplitFields(const std::string& value) {
--- a/src/daemon/forward.h
+++ b/src/daemon/forward.h
@@ -20,6 +20,9 @@
 namespace ebonylift {
 
 inline constexpr char kForwardHeader[] = "x-ebonylift-forward";
+// In a forwarded request: the software version that its server must have. In the answer to one: the
+// software version of the server that gave it.
+inline constexpr char kSoftwareVersionHeader[] = "x-ebonylift-software-version";
 // Largest accepted difference between the sender's timestamp and the receiver's clock, either way.
 inline constexpr WallMillis kMaxForwardAgeMs = 30'000;
 
@@ -45,6 +48,7 @@
   std::string path;  // path, '?' and query; the '?' is present even if the query is empty
   std::string idempotency_key;
   std::string body_sha256;
+  std::string software_version = "";  // the value of kSoftwareVersionHeader
 };
 
 // Returns the header value, including the MAC. Precondition: no id contains ';', the field
--- a/src/daemon/ingress_request.cc
+++ b/src/daemon/ingress_request.cc
@@ -68,6 +68,15 @@
   spec->view = std::move(view);
 }
 
+// The backend of the route that the request uses. A stream goes on at the service that began it,
+// unless that is no longer one of the route's.
+const IngressBackend& SelectBackend(const RequestSpec& spec, const IngressRoute& route) {
+  for (const IngressBackend& backend : route.backends) {
+    if (backend.weight > 0 && backend.service == spec.stream_service) return backend;
+  }
+  return PickBackend(route, Hash64(spec.id.value()));
+}
+
 const RouteConfig* FindRouteConfig(const RoutingView& view, const RouteId& id) {
   const auto& routes = view.config->ingress->route_configs;
   auto found = routes.find(id);
@@ -85,7 +94,7 @@
     const IngressRoute* route =
         FindIngressRoute(*view->config->ingress, spec->dialect_request.host, spec->path);
     if (route == nullptr) return false;
-    config = FindRouteConfig(*view, PickBackend(*route, Hash64(spec->id.value())).route);
+    config = FindRouteConfig(*view, SelectBackend(*spec, *route).route);
   }
   if (config == nullptr) return false;
   SetRoute(spec, std::move(view), *config);
@@ -112,9 +121,12 @@
                                   const Dialect& dialect, const std::string& cluster_key,
                                   Time now) {
   RequireIngressConfig(*view);
-  std::string header = FindHeader(request.headers, kForwardHeader);
+  HttpHeaders request_headers = request.headers;
+  const std::string& header = FindHeader(request_headers, kForwardHeader);
   RequestSpec spec = MakeSpec(std::move(request), dialect, now);
-  ForwardBinding binding{spec.method, spec.path + "?" + spec.query, "", BodyHash(&spec)};
+  spec.software_version = FindHeader(request_headers, kSoftwareVersionHeader);
+  ForwardBinding binding{spec.method, spec.path + "?" + spec.query, "", BodyHash(&spec),
+                         spec.software_version};
   ForwardHeader forward_header = DecodeForward(header, binding, cluster_key, WallNow());
   const RouteConfig* route = FindRouteConfig(*view, forward_header.route);
   if (route == nullptr) {
--- a/src/daemon/request.h
+++ b/src/daemon/request.h
@@ -48,6 +48,11 @@
   bool claimed = false;         // forwarded by the host that holds the idempotency key's claim
   bool forwarded = false;       // received from another host
 
+  // Of a request that continues a stream, also of one whose own stream has begun: the software
+  // version that its servers must have, and the service that began it. Empty: any.
+  std::string software_version;
+  std::string stream_service;
+
   const Dialect* dialect = nullptr;  // null: native interface
   DialectRequest dialect_request;    // set if `dialect` is
 
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -18,6 +18,7 @@
 #include "daemon/dispatcher.h"
 #include "daemon/record_store.h"
 #include "daemon/settings.h"
+#include "daemon/stream_origin_table.h"
 #include "daemon/traffic.h"
 
 namespace ebonylift {
@@ -103,6 +104,7 @@
     traffic.control = control_.get();
     traffic.dispatcher = dispatcher_.get();
     traffic.records = records_.get();
+    traffic.stream_origins = &stream_origins_;
     traffic.metrics = &metrics_;
     traffic.start_drain = [this] { asio::post(io_, [this] { BeginDrain("operator"); }); };
     traffic_ = std::make_unique<Traffic>(traffic);
@@ -146,6 +148,12 @@
       return dispatcher == nullptr ? std::vector<SuspectReport>()
                                    : dispatcher->KnownSuspects(SteadyNow());
     };
+    options.on_streams = [this](const std::vector<StreamRecord>& records) {
+      stream_origins_.Add(records, SteadyNow());
+    };
+    options.find_stream = [this](uint64_t stream) {
+      return stream_origins_.Find(stream, SteadyNow());
+    };
     options.on_peer_bytes = [this](uint64_t sent, uint64_t received, uint64_t unsent) {
       metrics_.SetPeerBytes(sent, received, unsent);
     };
@@ -219,6 +227,7 @@
   asio::signal_set signals_;
   asio::steady_timer timer_;
   Metrics metrics_;
+  StreamOriginTable stream_origins_;
   std::unique_ptr<RecordStore> records_;
   std::unique_ptr<CondemnedStore> condemned_;
   std::unique_ptr<ControlPort> control_;
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -119,6 +119,7 @@
     context.client = client_.get();
     context.dispatcher = options_.dispatcher;
     context.records = options_.records;
+    context.stream_origins = options_.stream_origins;
     context.control = options_.control;
     context.metrics = options_.metrics;
     context.cluster_key = options_.settings.cluster_key;
@@ -334,6 +335,8 @@
     if (options_.settings.share_work) {
       options_.control->ShareWork(options_.dispatcher->WorkInFlight());
     }
+    auto unsent_streams = options_.stream_origins->TakeUnsent(*view, now);
+    if (!unsent_streams.empty()) options_.control->ShareStreams(std::move(unsent_streams));
     UpdateOverload();
     if (!*draining_ && view->config->revision > 0) jobs_.RunPending();
     if (!*draining_) orderer_.Tick(*view, now);
--- a/src/daemon/traffic.h
+++ b/src/daemon/traffic.h
@@ -19,6 +19,7 @@
 #include "daemon/record_store.h"
 #include "daemon/request.h"
 #include "daemon/settings.h"
+#include "daemon/stream_origin_table.h"
 #include "ports/control_port.h"
 
 namespace ebonylift {
@@ -54,6 +55,7 @@
   ControlPort* control = nullptr;
   Dispatcher* dispatcher = nullptr;
   RecordStore* records = nullptr;
+  StreamOriginTable* stream_origins = nullptr;
   Metrics* metrics = nullptr;
   std::function<void()> start_drain;  // starts a graceful shutdown; thread safe
 };
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -137,6 +138,14 @@
   // than kPeerWorkInterval (core/peer_work.h); each call replaces the previous list.
   virtual void ShareWork(std::vector<ServerWork> work) = 0;
 
+  // Sends streams that began at this host to the hosts that keep their origins.
+  virtual void ShareStreams(std::map<HostId, std::vector<StreamRecord>> by_holder) = 0;
+
+  // Asks the hosts where a stream began. `done` gets the first origin that one of them knows;
+  // nullopt if none knows it.
+  virtual void FindStream(std::vector<HostId> hosts, uint64_t stream,
+                          std::function<void(std::optional<StreamOrigin>)> done) = 0;
+
   // Marks this host as leaving in the membership, so that all hosts remove it from their lists of
   // entry hosts.
   virtual void StartDrain() = 0;
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -238,8 +238,9 @@
   int slots = 0;
   int running = 0;
   int waiting = 0;
-  int64_t prefill_tokens = 0;  // prompt tokens that are still to be prefilled
-  Time reported_at;            // by this host's clock
+  int64_t prefill_tokens = 0;                  // prompt tokens that are still to be prefilled
+  std::vector<std::string> software_versions;  // of the servers, sorted; empty: unknown
+  Time reported_at;                            // by this host's clock
 };
 
 // A limit that a host saw a backend server name, or withdraw.
@@ -256,6 +257,21 @@
   std::optional<ObservedLimit> limit;  // nullopt: the host saw none
 };
 
+// The servers that may continue a stream.
+struct StreamOrigin {
+  std::string service;
+  std::string software_version;  // never empty
+  friend bool operator==(const StreamOrigin& a, const StreamOrigin& b) {
+    return std::tie(a.service, a.software_version) == std::tie(b.service, b.software_version);
+  }
+};
+
+// A stream, identified by StreamKey() in core/stream_origins.h, and its origin.
+struct StreamRecord {
+  uint64_t stream = 0;
+  StreamOrigin origin;
+};
+
 // A host and its location.
 struct Identity {
   HostId host;
--- a/tests/domain_summary_test.cc
+++ b/tests/domain_summary_test.cc
@@ -36,6 +36,17 @@
   BOOST_TEST((rows[1].region == kSelf.region));
 }
 
+// Guards against a stream that is forwarded to a failure domain that cannot continue it.
+BOOST_AUTO_TEST_CASE(ListsEachSoftwareVersionOnce) {
+  std::vector<BackendServer> servers;
+  for (const char* version : {"v2", "v1", "v2", ""}) {
+    servers.push_back(MakeServer("a"));
+    servers.back().announced.software_version = version;
+  }
+  std::vector<std::string> versions = SummarizeDomain(kSelf, servers, kNow)[0].software_versions;
+  BOOST_TEST(versions == std::vector<std::string>({"v1", "v2"}), boost::test_tools::per_element());
+}
+
 // Guards against forwarding to a failure domain whose servers all restarted and are cold: they look
 // idle because hosts may send them almost nothing.
 BOOST_AUTO_TEST_CASE(ColdServersOfferNoSlots) {
--- a/tests/packed_stream_test.cc
+++ b/tests/packed_stream_test.cc
@@ -145,6 +145,9 @@
     row.summary.running = 7 * i;
     row.summary.waiting = 1000 * i;
     row.summary.reported_at = now - milliseconds(100 * i);
+    for (int j = 0; j < i % 3; ++j) {
+      row.summary.software_versions.push_back("v" + std::to_string(i) + "." + std::to_string(j));
+    }
     row.reporter = HostId("h" + std::to_string(i % 4));
     sent.summaries.push_back(row);
   }
@@ -159,6 +162,7 @@
                            int64_t{s.waiting}, int64_t{s.reported_at.time_since_epoch().count()}}) {
       all += "/" + std::to_string(number);
     }
+    for (const std::string& version : s.software_versions) all += "/" + version;
     return all;
   };
   std::set<std::string> expected;
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1443,4 +1443,49 @@
   BOOST_TEST((f.Run().hold_until == f.query.deadline), "not longer than the request may take");
 }
 
+// Guards against a stream that is continued by a server of another software version, and against
+// one that is refused or waits although a server of its version can take it.
+BOOST_AUTO_TEST_CASE(StreamsStayAtTheirSoftwareVersion) {
+  auto needs_v1 = [](Fixture& f) { f.query.software_version = "v1"; };
+  auto add = [](Fixture& f, const char* id, const char* version, int running = 0) {
+    f.AddServer(id, running).announced.software_version = version;
+  };
+  RunCases({
+      {"the only server of its version is busier", "local s1",
+       [&](Fixture& f) {
+         needs_v1(f);
+         add(f, "s1", "v1", 7);
+         add(f, "s2", "v2");
+       }},
+      {"the servers of its version are full", "queue",
+       [&](Fixture& f) {
+         needs_v1(f);
+         add(f, "s1", "v1", 100);
+         add(f, "s2", "v2");
+       }},
+      {"its version is only in another region", "forward h2",
+       [&](Fixture& f) {
+         needs_v1(f);
+         f.query.allowed_regions.push_back(RegionId("sur"));
+         f.route.regions = f.query.allowed_regions;
+         f.AddHost("h1", "norte", "norte-a");
+         f.AddHost("h2", "sur", "sur-a");
+         f.AddSummary("norte", "norte-a").software_versions = {"v2"};
+         f.AddSummary("sur", "sur-a", 7).software_versions = {"v1", "v2"};
+         add(f, "s2", "v2");
+       }},
+      {"no server has its version", "refuse no_server",
+       [&](Fixture& f) {
+         needs_v1(f);
+         add(f, "s2", "v2");
+         add(f, "s3", "");
+       }},
+      {"a request that continues no stream", "local s2",
+       [&](Fixture& f) {
+         add(f, "s1", "v1", 7);
+         add(f, "s2", "v2");
+       }},
+  });
+}
+
 }  // namespace ebonylift
--- a/tests/support/fake_control.h
+++ b/tests/support/fake_control.h
@@ -34,6 +34,11 @@
                 std::function<void(std::vector<Event>)> /*done*/) override {}
   void Status(std::function<void(StatusJson)> /*done*/) override {}
   void ShareWork(std::vector<ServerWork> /*work*/) override {}
+  void ShareStreams(std::map<HostId, std::vector<StreamRecord>> /*by_holder*/) override {}
+  void FindStream(std::vector<HostId> /*hosts*/, uint64_t /*stream*/,
+                  std::function<void(std::optional<StreamOrigin>)> done) override {
+    done(std::nullopt);
+  }
   void StartDrain() override {}
   void SetOverloaded(bool /*overloaded*/) override {}
   std::shared_ptr<const RoutingView> View() const override {
