--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -113,7 +113,7 @@
 // Implements HttpClient. Pending Asio handlers hold weak references, so they may outlive it.
 class CurlClient : public std::enable_shared_from_this<CurlClient> {
  public:
-  explicit CurlClient(asio::io_context& io);
+  CurlClient(asio::io_context& io, std::string source_address);
   ~CurlClient() { Close(); }
 
   CallId Start(HttpCall call);
@@ -151,6 +151,7 @@
   void RunOutsideLibcurl(std::function<void()> fn);
 
   asio::io_context& io_;
+  const std::string source_address_;  // empty: chosen by the kernel
   CURLM* multi_ = nullptr;
   asio::steady_timer timer_;
   CallId next_id_ = 1;
@@ -161,7 +162,8 @@
   std::vector<CURL*> handle_pool_;
 };
 
-CurlClient::CurlClient(asio::io_context& io) : io_(io), timer_(io) {
+CurlClient::CurlClient(asio::io_context& io, std::string source_address)
+    : io_(io), source_address_(std::move(source_address)), timer_(io) {
   static std::once_flag once;
   std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
   multi_ = curl_multi_init();
@@ -262,6 +264,7 @@
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  if (!source_address_.empty()) curl_easy_setopt(easy, CURLOPT_INTERFACE, source_address_.c_str());
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, ToTimeoutMillis(request.connect_timeout));
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ToTimeoutMillis(request.timeout));
   // A call that requires a new connection also closes it afterwards: if most calls are of this
@@ -580,7 +583,8 @@
 // Owns a CurlClient and closes it on destruction.
 class HttpClientImpl : public HttpClient {
  public:
-  explicit HttpClientImpl(asio::io_context& io) : client_(std::make_shared<CurlClient>(io)) {}
+  HttpClientImpl(asio::io_context& io, std::string source_address)
+      : client_(std::make_shared<CurlClient>(io, std::move(source_address))) {}
   ~HttpClientImpl() override { client_->Close(); }
   CallId Start(HttpCall call) override { return client_->Start(std::move(call)); }
   void Cancel(CallId id) override { client_->Cancel(id); }
@@ -592,8 +596,8 @@
 
 }  // namespace
 
-std::unique_ptr<HttpClient> MakeHttpClient(asio::io_context& io) {
-  return std::make_unique<HttpClientImpl>(io);
+std::unique_ptr<HttpClient> MakeHttpClient(asio::io_context& io, std::string source_address) {
+  return std::make_unique<HttpClientImpl>(io, std::move(source_address));
 }
 
 }  // namespace ebonylift
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -81,8 +81,9 @@
   virtual void Resume(CallId id) = 0;
 };
 
-// `io` must outlive the client.
-std::unique_ptr<HttpClient> MakeHttpClient(asio::io_context& io);
+// `io` must outlive the client. Connections are opened from the IP address `source_address`; if it
+// is empty, the kernel chooses one.
+std::unique_ptr<HttpClient> MakeHttpClient(asio::io_context& io, std::string source_address = "");
 
 }  // namespace ebonylift
 
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -45,6 +45,8 @@
 DEFINE_string(routing_policy, "cost",
               "how a backend server is chosen: cost, round_robin, least_reported, power_of_two, "
               "prefix_hash");
+DEFINE_string(source_address, "",
+              "IP address from which HTTP connections are opened; empty: chosen by the kernel");
 DEFINE_int32(traffic_threads, 2, "number of threads that serve requests, 1 to 16");
 DEFINE_int32(
     orderer_lease_ms, 300000,
@@ -213,6 +215,7 @@
   settings.operator_token_sha256 = FLAGS_operator_token_sha256;
   settings.directory_address = FLAGS_directory_address;
   settings.metrics_address = FLAGS_metrics_address;
+  settings.source_address = FLAGS_source_address;
   settings.routing_policy = FLAGS_routing_policy;
   settings.traffic_threads = FLAGS_traffic_threads;
   settings.drain_timeout = seconds(FLAGS_drain_timeout_s);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -56,6 +56,7 @@
   std::string platform_token;
   std::string operator_token_sha256;
   std::string directory_address;        // empty: no client directory
+  std::string source_address;           // of outgoing HTTP connections; empty: the kernel chooses
   std::string metrics_address;          // empty: metrics are served at http_address only
   std::string routing_policy = "cost";  // see ParseRoutingPolicy()
   int traffic_threads = 2;
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -59,7 +59,7 @@
         draining_(draining),
         delay_estimator_(delay_estimator),
         work_guard_(asio::make_work_guard(io_)),
-        client_(MakeHttpClient(io_)),
+        client_(MakeHttpClient(io_, options_.settings.source_address)),
         context_(MakeContext()),
         jobs_(context_),
         orderer_(&io_, client_.get(), options_.control, options_.settings),
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -105,6 +105,38 @@
   pause_ = retry_after;
 }
 
+void PlatformReplica::SetCut(CutMode mode, std::set<std::string> hosts) {
+  bool heals = hosts.empty();
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    cut_mode_ = mode;
+    cut_hosts_ = std::move(hosts);
+  }
+  if (!heals) return;
+  RunAfter(Duration(0), [this] {
+    for (const auto& responder : unanswered_) responder->Abort();
+    unanswered_.clear();
+  });
+}
+
+std::map<std::string, int> PlatformReplica::ArrivalsByHost() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return arrivals_by_host_;
+}
+
+bool PlatformReplica::DropIfCut(const HttpRequest& request,
+                                const std::shared_ptr<HttpResponder>& responder) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ++arrivals_by_host_[request.remote_address];
+  if (cut_hosts_.count(request.remote_address) == 0) return false;
+  if (cut_mode_ == CutMode::kSilent) {
+    unanswered_.push_back(responder);
+  } else {
+    responder->Abort();
+  }
+  return true;
+}
+
 std::vector<Time> PlatformReplica::ArrivalTimes() const {
   std::lock_guard<std::mutex> lock(mutex_);
   return arrival_times_;
@@ -145,6 +177,7 @@
 
 void PlatformReplica::Handle(const HttpRequest& request,
                              const std::shared_ptr<HttpResponder>& responder) {
+  if (DropIfCut(request, responder)) return;
   const std::string& expected = FindHeader(request.headers, "Expect-Instance");
   if (expected != id()) {
     responder->Send(421, {{"Instance-Id", id()}}, "");
@@ -335,6 +368,7 @@
 Process PlatformDeployment::StartDaemon(const std::string& settings_file, const std::string& name) {
   ProcessOptions options;
   options.binary = PlatformBinary();
+  options.arguments = {"--connect_from_own_ip"};
   options.environment = {{"EBONYLIFT_NODE_FILE", settings_file}};
   options.log_file = dir_.path() + "/" + name + ".log";
   return Process(options);
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -31,6 +32,12 @@
   kWrongAttemptId,  // answers with the Attempt-Id of another request
 };
 
+// What a replica does with the requests of hosts to which it has no path.
+enum class CutMode {
+  kSilent,  // reads them and never answers
+  kReset,   // resets their connections
+};
+
 // A simulated service replica, which serves HTTP on a thread of its own. Thread safe.
 //
 // A request whose path contains kCrashPath, or whose prompt has the part kCrashPart before the last
@@ -61,6 +68,10 @@
   void SetLeaving() { leaving_ = true; }
   // Answers every request with 503 and this Retry-After from now on; empty: runs them again.
   void SetPause(const std::string& retry_after);
+  // Cuts the path from the hosts with these IP addresses; none: heals it.
+  void SetCut(CutMode mode, std::set<std::string> hosts);
+  // The requests that arrived from each host, by its IP address, also those on a cut path.
+  std::map<std::string, int> ArrivalsByHost() const;
   // When requests arrived that were meant for this replica, oldest first.
   std::vector<Time> ArrivalTimes() const;
   // When requests began to run, oldest first.
@@ -75,6 +86,8 @@
 
  private:
   void Handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
+  // Returns whether the path from the sender is cut; the request is then dealt with.
+  bool DropIfCut(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
   void Stream(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder,
               bool break_connection);
   // Adds what the replica says of itself.
@@ -95,6 +108,11 @@
   std::vector<Time> run_times_;
   std::vector<Time> crash_times_;
   std::vector<Time> arrival_times_;
+  std::map<std::string, int> arrivals_by_host_;
+  CutMode cut_mode_ = CutMode::kSilent;
+  std::set<std::string> cut_hosts_;
+  std::vector<std::shared_ptr<HttpResponder>>
+      unanswered_;  // of a silent cut; on the replica's thread
   std::string limit_;
   std::string pause_;
   std::atomic<bool> leaving_{false};
@@ -167,16 +185,20 @@
   void StopGateway(const std::string& zone);
   void ContinueGateway(const std::string& zone);
 
+  std::string GatewayIpIn(const std::string& zone, int number) const {
+    return GatewayIp(ZoneIndex(zone), number);
+  }
+
   // True when GET /ready of each gateway of the zone returns 200.
   bool Ready(const std::string& zone);
 
  private:
+  static std::string ControlIp(int host);
+  static std::string GatewayIp(int host, int number);
   std::string WriteSettings(const std::string& name, const std::string& ip, const std::string& zone,
                             bool control, bool bootstrap);
   Process StartDaemon(const std::string& settings_file, const std::string& name);
   void SendHeartbeats();
-  static std::string ControlIp(int host);
-  static std::string GatewayIp(int host, int number);
   std::string GatewayName(const std::string& zone, int number) const;
   // The index of a gateway in gateways_.
   size_t GatewayIndex(const std::string& zone, int number) const;
