A gateway without a path to its servers hands requests to other hosts

Cause: what a host knows of its path to a server lasted until the server's next announcement, which other hosts relay; so each request tried server after server, for 0.5 s each. Forwards went only to failure domains whose servers this host does not reach directly, never to a host of its own region that reaches the same ones, and a host that was cut off itself went on being named to callers and chosen for forwards.

Now a host judges its paths by its own requests (core/server_paths.h): when half of its servers have failed to give a byte since the last answer, it is cut off. Its requests then go to another host of its scope, else to another failure domain; one idempotent request a second tries the servers and shows when the path is back. It tells the others in the membership by the flag that kept work from overloaded hosts. A request to which two servers could not be connected is relayed as well, since open connections may live on while new ones fail, and so is one for which the last connection to each server that could run it failed.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -53,6 +53,8 @@
       {EventId::kServersNotKept, 312, "servers_not_kept", "The on-disk snapshot of the backend servers cannot be used: reason."},
       {EventId::kServerLimitChanged, 313, "server_limit_changed", "A backend server named, changed or withdrew its request limit in an answer: server, requests_per_s (from all hosts together; none if withdrawn)."},
       {EventId::kServerPaused, 314, "server_paused", "A backend server turned a request away and wants nothing from this host for a time: server, ms."},
+      {EventId::kServersUnreachable, 315, "servers_unreachable", "This host has no path to its backend servers and hands requests to other hosts: server (the last one that failed), failed (how many did since the last answer)."},
+      {EventId::kServersReached, 316, "servers_reached", "This host has a path to its backend servers again: server (the one that answered)."},
       {EventId::kHostAlive, 400, "host_alive", "A host is reachable: host, incarnation."},
       {EventId::kHostSuspected, 401, "host_suspected", "A host did not answer probes and is suspected to have failed: host."},
       {EventId::kHostFailed, 402, "host_failed", "A host is considered failed: host, ms."},
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -64,6 +64,8 @@
   kServersNotKept = 312,
   kServerLimitChanged = 313,
   kServerPaused = 314,
+  kServersUnreachable = 315,
+  kServersReached = 316,
 
   kHostAlive = 400,
   kHostSuspected = 401,
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -118,6 +118,8 @@
   std::vector<Candidate> in_slow_start;  // skipped for this request by slow start
   std::vector<Candidate> ejected;
   const BackendServer* own_server_set_aside = nullptr;
+  int reachable = 0;    // servers to which the last connection did not fail
+  int unreachable = 0;  // the others
   int count = 0;  // servers, except those that the query avoids or that are excluded by a notice
   Time first_pause_end;  // of servers that asked for a pause; Time(): none
   int slots = 0;
@@ -182,11 +184,10 @@
   return now < candidate.state->ejected_until || IsUnreachable(candidate, now);
 }
 
-// True if a request was dispatched to the unreachable server since its last failed connection. That
-// request is the probe that shows whether the server is back. Further requests would only wait for
-// a connection that cannot be made.
-bool IsBeingProbed(const Candidate& candidate, Time now) {
-  if (!SameIncarnation(candidate) || !IsUnreachable(candidate, now)) return false;
+// True if a request was dispatched to the unreachable server `candidate` since its last failed
+// connection. That request is the probe that shows whether the server is back. Further requests
+// would only wait for a connection that cannot be made.
+bool IsBeingProbed(const Candidate& candidate) {
   const std::vector<Time>& dispatch_times = candidate.state->dispatch_times;
   return !dispatch_times.empty() && dispatch_times.back() > candidate.state->unreachable_at;
 }
@@ -315,7 +316,10 @@
     if (is_set_aside && !query.suspect) continue;
     if (Contains(query.avoid_servers, server.announced.id)) continue;
     Candidate candidate = MakeCandidate(query, server, routing_state);
-    if (IsReplaced(candidate) || IsBeingProbed(candidate, now)) continue;
+    if (IsReplaced(candidate)) continue;
+    bool unreachable = SameIncarnation(candidate) && IsUnreachable(candidate, now);
+    ++(unreachable ? local.unreachable : local.reachable);
+    if (unreachable && IsBeingProbed(candidate)) continue;
     NoticeReason excluded = ExcludedBy(NoticesOf(candidate), now);
     if (excluded == NoticeReason::kPaused) {
       Time end = NoticesOf(candidate).paused_until;
@@ -724,6 +728,12 @@
   bool local_allowed = RegionAllowed(query, view.self.region);
   LocalServers local;
   if (local_allowed) local = FindLocalServers(query, view, routing_state, now);
+  if (query.relay || (local.reachable == 0 && local.unreachable > 0)) {
+    Choice relay = ChooseRelay(query, view, rng);
+    if (relay.kind == ChoiceKind::kForward) return relay;
+    relay = ChooseRemote(query, view, routing_state, now, RemoteCapacity::kAny, rng);
+    if (relay.kind == ChoiceKind::kForward) return relay;
+  }
   if (local.count == 0) {
     Choice remote = ChooseRemote(query, view, routing_state, now, RemoteCapacity::kAny, rng);
     if (remote.kind == ChoiceKind::kForward) return remote;
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -181,6 +181,11 @@
   std::vector<ServerId> avoid_servers;  // already tried
   std::vector<HostId> avoid_hosts;      // the sender of a forward, and hosts that refused
   bool suspect = false;                 // must run on a server without other work
+  int connect_failures = 0;             // attempts at servers to which no connection could be made
+  // This host has no path to its servers, as far as it knows: other hosts of its scope come first,
+  // then other failure domains, and its own servers only if none of these can be asked. The same
+  // order holds if the last connection to each server that could run the request has failed.
+  bool relay = false;
   // The servers must have this version of their software, as the one that began the stream that the
   // request continues; empty: any.
   std::string software_version;
@@ -273,7 +278,8 @@
 //   domain that can start it in time, whatever the cost of the local queue: in that queue it waits
 //   only for a fraction of its target and is then refused.
 // - A request that was forwarded to this host is forwarded again only if no local server can run
-//   it, so that two loaded hosts do not pass requests to each other. The same holds for a suspect.
+//   it or this host has no path to them, so that two loaded hosts do not pass requests to each
+//   other. The same holds for a suspect.
 Choice Choose(const RouteQuery& query, const RoutingView& view, const RoutingState& routing_state,
               Time now, std::mt19937_64& rng);
 
--- a/src/core/routing_remote.cc
+++ b/src/core/routing_remote.cc
@@ -24,14 +24,14 @@
          !host.region.empty() && !Contains(query.avoid_hosts, host.id);
 }
 
-// A random usable host of the failure domain, or null if there is none.
-const HostEntry* PickHost(const RouteQuery& query, const RoutingView& view,
-                          const DomainSummary& summary, std::mt19937_64& rng) {
+// A random usable host for which `matches` returns true, or null if there is none.
+template <typename Matches>
+const HostEntry* PickHost(const RouteQuery& query, const RoutingView& view, std::mt19937_64& rng,
+                          Matches matches) {
   const HostEntry* picked = nullptr;
   size_t seen = 0;
   for (const HostEntry& host : view.hosts) {
-    if (host.domain != summary.domain || host.region != summary.region) continue;
-    if (!IsUsableHost(query, view, host)) continue;
+    if (!matches(host) || !IsUsableHost(query, view, host)) continue;
     if (RandomIndex(++seen, rng) == 0) picked = &host;
   }
   return picked;
@@ -129,7 +129,9 @@
     if (!HasRemoteCapacity(query, view, routing_state, summary, requests, required, now)) continue;
     double cost = RemoteCost(query, view, routing_state, summary, requests);
     if (cost >= best.cost) continue;
-    const HostEntry* host = PickHost(query, view, summary, rng);
+    const HostEntry* host = PickHost(query, view, rng, [&](const HostEntry& entry) {
+      return entry.domain == summary.domain && entry.region == summary.region;
+    });
     if (host == nullptr) continue;
     best.kind = ChoiceKind::kForward;
     best.host = host->id;
@@ -140,6 +142,19 @@
   return best;
 }
 
+Choice ChooseRelay(const RouteQuery& query, const RoutingView& view, std::mt19937_64& rng) {
+  Choice relay;
+  if (!MayForwardTo(query, view, view.self.region)) return relay;
+  const HostEntry* host = PickHost(query, view, rng, [&](const HostEntry& entry) {
+    return InScope(view.self, view.server_scope, entry.domain, entry.region);
+  });
+  if (host == nullptr) return relay;
+  relay.kind = ChoiceKind::kForward;
+  relay.host = host->id;
+  relay.domain = host->domain;
+  return relay;
+}
+
 double MinRemoteCost(const RouteQuery& query, const RoutingState& routing_state) {
   return query.route->weight_latency * ToSeconds(kDomainRoundTrip) +
          query.route->weight_cost *
--- a/src/core/routing_remote.h
+++ b/src/core/routing_remote.h
@@ -25,6 +25,10 @@
                     const RoutingState& routing_state, Time now, RemoteCapacity required,
                     std::mt19937_64& rng);
 
+// Chooses another host that reaches the same servers as this one, for a request for which this host
+// has no path to them. kRefuse if there is none.
+Choice ChooseRelay(const RouteQuery& query, const RoutingView& view, std::mt19937_64& rng);
+
 // Returns a lower bound for the cost of a forward. Usually it is too high already, which saves the
 // scan of the summaries.
 double MinRemoteCost(const RouteQuery& query, const RoutingState& routing_state);
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -62,10 +62,11 @@
   }
 }
 
-Choice Dispatcher::Place(const RouteQuery& query, const RoutingView& view, Time now) {
+Choice Dispatcher::Place(RouteQuery query, const RoutingView& view, Time now) {
   std::lock_guard<std::mutex> lock(mutex_);
   StartLearning(routing_state_, view, now);
   routing_state_.queued_ahead = QueuedAhead(admission_, query.traffic_class);
+  query.relay = MustRelay(query, now);
   Choice choice = Choose(query, view, routing_state_, now, rng_);
   RecordPlacement(choice, query, now);
   return choice;
@@ -125,6 +126,7 @@
     // Lets a chapter use the reserved slots when its turn comes. Otherwise chapters would never run
     // while interactive requests fill those slots.
     query.may_use_reserved_slots = IsChapterTurn(admission_);
+    query.relay = MustRelay(query, now);
     choice = Choose(query, *view_, routing_state_, now, rng_);
     return choice.kind != ChoiceKind::kQueue;
   };
@@ -151,8 +153,39 @@
 
 void Dispatcher::OnFirstByte(const std::string& served, const Choice& choice, Time dispatched_at,
                              Time now) {
+  bool path_is_back = false;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    ebonylift::OnFirstByte(routing_state_, served, choice, dispatched_at, now);
+    path_is_back = OnServerByte(paths_, now);
+  }
+  if (path_is_back) LogEvent(EventId::kServersReached, {{"server", choice.server.value()}});
+}
+
+void Dispatcher::RecordSilence(const ServerId& server, Time since, Time now) {
+  size_t failed = 0;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    if (!view_) return;
+    if (!OnServerSilent(paths_, server, view_->servers.size(), since, now)) return;
+    failed = paths_.failures.size();
+  }
+  LogEvent(EventId::kServersUnreachable,
+           {{"server", server.value()}, {"failed", std::to_string(failed)}});
+}
+
+bool Dispatcher::IsCutOff() const {
   std::lock_guard<std::mutex> lock(mutex_);
-  ebonylift::OnFirstByte(routing_state_, served, choice, dispatched_at, now);
+  return paths_.cut_off;
+}
+
+// Precondition: the caller holds the mutex.
+bool Dispatcher::MustRelay(const RouteQuery& query, Time now) {
+  if (query.connect_failures >= kConnectFailuresToRelay) return true;
+  if (!paths_.cut_off) return false;
+  // A request that may run twice shows whether the path is back.
+  bool may_try = query.route->idempotent && query.avoid_servers.empty();
+  return !may_try || !TakeTrial(paths_, now);
 }
 
 void Dispatcher::OnServerNotice(const ServerId& server, uint64_t incarnation,
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -24,6 +24,7 @@
 #include "core/proven_contents.h"
 #include "core/retry.h"
 #include "core/routing.h"
+#include "core/server_paths.h"
 #include "ports/control_port.h"
 
 namespace ebonylift {
@@ -77,7 +78,7 @@
 
   // Chooses where the request runs. For kLocal and kForward, also records the dispatch, which must
   // be ended with EndLocal() or EndForward().
-  Choice Place(const RouteQuery& query, const RoutingView& view, Time now);
+  Choice Place(RouteQuery query, const RoutingView& view, Time now);
 
   // Returns an id for QueuedRequest that this dispatcher has not returned before.
   QueueId NewQueueId();
@@ -100,6 +101,12 @@
   // Records that the first byte of the response to a local dispatch arrived.
   void OnFirstByte(const std::string& served, const Choice& choice, Time dispatched_at, Time now);
 
+  // Records that an attempt at the server ended, or went on, without a byte of an answer since
+  // `since`; see core/server_paths.h.
+  void RecordSilence(const ServerId& server, Time since, Time now);
+  // Whether this host has lost its paths to its servers.
+  bool IsCutOff() const;
+
   // Records what the server says in an answer to a local dispatch. `has_limit` is false if the
   // answer does not show whether the server names a limit.
   void OnServerNotice(const ServerId& server, uint64_t incarnation, const ServerNotice& notice,
@@ -162,6 +169,8 @@
   };
   using ReadyCallbacks = std::vector<std::pair<PlacementCallback, Choice>>;
 
+  // Whether the request is to run through another host.
+  bool MustRelay(const RouteQuery& query, Time now);
   void RecordPlacement(const Choice& choice, const RouteQuery& query, Time now);
   void PlaceQueued(Time now, ReadyCallbacks* ready_callbacks);
   Choice RefusalOfExpired(const RouteQuery& query, Time now);
@@ -200,6 +209,7 @@
   mutable std::mutex mutex_;
   std::mt19937_64 rng_;
   RoutingState routing_state_;
+  ServerPaths paths_;
   Admission admission_;
   RetryBudgets budgets_;
   PoisonState poison_;       // of whole requests
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -264,6 +264,7 @@
   query.first_byte_deadline = FirstByteDeadline();
   query.avoid_servers = failed_servers_;
   query.avoid_hosts = tried_hosts_;
+  query.connect_failures = connect_failures_;
   query.software_version = spec_.software_version;
   query.suspect = context_.dispatcher->MustRunAlone(spec_.content.content, SteadyNow());
   return query;
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -159,6 +159,7 @@
   bool to_key_owner_ = false;  // the open attempt goes to the host that owns the idempotency key
   bool condemnation_checked_ = false;
   int origin_searches_ = 0;
+  int connect_failures_ = 0;              // at servers
   std::vector<ServerId> failed_servers_;  // attempts there failed
   std::vector<HostId> tried_hosts_;       // already forwarded to
 
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -120,6 +120,12 @@
             {"status", std::to_string(result.status)},
             {"run", RunName(run)}});
   context_.metrics->CountAttemptFailure(result.outcome);
+  if (open_attempt_.server) {
+    if (result.outcome == CallOutcome::kNotConnected) ++connect_failures_;
+    if (result.status == 0 && !open_attempt_.response_started)
+      context_.dispatcher->RecordSilence(*open_attempt_.server, open_attempt_.dispatched_at,
+                                         SteadyNow());
+  }
   open_attempt_.reached_server = result.outcome != CallOutcome::kNotConnected;
   open_attempt_.refused =
       result.outcome == CallOutcome::kComplete && run == ebonylift::Run::kNotRun;
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -99,15 +99,20 @@
   });
 }
 
-// Cancels an idempotent attempt whose target is silent and no longer live. A frozen server or a
-// network partition leaves connections open, so without this check the attempt would wait until its
-// deadline.
+// Cancels an idempotent attempt whose target is silent and no longer live, or to whose target this
+// host has no path. A frozen server or a network partition leaves connections open, so without this
+// check the attempt would wait until its deadline.
 void Exchange::CheckLiveness(uint32_t attempt) {
   if (attempt != open_attempt_.number) return;
   uint64_t incarnation = FindAttempt(attempts_, attempt)->incarnation;
   Time now = SteadyNow();
-  bool silent = now - last_data_at_ > kSilenceTimeout;
-  if (!silent || IsTargetLive(*context_.control->View(), open_attempt_, incarnation, now)) {
+  Duration silence = now - last_data_at_;
+  if (open_attempt_.server && silence > kPathSilenceTime)
+    context_.dispatcher->RecordSilence(*open_attempt_.server, last_data_at_, now);
+  bool path_lost = open_attempt_.server && context_.dispatcher->IsCutOff();
+  Duration limit = path_lost ? kPathTrialTime : kSilenceTimeout;
+  if (silence <= limit ||
+      (!path_lost && IsTargetLive(*context_.control->View(), open_attempt_, incarnation, now))) {
     ScheduleLivenessCheck(attempt);
     return;
   }
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -365,7 +365,8 @@
     for (size_t i = 0; i < stats.queued_by_class.size(); ++i) {
       options_.metrics->SetQueueDepth(static_cast<TrafficClass>(i), stats.queued_by_class[i]);
     }
-    bool overloaded = stats.queued >= kOverloadQueueLength;
+    // A host without a path to servers takes no work of others either, and callers go elsewhere.
+    bool overloaded = stats.queued >= kOverloadQueueLength || options_.dispatcher->IsCutOff();
     if (overloaded == overloaded_) return;
     overloaded_ = overloaded;
     options_.control->SetOverloaded(overloaded);
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -150,7 +150,8 @@
   // entry hosts.
   virtual void StartDrain() = 0;
 
-  // Publishes in the membership whether this host is overloaded.
+  // Publishes in the membership whether this host is overloaded, or has no path to its servers.
+  // Other hosts then forward nothing to it and send callers elsewhere, if they can.
   virtual void SetOverloaded(bool overloaded) = 0;
 
   // Returns the newest published view. Never null.
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -219,7 +219,7 @@
   std::string http_address;  // host:port, as this host reaches it
   uint64_t incarnation = 0;
   HostStatus status = HostStatus::kAlive;
-  bool overloaded = false;
+  bool overloaded = false;  // or without a path to its servers; see ControlPort::SetOverloaded()
   bool has_disk = false;
   // Learned by gossip for hosts that are not configured as peers; empty for configured peers.
   std::string rpc_address;
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1488,4 +1488,74 @@
   });
 }
 
+// Guards against requests that stay at a host without a path to its servers, that are handed to
+// another such host, or to hosts where the request may not run.
+BOOST_AUTO_TEST_CASE(RequestsWithoutAPathAreRelayed) {
+  auto relay = [](Fixture& f) {
+    f.query.relay = true;
+    f.AddServer("s1");
+  };
+  RunCases({
+      {"a host of the same failure domain", "forward h1",
+       [&](Fixture& f) {
+         relay(f);
+         f.AddHost("h1", "este", "este-a");
+         f.AddHost("h2", "norte", "norte-a");
+         f.AddSummary("norte", "norte-a");
+       }},
+      {"the host beside it has no path either", "forward h2",
+       [&](Fixture& f) {
+         relay(f);
+         f.AddHost("h1", "este", "este-a").overloaded = true;
+         f.AddHost("h2", "norte", "norte-a");
+         f.AddSummary("norte", "norte-a");
+       }},
+      {"the last connection to its only server failed", "forward h1",
+       [&](Fixture& f) {
+         f.AddServer("s1");
+         Time sent = f.Dispatch(LocalChoiceAt(ServerId("s1"), 1, f.query), kNow - milliseconds(20));
+         OnServerOutcome(f.routing_state, f.view, ServerId("s1"), sent, ServerOutcome::kUnreachable,
+                         kNow - milliseconds(10));
+         f.AddHost("h1", "este", "este-a");
+       }},
+      {"the host beside it was tried", "local s1",
+       [&](Fixture& f) {
+         relay(f);
+         f.AddHost("h1", "este", "este-a");
+         f.query.avoid_hosts = {HostId("h1")};
+       }},
+      {"a host of another failure domain has other servers", "local s1",
+       [&](Fixture& f) {
+         relay(f);
+         f.AddHost("h1", "este", "este-b");
+       }},
+      {"where hosts reach the servers of their region", "forward h1",
+       [&](Fixture& f) {
+         relay(f);
+         f.view.server_scope = ServerScope::kRegion;
+         f.AddHost("h1", "este", "este-b");
+       }},
+      {"the request was forwarded before", "forward h1",
+       [&](Fixture& f) {
+         relay(f);
+         f.query.hops = 1;
+         f.AddHost("h1", "este", "este-a");
+       }},
+      {"too many hops", "local s1",
+       [&](Fixture& f) {
+         relay(f);
+         f.query.hops = kMaxHops;
+         f.AddHost("h1", "este", "este-a");
+       }},
+      {"the region is not allowed", "forward h2",
+       [&](Fixture& f) {
+         relay(f);
+         f.query.allowed_regions = {RegionId("norte")};
+         f.AddHost("h1", "este", "este-a");
+         f.AddHost("h2", "norte", "norte-a");
+         f.AddSummary("norte", "norte-a");
+       }},
+  });
+}
+
 }  // namespace ebonylift
