Brittle servers get few requests that they have to turn away

Now a brittle server's requests take at most three quarters of its slots and none waits there, since hosts learn of each other's requests with a delay. After a rejection a host leaves it alone for twice the time in which its senders take turns within N, at least 0.5 s. The state ends with the first answer that no longer says so; event server_brittle logs both.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -55,6 +55,7 @@
       {EventId::kServerPaused, 314, "server_paused", "A backend server turned a request away and wants nothing from this host for a time: server, ms."},
       {EventId::kServersUnreachable, 315, "servers_unreachable", "This host has no path to its backend servers and hands requests to other hosts: server (the last one that failed), failed (how many did since the last answer)."},
       {EventId::kServersReached, 316, "servers_reached", "This host has a path to its backend servers again: server (the one that answered)."},
+      {EventId::kServerBrittle, 317, "server_brittle", "A backend server said in an answer that it fails if it turns away more requests than this in a second, or no longer says so: server, rejections_per_s."},
       {EventId::kHostAlive, 400, "host_alive", "A host is reachable: host, incarnation."},
       {EventId::kHostSuspected, 401, "host_suspected", "A host did not answer probes and is suspected to have failed: host."},
       {EventId::kHostFailed, 402, "host_failed", "A host is considered failed: host, ms."},
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -66,6 +66,7 @@
   kServerPaused = 314,
   kServersUnreachable = 315,
   kServersReached = 316,
+  kServerBrittle = 317,
 
   kHostAlive = 400,
   kHostSuspected = 401,
--- a/src/core/request_rate.cc
+++ b/src/core/request_rate.cc
@@ -41,6 +41,12 @@
   return std::min(cold_rate, limit.per_s);
 }
 
+int CountSenders(const RoutingView& view, const BackendServer& server) {
+  return static_cast<int>(
+      std::count_if(view.hosts.begin(), view.hosts.end(),
+                    [&](const HostEntry& host) { return SendsDirectly(view, host, server); }));
+}
+
 std::optional<Duration> RequestInterval(const RoutingView& view, const BackendServer& server,
                                         double rate) {
   uint64_t seed = Hash64(server.announced.id.value());
--- a/src/core/request_rate.h
+++ b/src/core/request_rate.h
@@ -30,6 +30,9 @@
 double RequestRate(const RoutingView& view, const BackendServer& server, const RequestLimit& limit,
                    Time now);
 
+// Returns the number of hosts, with this one, that send requests to the server directly.
+int CountSenders(const RoutingView& view, const BackendServer& server);
+
 // Returns the minimum time between two requests from this host to a server that takes `rate`
 // requests per second; nullopt if the rate is shared by other hosts and this one must not send.
 // Precondition: `rate` is above 0.
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -156,6 +156,15 @@
   return wait <= std::max(left, ToSeconds(MaxLateWait(candidate, estimate)));
 }
 
+bool SameIncarnation(const Candidate& candidate) {
+  return candidate.state != nullptr &&
+         candidate.state->incarnation == candidate.server->announced.incarnation;
+}
+
+SeenNotices NoticesOf(const Candidate& candidate) {
+  return SameIncarnation(candidate) ? candidate.state->notices : SeenNotices();
+}
+
 bool HasRoom(const RouteQuery& query, const RoutingState& routing_state, const Candidate& candidate,
              const PrefillEstimate& estimate, Time now) {
   if (!StartsInTime(query, candidate, estimate, now)) return false;
@@ -163,6 +172,9 @@
       now < routing_state.slots_reserved_until) {
     return candidate.requests < MaxRequestsForChapter(candidate.slots);
   }
+  if (NoticesOf(candidate).brittle) {
+    return candidate.requests < RoomAtBrittleServer(candidate.slots);
+  }
   double share = IsPromptlessWithTarget(query) ? kPromptlessBacklogPerSlot : kServerBacklogPerSlot;
   int backlog = std::max(1, static_cast<int>(candidate.slots * share));
   return candidate.requests < candidate.slots + backlog;
@@ -174,11 +186,6 @@
          now < since + kServerUnreachableTime;
 }
 
-bool SameIncarnation(const Candidate& candidate) {
-  return candidate.state != nullptr &&
-         candidate.state->incarnation == candidate.server->announced.incarnation;
-}
-
 bool IsEjected(const Candidate& candidate, Time now) {
   if (!SameIncarnation(candidate)) return false;
   return now < candidate.state->ejected_until || IsUnreachable(candidate, now);
@@ -290,10 +297,6 @@
   return SameIncarnation(candidate) ? candidate.state->limit : RequestLimit();
 }
 
-SeenNotices NoticesOf(const Candidate& candidate) {
-  return SameIncarnation(candidate) ? candidate.state->notices : SeenNotices();
-}
-
 // False if the rate limit of the server does not allow a request from this host now.
 bool AllowedByRate(const RoutingView& view, Time now, Candidate* candidate) {
   if (candidate->request_rate <= 0) return true;
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -308,7 +308,8 @@
 
 // Records what an answer of the server says, except for its limit.
 NoticeChange OnServerNotice(RoutingState& routing_state, const ServerId& server,
-                            uint64_t incarnation, const ServerNotice& notice, Time now);
+                            uint64_t incarnation, const ServerNotice& notice, bool attributable,
+                            Time now);
 
 // Records the end of a dispatch. `dispatched_at` is the `now` of its OnDispatch(), `prefill_tokens`
 // that of its choice, or 0 after OnFirstByte(). Returns true if this call ejected the server. At
--- a/src/core/routing_record.cc
+++ b/src/core/routing_record.cc
@@ -182,10 +182,11 @@
 }
 
 NoticeChange OnServerNotice(RoutingState& routing_state, const ServerId& server,
-                            uint64_t incarnation, const ServerNotice& notice, Time now) {
+                            uint64_t incarnation, const ServerNotice& notice, bool attributable,
+                            Time now) {
   auto found = routing_state.servers.find(server);
   if (found == routing_state.servers.end() || found->second.incarnation != incarnation) return {};
-  return OnNotice(found->second.notices, notice, now);
+  return OnNotice(found->second.notices, notice, attributable, now);
 }
 
 std::vector<ServerWork> WorkInFlight(const RoutingState& routing_state, Time now) {
--- a/src/core/server_notice.cc
+++ b/src/core/server_notice.cc
@@ -4,8 +4,13 @@
 
 namespace ebonylift {
 
-NoticeChange OnNotice(SeenNotices& seen, const ServerNotice& notice, Time now) {
+NoticeChange OnNotice(SeenNotices& seen, const ServerNotice& notice, bool attributable, Time now) {
   NoticeChange change;
+  bool brittle = notice.max_rejections_per_s.has_value();
+  if (brittle || attributable) {
+    change.brittle = brittle != seen.brittle;
+    seen.brittle = brittle;
+  }
   if (notice.leaving) {
     change.leaving = seen.leaving_at == Time();
     seen.leaving_at = now;
@@ -18,6 +23,19 @@
   return change;
 }
 
+Duration PauseAfterRejection(double max_rejections_per_s, int senders) {
+  // Twice the time in which the hosts take turns, as their rejections may coincide.
+  constexpr double kSafetyFactor = 2;
+  double longest = std::chrono::duration<double>(kMaxPauseAfterRejection).count();
+  double pause = kSafetyFactor * senders / std::max(max_rejections_per_s, 1 / longest);
+  auto duration = Duration(static_cast<int64_t>(std::min(pause, longest) * 1e6));
+  return std::max<Duration>(duration, kMinPauseAfterRejection);
+}
+
+int RoomAtBrittleServer(int slots) {
+  return std::max(1, static_cast<int>(slots * kBrittleSlotShare));
+}
+
 NoticeReason ExcludedBy(const SeenNotices& seen, Time now) {
   if (seen.leaving_at != Time()) return NoticeReason::kLeaving;
   return now < seen.paused_until ? NoticeReason::kPaused : NoticeReason::kNone;
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/event.h"
+#include "core/request_rate.h"
 
 namespace ebonylift {
 namespace {
@@ -188,17 +189,23 @@
   return !may_try || !TakeTrial(paths_, now);
 }
 
-void Dispatcher::OnServerNotice(const ServerId& server, uint64_t incarnation,
-                                const ServerNotice& notice, bool has_limit, Time now) {
+void Dispatcher::OnServerNotice(const ServerId& server, uint64_t incarnation, ServerNotice notice,
+                                bool attributable, Time now) {
   bool limit_changed = false;
   NoticeChange change;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    if (has_limit) {
+    const BackendServer* known = view_ ? FindServer(*view_, server) : nullptr;
+    if (known != nullptr && notice.turned_away && notice.max_rejections_per_s) {
+      notice.pause = std::max(notice.pause, PauseAfterRejection(*notice.max_rejections_per_s,
+                                                                CountSenders(*view_, *known)));
+    }
+    if (attributable) {
       limit_changed =
           OnRequestLimit(routing_state_, server, incarnation, notice.requests_per_s, now);
     }
-    change = ebonylift::OnServerNotice(routing_state_, server, incarnation, notice, now);
+    change =
+        ebonylift::OnServerNotice(routing_state_, server, incarnation, notice, attributable, now);
   }
   if (limit_changed) {
     const std::optional<double>& limit = notice.requests_per_s;
@@ -209,6 +216,12 @@
   if (change.leaving) {
     LogEvent(EventId::kServerLeaving, {{"server", server.value()}, {"source", "answer"}});
   }
+  if (change.brittle) {
+    const std::optional<double>& limit = notice.max_rejections_per_s;
+    LogEvent(EventId::kServerBrittle,
+             {{"server", server.value()},
+              {"rejections_per_s", limit ? std::to_string(*limit) : "none"}});
+  }
   if (change.pause) {
     LogEvent(EventId::kServerPaused,
              {{"server", server.value()}, {"ms", std::to_string(ToMillis(notice.pause))}});
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -107,10 +107,10 @@
   // Whether this host has lost its paths to its servers.
   bool IsCutOff() const;
 
-  // Records what the server says in an answer to a local dispatch. `has_limit` is false if the
-  // answer does not show whether the server names a limit.
-  void OnServerNotice(const ServerId& server, uint64_t incarnation, const ServerNotice& notice,
-                      bool has_limit, Time now);
+  // Records what the server says in an answer to a local dispatch. `attributable` is false if the
+  // answer may not be of this server: it does not show that the server names no limit.
+  void OnServerNotice(const ServerId& server, uint64_t incarnation, ServerNotice notice,
+                      bool attributable, Time now);
 
   // Returns the work that this host currently has at each backend server, and the limits it saw.
   std::vector<ServerWork> WorkInFlight() const;
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -160,9 +160,9 @@
   // may not be of this server.
   if (spec_.dialect != nullptr && open_attempt_.server && kind != ResponseKind::kWrongServer) {
     ServerNotice notice = spec_.dialect->server_notice(status, headers);
-    bool has_limit = notice.requests_per_s || kind != ResponseKind::kUnattributable;
+    bool attributable = notice.requests_per_s || kind != ResponseKind::kUnattributable;
     context_.dispatcher->OnServerNotice(*open_attempt_.server, open_attempt_.choice.incarnation,
-                                        notice, has_limit, SteadyNow());
+                                        notice, attributable, SteadyNow());
   }
   if (open_attempt_.forwarding)
     open_attempt_.software_version = FindHeader(headers, kSoftwareVersionHeader);
--- a/tests/integration/platform_notice_test.cc
+++ b/tests/integration/platform_notice_test.cc
@@ -53,7 +53,7 @@
   std::this_thread::sleep_for(kDrainTime + seconds(2));
   BOOST_TEST(Arrivals(*leaving, said + kDrainTime, SteadyNow()) == 0);
   BOOST_TEST(Arrivals(*replicas[1], said + kDrainTime, SteadyNow()) > 0);
-  BOOST_TEST(callers.not_served() == 0);
+  BOOST_TEST(callers.not_served() == 0, callers.first_not_served());
 }
 
 // Guards against requests to a replica in the time in which it wants none, against callers who pay
@@ -67,10 +67,33 @@
   std::this_thread::sleep_for(kPause);
   // A gateway whose first request comes later has a pause that ends later.
   BOOST_TEST(Arrivals(*paused, began + kReactTime, began + kPause) <= kMaxLateRequests * kGateways);
-  BOOST_TEST(callers.not_served() == 0);
+  BOOST_TEST(callers.not_served() == 0, callers.first_not_served());
   paused->SetPause("");
   std::this_thread::sleep_for(kPause + seconds(3));
   BOOST_TEST(Arrivals(*paused, SteadyNow() - seconds(1), SteadyNow()) > 0);
 }
 
+// Guards against gateways that together have more requests turned away by a brittle replica than it
+// bears, and against callers who pay for it although another replica has room.
+BOOST_FIXTURE_TEST_CASE(BrittleReplicaTurnsFewRequestsAway, Deployment) {
+  constexpr int kRejectionsPerSecond = 3;
+  constexpr Duration kMeasuredTime = seconds(8);
+  PlatformReplica* brittle = replicas[0];
+  brittle->SetBrittle(std::to_string(kRejectionsPerSecond));
+  std::this_thread::sleep_for(seconds(2));
+  brittle->SetMode(ReplicaMode::kRefuse);
+  Time full = SteadyNow();
+  std::this_thread::sleep_for(kMeasuredTime);
+  long most = 0;
+  for (Time from = full; from < full + kMeasuredTime; from += milliseconds(100)) {
+    most = std::max(most, Arrivals(*brittle, from, from + seconds(1)));
+  }
+  BOOST_TEST_MESSAGE("most requests turned away in a second: " << most);
+  BOOST_TEST(most <= kRejectionsPerSecond);
+  BOOST_TEST(callers.not_served() == 0, callers.first_not_served());
+  brittle->SetMode(ReplicaMode::kServe);
+  std::this_thread::sleep_for(kMeasuredTime);
+  BOOST_TEST(Arrivals(*brittle, SteadyNow() - seconds(1), SteadyNow()) > 0);
+}
+
 }  // namespace ebonylift::test
--- a/tests/platform_dialect_test.cc
+++ b/tests/platform_dialect_test.cc
@@ -183,4 +183,21 @@
   }
 }
 
+// Guards against a brittle replica that is not recognised as such, and against a rejection for
+// another reason that counts as one for want of room.
+BOOST_AUTO_TEST_CASE(ReadsThatAServerIsBrittle) {
+  ServerNotice rejected =
+      kPlatformDialect.server_notice(503, {{"server-brittle", "3"}, {"Not-Executed", "1"}});
+  BOOST_TEST(rejected.max_rejections_per_s.value() == 3);
+  BOOST_TEST(rejected.turned_away);
+  BOOST_TEST(kPlatformDialect.server_notice(200, {{"Server-Brittle", "0"}})
+                 .max_rejections_per_s.has_value());
+  BOOST_TEST(!kPlatformDialect.server_notice(421, {{"Not-Executed", "1"}}).turned_away);
+  BOOST_TEST(!kPlatformDialect.server_notice(503, {}).turned_away);
+  for (const char* text : {"", "-1", "many", "3x"}) {
+    BOOST_TEST(!kPlatformDialect.server_notice(200, {{"Server-Brittle", text}})
+                    .max_rejections_per_s.has_value());
+  }
+}
+
 }  // namespace ebonylift::platform
--- a/tests/server_notice_test.cc
+++ b/tests/server_notice_test.cc
@@ -53,7 +53,7 @@
     Choice choice = Choose();
     BOOST_REQUIRE((choice.kind == ChoiceKind::kLocal));
     OnDispatch(state, query, choice, now);
-    OnServerNotice(state, choice.server, choice.incarnation, notice, now);
+    OnServerNotice(state, choice.server, choice.incarnation, notice, true, now);
     OnServerOutcome(state, view, choice.server, now, ServerOutcome::kOk, now);
     return choice.server;
   }
@@ -144,11 +144,11 @@
 // Guards against a pause that an overtaken answer with a shorter one ends.
 BOOST_FIXTURE_TEST_CASE(LongerPauseHolds, Fixture) {
   SeenNotices seen;
-  OnNotice(seen, Pause(seconds(10)), kNow);
-  BOOST_TEST(!OnNotice(seen, Pause(seconds(1)), kNow + seconds(1)).pause);
+  OnNotice(seen, Pause(seconds(10)), true, kNow);
+  BOOST_TEST(!OnNotice(seen, Pause(seconds(1)), true, kNow + seconds(1)).pause);
   BOOST_TEST((ExcludedBy(seen, kNow + seconds(9)) == NoticeReason::kPaused));
   BOOST_TEST((ExcludedBy(seen, kNow + seconds(10)) == NoticeReason::kNone));
-  OnNotice(seen, Pause(seconds(1'000'000)), kNow);
+  OnNotice(seen, Pause(seconds(1'000'000)), true, kNow);
   BOOST_TEST((ExcludedBy(seen, kNow + kMaxServerPause) == NoticeReason::kNone));
 }
 
@@ -194,7 +194,7 @@
     ServerNotice notice;
     if (rng() % 8 == 0) notice.leaving = true;
     if (rng() % 4 == 0) notice.pause = milliseconds(rng() % 5'000);
-    OnServerNotice(state, choice.server, choice.incarnation, notice, now);
+    OnServerNotice(state, choice.server, choice.incarnation, notice, true, now);
     chosen.leaving = chosen.leaving || notice.leaving;
     if (notice.pause > Duration(0)) {
       chosen.paused_until = std::max(chosen.paused_until, now + notice.pause);
@@ -204,4 +204,40 @@
   BOOST_TEST(refused > 0);
 }
 
+// Guards against brittle servers that are filled to the last slot, so that they have to turn
+// requests away, and against leaving them half empty once they are sound again.
+BOOST_AUTO_TEST_CASE(BrittleServersKeepSomeSlotsFree) {
+  Fixture fixture;
+  fixture.Announce("s1", 1);
+  fixture.view.servers[0].announced.load.slots = 8;
+  ServerNotice brittle;
+  brittle.max_rejections_per_s = 3;
+  fixture.Run(brittle);
+  fixture.view.servers[0].other_hosts_requests = 5;
+  BOOST_TEST((fixture.Choose().kind == ChoiceKind::kLocal));
+  fixture.view.servers[0].other_hosts_requests = 6;
+  BOOST_TEST((fixture.Choose().kind == ChoiceKind::kQueue));
+  OnServerNotice(fixture.state, ServerId("s1"), 1, ServerNotice(), /*attributable=*/false,
+                 fixture.now);
+  BOOST_TEST((fixture.Choose().kind == ChoiceKind::kQueue));
+  OnServerNotice(fixture.state, ServerId("s1"), 1, ServerNotice(), /*attributable=*/true,
+                 fixture.now);
+  BOOST_TEST((fixture.Choose().kind == ChoiceKind::kLocal));
+}
+
+// Guards against hosts that together have more requests turned away than a brittle server bears,
+// and against leaving it alone for ever.
+BOOST_AUTO_TEST_CASE(HostsTogetherStayBelowTheRejectionsOfABrittleServer) {
+  for (double rejections_per_s : {0.0, 0.5, 3.0, 10.0, 1'000.0}) {
+    for (int senders : {1, 3, 28}) {
+      Duration pause = PauseAfterRejection(rejections_per_s, senders);
+      BOOST_TEST((pause >= kMinPauseAfterRejection));
+      BOOST_TEST((pause <= kMaxPauseAfterRejection));
+      double expected_per_s = senders / std::chrono::duration<double>(pause).count();
+      bool bounded = pause < kMaxPauseAfterRejection;
+      BOOST_TEST((!bounded || expected_per_s <= rejections_per_s));
+    }
+  }
+}
+
 }  // namespace ebonylift
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -137,6 +137,11 @@
   return true;
 }
 
+void PlatformReplica::SetBrittle(const std::string& rejections_per_s) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  brittle_ = rejections_per_s;
+}
+
 std::vector<Time> PlatformReplica::ArrivalTimes() const {
   std::lock_guard<std::mutex> lock(mutex_);
   return arrival_times_;
@@ -230,6 +235,7 @@
   if (leaving_) headers->emplace_back("Server-Leaving", "1");
   std::lock_guard<std::mutex> lock(mutex_);
   if (!limit_.empty()) headers->emplace_back("Server-Limit", limit_);
+  if (!brittle_.empty()) headers->emplace_back("Server-Brittle", brittle_);
 }
 
 void PlatformReplica::Stream(const HttpRequest& request,
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -66,6 +66,8 @@
   void SetLimit(const std::string& limit);
   // Says in all answers from now on that it leaves; its heartbeats do not say so.
   void SetLeaving() { leaving_ = true; }
+  // Says in all answers from now on that it is brittle, with this number; empty: does not say so.
+  void SetBrittle(const std::string& rejections_per_s);
   // Answers every request with 503 and this Retry-After from now on; empty: runs them again.
   void SetPause(const std::string& retry_after);
   // Cuts the path from the hosts with these IP addresses; none: heals it.
@@ -115,6 +117,7 @@
       unanswered_;  // of a silent cut; on the replica's thread
   std::string limit_;
   std::string pause_;
+  std::string brittle_;
   std::atomic<bool> leaving_{false};
   bool running_ = true;
   int restarts_ = 0;
--- a/tests/support/portal_deployment.cc
+++ b/tests/support/portal_deployment.cc
@@ -22,9 +22,9 @@
   if (!WaitUntilAllServe()) throw std::runtime_error("not all gateways serve requests");
 }
 
-bool PortalDeployment::Serves(const std::string& zone) {
+TestResponse PortalDeployment::Look(const std::string& zone) {
   std::string id = NextRequestId();
-  return platform.Request(zone, "GET", "/look/" + id, id).status == 200;
+  return platform.Request(zone, "GET", "/look/" + id, id);
 }
 
 bool PortalDeployment::WaitUntilAllServe() {
@@ -44,7 +44,13 @@
     threads_.emplace_back([this, deployment, interval, i] {
       const std::string& zone = PlatformDeployment::Zones()[static_cast<size_t>(i % 2)];
       while (!stopping_) {
-        if (!deployment->Serves(zone)) ++not_served_;
+        TestResponse response = deployment->Look(zone);
+        if (response.status != 200 && ++not_served_ == 1) {
+          std::lock_guard<std::mutex> lock(mutex_);
+          first_not_served_ = zone + ": status " + std::to_string(response.status) + " " +
+                              response.error + " " + response.body + " after " +
+                              std::to_string(ToMillis(response.total)) + " ms";
+        }
         std::this_thread::sleep_for(interval);
       }
     });
--- a/tests/support/portal_deployment.h
+++ b/tests/support/portal_deployment.h
@@ -4,6 +4,7 @@
 // A deployment on the simulated platform whose replicas all serve "portal", and its callers.
 
 #include <atomic>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,7 +21,8 @@
   PortalDeployment(int gateways_per_zone, const std::vector<std::string>& replica_zones);
 
   // Sends a harmless GET request to a gateway of the zone.
-  bool Serves(const std::string& zone);
+  TestResponse Look(const std::string& zone);
+  bool Serves(const std::string& zone) { return Look(zone).status == 200; }
   std::string NextRequestId() { return "request-" + std::to_string(++request_number_); }
 
   // Waits until all replicas run and the gateways of all zones serve requests. Returns whether they
@@ -46,9 +48,16 @@
 
   void Stop();
   int not_served() const { return not_served_; }
+  // What the first caller got that was not served, for messages; empty: all were.
+  std::string first_not_served() const {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return first_not_served_;
+  }
 
  private:
   std::atomic<int> not_served_{0};
+  mutable std::mutex mutex_;
+  std::string first_not_served_;
   std::atomic<bool> stopping_{false};
   std::vector<std::thread> threads_;
 };
