A lost server has no known software version until its next announcement

A server may start again under its old id and address, with other software. After a failed connection or a loss found by a probe, its version now counts as unknown until an announcement that was sent later: it continues no stream, and streams that it begins have no origin.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -30,14 +30,6 @@
   return false;
 }
 
-// Whether the server may run the request now, if it has room.
-bool CanRun(const RouteQuery& query, const BackendServer& server, const RoutingView& view,
-            Time now) {
-  bool other_software = !query.software_version.empty() &&
-                        server.announced.software_version != query.software_version;
-  return !other_software && CanServe(server, *query.route, view, now);
-}
-
 // A local server that can serve the route, with what the choice depends on.
 struct Candidate {
   const BackendServer* server = nullptr;
@@ -161,6 +153,17 @@
          candidate.state->incarnation == candidate.server->announced.incarnation;
 }
 
+// Empty if it is not known: the server has none, or may have started again since it announced it.
+std::string SoftwareOf(const Candidate& candidate) {
+  bool lost =
+      SameIncarnation(candidate) && candidate.state->lost_at >= candidate.server->reported_at;
+  return lost ? std::string() : candidate.server->announced.software_version;
+}
+
+bool HasSoftware(const RouteQuery& query, const Candidate& candidate) {
+  return query.software_version.empty() || SoftwareOf(candidate) == query.software_version;
+}
+
 SeenNotices NoticesOf(const Candidate& candidate) {
   return SameIncarnation(candidate) ? candidate.state->notices : SeenNotices();
 }
@@ -314,12 +317,12 @@
   if (now < routing_state.set_aside_until) set_aside = ServersSetAside(*query.route, view);
   local.own_server_set_aside = OwnServerSetAside(set_aside, view);
   for (const BackendServer& server : view.servers) {
-    if (!CanRun(query, server, view, now)) continue;
+    if (!CanServe(server, *query.route, view, now)) continue;
     bool is_set_aside = std::find(set_aside.begin(), set_aside.end(), &server) != set_aside.end();
     if (is_set_aside && !query.suspect) continue;
     if (Contains(query.avoid_servers, server.announced.id)) continue;
     Candidate candidate = MakeCandidate(query, server, routing_state);
-    if (IsReplaced(candidate)) continue;
+    if (IsReplaced(candidate) || !HasSoftware(query, candidate)) continue;
     bool unreachable = SameIncarnation(candidate) && IsUnreachable(candidate, now);
     ++(unreachable ? local.unreachable : local.reachable);
     if (unreachable && IsBeingProbed(candidate)) continue;
@@ -576,6 +579,7 @@
   if (picked.fetch_from != nullptr) choice.fetch_from = picked.fetch_from->announced.id;
   choice.prefill_tokens = std::max<int64_t>(0, query.prompt_tokens - picked.cached_tokens());
   choice.tokens_ahead = picked.tokens_ahead;
+  choice.software_version = SoftwareOf(picked);
   choice.min_interval = picked.min_interval;
   return choice;
 }
@@ -766,8 +770,9 @@
   double own = PrefillSeconds(query.prompt_tokens, rate);
   double min_wait = ToSeconds(kMaxRetryAfter);
   for (const BackendServer& server : view.servers) {
-    if (!CanRun(query, server, view, now)) continue;
+    if (!CanServe(server, *query.route, view, now)) continue;
     Candidate candidate = MakeCandidate(query, server, routing_state);
+    if (!HasSoftware(query, candidate)) continue;
     candidate.request_rate = RequestRate(view, server, LimitOf(candidate), now);
     NoticeReason excluded = ExcludedBy(NoticesOf(candidate), now);
     if (excluded == NoticeReason::kLeaving) continue;
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -212,13 +212,16 @@
   int64_t prefill_tokens = 0;     // of the requests in flight whose response has not started
   Time next_limited_dispatch;     // a server with a limited rate gets nothing before this time
   Time unreachable_at;            // last failed connection; Time(): none
-  bool replaced = false;          // another server now answers at its address
-  Time full_until;                // of a failure domain: see kDomainFullBackoff
-  Time incarnation_since;         // first dispatch to `incarnation`; older failures do not count
-  uint64_t incarnation = 0;       // of the server at the last dispatch; a new one clears ejections
-  RequestLimit limit;             // of a server; the newest known to this host
-  Time own_limit_at;              // when this host last saw a limit named or withdrawn itself
-  SeenNotices notices;            // of `incarnation`
+  // Last failed connection, or loss of the server. Until its next announcement it may be a new
+  // process with the same id and other software.
+  Time lost_at;
+  bool replaced = false;     // another server now answers at its address
+  Time full_until;           // of a failure domain: see kDomainFullBackoff
+  Time incarnation_since;    // first dispatch to `incarnation`; older failures do not count
+  uint64_t incarnation = 0;  // of the server at the last dispatch; a new one clears ejections
+  RequestLimit limit;        // of a server; the newest known to this host
+  Time own_limit_at;         // when this host last saw a limit named or withdrawn itself
+  SeenNotices notices;       // of `incarnation`
 };
 
 struct RoutingState {
@@ -255,6 +258,7 @@
   int64_t fetch_tokens = 0;                // kLocal: to fetch from another server's cache
   ServerId fetch_from;                     // kLocal: the server to fetch from; empty: none
   int64_t tokens_ahead = 0;                // kLocal: of prompts that the server reads first
+  std::string software_version;            // kLocal: of the server; empty: unknown
   Duration min_interval{0};                // kLocal: see RequestInterval() in core/request_rate.h
 };
 
@@ -319,6 +323,9 @@
                      Time dispatched_at, ServerOutcome outcome, Time now,
                      int64_t prefill_tokens = 0);
 
+// Records that the server has ended, as a probe showed. Its next process may have other software.
+void OnServerLost(RoutingState& routing_state, const ServerId& server, Time now);
+
 // The work that this host has in flight at each backend server, and the limits that this host has
 // seen, also for kWithdrawnLimitShareTime after they were withdrawn.
 std::vector<ServerWork> WorkInFlight(const RoutingState& routing_state, Time now);
--- a/src/core/routing_record.cc
+++ b/src/core/routing_record.cc
@@ -132,6 +132,7 @@
     state.consecutive_ejections = 0;
     state.ejected_until = Time();
     state.unreachable_at = Time();
+    state.lost_at = Time();
     state.replaced = false;
     state.limit = RequestLimit();
     state.own_limit_at = Time();
@@ -213,7 +214,10 @@
   if (outcome == ServerOutcome::kCancelled) return false;
   if (dispatched_at >= state.incarnation_since) {
     state.replaced = state.replaced || outcome == ServerOutcome::kReplaced;
-    if (outcome == ServerOutcome::kUnreachable) state.unreachable_at = now;
+    if (outcome == ServerOutcome::kUnreachable) {
+      state.unreachable_at = now;
+      state.lost_at = now;
+    }
   }
   if (outcome == ServerOutcome::kReplaced || outcome == ServerOutcome::kUnreachable) return false;
   if (outcome == ServerOutcome::kOk) {
@@ -228,6 +232,11 @@
   return EjectIfFailing(state, routing_state, view, now);
 }
 
+void OnServerLost(RoutingState& routing_state, const ServerId& server, Time now) {
+  auto found = routing_state.servers.find(server);
+  if (found != routing_state.servers.end()) found->second.lost_at = now;
+}
+
 void OnForward(RoutingState& routing_state, const DomainId& domain, Time now) {
   AddDispatch(routing_state.domains[domain], now);
 }
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -307,6 +307,7 @@
   std::vector<LossFinding> part_findings;
   {
     std::lock_guard<std::mutex> lock(mutex_);
+    ebonylift::OnServerLost(routing_state_, evidence.server, now);
     findings = OnServerLost(poison_, evidence.server, evidence.contents, evidence.alone, now,
                             evidence.incarnation);
     part_findings = OnServerLost(part_poison_, evidence.server, evidence.parts, /*alone=*/false,
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -66,7 +66,7 @@
   open_attempt_.address = server->announced.address;
   const BackendServer* cache_source = FindServer(*spec_.view, choice.fetch_from);
   if (cache_source != nullptr) open_attempt_.fetch_from = cache_source->announced.address;
-  open_attempt_.software_version = server->announced.software_version;
+  open_attempt_.software_version = choice.software_version;
   open_attempt_.can_resume = Contains(server->announced.capabilities, "resume");
   open_attempt_.can_cancel = Contains(server->announced.capabilities, "cancel");
   if (spec_.dialect == nullptr || open_attempt_.number > 1) {
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1558,4 +1558,31 @@
   });
 }
 
+// Guards against a stream that goes on, or begins with a version that others rely on, at a server
+// that has started again under its old id with other software before it announced that.
+BOOST_AUTO_TEST_CASE(LostServerHasNoSoftwareVersionUntilItsNextAnnouncement) {
+  Fixture f;
+  f.AddServer("s1").announced.software_version = "v1";
+  f.Dispatch(f.Run(), kNow - milliseconds(300));
+  BOOST_TEST(f.Run().software_version == "v1");
+  OnServerLost(f.routing_state, ServerId("s1"), kNow - milliseconds(200));
+  // The new process answers a request before its announcement arrives.
+  Choice choice = f.Run();
+  BOOST_TEST(choice.software_version.empty());
+  Time sent = f.Dispatch(choice, kNow - milliseconds(100));
+  OnServerOutcome(f.routing_state, f.view, ServerId("s1"), sent, ServerOutcome::kOk, kNow);
+  BOOST_TEST(f.Run().software_version.empty());
+  f.query.software_version = "v1";
+  BOOST_TEST(Describe(f.Run()) == "refuse no_server");
+  f.view.servers[0].reported_at = kNow;
+  BOOST_TEST(Describe(f.Run()) == "local s1");
+  // A failed connection counts as well.
+  OnServerOutcome(f.routing_state, f.view, ServerId("s1"), f.Dispatch(f.Run()),
+                  ServerOutcome::kUnreachable, kNow + milliseconds(1));
+  BOOST_TEST(Describe(f.Run()) == "refuse no_server");
+  f.view.servers[0].announced.incarnation = 2;
+  f.view.servers[0].reported_at = kNow + milliseconds(2);
+  BOOST_TEST(Describe(f.Run()) == "local s1");
+}
+
 }  // namespace ebonylift
