--- a/src/core/config_tree.cc
+++ b/src/core/config_tree.cc
@@ -95,12 +95,9 @@
   if (too_large || deletes_missing_path) return result;
   ++tree->revision;
   SetEntry(tree, put.path, put.value);
-  StoredChange change{tree->revision, put.path, put.value, false, put.operator_name, accepted_at};
-  if (difference != nullptr) {
-    change.data = *difference;
-    change.is_difference = true;
-  }
-  AddHistory(tree, std::move(change));
+  bool is_difference = difference != nullptr;
+  AddHistory(tree, {tree->revision, put.path, is_difference ? *difference : put.value,
+                    is_difference, put.operator_name, accepted_at});
   result.outcome = PutOutcome::kApplied;
   result.revision = tree->revision;
   return result;
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -209,8 +209,7 @@
 // Admits a server that is new, or whose pause has ended, to a random share of the choices. The
 // share grows linearly to all choices over kSlowStartDuration.
 bool PassesSlowStart(const Candidate& candidate, Time now, std::mt19937_64& rng) {
-  Time since = candidate.server->first_seen;
-  if (SameIncarnation(candidate)) since = std::max(since, candidate.state->notices.paused_until);
+  Time since = std::max(candidate.server->first_seen, NoticesOf(candidate).paused_until);
   Duration age = now - since;
   if (age >= kSlowStartDuration) return true;
   return std::uniform_real_distribution<double>(0, 1)(rng) <
--- a/src/daemon/config_changes.cc
+++ b/src/daemon/config_changes.cc
@@ -18,7 +18,8 @@
   ControlPort* control = nullptr;
   std::string path;
   std::string value;
-  bool retry_on_conflict = false;
+  // The value is a document that names its version, so it differs from all earlier ones.
+  bool value_names_version = false;
   // Returns whether the stored value makes the change unnecessary. `committed` is true for a value
   // that the leader returned, and false for one of the local replica, which may be outdated.
   std::function<bool(const std::string& stored, bool committed)> satisfied;
@@ -33,7 +34,7 @@
   if (!answer.error) return change->done(std::nullopt);
   bool conflict = *answer.error == ErrorKind::kConfigConflict;
   const std::string stored = answer.current_value.value_or("");
-  if (conflict && change->retry_on_conflict && change->attempts < kMaxPutAttempts) {
+  if (conflict && change->value_names_version && change->attempts < kMaxPutAttempts) {
     return TryChange(change, answer.revision, stored, true);
   }
   if (conflict && change->satisfied(stored, true)) return change->done(std::nullopt);
@@ -48,10 +49,10 @@
   put.path = change->path;
   put.value = change->value;
   put.base_revision = base_revision;
-  // The value of a document names its version, so a retry through another host on the same base
-  // revision is the same change. The values of other changes recur: with an id derived from them, a
-  // change on an outdated base would count as an earlier one and succeed without an effect.
-  if (change->retry_on_conflict) {
+  // A retry of a document through another host on the same base revision is the same change. The
+  // values of other changes recur: with an id derived from them, a change on an outdated base would
+  // count as an earlier one and succeed without an effect.
+  if (change->value_names_version) {
     put.request_id = change->path + "-" + std::to_string(base_revision) + "-" +
                      std::to_string(Hash64(change->value));
   }
@@ -80,7 +81,7 @@
   change->satisfied = [version](const std::string& stored, bool) {
     return IngressVersion(stored) >= version;
   };
-  change->retry_on_conflict = true;
+  change->value_names_version = true;
   change->done = std::move(done);
   StartChange(change);
 }
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -450,6 +450,7 @@
 }
 
 void Dispatcher::OnPartsAnswered(const std::vector<uint64_t>& parts) {
+  if (parts.empty()) return;
   std::vector<uint64_t> cleared;
   {
     std::lock_guard<std::mutex> lock(mutex_);
