--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -95,6 +95,7 @@
   void OnDialectResponse();
   void OnStreamEnd();
   void OnAttemptFailed(const CallResult& result, ebonylift::Run run);
+  void RecordPathFailure(const CallResult& result);
   void RecordAttemptFailure(ebonylift::Run run, ServerOutcome outcome);
   void ConfirmNotStarted(const CallResult& result);
   void CheckServerLost(const CallResult& result);
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -108,6 +108,14 @@
   open_attempt_.call = context_.client->Start(std::move(call));
 }
 
+// Records that the attempt's server may be out of reach, if it gave no byte of an answer.
+void Exchange::RecordPathFailure(const CallResult& result) {
+  if (result.outcome == CallOutcome::kNotConnected) ++connect_failures_;
+  if (result.status != 0 || open_attempt_.response_started) return;
+  context_.dispatcher->RecordSilence(*open_attempt_.server, open_attempt_.dispatched_at,
+                                     SteadyNow());
+}
+
 void Exchange::OnAttemptFailed(const CallResult& result, ebonylift::Run run) {
   open_attempt_.call = 0;
   LogEvent(EventId::kAttemptFailed,
@@ -120,12 +128,7 @@
             {"status", std::to_string(result.status)},
             {"run", RunName(run)}});
   context_.metrics->CountAttemptFailure(result.outcome);
-  if (open_attempt_.server) {
-    if (result.outcome == CallOutcome::kNotConnected) ++connect_failures_;
-    if (result.status == 0 && !open_attempt_.response_started)
-      context_.dispatcher->RecordSilence(*open_attempt_.server, open_attempt_.dispatched_at,
-                                         SteadyNow());
-  }
+  if (open_attempt_.server) RecordPathFailure(result);
   open_attempt_.reached_server = result.outcome != CallOutcome::kNotConnected;
   open_attempt_.refused =
       result.outcome == CallOutcome::kComplete && run == ebonylift::Run::kNotRun;
