Requests for an unreachable server prefer another region to hosts of the own one

Cause, a fault of: when the last connection to each server that could run a request had failed, the request was handed to another host of the region first. If the only server of a service is down, that host finds the same and hands it on, until the hop limit refuses it, where before it went to another region. Now other failure domains come first there, and a forwarded request is not handed on for that reason. A host that is cut off from all servers still prefers the hosts beside it.

The new case of routing_test failed before in two of its three rows.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -734,11 +734,17 @@
   bool local_allowed = RegionAllowed(query, view.self.region);
   LocalServers local;
   if (local_allowed) local = FindLocalServers(query, view, routing_state, now);
-  if (query.relay || (local.reachable == 0 && local.unreachable > 0)) {
+  if (query.relay) {
     Choice relay = ChooseRelay(query, view, rng);
     if (relay.kind == ChoiceKind::kForward) return relay;
     relay = ChooseRemote(query, view, routing_state, now, RemoteCapacity::kAny, rng);
     if (relay.kind == ChoiceKind::kForward) return relay;
+  } else if (local.reachable == 0 && local.unreachable > 0 && query.hops == 0) {
+    // The servers may be down for all hosts, so other failure domains come first.
+    Choice remote = ChooseRemote(query, view, routing_state, now, RemoteCapacity::kAny, rng);
+    if (remote.kind == ChoiceKind::kForward) return remote;
+    remote = ChooseRelay(query, view, rng);
+    if (remote.kind == ChoiceKind::kForward) return remote;
   }
   if (local.count == 0) {
     Choice remote = ChooseRemote(query, view, routing_state, now, RemoteCapacity::kAny, rng);
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -183,8 +183,7 @@
   bool suspect = false;                 // must run on a server without other work
   int connect_failures = 0;             // attempts at servers to which no connection could be made
   // This host has no path to its servers, as far as it knows: other hosts of its scope come first,
-  // then other failure domains, and its own servers only if none of these can be asked. The same
-  // order holds if the last connection to each server that could run the request has failed.
+  // then other failure domains, and its own servers only if none of these can be asked.
   bool relay = false;
   // The servers must have this version of their software, as the one that began the stream that the
   // request continues; empty: any.
@@ -273,6 +272,9 @@
 // nothing. If this excludes all servers and no other failure domain can run the request, it is
 // refused until the first of the pauses ends.
 //
+// A request of a caller for which the last connection to each local server failed goes to another
+// failure domain, else to another host of this one, which may reach the servers.
+//
 // When a request is forwarded:
 // - A failure domain whose summary shows no free slot gets forwards only if no local server can run
 //   the request. Summaries do not include the queues of that domain's gateways, so a full domain
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1510,14 +1510,6 @@
          f.AddHost("h2", "norte", "norte-a");
          f.AddSummary("norte", "norte-a");
        }},
-      {"the last connection to its only server failed", "forward h1",
-       [&](Fixture& f) {
-         f.AddServer("s1");
-         Time sent = f.Dispatch(LocalChoiceAt(ServerId("s1"), 1, f.query), kNow - milliseconds(20));
-         OnServerOutcome(f.routing_state, f.view, ServerId("s1"), sent, ServerOutcome::kUnreachable,
-                         kNow - milliseconds(10));
-         f.AddHost("h1", "este", "este-a");
-       }},
       {"the host beside it was tried", "local s1",
        [&](Fixture& f) {
          relay(f);
@@ -1585,4 +1577,31 @@
   BOOST_TEST(Describe(f.Run()) == "local s1");
 }
 
+// Guards against hosts that pass requests to each other when the only server of their region is
+// down, until the hop limit refuses them, although another region serves.
+BOOST_AUTO_TEST_CASE(RequestsForAnUnreachableServerPreferAnotherRegion) {
+  auto lose_server = [](Fixture& f) {
+    f.AddServer("s1");
+    Time sent = f.Dispatch(LocalChoiceAt(ServerId("s1"), 1, f.query), kNow - milliseconds(20));
+    OnServerOutcome(f.routing_state, f.view, ServerId("s1"), sent, ServerOutcome::kUnreachable,
+                    kNow - milliseconds(10));
+    f.AddHost("h1", "este", "este-a");
+  };
+  RunCases({
+      {"another region serves", "forward h2",
+       [&](Fixture& f) {
+         lose_server(f);
+         f.AddHost("h2", "norte", "norte-a");
+         f.AddSummary("norte", "norte-a");
+       }},
+      {"no other region may serve: only this host may have lost its path", "forward h1",
+       lose_server},
+      {"a forwarded request tries the server", "local s1",
+       [&](Fixture& f) {
+         lose_server(f);
+         f.query.hops = 1;
+       }},
+  });
+}
+
 }  // namespace ebonylift
