Read once more: no copy of all headers of a forwarded request, one pass to find holders

ParseForwardedIngress() copied all headers of each forwarded request to read two of them. HoldersToTell() grouped and sorted all hosts for each stream that begins, although it needs the highest of two groups; it now finds them in one pass, and shares the conditions with HoldersToAsk(). A comment of server_paths.h was broken by the formatter. Behaviour stays as it is.

--- a/src/core/server_paths.h
+++ b/src/core/server_paths.h
@@ -5,10 +5,10 @@
 // requests see. Announcements say nothing about that: other hosts relay them.
 //
 // - A byte of any server's answer shows that there is a path.
-// - A server fails if it gave no byte of an answer: it could not be connected to, the connection
-// was
-//   lost first, or it stayed silent while no other server gave a byte either. One server may fail
-//   by its own fault, so the host is cut off only when several have failed since the last byte.
+// - A server fails if it gave no byte of an answer: it could not be connected to, its connection
+//   was lost first, or it stayed silent while no other server gave a byte either. One server may
+//   fail by its own fault, so the host is cut off only when several have failed since the last
+//   byte.
 // - A host that is cut off lets single requests try the servers again, to see whether the path is
 //   back.
 //
--- a/src/core/stream_origins.cc
+++ b/src/core/stream_origins.cc
@@ -19,13 +19,20 @@
   return std::tie(b.weight, b.host->id) < std::tie(a.weight, a.host->id);
 }
 
+bool MayHold(const HostEntry& host) {
+  return host.status == HostStatus::kAlive && !host.region.empty();
+}
+
+RankedHost Rank(const HostEntry& host, uint64_t stream) {
+  return {Hash64(host.id.value(), stream), &host};
+}
+
 // The live hosts of each region, the preferred holder first.
 std::map<RegionId, std::vector<RankedHost>> RankHolders(const std::vector<HostEntry>& hosts,
                                                         uint64_t stream) {
   std::map<RegionId, std::vector<RankedHost>> ranked;
   for (const HostEntry& host : hosts) {
-    if (host.status != HostStatus::kAlive || host.region.empty()) continue;
-    ranked[host.region].push_back({Hash64(host.id.value(), stream), &host});
+    if (MayHold(host)) ranked[host.region].push_back(Rank(host, stream));
   }
   for (auto& [region, holders] : ranked) std::sort(holders.begin(), holders.end(), RanksHigher);
   return ranked;
@@ -37,19 +44,16 @@
 
 std::vector<HostId> HoldersToTell(const std::vector<HostEntry>& hosts, const Identity& self,
                                   uint64_t stream) {
-  std::vector<HostId> told;
+  RankedHost local;
   RankedHost remote;  // the highest of the other regions
-  for (const auto& [region, holders] : RankHolders(hosts, stream)) {
-    if (region != self.region) {
-      if (remote.host == nullptr || RanksHigher(holders.front(), remote)) remote = holders.front();
-      continue;
-    }
-    for (const RankedHost& holder : holders) {
-      if (holder.host->id == self.host) continue;
-      told.push_back(holder.host->id);
-      break;
-    }
+  for (const HostEntry& host : hosts) {
+    if (!MayHold(host) || host.id == self.host) continue;
+    RankedHost ranked = Rank(host, stream);
+    RankedHost& best = host.region == self.region ? local : remote;
+    if (best.host == nullptr || RanksHigher(ranked, best)) best = ranked;
   }
+  std::vector<HostId> told;
+  if (local.host != nullptr) told.push_back(local.host->id);
   if (remote.host != nullptr) told.push_back(remote.host->id);
   return told;
 }
--- a/src/daemon/ingress_request.cc
+++ b/src/daemon/ingress_request.cc
@@ -121,10 +121,10 @@
                                   const Dialect& dialect, const std::string& cluster_key,
                                   Time now) {
   RequireIngressConfig(*view);
-  HttpHeaders request_headers = request.headers;
-  const std::string& header = FindHeader(request_headers, kForwardHeader);
+  std::string header = FindHeader(request.headers, kForwardHeader);
+  std::string software_version = FindHeader(request.headers, kSoftwareVersionHeader);
   RequestSpec spec = MakeSpec(std::move(request), dialect, now);
-  spec.software_version = FindHeader(request_headers, kSoftwareVersionHeader);
+  spec.software_version = std::move(software_version);
   ForwardBinding binding{spec.method, spec.path + "?" + spec.query, "", BodyHash(&spec),
                          spec.software_version};
   ForwardHeader forward_header = DecodeForward(header, binding, cluster_key, WallNow());
