Split http_server.cc: response text, lingering close, address

The lingering close tells its owner about its end by a callback, so that it does not need the server's type.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -3,9 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <array>
 #include <asio.hpp>
-#include <cctype>
 #include <cstdio>
 #include <cstring>
 #include <optional>
@@ -13,6 +11,9 @@
 #include <unordered_map>
 
 #include "adapters/http_headers.h"
+#include "adapters/http_response_text.h"
+#include "adapters/lingering_close.h"
+#include "adapters/tcp_endpoint.h"
 #include "base/descriptor_claim.h"
 #include "base/error.h"
 
@@ -36,11 +37,7 @@
 // A connection with this many requests in progress is not read until one has been answered.
 constexpr size_t kMaxPipelinedRequests = 4;
 constexpr auto kAcceptRetryDelay = milliseconds(100);
-// After an error response, the connection is read for this long or until the client closes it.
-// Closing it with unread data would send a TCP reset, which can discard the response before the
-// client reads it.
-constexpr auto kLingerTimeout = seconds(2);
-// Further connections are closed at once.
+// Further connections are closed without an error response.
 constexpr size_t kMaxLingeringCloses = 128;
 // Effectively unlimited, as handlers enforce the deadlines of requests themselves.
 constexpr auto kHandlerTimeout = std::chrono::hours(24 * 365);
@@ -48,87 +45,6 @@
 // other way to close a connection from outside.
 constexpr restinio::request_id_t kUnknownRequestId = UINT32_MAX;
 
-const char* ReasonPhrase(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 201:
-      return "Created";
-    case 202:
-      return "Accepted";
-    case 204:
-      return "No Content";
-    case 304:
-      return "Not Modified";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 403:
-      return "Forbidden";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 409:
-      return "Conflict";
-    case 413:
-      return "Payload Too Large";
-    case 422:
-      return "Unprocessable Entity";
-    case 429:
-      return "Too Many Requests";
-    case 500:
-      return "Internal Server Error";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    case 508:
-      return "Loop Detected";
-    default:
-      return "Status";
-  }
-}
-
-// Appends `text` with spaces in place of line breaks and NUL, as a line break would start another
-// header.
-void AppendSanitized(std::string* out, const std::string& text) {
-  for (char c : text) out->push_back(c == '\r' || c == '\n' || c == '\0' ? ' ' : c);
-}
-
-// Returns the status line and the headers, without the empty line that ends them.
-std::string ResponseHead(int status, const HttpHeaders& headers) {
-  std::string head = "HTTP/1.1 " + std::to_string(status) + " " + ReasonPhrase(status) + "\r\n";
-  for (const auto& [name, value] : headers) {
-    if (IsFramingHeader(name)) continue;
-    AppendSanitized(&head, name);
-    head += ": ";
-    AppendSanitized(&head, value);
-    head += "\r\n";
-  }
-  return head;
-}
-
-bool StatusForbidsBody(int status) { return status < 200 || status == 204 || status == 304; }
-
-std::string ErrorResponseBody(const ErrorInfo& info) {
-  const char* type = info.http_status < 500 ? "invalid_request_error" : "server_error";
-  return std::string(R"({"error":{"message":")") + info.meaning + R"(","type":")" + type +
-         R"(","code":")" + info.code + R"(","run":")" + RunName(info.run) +
-         R"(","retry_after_ms":)" + std::to_string(info.retry_after_ms) + R"(,"request_id":""}})";
-}
-
-// Returns a complete error response that announces the end of the connection.
-std::string ClosingErrorResponse(ErrorKind kind) {
-  const ErrorInfo& info = LookupError(kind);
-  std::string body = ErrorResponseBody(info);
-  return ResponseHead(info.http_status, {{"content-type", "application/json"}}) +
-         "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 class Server;
 class ResponseStream;
 
@@ -294,52 +210,6 @@
   std::shared_ptr<ResponseStream> stream_;
 };
 
-// Sends an error response, then reads and discards input until the client closes the connection or
-// kLingerTimeout passes.
-class LingeringClose : public std::enable_shared_from_this<LingeringClose> {
- public:
-  LingeringClose(asio::io_context& io, tcp::socket socket, std::weak_ptr<Server> server)
-      : socket_(std::move(socket)),
-        claim_(socket_.native_handle(), DescriptorUser::kServerConnection),
-        timer_(io),
-        server_(std::move(server)) {}
-  ~LingeringClose();
-
-  void Start(const std::string& response) {
-    asio::error_code error;
-    socket_.non_blocking(true, error);
-    // The response fits into the empty socket buffer, so one send writes all of it.
-    socket_.send(asio::buffer(response), MSG_NOSIGNAL, error);
-    socket_.shutdown(tcp::socket::shutdown_send, error);
-    timer_.expires_after(kLingerTimeout);
-    timer_.async_wait([self = shared_from_this()](const asio::error_code& wait_error) {
-      asio::error_code ignored;
-      if (wait_error) return;
-      self->claim_.Release();
-      self->socket_.close(ignored);
-    });
-    Read();
-  }
-
- private:
-  void Read() {
-    socket_.async_read_some(asio::buffer(buffer_),
-                            [self = shared_from_this()](const asio::error_code& error, size_t) {
-                              if (error) {
-                                self->timer_.cancel();
-                              } else {
-                                self->Read();
-                              }
-                            });
-  }
-
-  tcp::socket socket_;
-  DescriptorClaim claim_;  // after socket_, so that it ends before the socket is closed
-  asio::steady_timer timer_;
-  std::weak_ptr<Server> server_;
-  std::array<char, 4096> buffer_;
-};
-
 class Server : public std::enable_shared_from_this<Server> {
  public:
   Server(asio::io_context& io, const HttpLimits& limits, HttpHandler handler)
@@ -355,8 +225,7 @@
   void OnClosed(const Connection& connection);
   // Sends the error response for `kind` and closes the socket gracefully. Beyond
   // kMaxLingeringCloses closes the socket at once. Always returns true.
-  bool StartLingeringClose(tcp::socket socket, ErrorKind kind);
-  void OnLingeringCloseEnded() { --lingering_closes_; }
+  bool Reject(tcp::socket socket, ErrorKind kind);
 
   uint16_t port() const { return port_; }
   void DisableKeepAlive() { close_after_response_ = true; }
@@ -595,8 +464,7 @@
   auto executor = socket->get_executor();
   int fd = socket->release(error);
   if (error) return false;
-  return server->StartLingeringClose(tcp::socket(executor, local.protocol(), fd),
-                                     *connection->rejection);
+  return server->Reject(tcp::socket(executor, local.protocol(), fd), *connection->rejection);
 }
 
 void ParseErrorLogger::OnErrorMessage(const std::string& text) const {
@@ -613,10 +481,6 @@
   server->OnParseError(id, body_too_large ? ErrorKind::kBodyTooLarge : ErrorKind::kBadRequest);
 }
 
-LingeringClose::~LingeringClose() {
-  if (std::shared_ptr<Server> server = server_.lock()) server->OnLingeringCloseEnded();
-}
-
 // --- Server
 
 std::unique_ptr<Server::ConnectionFactory> Server::MakeConnectionFactory() {
@@ -689,7 +553,7 @@
   tcp::endpoint remote = socket.remote_endpoint(error);
   if (error) return;  // already closed
   if (connections_.size() >= limits_.max_connections) {
-    StartLingeringClose(std::move(socket), ErrorKind::kOverloaded);
+    Reject(std::move(socket), ErrorKind::kOverloaded);
     return;
   }
   auto connection = std::make_shared<Connection>();
@@ -733,11 +597,13 @@
   }
 }
 
-bool Server::StartLingeringClose(tcp::socket socket, ErrorKind kind) {
+bool Server::Reject(tcp::socket socket, ErrorKind kind) {
   if (lingering_closes_ >= kMaxLingeringCloses) return true;
   ++lingering_closes_;
-  std::make_shared<LingeringClose>(io_, std::move(socket), weak_from_this())
-      ->Start(ClosingErrorResponse(kind));
+  std::weak_ptr<Server> weak = weak_from_this();
+  StartLingeringClose(io_, std::move(socket), ClosingErrorResponse(kind), [weak] {
+    if (std::shared_ptr<Server> server = weak.lock()) --server->lingering_closes_;
+  });
   return true;
 }
 
@@ -825,25 +691,6 @@
   std::shared_ptr<Server> server_;
 };
 
-tcp::endpoint ParseAddress(const std::string& address) {
-  size_t colon = address.rfind(':');
-  if (colon == std::string::npos)
-    throw Error(ErrorKind::kInternal, "missing port in address " + address);
-  std::string host = address.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[') host = host.substr(1, host.size() - 2);
-  std::string port = address.substr(colon + 1);
-  bool is_number =
-      !port.empty() && port.size() <= 5 &&
-      std::all_of(port.begin(), port.end(), [](unsigned char c) { return isdigit(c); });
-  if (!is_number || std::stoi(port) > 65535) {
-    throw Error(ErrorKind::kInternal, "invalid port in address " + address);
-  }
-  asio::error_code error;
-  asio::ip::address ip = asio::ip::make_address(host, error);
-  if (error) throw Error(ErrorKind::kInternal, "invalid IP address in " + address);
-  return tcp::endpoint(ip, static_cast<uint16_t>(std::stoi(port)));
-}
-
 }  // namespace
 
 const std::string& FindHeader(const HttpHeaders& headers, const std::string& name) {
@@ -856,7 +703,7 @@
 
 std::unique_ptr<HttpServer> StartHttpServer(asio::io_context& io, const std::string& address,
                                             const HttpLimits& limits, HttpHandler handler) {
-  tcp::endpoint endpoint = ParseAddress(address);
+  tcp::endpoint endpoint = ParseTcpEndpoint(address);
   auto server = std::make_shared<Server>(io, limits, std::move(handler));
   try {
     server->Listen(endpoint);
