Connections that are being established survive the end of the listening socket

It is the likely cause of one failure of drain_test, whose clients saw the same error; that is not shown.

Cause: the kernel resets connections that are established after the last accept, and forgets handshakes that the client has not confirmed.

Change: StopAccepting() attaches a socket filter to the listening socket that drops only segments with SYN and without ACK, lets the handshakes in progress end for 50 ms, and then accepts what waits and closes. An attempt in these 50 ms is repeated by the client's kernel after a second and refused then. Without the permission to attach a filter the socket is closed as before.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -13,6 +13,7 @@
 #include "adapters/http_headers.h"
 #include "adapters/http_response_text.h"
 #include "adapters/lingering_close.h"
+#include "adapters/listening_socket.h"
 #include "adapters/tcp_endpoint.h"
 #include "base/descriptor_claim.h"
 #include "base/error.h"
@@ -39,6 +40,9 @@
 constexpr auto kAcceptRetryDelay = milliseconds(100);
 // Further connections are closed without an error response.
 constexpr size_t kMaxLingeringCloses = 128;
+// How long handshakes may go on after new connection attempts are ignored. Clients are at most some
+// 20 ms away, since they use the hosts of their region first.
+constexpr auto kHandshakeTime = milliseconds(50);
 // Effectively unlimited, as handlers enforce the deadlines of requests themselves.
 constexpr auto kHandlerTimeout = std::chrono::hours(24 * 365);
 // RESTinio closes the connection when a response is written for an unknown request id. It offers no
@@ -213,7 +217,12 @@
 class Server : public std::enable_shared_from_this<Server> {
  public:
   Server(asio::io_context& io, const HttpLimits& limits, HttpHandler handler)
-      : io_(io), limits_(limits), handler_(std::move(handler)), acceptor_(io), retry_timer_(io) {}
+      : io_(io),
+        limits_(limits),
+        handler_(std::move(handler)),
+        acceptor_(io),
+        retry_timer_(io),
+        handshake_timer_(io) {}
 
   void Listen(const tcp::endpoint& endpoint);
   void Accept();
@@ -230,7 +239,7 @@
   uint16_t port() const { return port_; }
   void DisableKeepAlive() { close_after_response_ = true; }
   bool close_after_response() const { return close_after_response_; }
-  size_t connection_count() const { return connections_.size(); }
+  size_t connection_count() const { return connections_.size() + (stopping_accepting_ ? 1 : 0); }
   void Post(std::function<void()> fn) { asio::post(io_, std::move(fn)); }
   // `fn` does not run after Shutdown().
   void PostCallback(std::function<void()> fn) {
@@ -243,6 +252,7 @@
   using ConnectionFactory = restinio::impl::connection_factory_t<RestinioTraits>;
 
   std::unique_ptr<ConnectionFactory> MakeConnectionFactory();
+  void CloseAcceptor();
   void AddConnection(tcp::socket socket);
   void WatchForClose(const std::shared_ptr<Connection>& connection);
 
@@ -251,6 +261,8 @@
   HttpHandler handler_;
   tcp::acceptor acceptor_;
   asio::steady_timer retry_timer_;
+  asio::steady_timer handshake_timer_;
+  bool stopping_accepting_ = false;  // new attempts are ignored, handshakes may still end
   std::unique_ptr<ConnectionFactory> connection_factory_;
   uint16_t port_ = 0;
   bool close_after_response_ = false;
@@ -567,9 +579,22 @@
   restinio_connection->init();
 }
 
+// Lets the handshakes in progress end first: connections that are established after the last accept
+// would be reset.
+void Server::StopAccepting() {
+  if (!acceptor_.is_open() || stopping_accepting_) return;
+  if (!IgnoreNewConnections(acceptor_.native_handle())) return CloseAcceptor();
+  stopping_accepting_ = true;
+  handshake_timer_.expires_after(kHandshakeTime);
+  handshake_timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
+    self->stopping_accepting_ = false;
+    if (!error) self->CloseAcceptor();
+  });
+}
+
 // Accepts the connections that wait in the kernel's accept queue before closing the listening
 // socket, because closing it would reset them.
-void Server::StopAccepting() {
+void Server::CloseAcceptor() {
   if (!acceptor_.is_open()) return;
   asio::error_code error;
   while (!error) {
@@ -585,6 +610,7 @@
   asio::error_code ignored;
   acceptor_.close(ignored);
   retry_timer_.cancel();
+  handshake_timer_.cancel();
   handler_ = nullptr;
   auto connections = std::move(connections_);
   connections_.clear();
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -91,10 +91,13 @@
   virtual void DisableKeepAlive() = 0;
 
   // Stops accepting connections. Open connections stay open. Connections that wait in the kernel's
-  // accept queue are still served, because closing the listening socket would reset them.
+  // accept queue, and those that are being established, are still served, because closing the
+  // listening socket would reset them; it closes a moment later. Attempts in that moment are
+  // ignored, so their clients are refused when they repeat them.
   virtual void StopAccepting() = 0;
 
-  // The number of open connections.
+  // The number of open connections, plus one while others may still be established after
+  // StopAccepting().
   virtual size_t connection_count() const = 0;
 };
 
