Streams that callers do not name also go on only at a version that may have begun them

At the end of a release the servers of the old version leave, but it is their streams that break and are taken up then, at the new version.

Cause: the version was derived from the servers that may take new work at that moment. Now a host remembers which versions of a service it has known in the last 30 s, those of leaving servers included, and gives such a stream only to a version that was the only one; else it is refused as stream_unknown (503, not run).

UnnamedStreamMayHaveBegunAtAServerThatHasLeft fails in both checks with the former rule put back (the API changed, so that the test does not build on the code before). platform_stream_test passed.

--- a/src/core/stream_origins.cc
+++ b/src/core/stream_origins.cc
@@ -1,10 +1,10 @@
 #include "core/stream_origins.h"
 
 #include <algorithm>
-#include <map>
-#include <set>
+#include <iterator>
 
 #include "base/hash.h"
+#include "core/domain_summary.h"
 #include "core/routing.h"
 
 namespace ebonylift {
@@ -69,18 +69,30 @@
   return asked;
 }
 
-std::optional<StreamOrigin> OnlyOrigin(const RoutingView& view, const RouteConfig& route,
-                                       Time now) {
-  std::set<std::string> versions;
+void RecordVersions(RecentVersions* versions, const RoutingView& view, Time now) {
   for (const BackendServer& server : view.servers) {
-    if (CanServe(server, route, view, now)) versions.insert(server.announced.software_version);
+    for (const std::string& name : ServedNames(server.announced)) {
+      (*versions)[name][server.announced.software_version] = now;
+    }
   }
   for (const DomainSummary& summary : view.summaries) {
-    if (summary.served != ServedName(route)) continue;
-    versions.insert(summary.software_versions.begin(), summary.software_versions.end());
+    for (const std::string& version : summary.software_versions) {
+      (*versions)[summary.served][version] = now;
+    }
+  }
+  for (auto& [name, last_known] : *versions) {
+    for (auto it = last_known.begin(); it != last_known.end();) {
+      it = now - it->second > kStreamOriginInterval ? last_known.erase(it) : std::next(it);
+    }
   }
-  if (versions.size() != 1 || versions.begin()->empty()) return std::nullopt;
-  return StreamOrigin{route.service, *versions.begin()};
+}
+
+std::optional<StreamOrigin> OnlyOrigin(const RecentVersions& versions, const RouteConfig& route) {
+  auto known = versions.find(ServedName(route));
+  if (known == versions.end() || known->second.size() != 1) return std::nullopt;
+  const std::string& version = known->second.begin()->first;
+  if (version.empty()) return std::nullopt;
+  return StreamOrigin{route.service, version};
 }
 
 }  // namespace ebonylift
--- a/src/core/stream_origins.h
+++ b/src/core/stream_origins.h
@@ -14,7 +14,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -37,6 +39,14 @@
   RecentMap<StreamOrigin> streams{kStreamOriginInterval, kMaxStreamOrigins};
 };
 
+// The software versions of each service or model that this host has lately known, and when it last
+// did. Empty: the version of a server that names none.
+using RecentVersions = std::map<std::string, std::map<std::string, Time>>;
+
+// Adds the versions of the servers in the view, those that leave included, and drops those that
+// were last known before kStreamOriginInterval.
+void RecordVersions(RecentVersions* versions, const RoutingView& view, Time now);
+
 // Identifies a stream by the caller's id of the request that brought its first event.
 uint64_t StreamKey(std::string_view caller_request_id);
 
@@ -48,9 +58,10 @@
 std::vector<HostId> HoldersToAsk(const std::vector<HostEntry>& hosts, const Identity& self,
                                  uint64_t stream);
 
-// Returns the origin of any stream of the route, if all its servers that this host knows have the
-// same software version; nullopt otherwise. For callers that do not say which stream they take up.
-std::optional<StreamOrigin> OnlyOrigin(const RoutingView& view, const RouteConfig& route, Time now);
+// Returns the origin of any stream of the route, if all its servers that this host has lately known
+// have the same software version; nullopt otherwise. For callers that do not say which stream they
+// take up.
+std::optional<StreamOrigin> OnlyOrigin(const RecentVersions& versions, const RouteConfig& route);
 
 }  // namespace ebonylift
 
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -100,7 +100,7 @@
 void Exchange::FindOrigin() {
   const std::string& resumes = spec_.dialect_request.resumes;
   if (resumes.empty()) {
-    OnOriginFound(OnlyOrigin(*spec_.view, *spec_.route, SteadyNow()));
+    OnOriginFound(context_.stream_origins->FindOnly(*spec_.view, *spec_.route, SteadyNow()));
     return;
   }
   uint64_t stream = StreamKey(resumes);
--- a/src/daemon/stream_origin_table.cc
+++ b/src/daemon/stream_origin_table.cc
@@ -23,6 +23,18 @@
   return origin == nullptr ? std::nullopt : std::optional<StreamOrigin>(*origin);
 }
 
+void StreamOriginTable::RecordVersions(const RoutingView& view, Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ebonylift::RecordVersions(&versions_, view, now);
+}
+
+std::optional<StreamOrigin> StreamOriginTable::FindOnly(const RoutingView& view,
+                                                        const RouteConfig& route, Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ebonylift::RecordVersions(&versions_, view, now);
+  return OnlyOrigin(versions_, route);
+}
+
 std::map<HostId, std::vector<StreamRecord>> StreamOriginTable::TakeUnsent(const RoutingView& view,
                                                                           Time now) {
   std::vector<StreamRecord> records;
--- a/src/daemon/stream_origin_table.h
+++ b/src/daemon/stream_origin_table.h
@@ -31,6 +31,10 @@
   // Records streams that other hosts began.
   void Add(const std::vector<StreamRecord>& records, Time now);
   std::optional<StreamOrigin> Find(uint64_t stream, Time now) const;
+  // Records the software versions of the view. Call it at least every second.
+  void RecordVersions(const RoutingView& view, Time now);
+  // OnlyOrigin() of what was recorded and of the view.
+  std::optional<StreamOrigin> FindOnly(const RoutingView& view, const RouteConfig& route, Time now);
   // Returns the streams that began here since the last call, by holder. Returns none if the last
   // call that returned some was less than kOriginSendInterval ago.
   std::map<HostId, std::vector<StreamRecord>> TakeUnsent(const RoutingView& view, Time now);
@@ -38,6 +42,7 @@
  private:
   mutable std::mutex mutex_;
   StreamOrigins origins_;
+  RecentVersions versions_;
   std::vector<StreamRecord> unsent_;
   Time last_sent_;
 };
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -343,6 +343,7 @@
     if (now >= next_records_tick_) {
       next_records_tick_ = now + kRecordsTickPeriod;
       options_.records->Tick(WallNow());
+      options_.stream_origins->RecordVersions(*view, now);
     }
     if (!options_.settings.directory_address.empty() && now >= next_directory_publish_) {
       next_directory_publish_ = now + kDirectoryPublishPeriod;
--- a/tests/stream_origins_test.cc
+++ b/tests/stream_origins_test.cc
@@ -117,18 +117,50 @@
     server.expires_at = kNow + seconds(1);
     view.servers.push_back(server);
   };
-  BOOST_TEST(!OnlyOrigin(view, route, kNow).has_value());
+  auto only_origin = [&](Time now) {
+    StreamOriginTable table;
+    return table.FindOnly(view, route, now);
+  };
+  BOOST_TEST(!only_origin(kNow).has_value());
   add_server("v1");
   add_server("v1");
-  BOOST_TEST((OnlyOrigin(view, route, kNow) == kOrigin));
+  BOOST_TEST((only_origin(kNow) == kOrigin));
   DomainSummary summary;
   summary.served = kOrigin.service;
   summary.software_versions = {"v1", "v2"};
   view.summaries.push_back(summary);
-  BOOST_TEST(!OnlyOrigin(view, route, kNow).has_value());
+  BOOST_TEST(!only_origin(kNow).has_value());
   view.summaries.clear();
   add_server("v2");
-  BOOST_TEST(!OnlyOrigin(view, route, kNow).has_value());
+  BOOST_TEST(!only_origin(kNow).has_value());
+  view.servers.pop_back();
+  add_server("");
+  BOOST_TEST(!only_origin(kNow).has_value());
+}
+
+// Guards against a stream of a caller that does not name it going on at the new version at the end
+// of a release, when the servers that began such streams leave or have just left.
+BOOST_AUTO_TEST_CASE(UnnamedStreamMayHaveBegunAtAServerThatHasLeft) {
+  RoutingView view = MakeView("este-0");
+  RouteConfig route;
+  route.kind = ServerKind::kService;
+  route.service = kOrigin.service;
+  BackendServer server;
+  server.announced.kind = ServerKind::kService;
+  server.announced.region = view.self.region;
+  server.announced.services = {kOrigin.service};
+  server.announced.software_version = "v0";
+  server.announced.leaving = true;
+  view.servers = {server};
+  server.announced.software_version = kOrigin.software_version;
+  server.announced.leaving = false;
+  view.servers.push_back(server);
+  StreamOriginTable table;
+  BOOST_TEST(!table.FindOnly(view, route, kNow).has_value());
+  view.servers.erase(view.servers.begin());
+  BOOST_TEST(!table.FindOnly(view, route, kNow + kStreamOriginInterval).has_value());
+  Time later = kNow + kStreamOriginInterval + seconds(1);
+  BOOST_TEST((table.FindOnly(view, route, later) == kOrigin));
 }
 
 }  // namespace ebonylift
