Forwarded configuration changes follow a new leader

Cause, found by reading: a host that had forwarded a change to a leader waited 10 s for its answer, also when that leader was frozen or cut off and another host led long since. The operators of the platform wait for 6 s.

Change: when the believed leader is another one than at the forward, a change with a request id is brought to the new leader at once; its id keeps it from being applied twice. One without is answered as unknown at once.

ForwardedChangeFollowsTheLeader and ChangeWithoutIdIsNotSentToTheNextLeader fail without the call of FollowLeader().

--- a/src/daemon/config_proposer.cc
+++ b/src/daemon/config_proposer.cc
@@ -1,6 +1,16 @@
 #include "daemon/config_proposer.h"
 
 namespace ebonylift {
+namespace {
+
+PutAnswer MakeUnknownAnswer(const char* message) {
+  PutAnswer unknown;
+  unknown.error = ErrorKind::kConfigUnknown;
+  unknown.message = message;
+  return unknown;
+}
+
+}  // namespace
 
 void ConfigProposer::Put(const ConfigPut& put, uint32_t hops, const PutDone& done) {
   // Only the host that received the change from the operator waits for a leader.
@@ -24,6 +34,35 @@
 void ConfigProposer::RetryWaiting() {
   std::vector<WaitingPut> waiting = std::exchange(waiting_, {});
   for (const WaitingPut& put : waiting) Try(put);
+  FollowLeader();
+}
+
+void ConfigProposer::FollowLeader() {
+  std::optional<HostId> leader = options_.leader();
+  if (!leader) return;
+  std::vector<uint64_t> outdated;
+  for (const auto& [number, forwarded] : forwarded_) {
+    if (forwarded.leader && *forwarded.leader != *leader) outdated.push_back(number);
+  }
+  for (uint64_t number : outdated) {
+    auto node = forwarded_.extract(number);
+    if (node.empty()) continue;
+    const ForwardedPut& forwarded = node.mapped();
+    if (forwarded.put.request_id.empty() || forwarded.hops > 0) {
+      forwarded.done(MakeUnknownAnswer("the leader was replaced before it answered"));
+    } else {
+      Try({forwarded.put, forwarded.done, options_.clock() + kMaxLeaderWait});
+    }
+  }
+}
+
+void ConfigProposer::OnForwardAnswer(uint64_t number, const std::optional<PutAnswer>& answer) {
+  // None if the leader was replaced meanwhile.
+  auto node = forwarded_.extract(number);
+  if (node.empty()) return;
+  node.mapped().done(answer ? *answer
+                            : MakeUnknownAnswer("the leader did not answer; retry the change with "
+                                                "the same request id"));
 }
 
 // Proposes the change here or forwards it once. Does not wait for a leader.
@@ -37,12 +76,10 @@
     answer.message = "the leader of the voters cannot be reached";
     return done(answer);
   }
-  options_.forward(*to, put, hops + 1, [done](std::optional<PutAnswer> reply) {
-    if (reply) return done(*reply);
-    PutAnswer unknown;
-    unknown.error = ErrorKind::kConfigUnknown;
-    unknown.message = "the leader did not answer; retry the change with the same request id";
-    done(unknown);
+  uint64_t number = ++last_forward_;
+  forwarded_[number] = {put, hops, options_.leader(), done};
+  options_.forward(*to, put, hops + 1, [this, number](const std::optional<PutAnswer>& answer) {
+    OnForwardAnswer(number, answer);
   });
 }
 
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -97,6 +97,7 @@
     return replica_.Put(put, done);
   };
   proposer.voters = [this]() { return replica_.Voters(); };
+  proposer.leader = [this]() { return replica_.Leader(); };
   proposer.is_connected = [this](const HostId& host) { return rpc_.IsConnected(host); };
   proposer.forward = [this](const HostId& to, const ConfigPut& put, uint32_t hops,
                             std::function<void(std::optional<PutAnswer>)> done) {
--- a/tests/config_proposer_test.cc
+++ b/tests/config_proposer_test.cc
@@ -9,6 +9,7 @@
 
 const HostId kLeader("leader");
 const HostId kVoter("voter");
+const HostId kNextLeader("next");
 
 struct Forwarded {
   HostId to;
@@ -20,6 +21,7 @@
 struct Fixture {
   Time now;
   std::set<HostId> connected;
+  HostId leader = kLeader;
   std::optional<PutAnswer> local_answer;  // set: the local replica handles the changes
   int proposals = 0;
   std::vector<Forwarded> forwarded;
@@ -31,11 +33,12 @@
     options.propose = [this](const ConfigPut&,
                              const ConfigProposer::PutDone& done) -> std::optional<HostId> {
       ++proposals;
-      if (!local_answer) return kLeader;
+      if (!local_answer) return leader;
       done(*local_answer);
       return std::nullopt;
     };
     options.voters = []() { return std::vector<HostId>{kLeader, kVoter}; };
+    options.leader = [this]() { return std::optional<HostId>(leader); };
     options.is_connected = [this](const HostId& host) { return connected.count(host) != 0; };
     options.forward = [this](const HostId& to, const ConfigPut&, uint32_t hops,
                              std::function<void(std::optional<PutAnswer>)> done) {
@@ -45,8 +48,10 @@
     return options;
   }
 
-  void Put(uint32_t hops = 0) {
-    proposer.Put(ConfigPut(), hops, [this](PutAnswer answer) { answers.push_back(answer); });
+  void Put(uint32_t hops = 0, const std::string& request_id = "") {
+    ConfigPut put;
+    put.request_id = request_id;
+    proposer.Put(put, hops, [this](PutAnswer answer) { answers.push_back(answer); });
   }
 };
 
@@ -111,6 +116,40 @@
   BOOST_TEST(forwarded.size() == 1);
 }
 
+// Guards against a change that waits for the answer of a leader that is frozen or cut off, although
+// another host leads already: its operator gives up before.
+BOOST_FIXTURE_TEST_CASE(ForwardedChangeFollowsTheLeader, Fixture) {
+  connected = {kLeader, kNextLeader};
+  Put(0, "r1");
+  proposer.RetryWaiting();
+  BOOST_REQUIRE_EQUAL(forwarded.size(), 1);
+  leader = kNextLeader;
+  proposer.RetryWaiting();
+  BOOST_REQUIRE_EQUAL(forwarded.size(), 2);
+  BOOST_TEST(forwarded[1].to == kNextLeader);
+  PutAnswer success;
+  success.revision = 7;
+  forwarded[1].done(success);
+  BOOST_REQUIRE_EQUAL(answers.size(), 1);
+  BOOST_TEST(answers[0].revision == 7);
+  // The answer of the former leader comes late.
+  forwarded[0].done(std::nullopt);
+  BOOST_TEST(answers.size() == 1);
+}
+
+// Guards against a change that is applied twice because it is sent to two leaders.
+BOOST_FIXTURE_TEST_CASE(ChangeWithoutIdIsNotSentToTheNextLeader, Fixture) {
+  connected = {kLeader, kNextLeader};
+  Put();
+  Put(1, "r1");  // the host that it came from follows the leader itself
+  leader = kNextLeader;
+  proposer.RetryWaiting();
+  BOOST_TEST(forwarded.size() == 2);
+  BOOST_REQUIRE_EQUAL(answers.size(), 2);
+  BOOST_TEST((answers[0].error == ErrorKind::kConfigUnknown));
+  BOOST_TEST((answers[1].error == ErrorKind::kConfigUnknown));
+}
+
 // Guards against hosts with different opinions about the leader that forward a change in a circle.
 BOOST_FIXTURE_TEST_CASE(ForwardingEndsAfterTheMaximumNumberOfHops, Fixture) {
   connected.insert(kVoter);
