A queued request at a cut-off host uses up no trial of the path

A host without a path to its servers lets one request a second try them; the trial was counted when a request was considered, also if it was queued and tried nothing. It is counted now when a request is sent to a server. The check in server_paths_test that asking twice is harmless could not be written against TakeTrial(), which recorded the trial. And the function that records the end of a server for routing had the name of the one for poisonous contents, in the same namespace.

--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -326,7 +326,7 @@
                      int64_t prefill_tokens = 0);
 
 // Records that the server has ended, as a probe showed. Its next process may have other software.
-void OnServerLost(RoutingState& routing_state, const ServerId& server, Time now);
+void OnServerEnded(RoutingState& routing_state, const ServerId& server, Time now);
 
 // The work that this host has in flight at each backend server, and the limits that this host has
 // seen, also for kWithdrawnLimitShareTime after they were withdrawn.
--- a/src/core/routing_record.cc
+++ b/src/core/routing_record.cc
@@ -232,7 +232,7 @@
   return EjectIfFailing(state, routing_state, view, now);
 }
 
-void OnServerLost(RoutingState& routing_state, const ServerId& server, Time now) {
+void OnServerEnded(RoutingState& routing_state, const ServerId& server, Time now) {
   auto found = routing_state.servers.find(server);
   if (found != routing_state.servers.end()) found->second.lost_at = now;
 }
--- a/src/core/server_paths.cc
+++ b/src/core/server_paths.cc
@@ -33,10 +33,8 @@
   return true;
 }
 
-bool TakeTrial(ServerPaths& paths, Time now) {
-  if (now < paths.next_trial) return false;
-  paths.next_trial = now + kPathTrialInterval;
-  return true;
-}
+bool MayTryPath(const ServerPaths& paths, Time now) { return now >= paths.next_trial; }
+
+void OnPathTrial(ServerPaths& paths, Time now) { paths.next_trial = now + kPathTrialInterval; }
 
 }  // namespace ebonylift
--- a/src/core/server_paths.h
+++ b/src/core/server_paths.h
@@ -56,8 +56,11 @@
 bool OnServerSilent(ServerPaths& paths, const ServerId& server, size_t servers, Time since,
                     Time now);
 
-// Whether a host that is cut off lets this request try a server. Records the trial.
-bool TakeTrial(ServerPaths& paths, Time now);
+// Whether a host that is cut off may let a request try a server.
+bool MayTryPath(const ServerPaths& paths, Time now);
+
+// Records that a request was sent to a server by a host that is cut off.
+void OnPathTrial(ServerPaths& paths, Time now);
 
 }  // namespace ebonylift
 
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -52,6 +52,7 @@
 void Dispatcher::RecordPlacement(const Choice& choice, const RouteQuery& query, Time now) {
   if (choice.kind == ChoiceKind::kLocal) {
     OnDispatch(routing_state_, query, choice, now);
+    if (paths_.cut_off) OnPathTrial(paths_, now);
     RunningRequest running;
     running.content = {query.content_hash, KnownLosses(poison_, query.content_hash, now)};
     for (uint64_t part : query.content_parts) {
@@ -181,12 +182,12 @@
 }
 
 // Precondition: the caller holds the mutex.
-bool Dispatcher::MustRelay(const RouteQuery& query, Time now) {
+bool Dispatcher::MustRelay(const RouteQuery& query, Time now) const {
   if (query.connect_failures >= kConnectFailuresToRelay) return true;
   if (!paths_.cut_off) return false;
   // A request that may run twice shows whether the path is back.
   bool may_try = query.route->idempotent && query.avoid_servers.empty();
-  return !may_try || !TakeTrial(paths_, now);
+  return !may_try || !MayTryPath(paths_, now);
 }
 
 void Dispatcher::OnServerNotice(const ServerId& server, uint64_t incarnation, ServerNotice notice,
@@ -307,7 +308,7 @@
   std::vector<LossFinding> part_findings;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    ebonylift::OnServerLost(routing_state_, evidence.server, now);
+    OnServerEnded(routing_state_, evidence.server, now);
     findings = OnServerLost(poison_, evidence.server, evidence.contents, evidence.alone, now,
                             evidence.incarnation);
     part_findings = OnServerLost(part_poison_, evidence.server, evidence.parts, /*alone=*/false,
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -170,7 +170,7 @@
   using ReadyCallbacks = std::vector<std::pair<PlacementCallback, Choice>>;
 
   // Whether the request is to run through another host.
-  bool MustRelay(const RouteQuery& query, Time now);
+  bool MustRelay(const RouteQuery& query, Time now) const;
   void RecordPlacement(const Choice& choice, const RouteQuery& query, Time now);
   void PlaceQueued(Time now, ReadyCallbacks* ready_callbacks);
   Choice RefusalOfExpired(const RouteQuery& query, Time now);
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1557,7 +1557,7 @@
   f.AddServer("s1").announced.software_version = "v1";
   f.Dispatch(f.Run(), kNow - milliseconds(300));
   BOOST_TEST(f.Run().software_version == "v1");
-  OnServerLost(f.routing_state, ServerId("s1"), kNow - milliseconds(200));
+  OnServerEnded(f.routing_state, ServerId("s1"), kNow - milliseconds(200));
   // The new process answers a request before its announcement arrives.
   Choice choice = f.Run();
   BOOST_TEST(choice.software_version.empty());
--- a/tests/server_paths_test.cc
+++ b/tests/server_paths_test.cc
@@ -65,9 +65,12 @@
 BOOST_AUTO_TEST_CASE(TrialsShowThatThePathIsBack) {
   ServerPaths paths;
   Fail(paths, kNeeded, kNow);
-  BOOST_TEST(!TakeTrial(paths, kNow + kPathTrialInterval - milliseconds(1)));
-  BOOST_TEST(TakeTrial(paths, kNow + kPathTrialInterval));
-  BOOST_TEST(!TakeTrial(paths, kNow + kPathTrialInterval + milliseconds(1)));
+  Time trial = kNow + kPathTrialInterval;
+  BOOST_TEST(!MayTryPath(paths, trial - milliseconds(1)));
+  BOOST_TEST(MayTryPath(paths, trial));
+  BOOST_TEST(MayTryPath(paths, trial), "a request that is queued instead uses up no trial");
+  OnPathTrial(paths, trial);
+  BOOST_TEST(!MayTryPath(paths, trial + milliseconds(1)));
   BOOST_TEST(OnServerByte(paths, kNow + 2 * kPathTrialInterval));
   BOOST_TEST(!paths.cut_off);
   BOOST_TEST(!OnServerByte(paths, kNow + 2 * kPathTrialInterval));
