--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -233,8 +233,8 @@
   void OnParseError(restinio::connection_id_t id, ErrorKind kind);
   void OnClosed(const Connection& connection);
   // Sends the error response for `kind` and closes the socket gracefully. Beyond
-  // kMaxLingeringCloses closes the socket at once. Always returns true.
-  bool Reject(tcp::socket socket, ErrorKind kind);
+  // kMaxLingeringCloses closes the socket at once.
+  void Reject(tcp::socket socket, ErrorKind kind);
 
   uint16_t port() const { return port_; }
   void DisableKeepAlive() { close_after_response_ = true; }
@@ -476,7 +476,8 @@
   auto executor = socket->get_executor();
   int fd = socket->release(error);
   if (error) return false;
-  return server->Reject(tcp::socket(executor, local.protocol(), fd), *connection->rejection);
+  server->Reject(tcp::socket(executor, local.protocol(), fd), *connection->rejection);
+  return true;
 }
 
 void ParseErrorLogger::OnErrorMessage(const std::string& text) const {
@@ -623,14 +624,13 @@
   }
 }
 
-bool Server::Reject(tcp::socket socket, ErrorKind kind) {
-  if (lingering_closes_ >= kMaxLingeringCloses) return true;
+void Server::Reject(tcp::socket socket, ErrorKind kind) {
+  if (lingering_closes_ >= kMaxLingeringCloses) return;
   ++lingering_closes_;
   std::weak_ptr<Server> weak = weak_from_this();
   StartLingeringClose(io_, std::move(socket), ClosingErrorResponse(kind), [weak] {
     if (std::shared_ptr<Server> server = weak.lock()) --server->lingering_closes_;
   });
-  return true;
 }
 
 void Server::OnParseError(restinio::connection_id_t id, ErrorKind kind) {
--- a/src/core/config_tree.cc
+++ b/src/core/config_tree.cc
@@ -100,10 +100,13 @@
   if (too_large || deletes_missing_path) return result;
   ++tree->revision;
   SetEntry(tree, put.path, put.value);
-  bool is_difference = difference != nullptr;
-  StoredChange change{tree->revision, put.path,          std::nullopt,
-                      is_difference,  put.operator_name, accepted_at};
-  if (put.value) change.data = is_difference ? *difference : put.value->text();
+  StoredChange change;
+  change.revision = tree->revision;
+  change.path = put.path;
+  change.is_difference = difference != nullptr;
+  if (put.value) change.data = change.is_difference ? *difference : put.value->text();
+  change.operator_name = put.operator_name;
+  change.accepted_at = accepted_at;
   AddHistory(tree, std::move(change));
   result.outcome = PutOutcome::kApplied;
   result.revision = tree->revision;
