Stand-ins close their listening sockets at once

Cause: since StopAccepting() leaves the listening socket open for 50 ms, and the stand-in binds another one to the same address when its mode changes. The unit tests had not all been run after.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -227,6 +227,7 @@
   void Listen(const tcp::endpoint& endpoint);
   void Accept();
   void StopAccepting();
+  void StopAcceptingAtOnce();
   void Shutdown();
   void HandleRequest(const restinio::request_handle_t& request);
   void CallHandler(HttpRequest message, const std::shared_ptr<ResponseStream>& stream);
@@ -252,7 +253,6 @@
   using ConnectionFactory = restinio::impl::connection_factory_t<RestinioTraits>;
 
   std::unique_ptr<ConnectionFactory> MakeConnectionFactory();
-  void CloseAcceptor();
   void AddConnection(tcp::socket socket);
   void WatchForClose(const std::shared_ptr<Connection>& connection);
 
@@ -584,18 +584,18 @@
 // would be reset.
 void Server::StopAccepting() {
   if (!acceptor_.is_open() || stopping_accepting_) return;
-  if (!IgnoreNewConnections(acceptor_.native_handle())) return CloseAcceptor();
+  if (!IgnoreNewConnections(acceptor_.native_handle())) return StopAcceptingAtOnce();
   stopping_accepting_ = true;
   handshake_timer_.expires_after(kHandshakeTime);
   handshake_timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
     self->stopping_accepting_ = false;
-    if (!error) self->CloseAcceptor();
+    if (!error) self->StopAcceptingAtOnce();
   });
 }
 
 // Accepts the connections that wait in the kernel's accept queue before closing the listening
 // socket, because closing it would reset them.
-void Server::CloseAcceptor() {
+void Server::StopAcceptingAtOnce() {
   if (!acceptor_.is_open()) return;
   asio::error_code error;
   while (!error) {
@@ -711,6 +711,7 @@
   uint16_t port() const override { return server_->port(); }
   void DisableKeepAlive() override { server_->DisableKeepAlive(); }
   void StopAccepting() override { server_->StopAccepting(); }
+  void StopAcceptingAtOnce() override { server_->StopAcceptingAtOnce(); }
   size_t connection_count() const override { return server_->connection_count(); }
 
  private:
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -96,6 +96,10 @@
   // ignored, so their clients are refused when they repeat them.
   virtual void StopAccepting() = 0;
 
+  // As StopAccepting(), but the listening socket is closed when the call returns, so that another
+  // one may be bound to its address. Connections that are being established are reset.
+  virtual void StopAcceptingAtOnce() = 0;
+
   // The number of open connections, plus one while others may still be established after
   // StopAccepting().
   virtual size_t connection_count() const = 0;
--- a/testing/listener.cc
+++ b/testing/listener.cc
@@ -36,7 +36,7 @@
 
 void Listener::SetMode(ListenMode mode) {
   if (mode == mode_) return;
-  if (mode_ == ListenMode::kServe) servers_.back()->StopAccepting();
+  if (mode_ == ListenMode::kServe) servers_.back()->StopAcceptingAtOnce();
   reset_acceptor_.reset();
   mode_ = mode;
   if (mode == ListenMode::kServe) {
