The end of a request is recorded before its caller hears of a failure

Cause: Refuse() sent the response and resolved the claim on the key after that; the caller's next request may be read by another traffic thread in between. Now the claim is resolved first.

--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -374,6 +374,8 @@
             {"retry_after_ms", std::to_string(ToMillis(retry_after))},
             {"ms", std::to_string(ToMillis(SteadyNow() - spec_.arrived))}});
   context_.metrics->CountRefusal(kind);
+  // Before the response, since the caller may send the request again as soon as it has that.
+  claim_.Resolve(RequestRun(attempts_));
   relay_.Refuse(ErrorResponse{kind, message, retry_after, spec_.id});
   Finish();
 }
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -69,6 +69,7 @@
   void Send(int status, const HttpHeaders& /*headers*/, std::string body) override {
     sent_status = status;
     text = std::move(body);
+    if (on_send) on_send();
   }
   void Begin(int /*status*/, const HttpHeaders& /*headers*/) override {}
   void Write(std::string chunk) override { text += chunk; }
@@ -81,6 +82,7 @@
   int sent_status = 0;  // 0 until Send()
   std::string text;
   std::function<void()> on_closed;
+  std::function<void()> on_send;  // runs in Send(); may be empty
 };
 
 // A host with one backend server that runs one request at a time, and a team with one route.
@@ -336,6 +338,28 @@
   BOOST_TEST(client.calls.size() == 1u);
 }
 
+// Guards against a caller that repeats its failed request at once and is told that the first one is
+// still in progress.
+BOOST_AUTO_TEST_CASE(FailureIsRecordedBeforeTheCallerHearsOfIt) {
+  RequestSpec spec = Spec();
+  spec.idempotent = false;
+  spec.idempotency_key = "k";
+  std::shared_ptr<FakeResponder> caller = Start(spec);
+  journal->Sync();
+  RunQueuedEvents();
+  BOOST_REQUIRE(client.calls.size() == 1u);
+  std::shared_ptr<FakeResponder> repeated;
+  caller->on_send = [&] { repeated = Start(spec); };
+  client.calls[0].on_headers(500, {});
+  client.calls[0].on_done(CallResult{CallOutcome::kComplete, 500, "", false});
+  RunQueuedEvents();
+  BOOST_TEST(caller->text.find("server_failed") != std::string::npos, caller->text);
+  BOOST_REQUIRE(repeated != nullptr);
+  journal->Sync();
+  RunQueuedEvents();
+  BOOST_TEST(repeated->text.find("outcome_unknown") != std::string::npos, repeated->text);
+}
+
 // Guards against work for a caller that has left, and against a slot of a server that is never
 // given back: the request is placed when the end of its exchange is already queued.
 BOOST_AUTO_TEST_CASE(PlacementAfterTheCallerLeftIsUndone) {
