Read once more: one function for a conflict, one for an error of a change

ConfigPuts::FindConflict() built the same result as ApplyNew(), and ConfigProposer built answers that MakePutError() makes. Behaviour stays as it is.

--- a/src/core/config_tree.cc
+++ b/src/core/config_tree.cc
@@ -85,18 +85,11 @@
 // Applies a put that was not processed before.
 PutResult ApplyNew(ConfigTree* tree, const ConfigPut& put, WallMillis accepted_at,
                    const std::string* difference) {
+  if (std::optional<PutResult> conflict = FindConflict(*tree, put)) return *conflict;
   PutResult result;
-  auto current = tree->entries.find(put.path);
-  uint64_t path_revision = current == tree->entries.end() ? 0 : current->second.revision;
-  if (put.base_revision != path_revision) {
-    result.outcome = PutOutcome::kConflict;
-    result.revision = path_revision;
-    if (path_revision != 0) result.current_value = current->second.value;
-    return result;
-  }
   bool too_large =
       put.path.size() > kMaxPathBytes || (put.value && put.value->size() > MaxValueBytes(put.path));
-  bool deletes_missing_path = !put.value && path_revision == 0;
+  bool deletes_missing_path = !put.value && put.base_revision == 0;
   if (too_large || deletes_missing_path) return result;
   ++tree->revision;
   SetEntry(tree, put.path, put.value);
@@ -190,6 +183,18 @@
   return path.size() == prefix.size() || path[prefix.size()] == '/';
 }
 
+std::optional<PutResult> FindConflict(const ConfigTree& tree, const ConfigPut& put) {
+  PutResult result;
+  auto current = tree.entries.find(put.path);
+  if (current != tree.entries.end()) {
+    result.revision = current->second.revision;
+    result.current_value = current->second.value;
+  }
+  if (result.revision == put.base_revision) return std::nullopt;
+  result.outcome = PutOutcome::kConflict;
+  return result;
+}
+
 bool HasRecordedResult(const ConfigTree& tree, const ConfigPut& put) {
   return !put.request_id.empty() && tree.requests.count(RequestKey(put)) != 0;
 }
--- a/src/core/config_tree.h
+++ b/src/core/config_tree.h
@@ -112,6 +112,10 @@
 PutResult ApplyPut(ConfigTree* tree, const ConfigPut& put, WallMillis accepted_at,
                    const std::string* difference = nullptr);
 
+// Returns the result of a put whose base revision is not that of its path; nullopt: it does not
+// conflict. Ignores recorded results.
+std::optional<PutResult> FindConflict(const ConfigTree& tree, const ConfigPut& put);
+
 // Returns whether the tree has a result for the put's request id.
 bool HasRecordedResult(const ConfigTree& tree, const ConfigPut& put);
 
--- a/src/daemon/config_proposer.cc
+++ b/src/daemon/config_proposer.cc
@@ -1,16 +1,8 @@
 #include "daemon/config_proposer.h"
 
-namespace ebonylift {
-namespace {
-
-PutAnswer MakeUnknownAnswer(const char* message) {
-  PutAnswer unknown;
-  unknown.error = ErrorKind::kConfigUnknown;
-  unknown.message = message;
-  return unknown;
-}
+#include "daemon/put_answers.h"
 
-}  // namespace
+namespace ebonylift {
 
 void ConfigProposer::Put(const ConfigPut& put, uint32_t hops, const PutDone& done) {
   // Only the host that received the change from the operator waits for a leader.
@@ -49,7 +41,8 @@
     if (node.empty()) continue;
     const ForwardedPut& forwarded = node.mapped();
     if (forwarded.put.request_id.empty() || forwarded.hops > 0) {
-      forwarded.done(MakeUnknownAnswer("the leader was replaced before it answered"));
+      forwarded.done(
+          MakePutError(ErrorKind::kConfigUnknown, "the leader was replaced before it answered"));
     } else {
       Try({forwarded.put, forwarded.done, options_.clock() + kMaxLeaderWait});
     }
@@ -60,9 +53,11 @@
   // None if the leader was replaced meanwhile.
   auto node = forwarded_.extract(number);
   if (node.empty()) return;
-  node.mapped().done(answer ? *answer
-                            : MakeUnknownAnswer("the leader did not answer; retry the change with "
-                                                "the same request id"));
+  node.mapped().done(
+      answer
+          ? *answer
+          : MakePutError(ErrorKind::kConfigUnknown,
+                         "the leader did not answer; retry the change with the same request id"));
 }
 
 // Proposes the change here or forwards it once. Does not wait for a leader.
@@ -70,11 +65,8 @@
   std::optional<HostId> leader = options_.propose(put, done);
   if (!leader) return;
   std::optional<HostId> to = ForwardTarget(*leader);
-  PutAnswer answer;
   if (!to || hops >= kMaxPutHops) {
-    answer.error = ErrorKind::kNoQuorum;
-    answer.message = "the leader of the voters cannot be reached";
-    return done(answer);
+    return done(MakePutError(ErrorKind::kNoQuorum, "the leader of the voters cannot be reached"));
   }
   uint64_t number = ++last_forward_;
   forwarded_[number] = {put, hops, options_.leader(), done};
--- a/src/daemon/config_puts.cc
+++ b/src/daemon/config_puts.cc
@@ -74,16 +74,8 @@
                                                   const ConfigPut& put) const {
   // A retry gets the result of the first try, which may not have been a conflict.
   if (HasRecordedResult(*committed_, put) || !ValidatePath(put.path).empty()) return std::nullopt;
-  if (!LeaseValid(leader, clock_->Update())) return std::nullopt;
-  PutResult result;
-  auto entry = committed_->entries.find(put.path);
-  if (entry != committed_->entries.end()) {
-    result.revision = entry->second.revision;
-    result.current_value = entry->second.value;
-  }
-  if (result.revision == put.base_revision || changes_.WillChangeTree(put)) return std::nullopt;
-  result.outcome = PutOutcome::kConflict;
-  return result;
+  if (changes_.WillChangeTree(put) || !LeaseValid(leader, clock_->Update())) return std::nullopt;
+  return ebonylift::FindConflict(*committed_, put);
 }
 
 std::optional<Ready> ConfigPuts::Propose(Consensus* leader, Pending pending) {
