In large regions, hosts send their work to a collector instead of to each other

Cause: each host sent its list of work to all hosts that use the same servers, at most 40 lists a second.

Change: with more than eight such hosts, a host sends its list to the collector of its failure domain every 100 ms while it changes; the collector sends back the sums of the others, and exchanges sums with the collectors of the region's other failure domains. A silent collector is replaced by the next one within a second.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -44,8 +44,8 @@
   timeline @6 (hlc :UInt64, since :UInt64, requestId :Text, limit :UInt32)
       -> (hlc :UInt64, events :List(EventEntry), more :Bool);
 
-  # What the caller has at the backend servers that both send work to; replaces the list before.
-  work @7 (hlc :UInt64, rows :List(ServerWork)) -> (hlc :UInt64);
+  # Work at the backend servers that both send work to; replaces the list of this kind before.
+  work @7 (hlc :UInt64, rows :List(ServerWork), kind :WorkListKind) -> (hlc :UInt64);
 
   # Streams that began at the caller, for the receiver to keep.
   streams @8 (hlc :UInt64, rows :List(Stream)) -> (hlc :UInt64);
@@ -61,6 +61,13 @@
   softwareVersion @2 :Text;
 }
 
+enum WorkListKind {
+  own @0;
+  forCollector @1;
+  collected @2;
+  ofOthers @3;
+}
+
 struct ServerWork {
   server @0 :Text;
   inFlight @1 :Int32;
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -46,6 +46,14 @@
 CAPNP_DECLARE_SCHEMA(87212ac59715e6d8);
 CAPNP_DECLARE_SCHEMA(8db678397aa40490);
 CAPNP_DECLARE_SCHEMA(c73336d71113a4e9);
+CAPNP_DECLARE_SCHEMA(e3261d789f216c7d);
+enum class WorkListKind_e3261d789f216c7d: uint16_t {
+  OWN,
+  FOR_COLLECTOR,
+  COLLECTED,
+  OF_OTHERS,
+};
+CAPNP_DECLARE_ENUM(WorkListKind, e3261d789f216c7d);
 CAPNP_DECLARE_SCHEMA(9ec420e272a60b8b);
 CAPNP_DECLARE_SCHEMA(9a6e686a9f385f57);
 CAPNP_DECLARE_SCHEMA(94bb95454c725273);
@@ -413,7 +421,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cf10d05cdbba1d9b, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(cf10d05cdbba1d9b, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -510,6 +518,8 @@
   };
 };
 
+typedef ::capnp::schemas::WorkListKind_e3261d789f216c7d WorkListKind;
+
 struct ServerWork {
   ServerWork() = delete;
 
@@ -2565,6 +2575,8 @@
   inline bool hasRows() const;
   inline  ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>::Reader getRows() const;
 
+  inline  ::ebonylift::wire::WorkListKind getKind() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2603,6 +2615,9 @@
   inline void adoptRows(::capnp::Orphan< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ebonylift::wire::ServerWork,  ::capnp::Kind::STRUCT>> disownRows();
 
+  inline  ::ebonylift::wire::WorkListKind getKind();
+  inline void setKind( ::ebonylift::wire::WorkListKind value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6168,6 +6183,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::ebonylift::wire::WorkListKind Peer::WorkParams::Reader::getKind() const {
+  return _reader.getDataField< ::ebonylift::wire::WorkListKind>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::ebonylift::wire::WorkListKind Peer::WorkParams::Builder::getKind() {
+  return _builder.getDataField< ::ebonylift::wire::WorkListKind>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Peer::WorkParams::Builder::setKind( ::ebonylift::wire::WorkListKind value) {
+  _builder.setDataField< ::ebonylift::wire::WorkListKind>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Peer::WorkResults::Reader::getHlc() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -427,6 +427,34 @@
   return answer;
 }
 
+wire::WorkListKind WriteWorkListKind(WorkListKind kind) {
+  switch (kind) {
+    case WorkListKind::kOwn:
+      return wire::WorkListKind::OWN;
+    case WorkListKind::kForCollector:
+      return wire::WorkListKind::FOR_COLLECTOR;
+    case WorkListKind::kCollected:
+      return wire::WorkListKind::COLLECTED;
+    case WorkListKind::kOfOthers:
+      return wire::WorkListKind::OF_OTHERS;
+  }
+  return wire::WorkListKind::OWN;
+}
+
+std::optional<WorkListKind> ReadWorkListKind(wire::WorkListKind kind) {
+  switch (kind) {
+    case wire::WorkListKind::OWN:
+      return WorkListKind::kOwn;
+    case wire::WorkListKind::FOR_COLLECTOR:
+      return WorkListKind::kForCollector;
+    case wire::WorkListKind::COLLECTED:
+      return WorkListKind::kCollected;
+    case wire::WorkListKind::OF_OTHERS:
+      return WorkListKind::kOfOthers;
+  }
+  return std::nullopt;
+}
+
 void WriteServerWork(const ServerWork& work, wire::ServerWork::Builder out) {
   out.setServer(work.server.value());
   out.setInFlight(work.in_flight);
--- a/src/adapters/peer_codec.h
+++ b/src/adapters/peer_codec.h
@@ -35,6 +35,9 @@
 void WritePutAnswer(const PutAnswer& answer, wire::PutAnswer::Builder out);
 PutAnswer ReadPutAnswer(wire::PutAnswer::Reader in);
 
+wire::WorkListKind WriteWorkListKind(WorkListKind kind);
+// Returns nullopt for a kind that this version does not know.
+std::optional<WorkListKind> ReadWorkListKind(wire::WorkListKind kind);
 void WriteServerWork(const ServerWork& work, wire::ServerWork::Builder out);
 // A limit that is not a valid number is ignored.
 ServerWork ReadServerWork(wire::ServerWork::Reader in);
--- a/src/adapters/peer_server.cc
+++ b/src/adapters/peer_server.cc
@@ -115,7 +115,8 @@
     ProcessClock().Receive(params.getHlc());
     std::vector<ServerWork> work;
     for (wire::ServerWork::Reader row : params.getRows()) work.push_back(ReadServerWork(row));
-    handler_->OnPeerWorkList(session_->host, std::move(work));
+    std::optional<WorkListKind> kind = ReadWorkListKind(params.getKind());
+    if (kind) handler_->OnPeerWorkList(session_->host, *kind, std::move(work));
     context.getResults().setHlc(ProcessClock().Now());
     return kj::READY_NOW;
   }
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -569,11 +569,12 @@
       connection, kj::mv(request), kNotificationTimeout, true, [](auto&) { return true; }, nullptr);
 }
 
-void Rpc::Work(const HostId& to, const std::vector<ServerWork>& work) {
+void Rpc::Work(const HostId& to, WorkListKind kind, const std::vector<ServerWork>& work) {
   std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, 0);
   if (connection == nullptr) return;
   auto request = KJ_ASSERT_NONNULL(connection->client).workRequest();
   request.setHlc(ProcessClock().Now());
+  request.setKind(WriteWorkListKind(kind));
   auto rows = request.initRows(static_cast<uint32_t>(work.size()));
   for (uint32_t i = 0; i < rows.size(); ++i) WriteServerWork(work[i], rows[i]);
   impl_->Call<bool>(
--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -127,8 +127,9 @@
   // not empty.
   virtual TimelinePage OnPeerTimeline(HlcStamp since, const std::string& request_id,
                                       size_t limit) = 0;
-  // `work` replaces the list received from this peer before.
-  virtual void OnPeerWorkList(const HostId& from, std::vector<ServerWork> work) = 0;
+  // `work` replaces the list of this kind received from this peer before.
+  virtual void OnPeerWorkList(const HostId& from, WorkListKind kind,
+                              std::vector<ServerWork> work) = 0;
   virtual void OnPeerStreams(const std::vector<StreamRecord>& records) = 0;
   virtual std::optional<StreamOrigin> OnPeerFindStream(uint64_t stream) = 0;
   // A peer logged in on an incoming connection.
@@ -190,9 +191,9 @@
                   std::function<void(std::optional<PutAnswer>)> done);
   // Sends suspicions and withdrawals of suspicions.
   void Suspects(const HostId& to, const std::vector<SuspectReport>& reports);
-  // Sends the work that this host has on the backend servers that both hosts use. It replaces the
-  // list sent before.
-  void Work(const HostId& to, const std::vector<ServerWork>& work);
+  // Sends work on the backend servers that both hosts use. It replaces the list of this kind sent
+  // before.
+  void Work(const HostId& to, WorkListKind kind, const std::vector<ServerWork>& work);
   // Sends streams that began at this host.
   void Streams(const HostId& to, const std::vector<StreamRecord>& records);
   // Asks where a stream began. The result of `done` is empty if the peer did not answer, the inner
--- a/src/core/peer_work.cc
+++ b/src/core/peer_work.cc
@@ -13,17 +13,24 @@
 }
 
 void ApplyPeerWork(const PeerWork& state, Time now, std::vector<BackendServer>* servers) {
+  std::vector<const PeerWork::List*> lists;
+  for (const auto& [host, list] : state.lists) lists.push_back(&list);
+  ApplyWorkLists(lists, now, servers);
+}
+
+void ApplyWorkLists(const std::vector<const PeerWork::List*>& lists, Time now,
+                    std::vector<BackendServer>* servers) {
   std::unordered_map<ServerId, ServerWork> sums;
   std::unordered_map<ServerId, RequestLimit> limits;
-  for (const auto& [host, list] : state.lists) {
-    if (now - list.received_at >= kPeerWorkTtl) continue;
-    for (const ServerWork& work : list.work) {
+  for (const PeerWork::List* list : lists) {
+    if (list == nullptr || now - list->received_at >= kPeerWorkTtl) continue;
+    for (const ServerWork& work : list->work) {
       ServerWork& sum = sums[work.server];
       sum.in_flight += work.in_flight;
       sum.prefill_tokens += work.prefill_tokens;
       if (!work.limit) continue;
       RequestLimit& newest = limits[work.server];
-      Time seen_at = list.received_at - work.limit->age;
+      Time seen_at = list->received_at - work.limit->age;
       if (seen_at > newest.seen_at) newest = {work.limit->per_s, seen_at};
     }
   }
--- a/src/core/peer_work.h
+++ b/src/core/peer_work.h
@@ -43,6 +43,10 @@
 // current lists, and `other_hosts_limit` to the newest limit in them.
 void ApplyPeerWork(const PeerWork& state, Time now, std::vector<BackendServer>* servers);
 
+// ApplyPeerWork() for lists in any order. Null pointers are ignored.
+void ApplyWorkLists(const std::vector<const PeerWork::List*>& lists, Time now,
+                    std::vector<BackendServer>* servers);
+
 // Whether the waiting prompt tokens of some server have grown by kUrgentTokenIncrease or more from
 // `before` to `after`, so that other hosts should be told at once.
 bool HasUrgentIncrease(const std::vector<ServerWork>& before, const std::vector<ServerWork>& after);
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -46,7 +46,9 @@
       rpc_(io, MakeRpcOptions(*options), this),
       replica_(MakeReplicaOptions()),
       stop_(kj::newPromiseAndFulfiller<void>()),
-      tasks_(*this) {}
+      tasks_(*this) {
+  work_exchange_.self = options->self.host;
+}
 
 void ControlLoop::Start() {
   replica_.SetViewChangedCallback([this]() { OnConfigApplied(); });
@@ -183,8 +185,9 @@
   view->server_scope = options_->server_scope;
   view->config = replica_.View();
   view->servers = LiveServers(servers_.registry(), SteadyNow());
-  ApplyPeerWork(peer_work_, SteadyNow(), &view->servers);
+  ApplyOthersWork(work_exchange_, SteadyNow(), &view->servers);
   view->hosts = HostEntries(gossip_.membership());
+  work_exchange_.roster = MakeWorkRoster(view->hosts, options_->self, options_->server_scope);
   view->summaries = Summaries(gossip_.membership());
   // A voter gets a configuration only after its peers have said whether they know its disk, so a
   // view with a configuration also has the final value of `disk_was_lost`.
@@ -243,9 +246,7 @@
 void ControlLoop::ReportDomainSummaries(Time now) {
   if (!IsReporter(gossip_.membership())) return;
   std::vector<BackendServer> servers = LiveServers(servers_.registry(), SteadyNow());
-  PeerWork all_work = peer_work_;
-  OnPeerWork(&all_work, options_->self.host, own_work_, now);
-  ApplyPeerWork(all_work, now, &servers);
+  ApplyAllWork(work_exchange_, now, &servers);
   ReportSummaries(gossip_.mutable_membership(), SummarizeDomain(options_->self, servers, now),
                   ProcessClock().Now(), now);
 }
@@ -324,19 +325,15 @@
 // ---- shared work ----
 
 void ControlLoop::ShareWork(std::vector<ServerWork> work) {
-  bool nothing_to_send = work.empty() && own_work_.empty();
-  bool urgent = HasUrgentIncrease(own_work_, work);
-  own_work_ = std::move(work);
-  Time now = SteadyNow();
-  if (nothing_to_send || (now < next_work_broadcast_ && !urgent)) return;
-  auto shares = [this](const Identity& peer) { return relay_.SharesServersWith(peer); };
-  std::vector<HostId> hosts = gossip_.PeersWhere(shares);
-  next_work_broadcast_ = now + PeerWorkInterval(hosts.size());
-  for (const HostId& host : hosts) rpc_.Work(host, own_work_);
+  SetOwnWork(&work_exchange_, std::move(work));
+  for (const WorkMessage& message : TakeWorkMessages(&work_exchange_, SteadyNow())) {
+    rpc_.Work(message.to, message.kind, message.work);
+  }
 }
 
-void ControlLoop::OnPeerWorkList(const HostId& from, std::vector<ServerWork> work) {
-  OnPeerWork(&peer_work_, from, std::move(work), SteadyNow());
+void ControlLoop::OnPeerWorkList(const HostId& from, WorkListKind kind,
+                                 std::vector<ServerWork> work) {
+  OnWorkList(&work_exchange_, from, kind, std::move(work), SteadyNow());
   SchedulePublish(kPublishInterval);
 }
 
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -29,7 +29,7 @@
 #include "base/event.h"
 #include "base/ids.h"
 #include "base/time.h"
-#include "core/peer_work.h"
+#include "core/work_exchange.h"
 #include "daemon/announcement_relay.h"
 #include "daemon/config_proposer.h"
 #include "daemon/config_puller.h"
@@ -119,7 +119,8 @@
                               size_t limit) override {
     return ReadTimelinePage(since, request_id, limit);
   }
-  void OnPeerWorkList(const HostId& from, std::vector<ServerWork> work) override;
+  void OnPeerWorkList(const HostId& from, WorkListKind kind,
+                      std::vector<ServerWork> work) override;
   void OnPeerStreams(const std::vector<StreamRecord>& records) override {
     if (options_->on_streams) options_->on_streams(records);
   }
@@ -161,9 +162,7 @@
   ServerRegistration servers_;
   MembershipGossip gossip_;
   AnnouncementRelay relay_;
-  PeerWork peer_work_;
-  std::vector<ServerWork> own_work_;  // work of this host on the backend servers, see ShareWork()
-  Time next_work_broadcast_;
+  WorkExchange work_exchange_;
   ConfigProposer config_proposer_;
   ConfigPuller config_puller_;
   VoterMaintenance voter_maintenance_;
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -227,6 +227,10 @@
   std::string operator_address;  // empty: operators do not use this host
 };
 
+// Returns false for hosts that have time for the duties of a deployment, because callers do not use
+// them; they also survive what ends all hosts that callers use.
+inline bool TakesCallers(const HostEntry& host) { return !host.caller_address.empty(); }
+
 // Capacity and load of one model or service in one failure domain, published to the other failure
 // domains.
 struct DomainSummary {
@@ -261,6 +265,14 @@
 struct StreamOrigin {
   std::string service;
   std::string software_version;  // never empty
+// Whose work a list has; see core/work_exchange.h.
+enum class WorkListKind {
+  kOwn,           // the sender's, for a host that shares servers with it
+  kForCollector,  // the sender's, for the host that collects for it
+  kCollected,     // that of all hosts that the sender collects for
+  kOfOthers,      // that of all hosts but the receiver
+};
+
   friend bool operator==(const StreamOrigin& a, const StreamOrigin& b) {
     return std::tie(a.service, a.software_version) == std::tie(b.service, b.software_version);
   }
