Of many servers, two of each group are compared: prefix holders, long prompts, the rest

Cause: of more than 16 servers the choice compared two random ones outside the prefix group. In a region of 50 servers, of which one in four is set apart for long prompts, a long prompt often met none of these, and short ones met two of them.

Test: routing_test LongPromptsFindTheirServersAmongMany.

--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -89,8 +89,8 @@
 constexpr double kLongPromptPerRequestCost = 0.03;
 // A shorter cached prefix is prefilled again instead of fetched from another server's cache.
 constexpr int64_t kMinFetchTokens = 256;
-// Up to this many servers are all compared. Of more, two random servers of the prefix group and two
-// of the rest are compared.
+// Up to this many servers are all compared. Of more, two random servers each are compared of the
+// prefix group, of the other servers for long prompts, and of the rest.
 constexpr size_t kMaxComparedServers = 16;
 constexpr Duration kDefaultServiceTime = seconds(1);
 // Requests that may wait at a server, per slot, before it counts as full.
--- a/src/core/routing_local.cc
+++ b/src/core/routing_local.cc
@@ -176,16 +176,25 @@
     best_hit = std::max(best_hit, candidate.hit_tokens);
   }
   std::vector<const Candidate*> prefix_group;
+  std::vector<const Candidate*> long_prompt_group;
   std::vector<const Candidate*> others;
   others.reserve(candidates.size());
   for (const Candidate& candidate : candidates) {
     bool hit =
         best_hit > 0 && static_cast<double>(candidate.hit_tokens) >= kPrefixGroupShare * best_hit;
-    (hit ? prefix_group : others).push_back(&candidate);
+    if (hit) {
+      prefix_group.push_back(&candidate);
+    } else {
+      (candidate.is_long_prompt_server ? long_prompt_group : others).push_back(&candidate);
+    }
   }
-  PricedCandidate a = CheaperOfTwo(query, prefix_group, estimate, rng);
-  PricedCandidate b = CheaperOfTwo(query, others, estimate, rng);
-  return IsCheaper(b, a) ? b : a;
+  // Two of each group, because two of all would seldom include a server of a small group.
+  PricedCandidate best = CheaperOfTwo(query, prefix_group, estimate, rng);
+  for (const auto* group : {&long_prompt_group, &others}) {
+    PricedCandidate other = CheaperOfTwo(query, *group, estimate, rng);
+    if (IsCheaper(other, best)) best = other;
+  }
+  return best;
 }
 
 const Candidate* PickLeastReported(const std::vector<Candidate>& candidates) {
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -8,6 +8,7 @@
 
 #include "core/ingress.h"
 #include "core/poison.h"
+#include "core/server_affinity.h"
 
 namespace ebonylift {
 namespace {
@@ -1354,6 +1355,31 @@
   BOOST_TEST(servers_for_short.count(*servers_for_long.begin()) == 0u);
 }
 
+// Guards against long prompts that stall the streams of any server in a region with more servers
+// than are all compared: two random ones seldom included a server for long prompts.
+BOOST_AUTO_TEST_CASE(LongPromptsFindTheirServersAmongMany) {
+  constexpr int kServers = 50;
+  constexpr int kPrompts = 400;
+  std::set<std::string> servers_for_long;
+  int short_at_long_prompt_server = 0;
+  for (uint64_t seed = 0; seed < kPrompts; ++seed) {
+    Fixture f;
+    f.rng.seed(seed);
+    for (int i = 0; i < kServers; ++i) f.AddServer("s" + std::to_string(i), 4, 32);
+    f.routing_state.prefill_rates["m"] = 80'000;
+    auto choose = [&](int64_t tokens) {
+      f.query.prompt_tokens = tokens;
+      f.query.prefix_hashes = {seed};
+      f.query.prefix_tokens = {tokens};
+      return f.Run().server.value();
+    };
+    servers_for_long.insert(choose(40'000));
+    short_at_long_prompt_server += static_cast<int>(servers_for_long.count(choose(1'000)));
+  }
+  BOOST_TEST(servers_for_long.size() == kServers / kServersPerLongPromptServer);
+  BOOST_TEST(short_at_long_prompt_server == 0);
+}
+
 // Guards against refusing short requests that would start within their target, as when they arrive
 // in bursts at the only server of a region.
 BOOST_AUTO_TEST_CASE(ShortRequestsMayQueueAtTheServer) {
