A starting host holds a request until it has heard of its software version

Cause: a host that has just started holds requests while it has not heard of a region. It counted a region as heard of when it knew any server there, also for a stream that only servers of another software version may continue, and refused the stream.

Test: routing_test StartedHostHoldsRequestsUntilItHasHeardOfRegions, refused as no_server before.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -42,11 +42,22 @@
 }
 
 // True if this host has heard of the servers of the region: of its own servers directly, of those
-// of another region by summaries, for which it also needs a host to forward to.
-bool HasHeardOf(const RoutingView& view, const RegionId& region) {
-  if (region == view.self.region) return !view.servers.empty();
-  auto in_region = [&](const auto& entry) { return entry.region == region; };
-  return std::any_of(view.summaries.begin(), view.summaries.end(), in_region) &&
+// of another region by summaries, for which it also needs a host to forward to. If the request
+// needs a software version, that of a server that has it.
+bool HasHeardOf(const RouteQuery& query, const RoutingView& view, const RegionId& region) {
+  const std::string& version = query.software_version;
+  if (region == view.self.region) {
+    return std::any_of(
+        view.servers.begin(), view.servers.end(), [&](const BackendServer& server) {
+          return version.empty() || server.announced.software_version == version;
+        });
+  }
+  auto knows_servers = [&](const DomainSummary& summary) {
+    return summary.region == region &&
+           (version.empty() || Contains(summary.software_versions, version));
+  };
+  auto in_region = [&](const HostEntry& host) { return host.region == region; };
+  return std::any_of(view.summaries.begin(), view.summaries.end(), knows_servers) &&
          std::any_of(view.hosts.begin(), view.hosts.end(), in_region);
 }
 
@@ -57,7 +68,7 @@
   return std::any_of(
       query.allowed_regions.begin(), query.allowed_regions.end(), [&](const RegionId& region) {
         bool reachable = region == view.self.region || query.route->send_away;
-        return reachable && RegionAllowed(query, region) && !HasHeardOf(view, region);
+        return reachable && RegionAllowed(query, region) && !HasHeardOf(query, view, region);
       });
 }
 
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1443,6 +1443,20 @@
          f.AddHost("h1", "norte", "norte-a");
          f.AddSummary("norte", "norte-a");
        }},
+      {"servers heard of, but none of the needed software version", "queue",
+       [&](Fixture& f) {
+         start(f);
+         f.AddServer("s1").announced.software_version = "v2";
+         f.query.software_version = "v1";
+       }},
+      {"other region heard of, but not the needed software version", "queue",
+       [&](Fixture& f) {
+         start(f);
+         only_norte(f);
+         f.AddHost("h1", "norte", "norte-a");
+         f.AddSummary("norte", "norte-a").software_versions = {"v2"};
+         f.query.software_version = "v1";
+       }},
       {"the other region does not serve the model", "refuse no_server",
        [&](Fixture& f) {
          start(f);
