--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -32,6 +32,17 @@
     query.deadline = kNow + seconds(10);
   }
 
+  BackendServer MakeServer() const {
+    BackendServer server;
+    server.announced.id = ServerId("s1");
+    server.announced.kind = ServerKind::kService;
+    server.announced.services = {route.service};
+    server.announced.domain = view->self.domain;
+    server.announced.region = view->self.region;
+    server.expires_at = kNow + seconds(60);
+    return server;
+  }
+
   // Places the request and queues it if there is no place yet.
   Choice PlaceOrEnqueue() {
     Choice choice = dispatcher.Place(query, *view, kNow);
@@ -53,14 +64,7 @@
   dispatcher.OnView(view, kNow);
   BOOST_TEST((PlaceOrEnqueue().kind == ChoiceKind::kQueue));
   auto next = std::make_shared<RoutingView>(*view);
-  BackendServer server;
-  server.announced.id = ServerId("s1");
-  server.announced.kind = ServerKind::kService;
-  server.announced.services = {route.service};
-  server.announced.domain = view->self.domain;
-  server.announced.region = view->self.region;
-  server.expires_at = kNow + seconds(60);
-  next->servers.push_back(server);
+  next->servers.push_back(MakeServer());
   dispatcher.OnView(next, kNow + milliseconds(100));
   BOOST_TEST_REQUIRE(results.size() == 1u);
   BOOST_TEST((results[0].kind == ChoiceKind::kLocal));
@@ -79,6 +83,21 @@
   BOOST_TEST(LookupError(results[0].error).code == std::string("no_server"));
 }
 
+// Guards against a request that passes between hosts whose connections are refused alike, until it
+// ends with the hop limit although the server would take it.
+BOOST_FIXTURE_TEST_CASE(ForwardedRequestIsNotHandedOn, DispatcherFixture) {
+  HostEntry other;
+  other.id = HostId("h1");
+  other.region = view->self.region;
+  other.domain = view->self.domain;
+  view->hosts.push_back(other);
+  view->servers.push_back(MakeServer());
+  query.connect_failures = kConnectFailuresToRelay;
+  BOOST_TEST((dispatcher.Place(query, *view, kNow).kind == ChoiceKind::kForward));
+  query.hops = 1;
+  BOOST_TEST((dispatcher.Place(query, *view, kNow).kind == ChoiceKind::kLocal));
+}
+
 namespace {
 
 // Parts of prompts. Requests with kCrashing crash their server; all share kCommon.
