A starting gateway holds its first requests until it has its configuration

Cause: a restarted gateway listens 65 to 90 ms before it has its configuration, and refused what arrived meanwhile as not_ready.

--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -29,6 +29,9 @@
 using nlohmann::json;
 
 constexpr Duration kTickPeriod = milliseconds(20);
+// A restarted host has its configuration within some tens of milliseconds. A request that arrives
+// earlier is better served after that time than refused.
+constexpr Duration kMaxStartHoldTime = milliseconds(400);
 constexpr Duration kRecordsTickPeriod = seconds(1);
 constexpr Duration kDirectoryPublishPeriod = seconds(2);
 constexpr size_t kMaxRequestBytes = 8u << 20;
@@ -161,14 +164,29 @@
 
   void StartListener(const Listener& listener) {
     auto handle = listener.handle;
+    bool waits = listener.waits_for_configuration;
     listener_servers_.push_back(StartHttpServer(
         io_, listener.address, listener.limits,
-        [this, handle](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+        [=](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
           TrackResponder(responder);
-          handle(this, std::move(request), responder);
+          if (waits && !HasIngress() && SteadyNow() < hold_until_) {
+            held_requests_.push_back([this, handle, request, responder] {
+              handle(this, request, responder);
+            });
+            return;
+          }
+          handle(this, request, responder);
         }));
   }
 
+  bool HasIngress() const { return options_.control->View()->config->ingress != nullptr; }
+
+  // Handles the requests that waited for the configuration, when it is there or the time is up.
+  void HandleHeldRequests() {
+    if (held_requests_.empty() || (!HasIngress() && SteadyNow() < hold_until_)) return;
+    for (const auto& handle : std::exchange(held_requests_, {})) handle();
+  }
+
   // Excluded from Servers() so that a metrics collector with a persistent connection does not delay
   // shutdown.
   void StartMetricsServer() {
@@ -317,6 +335,7 @@
       if (!error) Tick();
     });
     UpdateOpenCounts();
+    HandleHeldRequests();
     if (index_ != 0) return;
     Time now = SteadyNow();
     std::shared_ptr<const RoutingView> view = options_.control->View();
@@ -403,6 +422,9 @@
   asio::steady_timer tick_timer_;
   // Of the open requests and of those that ended since the last tick, which removes the latter.
   std::vector<std::weak_ptr<HttpResponder>> responders_;
+  // Of listeners that wait for the configuration, until `hold_until_`.
+  std::vector<std::function<void()>> held_requests_;
+  const Time hold_until_ = SteadyNow() + kMaxStartHoldTime;
   std::atomic<size_t> unanswered_requests_{0};
   std::atomic<size_t> connections_{0};
   std::shared_ptr<const RoutingView> last_view_;
--- a/src/daemon/traffic.h
+++ b/src/daemon/traffic.h
@@ -45,6 +45,9 @@
 struct Listener {
   std::string address;  // ip:port
   HttpLimits limits;
+  // Requests that arrive while the process starts wait for the configuration; see
+  // kMaxStartHoldTime.
+  bool waits_for_configuration = false;
   std::function<void(ListenerContext*, HttpRequest, const std::shared_ptr<HttpResponder>&)> handle;
 };
 
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -143,6 +143,22 @@
   BOOST_TEST(foreign.status == 502);
 }
 
+// Guards against requests that a gateway refuses because it has just started, although it has its
+// configuration a moment later.
+BOOST_FIXTURE_TEST_CASE(StartingGatewayServesItsFirstRequests, PlatformFixture) {
+  for (int i = 0; i < 5; ++i) {
+    platform.KillGateway("este-a");
+    platform.StartGateway("este-a");
+    TestResponse first;
+    auto accepts = [&] {
+      first = platform.Request("este-a", "GET", "/look/x", NextRequestId());
+      return first.status != 0;
+    };
+    BOOST_REQUIRE(WaitFor(accepts, seconds(20)));
+    BOOST_TEST(first.status == 200, first.body);
+  }
+}
+
 // Guards against requests that reach a replica after its drain or evacuation was acknowledged, and
 // against a late heartbeat that puts the replica back in use.
 BOOST_FIXTURE_TEST_CASE(DrainAndEvacuation, PlatformFixture) {
