Placements count in what other hosts have placed since they told of their work

Cause: all hosts of a large region decide by the same sums, which are 100 to 300 ms old, and pick the same servers.

--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -52,6 +52,7 @@
 #include "core/prefix_index.h"
 #include "core/server_affinity.h"
 #include "core/server_notice.h"
+#include "core/unseen_work.h"
 #include "ports/views.h"
 
 namespace ebonylift {
@@ -87,7 +88,6 @@
 constexpr double kShortPromptAtLongPromptServerCost = 0.2;
 // A long prompt, for each request that the server already has.
 constexpr double kLongPromptPerRequestCost = 0.03;
-// A shorter cached prefix is prefilled again instead of fetched from another server's cache.
 // How much longer a fetch takes from a server of another failure domain.
 constexpr double kCrossDomainFetchFactor = 2;
 // A request that finds no place because other hosts may have taken it asks for one again after this
@@ -95,6 +95,7 @@
 constexpr Duration kRoomShareInterval = milliseconds(200);
 // How likely a shared prefix is at the server where it belongs, if this host never sent it there.
 constexpr double kAssumedPrefixShare = 0.5;
+// A shorter cached prefix is prefilled again instead of fetched from another server's cache.
 constexpr int64_t kMinFetchTokens = 256;
 // Up to this many servers are all compared. Of more, two random servers each are compared of the
 // prefix group, of the other servers for long prompts, and of the rest.
@@ -242,6 +243,7 @@
   size_t queued_ahead = 0;       // requests that the local queue serves first; set by the caller
   uint64_t round_robin_counter = 0;                       // advanced by OnDispatch()
   std::unordered_map<std::string, double> prefill_rates;  // tokens/s, by model or service name
+  std::unordered_map<std::string, PlacementRate> placement_rates;  // by model or service name
   uint32_t next_cache_id = 1;
   Time learning_until;  // see StartLearning(); Time(): no configuration yet
 };
--- a/src/core/routing_candidates.cc
+++ b/src/core/routing_candidates.cc
@@ -64,6 +64,8 @@
     candidate.tokens_ahead += OwnTokensAhead(query, server, state);
   }
   candidate.requests += server.other_hosts_requests;
+  candidate.expected_requests = candidate.requests;
+  candidate.expected_tokens_ahead = static_cast<double>(candidate.tokens_ahead);
   return candidate;
 }
 
--- a/src/core/routing_candidates.h
+++ b/src/core/routing_candidates.h
@@ -23,18 +23,22 @@
   const TargetState* state = nullptr;  // null: this host never dispatched to it
   int requests = 0;                    // reported, plus those dispatched since the report
   int slots = 1;
+  // `requests` and `tokens_ahead` with what other hosts may have sent since; see unseen_work.h.
+  double expected_requests = 0;
+  double expected_tokens_ahead = 0;
+  double token_deviation = 0;  // of `expected_tokens_ahead`
   int64_t hit_tokens = 0;
   const BackendServer* fetch_from = nullptr;  // has a longer prefix cached; null: none
   int64_t fetch_tokens = 0;
+  bool fetch_certain = false;            // this host sent the prefix to `fetch_from`
+  bool fetch_crosses_domain = false;     // `fetch_from` is in another failure domain
   int64_t tokens_ahead = 0;              // of prompts that it reads first
   bool ejected = false;                  // or unreachable
   bool is_long_prompt_server = false;    // one of LongPromptServers()
   bool has_long_prompt_servers = false;  // LongPromptServers() is not empty
-  bool fetch_certain = false;            // this host sent the prefix to `fetch_from`
-  bool fetch_crosses_domain = false;     // `fetch_from` is in another failure domain
   double request_rate = 0;               // see RequestRate() in core/request_rate.h
   Duration min_interval{0};              // between two requests from this host; 0: no limit
-  double utilization() const { return static_cast<double>(requests) / slots; }
+  double utilization() const { return expected_requests / slots; }
   int64_t cached_tokens() const { return hit_tokens + fetch_tokens; }
 };
 
--- a/src/core/routing_local.cc
+++ b/src/core/routing_local.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
+#include <utility>
 
 #include "base/hash.h"
 #include "core/ingress.h"
@@ -50,8 +52,9 @@
 
 double ServerCost(const RouteQuery& query, const Candidate& candidate,
                   const PrefillEstimate& estimate) {
-  double wait = WaitSeconds(candidate.requests, candidate.slots, ServiceSeconds(candidate.state));
-  wait += PrefillSeconds(candidate.tokens_ahead, estimate.read_rate);
+  double wait =
+      WaitSeconds(candidate.expected_requests, candidate.slots, ServiceSeconds(candidate.state));
+  wait += candidate.expected_tokens_ahead / estimate.read_rate;
   wait += InterferenceSeconds(query, candidate, estimate);
   double service = PromptReadSeconds(query, candidate, estimate);
   return query.route->weight_latency * wait + query.route->weight_cost * service;
@@ -84,11 +87,12 @@
              : kMaxLateWait;
 }
 
-// False if the prompts ahead delay the response past the first-byte target and the wait for them is
-// longer than MaxLateWait().
-bool StartsInTime(const RouteQuery& query, const Candidate& candidate,
-                  const PrefillEstimate& estimate, Time now) {
-  if (query.first_byte_deadline == Time() || !estimate.rate_measured) return true;
+// The most prompt tokens ahead at the server with which the request starts in time: the prompts
+// ahead do not delay the response past the first-byte target, or the wait for them is not longer
+// than MaxLateWait().
+double MaxTokensAhead(const RouteQuery& query, const Candidate& candidate,
+                      const PrefillEstimate& estimate, Time now) {
+  if (query.first_byte_deadline == Time() || !estimate.rate_measured) return kInfinity;
   // Ignores cache hits, because they are only predictions and the work ahead is known with delay.
   double own = PrefillSeconds(query.prompt_tokens, estimate.read_rate);
   double uncertain = candidate.token_deviation / estimate.read_rate;
@@ -96,19 +100,101 @@
   return std::max(left, ToSeconds(MaxLateWait(candidate, estimate))) * estimate.read_rate;
 }
 
-bool HasRoom(const RouteQuery& query, const RoutingState& routing_state, const Candidate& candidate,
-             const PrefillEstimate& estimate, Time now) {
-  if (!StartsInTime(query, candidate, estimate, now)) return false;
+// A server that has this many requests has no room for the request.
+int MaxRequests(const RouteQuery& query, const RoutingState& routing_state,
+                const Candidate& candidate, Time now) {
   if (query.traffic_class == TrafficClass::kChapter && !query.may_use_reserved_slots &&
       now < routing_state.slots_reserved_until) {
-    return candidate.requests < MaxRequestsForChapter(candidate.slots);
-  }
-  if (NoticesOf(candidate).brittle) {
-    return candidate.requests < RoomAtBrittleServer(candidate.slots);
+    return MaxRequestsForChapter(candidate.slots);
   }
+  if (NoticesOf(candidate).brittle) return RoomAtBrittleServer(candidate.slots);
   double share = IsPromptlessWithTarget(query) ? kPromptlessBacklogPerSlot : kServerBacklogPerSlot;
   int backlog = std::max(1, static_cast<int>(candidate.slots * share));
-  return candidate.requests < candidate.slots + backlog;
+  return candidate.slots + backlog;
+}
+
+bool HasRoom(const RouteQuery& query, const RoutingState& routing_state, const Candidate& candidate,
+             const PrefillEstimate& estimate, Time now) {
+  return static_cast<double>(candidate.tokens_ahead) <=
+             MaxTokensAhead(query, candidate, estimate, now) &&
+         candidate.requests < MaxRequests(query, routing_state, candidate, now);
+}
+
+// True if other hosts send work to the candidate as this one does.
+bool IsShared(const Candidate& candidate) {
+  return !candidate.ejected && candidate.request_rate <= 0;
+}
+
+// The age of what this host knows of the work of other hosts, in seconds.
+double WorkAge(const RoutingView& view, Time now) {
+  return view.work_known_at == Time() ? 0 : std::max(0.0, ToSeconds(now - view.work_known_at));
+}
+
+// The mean over the servers of which this host knows it; 0 if it knows none.
+double MeanServiceSeconds(const std::vector<Candidate>& candidates) {
+  double sum = 0;
+  int known = 0;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.state == nullptr || candidate.state->mean_service_time == Duration(0)) continue;
+    sum += ToSeconds(candidate.state->mean_service_time);
+    ++known;
+  }
+  return known == 0 ? 0 : sum / known;
+}
+
+// Lowers what is expected at each server by what it has probably done since other hosts told this
+// one of their work. Tokens may become negative: what the server could have read besides.
+void DeductDoneWork(double age_s, double service_s, const PrefillEstimate& estimate,
+                    std::vector<Candidate>* candidates) {
+  double ended = service_s > 0 ? std::min(1.0, age_s / service_s) : 0;
+  for (Candidate& candidate : *candidates) {
+    if (!IsShared(candidate)) continue;
+    candidate.expected_requests -= ended * candidate.server->other_hosts_requests;
+    candidate.expected_tokens_ahead -= estimate.read_rate * age_s;
+  }
+}
+
+// Raises what is expected at the least busy servers by what other hosts may have sent them since
+// they told this host of their work.
+void SpreadUnseenWork(const UnseenWork& unseen, std::vector<Candidate>* candidates) {
+  std::vector<double> requests;
+  std::vector<double> tokens;
+  for (const Candidate& candidate : *candidates) {
+    if (!IsShared(candidate)) continue;
+    requests.push_back(candidate.expected_requests);
+    tokens.push_back(candidate.expected_tokens_ahead);
+  }
+  double request_level = FillLevel(std::move(requests), unseen.requests);
+  double deviation = TokenDeviation(unseen, tokens.size());
+  double token_level = FillLevel(std::move(tokens), unseen.prefill_tokens);
+  for (Candidate& candidate : *candidates) {
+    if (!IsShared(candidate)) continue;
+    candidate.expected_requests = std::max(candidate.expected_requests, request_level);
+    candidate.expected_tokens_ahead = std::max({candidate.expected_tokens_ahead, token_level, 0.0});
+    candidate.token_deviation = deviation;
+  }
+}
+
+// False if other hosts have probably taken the room that the candidates showed. The requests of all
+// hosts for which this is true fit together. It stays the same for a request for
+// kRoomShareInterval, so that a waiting one does not ask until it is true.
+bool MayTakeRoom(const RouteQuery& query, const RoutingState& routing_state,
+                 const std::vector<Candidate>& candidates, const UnseenWork& unseen,
+                 const PrefillEstimate& estimate, Time now) {
+  double requests = 0;
+  double tokens = 0;
+  for (const Candidate& candidate : candidates) {
+    requests += MaxRequests(query, routing_state, candidate, now) - candidate.requests;
+    tokens += MaxTokensAhead(query, candidate, estimate, now) -
+              static_cast<double>(candidate.tokens_ahead);
+  }
+  double share =
+      std::min(ShareOfRoom(requests, unseen.requests), ShareOfRoom(tokens, unseen.prefill_tokens));
+  if (share >= 1) return true;
+  auto interval = static_cast<uint64_t>(now.time_since_epoch() / kRoomShareInterval);
+  uint64_t draw = Hash64(std::to_string(query.content_hash), interval);
+  return static_cast<double>(draw) <
+         share * static_cast<double>(std::numeric_limits<uint64_t>::max());
 }
 
 // Admits a server that is new, or whose pause has ended, to a random share of the choices. The
@@ -362,11 +448,14 @@
     if (tokens <= candidate->fetch_tokens && !closer) continue;
     candidate->fetch_from = prefix.holder->server;
     candidate->fetch_tokens = tokens;
+    candidate->fetch_certain = prefix.certain;
+    candidate->fetch_crosses_domain = crosses_domain;
   }
 }
 
 void ApplyPlacement(const PromptPlacement& placement, const PrefillEstimate& estimate,
                     std::vector<Candidate>* candidates) {
+  bool can_fetch = estimate.fetch_rate > estimate.read_rate;
   for (Candidate& candidate : *candidates) {
     candidate.has_long_prompt_servers = !placement.long_prompt_servers.empty();
     candidate.is_long_prompt_server = Contains(placement.long_prompt_servers, candidate.server);
@@ -393,6 +482,22 @@
   return choice;
 }
 
+// Brings what is expected at the servers up to date, and returns what other hosts have probably
+// sent since they told this host of their work.
+UnseenWork ExpectUnseenWork(const RouteQuery& query, const RoutingView& view,
+                            const RoutingState& routing_state, const PrefillEstimate& estimate,
+                            Time now, std::vector<Candidate>* candidates) {
+  double age_s = WorkAge(view, now);
+  auto rate = routing_state.placement_rates.find(ServedName(*query.route));
+  if (age_s <= 0 || rate == routing_state.placement_rates.end()) return {};
+  double service_s = MeanServiceSeconds(*candidates);
+  UnseenWork unseen =
+      EstimateUnseenWork(rate->second, CountPlacingHosts(view), age_s, service_s, now);
+  DeductDoneWork(age_s, service_s, estimate, candidates);
+  SpreadUnseenWork(unseen, candidates);
+  return unseen;
+}
+
 // Groups the usable servers that have room for the request by preference.
 void GroupByRoom(const RouteQuery& query, const RoutingState& routing_state,
                  const PrefillEstimate& estimate, Time now, std::mt19937_64& rng,
@@ -425,10 +530,12 @@
   GroupByRoom(query, routing_state, estimate, now, rng, &local);
   const std::vector<Candidate>* candidates = &local.with_room;
   if (candidates->empty()) candidates = &local.in_slow_start;
+  bool taken = !candidates->empty() && !query.suspect &&
+               !MayTakeRoom(query, routing_state, *candidates, unseen, estimate, now);
   // Ejection is a heuristic. If all servers are ejected, trying one is better than refusing.
   bool ejected = candidates->empty() && local.healthy.empty();
   if (ejected) candidates = &local.ejected;
-  if (candidates->empty()) {
+  if (candidates->empty() || taken) {
     Choice queue;
     queue.kind = ChoiceKind::kQueue;
     queue.cost = QueueCost(query, local, routing_state);
@@ -441,6 +548,3 @@
 }
 
 }  // namespace ebonylift
-    candidate->fetch_certain = prefix.certain;
-    candidate->fetch_crosses_domain = crosses_domain;
-  bool can_fetch = estimate.fetch_rate > estimate.read_rate;
--- a/src/core/routing_record.cc
+++ b/src/core/routing_record.cc
@@ -146,6 +146,10 @@
   }
   AddDispatch(state, now);
   state.prefill_tokens += choice.prefill_tokens;
+  if (query.route != nullptr) {
+    OnPlacement(&routing_state.placement_rates[ServedName(*query.route)], choice.prefill_tokens,
+                now);
+  }
   if (choice.min_interval > Duration(0)) state.next_limited_dispatch = now + choice.min_interval;
   RecordPrefixes(routing_state.prefixes, query.prefix_hashes, state.cache_id, now);
 }
--- a/src/core/routing_terms.cc
+++ b/src/core/routing_terms.cc
@@ -24,7 +24,7 @@
       std::upper_bound(state.dispatch_times.begin(), state.dispatch_times.end(), since));
 }
 
-double WaitSeconds(int requests, int slots, double service_s) {
+double WaitSeconds(double requests, int slots, double service_s) {
   if (requests < slots) return 0;
   return (requests - slots + 1) * service_s / slots;
 }
--- a/src/core/routing_terms.h
+++ b/src/core/routing_terms.h
@@ -43,7 +43,7 @@
 int DispatchedSince(const TargetState& state, Time since);
 
 // Returns the seconds until a new request starts at a target that already has `requests` requests.
-double WaitSeconds(int requests, int slots, double service_s);
+double WaitSeconds(double requests, int slots, double service_s);
 
 // Returns the mean service time at the target. `state` may be null.
 double ServiceSeconds(const TargetState* state);
--- a/src/core/work_exchange.cc
+++ b/src/core/work_exchange.cc
@@ -69,9 +69,7 @@
   }
 }
 
-bool Counts(const PeerWork::List& list, Time now) {
-  return now - list.received_at < kPeerWorkTtl;
-}
+bool Counts(const PeerWork::List& list, Time now) { return now - list.received_at < kPeerWorkTtl; }
 
 void AddReceived(const HostId& host, const PeerWork& received, Time now, WorkSums* sums) {
   auto list = received.lists.find(host);
@@ -159,8 +157,8 @@
 bool TakeCollectedDue(WorkExchange* state, Time now) {
   Duration since = now - state->collected_at;
   bool changed = state->collected_changed || state->own_changed;
-  bool due = state->own_urgent || (since >= kWorkInterval && changed) ||
-             since >= kWorkRefreshInterval;
+  bool due =
+      state->own_urgent || (since >= kWorkInterval && changed) || since >= kWorkRefreshInterval;
   if (!due) return false;
   state->collected_at = now;
   state->collected_changed = false;
@@ -269,6 +267,15 @@
   ApplyWorkLists(lists, now, servers);
 }
 
+Time WorkKnownAt(const WorkExchange& state, Time now) {
+  if (state.roster.peers.empty()) return Time();
+  // Each step delays a list by half an interval on average.
+  if (state.collector.empty()) return now - PeerWorkInterval(state.roster.peers.size()) / 2;
+  if (state.collector == state.self) return now - kWorkInterval;
+  if (!Counts(state.others, now)) return now - kPeerWorkTtl;
+  return state.others.received_at - kWorkInterval;
+}
+
 std::vector<WorkMessage> TakeWorkMessages(WorkExchange* state, Time now) {
   std::vector<WorkMessage> messages;
   DropSilentMembers(state, now);
--- a/src/core/work_exchange.h
+++ b/src/core/work_exchange.h
@@ -64,10 +64,10 @@
   bool own_urgent = false;      // see HasUrgentIncrease()
   Time own_sent_at;
 
-  PeerWork lists;          // of hosts that share servers, and of those that this one collects for
-  PeerWork collected;      // of other collectors
-  PeerWork::List others;   // of the collector; counts instead of the others until it expires
-  HostId collector;        // collects for this host; may be itself; empty: lists are sent directly
+  PeerWork lists;         // of hosts that share servers, and of those that this one collects for
+  PeerWork collected;     // of other collectors
+  PeerWork::List others;  // of the collector; counts instead of the others until it expires
+  HostId collector;       // collects for this host; may be itself; empty: lists are sent directly
   Time collector_heard_at;
   std::map<HostId, Time> silent_until;  // collectors that are not used until then
 
@@ -89,6 +89,10 @@
 // The same for the work of all hosts, this one included.
 void ApplyAllWork(const WorkExchange& state, Time now, std::vector<BackendServer>* servers);
 
+// Returns when the other hosts had the work that ApplyOthersWork() shows, on average; Time() if
+// there are no other hosts.
+Time WorkKnownAt(const WorkExchange& state, Time now);
+
 // Returns the messages that are due. Call it at least twice in kWorkInterval.
 std::vector<WorkMessage> TakeWorkMessages(WorkExchange* state, Time now);
 
