A response that names another request is not relayed

Report of an operator: a server sent a second copy of an answer, late, on a connection that was in use again. Here idempotent requests use connections again. On the users' platform the answer's Attempt-Id shows it (platform_dialect_test); on the own interface nothing looked, and the next caller got the copy. If a response names its request (x-ebonylift-request-id, as forwarded ones do) and it is another one, the attempt ends and its connection is closed.

Test: exchange_test ResponseOfAnotherRequestIsNotRelayed; the copy reached the caller before, whole and as a stream. Not protected: engines that do not echo the header.

--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -135,7 +135,8 @@
   void RelayStreamData(std::string_view data);
   void RelayEvents(std::string events);
   void RecordStreamBegin();
-  void EndOversizedAttempt(const char* reason);
+  bool NamesOtherRequest(const HttpHeaders& headers) const;
+  void EndUnusableAttempt(const char* reason);
   void RecordDataReceived();
   void ReportAnsweredParts(Time now);
   // Calls `step` after `delay`, unless the exchange has ended, CancelStep() is called or another
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -151,8 +151,20 @@
                now);
 }
 
+// A server may send a second copy of a response late, when the connection carries another request.
+// With a dialect, classify_response() notices.
+bool Exchange::NamesOtherRequest(const HttpHeaders& headers) const {
+  if (spec_.dialect != nullptr) return false;
+  const std::string& id = FindHeader(headers, kRequestIdHeader);
+  return !id.empty() && id != spec_.id.value();
+}
+
 void Exchange::OnHeaders(uint32_t attempt, int status, const HttpHeaders& headers) {
   if (attempt != open_attempt_.number) return;
+  if (NamesOtherRequest(headers)) {
+    EndUnusableAttempt("the response names another request");
+    return;
+  }
   ResponseKind kind = ResponseKind::kAnswer;
   if (spec_.dialect != nullptr)
     kind = spec_.dialect->classify_response(spec_.headers, status, headers);
@@ -173,7 +185,7 @@
   std::string events = relay_.Feed(data);
   if (!events.empty()) RelayEvents(std::move(events));
   if (relay_.event_too_large())
-    EndOversizedAttempt("an event of the stream exceeds its size limit");
+    EndUnusableAttempt("an event of the stream exceeds its size limit");
 }
 
 // From now on the stream may only go on at the software version of this server.
@@ -203,8 +215,9 @@
   relay_.Write(std::move(events), claim_.held());
 }
 
-// The server may send without end, so the connection is closed.
-void Exchange::EndOversizedAttempt(const char* reason) {
+// The server may send without end, or the response to this request after another one, so the
+// connection is closed.
+void Exchange::EndUnusableAttempt(const char* reason) {
   CancelAttempt();
   OnAttemptFailed(CallResult{CallOutcome::kFailed, relay_.status(), reason, true},
                   ebonylift::Run::kMayHaveRun);
@@ -253,7 +266,7 @@
   if (relay_.IsEventStream()) {
     RelayStreamData(data);
   } else if (!relay_.Buffer(data)) {
-    EndOversizedAttempt("the response exceeds the buffer limit");
+    EndUnusableAttempt("the response exceeds the buffer limit");
   }
   return true;
 }
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -319,6 +319,23 @@
 
 BOOST_FIXTURE_TEST_SUITE(exchange, Fixture)
 
+// Guards against a response that a server sends twice: the second copy arrives when the connection
+// carries the next request, whose caller would get it.
+BOOST_AUTO_TEST_CASE(ResponseOfAnotherRequestIsNotRelayed) {
+  for (const char* type : {"application/json", "text/event-stream"}) {
+    Fixture f;
+    std::shared_ptr<FakeResponder> caller = f.Start(f.Spec());
+    BOOST_REQUIRE(f.client.calls.size() == 1u);
+    f.client.calls[0].on_headers(
+        200, {{"content-type", type}, {"x-ebonylift-request-id", "r-of-the-request-before"}});
+    f.client.calls[0].on_data("data: {\"text\":\"other\"}\n\n");
+    f.client.calls[0].on_done(CallResult{CallOutcome::kComplete, 200, "", 0, true});
+    BOOST_TEST(caller->text.find("other") == std::string::npos, type);
+    BOOST_TEST(caller->sent_status != 200, type);
+    BOOST_TEST(f.client.cancelled.size() == 1u, type);
+  }
+}
+
 // Guards against work for a caller that has left, and against a key that stays claimed: the claim
 // becomes durable when the end of its exchange is already queued.
 BOOST_AUTO_TEST_CASE(ClaimAfterTheCallerLeftIsReleased) {
