Unseen work follows from the sums of other hosts, not from this host's own rate

Cause: the rate of placements was taken from the own ones of a second, one or two for a web service at full size. Now Little's law gives the rate of the others from what they have running and how long it runs.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -47,10 +47,9 @@
 bool HasHeardOf(const RouteQuery& query, const RoutingView& view, const RegionId& region) {
   const std::string& version = query.software_version;
   if (region == view.self.region) {
-    return std::any_of(
-        view.servers.begin(), view.servers.end(), [&](const BackendServer& server) {
-          return version.empty() || server.announced.software_version == version;
-        });
+    return std::any_of(view.servers.begin(), view.servers.end(), [&](const BackendServer& server) {
+      return version.empty() || server.announced.software_version == version;
+    });
   }
   auto knows_servers = [&](const DomainSummary& summary) {
     return summary.region == region &&
--- a/src/core/routing_local.cc
+++ b/src/core/routing_local.cc
@@ -144,13 +144,13 @@
 
 // Lowers what is expected at each server by what it has probably done since other hosts told this
 // one of their work. Tokens may become negative: what the server could have read besides.
-void DeductDoneWork(double age_s, double service_s, const PrefillEstimate& estimate,
+void DeductDoneWork(const KnownWork& known, const PrefillEstimate& estimate,
                     std::vector<Candidate>* candidates) {
-  double ended = service_s > 0 ? std::min(1.0, age_s / service_s) : 0;
+  double ended = known.service_s > 0 ? std::min(1.0, known.age_s / known.service_s) : 0;
   for (Candidate& candidate : *candidates) {
     if (!IsShared(candidate)) continue;
     candidate.expected_requests -= ended * candidate.server->other_hosts_requests;
-    candidate.expected_tokens_ahead -= estimate.read_rate * age_s;
+    candidate.expected_tokens_ahead -= estimate.read_rate * known.age_s;
   }
 }
 
@@ -487,13 +487,17 @@
 UnseenWork ExpectUnseenWork(const RouteQuery& query, const RoutingView& view,
                             const RoutingState& routing_state, const PrefillEstimate& estimate,
                             Time now, std::vector<Candidate>* candidates) {
-  double age_s = WorkAge(view, now);
   auto rate = routing_state.placement_rates.find(ServedName(*query.route));
-  if (age_s <= 0 || rate == routing_state.placement_rates.end()) return {};
-  double service_s = MeanServiceSeconds(*candidates);
-  UnseenWork unseen =
-      EstimateUnseenWork(rate->second, CountPlacingHosts(view), age_s, service_s, now);
-  DeductDoneWork(age_s, service_s, estimate, candidates);
+  if (rate == routing_state.placement_rates.end()) return {};
+  KnownWork known;
+  known.hosts = CountPlacingHosts(view);
+  known.age_s = WorkAge(view, now);
+  known.service_s = MeanServiceSeconds(*candidates);
+  for (const Candidate& candidate : *candidates) {
+    if (IsShared(candidate)) known.requests += candidate.server->other_hosts_requests;
+  }
+  UnseenWork unseen = EstimateUnseenWork(rate->second, known, now);
+  DeductDoneWork(known, estimate, candidates);
   SpreadUnseenWork(unseen, candidates);
   return unseen;
 }
--- a/src/core/stream_origins.cc
+++ b/src/core/stream_origins.cc
@@ -108,8 +108,8 @@
 
 std::optional<StreamOrigin> OnlyOrigin(const RecentVersions& versions, const RouteConfig& route,
                                        Time now) {
-  bool complete = versions.complete_since != Time() &&
-                  now - versions.complete_since > kStreamOriginInterval;
+  bool complete =
+      versions.complete_since != Time() && now - versions.complete_since > kStreamOriginInterval;
   if (!complete) return std::nullopt;
   auto known = versions.last_known.find(ServedName(route));
   if (known == versions.last_known.end() || known->second.size() != 1) return std::nullopt;
--- a/src/core/unseen_work.cc
+++ b/src/core/unseen_work.cc
@@ -27,11 +27,17 @@
   rate->updated_at = now;
 }
 
-UnseenWork EstimateUnseenWork(const PlacementRate& rate, size_t other_hosts, double age_s,
-                              double service_s, Time now) {
-  double hosts = Decay(rate, now) * static_cast<double>(other_hosts);
-  return {rate.requests_per_s * hosts * std::min(age_s, service_s),
-          rate.tokens_per_s * hosts * age_s, rate.requests_per_s * hosts * age_s};
+UnseenWork EstimateUnseenWork(const PlacementRate& rate, const KnownWork& known, Time now) {
+  if (known.age_s <= 0 || rate.requests_per_s <= 0) return {};
+  bool service_known = known.service_s > 0;
+  double per_s = service_known
+                     ? known.requests / known.service_s
+                     : rate.requests_per_s * Decay(rate, now) * static_cast<double>(known.hosts);
+  UnseenWork unseen;
+  unseen.placed = per_s * known.age_s;
+  unseen.requests = service_known ? per_s * std::min(known.age_s, known.service_s) : 0;
+  unseen.prefill_tokens = unseen.placed * rate.tokens_per_s / rate.requests_per_s;
+  return unseen;
 }
 
 double TokenDeviation(const UnseenWork& unseen, size_t servers) {
--- a/src/core/unseen_work.h
+++ b/src/core/unseen_work.h
@@ -21,10 +21,10 @@
 
 namespace ebonylift {
 
-// The time over which the rate of placements is averaged.
+// The time over which the placements of this host are averaged.
 constexpr Duration kPlacementRateTime = seconds(1);
 
-// The rate at which this host places requests for one model or service, exponentially averaged.
+// What this host places for one model or service, exponentially averaged.
 struct PlacementRate {
   double requests_per_s = 0;
   double tokens_per_s = 0;  // prompt tokens to prefill
@@ -33,17 +33,24 @@
 
 void OnPlacement(PlacementRate* rate, int64_t prefill_tokens, Time now);
 
+// What this host was told of the requests of the other hosts.
+struct KnownWork {
+  size_t hosts = 0;      // other hosts
+  double requests = 0;   // of theirs that were running
+  double age_s = 0;      // of the list
+  double service_s = 0;  // the time that a request runs; 0: unknown
+};
+
 struct UnseenWork {
   double requests = 0;        // that still run
   double prefill_tokens = 0;  // of all that were placed
   double placed = 0;          // requests
 };
 
-// Returns the work that the other hosts have placed in the last `age_s` seconds, if each places as
-// much as this one: the tokens of all prompts, and the requests that still run, if a request runs
-// for `service_s` seconds.
-UnseenWork EstimateUnseenWork(const PlacementRate& rate, size_t other_hosts, double age_s,
-                              double service_s, Time now);
+// Returns the work that the other hosts have placed since. By Little's law they place as many
+// requests as they have running, each time that a request runs; if that time is not known, each
+// places as many as this host. Their prompts are as long as those of this host.
+UnseenWork EstimateUnseenWork(const PlacementRate& rate, const KnownWork& known, Time now);
 
 // Returns the standard deviation of the unseen tokens at one of `servers` servers, if each request
 // goes to a random one.
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -119,8 +119,7 @@
                               size_t limit) override {
     return ReadTimelinePage(since, request_id, limit);
   }
-  void OnPeerWorkList(const HostId& from, WorkListKind kind,
-                      std::vector<ServerWork> work) override;
+  void OnPeerWorkList(const HostId& from, WorkListKind kind, std::vector<ServerWork> work) override;
   void OnPeerStreams(const std::vector<StreamRecord>& records) override {
     if (options_->on_streams) options_->on_streams(records);
   }
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -184,8 +184,7 @@
 void Exchange::RelayStreamData(std::string_view data) {
   std::string events = relay_.Feed(data);
   if (!events.empty()) RelayEvents(std::move(events));
-  if (relay_.event_too_large())
-    EndUnusableAttempt("an event of the stream exceeds its size limit");
+  if (relay_.event_too_large()) EndUnusableAttempt("an event of the stream exceeds its size limit");
 }
 
 // From now on the stream may only go on at the software version of this server.
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -165,18 +165,18 @@
   void StartListener(const Listener& listener) {
     auto handle = listener.handle;
     bool waits = listener.waits_for_configuration;
-    listener_servers_.push_back(StartHttpServer(
-        io_, listener.address, listener.limits,
-        [=](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
-          TrackResponder(responder);
-          if (waits && !HasIngress() && SteadyNow() < hold_until_) {
-            held_requests_.push_back([this, handle, request, responder] {
-              handle(this, request, responder);
-            });
-            return;
-          }
-          handle(this, request, responder);
-        }));
+    listener_servers_.push_back(
+        StartHttpServer(io_, listener.address, listener.limits,
+                        [=](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+                          TrackResponder(responder);
+                          if (waits && !HasIngress() && SteadyNow() < hold_until_) {
+                            held_requests_.push_back([this, handle, request, responder] {
+                              handle(this, request, responder);
+                            });
+                            return;
+                          }
+                          handle(this, request, responder);
+                        }));
   }
 
   bool HasIngress() const { return options_.control->View()->config->ingress != nullptr; }
--- a/tests/work_exchange_test.cc
+++ b/tests/work_exchange_test.cc
@@ -175,7 +175,8 @@
 BOOST_AUTO_TEST_CASE(LimitsReachOtherHostsOnly) {
   Region region(33);
   HostId observer("a-3");
-  SetOwnWork(&region.exchanges[observer], {{ServerId("s"), 1, 100, ObservedLimit{1.5, seconds(2)}}});
+  SetOwnWork(&region.exchanges[observer],
+             {{ServerId("s"), 1, 100, ObservedLimit{1.5, seconds(2)}}});
   region.Run(seconds(1));
   for (const HostEntry& host : region.entries) {
     std::vector<BackendServer> servers(1);
