Split routing_local.cc: what has room; a log line when the collector of work changes

The event work_collector_changed (407) says which host collects a host's work, and whether the one before was silent.

--- a/src/base/event.h
+++ b/src/base/event.h
@@ -75,6 +75,7 @@
   kPeerLoginRefused = 404,
   kPeerMessageRefused = 405,
   kHostFound = 406,
+  kWorkCollectorChanged = 407,
 
   kConfigApplied = 500,
   kConfigRefused = 501,
--- /dev/null
+++ b/src/core/routing_room.h
@@ -0,0 +1,46 @@
+#ifndef EBONYLIFT_CORE_ROUTING_ROOM_H_
+#define EBONYLIFT_CORE_ROUTING_ROOM_H_
+
+// Which servers have room for a request, by what this host knows of them and by what other hosts
+// have probably sent them since (core/unseen_work.h).
+//
+// The functions are pure and thread-safe.
+
+#include <vector>
+
+#include "core/routing_candidates.h"
+#include "core/unseen_work.h"
+
+namespace ebonylift {
+
+// Prefill rates for the query, and whether it can meet its first-byte target. The same for all
+// servers.
+struct PrefillEstimate {
+  double read_rate = kDefaultPrefillTokensPerSecond;  // tokens/s
+  double fetch_rate = 0;       // tokens/s from another server's cache; 0: not supported
+  bool rate_measured = false;  // `read_rate` is not the default
+  bool may_wait_at_long_prompt_server = false;  // see kMaxLateWaitAtLongPromptServer
+  bool late_when_idle = false;  // misses its first-byte target even on an idle server
+};
+
+// Returns whether the server has room for the request, which then starts in time, by what this host
+// was told.
+bool HasRoom(const RouteQuery& query, const RoutingState& routing_state, const Candidate& candidate,
+             const PrefillEstimate& estimate, Time now);
+
+// Brings what is expected at the servers up to date, and returns what other hosts have probably
+// sent since they told this host of their work.
+UnseenWork ExpectUnseenWork(const RouteQuery& query, const RoutingView& view,
+                            const RoutingState& routing_state, const PrefillEstimate& estimate,
+                            Time now, std::vector<Candidate>* candidates);
+
+// Returns false if other hosts have probably taken the room that the candidates showed. The
+// requests of all hosts for which this is true fit together. It stays the same for a request for
+// kRoomShareInterval, so that a waiting one does not ask until it is true.
+bool MayTakeRoom(const RouteQuery& query, const RoutingState& routing_state,
+                 const std::vector<Candidate>& candidates, const UnseenWork& unseen,
+                 const PrefillEstimate& estimate, Time now);
+
+}  // namespace ebonylift
+
+#endif  // EBONYLIFT_CORE_ROUTING_ROOM_H_
--- a/src/core/work_exchange.cc
+++ b/src/core/work_exchange.cc
@@ -101,8 +101,7 @@
 // host collects for itself.
 HostId ChooseCollector(const WorkExchange& state, Time now) {
   for (const HostId& host : state.roster.collectors) {
-    auto silent = state.silent_until.find(host);
-    if (silent == state.silent_until.end() || now >= silent->second) return host;
+    if (!IsSilent(state, host, now)) return host;
   }
   return state.self;
 }
@@ -267,6 +266,11 @@
   ApplyWorkLists(lists, now, servers);
 }
 
+bool IsSilent(const WorkExchange& state, const HostId& collector, Time now) {
+  auto silent = state.silent_until.find(collector);
+  return silent != state.silent_until.end() && now < silent->second;
+}
+
 Time WorkKnownAt(const WorkExchange& state, Time now) {
   if (state.roster.peers.empty()) return Time();
   // Each step delays a list by half an interval on average.
--- a/src/core/work_exchange.h
+++ b/src/core/work_exchange.h
@@ -89,6 +89,9 @@
 // The same for the work of all hosts, this one included.
 void ApplyAllWork(const WorkExchange& state, Time now, std::vector<BackendServer>* servers);
 
+// Returns whether the host is not used as a collector because it did not answer.
+bool IsSilent(const WorkExchange& state, const HostId& collector, Time now);
+
 // Returns when the other hosts had the work that ApplyOthersWork() shows, on average; Time() if
 // there are no other hosts.
 Time WorkKnownAt(const WorkExchange& state, Time now);
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -326,10 +326,17 @@
 // ---- shared work ----
 
 void ControlLoop::ShareWork(std::vector<ServerWork> work) {
+  HostId previous = work_exchange_.collector;
+  Time now = SteadyNow();
   SetOwnWork(&work_exchange_, std::move(work));
-  for (const WorkMessage& message : TakeWorkMessages(&work_exchange_, SteadyNow())) {
+  for (const WorkMessage& message : TakeWorkMessages(&work_exchange_, now)) {
     rpc_.Work(message.to, message.kind, message.work);
   }
+  if (work_exchange_.collector == previous) return;
+  LogEvent(EventId::kWorkCollectorChanged,
+           {{"collector", work_exchange_.collector.value()},
+            {"previous", previous.value()},
+            {"silent", IsSilent(work_exchange_, previous, now) ? "1" : "0"}});
 }
 
 void ControlLoop::OnPeerWorkList(const HostId& from, WorkListKind kind,
