Read once more: no estimate of unseen work where no lists are exchanged, hosts without a region

The own interface exchanges no lists of work, but its views said how old they are. A host that is known by its address only counted as a region that is not heard of.

--- a/src/core/stream_origins.cc
+++ b/src/core/stream_origins.cc
@@ -44,6 +44,7 @@
 bool HearsOfAllRegions(const RoutingView& view) {
   std::map<RegionId, bool> heard;
   for (const HostEntry& host : view.hosts) {
+    if (host.region.empty()) continue;  // known by its address only
     bool& alive = heard[host.region];
     alive = alive || host.status == HostStatus::kAlive;
   }
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -186,7 +186,7 @@
   view->config = replica_.View();
   view->servers = LiveServers(servers_.registry(), SteadyNow());
   ApplyOthersWork(work_exchange_, SteadyNow(), &view->servers);
-  view->work_known_at = WorkKnownAt(work_exchange_, SteadyNow());
+  if (options_->share_work) view->work_known_at = WorkKnownAt(work_exchange_, SteadyNow());
   view->hosts = HostEntries(gossip_.membership());
   work_exchange_.roster = MakeWorkRoster(view->hosts, options_->self, options_->server_scope);
   view->summaries = Summaries(gossip_.membership());
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -311,7 +311,8 @@
   std::vector<HostEntry> hosts;              // all known hosts including this one, sorted by id
   std::vector<DomainSummary> summaries;      // of all failure domains including this host's
   ServerScope server_scope = ServerScope::kDomain;
-  // When the other hosts had the work that `servers` shows, on average; Time(): unknown.
+  // When the other hosts had the work that `servers` shows, on average; Time(): no lists are
+  // exchanged.
   Time work_known_at;
   // The voters have accepted this host's disk; see ConfigReplica::DiskConfirmed().
   bool disk_confirmed = false;
