--- a/tests/unseen_work_test.cc
+++ b/tests/unseen_work_test.cc
@@ -180,7 +180,7 @@
     Server& server = servers_[index];
     ++server.arrivals;
     server.slot_free_at.resize(static_cast<size_t>(load_.slots), kStart);
-    if (server.running.size() >= static_cast<size_t>(load_.slots + load_.queue)) {
+    if (static_cast<int>(server.running.size()) >= load_.slots + load_.queue) {
       ++result_.turned_away;
       End(host_index, choice, now_);
       return;
