--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -184,7 +184,8 @@
 // Precondition: the caller holds the mutex.
 bool Dispatcher::MustRelay(const RouteQuery& query, Time now) const {
   // A request that another host handed on would only pass between hosts that see the same.
-  if (query.connect_failures >= kConnectFailuresToRelay && query.hops == 0) return true;
+  if (query.hops > 0) return false;
+  if (query.connect_failures >= kConnectFailuresToRelay) return true;
   if (!paths_.cut_off) return false;
   // A request that may run twice shows whether the path is back.
   bool may_try = query.route->idempotent && query.avoid_servers.empty();
