--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -174,6 +174,12 @@
   prometheus::Gauge* descriptor_conflicts =
       Gauge("ebonylift_descriptor_conflicts",
             "Descriptors used by two parts of the process at once, since the process started.");
+  prometheus::Histogram* event_loop_delay =
+      &prometheus::BuildHistogram()
+           .Name("ebonylift_event_loop_delay_seconds")
+           .Help("Time that a traffic thread takes to handle what arrives at its connections.")
+           .Register(registry)
+           .Add({}, ResponseTimeBuckets());
 };
 
 Metrics::Metrics() : families_(std::make_unique<Families>()) {}
@@ -251,6 +257,10 @@
   families_->descriptor_conflicts->Set(static_cast<double>(conflicts));
 }
 
+void Metrics::ObserveEventLoopDelay(Duration delay) {
+  families_->event_loop_delay->Observe(ToSeconds(delay));
+}
+
 std::string Metrics::Render() const {
   std::ostringstream out;
   prometheus::TextSerializer().Serialize(out, families_->registry.Collect());
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -57,6 +57,9 @@
   // Records the time between two consecutive events of one stream.
   void ObserveTokenGap(TrafficClass traffic_class, Duration time);
 
+  // Records how long a traffic thread takes to handle what arrives at its connections.
+  void ObserveEventLoopDelay(Duration delay);
+
   // These set gauges to the current value.
   void SetQueueDepth(TrafficClass traffic_class, size_t requests);
   void SetLiveHosts(size_t hosts);
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -34,6 +34,7 @@
   kLogLinesDropped = 107,
   kStartFailed = 108,
   kDescriptorConflict = 109,
+  kEventLoopDelayed = 110,
 
   kRequestReceived = 200,
   kRequestDispatched = 201,
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -383,8 +383,14 @@
 void Exchange::OnCallerDisconnected() {
   relay_.DetachCaller();
   if (finished_) return;
+  Time now = SteadyNow();
+  bool sent = open_attempt_.number != 0;
   LogEvent(EventId::kCallerGone,
-           {{"request_id", spec_.id.value()}, {"caller_request_id", spec_.caller_request_id}});
+           {{"request_id", spec_.id.value()},
+            {"caller_request_id", spec_.caller_request_id},
+            {"attempts", std::to_string(attempts_.attempts.size())},
+            {"ms", std::to_string(ToMillis(now - spec_.arrived))},
+            {"sent_ms", sent ? std::to_string(ToMillis(now - open_attempt_.dispatched_at)) : ""}});
   // Work dispatched under an idempotency key may not be repeated. It runs to completion, so that a
   // resend with the same key gets the full response.
   if (claim_.dispatched()) {
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "adapters/event_loop_delay.h"
 #include "adapters/http_client.h"
 #include "adapters/http_server.h"
 #include "base/descriptor_claim.h"
@@ -34,6 +35,10 @@
 constexpr Duration kMaxStartHoldTime = milliseconds(400);
 constexpr Duration kRecordsTickPeriod = seconds(1);
 constexpr Duration kDirectoryPublishPeriod = seconds(2);
+// A longer delay is logged. Callers notice it: it comes on top of the time of each step of a
+// request.
+constexpr Duration kNotableLoopDelay = milliseconds(100);
+constexpr Duration kLoopDelayLogPeriod = seconds(1);
 constexpr size_t kMaxRequestBytes = 8u << 20;
 // Queue length at which this host reports itself as overloaded, so that entry lists prefer other
 // hosts.
@@ -66,6 +71,7 @@
         context_(MakeContext()),
         jobs_(context_),
         orderer_(&io_, client_.get(), options_.control, options_.settings),
+        loop_delay_(io_),
         tick_timer_(io_) {
     HttpLimits limits;
     limits.max_body_bytes = kMaxRequestBytes;
@@ -336,8 +342,9 @@
     });
     UpdateOpenCounts();
     HandleHeldRequests();
-    if (index_ != 0) return;
     Time now = SteadyNow();
+    UpdateLoopDelay(now);
+    if (index_ != 0) return;
     std::shared_ptr<const RoutingView> view = options_.control->View();
     if (view != last_view_) {
       last_view_ = view;
@@ -370,6 +377,16 @@
     }
   }
 
+  void UpdateLoopDelay(Time now) {
+    Duration delay = loop_delay_.Current(now);
+    loop_delay_.Measure(now);
+    options_.metrics->ObserveEventLoopDelay(delay);
+    if (delay < kNotableLoopDelay || now < next_loop_delay_log_) return;
+    next_loop_delay_log_ = now + kLoopDelayLogPeriod;
+    LogEvent(EventId::kEventLoopDelayed, {{"thread", "traffic " + std::to_string(index_)},
+                                          {"ms", std::to_string(ToMillis(delay))}});
+  }
+
   void UpdateViewMetrics(const RoutingView& view) {
     size_t live = 0;
     for (const HostEntry& host : view.hosts) {
@@ -419,6 +436,8 @@
   std::unique_ptr<HttpServer> server_;
   std::vector<std::unique_ptr<HttpServer>> listener_servers_;
   std::unique_ptr<HttpServer> metrics_server_;  // only on thread 0, if metrics_address is set
+  EventLoopDelay loop_delay_;
+  Time next_loop_delay_log_;
   asio::steady_timer tick_timer_;
   // Of the open requests and of those that ended since the last tick, which removes the latter.
   std::vector<std::weak_ptr<HttpResponder>> responders_;
