A request is not sent on when its caller has left, also if the end of its connection is not read yet

Cause: a gateway that reads a request late finds the end of the connection behind it. It started the request, sent it on and read the end afterwards.

Change: HttpResponder::ClosedByClient() looks at the socket. An exchange asks it at its start and before each attempt, so also after a wait in the queue, at a retry, and at the host to which a request is forwarded.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -1,6 +1,6 @@
 #include "adapters/http_server.h"
 
-#include <sys/socket.h>
+#include <poll.h>
 
 #include <algorithm>
 #include <asio.hpp>
@@ -67,6 +67,7 @@
 };
 
 void ForceClose(const std::shared_ptr<Connection>& connection);
+bool IsClosedByClient(const Connection& connection);
 void OnConnectionClosed(const std::shared_ptr<Connection>& connection);
 class TrackedSocket;
 bool RejectAndLinger(const std::shared_ptr<Connection>& connection, TrackedSocket* socket);
@@ -159,6 +160,7 @@
   size_t PendingBytes() const { return pending_body_.size() + bytes_in_flight_; }
   void OnDrained(std::function<void()> fn) { on_drained_ = std::move(fn); }
   void OnClosed(std::function<void()> fn) { on_closed_ = std::move(fn); }
+  bool ClosedByClient() const;
   bool started() const { return started_; }
   bool closed() const { return closed_; }
 
@@ -209,6 +211,7 @@
   size_t PendingBytes() const override { return stream_->PendingBytes(); }
   void OnDrained(std::function<void()> fn) override { stream_->OnDrained(std::move(fn)); }
   void OnClosed(std::function<void()> fn) override { stream_->OnClosed(std::move(fn)); }
+  bool ClosedByClient() const override { return stream_->ClosedByClient(); }
 
  private:
   std::shared_ptr<ResponseStream> stream_;
@@ -420,6 +423,8 @@
   if (server) server->Post([connection] { ForceClose(connection); });
 }
 
+bool ResponseStream::ClosedByClient() const { return closed_ || IsClosedByClient(*connection_); }
+
 void ResponseStream::OnResponderDestroyed() {
   if (!ended_) Abort();
 }
@@ -455,6 +460,13 @@
   if (connection->socket) connection->socket->shutdown(tcp::socket::shutdown_both, ignored);
 }
 
+// Also true if the client sent more requests before it closed, which are not read yet.
+bool IsClosedByClient(const Connection& connection) {
+  if (connection.socket == nullptr) return true;
+  pollfd polled{connection.socket->native_handle(), POLLRDHUP, 0};
+  return poll(&polled, 1, 0) > 0 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void OnConnectionClosed(const std::shared_ptr<Connection>& connection) {
   connection->socket = nullptr;
   connection->closed = true;
@@ -692,15 +704,11 @@
 // data arrives, which RESTinio reads after the next response.
 void Server::WatchForClose(const std::shared_ptr<Connection>& connection) {
   if (!connection->socket) return;
-  connection->socket->async_wait(
-      tcp::socket::wait_read, [connection](const asio::error_code& error) {
-        if (error || !connection->socket) return;
-        char byte;
-        ssize_t n = recv(connection->socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        bool closed_by_client = n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
-        if (!closed_by_client) return;
-        ForceClose(connection);
-      });
+  connection->socket->async_wait(tcp::socket::wait_read,
+                                 [connection](const asio::error_code& error) {
+                                   if (error || !connection->socket) return;
+                                   if (IsClosedByClient(*connection)) ForceClose(connection);
+                                 });
 }
 
 // Owns the Server and shuts it down on destruction. Connections hold only weak references to it.
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -75,6 +75,10 @@
   // unless this responder aborted it. It runs from the event loop and never after the server is
   // destroyed. A client that closes only its sending side counts as closed.
   virtual void OnClosed(std::function<void()> fn) = 0;
+
+  // Whether the client has closed the connection. Looks at the socket, so it is also true while the
+  // close waits behind other events and the OnClosed() callback has not run.
+  virtual bool ClosedByClient() const = 0;
 };
 
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
--- a/src/daemon/answer_relay.h
+++ b/src/daemon/answer_relay.h
@@ -38,6 +38,8 @@
   void OnCallerClosed(std::function<void()> fn);
   void DetachCaller() { responder_ = nullptr; }
   bool caller_disconnected() const { return responder_ == nullptr; }
+  // Whether the caller has closed its connection and OnCallerClosed() may not have been called yet.
+  bool CallerHasLeft() const { return responder_ != nullptr && responder_->ClosedByClient(); }
 
   // Response of the open attempt.
 
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -70,7 +70,7 @@
   relay_.OnCallerClosed([table, id = id_] {
     if (Exchange* exchange = table->Find(id)) exchange->OnCallerDisconnected();
   });
-  if (RefuseIfCondemned()) return;
+  if (EndIfCallerLeft() || RefuseIfCondemned()) return;
   // A team's limits are applied only once, by the host that received the request from the caller.
   if (!spec_.forwarded) {
     std::optional<Refusal> refusal =
@@ -321,6 +321,11 @@
 }
 
 void Exchange::HandlePlacement(const Choice& choice) {
+  // A late thread reads the end of the caller's connection only after what it reads before it.
+  if (EndIfCallerLeft()) {
+    context_.dispatcher->CancelPlacement(choice, spec_.content.content, SteadyNow());
+    return;
+  }
   switch (choice.kind) {
     case ChoiceKind::kLocal:
       DispatchToServer(choice);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -117,6 +117,9 @@
   void RefuseWithOutcomeKind();
   void Refuse(ErrorKind kind, const std::string& message, Duration retry_after = Duration{0});
   void OnCallerDisconnected();
+  // Ends the exchange if its caller has left, also if that event is still queued. Returns whether
+  // the exchange has ended.
+  bool EndIfCallerLeft();
   void EndAttempt(ServerOutcome outcome);
   void CancelAttempt();
   void Finish();
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -403,6 +403,11 @@
   Finish();
 }
 
+bool Exchange::EndIfCallerLeft() {
+  if (relay_.CallerHasLeft()) OnCallerDisconnected();
+  return finished_;
+}
+
 // Ends the call, or the wait before the next probe of the server, and asks the backend server to
 // cancel the work, without waiting for its reply.
 void Exchange::CancelAttempt() {
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -109,6 +109,7 @@
   size_t PendingBytes() const override { return 0; }
   void OnDrained(std::function<void()> /*fn*/) override {}
   void OnClosed(std::function<void()> fn) override { on_closed_ = std::move(fn); }
+  bool ClosedByClient() const override { return false; }
 
   // Simulates a closed caller connection, upon which the exchange cancels the work. Suppresses the
   // completion callback.
--- a/tests/answer_relay_test.cc
+++ b/tests/answer_relay_test.cc
@@ -30,6 +30,7 @@
   size_t PendingBytes() const override { return view_->pending; }
   void OnDrained(std::function<void()> /*fn*/) override {}
   void OnClosed(std::function<void()> /*fn*/) override {}
+  bool ClosedByClient() const override { return false; }
 
  private:
   CallerView* view_;
--- a/tests/caller_check_test.cc
+++ b/tests/caller_check_test.cc
@@ -18,6 +18,7 @@
   size_t PendingBytes() const override { return 0; }
   void OnDrained(std::function<void()> /*fn*/) override {}
   void OnClosed(std::function<void()> fn) override { on_closed = std::move(fn); }
+  bool ClosedByClient() const override { return false; }
 
   std::function<void()> on_closed;
 };
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -78,8 +78,10 @@
   size_t PendingBytes() const override { return 0; }
   void OnDrained(std::function<void()> /*fn*/) override {}
   void OnClosed(std::function<void()> fn) override { on_closed = std::move(fn); }
+  bool ClosedByClient() const override { return closed_by_client; }
 
   int sent_status = 0;  // 0 until Send()
+  bool closed_by_client = false;
   std::string text;
   std::function<void()> on_closed;
   std::function<void()> on_send;  // runs in Send(); may be empty
@@ -393,6 +395,33 @@
   BOOST_TEST(table.size() == 0u);
 }
 
+// Guards against a request that is sent on after its caller has left, when the thread is late and
+// has not handled the end of the connection: at the start, from the queue, and at a retry.
+BOOST_AUTO_TEST_CASE(RequestOfACallerThatLeftIsNotSent) {
+  auto left = std::make_shared<FakeResponder>();
+  left->closed_by_client = true;
+  table.Start(context, Spec(), left);
+  BOOST_TEST(client.calls.empty());
+
+  std::shared_ptr<FakeResponder> waiting = FillServer();
+  size_t running = client.calls.size();
+  waiting->closed_by_client = true;
+  EndCall(0);
+  RunQueuedEvents();
+  BOOST_TEST(client.calls.size() == running);
+  for (size_t i = 1; i < running; ++i) EndCall(i);
+  RunQueuedEvents();
+
+  std::shared_ptr<FakeResponder> retried = Start(Spec());
+  BOOST_REQUIRE(client.calls.size() == running + 1);
+  retried->closed_by_client = true;
+  client.calls.back().on_done(CallResult{CallOutcome::kNotConnected, 0, "refused", false});
+  RunUntil([&] { return table.size() == 0u; }, "the exchange has ended");
+  BOOST_TEST(client.calls.size() == running + 1);
+  BOOST_TEST(dispatcher.Stats().in_flight == 0u);
+  for (const auto& caller : {left, waiting, retried}) BOOST_TEST(caller->sent_status == 0);
+}
+
 // Guards against two queued requests that share an entry of the queue. Another host may forward a
 // request to this host again, through a third host, before this host has noticed the end of the
 // first connection. Both have the same request id.
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -162,6 +162,45 @@
   }
 }
 
+// Guards against a request that is started after its client has left, because the end of the
+// connection lies unread behind it.
+BOOST_AUTO_TEST_CASE(ClientThatLeftBeforeItsRequestIsHandledIsNoticed) {
+  const std::string request = "GET /a HTTP/1.1\r\n\r\n";
+  std::string pipelined;
+  for (int i = 0; i < 4; ++i) pipelined += request;
+  size_t handled = 0;
+  size_t left = 0;
+  Serve([&](HttpRequest, const std::shared_ptr<HttpResponder>& responder) {
+    ++handled;
+    if (responder->ClosedByClient()) ++left;
+    responder->Send(200, {}, "");
+  });
+  enum class End { kStays, kCloses, kClosesItsSendingSide, kResets };
+  for (End end : {End::kStays, End::kCloses, End::kClosesItsSendingSide, End::kResets}) {
+    for (const std::string& input : {request, pipelined}) {
+      BOOST_TEST_CONTEXT("end " << static_cast<int>(end) << ", " << input.size() << " bytes") {
+        handled = 0;
+        left = 0;
+        auto peer = Connect();
+        peer->Send(input);
+        asio::error_code error;
+        if (end == End::kCloses) peer->Close();
+        if (end == End::kClosesItsSendingSide)
+          peer->socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+        if (end == End::kResets) peer->Reset();
+        RunFor(milliseconds(50));
+        // A connection with the maximum number of pipelined requests is closed before they are
+        // handled.
+        bool must_be_handled = end == End::kStays || (end != End::kResets && input == request);
+        if (must_be_handled) BOOST_TEST(handled > 0u);
+        BOOST_TEST(left == (end == End::kStays ? 0u : handled));
+        peer->Close();
+        RunUntil([&] { return server->connection_count() == 0; }, "the connection is removed");
+      }
+    }
+  }
+}
+
 // Guards against an aborted or abandoned response that looks complete to the client.
 BOOST_AUTO_TEST_CASE(AbortedResponseIsNotComplete) {
   int closed = 0;
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE platform
 #include <algorithm>
 #include <boost/test/included/unit_test.hpp>
+#include <thread>
+#include <vector>
 
 #include "tests/support/platform_deployment.h"
 #include "tests/support/wait_for.h"
@@ -220,4 +222,35 @@
   BOOST_TEST(Serves("este-a", "/more/x"));
 }
 
+// Guards against work for callers that have left: a gateway that is late reads their requests
+// before the ends of their connections, and sent them on, also to other regions.
+BOOST_FIXTURE_TEST_CASE(RequestsOfCallersThatLeftAreNotSentOn, PlatformFixture) {
+  constexpr Duration kPatience = milliseconds(200);
+  constexpr Duration kTimeToSendOn = seconds(1);
+  constexpr int kCallersPerPath = 3;
+  for (const char* zone : {"este-a", "norte-a"}) {
+    std::vector<std::string> ids;
+    std::vector<std::thread> callers;
+    platform.StopGateway(zone);
+    for (const char* path : {"/look/x", "/stream/x", "/post/x"}) {
+      for (int i = 0; i < kCallersPerPath; ++i) {
+        TestCall call;
+        ids.push_back(NextRequestId());
+        call.method = "POST";
+        call.url = "http://" + platform.GatewayAddress(zone) + path;
+        call.headers = {{"Host", "a.example"}, {"Attempt-Id", ids.back()}, {"Deadline-Ms", "5000"}};
+        call.timeout = kPatience;
+        callers.emplace_back([call] { Call(call); });
+      }
+    }
+    for (std::thread& caller : callers) caller.join();
+    platform.ContinueGateway(zone);
+    BOOST_TEST(WaitFor([&] { return Serves(zone, "/look/x"); }, kStartTimeout), zone);
+    std::this_thread::sleep_for(kTimeToSendOn);
+    for (const std::string& id : ids) {
+      BOOST_TEST(Runs(models, id) + Runs(portals, id) == 0u, zone << ", " << id);
+    }
+  }
+}
+
 }  // namespace ebonylift::test
--- a/tests/platform_dialect_test.cc
+++ b/tests/platform_dialect_test.cc
@@ -30,6 +30,7 @@
   size_t PendingBytes() const override { return 0; }
   void OnDrained(std::function<void()>) override {}
   void OnClosed(std::function<void()>) override {}
+  bool ClosedByClient() const override { return false; }
   int status() const { return status_; }
   const HttpHeaders& headers() const { return headers_; }
 
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -509,14 +509,17 @@
   return RequestAt(zone, gateway, method, path, request_id, headers);
 }
 
+std::string PlatformDeployment::GatewayAddress(const std::string& zone, int number) const {
+  return Endpoint(GatewayIp(ZoneIndex(zone), number), base_port_ + kCallerPortOffset);
+}
+
 TestResponse PlatformDeployment::RequestAt(
     const std::string& zone, int gateway, const std::string& method, const std::string& path,
     const std::string& request_id,
     const std::vector<std::pair<std::string, std::string>>& headers) {
   TestCall call;
   call.method = method;
-  std::string ip = GatewayIp(ZoneIndex(zone), gateway);
-  call.url = "http://" + Endpoint(ip, base_port_ + kCallerPortOffset) + path;
+  call.url = "http://" + GatewayAddress(zone, gateway) + path;
   call.headers = {{"Host", "a.example"}, {"Attempt-Id", request_id}, {"Deadline-Ms", "5000"}};
   call.headers.insert(call.headers.end(), headers.begin(), headers.end());
   if (method == "POST") call.body = "body of " + request_id;
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -192,6 +192,8 @@
   void StopGateway(const std::string& zone);
   void ContinueGateway(const std::string& zone);
 
+  // Where clients reach the gateway, as ip:port.
+  std::string GatewayAddress(const std::string& zone, int number = 0) const;
   std::string GatewayIpIn(const std::string& zone, int number) const {
     return GatewayIp(ZoneIndex(zone), number);
   }
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -118,7 +118,12 @@
   if (Running()) kill(pid_, signal);
 }
 
-void Process::Stop() { Signal(SIGSTOP); }
+void Process::Stop() {
+  Signal(SIGSTOP);
+  // Its threads go on for a moment after the signal was sent.
+  siginfo_t stopped{};
+  if (pid_ > 0) waitid(P_PID, static_cast<id_t>(pid_), &stopped, WSTOPPED | WEXITED | WNOWAIT);
+}
 void Process::Continue() { Signal(SIGCONT); }
 void Process::Terminate() { Signal(SIGTERM); }
 
