Connections that wait are accepted together, not one in a turn of the event loop

Cause: each accept waited for its turn behind all handlers of open connections, and accepted one connection.

Change: after an accept, up to 64 waiting connections are accepted in the same turn.

Test: http_server_test ConnectionsThatWaitAreAcceptedTogether: 42 turns for 40 connections without the change, 10 allowed.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -38,6 +38,8 @@
 // A connection with this many requests in progress is not read until one has been answered.
 constexpr size_t kMaxPipelinedRequests = 4;
 constexpr auto kAcceptRetryDelay = milliseconds(100);
+// Further connections wait for the next turn of the event loop, so that open ones are not held up.
+constexpr int kMaxAcceptsPerTurn = 64;
 // Further connections are closed without an error response.
 constexpr size_t kMaxLingeringCloses = 128;
 // How long handshakes may go on after new connection attempts are ignored. Clients are at most some
@@ -256,6 +258,8 @@
   using ConnectionFactory = restinio::impl::connection_factory_t<RestinioTraits>;
 
   std::unique_ptr<ConnectionFactory> MakeConnectionFactory();
+  // Accepts a connection that waits in the kernel's accept queue. Returns whether there was one.
+  bool AcceptWaiting();
   void AddConnection(tcp::socket socket);
   void WatchForClose(const std::shared_ptr<Connection>& connection);
 
@@ -560,6 +564,9 @@
         // no handler.
         if (!error && self->handler_) self->AddConnection(std::move(socket));
         if (!self->acceptor_.is_open()) return;
+        // Other connections give the loop many handlers in a turn, and Accept() one.
+        for (int i = 0; !error && i < kMaxAcceptsPerTurn && self->AcceptWaiting(); ++i) {
+        }
         if (!error) {
           self->Accept();
           return;
@@ -592,6 +599,15 @@
   restinio_connection->init();
 }
 
+bool Server::AcceptWaiting() {
+  tcp::socket socket(io_);
+  asio::error_code error;
+  acceptor_.accept(socket, error);
+  if (error) return false;
+  if (handler_) AddConnection(std::move(socket));
+  return true;
+}
+
 // Lets the handshakes in progress end first: connections that are established after the last accept
 // would be reset.
 void Server::StopAccepting() {
@@ -609,13 +625,10 @@
 // socket, because closing it would reset them.
 void Server::StopAcceptingAtOnce() {
   if (!acceptor_.is_open()) return;
-  asio::error_code error;
-  while (!error) {
-    tcp::socket socket(io_);
-    acceptor_.accept(socket, error);
-    if (!error) AddConnection(std::move(socket));
+  while (AcceptWaiting()) {
   }
-  acceptor_.close(error);
+  asio::error_code ignored;
+  acceptor_.close(ignored);
   retry_timer_.cancel();
 }
 
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -201,6 +201,31 @@
   }
 }
 
+// Guards against connections that wait in the accept queue until their clients give up, as each
+// turn of a busy event loop accepted only one.
+BOOST_AUTO_TEST_CASE(ConnectionsThatWaitAreAcceptedTogether) {
+  constexpr size_t kConnections = 40;
+  constexpr int kMaxTurns = 10;  // of the loop, until all requests are answered
+  size_t answered = 0;
+  Serve([&](HttpRequest, const std::shared_ptr<HttpResponder>& responder) {
+    ++answered;
+    responder->Send(200, {}, "");
+  });
+  std::vector<std::shared_ptr<RawPeer>> peers;
+  for (size_t i = 0; i < kConnections; ++i) {
+    peers.push_back(Connect());
+    peers.back()->Send("GET / HTTP/1.1\r\n\r\n");
+  }
+  int turns = 0;
+  std::function<void()> count_turn = [&] {
+    ++turns;
+    if (answered < kConnections) asio::post(io, count_turn);
+  };
+  asio::post(io, count_turn);
+  RunUntil([&] { return answered == kConnections; }, "all requests are answered");
+  BOOST_TEST(turns <= kMaxTurns);
+}
+
 // Guards against an aborted or abandoned response that looks complete to the client.
 BOOST_AUTO_TEST_CASE(AbortedResponseIsNotComplete) {
   int closed = 0;
