Connections of callers leave descriptors for those to backend servers

The gateway had opened 4,821 files, with 4,100 allowed: each request of the burst had left an idle connection behind, and its own connects failed.

Change: with more open connections than half of the descriptors, each response ends its connection; over three quarters new connections are turned away (4,096 connections before, whatever the limit of descriptors).

Test: http_server_test ResponsesEndConnectionsOverLimit.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -244,7 +244,9 @@
 
   uint16_t port() const { return port_; }
   void DisableKeepAlive() { close_after_response_ = true; }
-  bool close_after_response() const { return close_after_response_; }
+  bool close_after_response() const {
+    return close_after_response_ || connections_.size() > limits_.max_kept_connections;
+  }
   size_t connection_count() const { return connections_.size() + (stopping_accepting_ ? 1 : 0); }
   void Post(std::function<void()> fn) { asio::post(io_, std::move(fn)); }
   // `fn` does not run after Shutdown().
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -43,6 +43,7 @@
   size_t max_body_bytes = 8 << 20;
   Duration read_timeout = seconds(10);   // to receive a whole request, or while idle
   size_t max_connections = 4096;         // further ones get `overloaded` and are closed
+  size_t max_kept_connections = 4096;    // with more open ones, each response ends its connection
   Duration write_timeout = seconds(60);  // per write; closes clients that do not read
 };
 
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -1,6 +1,7 @@
 #include "daemon/traffic.h"
 
 #include <glog/logging.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <asio/executor_work_guard.hpp>
@@ -44,6 +45,18 @@
 // hosts.
 constexpr size_t kOverloadQueueLength = 500;
 
+// Bounds the connections of callers, so that descriptors are left for those to backend servers.
+// Idle connections are ended first, as callers may keep one for each request that they have sent.
+void LimitConnections(HttpLimits* limits, int threads) {
+  constexpr size_t kMaxShareDivisor = 4;   // three of four descriptors
+  constexpr size_t kKeptShareDivisor = 2;  // one of two
+  rlimit descriptors{};
+  if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0) return;
+  size_t share = descriptors.rlim_cur / static_cast<size_t>(threads);
+  limits->max_connections = std::min(limits->max_connections, share - share / kMaxShareDivisor);
+  limits->max_kept_connections = std::min(limits->max_kept_connections, share / kKeptShareDivisor);
+}
+
 json EntryListJson(const EntryList& list) {
   json hosts = json::array();
   for (const EntryHost& host : list.hosts) {
@@ -75,6 +88,7 @@
         tick_timer_(io_) {
     HttpLimits limits;
     limits.max_body_bytes = kMaxRequestBytes;
+    LimitConnections(&limits, options_.settings.traffic_threads);
     server_ =
         StartHttpServer(io_, options_.settings.http_address, limits,
                         [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
@@ -171,8 +185,10 @@
   void StartListener(const Listener& listener) {
     auto handle = listener.handle;
     bool waits = listener.waits_for_configuration;
+    HttpLimits limits = listener.limits;
+    LimitConnections(&limits, options_.settings.traffic_threads);
     listener_servers_.push_back(
-        StartHttpServer(io_, listener.address, listener.limits,
+        StartHttpServer(io_, listener.address, limits,
                         [=](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
                           TrackResponder(responder);
                           if (waits && !HasIngress() && SteadyNow() < hold_until_) {
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -569,6 +569,22 @@
   BOOST_TEST(Fetch(Get(Url("/"))).status == 200);
 }
 
+// Guards against idle connections of clients that use up the descriptors of the process.
+BOOST_AUTO_TEST_CASE(ResponsesEndConnectionsOverLimit) {
+  limits.max_kept_connections = 2;
+  Serve(Echo());
+  std::vector<std::shared_ptr<RawPeer>> peers;
+  for (int i = 0; i < 3; ++i) {
+    peers.push_back(Connect());
+    peers.back()->Send("GET / HTTP/1.1\r\n\r\n");
+    RunUntil([&] { return peers.back()->HasReceived("200 OK"); }, "the response arrives");
+  }
+  RunUntil([&] { return peers[2]->closed; }, "the third connection ends");
+  BOOST_TEST(peers[2]->HasReceived("Connection: close"));
+  BOOST_TEST(!peers[0]->closed);
+  BOOST_TEST(!peers[1]->closed);
+}
+
 // Guards against a server that stops accepting connections permanently after it ran out of file
 // descriptors.
 BOOST_AUTO_TEST_CASE(AcceptResumesAfterDescriptorExhaustion) {
