A thread that is short of processor time refuses a part of the new requests

Cause: a host took all requests that came, also more than it can handle. The delay of its loop counts for each stage of each request, and for the close of each connection.

Change: core/load_shedding refuses a share of the new requests (overloaded, not run, come back in a second) that grows with the delay of the loop, less urgent ones first and forwarded ones last; from 0.2 s on the host counts as overloaded, so that directories and other hosts prefer others.

Refusals cost processor time.

--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -71,6 +71,10 @@
     if (Exchange* exchange = table->Find(id)) exchange->OnCallerDisconnected();
   });
   if (EndIfCallerLeft() || RefuseIfCondemned()) return;
+  if (MustShed(*context_.load_shedding, {spec_.route->rank == 0, spec_.forwarded})) {
+    Refuse(ErrorKind::kOverloaded, "this host is short of processor time");
+    return;
+  }
   // A team's limits are applied only once, by the host that received the request from the caller.
   if (!spec_.forwarded) {
     std::optional<Refusal> refusal =
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -26,6 +26,7 @@
 #include "adapters/http_server.h"
 #include "adapters/metrics.h"
 #include "core/attempt.h"
+#include "core/load_shedding.h"
 #include "core/outcome.h"
 #include "daemon/answer_relay.h"
 #include "daemon/attempt_call.h"
@@ -49,6 +50,7 @@
   StreamOriginTable* stream_origins = nullptr;
   ControlPort* control = nullptr;
   Metrics* metrics = nullptr;
+  LoadShedding* load_shedding = nullptr;
   std::string cluster_key;
   ExchangeTable* table = nullptr;
 };
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -146,6 +146,7 @@
     context.control = options_.control;
     context.metrics = options_.metrics;
     context.cluster_key = options_.settings.cluster_key;
+    context.load_shedding = &load_shedding_;
     context.table = &table_;
     return context;
   }
@@ -397,6 +398,7 @@
     Duration delay = loop_delay_.Current(now);
     loop_delay_.Measure(now);
     options_.metrics->ObserveEventLoopDelay(delay);
+    OnLoopDelay(load_shedding_, delay, now);
     if (delay < kNotableLoopDelay || now < next_loop_delay_log_) return;
     next_loop_delay_log_ = now + kLoopDelayLogPeriod;
     LogEvent(EventId::kEventLoopDelayed, {{"thread", "traffic " + std::to_string(index_)},
@@ -419,7 +421,8 @@
       options_.metrics->SetQueueDepth(static_cast<TrafficClass>(i), stats.queued_by_class[i]);
     }
     // A host without a path to servers takes no work of others either, and callers go elsewhere.
-    bool overloaded = stats.queued >= kOverloadQueueLength || options_.dispatcher->IsCutOff();
+    bool overloaded = stats.queued >= kOverloadQueueLength || load_shedding_.overloaded ||
+                      options_.dispatcher->IsCutOff();
     if (overloaded == overloaded_) return;
     overloaded_ = overloaded;
     options_.control->SetOverloaded(overloaded);
@@ -445,6 +448,7 @@
   asio::io_context io_;
   asio::executor_work_guard<asio::io_context::executor_type> work_guard_;
   std::unique_ptr<HttpClient> client_;
+  LoadShedding load_shedding_;
   ExchangeTable table_;
   ExchangeContext context_;
   JobApi jobs_;
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -101,6 +101,7 @@
     context.records = &records;
     context.control = &control;
     context.metrics = &metrics;
+    context.load_shedding = &load_shedding;
     context.table = &table;
     context.cluster_key = "key";
   }
@@ -223,6 +224,7 @@
   FakeClient client;
   FakeControl control;
   Metrics metrics;
+  LoadShedding load_shedding;
   std::shared_ptr<FakeJournal> journal = std::make_shared<FakeJournal>();
   RecordStore records{HostId("h0"), journal};
   Dispatcher dispatcher;
@@ -422,6 +424,21 @@
   for (const auto& caller : {left, waiting, retried}) BOOST_TEST(caller->sent_status == 0);
 }
 
+// Guards against a host short of processor time that takes more requests than it can handle, and
+// against work of another host that is lost there.
+BOOST_AUTO_TEST_CASE(LateThreadRefusesNewRequests) {
+  OnLoopDelay(load_shedding, kMaxLoopDelay, SteadyNow());
+  std::shared_ptr<FakeResponder> caller = Start(Spec());
+  BOOST_TEST(caller->sent_status == 503);
+  BOOST_TEST(caller->text.find("overloaded") != std::string::npos, caller->text);
+  BOOST_TEST(caller->text.find("not_run") != std::string::npos, caller->text);
+  BOOST_TEST(client.calls.empty());
+  RequestSpec forwarded = Spec();
+  forwarded.forwarded = true;
+  Start(forwarded);
+  BOOST_TEST(client.calls.size() == 1u);
+}
+
 // Guards against two queued requests that share an entry of the queue. Another host may forward a
 // request to this host again, through a third host, before this host has noticed the end of the
 // first connection. Both have the same request id.
