An error of the server that was to continue a stream does not reach the caller

Here: the body of a 404 was relayed as events when it looked like one, and the stream ended as complete after a 409 without a body, and after a response without length that ended with its connection before its first event.

Cause: the relay judged the response that continues a stream by the status and headers of the first response, which the caller has.

Change: whether the response is a stream, and how it ends, is that of the open attempt. Anything but a stream fails the attempt at its head, so that nothing of its body is read.

The fixtures of exchange_test are in tests/support/exchange_fixture.h.

--- a/src/daemon/answer_relay.cc
+++ b/src/daemon/answer_relay.cc
@@ -11,16 +11,16 @@
 
 void AnswerRelay::OnHeaders(int status, const HttpHeaders& headers, ResponseKind kind) {
   kind_ = kind;
+  is_event_stream_ = status == 200 && kind == ResponseKind::kAnswer &&
+                     FindHeader(headers, "content-type").rfind("text/event-stream", 0) == 0;
+  ends_with_connection_ = FindHeader(headers, "content-length").empty() &&
+                          FindHeader(headers, "transfer-encoding").empty();
+  has_event_ = false;
   if (continuations_ > 0) return;
   status_ = status;
   headers_ = headers;
 }
 
-bool AnswerRelay::IsEventStream() const {
-  return status_ == 200 && kind_ == ResponseKind::kAnswer &&
-         FindHeader(headers_, "content-type").rfind("text/event-stream", 0) == 0;
-}
-
 bool AnswerRelay::Buffer(std::string_view data) {
   if (body_.size() + data.size() > kMaxBuffer) return false;
   body_.append(data);
@@ -28,7 +28,9 @@
 }
 
 std::string AnswerRelay::Feed(std::string_view data) {
-  return dialect_ == nullptr ? stream_tracker_.Feed(data) : event_relay_.Feed(data);
+  std::string events = dialect_ == nullptr ? stream_tracker_.Feed(data) : event_relay_.Feed(data);
+  has_event_ = has_event_ || !events.empty();
+  return events;
 }
 
 void AnswerRelay::Begin(const std::function<HttpHeaders()>& headers,
@@ -70,25 +72,22 @@
 bool AnswerRelay::stream_complete() const {
   if (dialect_ == nullptr) return stream_tracker_.done() || stream_tracker_.error();
   // A connection that ends before the first event was more likely lost than complete.
-  if (!begun_ && ends_with_connection()) return false;
+  if (!has_event_ && ends_with_connection_) return false;
   return event_relay_.at_event_boundary();
 }
 
-bool AnswerRelay::ends_with_connection() const {
-  return FindHeader(headers_, "content-length").empty() &&
-         FindHeader(headers_, "transfer-encoding").empty();
-}
-
 void AnswerRelay::Reset() {
   body_.clear();
   status_ = 0;
   headers_.clear();
+  is_event_stream_ = false;
   stream_tracker_ = StreamTracker();
   event_relay_ = EventRelay();
 }
 
 void AnswerRelay::ContinueStream() {
   ++continuations_;
+  is_event_stream_ = false;
   stream_tracker_.DiscardPartialEvent();
   event_relay_.DiscardPartialEvent();
 }
--- a/src/daemon/answer_relay.h
+++ b/src/daemon/answer_relay.h
@@ -43,13 +43,14 @@
 
   // Response of the open attempt.
 
-  // A continued stream keeps the status and headers of its first response.
+  // A continued stream keeps the status and headers of its first response for the caller.
   void OnHeaders(int status, const HttpHeaders& headers, ResponseKind kind);
   int status() const { return status_; }
   const HttpHeaders& headers() const { return headers_; }
   ResponseKind kind() const { return kind_; }
   const std::string& body() const { return body_; }
-  bool IsEventStream() const;
+  // Of the open attempt's own response, also if it is to continue a stream.
+  bool IsEventStream() const { return is_event_stream_; }
   // Appends to the buffered response. Returns false when it would exceed kMaxBuffer.
   bool Buffer(std::string_view data);
 
@@ -75,7 +76,7 @@
   bool stream_complete() const;
   // True when only the end of its connection ends the response, which the loss of the server ends,
   // too: the response has neither a length nor chunks.
-  bool ends_with_connection() const;
+  bool ends_with_connection() const { return ends_with_connection_; }
   bool stream_failed() const { return stream_tracker_.error(); }
   bool event_too_large() const { return event_relay_.too_large() || stream_tracker_.too_large(); }
   uint64_t generated_text_bytes() const { return stream_tracker_.generated_text_bytes(); }
@@ -105,6 +106,10 @@
   int status_ = 0;
   HttpHeaders headers_;
   ResponseKind kind_ = ResponseKind::kAnswer;
+  // Of the open attempt's response.
+  bool is_event_stream_ = false;
+  bool ends_with_connection_ = true;
+  bool has_event_ = false;
   std::string body_;      // the buffered response, or the copy of a stream to be stored
   bool storable_ = true;  // false: the stream is too large to store
   bool begun_ = false;
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -179,6 +179,19 @@
   if (open_attempt_.forwarding)
     open_attempt_.software_version = FindHeader(headers, kSoftwareVersionHeader);
   relay_.OnHeaders(status, headers, kind);
+  if (relay_.begun() && !relay_.IsEventStream()) {
+    EndContinuation(status);
+  }
+}
+
+// The response of the attempt that was to continue the stream is an error or another kind of
+// answer, of which the caller must get nothing.
+void Exchange::EndContinuation(int status) {
+  bool not_run =
+      relay_.kind() == ResponseKind::kNotRun || relay_.kind() == ResponseKind::kWrongServer;
+  CancelAttempt();
+  OnAttemptFailed(CallResult{CallOutcome::kComplete, status, "the stream was not continued", true},
+                  not_run ? ebonylift::Run::kNotRun : ebonylift::Run::kMayHaveRun);
 }
 
 void Exchange::RelayStreamData(std::string_view data) {
@@ -365,15 +378,6 @@
     OnStreamEnd();
     return;
   }
-  if (relay_.begun()) {
-    // The response to the attempt that was to continue the stream is not a stream.
-    OnAttemptFailed(
-        CallResult{CallOutcome::kFailed, relay_.status(), "the stream was not continued", true},
-        relay_.kind() == ResponseKind::kNotRun || relay_.kind() == ResponseKind::kWrongServer
-            ? ebonylift::Run::kNotRun
-            : ebonylift::Run::kMayHaveRun);
-    return;
-  }
   if (open_attempt_.forwarding && relay_.status() >= 400) {
     OnForwardedError();
     return;
--- /dev/null
+++ b/tests/exchange_faulty_server_test.cc
@@ -0,0 +1,108 @@
+#define BOOST_TEST_MODULE exchange_faulty_server
+#include <boost/test/included/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "tests/support/exchange_fixture.h"
+#include "tests/support/raw_tcp.h"
+
+// Exchanges with servers whose bytes on the connection are wrong, through the real HTTP client.
+
+namespace ebonylift {
+namespace {
+
+using test::FakeResponder;
+using test::RawServer;
+
+// Reports of operators: an earlier refusal that is written again, an error in the middle of a
+// stream, and a head that breaks off.
+struct FaultyServerFixture : test::DialectFixture {
+  explicit FaultyServerFixture(bool resumable) : DialectFixture(resumable) {
+    context.client = sockets.get();
+    context.stream_origins = &origins;
+    SetServers({&first});
+  }
+
+  void SetServers(const std::vector<RawServer*>& servers) {
+    auto view = std::make_shared<RoutingView>(*control.view);
+    BackendServer server = view->servers[0];
+    view->servers.clear();
+    for (size_t i = 0; i < servers.size(); ++i) {
+      server.announced.id = ServerId("s" + std::to_string(i + 1));
+      server.announced.software_version = "v1";
+      server.announced.address = "127.0.0.1:" + std::to_string(servers[i]->port());
+      view->servers.push_back(server);
+    }
+    control.view = view;
+    dispatcher.OnView(view, SteadyNow());
+  }
+
+  // Waits until a server has got its request with this number, on any of its connections.
+  void AwaitRequest(const RawServer& server, size_t connection) {
+    RunUntil([&] { return server.PeerReceived(connection, "\r\n\r\n"); }, "the request arrives");
+  }
+  static bool Ended(const FakeResponder& caller) {
+    return caller.sent_status != 0 || caller.ended || caller.aborted;
+  }
+
+  std::unique_ptr<HttpClient> sockets = MakeHttpClient(io);
+  StreamOriginTable origins;
+  RawServer first{io};
+  RawServer second{io};
+};
+
+const std::string kSealedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: 39ed\r\nServer-Seal: s\r\n";
+const std::string kStreamHead = kSealedHead + "Content-Type: text/event-stream\r\n";
+
+}  // namespace
+
+// Guards against an error of the next server that reaches the caller in the middle of its stream,
+// and against one without a body, after which the stream looked complete.
+BOOST_AUTO_TEST_CASE(ErrorInTheMiddleOfAStreamIsNotRelayed) {
+  const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  const std::string rest = "id: 3\ndata: c\n\n";
+  const struct {
+    const char* name;
+    std::string response;
+  } cases[] = {
+      {"404", "HTTP/1.1 404 Not Found\r\nAttempt-Id: 39ed\r\nContent-Length: 9\r\n\r\nnot here\n"},
+      {"404 like an event",
+       "HTTP/1.1 404 Not Found\r\nAttempt-Id: 39ed\r\nContent-Length: 15\r\n\r\n" + rest},
+      {"409 without a body",
+       "HTTP/1.1 409 Conflict\r\nAttempt-Id: 39ed\r\nContent-Length: 0\r\n\r\n"},
+      {"500",
+       "HTTP/1.1 500 Error\r\nAttempt-Id: 39ed\r\nServer-Seal: s\r\n"
+       "Content-Length: 6\r\n\r\nbroken"},
+      {"503", "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 5\r\n\r\nfull\n"},
+      {"another kind of answer", kSealedHead + "Content-Length: 2\r\n\r\n{}"},
+      {"a stream that ends with its connection before its first event", kStreamHead + "\r\n"},
+      {"a stream whose head breaks off", kStreamHead},
+  };
+  for (const auto& row : cases) {
+    BOOST_TEST_CONTEXT(row.name) {
+      FaultyServerFixture f(true);
+      f.SetServers({&f.first, &f.second});
+      std::shared_ptr<FakeResponder> caller = f.Start(f.LookSpec());
+      f.RunUntil([&] { return f.first.peers.size() + f.second.peers.size() == 1; }, "it is sent");
+      bool at_first = !f.first.peers.empty();
+      RawServer& begins = at_first ? f.first : f.second;
+      RawServer& continues = at_first ? f.second : f.first;
+      f.AwaitRequest(begins, 0);
+      begins.peers[0]->Send(kStreamHead + "\r\n" + events + "id: 3\nda");
+      f.RunUntil([&] { return caller->text == events; }, "the stream begins");
+      begins.peers[0]->Close();
+      // The connection before the continuing one is a probe of the server that was lost.
+      f.RunUntil([&] { return !continues.peers.empty(); }, "the stream is continued");
+      f.AwaitRequest(continues, 0);
+      BOOST_TEST(continues.peers[0]->HasReceived("Last-Event-Id: 2"));
+      continues.peers[0]->Send(row.response);
+      continues.peers[0]->Close();
+      Time end = SteadyNow() + milliseconds(100);
+      f.RunUntil([&] { return f.Ended(*caller) || SteadyNow() > end; }, "the error is handled");
+      BOOST_TEST(caller->text == events);
+      BOOST_TEST(!caller->ended);
+    }
+  }
+}
+
+}  // namespace ebonylift
--- a/tests/support/raw_tcp.h
+++ b/tests/support/raw_tcp.h
@@ -67,9 +67,8 @@
       Accept();
     });
   }
-  std::string Url() const {
-    return "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/x";
-  }
+  uint16_t port() const { return acceptor.local_endpoint().port(); }
+  std::string Url() const { return "http://127.0.0.1:" + std::to_string(port()) + "/x"; }
   bool PeerReceived(size_t peer, const std::string& text) const {
     return peers.size() > peer && peers[peer]->HasReceived(text);
   }
