A connection on which a server answered another request is not used again

Here a refusal that names another request is not taken for one of this request (502, may have run), and requests that must not run twice have connections of their own. But the connection was used again, where the real response would meet the next request, which failed as well.

Change: an attempt with a response that cannot be attributed ends at once, which closes its connection.

--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -181,6 +181,8 @@
   relay_.OnHeaders(status, headers, kind);
   if (relay_.begun() && !relay_.IsEventStream()) {
     EndContinuation(status);
+  } else if (kind == ResponseKind::kUnattributable && !open_attempt_.forwarding) {
+    EndUnusableAttempt("the response cannot be attributed to the request");
   }
 }
 
--- a/tests/exchange_faulty_server_test.cc
+++ b/tests/exchange_faulty_server_test.cc
@@ -105,4 +105,63 @@
   }
 }
 
+// Guards against a 200 with an empty or short body: the server stopped in the middle of the head
+// and closed the connection.
+BOOST_AUTO_TEST_CASE(HeadThatBreaksOffIsNoAnswer) {
+  for (const std::string& head : {kSealedHead + "Content-Length: 12\r\n\r\n",
+                                  kStreamHead + "Transfer-Encoding: chunked\r\n\r\n"}) {
+    for (size_t length = 1; length < head.size(); ++length) {
+      FaultyServerFixture f(false);
+      std::shared_ptr<FakeResponder> caller = f.Start(f.LookSpec());
+      f.AwaitRequest(f.first, 0);
+      f.first.peers[0]->Send(head.substr(0, length));
+      f.first.peers[0]->Close();
+      f.RunUntil([&] { return f.Ended(*caller); }, "the exchange ends");
+      BOOST_TEST(caller->sent_status == 502, length << " of " << head.size() << " bytes");
+      BOOST_TEST(!caller->ended);
+    }
+  }
+}
+
+// Guards against a refusal of an earlier request that is written once more on a kept connection and
+// counts as that of the next request, whose caller is told that it has not run.
+BOOST_AUTO_TEST_CASE(EarlierRefusalIsNotThatOfTheNextRequest) {
+  FaultyServerFixture f(false);
+  const std::string refusal =
+      "HTTP/1.1 503 Full\r\nAttempt-Id: 39ed\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  std::shared_ptr<FakeResponder> refused = f.Start(f.LookSpec());
+  f.AwaitRequest(f.first, 0);
+  f.first.peers[0]->Send(refusal);
+  f.RunUntil([&] { return f.Ended(*refused); }, "the first request is refused");
+  BOOST_TEST(refused->sent_status == 503);
+
+  RequestSpec next = f.LookSpec("51c0");
+  std::shared_ptr<FakeResponder> running = f.Start(next);
+  f.RunUntil([&] { return f.first.PeerReceived(0, "51c0"); }, "the connection is used again");
+  f.first.peers[0]->Send(refusal);
+  f.RunUntil([&] { return f.Ended(*running); }, "the second request ends");
+  BOOST_TEST(running->sent_status == 502);
+
+  // The response to the second request may still come on that connection.
+  f.RunUntil([&] { return f.first.peers[0]->closed; }, "the connection is closed");
+  std::shared_ptr<FakeResponder> last = f.Start(f.LookSpec("77aa"));
+  f.AwaitRequest(f.first, 1);
+  BOOST_TEST(f.first.PeerReceived(1, "77aa"));
+}
+
+// Guards against a request that comes again on the connection of its refusal: a second copy of the
+// refusal would name the request that is running.
+BOOST_AUTO_TEST_CASE(RefusedRequestDoesNotComeAgainOnItsConnection) {
+  FaultyServerFixture f(false);
+  std::shared_ptr<FakeResponder> caller = f.Start(f.LookSpec());
+  f.AwaitRequest(f.first, 0);
+  f.first.peers[0]->Send(
+      "HTTP/1.1 503 Full\r\nAttempt-Id: 39ed\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  f.RunUntil([&] { return f.Ended(*caller); }, "the request is refused");
+  BOOST_TEST(caller->sent_status == 503);
+  const std::string& received = f.first.peers[0]->received;
+  BOOST_TEST(received.find("39ed") == received.rfind("39ed"));
+  BOOST_TEST(f.first.peers.size() == 1u);
+}
+
 }  // namespace ebonylift
