An error in the middle of a stream, with real processes

platform_test ErrorInTheMiddleOfAStreamIsNotRelayed: the replica that is to continue a stream answers 404 with a body that looks like an event.

--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -222,6 +222,23 @@
   BOOST_TEST(Serves("este-a", "/more/x"));
 }
 
+// Guards against an error of the next replica that reaches the caller in the middle of its stream,
+// or makes it look complete.
+BOOST_FIXTURE_TEST_CASE(ErrorInTheMiddleOfAStreamIsNotRelayed, PlatformFixture) {
+  constexpr int kStreams = 12;
+  int begun = 0;
+  SetMode(models, ReplicaMode::kNotFound);
+  models[0]->SetMode(ReplicaMode::kBreakStream);
+  for (int i = 0; i < kStreams; ++i) {
+    TestResponse stream = platform.Request("este-a", "POST", "/stream/1", NextRequestId());
+    if (stream.status != 200) continue;
+    ++begun;
+    BOOST_TEST(!stream.complete);
+    BOOST_TEST(CompleteStream().rfind(stream.body, 0) == 0u, stream.body);
+  }
+  BOOST_TEST(begun > 0);
+}
+
 // Guards against work for callers that have left: a gateway that is late reads their requests
 // before the ends of their connections, and sent them on, also to other regions.
 BOOST_FIXTURE_TEST_CASE(RequestsOfCallersThatLeftAreNotSentOn, PlatformFixture) {
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -216,6 +216,10 @@
     RunAfter(kTimeToCrash, [this, responder] { Crash(); });
     return;
   }
+  if (mode == ReplicaMode::kNotFound) {
+    responder->Send(404, {{"Attempt-Id", request_id}}, "id: 9\ndata: not found\n\n");
+    return;
+  }
   if (mode == ReplicaMode::kLoseAnswer) {
     responder->Abort();
     return;
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -30,6 +30,7 @@
   kLoseAnswer,      // runs the request and closes the connection without an answer
   kBreakStream,     // closes the connection in the middle of the third event of a stream
   kWrongAttemptId,  // answers with the Attempt-Id of another request
+  kNotFound,        // answers 404 with a body that looks like an event
 };
 
 // What a replica does with the requests of hosts to which it has no path.
