--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -420,7 +420,8 @@
     for (size_t i = 0; i < stats.queued_by_class.size(); ++i) {
       options_.metrics->SetQueueDepth(static_cast<TrafficClass>(i), stats.queued_by_class[i]);
     }
-    // A host without a path to servers takes no work of others either, and callers go elsewhere.
+    // A host without a path to servers, or short of processor time, takes no work of others either,
+    // and callers go elsewhere. This thread's delay stands for that of all.
     bool overloaded = stats.queued >= kOverloadQueueLength || load_shedding_.overloaded ||
                       options_.dispatcher->IsCutOff();
     if (overloaded == overloaded_) return;
