--- a/review/harness/deployment.cc
+++ b/review/harness/deployment.cc
@@ -114,7 +114,7 @@
   while (threads_ > 0) SleepMs(5);
 }
 
-void Replica::Start() { Restart(options_.version, 0); }
+void Replica::Start() { Restart(options_.version); }
 
 std::string Replica::version() const {
   std::lock_guard<std::mutex> lock(mutex_);
@@ -133,7 +133,7 @@
   if (!ended_) deployment_->record().Line("replica %s crashed", options_.id.c_str());
 }
 
-void Replica::Restart(const std::string& version, int beat_delay_ms) {
+void Replica::Restart(const std::string& version) {
   int listener = -1;
   for (int tries = 0; listener < 0 && tries < 100; ++tries) {
     listener = Listen(options_.ip, kReplicaPort);
@@ -146,13 +146,11 @@
     version_ = version;
     born_ = UnixMs();
     sequence_ = 0;
-    beats_from_ = NowMs() + beat_delay_ms;
     start = ++start_;
     listener_ = listener;
   }
-  deployment_->record().Line("replica %s (%s, %s) started, software %s, first heartbeat in %d ms",
-                             options_.id.c_str(), options_.service.c_str(),
-                             options_.zone.name.c_str(), version.c_str(), beat_delay_ms);
+  deployment_->record().Line("replica %s (%s, %s) started, software %s", options_.id.c_str(),
+                             options_.service.c_str(), options_.zone.name.c_str(), version.c_str());
   ++threads_;
   std::thread([this, listener, start] {
     Accept(listener, start);
@@ -294,20 +292,37 @@
 // Every heartbeat goes to the control machine of the own zone, and on to the next one if it is not
 // acknowledged within a second.
 void Replica::Beat() {
+  constexpr int kAckMs = 1000;
   size_t target = 0;
   for (size_t i = 0; i < deployment_->zones().size(); ++i) {
     if (deployment_->zones()[i].name == options_.zone.name) target = i;
   }
   int64_t next = 0;
+  uint64_t start = 0;
   while (!ended_) {
     SleepMs(10);
+    if (!up()) continue;
     int64_t now = NowMs();
-    if (!up()) next = 0;
-    if (!up() || now < beats_from_ || now < next) continue;
-    Message answer =
-        deployment_->CallControl(deployment_->ControlIp(target), "POST",
-                                 "/Instances.Heartbeat/" + options_.id, Heartbeat("ready"), 1000);
-    if (answer.status() == 200) {
+    if (start == start_ && now < next) continue;
+    start = start_;
+    std::string ip = deployment_->ControlIp(target);
+    std::string text = Heartbeat("ready");
+    std::string path = "/Instances.Heartbeat/" + options_.id;
+    int late_ms = beats_late_ms_;
+    if (late_ms > 0) {
+      ++threads_;
+      std::thread([this, ip, path, text, late_ms, version = version()] {
+        for (int waited = 0; waited < late_ms && !ended_; waited += 20) SleepMs(20);
+        if (!ended_) {
+          deployment_->record().Line("heartbeat of %s (software %s) arrives at %s, %d ms late",
+                                     options_.id.c_str(), version.c_str(), ip.c_str(), late_ms);
+          deployment_->CallControl(ip, "POST", path, text, kAckMs);
+        }
+        --threads_;
+      }).detach();
+      target = (target + 1) % deployment_->control_count();
+      next = now + kAckMs;
+    } else if (deployment_->CallControl(ip, "POST", path, text, kAckMs).status() == 200) {
       next = now + kHeartbeatMs;
     } else {
       target = (target + 1) % deployment_->control_count();
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -84,9 +84,12 @@
   void Start();  // begins to listen and to send heartbeats
   // The process is gone: all connections are reset, nothing listens, no heartbeats.
   void Crash();
-  // A new process at the same address under the same id. Its heartbeats begin `beat_delay_ms`
-  // later.
-  void Restart(const std::string& version, int beat_delay_ms);
+  // A new process at the same address under the same id. It sends a heartbeat at once.
+  void Restart(const std::string& version);
+
+  // From now on its heartbeats arrive so much later than they were sent. None is acknowledged
+  // within a second then, so each is followed by one to the next control machine.
+  void DelayHeartbeats(int ms) { beats_late_ms_ = ms; }
 
   const Options& options() const { return options_; }
   std::string version() const;
@@ -110,12 +113,12 @@
   std::string version_;
   int64_t born_ = 0;
   uint64_t sequence_ = 0;
-  std::atomic<int64_t> beats_from_{0};
   std::set<int> connections_;
   std::atomic<uint64_t> start_{0};
   std::atomic<int> listener_{-1};
   std::atomic<int> running_{0};
   std::atomic<int> threads_{0};
+  std::atomic<int> beats_late_ms_{0};
   std::atomic<bool> ended_{false};
   std::thread beats_;
 };
