--- a/review/harness/deployment.cc
+++ b/review/harness/deployment.cc
@@ -78,7 +78,7 @@
     std::string homes;
     for (const std::string& home : route.homes) homes += (homes.empty() ? "" : ",") + Quote(home);
     text += std::string(i ? "," : "") + "{\"name\":" + Quote("r-" + route.name) +
-            ",\"host\":\"a.example\",\"path_prefix\":" + Quote("/" + route.name + "/") +
+            ",\"host\":" + Quote(route.host) + ",\"path_prefix\":" + Quote("/" + route.name + "/") +
             ",\"route_type\":" + Quote(route.type) +
             ",\"timeout_ms\":" + std::to_string(route.timeout_ms) +
             ",\"target_latency_ms\":" + std::to_string(route.target_ms) +
@@ -236,6 +236,9 @@
   bool go_on = false;
   if (answer.crash) {
     Crash();
+  } else if (answer.lose) {
+    deployment_->record().Line("the answer %s of %s is lost", id.c_str(), options_.id.c_str());
+    Reset(fd);
   } else if (StillUp(start)) {
     headers = answer.headers;
     headers.emplace_back("Attempt-Id", id);
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -52,6 +52,7 @@
   int gap_ms = 100;     // between two events
   int break_after = 0;  // the connection ends within the event after so many events of this answer
   bool crash = false;   // the replica crashes after `work_ms` instead of answering
+  bool lose = false;    // the connection ends after `work_ms` instead of the answer
   Headers headers;      // besides Attempt-Id and Server-Seal
 };
 
@@ -255,8 +256,9 @@
   int timeout_ms = 5000;
   int target_ms = 800;
   int priority = 0;
+  std::string host = "a.example";
 };
-// A document for Config.Replace. The prefix of a route is /NAME/, its host a.example.
+// A document for Config.Replace. The prefix of a route is /NAME/, its name r-NAME.
 std::string Configuration(int version, const std::vector<RouteText>& routes,
                           const std::vector<std::string>& services);
 
