--- a/review/harness/deployment.cc
+++ b/review/harness/deployment.cc
@@ -281,6 +281,31 @@
   return SendAll(fd, "0\r\n\r\n");
 }
 
+int64_t Replica::Drain() {
+  draining_ = true;
+  for (size_t i = 0; i < deployment_->control_count(); ++i) {
+    std::string ip = deployment_->ControlIp(i);
+    Message answer = deployment_->CallControl(ip, "POST", "/Instances.Heartbeat/" + options_.id,
+                                              Heartbeat("draining"));
+    if (answer.status() != 200) continue;
+    deployment_->record().Line("%s acknowledged that %s is draining", ip.c_str(),
+                               options_.id.c_str());
+    return NowMs();
+  }
+  return 0;
+}
+
+void Replica::Deregister() {
+  for (size_t i = 0; i < deployment_->control_count(); ++i) {
+    std::string ip = deployment_->ControlIp(i);
+    Message answer =
+        deployment_->CallControl(ip, "POST", "/Instances.Deregister/" + options_.id, "");
+    if (answer.status() != 200) continue;
+    deployment_->record().Line("%s acknowledged that %s is gone", ip.c_str(), options_.id.c_str());
+    return;
+  }
+}
+
 std::string Replica::Heartbeat(const std::string& state) {
   std::lock_guard<std::mutex> lock(mutex_);
   return "{\"service\":" + Quote(options_.service) + ",\"address\":" + Quote(address()) +
@@ -309,7 +334,7 @@
     if (start == start_ && now < next) continue;
     start = start_;
     std::string ip = deployment_->ControlIp(target);
-    std::string text = Heartbeat("ready");
+    std::string text = Heartbeat(draining_ ? "draining" : "ready");
     std::string path = "/Instances.Heartbeat/" + options_.id;
     int late_ms = beats_late_ms_;
     if (late_ms > 0) {
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -96,6 +96,11 @@
   std::string version() const;
   bool up() const { return listener_ >= 0; }
   int running() const { return running_; }
+  // Reports `draining` from now on. Returns when that was first acknowledged (NowMs()); 0: it was
+  // not within a second for each control machine.
+  int64_t Drain();
+  // Sends Instances.Deregister until it is acknowledged, as before an exit.
+  void Deregister();
   std::string Heartbeat(const std::string& state);
   std::string address() const;
 
@@ -121,6 +126,7 @@
   std::atomic<int> threads_{0};
   std::atomic<int> beats_late_ms_{0};
   std::atomic<bool> ended_{false};
+  std::atomic<bool> draining_{false};
   std::thread beats_;
 };
 
