--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -53,7 +53,10 @@
   int break_after = 0;  // the connection ends within the event after so many events of this answer
   bool crash = false;   // the replica crashes after `work_ms` instead of answering
   bool lose = false;    // the connection ends after `work_ms` instead of the answer
-  Headers headers;      // besides Attempt-Id and Server-Seal
+  // More than 0: after the head, so many bytes a millisecond that are no answer, until the caller
+  // closes.
+  int endless_bytes_per_ms = 0;
+  Headers headers;  // besides Attempt-Id and Server-Seal
 };
 
 struct Run {
@@ -109,6 +112,7 @@
   void Serve(int fd, uint64_t start);
   bool Respond(int fd, const Message& request, uint64_t start);
   bool SendStream(int fd, const Message& request, const Answer& answer, uint64_t start);
+  void SendWithoutEnd(int fd, int bytes_per_ms, uint64_t start);
   bool StillUp(uint64_t start) const { return start == start_ && listener_ >= 0; }
   void Beat();
 
@@ -140,7 +144,9 @@
   pid_t pid = -1;
   bool wanted = true;  // it is started again if it ends
   bool ended_by_us = false;
-  int own_ends = 0;  // how often it ended by itself
+  int own_ends = 0;          // how often it ended by itself
+  int64_t memory_limit = 0;  // bytes
+  int64_t most_memory = 0;   // the most that its process was seen to use
 };
 
 // What a client saw of one request.
@@ -224,6 +230,8 @@
   void WriteSettings(const Daemon& daemon);
   void Start(Daemon* daemon);
   void Watch();
+  // Ends a process that uses more than its memory_mb, as the platform does.
+  void EnforceMemory(Daemon* daemon);
 
   Record* const record_;
   const std::vector<Zone> zones_;
