LOST: a server's error body may have any shape

What callers saw: requests of kept connections ended without an answer, all those in flight at a gateway, each time a replica behind another gateway answered an error whose body has a number as error.code.

Cause: Exchange::OnForwardedError reads the body of each error of another host with ParseErrorKind, which took error.code for text without a check. The exception left a callback of the HTTP client and ended the process. The reply to a cancellation (the field "started") was read in the same way.

Change: a code that is no text counts as none.

--- a/src/daemon/answers.cc
+++ b/src/daemon/answers.cc
@@ -37,10 +37,12 @@
 
 std::optional<ErrorKind> ParseErrorKind(const std::string& body) {
   nlohmann::json parsed = nlohmann::json::parse(body, nullptr, false);
-  if (!parsed.is_object() || !parsed.contains("error") || !parsed["error"].is_object()) {
+  if (!parsed.is_object() || !parsed.contains("error")) return std::nullopt;
+  const nlohmann::json& error = parsed["error"];
+  // A backend server may write any type, such as the status as a number.
+  if (!error.is_object() || !error.contains("code") || !error["code"].is_string())
     return std::nullopt;
-  }
-  return ErrorKindFromCode(parsed["error"].value("code", ""));
+  return ErrorKindFromCode(error["code"].get<std::string>());
 }
 
 nlohmann::json ErrorResponseJson(const ErrorResponse& response) {
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -50,7 +50,8 @@
     if (exchange == nullptr) return;
     nlohmann::json answer = nlohmann::json::parse(*body, nullptr, false);
     bool not_started = reply.outcome == CallOutcome::kComplete && reply.status == 200 &&
-                       answer.is_object() && answer.value("started", true) == false;
+                       answer.is_object() && answer.contains("started") &&
+                       answer["started"] == false;
     exchange->OnAttemptFailed(result,
                               not_started ? ebonylift::Run::kNotRun : ebonylift::Run::kMayHaveRun);
   };
