TWICE: a host names its own errors in a header

What callers saw: an unsafe request that its replica ran and failed ran again, or was refused as not run, if it had gone through two gateways and the replica's error body has a code that gateways use as well, such as "overloaded".

Cause: the body alone told another host's own error (OnForwardedError) from that of a server behind it. Jobs whose server answered an error with such a code were put back for the same reason.

Change: a host's own error responses have the header x-ebonylift-error, which is removed from all that a host relays. For hosts of the release before, the body counts if it names the request's id, which servers do not know.

--- a/src/daemon/answers.cc
+++ b/src/daemon/answers.cc
@@ -11,6 +11,25 @@
   return LookupError(response.kind).retry_after_ms;
 }
 
+// Hosts of the previous release do not send kErrorCodeHeader. Their errors name the request by the
+// id that hosts use among themselves; a response with the server header comes from a server, which
+// the native interface tells that id.
+std::optional<ErrorKind> ErrorKindOfEarlierVersion(const HttpHeaders& headers,
+                                                   const std::string& body,
+                                                   const RequestId& request) {
+  if (!FindHeader(headers, kServerHeader).empty()) return std::nullopt;
+  nlohmann::json parsed = nlohmann::json::parse(body, nullptr, false);
+  if (!parsed.is_object() || !parsed.contains("error")) return std::nullopt;
+  const nlohmann::json& error = parsed["error"];
+  // A backend server may write any type, such as the status as a number.
+  auto text = [&error](const char* key) {
+    bool valid = error.is_object() && error.contains(key) && error[key].is_string();
+    return valid ? error[key].get<std::string>() : std::string();
+  };
+  if (request.empty() || text("request_id") != request.value()) return std::nullopt;
+  return ErrorKindFromCode(text("code"));
+}
+
 }  // namespace
 
 ErrorResponse ToErrorResponse(const Error& error) {
@@ -35,14 +54,18 @@
   return std::to_string(std::max<WallMillis>(0, time - WallNow()));
 }
 
-std::optional<ErrorKind> ParseErrorKind(const std::string& body) {
-  nlohmann::json parsed = nlohmann::json::parse(body, nullptr, false);
-  if (!parsed.is_object() || !parsed.contains("error")) return std::nullopt;
-  const nlohmann::json& error = parsed["error"];
-  // A backend server may write any type, such as the status as a number.
-  if (!error.is_object() || !error.contains("code") || !error["code"].is_string())
-    return std::nullopt;
-  return ErrorKindFromCode(error["code"].get<std::string>());
+HttpHeaders ErrorResponseHeaders(const ErrorResponse& response) {
+  HttpHeaders headers = {{"Content-Type", "application/json"},
+                         {kErrorCodeHeader, LookupError(response.kind).code}};
+  if (!response.request.empty()) headers.emplace_back(kRequestIdHeader, response.request.value());
+  return headers;
+}
+
+std::optional<ErrorKind> HostErrorKind(const HttpHeaders& headers, const std::string& body,
+                                       const RequestId& request) {
+  const std::string& code = FindHeader(headers, kErrorCodeHeader);
+  if (!code.empty()) return ErrorKindFromCode(code);
+  return ErrorKindOfEarlierVersion(headers, body, request);
 }
 
 nlohmann::json ErrorResponseJson(const ErrorResponse& response) {
@@ -61,10 +84,7 @@
 }
 
 void SendErrorResponse(HttpResponder* responder, const ErrorResponse& response) {
-  HttpHeaders headers = {{"Content-Type", "application/json"}};
-  if (!response.request.empty()) {
-    headers.emplace_back("x-ebonylift-request-id", response.request.value());
-  }
+  HttpHeaders headers = ErrorResponseHeaders(response);
   int64_t retry_ms = RetryMillis(response);
   if (retry_ms > 0) headers.emplace_back("Retry-After", std::to_string((retry_ms + 999) / 1000));
   const ErrorInfo& info = LookupError(response.kind);
--- a/src/daemon/answers.h
+++ b/src/daemon/answers.h
@@ -18,6 +18,12 @@
 inline constexpr char kCallerIdHeader[] = "x-request-id";          // echoed from the request
 inline constexpr char kReplayedHeader[] = "x-ebonylift-replayed";  // "true": a stored response
 inline constexpr char kKeyExpiresHeader[] = "x-ebonylift-key-expires-ms";
+inline constexpr char kRegionHeader[] = "x-ebonylift-region";  // of the server that ran it
+inline constexpr char kServerHeader[] = "x-ebonylift-server";
+// The code of the error, in every error response that a host makes itself. Headers of this name are
+// removed from relayed responses of backend servers (see EndToEndHeaders()), so it tells the error
+// of another host from that of a server behind it.
+inline constexpr char kErrorCodeHeader[] = "x-ebonylift-error";
 
 // Replaces all headers named `name`, which must be in lower case, by one. An empty `value` only
 // removes them.
@@ -43,8 +49,13 @@
 // Returns the body: an object with the member `error`.
 nlohmann::json ErrorResponseJson(const ErrorResponse& response);
 
-// Returns the error kind in a body made by ErrorResponseJson(), or nullopt for any other body.
-std::optional<ErrorKind> ParseErrorKind(const std::string& body);
+// Returns the headers of an error response, without Retry-After.
+HttpHeaders ErrorResponseHeaders(const ErrorResponse& response);
+
+// Returns the kind of the error that another host answered to the request that was forwarded to it,
+// or nullopt if the response is that of a backend server, which the host relayed.
+std::optional<ErrorKind> HostErrorKind(const HttpHeaders& headers, const std::string& body,
+                                       const RequestId& request);
 
 // Returns the server-sent event that ends a broken stream. No `[DONE]` follows it.
 std::string ErrorResponseEvent(const ErrorResponse& response);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -126,7 +126,7 @@
 
   // End of an attempt or of the exchange.
   void SendResponse();
-  void RelayPeerError();
+  void RelayPeerError(ErrorKind kind);
   void RefuseWithOutcomeKind();
   void Refuse(ErrorKind kind, const std::string& message, Duration retry_after = Duration{0});
   void OnCallerDisconnected();
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -273,19 +273,18 @@
     SetHeader(&headers, kKeyExpiresHeader, FindHeader(relay_.headers(), kKeyExpiresHeader));
   }
   // For a forwarded request, the other host's response names the region and server that ran it.
-  std::string region = FindHeader(relay_.headers(), "x-ebonylift-region");
-  std::string server = FindHeader(relay_.headers(), "x-ebonylift-server");
+  std::string region = FindHeader(relay_.headers(), kRegionHeader);
+  std::string server = FindHeader(relay_.headers(), kServerHeader);
   if (!open_attempt_.forwarding) {
     region = spec_.view->self.region.value();
     server = open_attempt_.server ? open_attempt_.server->value() : "";
   }
-  headers.emplace_back("x-ebonylift-region", region);
-  headers.emplace_back("x-ebonylift-server", server);
+  headers.emplace_back(kRegionHeader, region);
+  headers.emplace_back(kServerHeader, server);
   return headers;
 }
 
-void Exchange::RelayPeerError() {
-  ErrorKind kind = *ParseErrorKind(relay_.body());
+void Exchange::RelayPeerError(ErrorKind kind) {
   OnFailure(attempts_, open_attempt_.number, LookupError(kind).run);
   // The peer's error covers only the attempts made by the peer. If it would be false for earlier
   // attempts of this host, it is replaced.
@@ -295,6 +294,7 @@
     return;
   }
   HttpHeaders headers = MakeResponseHeaders();
+  headers.emplace_back(kErrorCodeHeader, LookupError(kind).code);
   EndAttempt(ServerOutcome::kOk);
   LogEvent(EventId::kRequestRefused, {{"request_id", spec_.id.value()},
                                       {"caller_request_id", spec_.caller_request_id},
@@ -309,8 +309,8 @@
 
 void Exchange::SendResponse() {
   HttpHeaders headers = MakeResponseHeaders();
-  std::string server = open_attempt_.server ? open_attempt_.server->value()
-                                            : FindHeader(headers, "x-ebonylift-server");
+  std::string server =
+      open_attempt_.server ? open_attempt_.server->value() : FindHeader(headers, kServerHeader);
   ebonylift::Finish(attempts_, open_attempt_.number);
   bool local = open_attempt_.server.has_value();
   if (local) {
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -332,7 +332,7 @@
 // Handles an error status from another host. The error is the host's own or that of a backend
 // server behind it.
 void Exchange::OnForwardedError() {
-  std::optional<ErrorKind> kind = ParseErrorKind(relay_.body());
+  std::optional<ErrorKind> kind = HostErrorKind(relay_.headers(), relay_.body(), spec_.id);
   if (!kind && spec_.dialect != nullptr) {
     OnDialectResponse();
   } else if (!kind) {
@@ -342,7 +342,7 @@
         CallResult{CallOutcome::kComplete, relay_.status(), LookupError(*kind).code, true},
         LookupError(*kind).run);
   } else {
-    RelayPeerError();
+    RelayPeerError(*kind);
   }
 }
 
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -352,7 +352,9 @@
                                 StoredAnswer{status, std::move(headers), std::move(body)});
     return;
   }
-  ErrorKind kind = ParseErrorKind(body).value_or(ErrorKind::kStreamBroken);
+  bool by_server = status >= 400 && !FindHeader(headers, kServerHeader).empty();
+  ErrorKind other = by_server ? ErrorKind::kServerError : ErrorKind::kStreamBroken;
+  ErrorKind kind = HostErrorKind(headers, body, RequestId()).value_or(other);
   const ErrorInfo& info = LookupError(kind);
   bool not_run = info.run == Run::kNotRun;
   bool retry = info.retry_after_ms > 0 && (not_run || job.idempotent);
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -379,6 +379,32 @@
   BOOST_TEST(client.calls.size() == 1u);
 }
 
+// Guards against a job that runs again because the code in its server's error is also the code of a
+// host's refusal.
+BOOST_AUTO_TEST_CASE(ServerErrorEndsAJob) {
+  JobApi jobs(context);
+  JobSpec spec;
+  spec.id = JobId("j-1.este");
+  spec.team = TeamId("rocha");
+  spec.route = RouteId("summaries");
+  spec.path = "/v1/completions";
+  spec.body = R"({"model":"m","prompt":"x"})";
+  records.SubmitJob(spec, [](SubmitKind, bool) {});
+  journal->Sync();
+  jobs.RunPending();
+  journal->Sync();
+  RunQueuedEvents();
+  BOOST_REQUIRE(client.calls.size() == 1u);
+  client.calls[0].on_headers(400, {});
+  client.calls[0].on_data(R"({"error":{"code":"overloaded"}})");
+  client.calls[0].on_done(CallResult{CallOutcome::kComplete, 400, "", 0, true});
+  journal->Sync();
+  RunQueuedEvents();
+  std::optional<Job> job = records.FindJob(spec.id);
+  BOOST_REQUIRE(job.has_value());
+  BOOST_TEST((job->state == JobState::kFailed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebonylift
--- a/tests/forwarded_answer_test.cc
+++ b/tests/forwarded_answer_test.cc
@@ -88,4 +88,41 @@
   }
 }
 
+// Guards against an error body of a server that counts as a host's own refusal: the request ran,
+// and must neither be sent again nor be refused as not run.
+BOOST_AUTO_TEST_CASE(ErrorOfAServerIsNotThatOfItsHost) {
+  for (const char* code : {"overloaded", "draining", "no_server", "not_ready", "server_refused"}) {
+    BOOST_TEST_CONTEXT(code) {
+      ForwardFixture f(false);
+      std::shared_ptr<FakeResponder> caller = f.StartForwarded();
+      std::string body = "{\"error\":{\"code\":\"" + std::string(code) +
+                         "\",\"run\":\"not_run\",\"request_id\":\"39ed\"}}";
+      f.EndCallWithError(0, 500, kServerHeaders, body);
+      BOOST_TEST(f.client.calls.size() == 1u);
+      BOOST_TEST(caller->sent_status == 500);
+      BOOST_TEST(caller->text == body);
+    }
+  }
+}
+
+// Guards against a refusal of a host that counts as a server's error, in the form of this release
+// and of the one before, which named it in the body alone.
+BOOST_AUTO_TEST_CASE(RefusalOfAHostIsNotRun) {
+  for (bool earlier_release : {false, true}) {
+    BOOST_TEST_CONTEXT("earlier release: " << earlier_release) {
+      ForwardFixture f(false);
+      RequestSpec spec = f.LookSpec();
+      std::shared_ptr<FakeResponder> caller = f.Start(spec);
+      BOOST_REQUIRE(f.client.calls.size() == 1u);
+      ErrorResponse error{ErrorKind::kOverloaded, "", Duration{0}, spec.id};
+      HttpHeaders headers = ErrorResponseHeaders(error);
+      if (earlier_release) headers = {{"Content-Type", "application/json"}};
+      f.EndCallWithError(0, 503, headers, DumpJson(ErrorResponseJson(error)));
+      f.RunUntil([&] { return f.client.calls.size() == 2; }, "another host is tried");
+      BOOST_TEST(f.client.calls[1].url != f.client.calls[0].url);
+      BOOST_TEST(caller->sent_status == 0);
+    }
+  }
+}
+
 }  // namespace ebonylift
