--- a/src/core/server_paths.cc
+++ b/src/core/server_paths.cc
@@ -17,6 +17,7 @@
 
 bool OnServerByte(ServerPaths& paths, Time now) {
   paths.failures.clear();
+  paths.connections.clear();
   paths.last_byte_at = now;
   return std::exchange(paths.cut_off, false);
 }
@@ -37,4 +38,22 @@
 
 void OnPathTrial(ServerPaths& paths, Time now) { paths.next_trial = now + kPathTrialInterval; }
 
+bool TakeConnectionCheck(ServerPaths& paths, const ServerId& server, Time now) {
+  if (!paths.cut_off) return false;
+  auto [connection, is_new] = paths.connections.try_emplace(server);
+  if (!is_new && now - connection->second.checked_at < kPathTrialInterval) return false;
+  connection->second.checked_at = now;
+  return true;
+}
+
+void OnPathConnection(ServerPaths& paths, const ServerId& server, bool connected, Time now) {
+  paths.connections[server] = {now, !connected};
+}
+
+bool CannotConnect(const ServerPaths& paths, const ServerId& server, Time now) {
+  auto found = paths.connections.find(server);
+  return found != paths.connections.end() && found->second.failed &&
+         now - found->second.checked_at < kPathEvidenceTime;
+}
+
 }  // namespace ebonylift
--- a/src/core/server_paths.h
+++ b/src/core/server_paths.h
@@ -11,9 +11,12 @@
 //   byte.
 // - A host that is cut off lets single requests try the servers again, to see whether the path is
 //   back.
+// - Silence alone may be that of sound servers, so a host that is cut off also finds out whether it
+//   can connect to them, before it ends a request that one of them may still answer.
 //
 // Not thread safe: the caller serialises all calls on one ServerPaths. The functions throw nothing.
-// Memory: one entry for each server that failed in the last kPathEvidenceTime.
+// Memory: one entry for each server that failed in the last kPathEvidenceTime, and one for each
+// that was connected to while the host was cut off.
 
 #include <cstddef>
 #include <unordered_map>
@@ -30,18 +33,26 @@
 constexpr size_t kMaxFailedServers = 8;
 // Time between two requests that try the servers of a host that is cut off.
 constexpr Duration kPathTrialInterval = seconds(1);
-// Such a request goes elsewhere when its server has given no byte for this long.
+// Such a request goes elsewhere when its server has given no byte for this long and cannot be
+// connected to. After this silence a host that is cut off also checks whether it can connect.
 constexpr Duration kPathTrialTime = milliseconds(600);
 // A server that has given no byte for this long counts as failed if no other server has either. A
-// sound one may pause for about a second.
-constexpr Duration kPathSilenceTime = milliseconds(1'200);
+// sound one may pause for a second or so, and may need longer than that for the first byte.
+constexpr Duration kPathSilenceTime = milliseconds(2'000);
 
 // A request to which this many servers could not be connected is handed to another host, whatever
 // other requests see: connections that were open may live on while new ones fail.
 constexpr int kConnectFailuresToRelay = 2;
 
+// What the last connection to a server showed while the host was cut off.
+struct PathConnection {
+  Time checked_at;      // when it was attempted
+  bool failed = false;  // false also while it is being made
+};
+
 struct ServerPaths {
-  std::unordered_map<ServerId, Time> failures;  // since the last byte of any server
+  std::unordered_map<ServerId, Time> failures;               // since the last byte of any server
+  std::unordered_map<ServerId, PathConnection> connections;  // since the last byte of any server
   Time last_byte_at;
   Time next_trial;
   bool cut_off = false;
@@ -62,6 +73,17 @@
 // Records that a request was sent to a server by a host that is cut off.
 void OnPathTrial(ServerPaths& paths, Time now);
 
+// Whether a host that is cut off should find out whether it can connect to the server. If it
+// returns true, the caller connects and calls OnPathConnection().
+bool TakeConnectionCheck(ServerPaths& paths, const ServerId& server, Time now);
+
+// Records whether a new connection to the server could be made.
+void OnPathConnection(ServerPaths& paths, const ServerId& server, bool connected, Time now);
+
+// Whether no connection to the server could be made in the last kPathEvidenceTime, and no server
+// has given a byte since.
+bool CannotConnect(const ServerPaths& paths, const ServerId& server, Time now);
+
 }  // namespace ebonylift
 
 #endif  // EBONYLIFT_CORE_SERVER_PATHS_H_
--- a/src/daemon/attempt_call.h
+++ b/src/daemon/attempt_call.h
@@ -39,6 +39,7 @@
   bool response_started = false;  // the first byte of the response arrived
   Time first_data_at;             // set if `response_started`
   bool parts_answered = false;    // Dispatcher::OnPartsAnswered() was called
+  bool tries_path = false;        // sent while this host was cut off from its servers
 
   // Set for an attempt through another host.
   bool forwarding = false;
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -181,6 +181,21 @@
   return paths_.cut_off;
 }
 
+bool Dispatcher::TakeConnectionCheck(const ServerId& server, Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return ebonylift::TakeConnectionCheck(paths_, server, now);
+}
+
+void Dispatcher::RecordConnection(const ServerId& server, bool connected, Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  OnPathConnection(paths_, server, connected, now);
+}
+
+bool Dispatcher::CannotConnect(const ServerId& server, Time now) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return paths_.cut_off && ebonylift::CannotConnect(paths_, server, now);
+}
+
 // Precondition: the caller holds the mutex.
 const RoutingView& Dispatcher::ViewOrEmpty() const {
   static const RoutingView kEmptyView;
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -106,6 +106,11 @@
   void RecordSilence(const ServerId& server, Time since, Time now);
   // Whether this host has lost its paths to its servers.
   bool IsCutOff() const;
+  // See core/server_paths.h.
+  bool TakeConnectionCheck(const ServerId& server, Time now);
+  void RecordConnection(const ServerId& server, bool connected, Time now);
+  // Whether this host is cut off and cannot connect to the server.
+  bool CannotConnect(const ServerId& server, Time now) const;
 
   // Records what the server says in an answer to a local dispatch. `attributable` is false if the
   // answer may not be of this server: it does not show that the server names no limit. Tells the
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -123,6 +123,8 @@
   bool TryContinueOnOtherServer();
   void ScheduleLivenessCheck(uint32_t attempt);
   void CheckLiveness(uint32_t attempt);
+  void CheckConnection(Time now);
+  bool WaitsOnLostPath(Duration silence, Time now) const;
 
   // End of an attempt or of the exchange.
   void SendResponse();
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -111,7 +111,10 @@
 
 // Records that the attempt's server may be out of reach, if it gave no byte of an answer.
 void Exchange::RecordPathFailure(const CallResult& result) {
-  if (result.outcome == CallOutcome::kNotConnected) ++connect_failures_;
+  if (result.outcome == CallOutcome::kNotConnected) {
+    ++connect_failures_;
+    context_.dispatcher->RecordConnection(*open_attempt_.server, false, SteadyNow());
+  }
   if (result.status != 0 || open_attempt_.response_started) return;
   context_.dispatcher->RecordSilence(*open_attempt_.server, open_attempt_.dispatched_at,
                                      SteadyNow());
@@ -127,6 +130,8 @@
             {"server", open_attempt_.server ? open_attempt_.server->value() : "forward"},
             {"outcome", CallOutcomeName(result.outcome)},
             {"status", std::to_string(result.status)},
+            {"silent_ms", std::to_string(ToMillis(SteadyNow() - last_data_at_))},
+            {"reason", result.error},
             {"run", RunName(run)}});
   context_.metrics->CountAttemptFailure(result.outcome);
   if (open_attempt_.server) RecordPathFailure(result);
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -67,6 +67,7 @@
   const BackendServer* cache_source = FindServer(*spec_.view, choice.fetch_from);
   if (cache_source != nullptr) open_attempt_.fetch_from = cache_source->announced.address;
   open_attempt_.software_version = choice.software_version;
+  open_attempt_.tries_path = context_.dispatcher->IsCutOff();
   open_attempt_.can_resume = Contains(server->announced.capabilities, "resume");
   open_attempt_.can_cancel = Contains(server->announced.capabilities, "cancel");
   if (spec_.dialect == nullptr || open_attempt_.number > 1) {
@@ -99,6 +100,31 @@
   });
 }
 
+// Connects to the server of the silent attempt, if this host is cut off and has not tried it
+// lately.
+void Exchange::CheckConnection(Time now) {
+  const ServerId server = *open_attempt_.server;
+  if (!context_.dispatcher->TakeConnectionCheck(server, now)) return;
+  HttpCall call = MakeProbeCall();
+  call.connect_only = true;
+  Dispatcher* dispatcher = context_.dispatcher;
+  call.on_done = [dispatcher, server](const CallResult& result) {
+    dispatcher->RecordConnection(server, result.outcome == CallOutcome::kComplete, SteadyNow());
+  };
+  context_.client->Start(std::move(call));
+}
+
+// Whether the open attempt waits for a server to which this host has no path. A server that is only
+// silent may still answer, so its attempt goes on while the server can be connected to, unless
+// nothing has come of it and it was sent to find out whether the path is back.
+bool Exchange::WaitsOnLostPath(Duration silence, Time now) const {
+  if (!open_attempt_.server || !context_.dispatcher->IsCutOff()) return false;
+  bool unreachable = context_.dispatcher->CannotConnect(*open_attempt_.server, now);
+  bool is_trial = open_attempt_.tries_path && !open_attempt_.response_started;
+  if (is_trial) return silence > (unreachable ? kPathTrialTime : kPathSilenceTime);
+  return unreachable && silence > kPathSilenceTime;
+}
+
 // Cancels an idempotent attempt whose target is silent and no longer live, or to whose target this
 // host has no path. A frozen server or a network partition leaves connections open, so without this
 // check the attempt would wait until its deadline.
@@ -109,17 +135,20 @@
   Duration silence = now - last_data_at_;
   if (open_attempt_.server && silence > kPathSilenceTime)
     context_.dispatcher->RecordSilence(*open_attempt_.server, last_data_at_, now);
-  bool path_lost = open_attempt_.server && context_.dispatcher->IsCutOff();
-  Duration limit = path_lost ? kPathTrialTime : kSilenceTimeout;
-  if (silence <= limit ||
-      (!path_lost && IsTargetLive(*context_.control->View(), open_attempt_, incarnation, now))) {
+  if (open_attempt_.server && silence > kPathTrialTime) CheckConnection(now);
+  bool path_lost = WaitsOnLostPath(silence, now);
+  bool target_lost = silence > kSilenceTimeout &&
+                     !IsTargetLive(*context_.control->View(), open_attempt_, incarnation, now);
+  if (!path_lost && !target_lost) {
     ScheduleLivenessCheck(attempt);
     return;
   }
   CancelAttempt();
-  OnAttemptFailed(
-      CallResult{CallOutcome::kTimedOut, 0, "the server or host is no longer live", false},
-      ebonylift::Run::kMayHaveRun);
+  OnAttemptFailed(CallResult{CallOutcome::kTimedOut, 0,
+                             path_lost ? "this host has no path to the server"
+                                       : "the server or host is no longer live",
+                             false},
+                  ebonylift::Run::kMayHaveRun);
 }
 
 void Exchange::DispatchToHost(const HostEntry& host, bool crosses_region, const DomainId& domain) {
--- a/tests/server_paths_test.cc
+++ b/tests/server_paths_test.cc
@@ -76,4 +76,24 @@
   BOOST_TEST(!OnServerByte(paths, kNow + 2 * kPathTrialInterval));
 }
 
+// Guards against a host that connects to a silent server again and again, against one that takes a
+// server that it can connect to for out of reach, and against old knowledge.
+BOOST_AUTO_TEST_CASE(ConnectionsAreCheckedWhileCutOff) {
+  ServerPaths paths;
+  BOOST_TEST(!TakeConnectionCheck(paths, Server(0), kNow), "not cut off");
+  Fail(paths, kNeeded, kNow);
+  BOOST_TEST(TakeConnectionCheck(paths, Server(0), kNow));
+  BOOST_TEST(!TakeConnectionCheck(paths, Server(0), kNow + milliseconds(1)));
+  BOOST_TEST(TakeConnectionCheck(paths, Server(1), kNow + milliseconds(1)));
+  BOOST_TEST(!CannotConnect(paths, Server(0), kNow), "not known yet");
+  OnPathConnection(paths, Server(0), false, kNow);
+  OnPathConnection(paths, Server(1), true, kNow);
+  BOOST_TEST(CannotConnect(paths, Server(0), kNow));
+  BOOST_TEST(!CannotConnect(paths, Server(1), kNow));
+  BOOST_TEST(!CannotConnect(paths, Server(0), kNow + kPathEvidenceTime), "old");
+  OnPathConnection(paths, Server(0), false, kNow);
+  OnServerByte(paths, kNow + milliseconds(1));
+  BOOST_TEST(!CannotConnect(paths, Server(0), kNow + milliseconds(2)), "a server answered since");
+}
+
 }  // namespace ebonylift
