LOST: a host's refusal to continue a stream is not a run

What callers saw: a stream was broken off although further hosts could have continued it.

Cause: the refusal of another host (503, not_run) to continue a stream counted as an attempt that may have run, so it used up max_attempts. The body is not read there, and the status alone says nothing. The header of hosts' own errors does.

Evidence, arm64: forwarded_answer_test RefusedContinuationIsNotARun fails without the change and passes with it.

--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -103,7 +103,7 @@
   void OnHeaders(uint32_t attempt, int status, const HttpHeaders& headers);
   bool OnData(uint32_t attempt, std::string_view data);
   void OnDone(uint32_t attempt, const CallResult& result);
-  void EndContinuation(int status);
+  void EndContinuation(int status, const HttpHeaders& headers);
   void OnComplete();
   void OnForwardedError();
   void OnDialectResponse();
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -210,7 +210,7 @@
     open_attempt_.software_version = FindHeader(headers, kSoftwareVersionHeader);
   relay_.OnHeaders(status, headers, kind);
   if (relay_.begun() && !relay_.IsEventStream()) {
-    EndContinuation(status);
+    EndContinuation(status, headers);
   } else if (kind == ResponseKind::kUnattributable && !open_attempt_.forwarding) {
     EndUnusableAttempt("the response cannot be attributed to the request");
   }
@@ -218,9 +218,12 @@
 
 // The response of the attempt that was to continue the stream is an error or another kind of
 // answer, of which the caller must get nothing.
-void Exchange::EndContinuation(int status) {
-  bool not_run =
-      relay_.kind() == ResponseKind::kNotRun || relay_.kind() == ResponseKind::kWrongServer;
+void Exchange::EndContinuation(int status, const HttpHeaders& headers) {
+  std::optional<ErrorKind> host_error;
+  if (open_attempt_.forwarding) host_error = HostErrorKind(headers, "", spec_.id);
+  bool not_run = relay_.kind() == ResponseKind::kNotRun ||
+                 relay_.kind() == ResponseKind::kWrongServer ||
+                 (host_error && LookupError(*host_error).run == ebonylift::Run::kNotRun);
   CancelAttempt();
   OnAttemptFailed(CallResult{CallOutcome::kComplete, status, "the stream was not continued", true},
                   not_run ? ebonylift::Run::kNotRun : ebonylift::Run::kMayHaveRun);
--- a/tests/forwarded_answer_test.cc
+++ b/tests/forwarded_answer_test.cc
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE forwarded_answer
 #include <boost/test/included/unit_test.hpp>
+#include <cerrno>
 #include <memory>
 #include <string>
 
@@ -12,9 +13,11 @@
 
 using test::FakeResponder;
 
-// The only servers of the route are in centro, where h1 and h2 serve it.
+// The servers of the route are in centro, where h1, h2 and h3 serve it, and, if it is resumable,
+// there is one of this host's region as well.
 struct ForwardFixture : test::DialectFixture {
-  explicit ForwardFixture(bool idempotent) {
+  explicit ForwardFixture(bool idempotent, bool resumable = false) : DialectFixture(resumable) {
+    context.stream_origins = &origins;
     auto config = std::make_shared<ConfigView>(*control.view->config);
     auto ingress = std::make_shared<IngressConfig>(*config->ingress);
     for (auto& [id, route] : ingress->route_configs) {
@@ -31,8 +34,9 @@
     config->regions[region.id] = region;
     auto view = std::make_shared<RoutingView>(*control.view);
     view->config = std::move(config);
-    view->servers.clear();
-    for (const char* id : {"h1", "h2"}) {
+    view->servers[0].announced.software_version = "v1";
+    if (!resumable) view->servers.clear();
+    for (const char* id : {"h1", "h2", "h3"}) {
       HostEntry host;
       host.id = HostId(id);
       host.region = region.id;
@@ -66,6 +70,8 @@
     client.calls[index].on_data(body);
     client.calls[index].on_done(CallResult{CallOutcome::kComplete, status, "", true});
   }
+
+  StreamOriginTable origins;
 };
 
 const HttpHeaders kServerHeaders = {{"Attempt-Id", "39ed"}, {"Server-Seal", "s"}};
@@ -125,4 +131,28 @@
   }
 }
 
+// Guards against a stream that is broken off although another host would continue it: the refusals
+// of hosts, which run nothing, counted as attempts that may have run.
+BOOST_AUTO_TEST_CASE(RefusedContinuationIsNotARun) {
+  ForwardFixture f(true, /*resumable=*/true);
+  std::shared_ptr<FakeResponder> caller = f.Start(f.LookSpec());
+  BOOST_REQUIRE(f.client.calls.size() == 1u);
+  HttpHeaders stream = kServerHeaders;
+  stream.emplace_back("content-type", "text/event-stream");
+  f.client.calls[0].on_headers(200, stream);
+  f.client.calls[0].on_data("id: 1\ndata: a\n\n");
+  f.client.calls[0].on_done(CallResult{CallOutcome::kFailed, 200, "reset", 0, true});
+  BOOST_REQUIRE(f.client.calls.size() == 2u);
+  BOOST_REQUIRE(f.client.calls[1].connect_only);
+  f.client.calls[1].on_done(CallResult{CallOutcome::kNotConnected, 0, "refused", ECONNREFUSED});
+  const ErrorResponse refusal{ErrorKind::kOverloaded, "", Duration{0}, RequestId()};
+  for (size_t host = 2; host < 4; ++host) {
+    f.RunUntil([&] { return f.client.calls.size() == host + 1; }, "another host is asked");
+    BOOST_REQUIRE(f.client.calls[host].url.rfind("http://h", 0) == 0);
+    f.client.calls[host].on_headers(503, ErrorResponseHeaders(refusal));
+  }
+  f.RunUntil([&] { return f.client.calls.size() == 5 || caller->aborted; }, "a third one is asked");
+  BOOST_TEST(!caller->aborted);
+}
+
 }  // namespace ebonylift
