--- a/src/daemon/answer_relay.cc
+++ b/src/daemon/answer_relay.cc
@@ -1,5 +1,6 @@
 #include "daemon/answer_relay.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ebonylift {
@@ -22,11 +23,19 @@
 }
 
 bool AnswerRelay::Buffer(std::string_view data) {
-  if (body_.size() + data.size() > kMaxBuffer) return false;
+  size_t size = body_.size() + data.size();
+  if (size > kMaxBuffer) return false;
+  // The string would grow to twice the limit.
+  if (size > body_.capacity()) body_.reserve(std::min(2 * size, kMaxBuffer));
   body_.append(data);
   return true;
 }
 
+size_t AnswerRelay::BufferedBytes() const {
+  size_t held = begun_ ? 0 : body_.capacity();
+  return held + stream_tracker_.buffered_bytes() + event_relay_.buffered_bytes();
+}
+
 std::string AnswerRelay::Feed(std::string_view data) {
   std::string events = dialect_ == nullptr ? stream_tracker_.Feed(data) : event_relay_.Feed(data);
   has_event_ = has_event_ || !events.empty();
@@ -77,7 +86,7 @@
 }
 
 void AnswerRelay::Reset() {
-  body_.clear();
+  body_ = std::string();
   status_ = 0;
   headers_.clear();
   is_event_stream_ = false;
--- a/src/daemon/answer_relay.h
+++ b/src/daemon/answer_relay.h
@@ -53,6 +53,9 @@
   bool IsEventStream() const { return is_event_stream_; }
   // Appends to the buffered response. Returns false when it would exceed kMaxBuffer.
   bool Buffer(std::string_view data);
+  // The memory that the response takes until it can be relayed, in bytes. A copy that is to be
+  // stored does not count.
+  size_t BufferedBytes() const;
 
   // Streaming.
 
--- a/src/daemon/event_relay.h
+++ b/src/daemon/event_relay.h
@@ -22,11 +22,12 @@
   std::string Feed(std::string_view data);
 
   // Discards an incomplete event, so that the stream can be continued after last_event_id().
-  void DiscardPartialEvent() { partial_.clear(); }
+  void DiscardPartialEvent() { partial_ = std::string(); }
 
   // True when the stream may end here: all received events are complete.
   bool at_event_boundary() const { return partial_.empty() && !too_large_; }
   bool too_large() const { return too_large_; }
+  size_t buffered_bytes() const { return partial_.capacity(); }
 
   // The id of the newest complete event that has one; empty before the first.
   const std::string& last_event_id() const { return last_event_id_; }
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -47,6 +47,30 @@
   }
 }
 
+bool ExchangeTable::OnReceived(size_t bytes) {
+  received_since_check_ += bytes;
+  if (received_since_check_ < kBufferCheckBytes) return false;
+  received_since_check_ = 0;
+  return true;
+}
+
+void ExchangeTable::LimitBufferedBytes() {
+  while (true) {
+    size_t total = 0;
+    size_t largest_bytes = 0;
+    Exchange* largest = nullptr;
+    for (auto& [id, exchange] : exchanges_) {
+      size_t bytes = exchange->BufferedBytes();
+      total += bytes;
+      if (bytes <= largest_bytes) continue;
+      largest_bytes = bytes;
+      largest = exchange.get();
+    }
+    if (total <= kMaxBufferedBytes) return;
+    largest->EndLargestResponse();
+  }
+}
+
 void ExchangeTable::Erase(uint64_t id) {
   exchanges_.erase(id);
   size_ = exchanges_.size();
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -78,6 +78,13 @@
   // Whether the exchange has ended. It is erased later, so events may still be queued for it.
   bool finished() const { return finished_; }
 
+  // The memory that the response of the open attempt takes, in bytes; 0 if none is open.
+  size_t BufferedBytes() const { return is_sent() ? relay_.BufferedBytes() : 0; }
+
+  // Ends the open attempt because the responses of all requests take too much memory.
+  // Precondition: is_sent().
+  void EndLargestResponse();
+
  private:
   // Stages: claim of the key, placement, queueing and dispatch.
   void ClaimKey();
@@ -190,6 +197,13 @@
   bool first_byte_seen_ = false;
 };
 
+// Responses that are not relayed as they arrive are held in memory: at most
+// AnswerRelay::kMaxBuffer each and this much for all requests of a traffic thread together. Servers
+// may send without end, so this bounds the memory of a host whatever its number of requests.
+constexpr size_t kMaxBufferedBytes = 32u << 20;
+// What all responses take is added up each time this much was received.
+constexpr size_t kBufferCheckBytes = 1u << 20;
+
 // Owns the exchanges of one traffic thread, by id.
 class ExchangeTable {
  public:
@@ -202,11 +216,17 @@
   void Erase(uint64_t id);
   // Calls EndForShutdown() of all exchanges.
   void EndForShutdown();
+  // Counts received bytes of responses. Returns whether LimitBufferedBytes() is due.
+  bool OnReceived(size_t bytes);
+  // While all responses together take more than kMaxBufferedBytes, ends the attempt with the
+  // largest. Must not be called by a callback of the HTTP client.
+  void LimitBufferedBytes();
   size_t size() const { return size_; }  // thread safe
 
  private:
   uint64_t next_id_ = 1;
   std::atomic<size_t> size_{0};
+  size_t received_since_check_ = 0;  // bytes
   std::unordered_map<uint64_t, std::unique_ptr<Exchange>> exchanges_;
 };
 
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -1,6 +1,7 @@
 // Exchange methods that dispatch a request, forward it to another host and relay the response.
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 #include "base/event.h"
@@ -270,6 +271,10 @@
                   ebonylift::Run::kMayHaveRun);
 }
 
+void Exchange::EndLargestResponse() {
+  EndUnusableAttempt("the responses of all requests exceed their buffer limit");
+}
+
 // An answer that has been going on for kPartProofTime shows that no part of the prompt crashes
 // servers.
 void Exchange::ReportAnsweredParts(Time now) {
@@ -315,6 +320,9 @@
   } else if (!relay_.Buffer(data)) {
     EndUnusableAttempt("the response exceeds the buffer limit");
   }
+  ExchangeTable* table = context_.table;
+  if (table->OnReceived(data.size()))
+    asio::post(*context_.io, [table] { table->LimitBufferedBytes(); });
   return true;
 }
 
--- a/src/daemon/stream.h
+++ b/src/daemon/stream.h
@@ -25,11 +25,12 @@
 
   // Discards the buffered incomplete event before the stream is resumed at offset
   // generated_text_bytes().
-  void DiscardPartialEvent() { partial_event_.clear(); }
+  void DiscardPartialEvent() { partial_event_ = std::string(); }
 
   bool done() const { return done_; }            // received the end marker
   bool error() const { return error_; }          // received an error event or an oversized event
   bool too_large() const { return too_large_; }  // received an oversized event
+  size_t buffered_bytes() const { return partial_event_.capacity(); }
   // The end marker as received. The caller sends it once the response is recorded.
   const std::string& end_marker() const { return end_marker_; }
 
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -352,6 +352,41 @@
   SendEventWithoutEnd(LookSpec());
 }
 
+// Guards against a host that runs out of memory because many responses without end are each within
+// the limit of one, and against the loss of a sound response among them.
+BOOST_AUTO_TEST_CASE(ResponsesWithoutEndShareOneLimit) {
+  constexpr size_t kFaulty = 8;
+  constexpr size_t kBytesOfEach = AnswerRelay::kMaxBuffer / 2;
+  const std::string chunk(256 << 10, 'x');
+  DialectFixture f;
+  auto view = std::make_shared<RoutingView>(*f.control.view);
+  view->servers[0].announced.load.slots = 100;
+  f.control.view = view;
+  f.dispatcher.OnView(view, SteadyNow());
+  const HttpHeaders headers = {{"Attempt-Id", "39ed"}, {"Server-Seal", "s1"}};
+  std::vector<std::shared_ptr<FakeResponder>> callers;
+  for (size_t i = 0; i <= kFaulty; ++i) {
+    callers.push_back(f.Start(f.LookSpec()));
+    BOOST_REQUIRE(f.client.calls.size() == i + 1);
+    f.client.calls[i].on_headers(200, headers);
+  }
+  f.client.calls[kFaulty].on_data("sound");
+  size_t most = 0;
+  for (size_t sent = 0; sent < kBytesOfEach; sent += chunk.size()) {
+    for (size_t i = 0; i < kFaulty; ++i) {
+      f.client.calls[i].on_data(chunk);
+      f.RunQueuedEvents();
+    }
+    size_t open = kFaulty - f.client.cancelled.size();
+    most = std::max(most, open * (sent + chunk.size()));
+  }
+  BOOST_TEST(most <= kMaxBufferedBytes + kFaulty * chunk.size());
+  BOOST_TEST(f.client.cancelled.size() < kFaulty, "no more are ended than needed");
+  f.client.calls[kFaulty].on_done(CallResult{CallOutcome::kComplete, 200, "", 0, true});
+  BOOST_TEST(callers[kFaulty]->sent_status == 200);
+  BOOST_TEST(callers[kFaulty]->text == "sound");
+}
+
 // Guards against work for a job that was cancelled while its start was being written.
 BOOST_AUTO_TEST_CASE(JobCancelledBeforeItStartsIsNotRun) {
   JobApi jobs(context);
