--- a/src/core/registry.cc
+++ b/src/core/registry.cc
@@ -133,10 +133,13 @@
   if (known) {
     const Announcement& current = it->second.server.announced;
     if (announcement.incarnation < current.incarnation) return AnnounceResult::kOldIncarnation;
-    if (Version(announcement) <= Version(current)) return AnnounceResult::kDuplicate;
-    bool departed = registry->departure_is_final && current.leaving && !announcement.leaving;
-    if (departed && announcement.incarnation == current.incarnation)
-      return AnnounceResult::kDuplicate;
+    bool final_change = registry->departure_is_final &&
+                        announcement.incarnation == current.incarnation &&
+                        announcement.leaving != current.leaving;
+    // A departure holds whatever its number: another party may have announced a higher one.
+    bool departs = final_change && announcement.leaving;
+    if (!departs && Version(announcement) <= Version(current)) return AnnounceResult::kDuplicate;
+    if (final_change && !departs) return AnnounceResult::kDuplicate;
   } else {
     if (registry->entries.size() >= kMaxServers && !EvictOldestEnded(registry)) {
       return AnnounceResult::kFull;
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -73,7 +73,7 @@
   Duration max_ttl = kMaxServerTtl;  // longer ttls in announcements are reduced to this
   // If true, a server that announced its departure never returns in the same incarnation. An
   // announcement that arrives later was either sent before the departure or repeated by another
-  // party.
+  // party. Its departure is recorded even if a higher `seq` is known.
   bool departure_is_final = false;
   // If true, a server expires only if other announcements arrived after the end of its ttl. A host
   // that receives no announcements at all is isolated, and the servers are probably still running.
--- a/tests/platform_messages_test.cc
+++ b/tests/platform_messages_test.cc
@@ -68,6 +68,14 @@
     other_type[key] = json::array({1});
     BOOST_CHECK_THROW(ParseTestHeartbeat(other_type), Error);
   }
+  // Guards against a heartbeat of another writer after which the server's own are ignored.
+  for (const char* key : {"sequence", "born", "slots"}) {
+    for (const json& value : {json(1796467454.331), json(-1), json(true)}) {
+      json other_number = Heartbeat();
+      other_number[key] = value;
+      BOOST_CHECK_THROW(ParseTestHeartbeat(other_number), Error);
+    }
+  }
   json unknown = Heartbeat();
   unknown["state"] = "waiting";
   BOOST_CHECK_THROW(ParseTestHeartbeat(unknown), Error);
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -240,6 +240,25 @@
   BOOST_TEST(AnnouncementKey(later) == AnnouncementKey(base));
 }
 
+// Guards against a server that drains while its heartbeats are ignored, because another writer sent
+// one with a higher number.
+BOOST_AUTO_TEST_CASE(DepartureHoldsWhateverItsNumber) {
+  Registry registry = EmptyRegistry();
+  registry.departure_is_final = true;
+  OnAnnouncement(&registry, MakeAnnouncement("s1", 1, 1'796'467'454), Duration(0), At(0));
+  Announcement leaving = MakeAnnouncement("s1", 1, 7, true);
+  BOOST_TEST(
+      (OnAnnouncement(&registry, leaving, Duration(0), At(100)) == AnnounceResult::kLeaving));
+  BOOST_TEST(LiveServers(registry, At(100)).empty());
+  BOOST_TEST(
+      (OnAnnouncement(&registry, leaving, Duration(0), At(200)) == AnnounceResult::kDuplicate));
+  Announcement late = MakeAnnouncement("s1", 1, 1'796'467'455);
+  BOOST_TEST((OnAnnouncement(&registry, late, Duration(0), At(300)) == AnnounceResult::kDuplicate));
+  Announcement earlier_process = MakeAnnouncement("s1", 0, 8, true);
+  BOOST_TEST((OnAnnouncement(&registry, earlier_process, Duration(0), At(400)) ==
+              AnnounceResult::kOldIncarnation));
+}
+
 // Guards against a host that is isolated from all others and then drops every server, although the
 // servers still answer its requests. A server that is silent while others announce themselves must
 // still expire.
