ORDER: a lost process's late announcement does not say what runs there now

What callers saw: streams held events of two software versions. A replica had crashed and come back under its id with other software, and a heartbeat that it had sent before the crash arrived later than the crash was noticed.

Cause: any announcement that arrived after the loss of a server counted as proof of its software, also one of the process that was lost.

Change: after a loss only the announcement of a new process counts at once; one of the same process counts 8 s after the loss, when it cannot have been sent before it.

The test LostServerHasNoSoftwareVersionUntilItsNextAnnouncement expected that the first announcement of the same process suffices, which is the fault. It now expects the opposite within that time, and the same outcome after it.

The changed test has 2 failed checks without the change and none with it.

--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -205,6 +205,10 @@
 // when the team is unknown; Choose() refuses such a request.
 std::vector<RegionId> AllowedRegions(const ConfigView& config, const RouteConfig& route);
 
+// Announcements may arrive this late. One that comes within this time after the loss of its process
+// may have been sent before, so only that of a new process says what software runs there now.
+constexpr Duration kLateAnnouncementTime = seconds(8);
+
 // What this host knows, from its own requests, about one target: a backend server or another
 // failure domain.
 struct TargetState {
@@ -220,8 +224,8 @@
   int64_t prefill_tokens = 0;     // of the requests in flight whose response has not started
   Time next_limited_dispatch;     // a server with a limited rate gets nothing before this time
   Time unreachable_at;            // last failed connection; Time(): none
-  // Last failed connection, or loss of the server. Until its next announcement it may be a new
-  // process with the same id and other software.
+  // Last failed connection, or loss of the server. It may be a new process since, with the same id
+  // and other software; see kLateAnnouncementTime.
   Time lost_at;
   bool replaced = false;     // another server now answers at its address
   Time full_until;           // of a failure domain: see kDomainFullBackoff
--- a/src/core/routing_candidates.cc
+++ b/src/core/routing_candidates.cc
@@ -148,8 +148,9 @@
 }
 
 std::string SoftwareOf(const Candidate& candidate) {
-  bool lost =
-      SameIncarnation(candidate) && candidate.state->lost_at >= candidate.server->reported_at;
+  if (!SameIncarnation(candidate)) return candidate.server->announced.software_version;
+  Time lost_at = candidate.state->lost_at;
+  bool lost = lost_at != Time() && candidate.server->reported_at < lost_at + kLateAnnouncementTime;
   return lost ? std::string() : candidate.server->announced.software_version;
 }
 
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1612,7 +1612,8 @@
 }
 
 // Guards against a stream that goes on, or begins with a version that others rely on, at a server
-// that has started again under its old id with other software before it announced that.
+// that has started again under its old id with other software before it announced that, also if
+// announcements of the process before arrive late.
 BOOST_AUTO_TEST_CASE(LostServerHasNoSoftwareVersionUntilItsNextAnnouncement) {
   Fixture f;
   f.AddServer("s1").announced.software_version = "v1";
@@ -1628,6 +1629,8 @@
   f.query.software_version = "v1";
   BOOST_TEST(Describe(f.Run()) == "refuse no_server");
   f.view.servers[0].reported_at = kNow;
+  BOOST_TEST(Describe(f.Run()) == "refuse no_server", "a late announcement");
+  f.view.servers[0].reported_at = kNow - milliseconds(200) + kLateAnnouncementTime;
   BOOST_TEST(Describe(f.Run()) == "local s1");
   // A failed connection counts as well.
   OnServerOutcome(f.routing_state, f.view, ServerId("s1"), f.Dispatch(f.Run()),
