Deeply nested JSON of other processes is refused

Cause: values are copied and serialized recursively.

Evidence, arm64: platform_messages_test RejectsDeeplyNestedMessages ends with a stack overflow without the change and passes with it.

--- a/src/daemon/announce.cc
+++ b/src/daemon/announce.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
+#include "base/json_parse.h"
 #include "daemon/settings.h"
 
 namespace ebonylift {
@@ -119,7 +120,7 @@
 }
 
 ReceivedAnnouncement ParseAnnouncement(const std::string& text) {
-  json body = json::parse(text, nullptr, false);
+  json body = ParseForeignJson(text);
   if (!body.is_object()) throw Error(ErrorKind::kBadRequest, "announcement: not a JSON object");
   ReceivedAnnouncement received;
   received.sent_at = ParseInteger(body, "sent_at", 0, 0);
--- a/src/daemon/answers.cc
+++ b/src/daemon/answers.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cctype>
 
+#include "base/json_parse.h"
+
 namespace ebonylift {
 namespace {
 
@@ -18,7 +20,7 @@
                                                    const std::string& body,
                                                    const RequestId& request) {
   if (!FindHeader(headers, kServerHeader).empty()) return std::nullopt;
-  nlohmann::json parsed = nlohmann::json::parse(body, nullptr, false);
+  nlohmann::json parsed = ParseForeignJson(body);
   if (!parsed.is_object() || !parsed.contains("error")) return std::nullopt;
   const nlohmann::json& error = parsed["error"];
   // A backend server may write any type, such as the status as a number.
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/event.h"
+#include "base/json_parse.h"
 #include "daemon/exchange.h"
 
 namespace ebonylift {
@@ -48,7 +49,7 @@
   call.on_done = [=, id = id_](const CallResult& reply) {
     Exchange* exchange = table->Find(id);
     if (exchange == nullptr) return;
-    nlohmann::json answer = nlohmann::json::parse(*body, nullptr, false);
+    nlohmann::json answer = ParseForeignJson(*body);
     bool not_started = reply.outcome == CallOutcome::kComplete && reply.status == 200 &&
                        answer.is_object() && answer.contains("started") &&
                        answer["started"] == false;
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -5,6 +5,7 @@
 
 #include "base/event.h"
 #include "base/hash.h"
+#include "base/json_parse.h"
 
 namespace ebonylift {
 namespace {
@@ -64,7 +65,7 @@
 
 // Extracts the model request embedded in a job submission. It inherits the caller's headers.
 HttpRequest ExtractModelRequest(const HttpRequest& request) {
-  json body = json::parse(request.body, nullptr, false);
+  json body = ParseForeignJson(request.body);
   bool valid = body.is_object() && body.contains("path") && body["path"].is_string() &&
                body.contains("body") && body["body"].is_object();
   if (!valid) throw Error(ErrorKind::kBadRequest, "the body must have \"path\" and \"body\"");
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -7,6 +7,7 @@
 
 #include "base/event.h"
 #include "base/hash.h"
+#include "base/json_parse.h"
 #include "daemon/answers.h"
 
 namespace ebonylift {
@@ -68,7 +69,7 @@
 }
 
 ConfigPut ParsePut(const RequestContext& context) {
-  json body = json::parse(context.request.body, nullptr, false);
+  json body = ParseForeignJson(context.request.body);
   bool valid = body.is_object() && body.contains("path") && body["path"].is_string() &&
                body.contains("value") && body.contains("base_revision") &&
                body["base_revision"].is_number_unsigned() && body.contains("request_id") &&
--- a/src/daemon/request.cc
+++ b/src/daemon/request.cc
@@ -8,6 +8,7 @@
 
 #include "base/event.h"
 #include "base/hash.h"
+#include "base/json_parse.h"
 
 namespace ebonylift {
 namespace {
@@ -105,7 +106,7 @@
 }
 
 void ParseModelBody(RequestSpec* spec, const TeamConfig& team) {
-  json body = json::parse(spec->body, nullptr, false);
+  json body = ParseForeignJson(spec->body);
   if (!body.is_object()) throw Error(ErrorKind::kBadRequest, "the body must be a JSON object");
   if (!body.contains("model") || !body["model"].is_string()) {
     throw Error(ErrorKind::kBadRequest, "the body must have a string field \"model\"");
--- a/tests/platform_messages_test.cc
+++ b/tests/platform_messages_test.cc
@@ -58,6 +58,19 @@
   BOOST_TEST(ParseTestHeartbeat(heartbeat).incarnation == 1'700'000'000'123u);
 }
 
+// Guards against a control process that ends because a heartbeat or a configuration is nested more
+// deeply than the stack allows to copy.
+BOOST_AUTO_TEST_CASE(RejectsDeeplyNestedMessages) {
+  constexpr size_t kLevels = 1'000'000;
+  const std::string nested = std::string(kLevels, '[') + std::string(kLevels, ']');
+  std::string heartbeat = Heartbeat().dump();
+  heartbeat.replace(heartbeat.find("\"models\":") + 9, 1, nested + ",\"rest\":[");
+  BOOST_CHECK_THROW(ParseHeartbeat("i-1", heartbeat, kDomainRegions, seconds(7)), Error);
+  std::string configuration = Configuration().dump();
+  configuration.replace(configuration.find("\"routes\":") + 9, 1, nested + ",\"rest\":[");
+  BOOST_CHECK_THROW(ParseConfiguration(configuration, kDomainRegions), Error);
+}
+
 // Guards against a malformed heartbeat that registers a backend server.
 BOOST_AUTO_TEST_CASE(RejectsMalformedHeartbeats) {
   for (const char* key : {"service", "address", "zone", "version", "slots", "state", "sequence"}) {
