--- a/src/core/ingress.cc
+++ b/src/core/ingress.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "base/hash.h"
 #include "core/json_range.h"
 
 namespace ebonylift {
@@ -148,10 +149,30 @@
   }
 }
 
-RouteConfig ParseRouteConfig(const Json& json, const std::string& service) {
+// Returns the name of the route, made unique if other routes of the document have the same.
+std::string UniqueName(const Json& json, const std::set<std::string>& shared_names) {
+  std::string name = json.at("id").get<std::string>();
+  if (shared_names.count(name) == 0) return name;
+  uint64_t place =
+      Hash64(json.at("path_prefix").get<std::string>(), Hash64(json.at("host").get<std::string>()));
+  return name + "#" + std::to_string(place);
+}
+
+std::set<std::string> SharedNames(const Json& routes) {
+  std::set<std::string> names;
+  std::set<std::string> shared;
+  for (const Json& route : routes) {
+    std::string name = route.at("id").get<std::string>();
+    if (!names.insert(name).second) shared.insert(name);
+  }
+  return shared;
+}
+
+RouteConfig ParseRouteConfig(const Json& json, const std::string& name,
+                             const std::string& service) {
   RouteConfig route;
   route.team = TeamId(kIngressTeam);
-  route.id = RouteId(json.at("id").get<std::string>() + "/" + service);
+  route.id = RouteId(name + "/" + service);
   route.kind = ServerKind::kService;
   route.service = service;
   for (const Json& region : json.at("regions")) {
@@ -182,12 +203,13 @@
   return service;
 }
 
-void AddRoute(const Json& json, IngressConfig* config) {
+void AddRoute(const Json& json, const std::set<std::string>& shared_names, IngressConfig* config) {
+  std::string name = UniqueName(json, shared_names);
   IngressRoute route;
   route.host = json.at("host").get<std::string>();
   route.path_prefix = json.at("path_prefix").get<std::string>();
   for (const Json& item : json.at("backends")) {
-    RouteConfig route_config = ParseRouteConfig(json, item.at("service").get<std::string>());
+    RouteConfig route_config = ParseRouteConfig(json, name, item.at("service").get<std::string>());
     route.backends.push_back(
         {route_config.id, route_config.service, item.at("weight").get<int64_t>()});
     config->route_configs[route_config.id] = std::move(route_config);
@@ -264,7 +286,8 @@
     IngressService service = ParseService(item);
     config.services[service.name] = std::move(service);
   }
-  for (const Json& item : document.at("routes")) AddRoute(item, &config);
+  std::set<std::string> shared_names = SharedNames(document.at("routes"));
+  for (const Json& item : document.at("routes")) AddRoute(item, shared_names, &config);
   for (auto& [host, routes] : config.routes) {
     std::sort(routes.begin(), routes.end(), [](const IngressRoute& a, const IngressRoute& b) {
       return a.path_prefix.size() > b.path_prefix.size();
--- a/src/core/ingress.h
+++ b/src/core/ingress.h
@@ -63,8 +63,10 @@
   uint64_t version = 0;
   std::map<std::string, std::vector<IngressRoute>> routes;  // by host; longest prefix first
   std::map<std::string, IngressService> services;           // by name
-  std::map<RouteId, RouteConfig> route_configs;             // of kIngressTeam
-  std::vector<RegionId> regions;                            // of all routes, without duplicates
+  // Of kIngressTeam, by NAME/SERVICE. The name of a route that shares it with others of the
+  // document is extended, as each has settings of its own.
+  std::map<RouteId, RouteConfig> route_configs;
+  std::vector<RegionId> regions;  // of all routes, without duplicates
 };
 
 // Returns no issues if the document is valid. Besides missing and ill-typed keys, reports a route
--- a/src/daemon/ingress_request.cc
+++ b/src/daemon/ingress_request.cc
@@ -83,13 +83,26 @@
   return found == routes.end() ? nullptr : &found->second;
 }
 
+// Returns the settings that another host chose for the request, or null if this host's
+// configuration has no such choice at the request's host name and path: a version before or after
+// may give the route's name to another route.
+const RouteConfig* FindForwardedRoute(const RequestSpec& spec, const RoutingView& view,
+                                      const RouteId& id) {
+  const IngressRoute* route =
+      FindIngressRoute(*view.config->ingress, spec.dialect_request.host, spec.path);
+  if (route == nullptr) return nullptr;
+  bool chosen = std::any_of(route->backends.begin(), route->backends.end(),
+                            [&id](const IngressBackend& backend) { return backend.route == id; });
+  return chosen ? FindRouteConfig(view, id) : nullptr;
+}
+
 }  // namespace
 
 bool ResolveIngressRoute(RequestSpec* spec, std::shared_ptr<const RoutingView> view) {
   if (view->config->ingress == nullptr) return false;
   const RouteConfig* config = nullptr;
   if (spec->forwarded) {
-    config = FindRouteConfig(*view, spec->route->id);
+    config = FindForwardedRoute(*spec, *view, spec->route->id);
   } else {
     const IngressRoute* route =
         FindIngressRoute(*view->config->ingress, spec->dialect_request.host, spec->path);
@@ -128,7 +141,7 @@
   ForwardBinding binding{spec.method, spec.path + "?" + spec.query, "", BodyHash(&spec),
                          spec.software_version};
   ForwardHeader forward_header = DecodeForward(header, binding, cluster_key, WallNow());
-  const RouteConfig* route = FindRouteConfig(*view, forward_header.route);
+  const RouteConfig* route = FindForwardedRoute(spec, *view, forward_header.route);
   if (route == nullptr) {
     // Expected briefly while a configuration change reaches the two hosts at different times.
     throw Error(ErrorKind::kNoServer,
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -79,6 +79,26 @@
   BOOST_TEST(to_s == 100);
 }
 
+// Guards against a route that takes over the settings of another one with its name and service: an
+// unsafe request would be repeated, and one with home regions would leave them.
+BOOST_AUTO_TEST_CASE(RoutesOfOneNameKeepTheirSettings) {
+  Json document = Document();
+  document["routes"][1]["id"] = "r1";
+  document["routes"][1]["idempotent"] = false;
+  document["routes"][1]["regions"] = {"norte"};
+  BOOST_TEST(ValidateIngress(document).empty());
+  IngressConfig config = ParseIngress(document);
+  auto settings = [&config](const char* path) {
+    const IngressRoute* route = FindIngressRoute(config, "a.example", path);
+    return config.route_configs.at(route->backends[0].route);
+  };
+  BOOST_TEST(settings("/a/x").idempotent);
+  BOOST_TEST(settings("/a/x").regions.size() == 2u);
+  BOOST_TEST(!settings("/a/b/x").idempotent);
+  BOOST_TEST(settings("/a/b/x").regions.size() == 1u);
+  BOOST_TEST(settings("/x").id.value() == "r3/s", "a name of its own stays as it is");
+}
+
 // Guards against accepting an invalid document.
 BOOST_AUTO_TEST_CASE(InvalidDocumentsAreRejected) {
   BOOST_TEST(ValidateIngress(Document()).empty());
