--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -155,8 +155,7 @@
   Time FirstByteTime() const;
   HttpHeaders MakeResponseHeaders() const;
   HttpCall NewCall(const std::string& url, uint32_t attempt);
-  void StartAttempt(const std::string& address, const std::string& path, HttpHeaders headers,
-                    Time now);
+  void StartAttempt(const std::string& address, const std::string& path, HttpHeaders headers);
   void RelayStreamData(std::string_view data);
   void RelayEvents(std::string events);
   void RecordStreamBegin();
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -55,6 +55,7 @@
   }
   open_attempt_ = OpenAttempt();
   open_attempt_.dispatched_at = now;
+  last_data_at_ = now;
   open_attempt_.choice = choice;
   open_attempt_.server = choice.server;
   open_attempt_.number = OnDispatch(attempts_, choice.server, choice.incarnation, now);
@@ -77,18 +78,17 @@
                                            {"server", choice.server.value()}});
   }
   StartAttempt(open_attempt_.address, spec_.path,
-               MakeBackendHeaders(spec_, open_attempt_, relay_.last_event_id(), now), now);
+               MakeBackendHeaders(spec_, open_attempt_, relay_.last_event_id(), now));
 }
 
 // Sends the request to `address`. Precondition: open_attempt_ describes this attempt.
 void Exchange::StartAttempt(const std::string& address, const std::string& path,
-                            HttpHeaders headers, Time now) {
+                            HttpHeaders headers) {
   std::string url = "http://" + address + path;
   if (!spec_.query.empty()) url += "?" + spec_.query;
   HttpCall call = NewCall(url, open_attempt_.number);
   call.headers = std::move(headers);
   open_attempt_.call = context_.client->Start(std::move(call));
-  last_data_at_ = now;
   if (spec_.idempotent) ScheduleLivenessCheck(open_attempt_.number);
 }
 
@@ -156,6 +156,7 @@
   Time now = SteadyNow();
   open_attempt_ = OpenAttempt();
   open_attempt_.dispatched_at = now;
+  last_data_at_ = now;
   open_attempt_.forwarding = true;
   open_attempt_.host = host.id;
   // The dispatcher did not place a forward to the owner of the key, so EndForward() must not be
@@ -177,8 +178,7 @@
   if (crosses_region) context_.metrics->CountSentAway(spec_.traffic_class);
   StartAttempt(host.http_address, spec_.request_path,
                MakeForwardHeaders(&spec_, open_attempt_, crosses_region, claim_.held(),
-                                  relay_.last_event_id(), context_.cluster_key, now),
-               now);
+                                  relay_.last_event_id(), context_.cluster_key, now));
 }
 
 // A server may send a second copy of a response late, when the connection carries another request.
