--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -62,6 +62,16 @@
   BOOST_TEST(caller->text == "data: {\"text\":\"a\"}\n\ndata: {\"text\":\"b\"}\n\n");
 }
 
+JobSpec MakeJob() {
+  JobSpec spec;
+  spec.id = JobId("j-1.este");
+  spec.team = TeamId("rocha");
+  spec.route = RouteId("summaries");
+  spec.path = "/v1/completions";
+  spec.body = R"({"model":"m","prompt":"x"})";
+  return spec;
+}
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(exchange, Fixture)
@@ -390,12 +400,7 @@
 // Guards against work for a job that was cancelled while its start was being written.
 BOOST_AUTO_TEST_CASE(JobCancelledBeforeItStartsIsNotRun) {
   JobApi jobs(context);
-  JobSpec spec;
-  spec.id = JobId("j-1.este");
-  spec.team = TeamId("rocha");
-  spec.route = RouteId("summaries");
-  spec.path = "/v1/completions";
-  spec.body = R"({"model":"m","prompt":"x"})";
+  JobSpec spec = MakeJob();
   spec.idempotent = true;
   records.SubmitJob(spec, [](SubmitKind, bool) {});
   journal->Sync();
@@ -418,12 +423,7 @@
 // host's refusal.
 BOOST_AUTO_TEST_CASE(ServerErrorEndsAJob) {
   JobApi jobs(context);
-  JobSpec spec;
-  spec.id = JobId("j-1.este");
-  spec.team = TeamId("rocha");
-  spec.route = RouteId("summaries");
-  spec.path = "/v1/completions";
-  spec.body = R"({"model":"m","prompt":"x"})";
+  JobSpec spec = MakeJob();
   records.SubmitJob(spec, [](SubmitKind, bool) {});
   journal->Sync();
   jobs.RunPending();
