Exchange tests change their view and list their servers in one place

The fixtures of three programs and one case copied the view, changed and published it, and two of them built the same list of servers. Fixture has ChangeView() and DialectFixture has SetServers() now; no assertion changes.

--- a/tests/exchange_faulty_server_test.cc
+++ b/tests/exchange_faulty_server_test.cc
@@ -24,17 +24,10 @@
   }
 
   void SetServers(const std::vector<RawServer*>& servers) {
-    auto view = std::make_shared<RoutingView>(*control.view);
-    BackendServer server = view->servers[0];
-    view->servers.clear();
-    for (size_t i = 0; i < servers.size(); ++i) {
-      server.announced.id = ServerId("s" + std::to_string(i + 1));
-      server.announced.software_version = "v1";
-      server.announced.address = "127.0.0.1:" + std::to_string(servers[i]->port());
-      view->servers.push_back(server);
-    }
-    control.view = view;
-    dispatcher.OnView(view, SteadyNow());
+    std::vector<std::string> addresses;
+    for (const RawServer* server : servers)
+      addresses.push_back("127.0.0.1:" + std::to_string(server->port()));
+    DialectFixture::SetServers(addresses);
   }
 
   // Waits until a server has got its request with this number, on any of its connections.
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -369,10 +369,7 @@
   constexpr size_t kBytesOfEach = AnswerRelay::kMaxBuffer / 2;
   const std::string chunk(256 << 10, 'x');
   DialectFixture f;
-  auto view = std::make_shared<RoutingView>(*f.control.view);
-  view->servers[0].announced.load.slots = 100;
-  f.control.view = view;
-  f.dispatcher.OnView(view, SteadyNow());
+  f.ChangeView([](RoutingView* view) { view->servers[0].announced.load.slots = 100; });
   const HttpHeaders headers = {{"Attempt-Id", "39ed"}, {"Server-Seal", "s1"}};
   std::vector<std::shared_ptr<FakeResponder>> callers;
   for (size_t i = 0; i <= kFaulty; ++i) {
--- a/tests/silent_servers_test.cc
+++ b/tests/silent_servers_test.cc
@@ -27,17 +27,7 @@
 struct TwoStreams : test::DialectFixture {
   TwoStreams() : DialectFixture(/*resumable=*/true) {
     context.stream_origins = &origins;
-    auto view = std::make_shared<RoutingView>(*control.view);
-    BackendServer server = view->servers[0];
-    server.announced.software_version = "v1";
-    view->servers.clear();
-    for (const char* id : {"s1", "s2"}) {
-      server.announced.id = ServerId(id);
-      server.announced.address = std::string(id) + ":1";
-      view->servers.push_back(server);
-    }
-    control.view = view;
-    dispatcher.OnView(view, SteadyNow());
+    SetServers({"s1:1", "s2:1"});
     for (size_t i = 0; i < 2; ++i) {
       callers.push_back(Start(LookSpec()));
       BOOST_REQUIRE(client.calls.size() == i + 1);
--- a/tests/support/exchange_fixture.h
+++ b/tests/support/exchange_fixture.h
@@ -156,6 +156,14 @@
     dispatcher.OnView(view, now);
   }
 
+  // Publishes the current view with the changes that `change` makes.
+  void ChangeView(const std::function<void(RoutingView*)>& change) {
+    auto view = std::make_shared<RoutingView>(*control.view);
+    change(view.get());
+    control.view = view;
+    dispatcher.OnView(view, SteadyNow());
+  }
+
   RequestSpec Spec() {
     RequestSpec spec;
     spec.id = NewRequestId();
@@ -261,12 +269,25 @@
     team.regions = {RegionId("este")};
     team.routes = config->ingress->route_configs;
     config->teams[team.id] = team;
-    auto view = std::make_shared<RoutingView>(*control.view);
-    view->config = std::move(config);
-    view->servers[0].announced.kind = ServerKind::kService;
-    view->servers[0].announced.services = {"portal"};
-    control.view = view;
-    dispatcher.OnView(view, SteadyNow());
+    ChangeView([&config](RoutingView* view) {
+      view->config = std::move(config);
+      view->servers[0].announced.kind = ServerKind::kService;
+      view->servers[0].announced.services = {"portal"};
+    });
+  }
+
+  // Replaces the server by one at each address, s1 and so on, all of the software version v1.
+  void SetServers(const std::vector<std::string>& addresses) {
+    ChangeView([&addresses](RoutingView* view) {
+      BackendServer server = view->servers[0];
+      view->servers.clear();
+      for (size_t i = 0; i < addresses.size(); ++i) {
+        server.announced.id = ServerId("s" + std::to_string(i + 1));
+        server.announced.software_version = "v1";
+        server.announced.address = addresses[i];
+        view->servers.push_back(server);
+      }
+    });
   }
 
   RequestSpec LookSpec(const std::string& caller_request_id = "39ed") {
