--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -162,6 +162,18 @@
       Gauge("ebonylift_live_servers", "Backend servers whose announcement has not expired.");
   prometheus::Gauge* config_revision =
       Gauge("ebonylift_config_revision", "Configuration revision in force.");
+  prometheus::Gauge* config_behind =
+      Gauge("ebonylift_config_behind_seconds",
+            "Time for which a configuration revision has been known that is not in force.");
+  prometheus::Gauge* control_delay =
+      Gauge("ebonylift_control_delay_seconds",
+            "Largest delay of a periodic task of the control thread in the last second.");
+  prometheus::Histogram* config_lag =
+      &prometheus::BuildHistogram()
+           .Name("ebonylift_config_lag_seconds")
+           .Help("Time from the first word of a configuration revision until it is in force.")
+           .Register(registry)
+           .Add({}, ResponseTimeBuckets());
   prometheus::Gauge* peer_sent =
       Gauge("ebonylift_peer_sent_bytes",
             "Message bytes sent to other daemons since the process started.");
@@ -241,6 +253,12 @@
   families_->config_revision->Set(static_cast<double>(revision));
 }
 
+void Metrics::SetConfigBehind(Duration behind) { families_->config_behind->Set(ToSeconds(behind)); }
+
+void Metrics::SetControlDelay(Duration delay) { families_->control_delay->Set(ToSeconds(delay)); }
+
+void Metrics::ObserveConfigLag(Duration lag) { families_->config_lag->Observe(ToSeconds(lag)); }
+
 void Metrics::SetLogDrops(const LogDrops& drops) {
   families_->routine_dropped->Set(static_cast<double>(drops.routine));
   families_->notable_dropped->Set(static_cast<double>(drops.notable));
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -60,11 +60,19 @@
   // Records how long a traffic thread takes to handle what arrives at its connections.
   void ObserveEventLoopDelay(Duration delay);
 
+  // Records the time from the first word of a configuration revision until it is in force on this
+  // host.
+  void ObserveConfigLag(Duration lag);
+
   // These set gauges to the current value.
   void SetQueueDepth(TrafficClass traffic_class, size_t requests);
   void SetLiveHosts(size_t hosts);
   void SetLiveServers(size_t servers);
   void SetConfigRevision(uint64_t revision);
+  // For how long a configuration revision has been known that is not in force on this host.
+  void SetConfigBehind(Duration behind);
+  // The largest delay of a periodic task of the control thread in the last second.
+  void SetControlDelay(Duration delay);
 
   // Sets the number of log lines dropped since the process started.
   void SetLogDrops(const LogDrops& drops);
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -148,8 +148,10 @@
   if (message.newest_revision > state->newest_revision) {
     state->newest_revision = message.newest_revision;
     state->newest_holder = message.newest_holder;
+    state->newest_source = from;
   }
   if (message.revision >= state->newest_revision && message.revision > 0) {
+    if (message.revision > state->newest_revision) state->newest_source = from;
     state->newest_revision = message.revision;
     state->newest_holder = from;
   }
@@ -529,6 +531,7 @@
   state->revision = revision;
   Self(state).revision = revision;
   if (revision < state->newest_revision) return;
+  if (revision > state->newest_revision) state->newest_source = HostId();
   state->newest_revision = revision;
   state->newest_holder = state->self.host;
 }
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -168,6 +168,7 @@
   uint64_t revision = 0;
   uint64_t newest_revision = 0;
   HostId newest_holder;
+  HostId newest_source;  // whose message told of `newest_revision`; empty: this host made it
   std::vector<StatusChange> changes;  // since the last TakeChanges()
   // Hosts added by their rows since the last TakeDiscoveredHosts().
   std::vector<HostEntry> discovered_hosts;
--- a/src/daemon/config_puller.cc
+++ b/src/daemon/config_puller.cc
@@ -1,6 +1,7 @@
 #include "daemon/config_puller.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 #include "base/error.h"
@@ -24,6 +25,9 @@
 }
 
 void ConfigPuller::PullFrom(const HostId& host) {
+  LogEvent(EventId::kConfigPullStarted, {{"host", host.value()},
+                                         {"held", std::to_string(options_.revision())},
+                                         {"pending", std::to_string(pending_.size())}});
   pending_.push_back({host, options_.clock()});
   options_.pull(host, kPullTimeout,
                 [this, host](const std::optional<std::string>& data) { OnPulled(host, data); });
@@ -32,9 +36,16 @@
 void ConfigPuller::OnPulled(const HostId& host, const std::optional<std::string>& data) {
   auto pull = std::find_if(pending_.begin(), pending_.end(),
                            [&](const PendingPull& pending) { return pending.host == host; });
-  if (pull != pending_.end()) pending_.erase(pull);
+  Time now = options_.clock();
+  Time started = now;
+  if (pull != pending_.end()) {
+    started = pull->started;
+    pending_.erase(pull);
+  }
   if (!data) {
-    next_pull_ = options_.clock() + kPullRetryDelay;
+    LogEvent(EventId::kConfigPullFailed,
+             {{"host", host.value()}, {"ms", std::to_string(ToMillis(now - started))}});
+    next_pull_ = now + kPullRetryDelay;
     return;
   }
   try {
--- a/src/daemon/config_puller.h
+++ b/src/daemon/config_puller.h
@@ -40,6 +40,8 @@
     std::function<bool()> in_snapshot;
     // Returns a host with a newer revision that is not one of `excluded`.
     std::function<std::optional<HostId>(const std::set<HostId>& excluded)> choose_host;
+    // The newest revision that the replica has.
+    std::function<uint64_t()> revision;
     // Rpc::ConfigSince() for what the replica lacks.
     std::function<void(const HostId& host, Duration timeout, PullDone done)> pull;
     // ConfigReplica::ApplyPullResponse().
--- a/src/daemon/config_view_publisher.cc
+++ b/src/daemon/config_view_publisher.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/event.h"
 #include "core/config_view.h"
 
 namespace ebonylift {
@@ -14,6 +15,7 @@
 }  // namespace
 
 void ConfigViewPublisher::AddChanges(bool whole_tree, const std::vector<std::string>& changed) {
+  if (!changed_at_) changed_at_ = clock_->Read();
   rebuild_ = rebuild_ || whole_tree;
   if (!rebuild_) changed_paths_.insert(changed_paths_.end(), changed.begin(), changed.end());
 }
@@ -31,6 +33,11 @@
   changed_paths_.clear();
   Time ended = clock_->Read();
   next_view_at_ = ended + std::min<Duration>(kMaxViewDelay, kPausePerBuildTime * (ended - started));
+  LogEvent(EventId::kConfigViewPublished,
+           {{"revision", std::to_string(view_->revision)},
+            {"ms", std::to_string(ToMillis(ended - changed_at_.value_or(started)))},
+            {"build_ms", std::to_string(ToMillis(ended - started))}});
+  changed_at_.reset();
   if (changed_callback_) callbacks_->Push(changed_callback_);
 }
 
--- a/src/daemon/config_view_publisher.h
+++ b/src/daemon/config_view_publisher.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -51,6 +52,7 @@
   bool rebuild_ = false;                    // build the next view from the whole tree
   std::vector<std::string> changed_paths_;  // since `view_`
   Time next_view_at_;                       // earliest time of the next view
+  std::optional<Time> changed_at_;          // of the first change since `view_`
 };
 
 }  // namespace ebonylift
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -35,7 +35,7 @@
 
 constexpr Duration kPublishInterval = milliseconds(20);
 constexpr Duration kLoadPublishInterval = milliseconds(100);
-constexpr Duration kPeerBytesInterval = seconds(1);
+constexpr Duration kControlStatsInterval = seconds(1);
 
 // Identity and addresses of another host, as configured on this host.
 struct ControlPeer {
@@ -45,6 +45,19 @@
   bool has_disk = false;
 };
 
+// What the control thread reports for the metrics.
+struct ControlStats {
+  // Bytes sent to and received from other daemons since the start, and the sent bytes that are not
+  // yet written out.
+  uint64_t sent_bytes = 0;
+  uint64_t received_bytes = 0;
+  uint64_t unsent_bytes = 0;
+  // For how long this host has known of a configuration revision that is not in force on it.
+  Duration config_behind{0};
+  // The largest delay of a periodic task of the control thread since the last report.
+  Duration max_tick_delay{0};
+};
+
 struct ControlOptions {
   Identity self;
   uint64_t incarnation = 0;  // must grow with each start of the process; not 0
@@ -88,9 +101,12 @@
   std::function<std::vector<RoomReport>()> known_room_reports;
   std::function<std::optional<StreamOrigin>(uint64_t stream)> find_stream;
 
-  // Called on the control thread every kPeerBytesInterval with the total bytes sent to and received
-  // from other daemons since the start, and the sent bytes that are not yet written out.
-  std::function<void(uint64_t sent, uint64_t received, uint64_t unsent)> on_peer_bytes;
+  // Called on the control thread every kControlStatsInterval.
+  std::function<void(const ControlStats& stats)> on_stats;
+
+  // Called on the control thread with the time from the first word of a configuration revision
+  // until it is in force on this host.
+  std::function<void(Duration lag)> on_config_lag;
 };
 
 // Throws Error(kInternal) when the peer address cannot be used or a required option is missing, and
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -1,5 +1,6 @@
 #include "daemon/control_loop.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -115,6 +116,7 @@
   puller.choose_host = [this](const std::set<HostId>& excluded) {
     return PullTarget(gossip_.membership(), rng_, excluded);
   };
+  puller.revision = [this]() { return replica_.revision(); };
   puller.pull = [this](const HostId& host, Duration timeout, ConfigPuller::PullDone done) {
     rpc_.ConfigSince(host, replica_.revision(), replica_.pull_offset(), timeout, std::move(done));
   };
@@ -155,6 +157,10 @@
 }
 
 void ControlLoop::OnTick(Time now) {
+  if (last_tick_ != Time()) {
+    max_tick_delay_ = std::max(max_tick_delay_, now - last_tick_ - kTickInterval);
+  }
+  last_tick_ = now;
   if (servers_.RemoveExpired(now)) SchedulePublish(kPublishInterval);
   // The servers in a view expire if no view follows, although nothing has changed.
   if (options_->pause_expiry_when_isolated) SchedulePublish(kIsolationGrace / 2);
@@ -167,14 +173,23 @@
     next_summary_ = now + kSummaryInterval;
     ReportDomainSummaries(now);
   }
+  UpdateConfigLag(now);
   config_puller_.Tick();
   servers_.SaveIfDue(now);
   if (options_->find_hosts) voter_maintenance_.Tick(now);
   gossip_.HandleChanges();
-  if (options_->on_peer_bytes && now >= next_peer_bytes_report_) {
-    next_peer_bytes_report_ = now + kPeerBytesInterval;
-    options_->on_peer_bytes(rpc_.sent_bytes(), rpc_.received_bytes(), rpc_.unsent_bytes());
-  }
+  if (options_->on_stats && now >= next_stats_) ReportStats(now);
+}
+
+void ControlLoop::ReportStats(Time now) {
+  next_stats_ = now + kControlStatsInterval;
+  ControlStats stats;
+  stats.sent_bytes = rpc_.sent_bytes();
+  stats.received_bytes = rpc_.received_bytes();
+  stats.unsent_bytes = rpc_.unsent_bytes();
+  stats.config_behind = config_lag_.Behind(now);
+  stats.max_tick_delay = std::exchange(max_tick_delay_, Duration(0));
+  options_->on_stats(stats);
 }
 
 // ---- view ----
@@ -265,6 +280,14 @@
   for (const HostId& host : hosts) gossip_.Push(host);
 }
 
+void ControlLoop::UpdateConfigLag(Time now) {
+  const Membership& membership = gossip_.membership();
+  config_lag_.OnHeard(membership.newest_revision, membership.newest_source,
+                      membership.newest_holder, replica_.revision(), now);
+  std::optional<Duration> lag = config_lag_.OnInForce(replica_.View()->revision, now);
+  if (lag && options_->on_config_lag) options_->on_config_lag(*lag);
+}
+
 void ControlLoop::ReadLinearizable(const std::string& path,
                                    const std::function<void(LinearizableRead)>& done) {
   std::optional<HostId> leader =
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -31,6 +31,7 @@
 #include "base/time.h"
 #include "core/work_exchange.h"
 #include "daemon/announcement_relay.h"
+#include "daemon/config_lag.h"
 #include "daemon/config_proposer.h"
 #include "daemon/config_puller.h"
 #include "daemon/config_replica.h"
@@ -158,6 +159,8 @@
   void ReportDomainSummaries(Time now);
   void SendSuspects();
   void OnConfigApplied();
+  void UpdateConfigLag(Time now);
+  void ReportStats(Time now);
   void SchedulePublish(Duration interval) { publish_timer_.Schedule(interval); }
   void RunAfter(Duration delay, std::function<void()> fn);
   void PublishNow();
@@ -178,7 +181,10 @@
   SuspectOutbox suspect_outbox_;
   SuspectHistory suspect_history_;
   Time next_summary_;
-  Time next_peer_bytes_report_;
+  ConfigLag config_lag_;
+  Time next_stats_;
+  Time last_tick_;
+  Duration max_tick_delay_{0};  // since the last report
   bool disk_was_lost_ = false;
   bool published_disk_confirmed_ = false;
   kj::Own<kj::AsyncInputStream> wakeup_pipe_;
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -166,9 +166,12 @@
     options.find_stream = [this](uint64_t stream) {
       return stream_origins_.Find(stream, SteadyNow());
     };
-    options.on_peer_bytes = [this](uint64_t sent, uint64_t received, uint64_t unsent) {
-      metrics_.SetPeerBytes(sent, received, unsent);
+    options.on_stats = [this](const ControlStats& stats) {
+      metrics_.SetPeerBytes(stats.sent_bytes, stats.received_bytes, stats.unsent_bytes);
+      metrics_.SetConfigBehind(stats.config_behind);
+      metrics_.SetControlDelay(stats.max_tick_delay);
     };
+    options.on_config_lag = [this](Duration lag) { metrics_.ObserveConfigLag(lag); };
     return options;
   }
 
--- a/tests/config_puller_test.cc
+++ b/tests/config_puller_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/included/unit_test.hpp>
 #include <map>
+#include <vector>
 
 namespace ebonylift {
 namespace {
@@ -10,7 +11,7 @@
 const HostId kFrozen("frozen");
 const HostId kSound("sound");
 
-// A puller whose replica lacks a revision that two hosts have. One of them never responds.
+// A puller whose replica lacks a revision that other hosts have. All but one of them never respond.
 struct Fixture {
   Fixture() : puller(MakeOptions()) {}
 
@@ -18,11 +19,14 @@
     ConfigPuller::Options options;
     options.needs_pull = [this] { return !applied; };
     options.in_snapshot = [this] { return in_snapshot; };
-    options.choose_host = [](const std::set<HostId>& excluded) -> std::optional<HostId> {
-      if (excluded.count(kFrozen) == 0) return kFrozen;
+    options.choose_host = [this](const std::set<HostId>& excluded) -> std::optional<HostId> {
+      for (const HostId& host : frozen) {
+        if (excluded.count(host) == 0) return host;
+      }
       if (excluded.count(kSound) == 0) return kSound;
       return std::nullopt;
     };
+    options.revision = [] { return uint64_t{1}; };
     options.pull = [this](const HostId& host, Duration, ConfigPuller::PullDone done) {
       ++pulls;
       pending[host] = std::move(done);
@@ -48,6 +52,7 @@
   }
 
   Time now{seconds(100)};
+  std::vector<HostId> frozen{kFrozen};
   bool applied = false;
   bool in_snapshot = false;
   int pulls = 0;
@@ -67,6 +72,16 @@
   BOOST_TEST(pulls == 2);
 }
 
+// Guards against a host that serves an old configuration because pulls from two hosts that are too
+// busy to respond keep it from asking a third.
+BOOST_FIXTURE_TEST_CASE(TwoBusyHostsDoNotDelayTheChange, Fixture) {
+  frozen = {HostId("busy-1"), HostId("busy-2")};
+  // The platform's shortest bound for a change to be in force.
+  constexpr Duration kApplyTime = seconds(3);
+  Run(kApplyTime);
+  BOOST_TEST(applied);
+}
+
 // Guards against more and more pulls that wait for hosts that do not respond.
 BOOST_FIXTURE_TEST_CASE(PendingPullsAreBounded, Fixture) {
   pending[kSound] = nullptr;
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -39,6 +39,9 @@
   metrics.SetLiveServers(18);
   metrics.SetConfigRevision(4300);
   metrics.SetPeerBytes(1500, 2500, 700);
+  metrics.SetConfigBehind(milliseconds(2500));
+  metrics.SetControlDelay(milliseconds(120));
+  metrics.ObserveConfigLag(milliseconds(800));
   metrics.SetDescriptorConflicts(2);
   std::string text = metrics.Render();
   for (const char* line : {
@@ -70,6 +73,9 @@
            R"(ebonylift_peer_received_bytes 2500)",
            R"(ebonylift_peer_unsent_bytes 700)",
            R"(ebonylift_config_revision 4300)",
+           R"(ebonylift_config_behind_seconds 2.5)",
+           R"(ebonylift_control_delay_seconds 0.12)",
+           R"(ebonylift_config_lag_seconds_bucket{le="1"} 1)",
            R"(ebonylift_descriptor_conflicts 2)",
        }) {
     BOOST_TEST(HasLine(text, line), line << " is missing from\n" << text);
