CONFIG: hosts that do not respond do not keep a gateway from asking others

Cause: two pulls were pending at most, each for up to 5 s. A control host whose thread is busy answers no pull for seconds, and a host that is stopped or cut off none at all. A gateway whose two pulls waited for such hosts asked no third one until the first timed out, 5 s after it began.

Now whenever the newest pull has no response after 0.7 s another host is asked, up to more pulls than start within the timeout of the first.

--- a/src/daemon/config_puller.cc
+++ b/src/daemon/config_puller.cc
@@ -12,8 +12,9 @@
 bool ConfigPuller::MayPull(Time now) const {
   if (now < next_pull_ || !options_.needs_pull()) return false;
   if (pending_.empty()) return true;
-  Duration patience = options_.in_snapshot() ? kSlowSnapshotPull : kSlowPull;
-  return pending_.size() < kMaxPulls && now - pending_.back().started >= patience;
+  bool in_snapshot = options_.in_snapshot();
+  if (pending_.size() >= (in_snapshot ? kMaxSnapshotPulls : kMaxPulls)) return false;
+  return now - pending_.back().started >= (in_snapshot ? kSlowSnapshotPull : kSlowPull);
 }
 
 void ConfigPuller::Tick() {
--- a/src/daemon/config_puller.h
+++ b/src/daemon/config_puller.h
@@ -4,8 +4,8 @@
 // Pulls new revisions of the configuration from other hosts, on hosts that do not get them by
 // consensus; see daemon/config_replica.h.
 //
-// A host that was stopped or cut off is not known to be so at once, and a pull from it ends only
-// after kPullTimeout. So when a pull takes long, a second one goes to another host.
+// A host that is busy, stopped or cut off is not known to be so at once, and a pull from it ends
+// only after kPullTimeout. So whenever the newest pull takes long, another host is asked as well.
 //
 // Not thread safe: all methods and callbacks run on the control thread. Memory: kMaxPulls pending
 // pulls.
@@ -28,7 +28,12 @@
 // takes a fraction of it; a part of a snapshot may take longer, so a transfer in parts waits more.
 constexpr Duration kSlowPull = milliseconds(700);
 constexpr Duration kSlowSnapshotPull = milliseconds(2'500);
-constexpr size_t kMaxPulls = 2;
+// More pulls than start within kPullTimeout, so that hosts which do not respond never keep this one
+// from asking another.
+constexpr size_t kMaxPulls = 8;
+static_assert(kMaxPulls * kSlowPull > kPullTimeout);
+// Transfers of a snapshot share the bandwidth of this host, so there are fewer at a time.
+constexpr size_t kMaxSnapshotPulls = 2;
 
 class ConfigPuller {
  public:
--- a/tests/config_puller_test.cc
+++ b/tests/config_puller_test.cc
@@ -92,6 +92,15 @@
   BOOST_TEST(pulls <= static_cast<int>(kMaxPulls));
 }
 
+// Guards against a snapshot that is requested from many hosts at a time, which share the bandwidth
+// of this one.
+BOOST_FIXTURE_TEST_CASE(PendingSnapshotPullsAreFewer, Fixture) {
+  frozen = {HostId("1"), HostId("2"), HostId("3"), HostId("4")};
+  in_snapshot = true;
+  Run(kPullTimeout + kPullTimeout);
+  BOOST_TEST(pulls == static_cast<int>(kMaxSnapshotPulls));
+}
+
 // Guards against a snapshot that is requested from a second host while a large part of it is still
 // on its way over a narrow link.
 BOOST_FIXTURE_TEST_CASE(PartOfASnapshotGetsMoreTime, Fixture) {
