CONFIG: a revision is passed on at once, and by every host

The leader told the first 128 of its connected hosts in the order of their ids, always the same ones. All others learned it from a probe of a host that had waited, too, and then waited themselves.

Now a host tells others as soon as it has the revision; the view follows with the next tick. The leader tells hosts drawn from all, and every other host tells three that are not known to have the revision.

control_test RevisionIsPassedOnByOtherHosts: with kMaxPushes 0 the far host does not have the first revision after 20 s. config_replica_test RevisionIsToldBeforeItsViewIsBuilt and membership_test HostsToTellAreDrawnFromAll use functions that are new. VersionsOfALargeDocument- CostWhatTheyChange makes a step before it looks at the views, as these are built in a tick.

--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -581,6 +581,19 @@
   return state.newest_holder;
 }
 
+std::vector<HostId> HostsToTell(const Membership& state, const std::vector<HostId>& connected,
+                                size_t limit, std::mt19937_64& rng) {
+  std::vector<HostId> hosts;
+  for (const HostId& id : connected) {
+    auto host = state.hosts.find(id);
+    if (host == state.hosts.end() || host->second.revision >= state.revision) continue;
+    if (!host->second.unreachable && IsLive(host->second.row.status)) hosts.push_back(id);
+  }
+  std::shuffle(hosts.begin(), hosts.end(), rng);
+  if (hosts.size() > limit) hosts.resize(limit);
+  return hosts;
+}
+
 std::vector<HostEntry> HostEntries(const Membership& state) {
   std::vector<HostEntry> entries;
   entries.reserve(state.hosts.size());
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -67,8 +67,8 @@
   int summary_load_divisor = 8;                  // large: jobs change by >= slots / this
   Duration summary_slow_interval = seconds(10);  // between reports after smaller changes
   Duration summary_refresh = seconds(30);        // between reports without change
-  Duration summary_lifetime = seconds(90);       // a summary that is not reported again is dropped
-  bool find_hosts = false;                       // accept rows of hosts that are not configured
+  Duration summary_lifetime = seconds(90);  // a summary that is not reported again is dropped
+  bool find_hosts = false;                  // accept rows of hosts that are not configured
 };
 
 // The gossiped state of one host.
@@ -227,6 +227,11 @@
 std::optional<HostId> PullTarget(const Membership& state, std::mt19937_64& rng,
                                  const std::set<HostId>& excluded = {});
 
+// At most `limit` random live hosts of `connected` that are not known to have this host's revision
+// of the configuration.
+std::vector<HostId> HostsToTell(const Membership& state, const std::vector<HostId>& connected,
+                                size_t limit, std::mt19937_64& rng);
+
 // All hosts as the routing view shows them, ordered by id.
 std::vector<HostEntry> HostEntries(const Membership& state);
 std::vector<DomainSummary> Summaries(const Membership& state);
--- a/src/daemon/config_replica.cc
+++ b/src/daemon/config_replica.cc
@@ -43,8 +43,8 @@
   void Apply(Ready ready);
   void ApplyPut(const LogEntry& entry, std::vector<std::string>* changed);
 
-  // Makes a newer revision visible to watches and views. The changed paths are in `changed`, or
-  // anything may have changed when `whole_tree` is true.
+  // Makes a newer revision visible to watches, and to views in the next RunTimers(). The changed
+  // paths are in `changed`, or anything may have changed when `whole_tree` is true.
   void Publish(bool whole_tree, const std::vector<std::string>& changed);
 
   void AnswerReads();
@@ -73,6 +73,7 @@
   ConfigPuts puts;
   VoterChanges voter_changes;
   ConfigViewPublisher publisher;
+  std::function<void()> revision_changed;  // may be empty
 
  private:
   DurableConsensus::Options MakeConsensusOptions();
@@ -127,7 +128,9 @@
     std::set<HostId> voters(options.voters.begin(), options.voters.end());
     consensus.Create(voters, options.may_bootstrap && !lost);
   }
-  if (CurrentTree().revision > publisher.view()->revision) Publish(/*whole_tree=*/true, {});
+  if (CurrentTree().revision <= publisher.view()->revision) return;
+  Publish(/*whole_tree=*/true, {});
+  publisher.PublishIfDue(CurrentTree());
 }
 
 void ConfigReplica::Impl::Apply(Ready ready) {
@@ -188,7 +191,7 @@
 void ConfigReplica::Impl::Publish(bool whole_tree, const std::vector<std::string>& changed) {
   publisher.AddChanges(whole_tree, changed);
   watches.Answer(CurrentTree(), clock.now());
-  publisher.PublishIfDue(CurrentTree());
+  if (revision_changed) callbacks.Push(revision_changed);
 }
 
 void ConfigReplica::Impl::AnswerReads() {
@@ -345,6 +348,9 @@
 }
 
 std::shared_ptr<const ConfigView> ConfigReplica::View() const { return impl_->publisher.view(); }
+void ConfigReplica::SetRevisionChangedCallback(std::function<void()> fn) {
+  impl_->revision_changed = std::move(fn);
+}
 void ConfigReplica::SetViewChangedCallback(std::function<void()> fn) {
   impl_->publisher.SetChangedCallback(std::move(fn));
 }
--- a/src/daemon/config_replica.h
+++ b/src/daemon/config_replica.h
@@ -154,11 +154,15 @@
   // Error(kBadRequest) when `bytes` is malformed.
   bool ApplyPullResponse(std::string_view bytes, const HostId& from = HostId());
 
-  // The view of revision(), or of a revision at most 1 s older during a burst of changes. Never
-  // null; each new view is a new object. A host outside the consensus that has a disk publishes a
-  // revision only after it is on disk.
+  // The view of revision() as of the last Tick(), or of a revision at most 1 s older during a burst
+  // of changes. Never null; each new view is a new object. A host outside the consensus that has a
+  // disk publishes a revision only after it is on disk.
   std::shared_ptr<const ConfigView> View() const;
 
+  // `fn` is called from other methods of this object after revision() has grown, and before the
+  // view of that revision is built, which may take long.
+  void SetRevisionChangedCallback(std::function<void()> fn);
+
   // `fn` is called from other methods of this object after View() has changed.
   void SetViewChangedCallback(std::function<void()> fn);
 
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -20,8 +20,11 @@
 constexpr Duration kTimelineTimeout = seconds(2);
 // Three round trips between regions.
 constexpr Duration kFindStreamTimeout = milliseconds(350);
-// The leader pushes a new revision to at most this many hosts; the others learn it by gossip.
-constexpr size_t kMaxRevisionPushes = 128;
+// The leader tells at most this many hosts of a new revision at once.
+constexpr size_t kMaxLeaderPushes = 128;
+// Every other host that gets a revision tells so many more. With probes alone, what the leader did
+// not tell spreads in seconds when hosts are short of processor time.
+constexpr size_t kMaxPushes = 3;
 
 }  // namespace
 
@@ -52,10 +55,10 @@
 }
 
 void ControlLoop::Start() {
-  replica_.SetViewChangedCallback([this]() { OnConfigApplied(); });
+  replica_.SetRevisionChangedCallback([this]() { OnRevisionChanged(); });
+  replica_.SetViewChangedCallback([this]() { SchedulePublish(kPublishInterval); });
   replica_.Start(SteadyNow());
   servers_.Load(SteadyNow());
-  OnConfigApplied();
   PublishNow();
   rpc_.Start();
   wakeup_pipe_ = io_->lowLevelProvider->wrapInputFd(task_queue_->read_fd());
@@ -271,13 +274,13 @@
 
 // ---- configuration ----
 
-void ControlLoop::OnConfigApplied() {
+// Runs before the view of the revision is built: the other hosts need not wait for that.
+void ControlLoop::OnRevisionChanged() {
   SetRevision(gossip_.mutable_membership(), replica_.revision());
-  SchedulePublish(kPublishInterval);
-  if (!replica_.IsLeader()) return;
-  std::vector<HostId> hosts = rpc_.Connected();
-  if (hosts.size() > kMaxRevisionPushes) hosts.resize(kMaxRevisionPushes);
-  for (const HostId& host : hosts) gossip_.Push(host);
+  size_t limit = replica_.IsLeader() ? kMaxLeaderPushes : kMaxPushes;
+  for (const HostId& host : HostsToTell(gossip_.membership(), rpc_.Connected(), limit, rng_)) {
+    gossip_.Push(host);
+  }
 }
 
 void ControlLoop::UpdateConfigLag(Time now) {
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -158,7 +158,7 @@
   void OnTick(Time now);
   void ReportDomainSummaries(Time now);
   void SendSuspects();
-  void OnConfigApplied();
+  void OnRevisionChanged();
   void UpdateConfigLag(Time now);
   void ReportStats(Time now);
   void SchedulePublish(Duration interval) { publish_timer_.Schedule(interval); }
--- a/tests/config_replica_test.cc
+++ b/tests/config_replica_test.cc
@@ -286,6 +286,24 @@
 
 }  // namespace
 
+// Guards against hosts that hear of a revision only after the host that has it has built a view,
+// which takes long for a large document and a busy processor.
+BOOST_AUTO_TEST_CASE(RevisionIsToldBeforeItsViewIsBuilt) {
+  Cluster cluster({"a"});
+  cluster.Put(MakePut("/deployment/regions/este", kRegionValue));
+  cluster.Start("b", /*has_disk=*/false);
+  ConfigReplica& replica = cluster.Replica("b");
+  std::vector<uint64_t> views;
+  replica.SetRevisionChangedCallback([&] {
+    BOOST_TEST(replica.revision() == 1u);
+    views.push_back(replica.View()->revision);
+  });
+  cluster.Pull("b", "a");
+  BOOST_TEST(views == std::vector<uint64_t>{0});
+  cluster.Step();
+  BOOST_TEST(replica.View()->revision == 1u);
+}
+
 // Guards against puts that are answered before they are in the view, and against wrong error kinds.
 BOOST_AUTO_TEST_CASE(SingleVoterAnswersPuts) {
   Cluster cluster({"a"});
@@ -783,6 +801,7 @@
     // Three hosts get the version.
     BOOST_TEST(cluster.sent_bytes <= 3 * kMaxVersionBytes);
   }
+  cluster.Step();  // builds the views
   for (const std::string name : {"a", "b", "c", "x"}) {
     BOOST_REQUIRE_EQUAL(cluster.Replica(name).View()->ingress->version, kVersions);
     size_t journal = cluster.DiskOf(name).snapshot ? cluster.DiskOf(name).snapshot->size() : 0;
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -133,6 +133,8 @@
   uint64_t incarnation = 1;
   std::string data_folder;
   bool voter = false;
+  std::set<std::string> strangers;      // hosts to which it does not connect
+  Duration period = milliseconds(500);  // between probes
   std::function<void(const SuspectReport&)> on_suspect_report;
   std::function<std::vector<SuspectReport>()> known_suspects;
   std::shared_ptr<ControlPort> port;
@@ -163,9 +165,11 @@
     options.on_suspect_report = host.on_suspect_report;
     options.known_suspects = host.known_suspects;
     options.data_folder = host.data_folder;
+    options.membership.period = host.period;
     for (const TestHost& peer : hosts_) {
       if (peer.voter) options.voters.emplace_back(peer.id);
-      if (peer.id != host.id) options.peers.push_back(MakePeer(peer));
+      bool connects = peer.id != host.id && host.strangers.count(peer.id) == 0;
+      if (connects) options.peers.push_back(MakePeer(peer));
     }
     host.port = StartControl(std::move(options));
   }
@@ -706,6 +710,33 @@
       [&]() { return !PutTo(cluster.port(3), RegionPut("r2", "put-3", 0)).error.has_value(); }));
 }
 
+// Guards against hosts that learn of a revision only by a probe, because the leader does not tell
+// them: with probes a minute apart, a host that is not connected to the leader would wait so long.
+BOOST_AUTO_TEST_CASE(RevisionIsPassedOnByOtherHosts) {
+  constexpr Duration kApplyTime = seconds(3);  // the platform's shortest bound
+  TempFolder folder;
+  std::vector<TestHost> hosts = {MakeHost("leader"), MakeHost("between", "d2", "r2"),
+                                 MakeHost("far", "d3", "r3")};
+  for (TestHost& host : hosts) host.period = seconds(60);
+  hosts[0].voter = true;
+  hosts[0].data_folder = folder.path() + "/leader";
+  hosts[0].strangers = {"far"};
+  hosts[2].strangers = {"leader"};
+  Cluster cluster(std::move(hosts));
+  auto has_revision = [&](size_t i, uint64_t revision) {
+    return WaitFor([&] { return cluster.port(i)->View()->config->revision >= revision; });
+  };
+  BOOST_TEST_REQUIRE(WaitFor(
+      [&] { return !PutTo(cluster.port(0), RegionPut("r1", "put-1", 0)).error.has_value(); }));
+  BOOST_TEST_REQUIRE(has_revision(1, 1));
+  BOOST_TEST_REQUIRE(has_revision(2, 1));
+  PutAnswer answer = PutTo(cluster.port(0), RegionPut("r2", "put-2", 0));
+  BOOST_TEST_REQUIRE(!answer.error.has_value());
+  Time accepted = SteadyNow();
+  BOOST_TEST(has_revision(2, answer.revision));
+  BOOST_TEST(ToMillis(SteadyNow() - accepted) < ToMillis(kApplyTime));
+}
+
 // Guards against changes that are refused while a leader is being elected, and against changes that
 // wait without limit when no leader can be elected.
 BOOST_AUTO_TEST_CASE(PutWaitsForALeaderForABoundedTime) {
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -482,6 +482,31 @@
   BOOST_TEST(!PullTarget(state, rng).has_value());
 }
 
+// Guards against hosts that are never told directly, because the same ones are always told first.
+BOOST_AUTO_TEST_CASE(HostsToTellAreDrawnFromAll) {
+  std::vector<HostEntry> peers;
+  std::vector<HostId> ids;
+  for (int i = 0; i < 20; ++i) {
+    peers.push_back(MakeHost("h" + std::to_string(i)));
+    ids.push_back(peers.back().id);
+  }
+  Membership state = MakeMembership(MakeHost("a"), peers, {});
+  std::mt19937_64 rng(kSeed);
+  GossipMessage message;
+  for (const HostId& id : ids) {
+    message.hosts = {{id, 1, 1, HostStatus::kAlive, false}};
+    OnGossip(&state, id, message, Time(seconds(1)), rng);
+  }
+  SetRevision(&state, 1);
+  std::set<HostId> told;
+  for (int i = 0; i < 50; ++i) {
+    std::vector<HostId> hosts = HostsToTell(state, ids, 3, rng);
+    BOOST_TEST(hosts.size() == 3u);
+    told.insert(hosts.begin(), hosts.end());
+  }
+  BOOST_TEST(told.size() == ids.size());
+}
+
 // Guards against a failure domain with two reporters or none, and against summaries that remain
 // after the servers or the reporter are gone.
 BOOST_AUTO_TEST_CASE(SummariesFollowReporterChange) {
