CONFIG: only hosts that can be reached are asked for the configuration

Callers wait longer for a gateway that has just started or reconnects.

Cause: a host that had heard of a newer revision from many others picked one of them, also one to which it has no connection. Such a pull fails at once, the next one follows 0.2 s later, and hosts of the own failure domain are preferred.

Now only connected hosts are asked. A restarted host counts as having no revision until it says so: it was asked for what the process before had, and not told of what it lacks. And if all hosts that have the revision are suspected, one of them is asked rather than none: a host that is short of processor time takes many others for lost.

OnlyConnectedHostsAreAsked and PullFallsBackToSuspectedHosts use the changed function.

--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -170,6 +170,7 @@
   MemberHost& host = it->second;
   if (incarnation > host.heard_incarnation) {
     host.heard_incarnation = incarnation;
+    host.revision = 0;  // the new process may have less than the one before
     host.needs_all_summaries = true;
     host.next_summary = SummaryKey();
   }
@@ -564,21 +565,26 @@
 }
 
 std::optional<HostId> PullTarget(const Membership& state, std::mt19937_64& rng,
-                                 const std::set<HostId>& excluded) {
+                                 const std::function<bool(const HostId&)>& may_ask) {
   if (state.newest_revision <= state.revision) return std::nullopt;
   std::vector<HostId> local;
   std::vector<HostId> remote;
+  std::vector<HostId> suspected;
   for (const auto& [id, host] : state.hosts) {
-    if (id == state.self.host || host.revision <= state.revision) continue;
-    if (excluded.count(id) != 0) continue;
-    if (host.unreachable || !IsLive(host.row.status)) continue;
-    (SameDomain(state, host) ? local : remote).push_back(id);
+    if (id == state.self.host || host.revision <= state.revision || !may_ask(id)) continue;
+    if (host.unreachable || !IsLive(host.row.status)) {
+      suspected.push_back(id);
+    } else {
+      (SameDomain(state, host) ? local : remote).push_back(id);
+    }
   }
   const std::vector<HostId>& from = local.empty() ? remote : local;
   if (!from.empty()) return from[rng() % from.size()];
-  if (state.newest_holder.empty() || state.newest_holder == state.self.host) return std::nullopt;
-  if (excluded.count(state.newest_holder) != 0) return std::nullopt;
-  return state.newest_holder;
+  const HostId& holder = state.newest_holder;
+  if (!holder.empty() && holder != state.self.host && may_ask(holder)) return holder;
+  // A host that is short of processor time takes many others for lost.
+  if (suspected.empty()) return std::nullopt;
+  return suspected[rng() % suspected.size()];
 }
 
 std::vector<HostId> HostsToTell(const Membership& state, const std::vector<HostId>& connected,
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -30,6 +30,7 @@
 // last two periods.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -114,7 +115,8 @@
   // that is missing.
   bool needs_all_summaries = false;
   SummaryKey next_summary;
-  uint64_t revision = 0;  // largest configuration revision in its direct messages
+  // Largest configuration revision in the direct messages of this incarnation.
+  uint64_t revision = 0;
 };
 
 struct MemberSummary {
@@ -223,9 +225,10 @@
 
 // The host to pull the configuration from if a newer revision is known: a random reachable host
 // with a newer revision, preferably in this failure domain; else the host that is said to have the
-// newest one. Never one of `excluded`.
+// newest one; else a random host with a newer revision that is suspected. Only hosts for which
+// `may_ask` returns true.
 std::optional<HostId> PullTarget(const Membership& state, std::mt19937_64& rng,
-                                 const std::set<HostId>& excluded = {});
+                                 const std::function<bool(const HostId&)>& may_ask);
 
 // At most `limit` random live hosts of `connected` that are not known to have this host's revision
 // of the configuration.
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -117,7 +117,10 @@
   puller.needs_pull = [this]() { return replica_.NeedsPull(); };
   puller.in_snapshot = [this]() { return replica_.pull_offset() != 0; };
   puller.choose_host = [this](const std::set<HostId>& excluded) {
-    return PullTarget(gossip_.membership(), rng_, excluded);
+    // A host that has just started has heard of many hosts to which it is not connected yet.
+    return PullTarget(gossip_.membership(), rng_, [&](const HostId& host) {
+      return excluded.count(host) == 0 && rpc_.IsConnected(host);
+    });
   };
   puller.revision = [this]() { return replica_.revision(); };
   puller.pull = [this](const HostId& host, Duration timeout, ConfigPuller::PullDone done) {
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -209,6 +209,11 @@
   return entry;
 }
 
+// The hosts that may be asked for a revision: all but these.
+std::function<bool(const HostId&)> AllBut(const std::set<std::string>& excluded) {
+  return [excluded](const HostId& host) { return excluded.count(host.value()) == 0; };
+}
+
 DomainSummary Summary(const Membership& state, const std::string& served, int servers,
                       int running) {
   DomainSummary row;
@@ -468,18 +473,73 @@
     message.hosts = {{HostId(id), 1, 1, HostStatus::kAlive, false}};
     OnGossip(&state, HostId(id), message, now, rng);
   };
-  BOOST_TEST(!PullTarget(state, rng).has_value());
+  BOOST_TEST(!PullTarget(state, rng, AllBut({})).has_value());
   receive_from("b", 0);
-  BOOST_TEST(
-      (PullTarget(state, rng) == HostId("e")));  // only known from the message of another host
+  BOOST_TEST((PullTarget(state, rng, AllBut({})) ==
+              HostId("e")));  // only known from the message of another host
   receive_from("c", 9);
-  BOOST_TEST((PullTarget(state, rng) == HostId("c")));
+  BOOST_TEST((PullTarget(state, rng, AllBut({})) == HostId("c")));
   receive_from("b", 8);
-  BOOST_TEST((PullTarget(state, rng) == HostId("b")));
+  BOOST_TEST((PullTarget(state, rng, AllBut({})) == HostId("b")));
   OnConnection(&state, HostId("b"), false, now);
-  BOOST_TEST((PullTarget(state, rng) == HostId("c")));
+  BOOST_TEST((PullTarget(state, rng, AllBut({})) == HostId("c")));
+  SetRevision(&state, 9);
+  BOOST_TEST(!PullTarget(state, rng, AllBut({})).has_value());
+}
+
+// Guards against a host that asks nobody for a revision it knows of, because it takes all hosts
+// that have it for lost.
+BOOST_AUTO_TEST_CASE(PullFallsBackToSuspectedHosts) {
+  Membership state = MakeMembership(MakeHost("a"), {MakeHost("b"), MakeHost("c")}, {});
+  std::mt19937_64 rng(kSeed);
+  Time now = Time(seconds(1));
+  GossipMessage message;
+  message.revision = 9;
+  message.hosts = {{HostId("b"), 1, 1, HostStatus::kAlive, false}};
+  OnGossip(&state, HostId("b"), message, now, rng);
+  message.hosts = {{HostId("c"), 1, 1, HostStatus::kAlive, false}};
+  OnGossip(&state, HostId("c"), message, now, rng);
+  OnConnection(&state, HostId("b"), false, now);
+  OnConnection(&state, HostId("c"), false, now);
+  BOOST_TEST((PullTarget(state, rng, AllBut({"c"})) == HostId("b")));
+  BOOST_TEST(!PullTarget(state, rng, AllBut({"b", "c"})).has_value());
+}
+
+// Guards against a host that has just started and asks hosts to which it has no connection, one
+// after the other, while it is connected to others that have the revision.
+BOOST_AUTO_TEST_CASE(OnlyConnectedHostsAreAsked) {
+  std::vector<HostEntry> peers = {MakeHost("control", "d1")};
+  for (int i = 0; i < 20; ++i) peers.push_back(MakeHost("h" + std::to_string(i)));
+  Membership state = MakeMembership(MakeHost("a"), peers, {});
+  std::mt19937_64 rng(kSeed);
+  GossipMessage message;
+  message.revision = 9;
+  for (const HostEntry& peer : peers) {
+    message.hosts = {{peer.id, 1, 1, HostStatus::kAlive, false}};
+    OnGossip(&state, peer.id, message, Time(seconds(1)), rng);
+  }
+  auto connected = [](const HostId& host) { return host == HostId("control"); };
+  for (int i = 0; i < 20; ++i) BOOST_TEST((PullTarget(state, rng, connected) == HostId("control")));
+}
+
+// Guards against pulls from a restarted host that had a revision before, and against a restarted
+// host that is not told of a revision because the process before had it.
+BOOST_AUTO_TEST_CASE(RevisionOfARestartedHostIsNotAssumed) {
+  Membership state = MakeMembership(MakeHost("a"), {MakeHost("b"), MakeHost("c")}, {});
+  std::mt19937_64 rng(kSeed);
+  auto receive = [&](const std::string& id, uint64_t incarnation, uint64_t revision) {
+    GossipMessage message;
+    message.revision = revision;
+    message.hosts = {{HostId(id), incarnation, 1, HostStatus::kAlive, false}};
+    OnGossip(&state, HostId(id), message, Time(seconds(1)), rng);
+  };
+  receive("b", 100, 9);
+  receive("c", 100, 9);
+  receive("b", 200, 0);
+  for (int i = 0; i < 20; ++i) BOOST_TEST((PullTarget(state, rng, AllBut({})) == HostId("c")));
   SetRevision(&state, 9);
-  BOOST_TEST(!PullTarget(state, rng).has_value());
+  BOOST_TEST(
+      (HostsToTell(state, {HostId("b"), HostId("c")}, 3, rng) == std::vector<HostId>{HostId("b")}));
 }
 
 // Guards against hosts that are never told directly, because the same ones are always told first.
