HOME: a gateway does not leave while the others of its region are restarting

Cause, by the new log line callers_sent_away: both gateways of lahore were leaving at once for 4.6 s. They got SIGTERM a second apart, and the first took over five seconds to end its open requests.

A gateway that is to stop now goes on for up to 1.5 s while all others of its region are stopping or out of reach.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -67,6 +67,7 @@
       {EventId::kPeerMessageRefused, 405, "peer_message_refused", "A message of a peer was rejected: host, reason."},
       {EventId::kHostFound, 406, "host_found", "An unknown host announced itself and was added to the members: host, domain, address."},
       {EventId::kWorkCollectorChanged, 407, "work_collector_changed", "Another host collects this host's work at backend servers: collector (empty: it goes to all hosts directly), previous, silent (the previous one did not answer)."},
+      {EventId::kCallersSentAway, 408, "callers_sent_away", "The directory named hosts of another region, because it knew of no usable one in the caller's: domain, region (of the caller), named, hosts (of the caller's region that take requests, with their status)."},
       {EventId::kConfigApplied, 500, "config_applied", "A configuration revision was applied: revision, path, bytes (of its log entry), operator."},
       {EventId::kConfigRefused, 501, "config_refused", "A configuration change was refused: path, kind."},
       {EventId::kConfigSnapshotLoaded, 502, "config_snapshot_loaded", "A configuration snapshot was loaded: revision, source."},
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -79,6 +79,7 @@
   kPeerMessageRefused = 405,
   kHostFound = 406,
   kWorkCollectorChanged = 407,
+  kCallersSentAway = 408,
 
   kConfigApplied = 500,
   kConfigRefused = 501,
--- a/src/core/entry_list.cc
+++ b/src/core/entry_list.cc
@@ -5,6 +5,7 @@
 
 #include "base/hash.h"
 #include "core/ingress.h"
+#include "core/membership.h"
 
 namespace ebonylift {
 namespace {
@@ -100,6 +101,28 @@
   return hosts;
 }
 
+bool IsAwaitingReplacement(const RoutingView& view) {
+  bool expected = false;
+  for (const HostEntry& host : view.hosts) {
+    bool other = host.id != view.self.host && host.region == view.self.region;
+    if (!other || host.caller_address.empty()) continue;
+    if (host.status == HostStatus::kAlive) return false;
+    expected = expected || host.status != HostStatus::kFailed;
+  }
+  return expected;
+}
+
+std::string DescribeEntryHosts(const RoutingView& view, const RegionId& region) {
+  std::string text;
+  for (const HostEntry& host : view.hosts) {
+    if (host.region != region || host.caller_address.empty()) continue;
+    if (!text.empty()) text += ' ';
+    text += host.id.value() + '=' + HostStatusName(host.status);
+    if (host.overloaded) text += "/overloaded";
+  }
+  return text;
+}
+
 std::string NearestOperatorAddress(const RoutingView& view, const DomainId& domain,
                                    const RegionId& region) {
   std::string address;
--- a/src/core/entry_list.h
+++ b/src/core/entry_list.h
@@ -55,6 +55,15 @@
 std::vector<EntryHost> NearestEntryHosts(const RoutingView& view, const DomainId& domain,
                                          const RegionId& region, size_t limit);
 
+// Returns whether this host should go on taking requests although it is to stop: no other host of
+// its region takes requests now, and one of them is stopping or out of reach, so it may soon be
+// back.
+bool IsAwaitingReplacement(const RoutingView& view);
+
+// Returns the status of each host of the region that takes requests of callers, as "id=status" with
+// spaces between, for the log.
+std::string DescribeEntryHosts(const RoutingView& view, const RegionId& region);
+
 // Returns the operator address of a live host in the failure domain, or else in the region; empty
 // if there is none.
 std::string NearestOperatorAddress(const RoutingView& view, const DomainId& domain,
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -13,6 +13,7 @@
 #include "base/error.h"
 #include "base/event.h"
 #include "base/log_output.h"
+#include "core/entry_list.h"
 #include "daemon/condemned_store.h"
 #include "daemon/control.h"
 #include "daemon/dispatcher.h"
@@ -27,6 +28,10 @@
 // A shutdown accepts connections for this long, because callers may hold a list of entry hosts that
 // is still valid and contains this host.
 constexpr Duration kDrainGrace = milliseconds(1500);
+// A shutdown begins so much later at most if all other hosts of the region that take requests are
+// restarting as well. Hosts that are restarted one after the other can be slow to end their open
+// requests, and callers would be sent to another region meanwhile.
+constexpr Duration kMaxDrainDelay = milliseconds(1500);
 constexpr Duration kPollInterval = milliseconds(20);
 // Time for the sockets to deliver the last responses after the last request has ended.
 constexpr Duration kFlushTime = milliseconds(200);
@@ -194,8 +199,17 @@
     drain_started_ = SteadyNow();
     LogEvent(EventId::kDrainStarted,
              {{"reason", reason}, {"open", std::to_string(traffic_->open_requests())}});
+    LeaveWhenReplaced();
+  }
+
+  void LeaveWhenReplaced() {
+    bool may_wait = SteadyNow() - drain_started_ < kMaxDrainDelay;
+    if (may_wait && IsAwaitingReplacement(*control_->View())) {
+      RunAfter(kPollInterval, [this] { LeaveWhenReplaced(); });
+      return;
+    }
     control_->StartDrain();
-    traffic_->BeginDrain({drain_started_, drain_started_ + settings_.drain_timeout});
+    traffic_->BeginDrain({SteadyNow(), drain_started_ + settings_.drain_timeout});
     RunAfter(kDrainGrace, [this] {
       traffic_->StopAccepting();
       stopped_accepting_ = SteadyNow();
--- a/src/daemon/status_json.cc
+++ b/src/daemon/status_json.cc
@@ -10,20 +10,6 @@
 
 using nlohmann::json;
 
-const char* StatusName(HostStatus status) {
-  switch (status) {
-    case HostStatus::kAlive:
-      return "alive";
-    case HostStatus::kSuspect:
-      return "suspect";
-    case HostStatus::kFailed:
-      return "failed";
-    case HostStatus::kLeaving:
-      return "leaving";
-  }
-  return "failed";
-}
-
 json HostRows(const Membership& membership, const Rpc& rpc) {
   json rows = json::array();
   for (const HostEntry& host : HostEntries(membership)) {
@@ -32,7 +18,7 @@
                     {"domain", host.domain.value()},
                     {"address", host.http_address},
                     {"incarnation", host.incarnation},
-                    {"status", StatusName(host.status)},
+                    {"status", HostStatusName(host.status)},
                     {"overloaded", host.overloaded},
                     {"revision", membership.hosts.at(host.id).revision},
                     {"connected", rpc.IsConnected(host.id)}});
--- a/tests/entry_list_test.cc
+++ b/tests/entry_list_test.cc
@@ -134,4 +134,31 @@
   }
 }
 
+// Guards against a region without a host that takes requests while its hosts are restarted one
+// after the other, and against a stop that waits for hosts that are gone or that is not needed.
+BOOST_AUTO_TEST_CASE(HostWaitsForTheOthersOfItsRegion) {
+  struct Case {
+    const char* description;
+    std::vector<std::pair<std::string, HostStatus>> others;  // id and status in region r1
+    bool waits;
+  };
+  const std::vector<Case> cases = {
+      {"alone", {}, false},
+      {"another is alive", {{"b", HostStatus::kAlive}, {"c", HostStatus::kLeaving}}, false},
+      {"all are stopping", {{"b", HostStatus::kLeaving}, {"c", HostStatus::kLeaving}}, true},
+      {"one has just ended", {{"b", HostStatus::kSuspect}, {"c", HostStatus::kFailed}}, true},
+      {"all have failed", {{"b", HostStatus::kFailed}}, false},
+  };
+  for (const Case& row : cases) {
+    RoutingView view;
+    view.self.host = HostId("self");
+    view.self.region = RegionId("r1");
+    view.hosts = {Host("self", "r1", HostStatus::kAlive), Host("g", "r2", HostStatus::kAlive)};
+    for (const auto& [id, status] : row.others) view.hosts.push_back(Host(id, "r1", status));
+    for (HostEntry& host : view.hosts) host.caller_address = host.id.value() + ":81";
+    view.hosts.push_back(Host("control", "r1", HostStatus::kAlive));  // takes no requests
+    BOOST_TEST(IsAwaitingReplacement(view) == row.waits, row.description);
+  }
+}
+
 }  // namespace ebonylift
