--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -520,6 +520,7 @@
 
 
 async def run(options, fleet, rng):
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     operator = Operator(fleet, rng, options.extra_routes)
     disturber = Disturber(fleet, rng)
     prober = Prober(fleet, options.probe_interval)
@@ -637,11 +638,12 @@
     controls = [(c.ip, c.zone) for c in fleet.controls]
     helpers = [multiprocessing.Process(target=run_replicas, args=(controls,), daemon=True)]
     helpers += [multiprocessing.Process(target=keep_busy, daemon=True) for _ in range(options.busy)]
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     try:
         for helper in helpers:
             helper.start()
         late = asyncio.run(run(options, fleet, random.Random(options.seed)))
+    except asyncio.CancelledError:
+        sys.exit('fleet: interrupted')
     finally:
         fleet.end()
         for helper in helpers:
