--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -112,6 +112,11 @@
                 .Add({{"reason", reason}});
   }
 
+  prometheus::Histogram* ResponseTimeHistogram(const char* name, const char* help) {
+    return &prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add(
+        {}, ResponseTimeBuckets());
+  }
+
   prometheus::Gauge* Gauge(const char* name, const char* help) {
     return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
   }
@@ -168,12 +173,9 @@
   prometheus::Gauge* control_delay =
       Gauge("ebonylift_control_delay_seconds",
             "Largest delay of a periodic task of the control thread in the last second.");
-  prometheus::Histogram* config_lag =
-      &prometheus::BuildHistogram()
-           .Name("ebonylift_config_lag_seconds")
-           .Help("Time from the first word of a configuration revision until it is in force.")
-           .Register(registry)
-           .Add({}, ResponseTimeBuckets());
+  prometheus::Histogram* config_lag = ResponseTimeHistogram(
+      "ebonylift_config_lag_seconds",
+      "Time from the first word of a configuration revision until it is in force.");
   prometheus::Gauge* peer_sent =
       Gauge("ebonylift_peer_sent_bytes",
             "Message bytes sent to other daemons since the process started.");
@@ -186,12 +188,9 @@
   prometheus::Gauge* descriptor_conflicts =
       Gauge("ebonylift_descriptor_conflicts",
             "Descriptors used by two parts of the process at once, since the process started.");
-  prometheus::Histogram* event_loop_delay =
-      &prometheus::BuildHistogram()
-           .Name("ebonylift_event_loop_delay_seconds")
-           .Help("Time that a traffic thread takes to handle what arrives at its connections.")
-           .Register(registry)
-           .Add({}, ResponseTimeBuckets());
+  prometheus::Histogram* event_loop_delay = ResponseTimeHistogram(
+      "ebonylift_event_loop_delay_seconds",
+      "Time that a traffic thread takes to handle what arrives at its connections.");
 };
 
 Metrics::Metrics() : families_(std::make_unique<Families>()) {}
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -145,16 +145,16 @@
 void Merge(Membership* state, const HostId& from, const GossipMessage& message, Time now) {
   for (const HostRow& row : message.hosts) MergeHost(state, row, now);
   for (const SummaryRow& row : message.summaries) MergeSummary(state, row, now);
+  uint64_t known = state->newest_revision;
   if (message.newest_revision > state->newest_revision) {
     state->newest_revision = message.newest_revision;
     state->newest_holder = message.newest_holder;
-    state->newest_source = from;
   }
   if (message.revision >= state->newest_revision && message.revision > 0) {
-    if (message.revision > state->newest_revision) state->newest_source = from;
     state->newest_revision = message.revision;
     state->newest_holder = from;
   }
+  if (state->newest_revision > known) state->newest_source = from;
 }
 
 // Processes a direct message: a request or a reply.
--- a/src/daemon/config_pull.h
+++ b/src/daemon/config_pull.h
@@ -29,6 +29,9 @@
 
 // Approximate limit for the payload of one pull response or watch answer.
 constexpr size_t kMaxPullBytes = 1 << 20;
+// Snapshots that are received at a time, each from another host. They share the bandwidth of this
+// host.
+constexpr size_t kMaxSnapshotPulls = 2;
 
 // What the responding host knows about the consensus.
 struct PullHints {
--- a/src/daemon/config_puller.h
+++ b/src/daemon/config_puller.h
@@ -19,6 +19,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "daemon/config_pull.h"
 
 namespace ebonylift {
 
@@ -32,8 +33,6 @@
 // from asking another.
 constexpr size_t kMaxPulls = 8;
 static_assert(kMaxPulls * kSlowPull > kPullTimeout);
-// Transfers of a snapshot share the bandwidth of this host, so there are fewer at a time.
-constexpr size_t kMaxSnapshotPulls = 2;
 
 class ConfigPuller {
  public:
--- a/src/daemon/membership_gossip.cc
+++ b/src/daemon/membership_gossip.cc
@@ -29,11 +29,12 @@
   }
 }
 
-void MembershipGossip::Push(const HostId& to) {
+void MembershipGossip::Push(const HostId& to, const std::function<void(bool answered)>& done) {
   rpc_->Gossip(to, MakeGossip(&membership_, to, *rng_), HostId(), kGossipPushTimeout,
-               [this, to](std::optional<GossipReply> reply) {
+               [this, to, done](std::optional<GossipReply> reply) {
                  if (reply) OnAck(&membership_, 0, to, reply->message, false, SteadyNow());
                  HandleChanges();
+                 if (done) done(reply.has_value());
                });
 }
 
@@ -41,17 +42,14 @@
 // connection is closed after a few calls that time out.
 void MembershipGossip::PushRevision(const HostId& to) {
   if (!pushed_revisions_.emplace(to, membership_.revision).second) return;
-  rpc_->Gossip(to, MakeGossip(&membership_, to, *rng_), HostId(), kGossipPushTimeout,
-               [this, to](std::optional<GossipReply> reply) {
-                 uint64_t pushed = pushed_revisions_.at(to);
-                 pushed_revisions_.erase(to);
-                 if (reply) OnAck(&membership_, 0, to, reply->message, false, SteadyNow());
-                 HandleChanges();
-                 auto host = membership_.hosts.find(to);
-                 bool is_behind = host != membership_.hosts.end() &&
-                                  host->second.revision < membership_.revision;
-                 if (reply && is_behind && membership_.revision > pushed) PushRevision(to);
-               });
+  Push(to, [this, to](bool answered) {
+    uint64_t pushed = pushed_revisions_.at(to);
+    pushed_revisions_.erase(to);
+    auto host = membership_.hosts.find(to);
+    bool is_behind =
+        host != membership_.hosts.end() && host->second.revision < membership_.revision;
+    if (answered && is_behind && membership_.revision > pushed) PushRevision(to);
+  });
 }
 
 void MembershipGossip::HandleChanges() {
--- a/src/daemon/membership_gossip.h
+++ b/src/daemon/membership_gossip.h
@@ -42,8 +42,8 @@
   // Sends the probes that are due. Call it at least every 50 ms.
   void SendProbes(Time now);
 
-  // Sends this host's membership rows at once, instead of with the next probe.
-  void Push(const HostId& to);
+  // Sends this host's membership rows at once, instead of with the next probe. `done` may be empty.
+  void Push(const HostId& to, const std::function<void(bool answered)>& done = nullptr);
 
   // As Push(), but at most one such call to a host is open at a time. When it ends and the host
   // does not have this host's revision of the configuration, the next one follows.
--- a/src/daemon/pulled_revisions.cc
+++ b/src/daemon/pulled_revisions.cc
@@ -25,7 +25,7 @@
 }
 
 bool PulledRevisions::ReceivePart(const SnapshotPart& part, const HostId& from) {
-  if (snapshots_.count(from) == 0 && snapshots_.size() >= kMaxPartialSnapshots) return false;
+  if (snapshots_.count(from) == 0 && snapshots_.size() >= kMaxSnapshotPulls) return false;
   ReceivedSnapshot::Result result = snapshots_[from].Add(part, trees_->Current().revision);
   if (!result.more) snapshots_.erase(from);
   if (!result.tree) return result.more;
--- a/src/daemon/pulled_revisions.h
+++ b/src/daemon/pulled_revisions.h
@@ -9,10 +9,9 @@
 //
 // Threads: all methods are called on the control thread, which runs the publishing function too.
 //
-// Memory: the changes or the tree of an unfinished write, and kMaxPartialSnapshots partly received
+// Memory: the changes or the tree of an unfinished write, and kMaxSnapshotPulls partly received
 // snapshots.
 
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -29,9 +28,6 @@
 
 namespace ebonylift {
 
-// Snapshots that are received at a time. Their transfers share the bandwidth of this host.
-constexpr size_t kMaxPartialSnapshots = 2;
-
 class PulledRevisions {
  public:
   // Makes the current tree visible. Its difference from the previous one is in `changed`, or
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -214,6 +214,15 @@
   return [excluded](const HostId& host) { return excluded.count(host.value()) == 0; };
 }
 
+// A direct message in which the host names its revision of the configuration.
+void ReceiveRevision(Membership* state, const HostId& from, uint64_t revision, std::mt19937_64& rng,
+                     uint64_t incarnation = 1) {
+  GossipMessage message;
+  message.revision = revision;
+  message.hosts = {{from, incarnation, 1, HostStatus::kAlive, false}};
+  OnGossip(state, from, message, Time(seconds(1)), rng);
+}
+
 DomainSummary Summary(const Membership& state, const std::string& served, int servers,
                       int running) {
   DomainSummary row;
@@ -493,12 +502,7 @@
   Membership state = MakeMembership(MakeHost("a"), {MakeHost("b"), MakeHost("c")}, {});
   std::mt19937_64 rng(kSeed);
   Time now = Time(seconds(1));
-  GossipMessage message;
-  message.revision = 9;
-  message.hosts = {{HostId("b"), 1, 1, HostStatus::kAlive, false}};
-  OnGossip(&state, HostId("b"), message, now, rng);
-  message.hosts = {{HostId("c"), 1, 1, HostStatus::kAlive, false}};
-  OnGossip(&state, HostId("c"), message, now, rng);
+  for (const char* id : {"b", "c"}) ReceiveRevision(&state, HostId(id), 9, rng);
   OnConnection(&state, HostId("b"), false, now);
   OnConnection(&state, HostId("c"), false, now);
   BOOST_TEST((PullTarget(state, rng, AllBut({"c"})) == HostId("b")));
@@ -512,12 +516,7 @@
   for (int i = 0; i < 20; ++i) peers.push_back(MakeHost("h" + std::to_string(i)));
   Membership state = MakeMembership(MakeHost("a"), peers, {});
   std::mt19937_64 rng(kSeed);
-  GossipMessage message;
-  message.revision = 9;
-  for (const HostEntry& peer : peers) {
-    message.hosts = {{peer.id, 1, 1, HostStatus::kAlive, false}};
-    OnGossip(&state, peer.id, message, Time(seconds(1)), rng);
-  }
+  for (const HostEntry& peer : peers) ReceiveRevision(&state, peer.id, 9, rng);
   auto connected = [](const HostId& host) { return host == HostId("control"); };
   for (int i = 0; i < 20; ++i) BOOST_TEST((PullTarget(state, rng, connected) == HostId("control")));
 }
@@ -528,12 +527,7 @@
   for (int i = 0; i < 4; ++i) peers.push_back(MakeHost("h" + std::to_string(i)));
   Membership state = MakeMembership(MakeHost("a"), peers, {});
   std::mt19937_64 rng(kSeed);
-  GossipMessage message;
-  message.revision = 9;
-  for (const HostEntry& peer : peers) {
-    message.hosts = {{peer.id, 1, 1, HostStatus::kAlive, false}};
-    OnGossip(&state, peer.id, message, Time(seconds(1)), rng);
-  }
+  for (const HostEntry& peer : peers) ReceiveRevision(&state, peer.id, 9, rng);
   std::set<HostId> asked;
   for (int i = 0; i < 100; ++i) asked.insert(*PullTarget(state, rng, AllBut({"h0"}), false));
   BOOST_TEST(asked.size() == 4u);
@@ -545,16 +539,9 @@
 BOOST_AUTO_TEST_CASE(RevisionOfARestartedHostIsNotAssumed) {
   Membership state = MakeMembership(MakeHost("a"), {MakeHost("b"), MakeHost("c")}, {});
   std::mt19937_64 rng(kSeed);
-  auto receive = [&](const std::string& id, uint64_t incarnation, uint64_t revision) {
-    GossipMessage message;
-    message.revision = revision;
-    message.hosts = {{HostId(id), incarnation, 1, HostStatus::kAlive, false}};
-    OnGossip(&state, HostId(id), message, Time(seconds(1)), rng);
-  };
-  receive("b", 100, 9);
-  receive("c", 100, 9);
+  for (const char* id : {"b", "c"}) ReceiveRevision(&state, HostId(id), 9, rng, 100);
   // The new process may have a smaller incarnation if the clock was set back.
-  receive("b", 99, 0);
+  ReceiveRevision(&state, HostId("b"), 0, rng, 99);
   for (int i = 0; i < 20; ++i) BOOST_TEST((PullTarget(state, rng, AllBut({})) == HostId("c")));
   SetRevision(&state, 9);
   BOOST_TEST(
@@ -571,11 +558,7 @@
   }
   Membership state = MakeMembership(MakeHost("a"), peers, {});
   std::mt19937_64 rng(kSeed);
-  GossipMessage message;
-  for (const HostId& id : ids) {
-    message.hosts = {{id, 1, 1, HostStatus::kAlive, false}};
-    OnGossip(&state, id, message, Time(seconds(1)), rng);
-  }
+  for (const HostId& id : ids) ReceiveRevision(&state, id, 0, rng);
   SetRevision(&state, 1);
   std::set<HostId> told;
   for (int i = 0; i < 50; ++i) {
