--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -29,15 +29,16 @@
   std::string value_;
 };
 
-using HostId = Id<struct HostTag>;        // a host that runs the daemon
-using RegionId = Id<struct RegionTag>;    // a group of failure domains
-using DomainId = Id<struct DomainTag>;    // a failure domain
-using TeamId = Id<struct TeamTag>;        // a team, whose callers authenticate with keys
-using ServerId = Id<struct ServerTag>;    // a backend server
-using ModelId = Id<struct ModelTag>;      // the name of a model, without adapter and version
-using RouteId = Id<struct RouteTag>;      // a route, unique within its team
-using RequestId = Id<struct RequestTag>;  // a request, unique across all hosts
-using JobId = Id<struct JobTag>;          // a batch job, unique across all hosts
+using HostId = Id<struct HostTag>;            // a host that runs the daemon
+using RegionId = Id<struct RegionTag>;        // a group of failure domains
+using DomainId = Id<struct DomainTag>;        // a failure domain
+using TeamId = Id<struct TeamTag>;            // a team, whose callers authenticate with keys
+using WorkspaceId = Id<struct WorkspaceTag>;  // an organisation whose callers use common routes
+using ServerId = Id<struct ServerTag>;        // a backend server
+using ModelId = Id<struct ModelTag>;          // the name of a model, without adapter and version
+using RouteId = Id<struct RouteTag>;          // a route, unique within its team
+using RequestId = Id<struct RequestTag>;      // a request, unique across all hosts
+using JobId = Id<struct JobTag>;              // a batch job, unique across all hosts
 
 }  // namespace ebonylift
 
--- a/src/daemon/request.h
+++ b/src/daemon/request.h
@@ -30,6 +30,7 @@
   std::shared_ptr<const RoutingView> view;
   const RouteConfig* route = nullptr;  // points into `view`
   TeamId team;
+  const WorkspaceConfig* workspace = nullptr;  // of the caller; points into `view`; null: none
   TrafficClass traffic_class = TrafficClass::kInteractive;
   bool idempotent = true;
   std::string idempotency_key;  // empty: requests are not deduplicated
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -68,6 +68,9 @@
   bool resumable = false;         // a broken stream may be resumed at another backend server
   Duration first_byte_target{0};  // target for the time to the first byte; 0: none
   int rank = 0;                   // priority; 0 is the most urgent
+  bool open = false;              // callers need no key of a workspace
+  Duration max_event_gap{0};      // longest acceptable pause between two events; 0: none
+  bool hedge = true;              // may be hedged, if the deployment hedges requests
 };
 
 struct TeamLimits {
@@ -83,6 +86,25 @@
   std::map<RouteId, RouteConfig> routes;
 };
 
+enum class LimitUnit { kRequests, kTokens };
+
+// What a workspace may use over all hosts together: at most per_s x T + burst in any time T.
+struct WorkspaceLimit {
+  double per_s = 0;  // 0: no limit
+  double burst = 0;
+  LimitUnit unit = LimitUnit::kRequests;
+  double plain_cost = 1;  // of a request without token counts, with LimitUnit::kTokens
+};
+
+// An organisation that shares the routes matched by host and path with others. Its callers are
+// identified by keys.
+struct WorkspaceConfig {
+  WorkspaceId id;
+  std::vector<RegionId> regions;  // where the data of its requests may go; never empty
+  std::optional<int> rank;        // replaces the rank of the route
+  WorkspaceLimit limit;
+};
+
 struct OperatorConfig {
   std::string name;
   std::string token_sha256;
