Document of routes: workspaces, their keys and open routes

Cause: organisations that share routes had no keys, ranks, regions or limits of their own. Routes have a flag that lets callers use them without a key. Nothing uses the result yet. Documents without the new keys are read as before.

--- a/src/base/hash.cc
+++ b/src/base/hash.cc
@@ -6,6 +6,7 @@
 #include <openssl/sha.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <array>
 #include <stdexcept>
 #include <vector>
@@ -13,8 +14,9 @@
 namespace ebonylift {
 namespace {
 
+constexpr char kDigits[] = "0123456789abcdef";
+
 std::string Hex(const unsigned char* data, size_t size) {
-  static const char kDigits[] = "0123456789abcdef";
   std::string out;
   out.reserve(size * 2);
   for (size_t i = 0; i < size; ++i) {
@@ -37,6 +39,24 @@
 
 }  // namespace
 
+std::string ToHex(std::string_view data) {
+  return Hex(reinterpret_cast<const unsigned char*>(data.data()), data.size());
+}
+
+std::optional<std::string> DecodeHex(std::string_view text) {
+  if (text.size() % 2 != 0) return std::nullopt;
+  auto digit = [](char c) { return static_cast<int>(std::string_view(kDigits).find(c)); };
+  std::string bytes;
+  bytes.reserve(text.size() / 2);
+  for (size_t i = 0; i < text.size(); i += 2) {
+    int high = digit(text[i]);
+    int low = digit(text[i + 1]);
+    if (high < 0 || low < 0) return std::nullopt;
+    bytes.push_back(static_cast<char>(high << 4 | low));
+  }
+  return bytes;
+}
+
 uint64_t Hash64(std::string_view data, uint64_t seed) {
   return XXH64(data.data(), data.size(), seed);
 }
@@ -48,12 +68,26 @@
   return ~crc;
 }
 
-std::string Sha256Hex(std::string_view data) {
-  unsigned char digest[SHA256_DIGEST_LENGTH];
-  SHA256(reinterpret_cast<const unsigned char*>(data.data()), data.size(), digest);
-  return Hex(digest, sizeof(digest));
+Sha256Digest Sha256(std::string_view data) {
+  Sha256Digest digest;
+  SHA256(reinterpret_cast<const unsigned char*>(data.data()), data.size(), digest.bytes.data());
+  return digest;
 }
 
+std::string ToHex(const Sha256Digest& digest) {
+  return Hex(digest.bytes.data(), digest.bytes.size());
+}
+
+std::optional<Sha256Digest> ParseSha256Hex(std::string_view text) {
+  Sha256Digest digest;
+  std::optional<std::string> bytes = DecodeHex(text);
+  if (!bytes || bytes->size() != digest.bytes.size()) return std::nullopt;
+  std::copy(bytes->begin(), bytes->end(), digest.bytes.begin());
+  return digest;
+}
+
+std::string Sha256Hex(std::string_view data) { return ToHex(Sha256(data)); }
+
 std::string HmacHex(std::string_view key, std::string_view data) {
   unsigned char digest[EVP_MAX_MD_SIZE];
   unsigned int size = 0;
--- a/src/core/config_view.cc
+++ b/src/core/config_view.cc
@@ -122,8 +122,8 @@
   }
 }
 
-void AddIngress(ConfigView* view, const Json& json) {
-  auto ingress = std::make_shared<const IngressConfig>(ParseIngress(json));
+void AddIngress(ConfigView* view, const Json& json, const IngressConfig* previous) {
+  auto ingress = std::make_shared<const IngressConfig>(ParseIngress(json, previous));
   TeamConfig& team = GetOrAddTeam(view, kIngressTeam);
   team.regions = ingress->regions;
   team.routes = ingress->route_configs;
@@ -134,15 +134,17 @@
   if (json.at("evacuated").get<bool>()) view->evacuated.insert(DomainId(domain));
 }
 
-// Adds the value at `path`. A value that cannot be parsed is skipped.
-void AddEntry(ConfigView* view, const std::string& path, const TreeEntry& entry) {
+// Adds the value at `path`. A value that cannot be parsed is skipped. `previous_ingress` is of the
+// view before the change; null: none.
+void AddEntry(ConfigView* view, const std::string& path, const TreeEntry& entry,
+              const IngressConfig* previous_ingress = nullptr) {
   std::vector<std::string> segments = SplitPath(path);
   try {
     Json json = Json::parse(entry.value.text());
     if (segments.size() >= 3 && segments[0] == "teams") {
       AddTeamEntry(view, segments, json);
     } else if (path == kIngressPath) {
-      AddIngress(view, json);
+      AddIngress(view, json, previous_ingress);
     } else if (segments.size() == 3 && segments[1] == "evacuations") {
       AddEvacuation(view, segments[2], json);
     } else if (segments.size() == 3 && segments[1] == "regions") {
@@ -171,6 +173,7 @@
 // Replaces what the view holds for a changed path below /deployment.
 void UpdateDeploymentEntry(ConfigView* view, const ConfigTree& tree, const std::string& path,
                            const std::vector<std::string>& segments) {
+  std::shared_ptr<const IngressConfig> previous_ingress = view->ingress;
   if (path == kIngressPath) {
     view->teams.erase(TeamId(kIngressTeam));
     view->ingress = nullptr;
@@ -190,7 +193,7 @@
   }
   auto entry = tree.entries.find(path);
   if (entry == tree.entries.end()) return;
-  AddEntry(view, path, entry->second);
+  AddEntry(view, path, entry->second, previous_ingress.get());
   std::sort(operators.begin(), operators.end(),
             [](const OperatorConfig& a, const OperatorConfig& b) { return a.name < b.name; });
 }
--- a/src/core/ingress.cc
+++ b/src/core/ingress.cc
@@ -109,6 +109,8 @@
                  issues);
   RequireInteger(route, key_prefix, "rank", 0, kMaxCount, "0 to 1000000", issues);
   RequireInteger(route, key_prefix, "max_attempts", 1, kMaxCount, "1 to 1000000", issues);
+  // Documents stored by an earlier version of the program do not have this key.
+  if (route.contains("open")) RequireBool(route, key_prefix, "open", issues);
   CheckRegions(route, key_prefix, issues);
   CheckBackends(route, key_prefix, services, issues);
 }
@@ -180,13 +182,13 @@
   }
   route.home = *std::min_element(route.regions.begin(), route.regions.end());
   route.rank = json.at("rank").get<int>();
-  route.traffic_class =
-      route.rank == kUrgentRank ? TrafficClass::kInteractive : TrafficClass::kCheck;
+  route.traffic_class = TrafficClassOfRank(route.rank);
   route.idempotent = json.at("idempotent").get<bool>();
   route.resumable = json.at("resumable").get<bool>();
   route.deadline = milliseconds(json.at("deadline_ms").get<int64_t>());
   route.first_byte_target = milliseconds(json.at("first_byte_target_ms").get<int64_t>());
   route.max_attempts = json.at("max_attempts").get<int>();
+  route.open = json.value("open", false);
   // The only cost of another region is the round trip to it, which routing always adds.
   route.weight_remote = 0;
   return route;
@@ -276,11 +278,19 @@
   for (const Json& service : services) CheckService(service, &names, &issues);
   for (const Json& route : routes) CheckRoute(route, names, &issues);
   CheckUniquePrefixes(routes, &issues);
+  if (document.contains("workspaces")) {
+    Issues of_workspaces = ValidateWorkspaces(document["workspaces"]);
+    issues.insert(issues.end(), of_workspaces.begin(), of_workspaces.end());
+  }
   return issues;
 }
 
-IngressConfig ParseIngress(const Json& document) {
+IngressConfig ParseIngress(const Json& document, const IngressConfig* previous) {
   IngressConfig config;
+  if (document.contains("workspaces")) {
+    config.workspaces = ParseWorkspaces(document["workspaces"],
+                                        previous == nullptr ? nullptr : &previous->workspaces);
+  }
   config.version = document.at("version").get<uint64_t>();
   for (const Json& item : document.at("services")) {
     IngressService service = ParseService(item);
--- a/src/core/ingress.h
+++ b/src/core/ingress.h
@@ -9,11 +9,15 @@
 //   {"version": 7,
 //    "routes": [{"id", "host", "path_prefix", "idempotent", "resumable", "deadline_ms",
 //                "first_byte_target_ms", "rank", "max_attempts", "regions": [...],
-//                "backends": [{"service", "weight"}]}],
+//                "open", "backends": [{"service", "weight"}]}],
 //    "services": [{"id", "health_path", "max_connections", "cold_start_ms", "cold_per_s",
 //                  "fetch_tokens_per_s"}],
+//    "workspaces": [...],
 //    "source": "the text that the operator sent, kept to be returned on reads"}
 //
+// `open` and `workspaces` are optional; core/workspaces.h describes the latter. If there are
+// workspaces, callers need a key of one of them for all routes that are not open.
+//
 // All functions are pure and thread-safe. Memory: the routes and services of one document, which is
 // at most kMaxDocumentBytes.
 
@@ -28,6 +32,7 @@
 #include "base/time.h"
 #include "core/config_schema.h"
 #include "core/config_tree.h"
+#include "core/workspaces.h"
 #include "ports/views.h"
 
 namespace ebonylift {
@@ -36,6 +41,9 @@
 inline constexpr char kIngressTeam[] = "ingress";
 // Routes of this rank are in the interactive traffic class, all others in the check class.
 constexpr int kUrgentRank = 0;
+inline TrafficClass TrafficClassOfRank(int rank) {
+  return rank == kUrgentRank ? TrafficClass::kInteractive : TrafficClass::kCheck;
+}
 
 struct IngressBackend {
   RouteId route;  // the RouteConfig that sends to this service
@@ -67,6 +75,7 @@
   // document is extended, as each has settings of its own.
   std::map<RouteId, RouteConfig> route_configs;
   std::vector<RegionId> regions;  // of all routes, without duplicates
+  WorkspaceTable workspaces;
 };
 
 // Returns no issues if the document is valid. Besides missing and ill-typed keys, reports a route
@@ -74,8 +83,10 @@
 // 0, and a deadline of 0.
 std::vector<SchemaIssue> ValidateIngress(const nlohmann::json& document);
 
-// Precondition: ValidateIngress() returns no issues; otherwise throws nlohmann::json::exception.
-IngressConfig ParseIngress(const nlohmann::json& document);
+// Shares with `previous`, which may be null and must outlive the call, the workspaces that are
+// equal in both. Precondition: ValidateIngress() returns no issues; otherwise throws
+// nlohmann::json::exception.
+IngressConfig ParseIngress(const nlohmann::json& document, const IngressConfig* previous = nullptr);
 
 // Returns the version of the document, or 0 if `value` is not a document with a version.
 uint64_t IngressVersion(std::string_view value);
