Platform configuration: tenants become workspaces, and their keys are sealed in the stored text

Cause: reads return the operator's text byte for byte, so the stored document would contain keys, which would reach disks and messages between daemons. A text whose keys are written with escape sequences, or that has literals that look sealed, is sealed as a whole. Errors about tenants name the field and show no value.

--- a/tests/platform_messages_test.cc
+++ b/tests/platform_messages_test.cc
@@ -13,6 +13,7 @@
 
 const DomainRegions kDomainRegions = {{DomainId("este-a"), RegionId("este")},
                                       {DomainId("norte-a"), RegionId("norte")}};
+const Sealer kSealer("cluster key of the test");
 
 json Heartbeat() {
   return json::parse(R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"este-a",
@@ -68,7 +69,7 @@
   BOOST_CHECK_THROW(ParseHeartbeat("i-1", heartbeat, kDomainRegions, seconds(7)), Error);
   std::string configuration = Configuration().dump();
   configuration.replace(configuration.find("\"routes\":") + 9, 1, nested + ",\"rest\":[");
-  BOOST_CHECK_THROW(ParseConfiguration(configuration, kDomainRegions), Error);
+  BOOST_CHECK_THROW(ParseConfiguration(configuration, kDomainRegions, kSealer), Error);
 }
 
 // Guards against a malformed heartbeat that registers a backend server.
@@ -105,9 +106,9 @@
 // text that differs from the one that the operator sent.
 BOOST_AUTO_TEST_CASE(ConvertsConfiguration) {
   std::string text = Configuration().dump(2);
-  ConfigurationDocument document = ParseConfiguration(text, kDomainRegions);
+  ConfigurationDocument document = ParseConfiguration(text, kDomainRegions, kSealer);
   BOOST_TEST(document.version == 7u);
-  BOOST_TEST(OriginalConfigurationText(document.value) == text);
+  BOOST_TEST(OriginalConfigurationText(document.value, kSealer) == text);
   json value = json::parse(document.value);
   BOOST_TEST(ValidateIngress(value).empty());
   IngressConfig config = ParseIngress(value);
@@ -137,7 +138,8 @@
     json configuration = Configuration();
     configuration["routes"][0]["route_type"] = row.type;
     configuration["routes"][0]["resumable"] = row.resumable;
-    json value = json::parse(ParseConfiguration(configuration.dump(), kDomainRegions).value);
+    json value =
+        json::parse(ParseConfiguration(configuration.dump(), kDomainRegions, kSealer).value);
     BOOST_TEST(value["routes"][0]["idempotent"].get<bool>() == row.idempotent, row.type);
     bool resumes = row.resumable && row.idempotent;
     BOOST_TEST(value["routes"][0]["resumable"].get<bool>() == resumes, row.type);
@@ -147,21 +149,92 @@
 // Guards against accepting a configuration that is truncated or has an invalid part.
 BOOST_AUTO_TEST_CASE(RejectsIncompleteConfigurations) {
   std::string text = Configuration().dump();
-  BOOST_CHECK_THROW(ParseConfiguration(text.substr(0, text.size() - 1), kDomainRegions), Error);
-  BOOST_CHECK_THROW(ParseConfiguration("", kDomainRegions), Error);
+  BOOST_CHECK_THROW(ParseConfiguration(text.substr(0, text.size() - 1), kDomainRegions, kSealer),
+                    Error);
+  BOOST_CHECK_THROW(ParseConfiguration("", kDomainRegions, kSealer), Error);
   json configuration = Configuration();
   configuration["routes"][0].erase("host");
-  BOOST_CHECK_THROW(ParseConfiguration(configuration.dump(), kDomainRegions), Error);
+  BOOST_CHECK_THROW(ParseConfiguration(configuration.dump(), kDomainRegions, kSealer), Error);
   configuration = Configuration();
   configuration["routes"][0]["route_type"] = "sometimes";
-  BOOST_CHECK_THROW(ParseConfiguration(configuration.dump(), kDomainRegions), Error);
+  BOOST_CHECK_THROW(ParseConfiguration(configuration.dump(), kDomainRegions, kSealer), Error);
+}
+
+// Guards against a key in the stored document, and against a text that reads return differently.
+BOOST_AUTO_TEST_CASE(KeysAreSealedInTheDocument) {
+  json tenants = json::parse(R"([{"name":"acme","api_keys":["tk-alpha","tk-beta"],"priority":1,
+    "unit":"tokens","rate_per_s":500,"burst":900.5,"plain_tokens":100,"home_regions":["este"]},
+    {"name":"beta"}])");
+  struct Case {
+    const char* name;
+    std::string text;
+  };
+  json configuration = Configuration();
+  configuration["tenants"] = tenants;
+  configuration["routes"][1]["allow_anonymous"] = true;
+  const std::string plain = configuration.dump(1);
+  std::string escaped = plain;
+  escaped.replace(escaped.find("tk-beta"), 7, "tk-b\\u0065ta");
+  json with_sealed = configuration;
+  with_sealed["note"] = kSealer.Seal("tk-gamma");
+  for (const Case& row : std::vector<Case>{
+           {"plain", plain}, {"escaped", escaped}, {"sealed literal", with_sealed.dump()}}) {
+    ConfigurationDocument document = ParseConfiguration(row.text, kDomainRegions, kSealer);
+    for (const char* key : {"tk-alpha", "tk-beta", "tk-b\\u0065ta"}) {
+      BOOST_TEST(document.value.find(key) == std::string::npos, row.name << key);
+    }
+    BOOST_TEST(OriginalConfigurationText(document.value, kSealer) == row.text, row.name);
+    BOOST_TEST(OriginalConfigurationText(document.value, Sealer("another")) != row.text);
+    json value = json::parse(document.value);
+    BOOST_TEST(ValidateIngress(value).empty());
+    IngressConfig config = ParseIngress(value);
+    const WorkspaceConfig* acme = FindWorkspace(config.workspaces, Sha256("tk-beta"));
+    BOOST_REQUIRE(acme != nullptr);
+    BOOST_TEST(acme->rank.value() == 1);
+    BOOST_TEST((acme->limit.unit == LimitUnit::kTokens));
+    BOOST_TEST(acme->limit.per_s == 500);
+    BOOST_TEST(acme->limit.burst == 900.5);
+    BOOST_TEST(acme->limit.plain_cost == 100);
+    BOOST_TEST(acme->regions.size() == 1u);
+    BOOST_TEST(config.workspaces.by_id.at(WorkspaceId("beta"))->regions.size() == 2u);
+    BOOST_TEST(!config.route_configs.at(RouteId("r1/s")).open);
+    BOOST_TEST(config.route_configs.at(RouteId("r2/t")).open);
+  }
+  // Differences between versions stay small only if the same key is always sealed alike.
+  BOOST_TEST(ParseConfiguration(plain, kDomainRegions, kSealer).value ==
+             ParseConfiguration(plain, kDomainRegions, kSealer).value);
+}
+
+// Guards against an invalid tenant that is accepted, and against an error message that does not
+// name the field or shows a key.
+BOOST_AUTO_TEST_CASE(InvalidTenantsAreRejectedWithoutTheirKeys) {
+  const std::pair<const char*, json> kCases[] = {
+      {"name", ""},          {"name", 5},           {"api_keys", "tk-alpha"},
+      {"api_keys", {""}},    {"api_keys", {7}},     {"priority", "tk-alpha"},
+      {"priority", 1.5},     {"priority", -1},      {"unit", "tk-alpha"},
+      {"rate_per_s", -1},    {"rate_per_s", true},  {"burst", 2e12},
+      {"plain_tokens", "5"}, {"home_regions", {1}}, {"home_regions", "tk-alpha"}};
+  for (const auto& [field, value] : kCases) {
+    json configuration = Configuration();
+    configuration["tenants"] = {{{"name", "acme"}, {"api_keys", {"tk-alpha"}}}};
+    configuration["tenants"][0][field] = value;
+    std::string message;
+    try {
+      ParseConfiguration(configuration.dump(), kDomainRegions, kSealer);
+    } catch (const Error& error) {
+      message = error.what();
+    }
+    BOOST_TEST(message.find(field) != std::string::npos, field << ": " << message);
+    BOOST_TEST(message.find("tk-") == std::string::npos, message);
+  }
 }
 
 // Guards against a rate in the wrong unit, and against rejecting a configuration whose engine
 // description is incomplete.
 BOOST_AUTO_TEST_CASE(ConvertsLinkSpeedToFetchTokensPerSecond) {
   auto rate = [](const json& configuration) {
-    ConfigurationDocument document = ParseConfiguration(configuration.dump(), kDomainRegions);
+    ConfigurationDocument document =
+        ParseConfiguration(configuration.dump(), kDomainRegions, kSealer);
     return json::parse(document.value)["services"][0]["fetch_tokens_per_s"].get<double>();
   };
   json configuration = Configuration();
