Requests need a key of a workspace, if the configuration has workspaces

Cause: keys of callers were forwarded to backend servers, and requests with unknown keys ran. Change: ingress routing identifies the workspace by the digest of the key, at arrival and again when the request is placed. The rank of the workspace comes before that of the route; the regions are those that both allow. Backend servers get the name of the workspace instead of the key. Forwards carry name and digest in a header that the MAC covers, and the receiver checks both in its own configuration. The dialect answers 401 without a known key and 429 above a limit, with a Retry-After. Requests without workspaces in the configuration have the same headers as before.

--- a/src/daemon/attempt_call.cc
+++ b/src/daemon/attempt_call.cc
@@ -4,6 +4,8 @@
 #include <cerrno>
 #include <nlohmann/json.hpp>
 
+#include "core/ingress.h"
+
 namespace ebonylift {
 namespace {
 
@@ -12,7 +14,10 @@
   AttemptParameters attempt;
   if (open.server) attempt.server = *open.server;
   attempt.time_left = RemainingTime(spec, now);
-  attempt.rank = spec.route->rank;
+  attempt.rank = EffectiveRank(spec);
+  const IngressConfig* ingress = spec.view->config->ingress.get();
+  attempt.has_workspaces = ingress != nullptr && !ingress->workspaces.empty();
+  if (spec.workspace != nullptr) attempt.workspace = spec.workspace->id;
   attempt.last_event_id = last_event_id;
   attempt.fetch_from = open.fetch_from;
   return spec.dialect->attempt_headers(spec.headers, attempt);
@@ -110,10 +115,14 @@
   std::string key = own_interface ? FindHeader(spec->headers, "idempotency-key") : std::string();
   ForwardBinding binding{spec->method, spec->request_path + "?" + spec->query, key, BodyHash(spec),
                          spec->software_version};
+  if (spec->workspace != nullptr && spec->key_digest) {
+    binding.workspace = FormatWorkspaceHeader({spec->workspace->id, *spec->key_digest});
+  }
   HttpHeaders headers =
       own_interface ? spec->headers : MakeDialectHeaders(*spec, open, last_event_id, now);
   if (!spec->software_version.empty())
     headers.emplace_back(kSoftwareVersionHeader, spec->software_version);
+  if (!binding.workspace.empty()) headers.emplace_back(kWorkspaceHeader, binding.workspace);
   headers.emplace_back(kForwardHeader, EncodeForward(forward_header, binding, cluster_key));
   return headers;
 }
--- a/src/daemon/dialect.h
+++ b/src/daemon/dialect.h
@@ -36,6 +36,7 @@
   std::string resumes;
   std::string resume_after;    // id of the last event that the caller has; empty: none
   std::string host;            // from the Host header, without the port
+  std::string key;             // identifies the caller; empty: none. Must not be logged.
   Duration caller_timeout{0};  // 0 if the caller specified none
   ModelId model;
   int64_t prompt_tokens = 0;
@@ -47,9 +48,13 @@
 struct AttemptParameters {
   ServerId server;            // empty if the attempt is forwarded through another host
   Duration time_left{0};      // time until the request's deadline
-  int rank = 0;               // RouteConfig::rank; 0 is the most urgent
+  int rank = 0;               // EffectiveRank(); 0 is the most urgent
   std::string fetch_from;     // address of a server that caches a longer prefix; empty if none
   std::string last_event_id;  // id of the event to resume after; empty: keep the caller's header
+  // The configuration has workspaces: the key of the caller is not passed on, and the backend
+  // server is told the workspace instead, if the caller has one.
+  bool has_workspaces = false;
+  WorkspaceId workspace;  // empty: none
 };
 
 // Classifies a response to an attempt.
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -109,7 +109,7 @@
     Refuse(ErrorKind::kDraining, "");
     return;
   }
-  if (MustShed(*context_.load_shedding, {spec_.route->rank == 0, spec_.forwarded})) {
+  if (MustShed(*context_.load_shedding, {EffectiveRank(spec_) == 0, spec_.forwarded})) {
     Refuse(ErrorKind::kOverloaded, "this host is short of processor time");
     return;
   }
@@ -364,26 +364,35 @@
     RefuseWithOutcomeKind();
     return;
   }
-  if (!RefreshView()) {
-    Refuse(ErrorKind::kUnknownModel, "the route was removed");
+  if (std::optional<Error> error = RefreshView()) {
+    Refuse(error->kind(), error->what());
     return;
   }
   HandlePlacement(context_.dispatcher->Place(MakeRouteQuery(), *spec_.view, now));
 }
 
 // Switches to the newest routing view, because the configured rules may have become stricter since
-// the request arrived. Returns false when the route no longer exists.
-bool Exchange::RefreshView() {
+// the request arrived. Returns an error when the route no longer exists or the key of the caller
+// was withdrawn.
+std::optional<Error> Exchange::RefreshView() {
+  const Error removed(ErrorKind::kUnknownModel, "the route was removed");
   std::shared_ptr<const RoutingView> view = context_.control->View();
-  if (spec_.dialect != nullptr) return ResolveIngressRoute(&spec_, std::move(view));
+  if (spec_.dialect != nullptr) {
+    try {
+      if (!ResolveIngressRoute(&spec_, std::move(view))) return removed;
+      return std::nullopt;
+    } catch (const Error& error) {
+      return error;
+    }
+  }
   auto team = view->config->teams.find(spec_.team);
-  if (team == view->config->teams.end()) return false;
+  if (team == view->config->teams.end()) return removed;
   auto route = team->second.routes.find(spec_.route->id);
-  if (route == team->second.routes.end()) return false;
+  if (route == team->second.routes.end()) return removed;
   spec_.route = &route->second;
   spec_.allowed_regions = AllowedRegions(*view->config, *spec_.route);
   spec_.view = std::move(view);
-  return true;
+  return std::nullopt;
 }
 
 void Exchange::HandlePlacement(const Choice& choice) {
@@ -463,16 +472,13 @@
 
 void Exchange::OnQueueResult(const Choice& choice) {
   queue_id_.reset();
-  if (RefreshView()) {
-    if (RefuseIfCondemned()) {
-      context_.dispatcher->CancelPlacement(choice, spec_.content.content, SteadyNow());
-      return;
-    }
-    HandlePlacement(choice);
+  std::optional<Error> error = RefreshView();
+  if (error) Refuse(error->kind(), error->what());
+  if (error || RefuseIfCondemned()) {
+    context_.dispatcher->CancelPlacement(choice, spec_.content.content, SteadyNow());
     return;
   }
-  context_.dispatcher->CancelPlacement(choice, spec_.content.content, SteadyNow());
-  Refuse(ErrorKind::kUnknownModel, "the route was removed");
+  HandlePlacement(choice);
 }
 
 }  // namespace ebonylift
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -98,7 +98,7 @@
   void Place();
   // Returns whether it refused the request, which ends the exchange.
   bool RefuseIfCondemned();
-  bool RefreshView();
+  std::optional<Error> RefreshView();
   void HandlePlacement(const Choice& choice);
   void EnqueueRequest(Time hold_until);
   void OnQueueResult(const Choice& choice);
--- a/src/daemon/forward.cc
+++ b/src/daemon/forward.cc
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 #include <sstream>
+#include <string_view>
 #include <vector>
 
 #include "base/error.h"
@@ -11,6 +12,10 @@
 namespace {
 
 constexpr size_t kFieldCount = 13;  // including the version "v1", excluding the MAC
+// A name may contain the separator, a digest may not. Names do not stand at an end of the value,
+// where HTTP removes spaces.
+constexpr std::string_view kNameField = "name=";
+constexpr std::string_view kDigestField = ";key=";
 
 std::string ComputeMac(const std::string& fields, const ForwardBinding& binding,
                        const std::string& cluster_key) {
@@ -18,6 +23,8 @@
                      Sha256Hex(binding.idempotency_key) + "\n" + binding.body_sha256;
   // Left out if empty, as by earlier versions, which refuse a request that has one.
   if (!binding.software_version.empty()) text += "\n" + Sha256Hex(binding.software_version);
+  // The prefix keeps this line apart from that of a software version.
+  if (!binding.workspace.empty()) text += "\nworkspace " + Sha256Hex(binding.workspace);
   return HmacHex(cluster_key, text);
 }
 
@@ -31,6 +38,25 @@
 
 }  // namespace
 
+std::string FormatWorkspaceHeader(const ForwardedWorkspace& caller) {
+  return std::string(kNameField) + caller.workspace.value() + std::string(kDigestField) +
+         ToHex(caller.key_digest);
+}
+
+std::optional<ForwardedWorkspace> ParseWorkspaceHeader(const std::string& value) {
+  if (value.empty()) return std::nullopt;
+  size_t separator = value.rfind(kDigestField);
+  std::optional<Sha256Digest> digest;
+  if (separator != std::string::npos && value.compare(0, kNameField.size(), kNameField) == 0) {
+    digest = ParseSha256Hex(std::string_view(value).substr(separator + kDigestField.size()));
+  }
+  if (!digest || separator <= kNameField.size()) {
+    throw Error(ErrorKind::kForwardRefused, "malformed x-ebonylift-workspace header");
+  }
+  std::string name = value.substr(kNameField.size(), separator - kNameField.size());
+  return ForwardedWorkspace{WorkspaceId(name), *digest};
+}
+
 std::string EncodeForward(const ForwardHeader& forward_header, const ForwardBinding& binding,
                           const std::string& cluster_key) {
   std::ostringstream out;
--- a/src/daemon/forward.h
+++ b/src/daemon/forward.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 
+#include "base/hash.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "core/routing.h"
@@ -23,6 +24,9 @@
 // In a forwarded request: the software version that its server must have. In the answer to one: the
 // software version of the server that gave it.
 inline constexpr char kSoftwareVersionHeader[] = "x-ebonylift-software-version";
+// In a forwarded request: the caller's workspace and the digest of its key; see
+// FormatWorkspaceHeader().
+inline constexpr char kWorkspaceHeader[] = "x-ebonylift-workspace";
 // Largest accepted difference between the sender's timestamp and the receiver's clock, either way.
 inline constexpr WallMillis kMaxForwardAgeMs = 30'000;
 
@@ -49,8 +53,20 @@
   std::string idempotency_key;
   std::string body_sha256;
   std::string software_version = "";  // the value of kSoftwareVersionHeader
+  std::string workspace = "";         // the value of kWorkspaceHeader
 };
 
+// The caller of a forwarded request. The key itself does not leave the host that got it.
+struct ForwardedWorkspace {
+  WorkspaceId workspace;
+  Sha256Digest key_digest;
+};
+
+std::string FormatWorkspaceHeader(const ForwardedWorkspace& caller);
+
+// Returns nullopt if `value` is empty. Throws Error(kForwardRefused) if it is malformed.
+std::optional<ForwardedWorkspace> ParseWorkspaceHeader(const std::string& value);
+
 // Returns the header value, including the MAC. Precondition: no id contains ';', the field
 // separator. Thread safe.
 std::string EncodeForward(const ForwardHeader& forward_header, const ForwardBinding& binding,
--- a/src/daemon/ingress_request.cc
+++ b/src/daemon/ingress_request.cc
@@ -54,16 +54,58 @@
   return spec;
 }
 
+// Removes from `regions` what `allowed` does not contain.
+void KeepCommon(std::vector<RegionId>* regions, const std::vector<RegionId>& allowed) {
+  auto excluded = [&allowed](const RegionId& region) {
+    return std::find(allowed.begin(), allowed.end(), region) == allowed.end();
+  };
+  regions->erase(std::remove_if(regions->begin(), regions->end(), excluded), regions->end());
+}
+
 void RequireIngressConfig(const RoutingView& view) {
   if (view.config->ingress != nullptr) return;
   throw Error(ErrorKind::kNotReady, "this host has not received its configuration of routes yet");
 }
 
+// Returns the workspace of the caller, null if it belongs to none. `route` is null if no route
+// matches the request, which then needs a key as well, so that routes cannot be guessed without
+// one. Throws Error(kUnauthorized) if the route needs a key that is missing or unknown, and
+// Error(kNotReady) if this host may not know the key yet because another one with a newer
+// configuration forwarded the request.
+const WorkspaceConfig* IdentifyWorkspace(RequestSpec* spec, const RoutingView& view,
+                                         const RouteConfig* route) {
+  const WorkspaceTable& table = view.config->ingress->workspaces;
+  const WorkspaceConfig* workspace = nullptr;
+  if (!table.empty()) {
+    const std::string& key = spec->dialect_request.key;
+    if (!spec->key_digest && !key.empty()) spec->key_digest = Sha256(key);
+    if (spec->key_digest) workspace = FindWorkspace(table, *spec->key_digest);
+  }
+  const WorkspaceId& named = spec->sender_workspace;
+  if (workspace != nullptr && (named.empty() || named == workspace->id)) return workspace;
+  bool needs_key = !table.empty() && (route == nullptr || !route->open);
+  bool outdated = spec->forwarded && spec->sender_revision > view.config->revision;
+  if (outdated && (needs_key || !named.empty())) {
+    throw Error(ErrorKind::kNotReady,
+                "this host has an older configuration than the one that forwarded the request");
+  }
+  if (needs_key) throw Error(ErrorKind::kUnauthorized, "the key is missing or unknown");
+  return nullptr;
+}
+
+// Switches to the settings of `route` and of the caller's workspace. Throws as IdentifyWorkspace(),
+// and then leaves the settings unchanged.
 void SetRoute(RequestSpec* spec, std::shared_ptr<const RoutingView> view,
               const RouteConfig& route) {
+  const WorkspaceConfig* workspace = IdentifyWorkspace(spec, *view, &route);
+  spec->workspace = workspace;
   spec->route = &route;
   spec->allowed_regions = AllowedRegions(*view->config, route);
   spec->traffic_class = route.traffic_class;
+  if (workspace != nullptr) {
+    KeepCommon(&spec->allowed_regions, workspace->regions);
+    if (workspace->rank) spec->traffic_class = TrafficClassOfRank(*workspace->rank);
+  }
   spec->idempotent = route.idempotent;
   spec->view = std::move(view);
 }
@@ -119,7 +161,8 @@
   RequireIngressConfig(*view);
   RequestSpec spec = MakeSpec(std::move(request), dialect, now);
   spec.id = NewRequestId();
-  if (!ResolveIngressRoute(&spec, std::move(view))) {
+  if (!ResolveIngressRoute(&spec, view)) {
+    IdentifyWorkspace(&spec, *view, nullptr);
     throw Error(ErrorKind::kUnknownPath,
                 "no route matches " + spec.dialect_request.host + spec.path);
   }
@@ -136,11 +179,18 @@
   RequireIngressConfig(*view);
   std::string header = FindHeader(request.headers, kForwardHeader);
   std::string software_version = FindHeader(request.headers, kSoftwareVersionHeader);
+  std::string workspace = FindHeader(request.headers, kWorkspaceHeader);
   RequestSpec spec = MakeSpec(std::move(request), dialect, now);
   spec.software_version = std::move(software_version);
-  ForwardBinding binding{spec.method, spec.path + "?" + spec.query, "", BodyHash(&spec),
-                         spec.software_version};
+  ForwardBinding binding{spec.method,     spec.path + "?" + spec.query, "",
+                         BodyHash(&spec), spec.software_version,        workspace};
   ForwardHeader forward_header = DecodeForward(header, binding, cluster_key, WallNow());
+  spec.forwarded = true;
+  spec.sender_revision = forward_header.revision;
+  if (std::optional<ForwardedWorkspace> caller = ParseWorkspaceHeader(workspace)) {
+    spec.sender_workspace = caller->workspace;
+    spec.key_digest = caller->key_digest;
+  }
   const RouteConfig* route = FindForwardedRoute(spec, *view, forward_header.route);
   if (route == nullptr) {
     // Expected briefly while a configuration change reaches the two hosts at different times.
@@ -149,7 +199,6 @@
   }
   SetRoute(&spec, std::move(view), *route);
   spec.id = forward_header.request;
-  spec.forwarded = true;
   spec.hops = forward_header.hops;
   spec.crossed_region = forward_header.crossed_region;
   spec.traffic_class = forward_header.traffic_class;
--- a/src/daemon/ingress_request.h
+++ b/src/daemon/ingress_request.h
@@ -13,13 +13,16 @@
 namespace ebonylift {
 
 // Parses a request received from a caller. The deadline is the earlier of the route's and the
-// caller's. Throws Error(kBadRequest, kNotReady, kUnknownPath).
+// caller's. Throws Error(kBadRequest, kNotReady, kUnknownPath), and Error(kUnauthorized) if the
+// route needs a key of a workspace that the request does not have.
 RequestSpec ParseIngressRequest(HttpRequest request, std::shared_ptr<const RoutingView> view,
                                 const Dialect& dialect, Time now);
 
 // Parses a request forwarded by another host. Route, deadline and hop count come from the verified
 // forwarding header. Throws Error(kBadRequest, kNotReady), Error(kNoServer) if this host does not
-// know the route, and Error(kForwardRefused, kHopLimit) as DecodeForward() does.
+// know the route, Error(kUnauthorized) if it does not know the key, also Error(kNotReady) then if
+// its configuration is older than the sender's, and Error(kForwardRefused, kHopLimit) as
+// DecodeForward() does.
 RequestSpec ParseForwardedIngress(HttpRequest request, std::shared_ptr<const RoutingView> view,
                                   const Dialect& dialect, const std::string& cluster_key, Time now);
 
@@ -29,7 +32,8 @@
 
 // Looks up the request's route in `view`, which may be newer than spec->view, and stores both in
 // the spec. A forwarded request is matched by its route id, any other by host name and path.
-// Returns false and leaves the spec unchanged if no route matches.
+// Returns false and leaves the spec unchanged if no route matches. Identifies the workspace of the
+// caller again; throws Error(kUnauthorized, kNotReady) if the view does not have the key.
 bool ResolveIngressRoute(RequestSpec* spec, std::shared_ptr<const RoutingView> view);
 
 }  // namespace ebonylift
--- a/src/daemon/request.cc
+++ b/src/daemon/request.cc
@@ -244,6 +244,11 @@
   return kept;
 }
 
+int EffectiveRank(const RequestSpec& spec) {
+  bool own = spec.workspace != nullptr && spec.workspace->rank.has_value();
+  return own ? *spec.workspace->rank : spec.route->rank;
+}
+
 const std::string& BodyHash(RequestSpec* spec) {
   if (spec->body_sha256.empty()) spec->body_sha256 = Sha256Hex(spec->body);
   return spec->body_sha256;
--- a/src/daemon/request.h
+++ b/src/daemon/request.h
@@ -8,11 +8,13 @@
 // Error with the kind that is reported to the caller.
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "adapters/http_server.h"
 #include "base/error.h"
+#include "base/hash.h"
 #include "core/poison.h"
 #include "daemon/dialect.h"
 #include "daemon/forward.h"
@@ -36,7 +38,8 @@
   std::string idempotency_key;  // empty: requests are not deduplicated
   Time arrived;
   Time deadline;
-  std::vector<RegionId> allowed_regions;  // data residency: allowed by both the team and the route
+  // Data residency: allowed by the team, the route and the workspace.
+  std::vector<RegionId> allowed_regions;
   bool stream = false;
   int64_t prompt_tokens = 0;
   std::vector<uint64_t> prefix_hashes;  // one per prefix of the prompt, shortest first
@@ -48,6 +51,10 @@
   bool crossed_region = false;  // a forward has already crossed a region boundary
   bool claimed = false;         // forwarded by the host that holds the idempotency key's claim
   bool forwarded = false;       // received from another host
+  std::optional<Sha256Digest> key_digest;  // of the caller's key, in ingress routing
+  // Of a forwarded request: what the sender's configuration said.
+  uint64_t sender_revision = 0;
+  WorkspaceId sender_workspace;  // empty: none
 
   // Of a request that continues a stream, also of one whose own stream has begun: the software
   // version that its servers must have, and the service that began it. Empty: any.
@@ -87,6 +94,9 @@
 // Thread safe.
 HttpHeaders EndToEndHeaders(const HttpHeaders& headers, HeaderSet set = HeaderSet::kEndToEnd);
 
+// Returns the rank of the request's workspace or, if that has none, of its route. Thread safe.
+int EffectiveRank(const RequestSpec& spec);
+
 // Returns the SHA-256 of the body in hex. Computed on the first call and cached in the spec.
 const std::string& BodyHash(RequestSpec* spec);
 
--- a/tests/platform_dialect_test.cc
+++ b/tests/platform_dialect_test.cc
@@ -58,6 +58,21 @@
   BOOST_CHECK_THROW(kPlatformDialect.read_request(request), Error);
 }
 
+// Guards against a key that is not found in its header, and against one read from other
+// credentials.
+BOOST_AUTO_TEST_CASE(ReadsTheKey) {
+  struct Row {
+    const char* value;
+    const char* key;
+  };
+  for (const Row& row : {Row{"Bearer k-1", "k-1"}, Row{"bearer  k-1", "k-1"}, Row{"Bearer ", ""},
+                         Row{"Bearer", ""}, Row{"Basic k-1", ""}, Row{"", ""}}) {
+    HttpRequest request;
+    request.headers = {{"authorization", row.value}};
+    BOOST_TEST(kPlatformDialect.read_request(request).key == row.key, row.value);
+  }
+}
+
 // Guards against forwarding gateway-only headers that a client set, and against a resumed stream
 // that sends the Last-Event-Id of the client besides the current one.
 BOOST_AUTO_TEST_CASE(AttemptHeadersReplaceGatewayOnlyHeaders) {
@@ -133,7 +148,11 @@
     bool guarantees_not_executed = status == 503 || status == 429 || status == 408 || status == 421;
     if (info.run != Run::kNotRun) BOOST_TEST(!guarantees_not_executed, info.code);
     bool has_retry_after = !FindHeader(responder.headers(), "Retry-After").empty();
-    if (status == 503 && info.retry_after_ms > 0) BOOST_TEST(has_retry_after, info.code);
+    if ((status == 503 || status == 429) && info.retry_after_ms > 0) {
+      BOOST_TEST(has_retry_after, info.code);
+    }
+    BOOST_TEST((status == 401) == (info.kind == ErrorKind::kUnauthorized), info.code);
+    BOOST_TEST((status == 429) == (info.kind == ErrorKind::kRateLimited), info.code);
   }
 }
 
