The speed of each server is learned from its answers, shared and used in the placement

Cause: routing keeps one prefill rate for a model, so a server of 0.6 of the mean speed gets as many prompts as one of 1.6, and its answers are late while faster servers have room.

Change: core/server_speed learns one factor for each server, from the time to the first byte and from the time between events, with a slow estimate that slow periods do not move and a fast one that shows them. Hosts share their own estimates in four bytes of the rows of the work lists; collectors merge them by weight without that of the receiver. Placement reads, waits and limits prompts ahead at the speed of each server, and prefers servers that answer the whole request in time.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -79,6 +79,12 @@
   inFlight @1 :Int32;
   prefillTokens @2 :Int64;
   limit @3 :ObservedLimit;  # absent if the sender saw none
+
+  # Factors of the server's speed; see SpeedToByte() in core/server_speed.h. 0: unknown.
+  speed @4 :UInt8;
+  recentSpeed @5 :UInt8;
+  speedWeight @6 :UInt8;       # samples
+  speedIncarnation @7 :UInt8;  # see IncarnationTag()
 }
 
 struct ObservedLimit {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -3613,6 +3613,14 @@
   inline bool hasLimit() const;
   inline  ::ebonylift::wire::ObservedLimit::Reader getLimit() const;
 
+  inline  ::uint8_t getSpeed() const;
+
+  inline  ::uint8_t getRecentSpeed() const;
+
+  inline  ::uint8_t getSpeedWeight() const;
+
+  inline  ::uint8_t getSpeedIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3661,6 +3669,18 @@
   inline void adoptLimit(::capnp::Orphan< ::ebonylift::wire::ObservedLimit>&& value);
   inline ::capnp::Orphan< ::ebonylift::wire::ObservedLimit> disownLimit();
 
+  inline  ::uint8_t getSpeed();
+  inline void setSpeed( ::uint8_t value);
+
+  inline  ::uint8_t getRecentSpeed();
+  inline void setRecentSpeed( ::uint8_t value);
+
+  inline  ::uint8_t getSpeedWeight();
+  inline void setSpeedWeight( ::uint8_t value);
+
+  inline  ::uint8_t getSpeedIncarnation();
+  inline void setSpeedIncarnation( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7240,6 +7260,62 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint8_t ServerWork::Reader::getSpeed() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerWork::Builder::getSpeed() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServerWork::Builder::setSpeed( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ServerWork::Reader::getRecentSpeed() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerWork::Builder::getRecentSpeed() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ServerWork::Builder::setRecentSpeed( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ServerWork::Reader::getSpeedWeight() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerWork::Builder::getSpeedWeight() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void ServerWork::Builder::setSpeedWeight( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ServerWork::Reader::getSpeedIncarnation() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerWork::Builder::getSpeedIncarnation() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void ServerWork::Builder::setSpeedIncarnation( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline double ObservedLimit::Reader::getPerSecond() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -9,6 +9,7 @@
 
 #include "adapters/kj_types.h"
 #include "core/registry.h"
+#include "core/server_speed.h"
 
 namespace ebonylift {
 namespace {
@@ -459,6 +460,12 @@
   out.setServer(work.server.value());
   out.setInFlight(work.in_flight);
   out.setPrefillTokens(work.prefill_tokens);
+  if (work.speed) {
+    out.setSpeed(SpeedToByte(work.speed->factor));
+    out.setRecentSpeed(SpeedToByte(work.speed->recent));
+    out.setSpeedWeight(static_cast<uint8_t>(std::clamp(work.speed->weight, 1.0, 255.0)));
+    out.setSpeedIncarnation(work.speed->incarnation);
+  }
   if (!work.limit) return;
   auto limit = out.initLimit();
   limit.setPerSecond(work.limit->per_s);
@@ -470,6 +477,12 @@
   work.server = ServerId(ToStdString(in.getServer()));
   work.in_flight = in.getInFlight();
   work.prefill_tokens = in.getPrefillTokens();
+  if (in.getSpeed() != 0 && in.getSpeedWeight() != 0) {
+    double recent = in.getRecentSpeed() == 0 ? 1 : SpeedFromByte(in.getRecentSpeed());
+    work.speed =
+        ObservedSpeed{SpeedFromByte(in.getSpeed()), static_cast<double>(in.getSpeedWeight()),
+                      recent, in.getSpeedIncarnation()};
+  }
   if (!in.hasLimit()) return work;
   double per_s = in.getLimit().getPerSecond();
   if (std::isfinite(per_s) && per_s >= 0)
--- a/src/core/peer_work.cc
+++ b/src/core/peer_work.cc
@@ -4,6 +4,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "core/server_speed.h"
+
 namespace ebonylift {
 
 void OnPeerWork(PeerWork* state, const HostId& from, std::vector<ServerWork> work, Time now) {
@@ -22,12 +24,22 @@
                     std::vector<BackendServer>* servers) {
   std::unordered_map<ServerId, ServerWork> sums;
   std::unordered_map<ServerId, RequestLimit> limits;
+  struct Speed {
+    ObservedSpeed merged;
+    Time received_at;
+  };
+  std::unordered_map<ServerId, Speed> speeds;
   for (const PeerWork::List* list : lists) {
     if (list == nullptr || now - list->received_at >= kPeerWorkTtl) continue;
     for (const ServerWork& work : list->work) {
       ServerWork& sum = sums[work.server];
       sum.in_flight += work.in_flight;
       sum.prefill_tokens += work.prefill_tokens;
+      if (work.speed) {
+        Speed& speed = speeds[work.server];
+        MergeSpeed(*work.speed, &speed.merged);
+        speed.received_at = std::max(speed.received_at, list->received_at);
+      }
       if (!work.limit) continue;
       RequestLimit& newest = limits[work.server];
       Time seen_at = list->received_at - work.limit->age;
@@ -41,6 +53,11 @@
     server.other_hosts_prefill_tokens = known ? found->second.prefill_tokens : 0;
     auto limit = limits.find(server.announced.id);
     server.other_hosts_limit = limit == limits.end() ? RequestLimit() : limit->second;
+    auto speed = speeds.find(server.announced.id);
+    bool speed_known = speed != speeds.end();
+    server.other_hosts_speed.reset();
+    if (speed_known) server.other_hosts_speed = speed->second.merged;
+    server.other_hosts_speed_at = speed_known ? speed->second.received_at : Time();
   }
 }
 
--- a/src/core/peer_work.h
+++ b/src/core/peer_work.h
@@ -40,7 +40,8 @@
 void OnPeerWork(PeerWork* state, const HostId& from, std::vector<ServerWork> work, Time now);
 
 // Sets `other_hosts_requests` and `other_hosts_prefill_tokens` of the servers to the sums over all
-// current lists, and `other_hosts_limit` to the newest limit in them.
+// current lists, `other_hosts_limit` to the newest limit and `other_hosts_speed` to the weighted
+// mean of the speeds in them.
 void ApplyPeerWork(const PeerWork& state, Time now, std::vector<BackendServer>* servers);
 
 // ApplyPeerWork() for lists in any order. Null pointers are ignored.
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -53,6 +53,7 @@
 #include "core/request_rate.h"
 #include "core/server_affinity.h"
 #include "core/server_notice.h"
+#include "core/server_speed.h"
 #include "core/unseen_work.h"
 #include "ports/views.h"
 
@@ -89,6 +90,11 @@
 constexpr double kShortPromptAtLongPromptServerCost = 0.2;
 // A long prompt, for each request that the server already has.
 constexpr double kLongPromptPerRequestCost = 0.03;
+// Of each second by which a server streams the answer more slowly than the mean server.
+constexpr double kSlowPaceCost = 0.1;
+// Slower servers cache no shared prefixes and take no long prompts, as long as others are the
+// majority.
+constexpr double kMinAffinitySpeed = 0.8;
 // How much longer a fetch takes from a server of another failure domain.
 constexpr double kCrossDomainFetchFactor = 2;
 // A request that finds no place because other hosts may have taken it asks for one again after this
@@ -189,6 +195,7 @@
   Time first_byte_deadline;
   std::vector<ServerId> avoid_servers;  // already tried
   std::vector<HostId> avoid_hosts;      // the sender of a forward, and hosts that refused
+  double expected_events = 0;           // of the stream that answers; 0: no stream, or unknown
   bool suspect = false;                 // must run on a server without other work
   int connect_failures = 0;             // attempts at servers to which no connection could be made
   // This host has no path to its servers, as far as it knows: other hosts of its scope come first,
@@ -254,6 +261,8 @@
   size_t queued_ahead = 0;       // requests that the local queue serves first; set by the caller
   uint64_t round_robin_counter = 0;                       // advanced by OnDispatch()
   std::unordered_map<std::string, double> prefill_rates;  // tokens/s, by model or service name
+  std::unordered_map<ServerId, ServerSpeed> speeds;       // learned from answers
+  std::unordered_map<std::string, SpeedBaseline> speed_baselines;    // by model or service name
   std::unordered_map<std::string, PlacementRate> placement_rates;    // by model or service name
   std::unordered_map<std::string, BrittleService> brittle_services;  // by model or service name
   // RankSender() of servers while some are brittle, and what it was computed from.
@@ -331,6 +340,11 @@
 void OnFirstByte(RoutingState& routing_state, const std::string& served, const Choice& choice,
                  Time dispatched_at, Time now);
 
+// Records the time between two events of a stream that a server sends. `served` is ServedName() of
+// the route.
+void OnEventGap(RoutingState& routing_state, const RoutingView& view, const std::string& served,
+                const ServerId& server, uint64_t incarnation, Duration gap, Time now);
+
 // Records the limit that an answer of the server named; nullopt: it named none. Returns true if the
 // limit changed.
 bool OnRequestLimit(RoutingState& routing_state, const ServerId& server, uint64_t incarnation,
@@ -359,8 +373,9 @@
 // Records that the server has ended, as a probe showed. Its next process may have other software.
 void OnServerEnded(RoutingState& routing_state, const ServerId& server, Time now);
 
-// The work that this host has in flight at each backend server, and the limits that this host has
-// seen, also for kWithdrawnLimitShareTime after they were withdrawn.
+// The work that this host has in flight at each backend server, the limits that this host has seen,
+// also for kWithdrawnLimitShareTime after they were withdrawn, and what it learned of speeds, also
+// for kSpeedShareTime after the last answer.
 std::vector<ServerWork> WorkInFlight(const RoutingState& routing_state, Time now);
 
 // The model or service name of the route: the key of summaries and of prefill rates.
--- a/src/core/routing_candidates.cc
+++ b/src/core/routing_candidates.cc
@@ -68,6 +68,16 @@
   return known == routing_state.sender_ranks.end() ? RankSender(view, server) : known->second;
 }
 
+// A server that this host knows nothing of, or only of an earlier incarnation, counts as average.
+void SetSpeed(const RoutingState& routing_state, Time now, Candidate* candidate) {
+  const Announcement& announced = candidate->server->announced;
+  auto found = routing_state.speeds.find(announced.id);
+  if (found == routing_state.speeds.end()) return;
+  if (found->second.incarnation != announced.incarnation) return;
+  candidate->speed = SpeedAt(found->second, now);
+  candidate->mean_speed = MeanSpeed(found->second, now);
+}
+
 Candidate MakeCandidate(const RouteQuery& query, const BackendServer& server,
                         const RoutingState& routing_state, Time now) {
   Candidate candidate;
@@ -85,6 +95,7 @@
     candidate.tokens_ahead += OwnTokensAhead(query, server, state);
   }
   candidate.requests += server.other_hosts_requests;
+  SetSpeed(routing_state, now, &candidate);
   candidate.notices = NoticesOf(query, candidate, routing_state, now);
   candidate.expected_requests = candidate.requests;
   candidate.expected_tokens_ahead = static_cast<double>(candidate.tokens_ahead);
--- a/src/core/routing_candidates.h
+++ b/src/core/routing_candidates.h
@@ -37,12 +37,14 @@
   bool ejected = false;                  // or unreachable
   bool is_long_prompt_server = false;    // one of LongPromptServers()
   bool has_long_prompt_servers = false;  // LongPromptServers() is not empty
+  double speed = 1;                      // expected now, relative to the mean; see SpeedAt()
+  double mean_speed = 1;                 // over the last tens of seconds
   double request_rate = 0;               // see RequestRate() in core/request_rate.h
   SeenNotices notices;                   // of this incarnation of the server
   // The requests that this host may have at the brittle server at a time; nullopt: no such share.
   std::optional<int> share_of_room;
   Duration min_interval{0};  // between two requests from this host; 0: no limit
-  double utilization() const { return expected_requests / slots; }
+  double utilization() const { return expected_requests / (slots * speed); }
   int64_t cached_tokens() const { return hit_tokens + fetch_tokens; }
 };
 
@@ -55,6 +57,8 @@
   // `healthy` is empty.
   std::vector<Candidate> with_room;      // neither in slow start nor ejected
   std::vector<Candidate> in_slow_start;  // skipped for this request by slow start
+  // That have room, but answer late or make others pause by their speed; see AnswersInTime().
+  std::vector<Candidate> late;
   std::vector<Candidate> ejected;
   const BackendServer* own_server_set_aside = nullptr;
   // Brittle servers at which only other hosts have a share.
--- a/src/core/routing_local.cc
+++ b/src/core/routing_local.cc
@@ -20,7 +20,7 @@
   if (query.prompt_tokens - candidate.cached_tokens() < kLongPromptTokens) {
     return candidate.is_long_prompt_server ? kShortPromptAtLongPromptServerCost : 0;
   }
-  double streams = candidate.requests * kLongPromptPerRequestCost;
+  double streams = candidate.requests * kLongPromptPerRequestCost / candidate.mean_speed;
   if (candidate.is_long_prompt_server) return streams;
   return streams + (estimate.late_when_idle ? kLatePromptElsewhereCost : kLongPromptElsewhereCost);
 }
@@ -29,22 +29,32 @@
 // source turns out not to have is prefilled as well, and then stands at the wrong server.
 double PromptReadSeconds(const RouteQuery& query, const Candidate& candidate,
                          const PrefillEstimate& estimate) {
-  double prefill_s =
-      PrefillSeconds(query.prompt_tokens - candidate.cached_tokens(), estimate.read_rate);
+  double prefill_s = PrefillSeconds(query.prompt_tokens - candidate.cached_tokens(),
+                                    ReadRate(candidate, estimate));
   if (candidate.fetch_tokens <= 0) return prefill_s;
   double fetch_s = PrefillSeconds(candidate.fetch_tokens, estimate.fetch_rate);
   if (candidate.fetch_crosses_domain) fetch_s *= kCrossDomainFetchFactor;
   if (candidate.fetch_certain) return prefill_s + fetch_s;
-  double read_s = PrefillSeconds(candidate.fetch_tokens, estimate.read_rate);
+  double read_s = PrefillSeconds(candidate.fetch_tokens, ReadRate(candidate, estimate));
   return prefill_s + kAssumedPrefixShare * fetch_s + (1 - kAssumedPrefixShare) * read_s;
 }
 
+// The cost of a server that sends the events of the answer more slowly than others; negative for a
+// faster one.
+double SlowPaceSeconds(const RouteQuery& query, const Candidate& candidate,
+                       const PrefillEstimate& estimate) {
+  if (query.expected_events <= 0) return 0;
+  double mean_s = query.expected_events * EventGapSeconds(estimate.pace, candidate.requests);
+  return kSlowPaceCost * mean_s * (1 / candidate.mean_speed - 1);
+}
+
 double ServerCost(const RouteQuery& query, const Candidate& candidate,
                   const PrefillEstimate& estimate) {
   double wait =
       WaitSeconds(candidate.expected_requests, candidate.slots, ServiceSeconds(candidate.state));
-  wait += candidate.expected_tokens_ahead / estimate.read_rate;
+  wait += candidate.expected_tokens_ahead / ReadRate(candidate, estimate);
   wait += InterferenceSeconds(query, candidate, estimate);
+  wait += SlowPaceSeconds(query, candidate, estimate);
   double service = PromptReadSeconds(query, candidate, estimate);
   return query.route->weight_latency * wait + query.route->weight_cost * service;
 }
@@ -259,11 +269,17 @@
   std::vector<CacheHit> hits = PredictHits(
       routing_state.prefixes, {query.prefix_hashes, query.prefix_tokens, query.prompt_tokens}, now);
   ServerList warm;
+  ServerList warm_and_slow;
   for (const Candidate& candidate : healthy) {
     int64_t hit = PredictedHitTokens(hits, candidate);
     if (hit > 0) placement.cached.push_back({&candidate, hit, true});
     bool takes_work = !IsCold(*candidate.server, now) && candidate.request_rate <= 0;
-    if (takes_work) warm.push_back(candidate.server);
+    if (!takes_work) continue;
+    bool slow = candidate.mean_speed < kMinAffinitySpeed;
+    (slow ? warm_and_slow : warm).push_back(candidate.server);
+  }
+  if (warm.size() < warm_and_slow.size()) {
+    warm.insert(warm.end(), warm_and_slow.begin(), warm_and_slow.end());
   }
   if (query.prefix_tokens.empty()) return placement;
   placement.long_prompt_servers = LongPromptServers(warm, Hash64(ServedName(*query.route)));
@@ -286,6 +302,8 @@
   estimate.read_rate = PrefillRate(query, routing_state);
   estimate.rate_measured = routing_state.prefill_rates.count(ServedName(*query.route)) != 0;
   estimate.fetch_rate = FetchRate(query, view);
+  auto pace = routing_state.speed_baselines.find(ServedName(*query.route));
+  if (pace != routing_state.speed_baselines.end()) estimate.pace = pace->second;
   if (query.first_byte_deadline == Time()) return estimate;
   double alone = PrefillSeconds(query.prompt_tokens, estimate.read_rate);
   estimate.late_when_idle = alone > ToSeconds(query.first_byte_deadline - now);
@@ -352,6 +370,9 @@
 void GroupByRoom(const RouteQuery& query, const RoutingState& routing_state,
                  const PrefillEstimate& estimate, Time now, std::mt19937_64& rng,
                  LocalServers* local) {
+  // With equal servers, a server that is late now is as good as any other.
+  bool speeds_differ = std::any_of(local->usable.begin(), local->usable.end(),
+                                   [](const Candidate& candidate) { return candidate.speed != 1; });
   for (const Candidate& candidate : local->usable) {
     const BackendServer& server = *candidate.server;
     bool fits =
@@ -361,6 +382,8 @@
     if (!fits) continue;
     if (candidate.ejected) {
       local->ejected.push_back(candidate);
+    } else if (speeds_differ && !AnswersInTime(query, candidate, estimate, now)) {
+      local->late.push_back(candidate);
     } else if (PassesSlowStart(candidate, now, rng)) {
       local->with_room.push_back(candidate);
     } else {
@@ -380,8 +403,16 @@
   GroupByRoom(query, routing_state, estimate, now, rng, &local);
   const std::vector<Candidate>* candidates = &local.with_room;
   if (candidates->empty()) candidates = &local.in_slow_start;
-  bool taken = !candidates->empty() && !query.suspect &&
-               !MayTakeRoom(query, routing_state, *candidates, unseen, estimate, now);
+  auto is_taken = [&] {
+    return !candidates->empty() && !query.suspect &&
+           !MayTakeRoom(query, routing_state, *candidates, unseen, estimate, now);
+  };
+  bool taken = is_taken();
+  if ((candidates->empty() || taken) && !local.late.empty()) {
+    local.late.insert(local.late.end(), candidates->begin(), candidates->end());
+    candidates = &local.late;
+    taken = is_taken();
+  }
   // Ejection is a heuristic. If all servers are ejected, trying one is better than refusing.
   bool ejected = candidates->empty() && local.healthy.empty();
   if (ejected) candidates = &local.ejected;
--- a/src/core/routing_record.cc
+++ b/src/core/routing_record.cc
@@ -97,6 +97,29 @@
   }
 }
 
+// Takes over what other hosts know of the speed of servers. The speed of another incarnation is
+// forgotten.
+void AdoptSpeeds(RoutingState& routing_state, const RoutingView& view) {
+  for (const BackendServer& server : view.servers) {
+    const std::optional<ObservedSpeed>& seen = server.other_hosts_speed;
+    auto found = routing_state.speeds.find(server.announced.id);
+    if (found == routing_state.speeds.end()) {
+      if (!seen) continue;
+      found = routing_state.speeds.try_emplace(server.announced.id).first;
+    }
+    SetIncarnation(&found->second, server.announced.incarnation);
+    if (seen) OnOthersSpeed(&found->second, *seen, server.other_hosts_speed_at);
+  }
+}
+
+// Forgets the speed of servers that are not in the view.
+void DropSpeeds(RoutingState& routing_state, const RoutingView& view) {
+  auto& speeds = routing_state.speeds;
+  for (auto it = speeds.begin(); it != speeds.end();) {
+    it = FindServer(view, it->first) == nullptr ? speeds.erase(it) : std::next(it);
+  }
+}
+
 // Forgets what was known of an earlier incarnation of the server.
 void StartIncarnation(RoutingState& routing_state, TargetState& state, uint64_t incarnation,
                       Time now) {
@@ -202,6 +225,14 @@
   if (choice.prefill_tokens < kMinRateSampleTokens || now <= dispatched_at) return;
   double tokens_read = static_cast<double>(choice.prefill_tokens + choice.tokens_ahead);
   double sample = tokens_read / ToSeconds(now - dispatched_at);
+  if (state.incarnation == choice.incarnation) {
+    ServerSpeed& speed = routing_state.speeds[choice.server];
+    SetIncarnation(&speed, choice.incarnation);
+    // The rate is that of a server of the mean speed.
+    sample /= MeanSpeed(speed, now);
+    OnPromptRead(&speed, &routing_state.speed_baselines[served], tokens_read, now - dispatched_at,
+                 now);
+  }
   // A response that was delayed by something other than the prefill, as after a start of all hosts,
   // must not lower the rate below the default.
   sample = std::max(sample, kDefaultPrefillTokensPerSecond);
@@ -209,6 +240,19 @@
   if (!first) rate->second += kPrefillRateSmoothing * (sample - rate->second);
 }
 
+void OnEventGap(RoutingState& routing_state, const RoutingView& view, const std::string& served,
+                const ServerId& server, uint64_t incarnation, Duration gap, Time now) {
+  const BackendServer* known = FindServer(view, server);
+  auto found = routing_state.servers.find(server);
+  if (known == nullptr || found == routing_state.servers.end()) return;
+  if (found->second.incarnation != incarnation || known->announced.incarnation != incarnation)
+    return;
+  ServerSpeed& speed = routing_state.speeds[server];
+  SetIncarnation(&speed, incarnation);
+  int requests = found->second.in_flight + known->other_hosts_requests;
+  OnEventGap(&speed, &routing_state.speed_baselines[served], gap, requests, now);
+}
+
 bool OnRequestLimit(RoutingState& routing_state, const ServerId& server, uint64_t incarnation,
                     std::optional<double> per_s, Time now) {
   auto found = routing_state.servers.find(server);
@@ -268,8 +312,11 @@
   std::vector<ServerWork> work;
   for (const auto& [server, state] : routing_state.servers) {
     std::optional<ObservedLimit> limit = LimitToShare(state, now);
-    if (state.in_flight > 0 || limit)
-      work.push_back({server, state.in_flight, state.prefill_tokens, limit});
+    std::optional<ObservedSpeed> speed;
+    auto learned = routing_state.speeds.find(server);
+    if (learned != routing_state.speeds.end()) speed = SpeedToShare(learned->second, now);
+    if (state.in_flight > 0 || limit || speed)
+      work.push_back({server, state.in_flight, state.prefill_tokens, limit, speed});
   }
   return work;
 }
@@ -345,6 +392,8 @@
   if (membership_changed) routing_state.membership_changed_at = now;
   routing_state.membership_hash = membership;
   AdoptLimits(routing_state, view);
+  AdoptSpeeds(routing_state, view);
+  if (membership_changed) DropSpeeds(routing_state, view);
   DropSoundServices(routing_state, now);
   UpdateSenderRanks(routing_state, view, membership_changed);
   for (auto it = routing_state.servers.begin(); it != routing_state.servers.end();) {
--- a/src/core/routing_room.cc
+++ b/src/core/routing_room.cc
@@ -30,10 +30,11 @@
                       const PrefillEstimate& estimate, Time now) {
   if (query.first_byte_deadline == Time() || !estimate.rate_measured) return kInfinity;
   // Ignores cache hits, because they are only predictions and the work ahead is known with delay.
-  double own = PrefillSeconds(query.prompt_tokens, estimate.read_rate);
-  double uncertain = candidate.token_deviation / estimate.read_rate;
+  double rate = ReadRate(candidate, estimate);
+  double own = PrefillSeconds(query.prompt_tokens, rate);
+  double uncertain = candidate.token_deviation / rate;
   double left = ToSeconds(query.first_byte_deadline - now) - own - uncertain;
-  return std::max(left, ToSeconds(MaxLateWait(candidate, estimate))) * estimate.read_rate;
+  return std::max(left, ToSeconds(MaxLateWait(candidate, estimate))) * rate;
 }
 
 // A server that has this many requests has no room for the request.
@@ -47,8 +48,11 @@
     return RoomAtBrittleServer(candidate.slots, HasPrompt(query));
   }
   double share = IsPromptlessWithTarget(query) ? kPromptlessBacklogPerSlot : kServerBacklogPerSlot;
-  int backlog = std::max(1, static_cast<int>(candidate.slots * share));
-  return candidate.slots + backlog;
+  // A slow server gets fewer requests, so that it serves each as fast as others do. A fast one has
+  // no more slots, but its backlog moves faster. A slow period ends before the requests do.
+  double slots = candidate.slots * std::min(1.0, candidate.mean_speed);
+  int backlog = std::max(1, static_cast<int>(candidate.slots * share * candidate.mean_speed));
+  return std::max(1, static_cast<int>(slots)) + backlog;
 }
 
 int OwnRequests(const Candidate& candidate) {
@@ -85,7 +89,7 @@
   for (Candidate& candidate : *candidates) {
     if (!IsShared(candidate)) continue;
     candidate.expected_requests -= ended * candidate.server->other_hosts_requests;
-    candidate.expected_tokens_ahead -= estimate.read_rate * known.age_s;
+    candidate.expected_tokens_ahead -= ReadRate(candidate, estimate) * known.age_s;
   }
 }
 
@@ -105,13 +109,40 @@
   for (Candidate& candidate : *candidates) {
     if (!IsShared(candidate)) continue;
     candidate.expected_requests = std::max(candidate.expected_requests, request_level);
-    candidate.expected_tokens_ahead = std::max({candidate.expected_tokens_ahead, token_level, 0.0});
+    candidate.expected_tokens_ahead =
+        std::max({candidate.expected_tokens_ahead, token_level * candidate.mean_speed, 0.0});
     candidate.token_deviation = deviation;
   }
 }
 
+// The time for which streams at the candidate pause while it reads the prompt and those ahead of
+// it, which it does between the steps that make up one event.
+double PauseSeconds(const RouteQuery& query, const Candidate& candidate,
+                    const PrefillEstimate& estimate) {
+  double tokens =
+      static_cast<double>(candidate.tokens_ahead + query.prompt_tokens - candidate.cached_tokens());
+  tokens = std::clamp(tokens, 0.0, kPromptChunkTokens * kTokensPerEvent);
+  return EventGapSeconds(estimate.pace, candidate.requests) / candidate.speed +
+         tokens / ReadRate(candidate, estimate);
+}
+
 }  // namespace
 
+bool AnswersInTime(const RouteQuery& query, const Candidate& candidate,
+                   const PrefillEstimate& estimate, Time now) {
+  int64_t tokens = candidate.tokens_ahead + query.prompt_tokens - candidate.cached_tokens();
+  double first_byte_s = PrefillSeconds(tokens, ReadRate(candidate, estimate));
+  bool has_target = query.first_byte_deadline != Time() && estimate.rate_measured;
+  if (has_target && first_byte_s > ToSeconds(query.first_byte_deadline - now)) return false;
+  // A slow period ends before a long answer does.
+  double events_s = query.expected_events * EventGapSeconds(estimate.pace, candidate.requests) /
+                    candidate.mean_speed;
+  if (first_byte_s + events_s > ToSeconds(query.deadline - now)) return false;
+  double max_pause_s = ToSeconds(query.route->max_event_gap);
+  return max_pause_s <= 0 || candidate.requests == 0 ||
+         PauseSeconds(query, candidate, estimate) <= max_pause_s;
+}
+
 bool HasRoom(const RouteQuery& query, const RoutingState& routing_state, const Candidate& candidate,
              const PrefillEstimate& estimate, Time now) {
   bool has_share = !candidate.share_of_room || OwnRequests(candidate) < *candidate.share_of_room;
--- a/src/core/routing_room.h
+++ b/src/core/routing_room.h
@@ -13,16 +13,28 @@
 
 namespace ebonylift {
 
-// Prefill rates for the query, and whether it can meet its first-byte target. The same for all
-// servers.
+// Prefill rates and pace for the query, and whether it can meet its first-byte target. The same for
+// all servers.
 struct PrefillEstimate {
-  double read_rate = kDefaultPrefillTokensPerSecond;  // tokens/s
+  double read_rate = kDefaultPrefillTokensPerSecond;  // tokens/s, of a server of speed 1
   double fetch_rate = 0;       // tokens/s from another server's cache; 0: not supported
   bool rate_measured = false;  // `read_rate` is not the default
   bool may_wait_at_long_prompt_server = false;  // see kMaxLateWaitAtLongPromptServer
   bool late_when_idle = false;  // misses its first-byte target even on an idle server
+  SpeedBaseline pace;           // of the model
 };
 
+// The rate at which the candidate reads prompts, in tokens/s.
+inline double ReadRate(const Candidate& candidate, const PrefillEstimate& estimate) {
+  return estimate.read_rate * candidate.speed;
+}
+
+// Returns whether the whole answer is expected in time: its first byte by the target, its end by
+// the deadline, and reading the prompt does not make the streams of the server pause for longer
+// than the route accepts.
+bool AnswersInTime(const RouteQuery& query, const Candidate& candidate,
+                   const PrefillEstimate& estimate, Time now);
+
 // Returns whether the server has room for the request, which then starts in time, by what this host
 // was told.
 bool HasRoom(const RouteQuery& query, const RoutingState& routing_state, const Candidate& candidate,
--- a/src/core/work_exchange.cc
+++ b/src/core/work_exchange.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "core/server_speed.h"
 
 namespace ebonylift {
 namespace {
@@ -23,12 +24,17 @@
   return {TakesCallers(host), Hash64(host.id.value()), host.id};
 }
 
-// Ignores limits, whose age always differs; they are sent with the next refresh.
+bool IsSlowNow(const ServerWork& row) { return row.speed && row.speed->recent < 1; }
+
+// Ignores limits, whose age always differs, and speeds, which change with each answer; they are
+// sent with the next refresh. The start of a slow period counts, because it lasts less than a
+// second.
 bool SameWork(const std::vector<ServerWork>& a, const std::vector<ServerWork>& b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(),
                     [](const ServerWork& x, const ServerWork& y) {
                       return std::tie(x.server, x.in_flight, x.prefill_tokens) ==
-                             std::tie(y.server, y.in_flight, y.prefill_tokens);
+                                 std::tie(y.server, y.in_flight, y.prefill_tokens) &&
+                             IsSlowNow(x) == IsSlowNow(y);
                     });
 }
 
@@ -55,6 +61,7 @@
   int in_flight = 0;
   int64_t prefill_tokens = 0;
   NewestLimits limits;
+  ObservedSpeed speed;
 };
 
 using WorkSums = std::map<ServerId, ServerSum>;
@@ -65,6 +72,7 @@
     ServerSum& sum = (*sums)[row.server];
     sum.in_flight += row.in_flight;
     sum.prefill_tokens += row.prefill_tokens;
+    if (row.speed) MergeSpeed(*row.speed, &sum.speed);
     if (row.limit) AddLimit(host, {row.limit->per_s, row.limit->age + age}, &sum.limits);
   }
 }
@@ -85,13 +93,16 @@
   std::vector<ServerWork> work;
   for (const auto& [server, sum] : sums) {
     ServerWork row{server, sum.in_flight, sum.prefill_tokens, sum.limits.newest};
+    ObservedSpeed speed = sum.speed;
     if (sum.limits.host == receiver) row.limit = sum.limits.of_other_host;
     auto own_row = own_rows.find(server);
     if (own_row != own_rows.end()) {
       row.in_flight -= own_row->second->in_flight;
       row.prefill_tokens -= own_row->second->prefill_tokens;
+      if (own_row->second->speed) SubtractSpeed(*own_row->second->speed, &speed);
     }
-    bool empty = row.in_flight == 0 && row.prefill_tokens == 0 && !row.limit;
+    if (speed.weight > 0) row.speed = speed;
+    bool empty = row.in_flight == 0 && row.prefill_tokens == 0 && !row.limit && !row.speed;
     if (!empty) work.push_back(std::move(row));
   }
   return work;
--- a/src/daemon/attempt_call.h
+++ b/src/daemon/attempt_call.h
@@ -38,6 +38,7 @@
   Choice choice;
   bool response_started = false;  // the first byte of the response arrived
   Time first_data_at;             // set if `response_started`
+  Duration last_gap{0};           // between events, not yet reported; 0: none
   bool parts_answered = false;    // Dispatcher::OnPartsAnswered() was called
   bool tries_path = false;        // sent while this host was cut off from its servers
 
--- a/src/daemon/dialect.h
+++ b/src/daemon/dialect.h
@@ -40,7 +40,8 @@
   ModelId model;
   int64_t prompt_tokens = 0;
   int64_t max_output_tokens = 0;
-  std::vector<PromptPart> prompt;  // in prompt order
+  int64_t expected_output_tokens = 0;  // by the caller's estimate; 0: none
+  std::vector<PromptPart> prompt;      // in prompt order
 };
 
 // Per-attempt values that the dialect writes into the headers of an outgoing request.
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -164,6 +164,14 @@
   if (path_is_back) LogEvent(EventId::kServersReached, {{"server", choice.server.value()}});
 }
 
+void Dispatcher::OnEventGap(const std::string& served, const Choice& choice, Duration gap,
+                            Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (!view_) return;
+  ebonylift::OnEventGap(routing_state_, *view_, served, choice.server, choice.incarnation, gap,
+                        now);
+}
+
 void Dispatcher::RecordSilence(const ServerId& server, Time since, Time now) {
   size_t failed = 0;
   {
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -101,6 +101,9 @@
   // Records that the first byte of the response to a local dispatch arrived.
   void OnFirstByte(const std::string& served, const Choice& choice, Time dispatched_at, Time now);
 
+  // Records the time between two events of a stream of a local dispatch.
+  void OnEventGap(const std::string& served, const Choice& choice, Duration gap, Time now);
+
   // Records that an attempt at the server ended, or went on, without a byte of an answer since
   // `since`; see core/server_paths.h.
   void RecordSilence(const ServerId& server, Time since, Time now);
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -325,6 +325,15 @@
   return spec_.arrived + spec_.route->first_byte_target;
 }
 
+// The events that the answer is expected to have. The caller's estimate may exceed the limit that
+// it set itself.
+double Exchange::ExpectedEvents() const {
+  int64_t most = spec_.dialect_request.max_output_tokens;
+  int64_t expected = spec_.dialect_request.expected_output_tokens;
+  if (expected <= 0 || (most > 0 && expected > most)) expected = most;
+  return static_cast<double>(std::max<int64_t>(expected, 0)) / kTokensPerEvent;
+}
+
 RouteQuery Exchange::MakeRouteQuery() const {
   RouteQuery query;
   query.team = spec_.team;
@@ -334,6 +343,7 @@
   query.prompt_tokens = spec_.prompt_tokens;
   query.prefix_hashes = spec_.prefix_hashes;
   query.prefix_tokens = spec_.prefix_tokens;
+  query.expected_events = ExpectedEvents();
   query.content_hash = spec_.content.content;
   query.content_parts = spec_.content.parts;
   query.hops = spec_.hops;
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -150,6 +150,7 @@
   bool NeedsKeyClaim() const;
   TeamId RetryBudgetKey() const;
   RetryState CurrentRetryState() const;
+  double ExpectedEvents() const;
   RouteQuery MakeRouteQuery() const;
   Time FirstByteDeadline() const;
   Time FirstByteTime() const;
@@ -162,6 +163,7 @@
   bool NamesOtherRequest(const HttpHeaders& headers) const;
   void EndUnusableAttempt(const char* reason);
   void RecordDataReceived();
+  void ReportPace(Time now);
   void ReportAnsweredParts(Time now);
   // Calls `step` after `delay`, unless the exchange has ended, CancelStep() is called or another
   // step is set before that.
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "base/event.h"
 #include "daemon/exchange.h"
@@ -15,6 +16,8 @@
 // An attempt at idempotent work is cancelled when it has received nothing for this long and its
 // target is gone: the server stopped announcing itself, or the host is suspected or has failed.
 constexpr Duration kSilenceTimeout = milliseconds(1500);
+// Events that come closer together were delayed on their way and say nothing of the server's pace.
+constexpr Duration kMinEventGap = milliseconds(2);
 
 bool Contains(const std::vector<std::string>& list, const char* value) {
   return std::find(list.begin(), list.end(), value) != list.end();
@@ -284,8 +287,22 @@
   context_.dispatcher->OnPartsAnswered(spec_.content.parts);
 }
 
+// Reports the shorter one of each two gaps between events, which is seldom prolonged by a prompt
+// that the server read meanwhile.
+void Exchange::ReportPace(Time now) {
+  bool streams = open_attempt_.server && open_attempt_.response_started && relay_.begun();
+  Duration gap = now - last_data_at_;
+  if (!streams || gap < kMinEventGap) return;
+  Duration other = std::exchange(open_attempt_.last_gap, gap);
+  if (other == Duration(0)) return;
+  open_attempt_.last_gap = Duration(0);
+  context_.dispatcher->OnEventGap(ServedName(*spec_.route), open_attempt_.choice,
+                                  std::min(gap, other), now);
+}
+
 void Exchange::RecordDataReceived() {
   Time now = SteadyNow();
+  ReportPace(now);
   if (open_attempt_.server && !open_attempt_.response_started) {
     open_attempt_.response_started = true;
     open_attempt_.first_data_at = now;
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -214,6 +214,15 @@
   Time seen_at;      // when the answer arrived, by this host's clock; Time(): it never named one
 };
 
+// What a host, or several together, learned of the speed of a server from its answers; see
+// core/server_speed.h. Factors are relative to the mean of the servers of the model.
+struct ObservedSpeed {
+  double factor = 1;        // over tens of seconds
+  double weight = 0;        // of `factor`, in samples; 0: nothing is known
+  double recent = 1;        // over the last few pieces of answers, relative to `factor`
+  uint8_t incarnation = 0;  // see IncarnationTag()
+};
+
 // A live backend server as this host knows it.
 struct BackendServer {
   Announcement announced;
@@ -226,6 +235,9 @@
   int64_t other_hosts_prefill_tokens = 0;
   // The newest limit that one of them saw.
   RequestLimit other_hosts_limit;
+  // What they know of its speed, merged, and when this host heard of it.
+  std::optional<ObservedSpeed> other_hosts_speed;
+  Time other_hosts_speed_at;
 };
 
 // ---- hosts
@@ -275,12 +287,14 @@
   Duration age{0};   // since the answer that showed it
 };
 
-// The requests that one host has at a backend server, and the limit that it saw there.
+// The requests that one host has at a backend server, and the limit and speed that it saw there.
 struct ServerWork {
   ServerId server;
   int in_flight = 0;
   int64_t prefill_tokens = 0;          // prompt tokens that are still to be prefilled
   std::optional<ObservedLimit> limit;  // nullopt: the host saw none
+  // nullopt: the host knows none that differs from the mean.
+  std::optional<ObservedSpeed> speed = std::nullopt;
 };
 
 enum class RoomState { kUnknown, kFull, kHasRoom };
