--- a/src/core/ingress.cc
+++ b/src/core/ingress.cc
@@ -311,6 +311,10 @@
   return config;
 }
 
+bool HasWorkspaces(const ConfigView& config) {
+  return config.ingress != nullptr && !config.ingress->workspaces.empty();
+}
+
 uint64_t IngressVersion(std::string_view value) {
   VersionReader reader;
   return Json::sax_parse(value, &reader) ? reader.version() : 0;
--- a/src/core/ingress.h
+++ b/src/core/ingress.h
@@ -88,6 +88,9 @@
 // nlohmann::json::exception.
 IngressConfig ParseIngress(const nlohmann::json& document, const IngressConfig* previous = nullptr);
 
+// Whether the configuration has workspaces, so that callers need keys.
+bool HasWorkspaces(const ConfigView& config);
+
 // Returns the version of the document, or 0 if `value` is not a document with a version.
 uint64_t IngressVersion(std::string_view value);
 
--- a/src/core/routing_record.cc
+++ b/src/core/routing_record.cc
@@ -97,6 +97,29 @@
   }
 }
 
+// Takes over what other hosts know of the speed of servers. The speed of another incarnation is
+// forgotten.
+void AdoptSpeeds(RoutingState& routing_state, const RoutingView& view) {
+  for (const BackendServer& server : view.servers) {
+    const std::optional<ObservedSpeed>& seen = server.other_hosts_speed;
+    auto found = routing_state.speeds.find(server.announced.id);
+    if (found == routing_state.speeds.end()) {
+      if (!seen) continue;
+      found = routing_state.speeds.try_emplace(server.announced.id).first;
+    }
+    SetIncarnation(&found->second, server.announced.incarnation);
+    if (seen) OnOthersSpeed(&found->second, *seen, server.other_hosts_speed_at);
+  }
+}
+
+// Forgets the speed of servers that are not in the view.
+void DropSpeeds(RoutingState& routing_state, const RoutingView& view) {
+  auto& speeds = routing_state.speeds;
+  for (auto it = speeds.begin(); it != speeds.end();) {
+    it = FindServer(view, it->first) == nullptr ? speeds.erase(it) : std::next(it);
+  }
+}
+
 // Forgets what was known of an earlier incarnation of the server.
 void StartIncarnation(RoutingState& routing_state, TargetState& state, uint64_t incarnation,
                       Time now) {
@@ -163,14 +186,16 @@
   return hash;
 }
 
-// The rate at which the server has read the prompts ahead and that of the request, if its response
-// begins now; nullopt if the prompt is too short to tell.
+// The prompt tokens that the server reads before the response begins.
+double TokensRead(const Choice& choice) {
+  return static_cast<double>(choice.prefill_tokens + choice.tokens_ahead);
+}
+
+// The rate at which the server has read them, in tokens per second, if the response begins now;
+// nullopt if the prompt is too short to tell.
 std::optional<double> RateSample(const Choice& choice, Time dispatched_at, Time now) {
   if (choice.prefill_tokens < kMinRateSampleTokens || now <= dispatched_at) return std::nullopt;
-  double tokens_read = static_cast<double>(choice.prefill_tokens + choice.tokens_ahead);
-  // A response that was delayed by something other than the prefill, as after a start of all hosts,
-  // must not lower the rate below the default.
-  return std::max(tokens_read / ToSeconds(now - dispatched_at), kDefaultPrefillTokensPerSecond);
+  return TokensRead(choice) / ToSeconds(now - dispatched_at);
 }
 
 }  // namespace
@@ -212,13 +237,24 @@
   state.first_byte_at = now;
   std::optional<double> sample = RateSample(choice, dispatched_at, now);
   if (!sample) return;
+  if (state.incarnation == choice.incarnation) {
+    ServerSpeed& speed = routing_state.speeds[choice.server];
+    SetIncarnation(&speed, choice.incarnation);
+    // The rate is that of a server of the mean speed.
+    *sample /= MeanSpeed(speed, now);
+    OnPromptRead(&speed, &routing_state.speed_baselines[served], TokensRead(choice),
+                 now - dispatched_at, now);
+  }
+  // A response that was delayed by something other than the prefill, as after a start of all hosts,
+  // must not lower the rate below the default.
+  *sample = std::max(*sample, kDefaultPrefillTokensPerSecond);
   auto [rate, first] = routing_state.prefill_rates.try_emplace(served, *sample);
   if (!first) rate->second += kPrefillRateSmoothing * (*sample - rate->second);
 }
 
 void OnRequest(RoutingState& routing_state, const RouteQuery& query, Time now) {
-  if (query.route == nullptr || query.route->first_byte_target <= Duration(0)) return;
-  OnDemand(&routing_state.urgent_demand[ServedName(*query.route)], query.route->rank,
+  if (!query.yields_to_urgent || query.route->first_byte_target <= Duration(0)) return;
+  OnDemand(&routing_state.urgent_demand[ServedName(*query.route)], query.rank,
            query.route->first_byte_target, query.prompt_tokens, now);
 }
 
@@ -228,11 +264,28 @@
   if (found == routing_state.servers.end() || found->second.first_byte_at < dispatched_at) return;
   auto rate = routing_state.prefill_rates.find(served);
   std::optional<double> sample = RateSample(choice, dispatched_at, now);
+  if (rate == routing_state.prefill_rates.end() || !sample) return;
+  auto speed = routing_state.speeds.find(choice.server);
+  if (speed != routing_state.speeds.end()) *sample /= MeanSpeed(speed->second, now);
+  *sample = std::max(*sample, kDefaultPrefillTokensPerSecond);
   // The sample is an upper bound, so it says nothing if it is above the rate.
-  if (rate == routing_state.prefill_rates.end() || !sample || *sample >= rate->second) return;
+  if (*sample >= rate->second) return;
   rate->second += kPrefillRateSmoothing * (*sample - rate->second);
 }
 
+void OnEventGap(RoutingState& routing_state, const RoutingView& view, const std::string& served,
+                const ServerId& server, uint64_t incarnation, Duration gap, Time now) {
+  const BackendServer* known = FindServer(view, server);
+  auto found = routing_state.servers.find(server);
+  if (known == nullptr || found == routing_state.servers.end()) return;
+  if (found->second.incarnation != incarnation || known->announced.incarnation != incarnation)
+    return;
+  ServerSpeed& speed = routing_state.speeds[server];
+  SetIncarnation(&speed, incarnation);
+  int requests = found->second.in_flight + known->other_hosts_requests;
+  OnEventGap(&speed, &routing_state.speed_baselines[served], gap, requests, now);
+}
+
 bool OnRequestLimit(RoutingState& routing_state, const ServerId& server, uint64_t incarnation,
                     std::optional<double> per_s, Time now) {
   auto found = routing_state.servers.find(server);
@@ -292,8 +345,11 @@
   std::vector<ServerWork> work;
   for (const auto& [server, state] : routing_state.servers) {
     std::optional<ObservedLimit> limit = LimitToShare(state, now);
-    if (state.in_flight > 0 || limit)
-      work.push_back({server, state.in_flight, state.prefill_tokens, limit});
+    std::optional<ObservedSpeed> speed;
+    auto learned = routing_state.speeds.find(server);
+    if (learned != routing_state.speeds.end()) speed = SpeedToShare(learned->second, now);
+    if (state.in_flight > 0 || limit || speed)
+      work.push_back({server, state.in_flight, state.prefill_tokens, limit, speed});
   }
   return work;
 }
@@ -369,6 +425,8 @@
   if (membership_changed) routing_state.membership_changed_at = now;
   routing_state.membership_hash = membership;
   AdoptLimits(routing_state, view);
+  AdoptSpeeds(routing_state, view);
+  if (membership_changed) DropSpeeds(routing_state, view);
   DropSoundServices(routing_state, now);
   UpdateSenderRanks(routing_state, view, membership_changed);
   for (auto it = routing_state.servers.begin(); it != routing_state.servers.end();) {
--- a/src/core/routing_terms.cc
+++ b/src/core/routing_terms.cc
@@ -49,8 +49,7 @@
                                        Time now) {
   auto found = routing_state.urgent_demand.find(ServedName(*query.route));
   if (found == routing_state.urgent_demand.end()) return std::nullopt;
-  return MaxWaitBehindUrgent(found->second, query.route->rank, PrefillRate(query, routing_state),
-                             now);
+  return MaxWaitBehindUrgent(found->second, query.rank, PrefillRate(query, routing_state), now);
 }
 
 bool IsPromptlessWithTarget(const RouteQuery& query) {
--- a/src/daemon/attempt_call.cc
+++ b/src/daemon/attempt_call.cc
@@ -15,8 +15,7 @@
   if (open.server) attempt.server = *open.server;
   attempt.time_left = RemainingTime(spec, now);
   attempt.rank = EffectiveRank(spec);
-  const IngressConfig* ingress = spec.view->config->ingress.get();
-  attempt.has_workspaces = ingress != nullptr && !ingress->workspaces.empty();
+  attempt.has_workspaces = HasWorkspaces(*spec.view->config);
   if (spec.workspace != nullptr) attempt.workspace = spec.workspace->id;
   attempt.last_event_id = last_event_id;
   attempt.fetch_from = open.fetch_from;
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -171,6 +171,14 @@
   ebonylift::OnNoFirstByte(routing_state_, served, choice, dispatched_at, now);
 }
 
+void Dispatcher::OnEventGap(const std::string& served, const Choice& choice, Duration gap,
+                            Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (!view_) return;
+  ebonylift::OnEventGap(routing_state_, *view_, served, choice.server, choice.incarnation, gap,
+                        now);
+}
+
 void Dispatcher::RecordSilence(const ServerId& server, Time since, Time now) {
   size_t failed = 0;
   {
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -6,6 +6,7 @@
 
 #include "base/event.h"
 #include "base/hash.h"
+#include "core/ingress.h"
 #include "daemon/ingress_request.h"
 
 namespace ebonylift {
@@ -325,15 +326,27 @@
   return spec_.arrived + spec_.route->first_byte_target;
 }
 
+// The events that the answer is expected to have. The caller's estimate may exceed the limit that
+// it set itself.
+double Exchange::ExpectedEvents() const {
+  int64_t most = spec_.dialect_request.max_output_tokens;
+  int64_t expected = spec_.dialect_request.expected_output_tokens;
+  if (expected <= 0 || (most > 0 && expected > most)) expected = most;
+  return static_cast<double>(std::max<int64_t>(expected, 0)) / kTokensPerEvent;
+}
+
 RouteQuery Exchange::MakeRouteQuery() const {
   RouteQuery query;
   query.team = spec_.team;
   query.route = spec_.route;
   query.traffic_class = spec_.traffic_class;
+  query.rank = EffectiveRank(spec_);
+  query.yields_to_urgent = HasWorkspaces(*spec_.view->config);
   query.allowed_regions = spec_.allowed_regions;
   query.prompt_tokens = spec_.prompt_tokens;
   query.prefix_hashes = spec_.prefix_hashes;
   query.prefix_tokens = spec_.prefix_tokens;
+  query.expected_events = ExpectedEvents();
   query.content_hash = spec_.content.content;
   query.content_parts = spec_.content.parts;
   query.hops = spec_.hops;
