Keys fail closed without the control hosts; log lines and metrics name workspaces

Cause: a host that is cut off from the control hosts accepts keys that may be withdrawn, and neither log lines nor metrics told whose requests were refused. Change: with bounds.fail_closed, a host that has not heard from a majority of the voters for bounds.revoke_ms answers requests that need a key with 503 not_ready. Without the setting nothing is sent and keys stay valid. Lines of answered and refused requests have the workspace; requests and refusals are counted for at most 64 configured workspaces. Requests refused before their exchange starts are counted by error as well.

--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -8,6 +8,9 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
+#include <mutex>
+#include <set>
 #include <sstream>
 #include <vector>
 
@@ -130,7 +133,22 @@
     return result;
   }
 
+  prometheus::Family<prometheus::Counter>* CounterFamily(const char* name, const char* help) {
+    return &prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+  }
+
+  struct WorkspaceCounters {
+    prometheus::Counter* requests = nullptr;
+    prometheus::Counter* refusals = nullptr;
+  };
+
   prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>* workspace_requests =
+      CounterFamily("ebonylift_workspace_requests_total", "Requests of callers, by workspace.");
+  prometheus::Family<prometheus::Counter>* workspace_refusals = CounterFamily(
+      "ebonylift_workspace_refusals_total", "Requests that ended with an error, by workspace.");
+  std::mutex workspaces_mutex;
+  std::map<WorkspaceId, WorkspaceCounters> workspaces;
   PerTrafficClass<prometheus::Counter> requests =
       Counters("ebonylift_requests_total", "Requests accepted for processing.");
   std::vector<prometheus::Counter*> errors = ErrorCounters(
@@ -204,6 +222,40 @@
   families_->errors[static_cast<size_t>(kind)]->Increment();
 }
 
+void Metrics::SetWorkspaces(const std::vector<WorkspaceId>& workspaces) {
+  size_t count = std::min(workspaces.size(), kMaxWorkspaceLabels);
+  std::set<WorkspaceId> counted(workspaces.begin(),
+                                workspaces.begin() + static_cast<std::ptrdiff_t>(count));
+  std::lock_guard<std::mutex> lock(families_->workspaces_mutex);
+  auto& known = families_->workspaces;
+  for (auto it = known.begin(); it != known.end();) {
+    if (counted.count(it->first) != 0) {
+      ++it;
+      continue;
+    }
+    families_->workspace_requests->Remove(it->second.requests);
+    families_->workspace_refusals->Remove(it->second.refusals);
+    it = known.erase(it);
+  }
+  for (const WorkspaceId& id : counted) {
+    if (known.count(id) != 0) continue;
+    known[id] = {&families_->workspace_requests->Add({{"workspace", id.value()}}),
+                 &families_->workspace_refusals->Add({{"workspace", id.value()}})};
+  }
+}
+
+void Metrics::CountWorkspaceRequest(const WorkspaceId& workspace) {
+  std::lock_guard<std::mutex> lock(families_->workspaces_mutex);
+  auto found = families_->workspaces.find(workspace);
+  if (found != families_->workspaces.end()) found->second.requests->Increment();
+}
+
+void Metrics::CountWorkspaceRefusal(const WorkspaceId& workspace) {
+  std::lock_guard<std::mutex> lock(families_->workspaces_mutex);
+  auto found = families_->workspaces.find(workspace);
+  if (found != families_->workspaces.end()) found->second.refusals->Increment();
+}
+
 void Metrics::CountSentAway(TrafficClass traffic_class) {
   families_->forwarded[ClassIndex(traffic_class)]->Increment();
 }
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -4,12 +4,14 @@
 // The metrics of one daemon, exported in the Prometheus text format.
 //
 // Labels take values only from closed sets such as traffic classes and error kinds, never teams or
-// regions, so the number of time series is fixed. All methods are thread safe. The Count, Add and
+// regions, so the number of time series is fixed. Only the workspaces of the configuration are
+// labels, at most kMaxWorkspaceLabels of them. All methods are thread safe. The Count, Add and
 // Observe methods allocate nothing.
 
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "adapters/http_client.h"
 #include "base/error.h"
@@ -19,6 +21,8 @@
 
 namespace ebonylift {
 
+constexpr size_t kMaxWorkspaceLabels = 64;
+
 class Metrics {
  public:
   Metrics();
@@ -32,6 +36,15 @@
   // Counts a request that ended with an error.
   void CountRefusal(ErrorKind kind);
 
+  // Sets the workspaces of the configuration, of which the first ones are counted by name. Removes
+  // the counters of others.
+  void SetWorkspaces(const std::vector<WorkspaceId>& workspaces);
+
+  // Count a request from a caller of the workspace, and its refusal. Ignored for a workspace that
+  // is not counted by name.
+  void CountWorkspaceRequest(const WorkspaceId& workspace);
+  void CountWorkspaceRefusal(const WorkspaceId& workspace);
+
   // Counts a request that was forwarded to an entry host of another region.
   void CountSentAway(TrafficClass traffic_class);
 
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -49,6 +49,8 @@
   kForwardRejected = 210,
   kResidencyViolationRefused = 211,
   kStreamTakenUp = 212,
+  kKeysNotAccepted = 213,
+  kKeysAccepted = 214,
 
   kServerAnnounced = 300,
   kServerExpired = 301,
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -80,6 +80,7 @@
   bool persist_servers = false;             // persist backend servers, see daemon/server_snapshot.h
   // True: ShareWork() is called, because the backend servers do not report their load.
   bool share_work = false;
+  Duration revoke_keys_after{0};  // see Settings
   std::string cluster_key;
   std::string data_folder;  // empty: no disk
   MembershipParams membership;
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -52,6 +52,7 @@
       stop_(kj::newPromiseAndFulfiller<void>()),
       tasks_(*this) {
   work_exchange_.self = options->self.host;
+  control_contact_.revoke_after = options->revoke_keys_after;
 }
 
 void ControlLoop::Start() {
@@ -185,6 +186,7 @@
     ReportDomainSummaries(now);
   }
   UpdateConfigLag(now);
+  UpdateControlContact(now);
   config_puller_.Tick();
   servers_.SaveIfDue(now);
   if (options_->find_hosts) voter_maintenance_.Tick(now);
@@ -224,6 +226,9 @@
   view->disk_was_lost = disk_was_lost_;
   published_disk_confirmed_ = replica_.DiskConfirmed();
   view->disk_confirmed = published_disk_confirmed_;
+  published_keys_valid_until_ =
+      KeysValidUntil(control_contact_, gossip_.membership(), replica_.Voters(), SteadyNow());
+  view->keys_valid_until = published_keys_valid_until_;
   publish_timer_.MarkPublished();
   publish_(std::move(view));
 }
@@ -299,6 +304,25 @@
   if (lag && options_->on_config_lag) options_->on_config_lag(*lag);
 }
 
+void ControlLoop::UpdateControlContact(Time now) {
+  if (control_contact_.revoke_after <= Duration(0)) return;
+  constexpr int kPublishDivisor = 8;
+  std::vector<HostId> voters = replica_.Voters();
+  for (const HostId& host : VotersToAsk(&control_contact_, gossip_.membership(), voters, now)) {
+    gossip_.Push(host);
+  }
+  Time valid_until = KeysValidUntil(control_contact_, gossip_.membership(), voters, now);
+  Duration gained = valid_until - published_keys_valid_until_;
+  bool accepted = valid_until > now;
+  if (gained > control_contact_.revoke_after / kPublishDivisor || accepted != keys_accepted_)
+    SchedulePublish(kPublishInterval);
+  if (accepted == keys_accepted_) return;
+  keys_accepted_ = accepted;
+  LogEvent(accepted ? EventId::kKeysAccepted : EventId::kKeysNotAccepted,
+           {{"voters", std::to_string(voters.size())},
+            {"revision", std::to_string(replica_.revision())}});
+}
+
 void ControlLoop::ReadLinearizable(const std::string& path,
                                    const std::function<void(LinearizableRead)>& done) {
   std::optional<HostId> leader =
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -29,6 +29,7 @@
 #include "base/event.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "core/control_contact.h"
 #include "core/work_exchange.h"
 #include "daemon/announcement_relay.h"
 #include "daemon/config_lag.h"
@@ -160,6 +161,7 @@
   void SendSuspects();
   void OnRevisionChanged();
   void UpdateConfigLag(Time now);
+  void UpdateControlContact(Time now);
   void ReportStats(Time now);
   void SchedulePublish(Duration interval) { publish_timer_.Schedule(interval); }
   void RunAfter(Duration delay, std::function<void()> fn);
@@ -185,6 +187,9 @@
   Time next_stats_;
   Time last_tick_;
   Duration max_tick_delay_{0};  // since the last report
+  ControlContact control_contact_;
+  Time published_keys_valid_until_;
+  bool keys_accepted_ = true;
   bool disk_was_lost_ = false;
   bool published_disk_confirmed_ = false;
   kj::Own<kj::AsyncInputStream> wakeup_pipe_;
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -104,6 +104,8 @@
   relay_.OnCallerClosed([table, id = id_] {
     if (Exchange* exchange = table->Find(id)) exchange->OnCallerDisconnected();
   });
+  if (spec_.workspace != nullptr && !spec_.forwarded)
+    context_.metrics->CountWorkspaceRequest(spec_.workspace->id);
   if (EndIfCallerLeft() || RefuseIfCondemned()) return;
   if (!MayTakeRequest(*context_.drain, spec_.deadline, SteadyNow())) {
     Refuse(ErrorKind::kDraining, "");
@@ -379,7 +381,7 @@
   std::shared_ptr<const RoutingView> view = context_.control->View();
   if (spec_.dialect != nullptr) {
     try {
-      if (!ResolveIngressRoute(&spec_, std::move(view))) return removed;
+      if (!ResolveIngressRoute(&spec_, std::move(view), SteadyNow())) return removed;
       return std::nullopt;
     } catch (const Error& error) {
       return error;
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -138,6 +138,8 @@
   void RelayPeerError(ErrorKind kind);
   void RefuseWithOutcomeKind();
   void Refuse(ErrorKind kind, const std::string& message, Duration retry_after = Duration{0});
+  std::string WorkspaceName() const;  // empty: none
+  void CountWorkspaceRefusal();
   void OnCallerDisconnected();
   // Ends the exchange if its caller has left, also if that event is still queued. Returns whether
   // the exchange has ended.
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -304,8 +304,10 @@
   EndAttempt(ServerOutcome::kOk);
   LogEvent(EventId::kRequestRefused, {{"request_id", spec_.id.value()},
                                       {"caller_request_id", spec_.caller_request_id},
+                                      {"workspace", WorkspaceName()},
                                       {"kind", LookupError(kind).code},
                                       {"run", RunName(RequestRun(attempts_))}});
+  CountWorkspaceRefusal();
   relay_.Send(relay_.status(), headers, relay_.body());
   Finish();
 }
@@ -335,6 +337,7 @@
            {{"request_id", spec_.id.value()},
             {"caller_request_id", spec_.caller_request_id},
             {"route", spec_.route->id.value()},
+            {"workspace", WorkspaceName()},
             {"server", server},
             {"status", std::to_string(relay_.status())},
             {"attempts", std::to_string(attempts_.attempts.size())},
@@ -374,6 +377,7 @@
            {{"request_id", spec_.id.value()},
             {"caller_request_id", spec_.caller_request_id},
             {"route", spec_.route->id.value()},
+            {"workspace", WorkspaceName()},
             {"kind", LookupError(kind).code},
             {"run", RunName(LookupError(kind).run)},
             {"attempts", std::to_string(attempts_.attempts.size())},
@@ -381,12 +385,23 @@
             {"retry_after_ms", std::to_string(ToMillis(retry_after))},
             {"ms", std::to_string(ToMillis(SteadyNow() - spec_.arrived))}});
   context_.metrics->CountRefusal(kind);
+  CountWorkspaceRefusal();
   // Before the response, since the caller may send the request again as soon as it has that.
   claim_.Resolve(RequestRun(attempts_));
   relay_.Refuse(ErrorResponse{kind, message, retry_after, spec_.id});
   Finish();
 }
 
+std::string Exchange::WorkspaceName() const {
+  return spec_.workspace == nullptr ? "" : spec_.workspace->id.value();
+}
+
+// Counts the refusal at the host that got the request from its caller.
+void Exchange::CountWorkspaceRefusal() {
+  if (spec_.workspace != nullptr && !spec_.forwarded)
+    context_.metrics->CountWorkspaceRefusal(spec_.workspace->id);
+}
+
 void Exchange::OnCallerDisconnected() {
   relay_.DetachCaller();
   if (finished_) return;
--- a/src/daemon/ingress_request.cc
+++ b/src/daemon/ingress_request.cc
@@ -70,10 +70,10 @@
 // Returns the workspace of the caller, null if it belongs to none. `route` is null if no route
 // matches the request, which then needs a key as well, so that routes cannot be guessed without
 // one. Throws Error(kUnauthorized) if the route needs a key that is missing or unknown, and
-// Error(kNotReady) if this host may not know the key yet because another one with a newer
-// configuration forwarded the request.
+// Error(kNotReady) if this host may not know whether it is: another one with a newer configuration
+// forwarded the request, or RoutingView::keys_valid_until has passed.
 const WorkspaceConfig* IdentifyWorkspace(RequestSpec* spec, const RoutingView& view,
-                                         const RouteConfig* route) {
+                                         const RouteConfig* route, Time now) {
   const WorkspaceTable& table = view.config->ingress->workspaces;
   const WorkspaceConfig* workspace = nullptr;
   if (!table.empty()) {
@@ -81,9 +81,12 @@
     if (!spec->key_digest && !key.empty()) spec->key_digest = Sha256(key);
     if (spec->key_digest) workspace = FindWorkspace(table, *spec->key_digest);
   }
+  bool needs_key = !table.empty() && (route == nullptr || !route->open);
+  if (needs_key && now > view.keys_valid_until) {
+    throw Error(ErrorKind::kNotReady, "this host has lost contact with the control hosts");
+  }
   const WorkspaceId& named = spec->sender_workspace;
   if (workspace != nullptr && (named.empty() || named == workspace->id)) return workspace;
-  bool needs_key = !table.empty() && (route == nullptr || !route->open);
   bool outdated = spec->forwarded && spec->sender_revision > view.config->revision;
   if (outdated && (needs_key || !named.empty())) {
     throw Error(ErrorKind::kNotReady,
@@ -95,9 +98,9 @@
 
 // Switches to the settings of `route` and of the caller's workspace. Throws as IdentifyWorkspace(),
 // and then leaves the settings unchanged.
-void SetRoute(RequestSpec* spec, std::shared_ptr<const RoutingView> view,
-              const RouteConfig& route) {
-  const WorkspaceConfig* workspace = IdentifyWorkspace(spec, *view, &route);
+void SetRoute(RequestSpec* spec, std::shared_ptr<const RoutingView> view, const RouteConfig& route,
+              Time now) {
+  const WorkspaceConfig* workspace = IdentifyWorkspace(spec, *view, &route, now);
   spec->workspace = workspace;
   spec->route = &route;
   spec->allowed_regions = AllowedRegions(*view->config, route);
@@ -140,7 +143,15 @@
 
 }  // namespace
 
-bool ResolveIngressRoute(RequestSpec* spec, std::shared_ptr<const RoutingView> view) {
+std::vector<WorkspaceId> WorkspaceIds(const IngressConfig* config) {
+  std::vector<WorkspaceId> ids;
+  if (config == nullptr) return ids;
+  for (const auto& [id, workspace] : config->workspaces.by_id) ids.push_back(id);
+  std::sort(ids.begin(), ids.end());
+  return ids;
+}
+
+bool ResolveIngressRoute(RequestSpec* spec, std::shared_ptr<const RoutingView> view, Time now) {
   if (view->config->ingress == nullptr) return false;
   const RouteConfig* config = nullptr;
   if (spec->forwarded) {
@@ -152,7 +163,7 @@
     config = FindRouteConfig(*view, SelectBackend(*spec, *route).route);
   }
   if (config == nullptr) return false;
-  SetRoute(spec, std::move(view), *config);
+  SetRoute(spec, std::move(view), *config, now);
   return true;
 }
 
@@ -161,8 +172,8 @@
   RequireIngressConfig(*view);
   RequestSpec spec = MakeSpec(std::move(request), dialect, now);
   spec.id = NewRequestId();
-  if (!ResolveIngressRoute(&spec, view)) {
-    IdentifyWorkspace(&spec, *view, nullptr);
+  if (!ResolveIngressRoute(&spec, view, now)) {
+    IdentifyWorkspace(&spec, *view, nullptr, now);
     throw Error(ErrorKind::kUnknownPath,
                 "no route matches " + spec.dialect_request.host + spec.path);
   }
@@ -197,7 +208,7 @@
     throw Error(ErrorKind::kNoServer,
                 "the forwarded request uses a route that is unknown on this host");
   }
-  SetRoute(&spec, std::move(view), *route);
+  SetRoute(&spec, std::move(view), *route, now);
   spec.id = forward_header.request;
   spec.hops = forward_header.hops;
   spec.crossed_region = forward_header.crossed_region;
--- a/src/daemon/ingress_request.h
+++ b/src/daemon/ingress_request.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "daemon/dialect.h"
 #include "daemon/request.h"
@@ -30,11 +31,15 @@
 // ParseForwardedIngress(). Does not verify the header.
 bool IsForwardedIngress(const HttpHeaders& headers);
 
+// Returns the workspaces of the configuration in the order of their names. `config` may be null.
+std::vector<WorkspaceId> WorkspaceIds(const IngressConfig* config);
+
 // Looks up the request's route in `view`, which may be newer than spec->view, and stores both in
 // the spec. A forwarded request is matched by its route id, any other by host name and path.
 // Returns false and leaves the spec unchanged if no route matches. Identifies the workspace of the
-// caller again; throws Error(kUnauthorized, kNotReady) if the view does not have the key.
-bool ResolveIngressRoute(RequestSpec* spec, std::shared_ptr<const RoutingView> view);
+// caller again; throws Error(kUnauthorized, kNotReady) if the view does not have the key, and
+// Error(kNotReady) if the request needs a key and this host may not rely on its configuration.
+bool ResolveIngressRoute(RequestSpec* spec, std::shared_ptr<const RoutingView> view, Time now);
 
 }  // namespace ebonylift
 
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -142,6 +142,7 @@
     options.pause_expiry_when_isolated = settings_.pause_expiry_when_isolated;
     options.caller_address = settings_.caller_address;
     options.operator_address = settings_.operator_address;
+    options.revoke_keys_after = settings_.revoke_keys_after;
     options.cluster_key = settings_.cluster_key;
     options.data_folder = settings_.data_dir;
     options.on_suspect_report = [this](const SuspectReport& report) {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -65,6 +65,9 @@
   // one in this time gets a response that tells it to close the connection.
   Duration idle_grace = seconds(3);
   Duration orderer_lease = seconds(300);
+  // How long this host accepts keys of workspaces without word from a majority of the control
+  // hosts; 0: as long as it runs. See core/control_contact.h.
+  Duration revoke_keys_after{0};
 };
 
 // A setting whose value is invalid.
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -107,6 +107,7 @@
   bool ready() const override {
     return !*draining_ && options_.control->View()->config->ingress != nullptr;
   }
+  void CountRefusal(ErrorKind kind) override { options_.metrics->CountRefusal(kind); }
   void StartExchange(RequestSpec spec, const std::shared_ptr<HttpResponder>& responder) override {
     table_.Start(context_, std::move(spec), responder);
   }
@@ -418,6 +419,13 @@
     options_.metrics->SetLiveHosts(live);
     options_.metrics->SetLiveServers(view.servers.size());
     options_.metrics->SetConfigRevision(view.config->revision);
+    UpdateWorkspaceMetrics(view.config->ingress);
+  }
+
+  void UpdateWorkspaceMetrics(const std::shared_ptr<const IngressConfig>& ingress) {
+    if (ingress == counted_ingress_) return;
+    counted_ingress_ = ingress;
+    options_.metrics->SetWorkspaces(WorkspaceIds(ingress.get()));
   }
 
   void UpdateOverload() {
@@ -474,6 +482,7 @@
   std::atomic<size_t> unanswered_requests_{0};
   std::atomic<size_t> connections_{0};
   std::shared_ptr<const RoutingView> last_view_;
+  std::shared_ptr<const IngressConfig> counted_ingress_;
   Time next_records_tick_;
   Time next_directory_publish_;
   bool overloaded_ = false;
--- a/src/daemon/traffic.h
+++ b/src/daemon/traffic.h
@@ -37,6 +37,8 @@
   virtual ControlPort* control() = 0;
   // Returns true if this host has an ingress configuration and is not draining.
   virtual bool ready() const = 0;
+  // Counts a request that was refused before its exchange was started.
+  virtual void CountRefusal(ErrorKind kind) = 0;
   // Processes the request asynchronously. Sends exactly one final response to `responder`.
   virtual void StartExchange(RequestSpec spec, const std::shared_ptr<HttpResponder>& responder) = 0;
 };
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -354,6 +354,9 @@
   Time work_known_at;
   // The voters have accepted this host's disk; see ConfigReplica::DiskConfirmed().
   bool disk_confirmed = false;
+  // When this host stops accepting the keys of workspaces unless it hears from the control hosts;
+  // see core/control_contact.h.
+  Time keys_valid_until = Time::max();
   // Since the process started, peers have reported that they know this voter with another disk.
   bool disk_was_lost = false;
 };
--- a/tests/exchange_workspace_test.cc
+++ b/tests/exchange_workspace_test.cc
@@ -161,6 +161,17 @@
   BOOST_TEST(client.calls.size() == sent);
 }
 
+// Guards against a host that accepts a key although it may not have heard of its withdrawal.
+BOOST_FIXTURE_TEST_CASE(KeysAreRefusedWithoutWordFromTheControlHosts, WorkspaceFixture) {
+  ChangeView([](RoutingView* view) { view->keys_valid_until = SteadyNow() - milliseconds(1); });
+  BOOST_TEST((ErrorOf([&] { Parse(Look("k1")); }) == ErrorKind::kNotReady));
+  BOOST_TEST((ErrorOf([&] { Parse(Look("k3")); }) == ErrorKind::kNotReady));
+  SetWorkspaces({{"acme", "k1", "este"}}, /*open=*/true);
+  BOOST_TEST(Parse(Look("k1")).workspace->id.value() == "acme");
+  SetWorkspaces({});
+  BOOST_TEST(Parse(Look("k1")).workspace == nullptr);
+}
+
 // Guards against the rank of the route where the workspace has another.
 BOOST_FIXTURE_TEST_CASE(RankOfTheWorkspaceReplacesThatOfTheRoute, WorkspaceFixture) {
   SetWorkspaces({{"acme", "k1", "este", 3}});
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -103,6 +103,24 @@
   BOOST_TEST(before < 400);
 }
 
+// Guards against series without bound, and against those of workspaces that are no longer
+// configured.
+BOOST_AUTO_TEST_CASE(OnlyConfiguredWorkspacesHaveSeries) {
+  Metrics metrics;
+  std::vector<WorkspaceId> ids;
+  for (size_t i = 0; i <= kMaxWorkspaceLabels; ++i) ids.emplace_back("w" + std::to_string(i));
+  metrics.CountWorkspaceRequest(ids[0]);
+  metrics.SetWorkspaces(ids);
+  for (const WorkspaceId& id : ids) metrics.CountWorkspaceRequest(id);
+  metrics.CountWorkspaceRefusal(ids[1]);
+  BOOST_TEST(HasLine(metrics.Render(), "ebonylift_workspace_requests_total{workspace=\"w0\"} 1"));
+  BOOST_TEST(HasLine(metrics.Render(), "ebonylift_workspace_refusals_total{workspace=\"w1\"} 1"));
+  BOOST_TEST(metrics.Render().find("\"" + ids.back().value() + "\"") == std::string::npos);
+  metrics.SetWorkspaces({ids[1]});
+  BOOST_TEST(metrics.Render().find("\"w0\"") == std::string::npos);
+  BOOST_TEST(HasLine(metrics.Render(), "ebonylift_workspace_requests_total{workspace=\"w1\"} 1"));
+}
+
 // Guards against updates that are lost when several threads update a metric while it is rendered.
 BOOST_AUTO_TEST_CASE(ConcurrentUpdatesAreNotLost) {
   Metrics metrics;
--- a/tests/platform_settings_test.cc
+++ b/tests/platform_settings_test.cc
@@ -56,6 +56,24 @@
   BOOST_TEST(host.domains.at(DomainId("centro-a")).value() == "centro");
 }
 
+// Guards against a host that accepts keys without word from the control hosts although its settings
+// forbid it, and against one that refuses them without such a setting.
+BOOST_AUTO_TEST_CASE(ReadsWhenKeysAreRefused) {
+  auto revoke_after = [](const std::string& bounds) {
+    std::vector<SettingIssue> issues;
+    std::string text(kFile);
+    text.insert(text.find("  grace_s"), bounds);
+    Duration result = ParseHostSettings(text, &issues).gateway.revoke_keys_after;
+    BOOST_TEST(issues.empty(), bounds);
+    return result;
+  };
+  BOOST_TEST((revoke_after("") == Duration(0)));
+  BOOST_TEST((revoke_after("  revoke_ms: 2000\n  fail_closed: false\n") == Duration(0)));
+  BOOST_TEST((revoke_after("  revoke_ms: 2000\n  fail_closed: true\n") == seconds(2)));
+  BOOST_TEST((revoke_after("  fail_closed: true\n") == seconds(5)));
+  BOOST_TEST((revoke_after("  revoke_ms: -1\n  fail_closed: true\n") == seconds(1)));
+}
+
 // Guards against reading null as a string, and against a host without a disk that becomes a voter.
 BOOST_AUTO_TEST_CASE(ConvertsClientFacingHostSettings) {
   std::string file = kFile;
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -166,6 +166,11 @@
   return run_times_;
 }
 
+std::vector<HttpHeaders> PlatformReplica::RunHeaders() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return run_headers_;
+}
+
 std::vector<Time> PlatformReplica::CrashTimes() const {
   std::lock_guard<std::mutex> lock(mutex_);
   return crash_times_;
@@ -281,6 +286,7 @@
     std::lock_guard<std::mutex> lock(mutex_);
     runs_.push_back(request_id);
     run_times_.push_back(SteadyNow());
+    run_headers_.push_back(request.headers);
     if (crashes) crash_times_.push_back(SteadyNow());
   }
   if (crashes) {
@@ -394,8 +400,8 @@
   throw std::runtime_error("unknown zone " + zone);
 }
 
-PlatformDeployment::PlatformDeployment(int gateways_per_zone)
-    : gateways_per_zone_(gateways_per_zone), base_port_(FreeBasePort()) {
+PlatformDeployment::PlatformDeployment(int gateways_per_zone, const std::string& bounds)
+    : gateways_per_zone_(gateways_per_zone), bounds_(bounds), base_port_(FreeBasePort()) {
   controls_.reserve(Zones().size());
   for (size_t i = 0; i < Zones().size(); ++i) {
     int host = static_cast<int>(i);
@@ -445,7 +451,8 @@
   out << "bootstrap: " << (bootstrap ? "true" : "false")
       << "\ndata_dir: " << (control ? "\"" + data_dir + "\"" : "null")
       << "\nheartbeat_ms: " << ToMillis(kHeartbeatInterval)
-      << "\nbounds:\n  grace_s: 8\n  ttl_max_s: 5\n";
+      << "\nbounds:\n  grace_s: 8\n  ttl_max_s: 5\n"
+      << bounds_;
   return path;
 }
 
@@ -494,6 +501,17 @@
   std::filesystem::remove_all(dir_.path() + "/core-" + Zones()[static_cast<size_t>(host)]);
 }
 
+std::vector<std::string> PlatformDeployment::FilesWith(const std::string& text) const {
+  std::vector<std::string> found;
+  for (const auto& entry : std::filesystem::recursive_directory_iterator(dir_.path())) {
+    if (!entry.is_regular_file()) continue;
+    std::ifstream in(entry.path(), std::ios::binary);
+    std::string content((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    if (content.find(text) != std::string::npos) found.push_back(entry.path());
+  }
+  return found;
+}
+
 void PlatformDeployment::SendHeartbeats() {
   while (!stopping_) {
     std::map<PlatformReplica*, std::string> targets;
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -88,6 +88,8 @@
   std::vector<Time> ArrivalTimes() const;
   // When requests began to run, oldest first.
   std::vector<Time> RunTimes() const;
+  // The headers of the requests that ran here, oldest first.
+  std::vector<HttpHeaders> RunHeaders() const;
   // False from a crash until the restart.
   bool Running() const;
   std::string id() const;
@@ -128,6 +130,7 @@
   mutable std::mutex mutex_;
   std::vector<std::string> runs_;
   std::vector<Time> run_times_;
+  std::vector<HttpHeaders> run_headers_;
   std::vector<Time> crash_times_;
   std::vector<Time> arrival_times_;
   std::map<std::string, int> arrivals_by_host_;
@@ -159,7 +162,8 @@
 // Three zones, each in a region of its own and with one control host and one gateway, or several.
 class PlatformDeployment {
  public:
-  explicit PlatformDeployment(int gateways_per_zone = 1);
+  // `bounds` are further lines of that mapping of the settings files.
+  explicit PlatformDeployment(int gateways_per_zone = 1, const std::string& bounds = "");
   ~PlatformDeployment();
   PlatformDeployment(const PlatformDeployment&) = delete;
   PlatformDeployment& operator=(const PlatformDeployment&) = delete;
@@ -200,6 +204,9 @@
   // Adds `count` safe routes to the service "portal", /extra-0/ and so on, to a configuration.
   static void AddRoutes(int count, nlohmann::json* configuration);
 
+  // The files below the directory of the deployment, data folders and logs, that contain the text.
+  std::vector<std::string> FilesWith(const std::string& text) const;
+
   // The number of events of this name that the control hosts have logged.
   size_t ControlEventCount(const std::string& event) const;
 
@@ -244,6 +251,7 @@
 
   TempDir dir_;
   const int gateways_per_zone_;
+  const std::string bounds_;
   int base_port_ = 0;
   std::atomic<int> next_gateway_{0};
   std::vector<Process> controls_;
