Longest pause of a route from the configuration; answered requests name what made them late

Cause: the placement needs the longest pause between two events that a route accepts, and an operator cannot see whether a late answer waited, was read late, paused or was streamed too slowly.

Change: optional key max_event_gap_ms of a route, converted from gap_target_ms. The line of an answered request has `late` and `speed_percent`; ebonylift_late_answers_total counts by model and cause, for at most 64 models. Event 320 server_speed_changed. The model of server_speed_test counts lateness by its cause.

Run: routing_test, unseen_work_test, work_exchange_test, server_speed_test, metrics_test, ingress_test, platform_messages_test and platform_dialect_test passed.

--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
+#include <mutex>
 #include <sstream>
 #include <vector>
 
@@ -44,6 +46,8 @@
     CallOutcome::kComplete, CallOutcome::kNotConnected, CallOutcome::kNothingWritten,
     CallOutcome::kFailed, CallOutcome::kTimedOut};
 
+const std::string kOtherModel = "other";
+
 size_t ClassIndex(TrafficClass traffic_class) { return static_cast<size_t>(traffic_class); }
 
 double ToSeconds(Duration time) { return std::chrono::duration<double>(time).count(); }
@@ -104,6 +108,17 @@
     return result;
   }
 
+  prometheus::Counter* LateCounter(const std::string& served, LateCause cause) {
+    std::lock_guard<std::mutex> lock(late_mutex);
+    bool has_label = late.count(served) != 0 || late.size() < kMaxModelLabels;
+    const std::string& model = has_label ? served : kOtherModel;
+    prometheus::Counter*& counter = late[model][static_cast<size_t>(cause)];
+    if (counter == nullptr) {
+      counter = &late_family.Add({{"model", model}, {"cause", LateCauseName(cause)}});
+    }
+    return counter;
+  }
+
   prometheus::Gauge* LogDropGauge(const char* reason) {
     return &prometheus::BuildGauge()
                 .Name("ebonylift_log_lines_dropped")
@@ -150,6 +165,13 @@
                  TokenGapBuckets());
   std::array<prometheus::Counter*, kAttemptLabels.size()> responses = CompleteResponseCounters();
   std::array<prometheus::Counter*, kCallOutcomes.size()> attempt_failures = OutcomeCounters();
+  prometheus::Family<prometheus::Counter>& late_family =
+      prometheus::BuildCounter()
+          .Name("ebonylift_late_answers_total")
+          .Help("Answers that missed a target of their route, by model or service and by cause.")
+          .Register(registry);
+  std::mutex late_mutex;
+  std::map<std::string, std::array<prometheus::Counter*, kLateCauses>> late;  // by model
   PerTrafficClass<prometheus::Histogram> response_time = Histograms(
       "ebonylift_answer_seconds", "Time from the arrival of a request to the end of its response.",
       ResponseTimeBuckets());
@@ -214,6 +236,10 @@
   families_->response_time[ClassIndex(traffic_class)]->Observe(ToSeconds(time));
 }
 
+void Metrics::CountLate(const std::string& served, LateCause cause) {
+  if (cause != LateCause::kNone) families_->LateCounter(served, cause)->Increment();
+}
+
 void Metrics::CountAttemptFailure(CallOutcome outcome) {
   families_->attempt_failures[static_cast<size_t>(outcome)]->Increment();
 }
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -4,8 +4,9 @@
 // The metrics of one daemon, exported in the Prometheus text format.
 //
 // Labels take values only from closed sets such as traffic classes and error kinds, never teams or
-// regions, so the number of time series is fixed. All methods are thread safe. The Count, Add and
-// Observe methods allocate nothing.
+// regions, so the number of time series is fixed; of models and services, only kMaxModelLabels have
+// series of their own. All methods are thread safe. The Count, Add and Observe methods allocate
+// nothing, except for the first late answer of a model.
 
 #include <cstdint>
 #include <memory>
@@ -15,10 +16,14 @@
 #include "base/error.h"
 #include "base/event.h"
 #include "base/time.h"
+#include "core/lateness.h"
 #include "ports/views.h"
 
 namespace ebonylift {
 
+// Late answers of further models are counted under the model "other".
+constexpr size_t kMaxModelLabels = 64;
+
 class Metrics {
  public:
   Metrics();
@@ -39,6 +44,9 @@
   // 1). `time` runs from the arrival of the request.
   void CountAnswer(TrafficClass traffic_class, int attempts, Duration time);
 
+  // Counts a late answer of a model or service by what made it late.
+  void CountLate(const std::string& served, LateCause cause);
+
   // Counts a failed attempt by its outcome.
   void CountAttemptFailure(CallOutcome outcome);
 
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -70,6 +70,7 @@
   kServerBrittle = 317,
   kBrittleServerFull = 318,
   kBrittleServerHasRoom = 319,
+  kServerSpeedChanged = 320,
 
   kHostAlive = 400,
   kHostSuspected = 401,
--- a/src/core/ingress.cc
+++ b/src/core/ingress.cc
@@ -107,6 +107,11 @@
   RequireInteger(route, key_prefix, "deadline_ms", 1, kMaxDeadlineMs, "1 to 86400000", issues);
   RequireInteger(route, key_prefix, "first_byte_target_ms", 0, kMaxDeadlineMs, "0 to 86400000",
                  issues);
+  // Documents stored by an earlier version of the program do not have this key.
+  if (route.contains("max_event_gap_ms")) {
+    RequireInteger(route, key_prefix, "max_event_gap_ms", 0, kMaxDeadlineMs, "0 to 86400000",
+                   issues);
+  }
   RequireInteger(route, key_prefix, "rank", 0, kMaxCount, "0 to 1000000", issues);
   RequireInteger(route, key_prefix, "max_attempts", 1, kMaxCount, "1 to 1000000", issues);
   CheckRegions(route, key_prefix, issues);
@@ -186,6 +191,7 @@
   route.resumable = json.at("resumable").get<bool>();
   route.deadline = milliseconds(json.at("deadline_ms").get<int64_t>());
   route.first_byte_target = milliseconds(json.at("first_byte_target_ms").get<int64_t>());
+  route.max_event_gap = milliseconds(json.value("max_event_gap_ms", int64_t{0}));
   route.max_attempts = json.at("max_attempts").get<int>();
   // The only cost of another region is the round trip to it, which routing always adds.
   route.weight_remote = 0;
--- a/src/core/ingress.h
+++ b/src/core/ingress.h
@@ -9,7 +9,7 @@
 //   {"version": 7,
 //    "routes": [{"id", "host", "path_prefix", "idempotent", "resumable", "deadline_ms",
 //                "first_byte_target_ms", "rank", "max_attempts", "regions": [...],
-//                "backends": [{"service", "weight"}]}],
+//                "max_event_gap_ms" (optional), "backends": [{"service", "weight"}]}],
 //    "services": [{"id", "health_path", "max_connections", "cold_start_ms", "cold_per_s",
 //                  "fetch_tokens_per_s"}],
 //    "source": "the text that the operator sent, kept to be returned on reads"}
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -289,6 +289,7 @@
   int64_t prefill_tokens = 0;              // kLocal: neither cached there nor fetched
   int64_t fetch_tokens = 0;                // kLocal: to fetch from another server's cache
   ServerId fetch_from;                     // kLocal: the server to fetch from; empty: none
+  double speed = 1;                        // kLocal: expected of the server; see SpeedAt()
   int64_t tokens_ahead = 0;                // kLocal: of prompts that the server reads first
   std::string software_version;            // kLocal: of the server; empty: unknown
   Duration min_interval{0};                // kLocal: see RequestInterval() in core/request_rate.h
@@ -341,9 +342,10 @@
                  Time dispatched_at, Time now);
 
 // Records the time between two events of a stream that a server sends. `served` is ServedName() of
-// the route.
-void OnEventGap(RoutingState& routing_state, const RoutingView& view, const std::string& served,
-                const ServerId& server, uint64_t incarnation, Duration gap, Time now);
+// the route. Returns the speed of the server if it has changed so much that it is to be logged.
+std::optional<double> OnEventGap(RoutingState& routing_state, const RoutingView& view,
+                                 const std::string& served, const ServerId& server,
+                                 uint64_t incarnation, Duration gap, Time now);
 
 // Records the limit that an answer of the server named; nullopt: it named none. Returns true if the
 // limit changed.
--- a/src/core/routing_local.cc
+++ b/src/core/routing_local.cc
@@ -361,6 +361,7 @@
   if (picked.fetch_from != nullptr) choice.fetch_from = picked.fetch_from->announced.id;
   choice.prefill_tokens = std::max<int64_t>(0, query.prompt_tokens - picked.cached_tokens());
   choice.tokens_ahead = picked.tokens_ahead;
+  choice.speed = picked.speed;
   choice.software_version = SoftwareOf(picked);
   choice.min_interval = picked.min_interval;
   return choice;
--- a/src/core/routing_record.cc
+++ b/src/core/routing_record.cc
@@ -240,17 +240,19 @@
   if (!first) rate->second += kPrefillRateSmoothing * (sample - rate->second);
 }
 
-void OnEventGap(RoutingState& routing_state, const RoutingView& view, const std::string& served,
-                const ServerId& server, uint64_t incarnation, Duration gap, Time now) {
+std::optional<double> OnEventGap(RoutingState& routing_state, const RoutingView& view,
+                                 const std::string& served, const ServerId& server,
+                                 uint64_t incarnation, Duration gap, Time now) {
   const BackendServer* known = FindServer(view, server);
   auto found = routing_state.servers.find(server);
-  if (known == nullptr || found == routing_state.servers.end()) return;
+  if (known == nullptr || found == routing_state.servers.end()) return std::nullopt;
   if (found->second.incarnation != incarnation || known->announced.incarnation != incarnation)
-    return;
+    return std::nullopt;
   ServerSpeed& speed = routing_state.speeds[server];
   SetIncarnation(&speed, incarnation);
   int requests = found->second.in_flight + known->other_hosts_requests;
   OnEventGap(&speed, &routing_state.speed_baselines[served], gap, requests, now);
+  return TakeSpeedToLog(&speed, now);
 }
 
 bool OnRequestLimit(RoutingState& routing_state, const ServerId& server, uint64_t incarnation,
--- a/src/core/server_speed.cc
+++ b/src/core/server_speed.cc
@@ -114,6 +114,14 @@
   return ClampFactor(factor * std::exp(SlowPeriod(speed, now)));
 }
 
+std::optional<double> TakeSpeedToLog(ServerSpeed* speed, Time now) {
+  double factor = MeanSpeed(*speed, now);
+  double change = factor / speed->logged;
+  if (change < 1 + kLoggedSpeedChange && change > 1 / (1 + kLoggedSpeedChange)) return std::nullopt;
+  speed->logged = factor;
+  return factor;
+}
+
 double EventGapSeconds(const SpeedBaseline& baseline, double requests) {
   if (baseline.event_gap.samples <= 0) return 0;
   return std::exp(baseline.event_gap.log_value) *
--- a/src/core/server_speed.h
+++ b/src/core/server_speed.h
@@ -55,6 +55,7 @@
 constexpr double kMinSpeedDifference = 0.1;
 constexpr double kMinSpeed = 0.2;
 constexpr double kMaxSpeed = 5;
+constexpr double kLoggedSpeedChange = 0.25;
 // An own estimate is sent for this long after its last sample.
 constexpr Duration kSpeedShareTime = seconds(2);
 // The weight of the newest sample in the mean of a model.
@@ -75,6 +76,7 @@
   Time recent_at;            // Time(): no sample
   double others_recent = 0;  // logarithm, relative to the slow estimate
   Time others_recent_at;
+  double logged = 1;  // see TakeSpeedToLog()
 };
 
 // The logarithmic mean of one kind of sample over the servers of a model, each corrected by the
@@ -110,6 +112,9 @@
 // Returns the factor that is expected of the server now.
 double SpeedAt(const ServerSpeed& speed, Time now);
 
+// Returns MeanSpeed() if it differs from the last returned one by kLoggedSpeedChange or more.
+std::optional<double> TakeSpeedToLog(ServerSpeed* speed, Time now);
+
 // Returns the time between two events of a stream at a server of speed 1 with `requests` requests;
 // 0 if it is not known.
 double EventGapSeconds(const SpeedBaseline& baseline, double requests);
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "daemon/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <string>
 
@@ -166,10 +167,17 @@
 
 void Dispatcher::OnEventGap(const std::string& served, const Choice& choice, Duration gap,
                             Time now) {
-  std::lock_guard<std::mutex> lock(mutex_);
-  if (!view_) return;
-  ebonylift::OnEventGap(routing_state_, *view_, served, choice.server, choice.incarnation, gap,
-                        now);
+  std::optional<double> speed;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    if (!view_) return;
+    speed = ebonylift::OnEventGap(routing_state_, *view_, served, choice.server, choice.incarnation,
+                                  gap, now);
+  }
+  if (!speed) return;
+  LogEvent(EventId::kServerSpeedChanged,
+           {{"server", choice.server.value()},
+            {"speed_percent", std::to_string(std::lround(100 * *speed))}});
 }
 
 void Dispatcher::RecordSilence(const ServerId& server, Time since, Time now) {
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -27,6 +27,7 @@
 #include "adapters/metrics.h"
 #include "core/attempt.h"
 #include "core/drain.h"
+#include "core/lateness.h"
 #include "core/load_shedding.h"
 #include "core/outcome.h"
 #include "daemon/answer_relay.h"
@@ -150,6 +151,7 @@
   bool NeedsKeyClaim() const;
   TeamId RetryBudgetKey() const;
   RetryState CurrentRetryState() const;
+  LateCause CauseOfLateness() const;
   double ExpectedEvents() const;
   RouteQuery MakeRouteQuery() const;
   Time FirstByteDeadline() const;
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <cmath>
 #include <functional>
 #include <nlohmann/json.hpp>
 
@@ -313,6 +314,16 @@
 // Returns the current time for a response without a body.
 Time Exchange::FirstByteTime() const { return first_byte_seen_ ? first_byte_at_ : SteadyNow(); }
 
+LateCause Exchange::CauseOfLateness() const {
+  AnswerTimes times;
+  times.dispatched = open_attempt_.dispatched_at - spec_.arrived;
+  times.first_byte = FirstByteTime() - spec_.arrived;
+  times.longest_gap = longest_gap_;
+  times.end = SteadyNow() - spec_.arrived;
+  times.deadline = spec_.deadline - spec_.arrived;
+  return FindLateCause(times, *spec_.route);
+}
+
 void Exchange::SendResponse() {
   HttpHeaders headers = MakeResponseHeaders();
   std::string server =
@@ -329,6 +340,8 @@
   bool answered = relay_.status() < 300 && !relay_.ends_with_connection();
   if (local && answered) context_.dispatcher->OnPartsAnswered(spec_.content.parts);
   context_.metrics->ObserveWait(spec_.traffic_class, open_attempt_.dispatched_at - spec_.arrived);
+  LateCause late = CauseOfLateness();
+  if (!spec_.forwarded) context_.metrics->CountLate(ServedName(*spec_.route), late);
   context_.metrics->CountAnswer(spec_.traffic_class, static_cast<int>(attempts_.attempts.size()),
                                 SteadyNow() - spec_.arrived);
   LogEvent(EventId::kRequestAnswered,
@@ -345,6 +358,8 @@
             {"wait_ms", std::to_string(ToMillis(open_attempt_.dispatched_at - spec_.arrived))},
             {"first_ms", std::to_string(ToMillis(FirstByteTime() - spec_.arrived))},
             {"gap_ms", std::to_string(ToMillis(longest_gap_))},
+            {"late", LateCauseName(late)},
+            {"speed_percent", std::to_string(std::lround(100 * open_attempt_.choice.speed))},
             {"ms", std::to_string(ToMillis(SteadyNow() - spec_.arrived))}});
   std::function<void()> respond = relay_.MakeEndWriter(headers);
   // A stream with an error event is incomplete, so it is never stored for the idempotency key.
@@ -381,6 +396,8 @@
             {"retry_after_ms", std::to_string(ToMillis(retry_after))},
             {"ms", std::to_string(ToMillis(SteadyNow() - spec_.arrived))}});
   context_.metrics->CountRefusal(kind);
+  bool cut_off = kind == ErrorKind::kDeadline && first_byte_seen_ && !spec_.forwarded;
+  if (cut_off) context_.metrics->CountLate(ServedName(*spec_.route), CauseOfLateness());
   // Before the response, since the caller may send the request again as soon as it has that.
   claim_.Resolve(RequestRun(attempts_));
   relay_.Refuse(ErrorResponse{kind, message, retry_after, spec_.id});
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -63,6 +63,21 @@
   }
 }
 
+// Guards against documents of an earlier version that are refused because they lack the longest
+// gap, and against one that is not a time.
+BOOST_AUTO_TEST_CASE(LongestGapIsOptional) {
+  Json document = Document();
+  document["routes"][0]["max_event_gap_ms"] = 600;
+  BOOST_TEST(ValidateIngress(document).empty());
+  IngressConfig config = ParseIngress(document);
+  BOOST_TEST((config.route_configs.at(RouteId("r1/s")).max_event_gap == milliseconds(600)));
+  BOOST_TEST((config.route_configs.at(RouteId("r2/s")).max_event_gap == Duration(0)));
+  for (const Json& value : {Json(-1), Json(1.5), Json("600"), Json()}) {
+    document["routes"][0]["max_event_gap_ms"] = value;
+    BOOST_TEST(!ValidateIngress(document).empty(), value);
+  }
+}
+
 // Guards against a traffic split that differs from the weights, and against a service of weight 0
 // that gets requests.
 BOOST_AUTO_TEST_CASE(BackendsAreSelectedByWeight) {
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -27,6 +27,10 @@
   metrics.CountAnswer(TrafficClass::kCheck, 1, milliseconds(40));
   metrics.CountAnswer(TrafficClass::kCheck, 7, milliseconds(40));
   metrics.CountAttemptFailure(CallOutcome::kTimedOut);
+  metrics.CountLate("m", LateCause::kPause);
+  metrics.CountLate("m", LateCause::kNone);
+  for (size_t i = 0; i < 2 * kMaxModelLabels; ++i)
+    metrics.CountLate("m" + std::to_string(i), LateCause::kRead);
   metrics.ObserveWait(TrafficClass::kChapter, milliseconds(3));
   metrics.SetLogDrops({1, 2, 3});
   metrics.AddCostUnits(TrafficClass::kChapter, 2.5);
@@ -57,6 +61,8 @@
            R"(ebonylift_answer_seconds_bucket{class="check",le="0.05"} 2)",
            R"(ebonylift_attempt_failures_total{outcome="timed_out"} 1)",
            R"(ebonylift_attempt_failures_total{outcome="failed"} 0)",
+           R"(ebonylift_late_answers_total{cause="pause",model="m"} 1)",
+           R"(ebonylift_late_answers_total{cause="read",model="other"} 65)",
            R"(ebonylift_wait_seconds_bucket{class="chapter",le="0.01"} 1)",
            R"(ebonylift_log_lines_dropped{reason="routine_rate"} 1)",
            R"(ebonylift_log_lines_dropped{reason="notable_rate"} 2)",
--- a/tests/platform_dialect_test.cc
+++ b/tests/platform_dialect_test.cc
@@ -50,9 +50,16 @@
   BOOST_TEST((dialect_request.caller_timeout == seconds(10)));
   BOOST_TEST(dialect_request.prompt_tokens == 1460);
   BOOST_TEST(dialect_request.max_output_tokens == 80);
+  BOOST_TEST(dialect_request.expected_output_tokens == 0);
   BOOST_TEST(dialect_request.prompt.size() == 2u);
   BOOST_TEST(dialect_request.prompt[0].id == 0x5c1e07a2u);
   BOOST_TEST(dialect_request.prompt[1].tokens == 660);
+  // A hint is no reason to refuse a request.
+  for (auto [hint, tokens] : {std::pair{"378", 378}, {"-1", 0}, {"0", 0}, {"long", 0}, {"", 0}}) {
+    request.headers.emplace_back("Length-Hint", hint);
+    BOOST_TEST(kPlatformDialect.read_request(request).expected_output_tokens == tokens, hint);
+    request.headers.pop_back();
+  }
   request.headers.emplace_back("deadline-ms", "soon");
   request.headers.erase(request.headers.begin() + 5);
   BOOST_CHECK_THROW(kPlatformDialect.read_request(request), Error);
--- a/tests/platform_messages_test.cc
+++ b/tests/platform_messages_test.cc
@@ -115,9 +115,11 @@
   BOOST_TEST(!stream.idempotent);
   BOOST_TEST(!stream.resumable);
   BOOST_TEST(stream.regions.size() == 1u);
+  BOOST_TEST((stream.max_event_gap == milliseconds(400)));
   const RouteConfig& safe = config.route_configs.at(RouteId("r2/t"));
   BOOST_TEST(safe.idempotent);
   BOOST_TEST(safe.regions.size() == 2u);
+  BOOST_TEST((safe.max_event_gap == Duration(0)));
   BOOST_TEST(safe.max_attempts == 2);
   BOOST_TEST((config.services.at("s").cold_start == seconds(3)));
 }
--- a/tests/server_speed_test.cc
+++ b/tests/server_speed_test.cc
@@ -8,6 +8,7 @@
 #include <random>
 #include <utility>
 
+#include "core/lateness.h"
 #include "core/peer_work.h"
 #include "core/routing.h"
 #include "core/work_exchange.h"
@@ -128,11 +129,33 @@
   BOOST_TEST(SpeedFromByte(SpeedToByte(1)) == 1.0);
 }
 
+// Guards against an answer that is counted under a cause that did not make it late.
+BOOST_AUTO_TEST_CASE(CauseOfLatenessIsTheFirstMissedTarget) {
+  RouteConfig route;
+  route.first_byte_target = milliseconds(1'200);
+  route.max_event_gap = milliseconds(600);
+  AnswerTimes times{milliseconds(10), milliseconds(300), milliseconds(100), seconds(3),
+                    seconds(12)};
+  BOOST_TEST((FindLateCause(times, route) == LateCause::kNone));
+  times.end = seconds(12);
+  BOOST_TEST((FindLateCause(times, route) == LateCause::kPace));
+  times.longest_gap = milliseconds(601);
+  BOOST_TEST((FindLateCause(times, route) == LateCause::kPause));
+  times.first_byte = milliseconds(1'201);
+  BOOST_TEST((FindLateCause(times, route) == LateCause::kRead));
+  times.dispatched = milliseconds(700);
+  BOOST_TEST((FindLateCause(times, route) == LateCause::kWait));
+  BOOST_TEST((FindLateCause(times, RouteConfig()) == LateCause::kPace));
+}
+
 namespace {
 
 struct Result {
   int answers = 0;
-  int late = 0;
+  int late = 0;      // of `answers`
+  int unplaced = 0;  // of `late`, as the two below
+  int late_start = 0;
+  int paused = 0;
   double busiest = 0;  // prompt tokens of the busiest server, relative to its speed and the mean
   double late_share() const { return static_cast<double>(late) / std::max(1, answers); }
 };
@@ -214,7 +237,8 @@
     int tokens = 0;
     Time last_event;
     Duration last_gap{0};
-    bool late = false;
+    bool late_start = false;
+    bool paused = false;
   };
   struct Engine {
     double speed = 1;
@@ -287,6 +311,7 @@
     Choice choice = Choose(query, host.view, host.state, now_, host.rng);
     if (choice.kind != ChoiceKind::kLocal) {
       ++result_.late;
+      ++result_.unplaced;
       return;
     }
     OnDispatch(host.state, query, choice, now_);
@@ -339,12 +364,12 @@
     if (++stream->tokens % kTokensPerEvent != 0) return;
     if (!stream->started) {
       stream->started = true;
-      stream->late = now_ - stream->arrived > kTarget;
+      stream->late_start = now_ - stream->arrived > kTarget;
       OnFirstByte(host.state, "m", stream->choice, stream->arrived, now_);
       if (!learns()) host.state.speeds.clear();
     } else {
       Duration gap = now_ - stream->last_event;
-      stream->late = stream->late || gap > kMaxGap;
+      stream->paused = stream->paused || gap > kMaxGap;
       Duration other = std::exchange(stream->last_gap, gap);
       if (other > Duration(0) && learns()) {
         stream->last_gap = Duration(0);
@@ -357,7 +382,9 @@
 
   bool End(const Stream& stream) {
     if (stream.tokens < kEvents * kTokensPerEvent) return false;
-    bool late = stream.late || now_ - stream.arrived > kDeadline;
+    if (stream.late_start) ++result_.late_start;
+    if (stream.paused) ++result_.paused;
+    bool late = stream.late_start || stream.paused || now_ - stream.arrived > kDeadline;
     if (late) ++result_.late;
     OnServerOutcome(hosts_[stream.host].state, hosts_[stream.host].view, stream.choice.server,
                     stream.arrived, ServerOutcome::kOk, now_, 0);
@@ -381,12 +408,18 @@
 // Guards against placement that ignores the speed of servers: slow ones get as much as fast ones,
 // and answers are late there while fast ones have room.
 BOOST_AUTO_TEST_CASE(UnequalServersAnswerInTime) {
+  auto print = [](const char* name, const Result& result) {
+    BOOST_TEST_MESSAGE("  " << name << ": late " << result.late_share() << " of " << result.answers
+                            << " (not placed " << result.unplaced << ", first event "
+                            << result.late_start << ", pause " << result.paused
+                            << "), busiest relative to its speed " << result.busiest);
+  };
   for (double load : {0.25, 0.7, 1.1}) {
     Result before = Fleet(load, false, false).Run(seconds(20));
     Result after = Fleet(load, false, true).Run(seconds(20));
-    BOOST_TEST_MESSAGE("load " << load << ": late " << before.late_share() << " before, "
-                               << after.late_share() << " after; busiest relative to its speed "
-                               << before.busiest << " before, " << after.busiest << " after");
+    BOOST_TEST_MESSAGE("load " << load);
+    print("before", before);
+    print("after", after);
     BOOST_TEST(after.late_share() < before.late_share(), "load " << load);
     BOOST_TEST(after.busiest < before.busiest, "load " << load);
     // On a quiet day, callers accept one late answer in fifty.
