--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -5,8 +5,9 @@
 //
 // Labels take values only from closed sets such as traffic classes and error kinds, never teams or
 // regions, so the number of time series is fixed. Only the workspaces of the configuration are
-// labels, at most kMaxWorkspaceLabels of them. All methods are thread safe. The Count, Add and
-// Observe methods allocate nothing.
+// labels, at most kMaxWorkspaceLabels of them, and of models and services only kMaxModelLabels have
+// series of their own. All methods are thread safe. The Count, Add and Observe methods allocate
+// nothing, except for the first late answer of a model.
 
 #include <cstdint>
 #include <memory>
@@ -17,11 +18,14 @@
 #include "base/error.h"
 #include "base/event.h"
 #include "base/time.h"
+#include "core/lateness.h"
 #include "ports/views.h"
 
 namespace ebonylift {
 
 constexpr size_t kMaxWorkspaceLabels = 64;
+// Late answers of further models are counted under the model "other".
+constexpr size_t kMaxModelLabels = 64;
 
 class Metrics {
  public:
@@ -52,6 +56,9 @@
   // 1). `time` runs from the arrival of the request.
   void CountAnswer(TrafficClass traffic_class, int attempts, Duration time);
 
+  // Counts a late answer of a model or service by what made it late.
+  void CountLate(const std::string& served, LateCause cause);
+
   // Counts a failed attempt by its outcome.
   void CountAttemptFailure(CallOutcome outcome);
 
