Decision to hedge a request, its limits and their configuration

Cause: a request at a server that is slow for a moment waits for it, although another server is idle.

--- a/src/core/config_schema.cc
+++ b/src/core/config_schema.cc
@@ -31,6 +31,7 @@
   kOrderer,
   kIngress,
   kEvacuation,
+  kHedging,
   kKey,
   kResidency,
   kLimits,
@@ -92,6 +93,10 @@
       {PathKind::kEvacuation,
        {"deployment", "evacuations", "*"},
        {{"evacuated", ValueType::kBool, true, 0}}},
+      {PathKind::kHedging,
+       {"deployment", "hedging"},
+       {{"max_request_percent", ValueType::kCount, true, 100},
+        {"max_token_percent", ValueType::kCount, false, 100}}},
       {PathKind::kKey, {"teams", "*", "keys", "*"}, {{"sha256", ValueType::kSha256, true, 0}}},
       {PathKind::kResidency,
        {"teams", "*", "residency"},
@@ -115,6 +120,7 @@
         {"key_from_body", ValueType::kBool, false, 0},
         {"deadline_ms", ValueType::kPositive, false, kMaxDeadlineMs},
         {"send_away", ValueType::kBool, false, 0},
+        {"hedge", ValueType::kBool, false, 0},
         {"weight_latency", ValueType::kNumber, false, kMaxWeight},
         {"weight_cost", ValueType::kNumber, false, kMaxWeight},
         {"weight_remote", ValueType::kNumber, false, kMaxWeight}}},
@@ -588,6 +594,7 @@
     case PathKind::kOrderer:
     case PathKind::kIngress:
     case PathKind::kEvacuation:
+    case PathKind::kHedging:
     case PathKind::kLimits:
       break;
   }
--- a/src/core/config_schema.h
+++ b/src/core/config_schema.h
@@ -12,12 +12,13 @@
 //   /deployment/orderers/<domain>     host, lease_ms; written by the hosts, not by operators
 //   /deployment/ingress               one document; see core/ingress.h
 //   /deployment/evacuations/<domain>  evacuated
+//   /deployment/hedging               max_request_percent, max_token_percent
 //   /teams/<team>/keys/<name>         sha256
 //   /teams/<team>/residency           regions
 //   /teams/<team>/limits              requests_per_s, concurrency, retry_percent
 //   /teams/<team>/routes/<route>      kind, model, adapter, version, service, regions, home, class,
 //                                     idempotent, key_from_body, deadline_ms, send_away,
-//                                     weight_latency, weight_cost, weight_remote
+//                                     hedge, weight_latency, weight_cost, weight_remote
 
 #include <functional>
 #include <nlohmann/json_fwd.hpp>
--- a/src/core/config_view.cc
+++ b/src/core/config_view.cc
@@ -12,6 +12,8 @@
 
 using Json = nlohmann::json;
 
+constexpr char kHedgingPath[] = "/deployment/hedging";
+
 template <typename IdType>
 std::vector<IdType> ParseIds(const Json& json, const char* key) {
   std::vector<IdType> ids;
@@ -50,6 +52,7 @@
   route.key_from_body = json.value("key_from_body", route.key_from_body);
   route.deadline = milliseconds(json.value("deadline_ms", ToMillis(route.deadline)));
   route.send_away = json.value("send_away", route.send_away);
+  route.hedge = json.value("hedge", route.hedge);
   route.weight_latency = json.value("weight_latency", route.weight_latency);
   route.weight_cost = json.value("weight_cost", route.weight_cost);
   route.weight_remote = json.value("weight_remote", route.weight_remote);
@@ -134,6 +137,13 @@
   if (json.at("evacuated").get<bool>()) view->evacuated.insert(DomainId(domain));
 }
 
+HedgingConfig ParseHedging(const Json& json) {
+  HedgingConfig hedging;
+  hedging.max_request_percent = json.at("max_request_percent").get<int>();
+  hedging.max_token_percent = json.value("max_token_percent", hedging.max_request_percent);
+  return hedging;
+}
+
 // Adds the value at `path`. A value that cannot be parsed is skipped.
 void AddEntry(ConfigView* view, const std::string& path, const TreeEntry& entry) {
   std::vector<std::string> segments = SplitPath(path);
@@ -143,6 +153,8 @@
       AddTeamEntry(view, segments, json);
     } else if (path == kIngressPath) {
       AddIngress(view, json);
+    } else if (path == kHedgingPath) {
+      view->hedging = ParseHedging(json);
     } else if (segments.size() == 3 && segments[1] == "evacuations") {
       AddEvacuation(view, segments[2], json);
     } else if (segments.size() == 3 && segments[1] == "regions") {
@@ -174,6 +186,8 @@
   if (path == kIngressPath) {
     view->teams.erase(TeamId(kIngressTeam));
     view->ingress = nullptr;
+  } else if (path == kHedgingPath) {
+    view->hedging.reset();
   } else if (segments.size() != 3) {
     return;
   }
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -182,4 +182,18 @@
   return remote.kind == ChoiceKind::kForward && remote.cost < threshold ? remote : local_choice;
 }
 
+Choice ChooseHedge(const RouteQuery& query, const RoutingView& view,
+                   const RoutingState& routing_state, Time now, std::mt19937_64& rng) {
+  Choice no_room;
+  no_room.kind = ChoiceKind::kQueue;
+  if (query.route == nullptr || !RegionAllowed(query, view.self.region)) return no_room;
+  if (now >= query.deadline) return no_room;
+  LocalServers local = FindLocalServers(query, view, routing_state, now);
+  local.usable.erase(std::remove_if(local.usable.begin(), local.usable.end(),
+                                    [](const Candidate& candidate) { return candidate.ejected; }),
+                     local.usable.end());
+  if (local.usable.empty()) return no_room;
+  return ChooseLocal(query, view, routing_state, local, now, rng);
+}
+
 }  // namespace ebonylift
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -197,6 +197,8 @@
   // The servers must have this version of their software, as the one that began the stream that the
   // request continues; empty: any.
   std::string software_version;
+  // Servers with at least this utilization count as full; 0: no bound. For hedges.
+  double max_utilization = 0;
   // Set for a chapter at its turn; see kReservedShare.
   bool may_use_reserved_slots = false;
 };
@@ -313,6 +315,12 @@
 Choice Choose(const RouteQuery& query, const RoutingView& view, const RoutingState& routing_state,
               Time now, std::mt19937_64& rng);
 
+// Chooses the server for a hedge (core/hedging.h), among those of this host's scope: kLocal, or
+// kQueue if none has room. Servers that are ejected are not used. Does not change `routing_state`:
+// record the decision with OnDispatch().
+Choice ChooseHedge(const RouteQuery& query, const RoutingView& view,
+                   const RoutingState& routing_state, Time now, std::mt19937_64& rng);
+
 enum class ServerOutcome {
   kOk,           // a complete response, including one that rejects the request as invalid
   kFailed,       // connection reset, timeout or 5xx response; counts towards ejection
--- a/src/core/routing_local.cc
+++ b/src/core/routing_local.cc
@@ -348,6 +348,14 @@
   return choice;
 }
 
+void RemoveUtilized(double max_utilization, std::vector<Candidate>* candidates) {
+  candidates->erase(std::remove_if(candidates->begin(), candidates->end(),
+                                   [max_utilization](const Candidate& candidate) {
+                                     return candidate.utilization() >= max_utilization;
+                                   }),
+                    candidates->end());
+}
+
 // Groups the usable servers that have room for the request by preference.
 void GroupByRoom(const RouteQuery& query, const RoutingState& routing_state,
                  const PrefillEstimate& estimate, Time now, std::mt19937_64& rng,
@@ -377,6 +385,7 @@
   PrefillEstimate estimate = EstimatePrefill(query, view, routing_state, now);
   ApplyPlacement(FindPlacement(query, routing_state, local.healthy, now), estimate, &local.usable);
   UnseenWork unseen = ExpectUnseenWork(query, view, routing_state, estimate, now, &local.usable);
+  if (query.max_utilization > 0) RemoveUtilized(query.max_utilization, &local.usable);
   GroupByRoom(query, routing_state, estimate, now, rng, &local);
   const std::vector<Candidate>* candidates = &local.with_room;
   if (candidates->empty()) candidates = &local.in_slow_start;
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -52,6 +52,10 @@
     orderer_lease_ms, 300000,
     "length in milliseconds of the lease that a host needs to send orders to backend servers, "
     "2000 to 3600000");
+DEFINE_int32(
+    hedge_percent, 0,
+    "hedged requests allowed per 100 requests, and their prompt tokens per 100, 0 to 100; "
+    "0: requests are not hedged; the configuration path /deployment/hedging goes before it");
 DEFINE_int32(drain_timeout_s, 120,
              "seconds that a shutdown waits for open requests to finish, 1 to 3600");
 
@@ -220,6 +224,7 @@
   settings.traffic_threads = FLAGS_traffic_threads;
   settings.drain_timeout = seconds(FLAGS_drain_timeout_s);
   settings.orderer_lease = milliseconds(FLAGS_orderer_lease_ms);
+  settings.hedge_percent = FLAGS_hedge_percent;
   return settings;
 }
 
@@ -269,6 +274,9 @@
     issues.push_back(
         {"orderer_lease_ms", std::to_string(ToMillis(settings.orderer_lease)), "2000 to 3600000"});
   }
+  if (settings.hedge_percent < 0 || settings.hedge_percent > 100) {
+    issues.push_back({"hedge_percent", std::to_string(settings.hedge_percent), "0 to 100"});
+  }
   CheckPeers(settings, &issues);
   CheckVoters(settings, &issues);
   return issues;
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -65,6 +65,9 @@
   // one in this time gets a response that tells it to close the connection.
   Duration idle_grace = seconds(3);
   Duration orderer_lease = seconds(300);
+  // Hedges per 100 requests and their prompt tokens per 100; 0: requests are not hedged. The
+  // configuration path /deployment/hedging goes before it.
+  int hedge_percent = 0;
 };
 
 // A setting whose value is invalid.
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -137,6 +137,12 @@
   Duration lease{0};
 };
 
+// How much extra work hedged requests may cause; see core/hedging.h.
+struct HedgingConfig {
+  int max_request_percent = 0;  // hedges per 100 requests; 0: requests are not hedged
+  int max_token_percent = 0;    // prompt tokens of hedges per 100 prompt tokens of requests
+};
+
 struct ConfigView {
   uint64_t revision = 0;
   // The views of different revisions share the teams and keys that are equal in both.
@@ -149,7 +155,8 @@
   // Routes that are matched by host name and path; null when there are none. Their RouteConfigs
   // belong to the team kIngressTeam.
   std::shared_ptr<const IngressConfig> ingress;
-  std::set<DomainId> evacuated;  // failure domains whose backend servers get no new work
+  std::set<DomainId> evacuated;          // failure domains whose backend servers get no new work
+  std::optional<HedgingConfig> hedging;  // nullopt: the settings of each host decide
 };
 
 // ---- backend servers
--- a/tests/config_schema_test.cc
+++ b/tests/config_schema_test.cc
@@ -70,7 +70,7 @@
           << route.adapter << route.version << route.service << route.home
           << static_cast<int>(route.traffic_class) << route.idempotent << route.key_from_body
           << route.deadline.count() << route.send_away << route.weight_latency << route.weight_cost
-          << route.weight_remote;
+          << route.weight_remote << route.hedge;
       for (const RegionId& region : route.regions) out << " " << region;
     }
     out << "\n";
@@ -94,6 +94,8 @@
   for (const auto& [id, entry] : view.orderers) {
     out << id << entry.revision << entry.host << entry.lease.count();
   }
+  if (view.hedging)
+    out << view.hedging->max_request_percent << " " << view.hedging->max_token_percent;
   return out.str();
 }
 
@@ -130,6 +132,11 @@
       {"/deployment/orderers/este-a", R"({"host":"h1","lease_ms":300000})", "-"},
       {"/deployment/orderers/este-a", R"({"host":"h1","lease_ms":3600001})", "lease_ms"},
       {"/deployment/orderers/este-a", R"({"lease_ms":5000})", "host"},
+      {"/deployment/hedging", R"({"max_request_percent":5,"max_token_percent":2})", "-"},
+      {"/deployment/hedging", R"({"max_request_percent":101})", "max_request_percent"},
+      {"/deployment/hedging", R"({"max_token_percent":2})", "max_request_percent"},
+      {route, R"({"kind":"service","service":"s","regions":["este"],"hedge":false})", "-"},
+      {route, R"({"kind":"service","service":"s","regions":["este"],"hedge":0})", "hedge"},
       {"/teams/rocha/keys/k1", HashJson("sha256"), "-"},
       {"/teams/rocha/keys/k1", HashJson("sha265"), "sha265"},
       {"/teams/rocha/residency", R"({"regions":["este"]})", "-"},
@@ -259,6 +266,22 @@
   BOOST_TEST(ToMillis(view.orderers.at(DomainId("este-a")).lease) == 30'000);
 }
 
+// Guards against a limit of prompt tokens that is off because it is not named, and against a route
+// that is hedged although its configuration says otherwise.
+BOOST_AUTO_TEST_CASE(ViewHasHedging) {
+  ConfigTree tree = ExampleTree();
+  BOOST_TEST(!BuildConfigView(tree).hedging.has_value());
+  Set(&tree, "/deployment/hedging", R"({"max_request_percent":5})");
+  Set(&tree, "/teams/rocha/routes/new",
+      R"({"kind":"service","service":"s","regions":["este"],"hedge":false})");
+  ConfigView view = BuildConfigView(tree);
+  BOOST_REQUIRE(view.hedging.has_value());
+  BOOST_TEST(view.hedging->max_request_percent == 5);
+  BOOST_TEST(view.hedging->max_token_percent == 5);
+  BOOST_TEST(!view.teams.at(TeamId("rocha")).routes.at(RouteId("new")).hedge);
+  BOOST_TEST(view.teams.at(TeamId("rocha")).routes.at(RouteId("summary")).hedge);
+}
+
 // Guards against one value that cannot be parsed and hides the rest of the configuration.
 BOOST_AUTO_TEST_CASE(ViewSkipsUnparsableValues) {
   ConfigTree tree = ExampleTree();
@@ -288,6 +311,7 @@
           {team + "/keys/k" + digit, "{\"sha256\":\"" + team + digit + "\"}"},
           {team + "/routes/r" + digit, R"({"kind":"model","model":"m","regions":["r1"]})"},
           {"/deployment/regions/r" + digit, region},
+          {"/deployment/hedging", R"({"max_request_percent":1)" + digit + "}"},
           {"/deployment/models/m" + digit, "{\"version\":\"" + team + digit + "\"}"},
           {"/deployment/orderers/d" + digit, R"({"host":"h","lease_ms":1)" + digit + "}"},
           {"/deployment/operators/o" + digit,
