Requests without a first byte are also sent to a second server

Change: an exchange may hold a second attempt beside the open one until the first good data of either arrives; the winner becomes the open attempt, the other is cancelled and ended in the dispatcher as kCancelled. If the first attempt fails, the hedge goes on in its place without another retry; if the hedge fails, the first goes on. A hedge draws on the retry budget and counts towards max_attempts. Lost servers of both are probed, also when the other attempt has answered meanwhile. Events 220 to 223 and metrics.

--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -44,6 +44,8 @@
     CallOutcome::kComplete, CallOutcome::kNotConnected, CallOutcome::kNothingWritten,
     CallOutcome::kFailed, CallOutcome::kTimedOut};
 
+constexpr std::array<const char*, 4> kHedgeEndLabels = {"won", "lost", "failed", "took_over"};
+
 size_t ClassIndex(TrafficClass traffic_class) { return static_cast<size_t>(traffic_class); }
 
 double ToSeconds(Duration time) { return std::chrono::duration<double>(time).count(); }
@@ -104,6 +106,35 @@
     return result;
   }
 
+  prometheus::Counter* Counter(const char* name, const char* help) {
+    return &prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+  }
+
+  std::array<prometheus::Counter*, kHedgeEndLabels.size()> HedgeEndCounters() {
+    auto& family = prometheus::BuildCounter()
+                       .Name("ebonylift_hedges_ended_total")
+                       .Help("Second attempts of hedged requests, by what became of them.")
+                       .Register(registry);
+    std::array<prometheus::Counter*, kHedgeEndLabels.size()> result{};
+    for (size_t i = 0; i < kHedgeEndLabels.size(); ++i) {
+      result[i] = &family.Add({{"result", kHedgeEndLabels[i]}});
+    }
+    return result;
+  }
+
+  // Indexed by HedgeWithheld. That of kNone is null.
+  std::vector<prometheus::Counter*> HedgeWithheldCounters() {
+    auto& family = prometheus::BuildCounter()
+                       .Name("ebonylift_hedges_withheld_total")
+                       .Help("Requests that were due for a hedge and got none, by reason.")
+                       .Register(registry);
+    std::vector<prometheus::Counter*> result(std::size(kHedgeWithheldReasons) + 1);
+    for (HedgeWithheld reason : kHedgeWithheldReasons) {
+      result[static_cast<size_t>(reason)] = &family.Add({{"reason", HedgeWithheldName(reason)}});
+    }
+    return result;
+  }
+
   prometheus::Gauge* LogDropGauge(const char* reason) {
     return &prometheus::BuildGauge()
                 .Name("ebonylift_log_lines_dropped")
@@ -139,6 +170,12 @@
       Counters("ebonylift_sent_away_total", "Requests forwarded to another region.");
   PerTrafficClass<prometheus::Counter> retries =
       Counters("ebonylift_retries_total", "Failed attempts retried on another server.");
+  prometheus::Counter* hedges_sent =
+      Counter("ebonylift_hedges_sent_total", "Requests also sent to a second server.");
+  prometheus::Counter* hedge_tokens =
+      Counter("ebonylift_hedge_tokens_total", "Prompt tokens of requests sent to a second server.");
+  std::array<prometheus::Counter*, kHedgeEndLabels.size()> hedges_ended = HedgeEndCounters();
+  std::vector<prometheus::Counter*> hedges_withheld = HedgeWithheldCounters();
   PerTrafficClass<prometheus::Counter> cost_units =
       Counters("ebonylift_cost_units_total", "Cost units of completed work.");
   PerTrafficClass<prometheus::Histogram> time_to_first_token =
@@ -226,6 +263,20 @@
   families_->retries[ClassIndex(traffic_class)]->Increment();
 }
 
+void Metrics::CountHedgeSent(int64_t prompt_tokens) {
+  families_->hedges_sent->Increment();
+  families_->hedge_tokens->Increment(static_cast<double>(prompt_tokens));
+}
+
+void Metrics::CountHedgeEnd(HedgeEnd end) {
+  families_->hedges_ended[static_cast<size_t>(end)]->Increment();
+}
+
+void Metrics::CountHedgeWithheld(HedgeWithheld reason) {
+  prometheus::Counter* counter = families_->hedges_withheld[static_cast<size_t>(reason)];
+  if (counter != nullptr) counter->Increment();
+}
+
 void Metrics::AddCostUnits(TrafficClass traffic_class, double units) {
   if (units > 0) families_->cost_units[ClassIndex(traffic_class)]->Increment(units);
 }
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -15,10 +15,19 @@
 #include "base/error.h"
 #include "base/event.h"
 #include "base/time.h"
+#include "core/hedging.h"
 #include "ports/views.h"
 
 namespace ebonylift {
 
+// What became of the second attempt of a hedged request.
+enum class HedgeEnd {
+  kWon,       // it answered first
+  kLost,      // the first attempt answered first, or the request ended otherwise
+  kFailed,    // the first attempt went on
+  kTookOver,  // the first attempt failed, and it went on
+};
+
 class Metrics {
  public:
   Metrics();
@@ -45,6 +54,12 @@
   // Records the time from the arrival of a request to the dispatch of its last attempt.
   void ObserveWait(TrafficClass traffic_class, Duration time);
 
+  // Counts a hedge that was sent, its prompt tokens, and what became of it. See core/hedging.h.
+  void CountHedgeSent(int64_t prompt_tokens);
+  void CountHedgeEnd(HedgeEnd end);
+  // Counts a request that was due for a hedge and got none.
+  void CountHedgeWithheld(HedgeWithheld reason);
+
   // Counts the retry of a failed attempt on another server.
   void CountRetry(TrafficClass traffic_class);
 
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -49,6 +49,10 @@
   kForwardRejected = 210,
   kResidencyViolationRefused = 211,
   kStreamTakenUp = 212,
+  kHedgeSent = 220,
+  kHedgeWon = 221,
+  kHedgeLost = 222,
+  kHedgeFailed = 223,
 
   kServerAnnounced = 300,
   kServerExpired = 301,
--- a/src/daemon/attempt_call.h
+++ b/src/daemon/attempt_call.h
@@ -40,6 +40,8 @@
   Time first_data_at;             // set if `response_started`
   bool parts_answered = false;    // Dispatcher::OnPartsAnswered() was called
   bool tries_path = false;        // sent while this host was cut off from its servers
+  bool is_hedge = false;          // was sent beside another attempt
+  bool probing = false;           // its connection was lost, and its server is probed
 
   // Set for an attempt through another host.
   bool forwarding = false;
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -79,6 +79,7 @@
 std::optional<Refusal> Dispatcher::Enqueue(QueuedRequest request, RouteQuery query,
                                            PlacementCallback on_ready, Time now) {
   std::lock_guard<std::mutex> lock(mutex_);
+  OnRequestQueued(hedging_, now);
   QueueId id = request.id;
   std::optional<Refusal> refusal = ebonylift::Enqueue(admission_, std::move(request), now);
   if (refusal) {
@@ -549,6 +550,70 @@
                              now);
 }
 
+void Dispatcher::OnOwnRequest(const HedgingConfig& limits, int64_t prompt_tokens) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ebonylift::OnOwnRequest(hedging_, limits, prompt_tokens);
+}
+
+void Dispatcher::RecordFirstByteTime(const std::string& route, int64_t prompt_tokens, Duration time,
+                                     Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ebonylift::RecordFirstByteTime(hedging_, route, prompt_tokens, time, now);
+}
+
+std::optional<Duration> Dispatcher::HedgeDelay(const std::string& route, int64_t prompt_tokens,
+                                               Time now) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return ebonylift::HedgeDelay(hedging_, route, prompt_tokens, now);
+}
+
+void Dispatcher::OnTurnedAway(const std::string& served, Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ebonylift::OnTurnedAway(hedging_, served, now);
+}
+
+// Precondition: the caller holds the mutex.
+bool Dispatcher::IsSuspect(const RouteQuery& query, Time now) const {
+  auto suspected = [now](const PoisonState& poison, uint64_t content) {
+    return ebonylift::Verdict(poison, content, now) != PoisonVerdict::kClear;
+  };
+  return suspected(poison_, query.content_hash) ||
+         std::any_of(query.content_parts.begin(), query.content_parts.end(),
+                     [&](uint64_t part) { return suspected(part_poison_, part); });
+}
+
+HedgePlacement Dispatcher::PlaceHedge(RouteQuery query, const RoutingView& view,
+                                      const TeamId& budget, const RetryState& retry_state,
+                                      Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  const std::string& served = ServedName(*query.route);
+  if (IsSuspect(query, now)) return {HedgeWithheld::kSuspect, {}};
+  HedgeWithheld withheld =
+      CheckHedge(hedging_, served, query.prompt_tokens, QueueLength(admission_), now);
+  if (withheld != HedgeWithheld::kNone) return {withheld, {}};
+  // While no path to the servers is known, a hedge would only be one more trial.
+  if (paths_.cut_off) return {HedgeWithheld::kNoRoom, {}};
+  routing_state_.queued_ahead = 0;
+  query.max_utilization = kMaxHedgeUtilization;
+  Choice choice = ChooseHedge(query, view, routing_state_, now, rng_);
+  if (choice.kind != ChoiceKind::kLocal) return {HedgeWithheld::kNoRoom, {}};
+  switch (ebonylift::MayRetry(FindOrCreateBudget(budgets_, budget), retry_state, Run::kMayHaveRun,
+                              query.deadline, now)) {
+    case RetryDecision::kRetry:
+      break;
+    case RetryDecision::kDeadlinePassed:
+      return {HedgeWithheld::kDeadline, {}};
+    case RetryDecision::kBudgetExhausted:
+      return {HedgeWithheld::kRetryBudget, {}};
+    case RetryDecision::kNotSafeToRetry:
+    case RetryDecision::kAttemptsExhausted:
+      return {HedgeWithheld::kAttempts, {}};
+  }
+  OnHedgeSent(hedging_, query.prompt_tokens);
+  RecordPlacement(choice, query, now);
+  return {HedgeWithheld::kNone, std::move(choice)};
+}
+
 void Dispatcher::OnView(std::shared_ptr<const RoutingView> view, Time now) {
   ReadyCallbacks ready_callbacks;
   {
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "core/admission.h"
+#include "core/hedging.h"
 #include "core/poison.h"
 #include "core/proven_contents.h"
 #include "core/retry.h"
@@ -52,6 +53,12 @@
   size_t suspects = 0;
 };
 
+// A server for a hedge, or why there is none.
+struct HedgePlacement {
+  HedgeWithheld withheld = HedgeWithheld::kNone;
+  Choice choice;  // kLocal if `withheld` is kNone
+};
+
 // How requests with suspected content (core/poison.h) run until they complete or are condemned.
 enum class SuspectPlacement {
   kAlone,     // only on servers without other work
@@ -163,6 +170,20 @@
   RetryDecision MayRetry(const TeamId& team, const RetryState& retry_state, Run outcome,
                          Time deadline, Time now);
 
+  // Hedging; see core/hedging.h. `route` names the route among all teams.
+
+  void OnOwnRequest(const HedgingConfig& limits, int64_t prompt_tokens);
+  void RecordFirstByteTime(const std::string& route, int64_t prompt_tokens, Duration time,
+                           Time now);
+  std::optional<Duration> HedgeDelay(const std::string& route, int64_t prompt_tokens,
+                                     Time now) const;
+  void OnTurnedAway(const std::string& served, Time now);
+  // Places the hedge of an open attempt, whose server the query avoids: checks the pressure, the
+  // limits and the retry budget, and draws on them. A placement is recorded as by Place().
+  // `retry_state` counts the open attempt as a run.
+  HedgePlacement PlaceHedge(RouteQuery query, const RoutingView& view, const TeamId& budget,
+                            const RetryState& retry_state, Time now);
+
   // Installs a new routing view and places queued requests.
   void OnView(std::shared_ptr<const RoutingView> view, Time now);
 
@@ -177,6 +198,7 @@
     std::shared_ptr<const ConfigView> config;  // keeps query.route alive
     PlacementCallback on_ready;
   };
+  bool IsSuspect(const RouteQuery& query, Time now) const;
   using ReadyCallbacks = std::vector<std::pair<PlacementCallback, Choice>>;
 
   // Whether the request is to run through another host.
@@ -224,6 +246,7 @@
   ServerPaths paths_;
   Admission admission_;
   RetryBudgets budgets_;
+  HedgingState hedging_;
   PoisonState poison_;       // of whole requests
   PoisonState part_poison_;  // of parts of prompts
   ProvenContents proven_parts_;
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -83,6 +83,7 @@
       spec_(std::move(spec)),
       relay_(std::move(responder), spec_.dialect),
       claim_(context.records, RecordKey{spec_.team, spec_.idempotency_key}),
+      hedge_timer_(*context.io),
       timer_(*context.io),
       liveness_timer_(*context.io) {
   attempts_.id = spec_.id;
@@ -125,6 +126,8 @@
     context_.metrics->CountRequest(spec_.traffic_class);
     const TeamConfig& team = spec_.view->config->teams.at(spec_.team);
     context_.dispatcher->CountRequest(RetryBudgetKey(), team.limits.retry_percent);
+    HedgingConfig hedging = HedgeLimits();
+    if (IsHedgingOn(hedging)) context_.dispatcher->OnOwnRequest(hedging, spec_.prompt_tokens);
   }
   if (NeedsKeyClaim()) {
     ClaimKey();
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -27,6 +27,7 @@
 #include "adapters/metrics.h"
 #include "core/attempt.h"
 #include "core/drain.h"
+#include "core/hedging.h"
 #include "core/load_shedding.h"
 #include "core/outcome.h"
 #include "daemon/answer_relay.h"
@@ -54,6 +55,7 @@
   LoadShedding* load_shedding = nullptr;
   const DrainTimes* drain = nullptr;
   std::string cluster_key;
+  int hedge_percent = 0;  // see Settings
   ExchangeTable* table = nullptr;
 };
 
@@ -72,7 +74,7 @@
   // one that says whether the request may have run.
   void EndForShutdown();
 
-  // Whether an attempt is open.
+  // Whether an attempt is open. A hedge is open only beside another attempt.
   bool is_sent() const { return open_attempt_.number != 0; }
 
   // Whether the exchange has ended. It is erased later, so events may still be queued for it.
@@ -116,11 +118,12 @@
   void OnDialectResponse();
   void OnStreamEnd();
   void OnAttemptFailed(const CallResult& result, ebonylift::Run run);
-  void RecordPathFailure(const CallResult& result);
+  void RecordPathFailure(const OpenAttempt& attempt, const CallResult& result);
   void RecordAttemptFailure(ebonylift::Run run, ServerOutcome outcome);
   void ConfirmNotStarted(const CallResult& result);
   void CheckServerLost(const CallResult& result);
-  HttpCall MakeProbeCall() const;
+  HttpCall MakeProbeCall(const std::string& address) const;
+  void ProbeLostServer(const OpenAttempt& attempt);
   // Says why the open attempt, which its server broke off, does not count as a loss of the server.
   void LogLossNotRecorded(const char* reason) const;
   void ProbeServer(const LossEvidence& evidence, const CallResult& result, int probes);
@@ -133,6 +136,24 @@
   void CheckConnection(Time now);
   bool WaitsOnLostPath(Duration silence, Time now) const;
 
+  // Hedging: a second attempt beside the open one, which has had no byte yet; see core/hedging.h.
+  HedgingConfig HedgeLimits() const;
+  bool MayBeHedged() const;
+  std::string HedgeRoute() const;
+  void RecordFirstByteTime(Time now) const;
+  void ScheduleHedge();
+  void OnHedgeDue(uint32_t attempt);
+  void SendHedge(const Choice& choice, const BackendServer& server);
+  bool IsHedge(uint32_t attempt) const { return hedge_ && hedge_->open.number == attempt; }
+  void OnHedgeHeaders(int status, const HttpHeaders& headers);
+  void OnHedgeDone(const CallResult& result);
+  bool FirstAttemptIsGood() const;
+  void WinHedge();
+  bool TakeOverByHedge();
+  void PromoteHedge(const char* reason);
+  void FailHedge(const CallResult& result, ebonylift::Run run);
+  void EndHedge(const char* reason);
+
   // End of an attempt or of the exchange.
   void SendResponse();
   void RelayPeerError(ErrorKind kind);
@@ -143,7 +164,9 @@
   // the exchange has ended.
   bool EndIfCallerLeft();
   void EndAttempt(ServerOutcome outcome);
+  void EndPlacement(const OpenAttempt& attempt, ServerOutcome outcome);
   void CancelAttempt();
+  void CancelCall(OpenAttempt* attempt);
   void Finish();
 
   // Helpers.
@@ -159,6 +182,9 @@
   void RelayStreamData(std::string_view data);
   void RelayEvents(std::string events);
   void RecordStreamBegin();
+  OpenAttempt MakeServerAttempt(const Choice& choice, Time now);
+  void SetServer(const BackendServer& server, OpenAttempt* attempt) const;
+  ResponseKind ClassifyHeaders(const OpenAttempt& attempt, int status, const HttpHeaders& headers);
   bool NamesOtherRequest(const HttpHeaders& headers) const;
   void EndUnusableAttempt(const char* reason);
   void RecordDataReceived();
@@ -175,6 +201,16 @@
   KeyClaim claim_;
   RequestAttempts attempts_;
   OpenAttempt open_attempt_;
+  // The second attempt, until the first good data of either arrives. Its response has no body yet.
+  struct HedgeAttempt {
+    OpenAttempt open;
+    int status = 0;  // 0: no headers have arrived
+    HttpHeaders headers;
+    ResponseKind kind = ResponseKind::kAnswer;
+  };
+  std::optional<HedgeAttempt> hedge_;
+  bool hedge_sent_ = false;
+  asio::steady_timer hedge_timer_;
   asio::steady_timer timer_;
   // Of the step that may run: the timer cannot cancel a step that is already queued.
   uint64_t step_number_ = 0;
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -33,8 +33,34 @@
   return refused ? ForwardOutcome::kRefused : ForwardOutcome::kAnswered;
 }
 
+// Probes a server whose attempt no exchange waits for any more, and records its loss.
+void ProbeUntilKnown(const ExchangeContext& context, const HttpCall& probe,
+                     const LossEvidence& evidence, int probes) {
+  HttpCall call = probe;
+  call.on_done = [=](const CallResult& result) {
+    ProbeFinding finding = ClassifyProbe(result, probe.connect_only);
+    if (finding == ProbeFinding::kLost) {
+      context.dispatcher->RecordServerLoss(evidence, SteadyNow());
+    } else if (finding == ProbeFinding::kAcceptsAndCloses && probes > 1) {
+      auto timer = std::make_shared<asio::steady_timer>(*context.io, kProbeInterval);
+      timer->async_wait([=, timer = timer](const asio::error_code& error) {
+        if (!error) ProbeUntilKnown(context, probe, evidence, probes - 1);
+      });
+    }
+  };
+  context.client->Start(std::move(call));
+}
+
 }  // namespace
 
+// Probes the server of an attempt that ends now although its connection was lost or is being
+// probed. Precondition: the dispatcher has not been told yet that the attempt ends.
+void Exchange::ProbeLostServer(const OpenAttempt& attempt) {
+  int probes = spec_.dialect == nullptr ? kMaxProbes : 1;
+  ProbeUntilKnown(context_, MakeProbeCall(attempt.address),
+                  context_.dispatcher->CollectLossEvidence(*attempt.server), probes);
+}
+
 // Cancels the attempt after a timeout and learns from the backend server's reply whether the work
 // had started. The attempt is reported as not run only if the server confirms that it had not.
 void Exchange::ConfirmNotStarted(const CallResult& result) {
@@ -64,13 +90,14 @@
 // suspect.
 void Exchange::CheckServerLost(const CallResult& result) {
   int probes = spec_.dialect == nullptr ? kMaxProbes : 1;
+  open_attempt_.probing = true;
   ProbeServer(context_.dispatcher->CollectLossEvidence(*open_attempt_.server), result, probes);
 }
 
 // With a dialect, a probe only connects: a health check would wait for a slot of a busy server.
-HttpCall Exchange::MakeProbeCall() const {
+HttpCall Exchange::MakeProbeCall(const std::string& address) const {
   HttpCall call;
-  call.url = "http://" + open_attempt_.address + "/healthz";
+  call.url = "http://" + address + "/healthz";
   call.timeout = kProbeTimeout;
   call.connect_timeout = kProbeConnectTimeout;
   call.new_connection = true;
@@ -87,7 +114,7 @@
 }
 
 void Exchange::ProbeServer(const LossEvidence& evidence, const CallResult& result, int probes) {
-  HttpCall call = MakeProbeCall();
+  HttpCall call = MakeProbeCall(open_attempt_.address);
   ExchangeTable* table = context_.table;
   Dispatcher* dispatcher = context_.dispatcher;
   bool connects_only = call.connect_only;
@@ -111,14 +138,13 @@
 }
 
 // Records that the attempt's server may be out of reach, if it gave no byte of an answer.
-void Exchange::RecordPathFailure(const CallResult& result) {
+void Exchange::RecordPathFailure(const OpenAttempt& attempt, const CallResult& result) {
   if (result.outcome == CallOutcome::kNotConnected) {
     ++connect_failures_;
-    context_.dispatcher->RecordConnection(*open_attempt_.server, false, SteadyNow());
+    context_.dispatcher->RecordConnection(*attempt.server, false, SteadyNow());
   }
-  if (result.status != 0 || open_attempt_.response_started) return;
-  context_.dispatcher->RecordSilence(*open_attempt_.server, open_attempt_.dispatched_at,
-                                     SteadyNow());
+  if (result.status != 0 || attempt.response_started) return;
+  context_.dispatcher->RecordSilence(*attempt.server, attempt.dispatched_at, SteadyNow());
 }
 
 void Exchange::OnAttemptFailed(const CallResult& result, ebonylift::Run run) {
@@ -135,13 +161,16 @@
             {"reason", result.error},
             {"run", RunName(run)}});
   context_.metrics->CountAttemptFailure(result.outcome);
-  if (open_attempt_.server) RecordPathFailure(result);
+  if (open_attempt_.server) RecordPathFailure(open_attempt_, result);
   open_attempt_.reached_server = result.outcome != CallOutcome::kNotConnected;
   open_attempt_.refused =
       result.outcome == CallOutcome::kComplete && run == ebonylift::Run::kNotRun;
+  if (open_attempt_.server && open_attempt_.refused && IsHedgingOn(HedgeLimits()))
+    context_.dispatcher->OnTurnedAway(ServedName(*spec_.route), SteadyNow());
   bool begun = relay_.begun();
   if (begun && spec_.dialect == nullptr && TryResumeOnSameServer()) return;
   RecordAttemptFailure(run, ClassifyFailure(result, relay_.kind()));
+  if (TakeOverByHedge()) return;
   if (!begun) {
     RetryOrRefuse(run);
     return;
@@ -314,6 +343,7 @@
 Time Exchange::FirstByteTime() const { return first_byte_seen_ ? first_byte_at_ : SteadyNow(); }
 
 void Exchange::SendResponse() {
+  EndHedge("first_byte");
   HttpHeaders headers = MakeResponseHeaders();
   std::string server =
       open_attempt_.server ? open_attempt_.server->value() : FindHeader(headers, kServerHeader);
@@ -404,6 +434,7 @@
     if (relay_.Resume()) context_.client->Resume(open_attempt_.call);
     return;
   }
+  EndHedge("caller_gone");
   if (open_attempt_.number != 0) Abandon(attempts_, open_attempt_.number);
   CancelAttempt();
   EndAttempt(ServerOutcome::kCancelled);
@@ -427,24 +458,32 @@
 // cancel the work, without waiting for its reply.
 void Exchange::CancelAttempt() {
   CancelStep();
-  if (open_attempt_.call != 0) context_.client->Cancel(open_attempt_.call);
-  open_attempt_.call = 0;
-  if (!open_attempt_.server || !open_attempt_.can_cancel) return;
-  context_.client->Start(MakeCancelCall(spec_.id, open_attempt_, kProbeTimeout));
+  CancelCall(&open_attempt_);
 }
 
-void Exchange::EndAttempt(ServerOutcome outcome) {
+void Exchange::CancelCall(OpenAttempt* attempt) {
+  if (attempt->call != 0) context_.client->Cancel(attempt->call);
+  attempt->call = 0;
+  if (!attempt->server || !attempt->can_cancel) return;
+  context_.client->Start(MakeCancelCall(spec_.id, *attempt, kProbeTimeout));
+}
+
+// Tells the dispatcher that the attempt has ended.
+void Exchange::EndPlacement(const OpenAttempt& attempt, ServerOutcome outcome) {
   Time now = SteadyNow();
-  if (open_attempt_.server) {
-    int64_t unread_tokens =
-        open_attempt_.response_started ? 0 : open_attempt_.choice.prefill_tokens;
-    context_.dispatcher->EndLocal(*open_attempt_.server, spec_.content.content,
-                                  open_attempt_.dispatched_at, outcome, now, unread_tokens);
+  if (attempt.server) {
+    int64_t unread_tokens = attempt.response_started ? 0 : attempt.choice.prefill_tokens;
+    context_.dispatcher->EndLocal(*attempt.server, spec_.content.content, attempt.dispatched_at,
+                                  outcome, now, unread_tokens);
   }
-  if (open_attempt_.forward_domain) {
-    context_.dispatcher->EndForward(*open_attempt_.forward_domain, open_attempt_.dispatched_at,
-                                    ToForwardOutcome(outcome, open_attempt_.refused), now);
+  if (attempt.forward_domain) {
+    context_.dispatcher->EndForward(*attempt.forward_domain, attempt.dispatched_at,
+                                    ToForwardOutcome(outcome, attempt.refused), now);
   }
+}
+
+void Exchange::EndAttempt(ServerOutcome outcome) {
+  EndPlacement(open_attempt_, outcome);
   open_attempt_.server.reset();
   open_attempt_.forward_domain.reset();
   open_attempt_.forwarding = false;
@@ -454,6 +493,7 @@
 void Exchange::Finish() {
   if (finished_) return;
   finished_ = true;
+  EndHedge("ended");
   if (queue_id_) context_.dispatcher->Remove(*queue_id_);
   claim_.Resolve(RequestRun(attempts_));
   if (admitted_) context_.dispatcher->Release(spec_.team);
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -45,6 +45,25 @@
   return call;
 }
 
+// Starts an attempt at the server of the choice, which SetServer() completes.
+OpenAttempt Exchange::MakeServerAttempt(const Choice& choice, Time now) {
+  OpenAttempt attempt;
+  attempt.dispatched_at = now;
+  attempt.choice = choice;
+  attempt.server = choice.server;
+  attempt.software_version = choice.software_version;
+  attempt.number = OnDispatch(attempts_, choice.server, choice.incarnation, now);
+  return attempt;
+}
+
+void Exchange::SetServer(const BackendServer& server, OpenAttempt* attempt) const {
+  attempt->address = server.announced.address;
+  const BackendServer* cache_source = FindServer(*spec_.view, attempt->choice.fetch_from);
+  if (cache_source != nullptr) attempt->fetch_from = cache_source->announced.address;
+  attempt->can_resume = Contains(server.announced.capabilities, "resume");
+  attempt->can_cancel = Contains(server.announced.capabilities, "cancel");
+}
+
 void Exchange::DispatchToServer(const Choice& choice) {
   Time now = SteadyNow();
   const BackendServer* server = FindServer(*spec_.view, choice.server);
@@ -53,25 +72,16 @@
     Refuse(ErrorKind::kStorageFailed, "the claim on the idempotency key is no longer valid");
     return;
   }
-  open_attempt_ = OpenAttempt();
-  open_attempt_.dispatched_at = now;
+  open_attempt_ = MakeServerAttempt(choice, now);
   last_data_at_ = now;
-  open_attempt_.choice = choice;
-  open_attempt_.server = choice.server;
-  open_attempt_.number = OnDispatch(attempts_, choice.server, choice.incarnation, now);
   if (server == nullptr) {
     OnAttemptFailed(
         CallResult{CallOutcome::kNotConnected, 0, "the server is no longer registered", false},
         ebonylift::Run::kNotRun);
     return;
   }
-  open_attempt_.address = server->announced.address;
-  const BackendServer* cache_source = FindServer(*spec_.view, choice.fetch_from);
-  if (cache_source != nullptr) open_attempt_.fetch_from = cache_source->announced.address;
-  open_attempt_.software_version = choice.software_version;
+  SetServer(*server, &open_attempt_);
   open_attempt_.tries_path = context_.dispatcher->IsCutOff();
-  open_attempt_.can_resume = Contains(server->announced.capabilities, "resume");
-  open_attempt_.can_cancel = Contains(server->announced.capabilities, "cancel");
   if (spec_.dialect == nullptr || open_attempt_.number > 1) {
     LogEvent(EventId::kRequestDispatched, {{"request_id", spec_.id.value()},
                                            {"attempt", std::to_string(open_attempt_.number)},
@@ -79,6 +89,7 @@
   }
   StartAttempt(open_attempt_.address, spec_.path,
                MakeBackendHeaders(spec_, open_attempt_, relay_.last_event_id(), now));
+  ScheduleHedge();
 }
 
 // Sends the request to `address`. Precondition: open_attempt_ describes this attempt.
@@ -106,7 +117,7 @@
 void Exchange::CheckConnection(Time now) {
   const ServerId server = *open_attempt_.server;
   if (!context_.dispatcher->TakeConnectionCheck(server, now)) return;
-  HttpCall call = MakeProbeCall();
+  HttpCall call = MakeProbeCall(open_attempt_.address);
   call.connect_only = true;
   Dispatcher* dispatcher = context_.dispatcher;
   call.on_done = [dispatcher, server](const CallResult& result) {
@@ -189,24 +200,34 @@
   return !id.empty() && id != spec_.id.value();
 }
 
-void Exchange::OnHeaders(uint32_t attempt, int status, const HttpHeaders& headers) {
-  if (attempt != open_attempt_.number) return;
-  if (NamesOtherRequest(headers)) {
-    EndUnusableAttempt("the response names another request");
-    return;
-  }
+// Classifies the response of an attempt, and records what its server says in it.
+ResponseKind Exchange::ClassifyHeaders(const OpenAttempt& attempt, int status,
+                                       const HttpHeaders& headers) {
   ResponseKind kind = ResponseKind::kAnswer;
   if (spec_.dialect != nullptr)
     kind = spec_.dialect->classify_response(spec_.headers, status, headers);
   // Another server answers kWrongServer, and a response without a limit that cannot be attributed
   // may not be of this server.
-  if (spec_.dialect != nullptr && open_attempt_.server && kind != ResponseKind::kWrongServer) {
+  if (spec_.dialect != nullptr && attempt.server && kind != ResponseKind::kWrongServer) {
     ServerNotice notice = spec_.dialect->server_notice(status, headers);
     bool attributable = notice.requests_per_s || kind != ResponseKind::kUnattributable;
-    context_.dispatcher->OnServerNotice(*open_attempt_.server, open_attempt_.choice.incarnation,
-                                        notice, attributable, open_attempt_.dispatched_at,
-                                        SteadyNow());
+    context_.dispatcher->OnServerNotice(*attempt.server, attempt.choice.incarnation, notice,
+                                        attributable, attempt.dispatched_at, SteadyNow());
+  }
+  return kind;
+}
+
+void Exchange::OnHeaders(uint32_t attempt, int status, const HttpHeaders& headers) {
+  if (IsHedge(attempt)) {
+    OnHedgeHeaders(status, headers);
+    return;
   }
+  if (attempt != open_attempt_.number) return;
+  if (NamesOtherRequest(headers)) {
+    EndUnusableAttempt("the response names another request");
+    return;
+  }
+  ResponseKind kind = ClassifyHeaders(open_attempt_, status, headers);
   if (open_attempt_.forwarding)
     open_attempt_.software_version = FindHeader(headers, kSoftwareVersionHeader);
   relay_.OnHeaders(status, headers, kind);
@@ -289,6 +310,7 @@
   if (open_attempt_.server && !open_attempt_.response_started) {
     open_attempt_.response_started = true;
     open_attempt_.first_data_at = now;
+    if (FirstAttemptIsGood()) RecordFirstByteTime(now);
     context_.dispatcher->OnFirstByte(ServedName(*spec_.route), open_attempt_.choice,
                                      open_attempt_.dispatched_at, now);
   }
@@ -308,12 +330,14 @@
 }
 
 bool Exchange::OnData(uint32_t attempt, std::string_view data) {
+  if (IsHedge(attempt)) WinHedge();
   if (attempt != open_attempt_.number) {
     LogEvent(EventId::kLateDataDropped,
              {{"request_id", spec_.id.value()}, {"attempt", std::to_string(attempt)}});
     return true;
   }
   if (relay_.PauseIfCallerIsSlow()) return false;
+  if (hedge_ && FirstAttemptIsGood()) EndHedge("first_byte");
   RecordDataReceived();
   if (relay_.IsEventStream()) {
     RelayStreamData(data);
@@ -327,6 +351,10 @@
 }
 
 void Exchange::OnDone(uint32_t attempt, const CallResult& result) {
+  if (IsHedge(attempt)) {
+    OnHedgeDone(result);
+    return;
+  }
   if (attempt != open_attempt_.number) return;
   open_attempt_.call = 0;
   switch (result.outcome) {
@@ -403,6 +431,11 @@
     case ResponseKind::kFailed:
       break;
   }
+  if (hedge_) {
+    RecordAttemptFailure(ebonylift::Run::kMayHaveRun, ServerOutcome::kFailed);
+    if (!TakeOverByHedge()) RetryOrRefuse(ebonylift::Run::kMayHaveRun);
+    return;
+  }
   // If the request may not be retried, the caller gets the backend server's error response.
   RetryState retry_state = CurrentRetryState();
   ++retry_state.runs;
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -150,6 +150,7 @@
     context.control = options_.control;
     context.metrics = options_.metrics;
     context.cluster_key = options_.settings.cluster_key;
+    context.hedge_percent = options_.settings.hedge_percent;
     context.load_shedding = &load_shedding_;
     context.drain = &drain_;
     context.table = &table_;
