--- a/src/base/event.h
+++ b/src/base/event.h
@@ -51,6 +51,10 @@
   kStreamTakenUp = 212,
   kKeysNotAccepted = 213,
   kKeysAccepted = 214,
+  kHedgeSent = 220,
+  kHedgeWon = 221,
+  kHedgeLost = 222,
+  kHedgeFailed = 223,
 
   kServerAnnounced = 300,
   kServerExpired = 301,
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -68,6 +68,9 @@
   // How long this host accepts keys of workspaces without word from a majority of the control
   // hosts; 0: as long as it runs. See core/control_contact.h.
   Duration revoke_keys_after{0};
+  // Hedges per 100 requests and their prompt tokens per 100; 0: requests are not hedged. The
+  // configuration path /deployment/hedging goes before it.
+  int hedge_percent = 0;
 };
 
 // A setting whose value is invalid.
