--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -58,6 +58,11 @@
 
   # The software versions that the receiver has lately known of the servers of a service or model.
   softwareVersions @11 (hlc :UInt64, served :Text) -> (hlc :UInt64, versions :List(Text));
+
+  # Asks the receiver for shares of limits of workspaces; `ask` and `answer` are in the encoding of
+  # core/limit_shares.h. `answer` is absent if the receiver does not allocate them; `leader` is then
+  # the host that does, if the receiver knows it.
+  limitShares @12 (hlc :UInt64, ask :Data) -> (hlc :UInt64, answer :Data, leader :Text);
 }
 
 # A stream and the servers that may continue it.
--- a/schema/peer.capnp.c++
+++ b/schema/peer.capnp.c++
@@ -357,7 +357,7 @@
   1, 3, i_92cd161fceb8ff7f, nullptr, nullptr, { &s_92cd161fceb8ff7f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<145> b_8625dd80189baf94 = {
+static const ::capnp::_::AlignedData<156> b_8625dd80189baf94 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     148, 175, 155,  24, 128, 221,  37, 134,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -367,109 +367,117 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   7,   3,   0,   0,
-     21,   2,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  71,   3,   0,   0,
+     65,   2,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     48,   0,   0,   0,   3,   0,   5,   0,
+     52,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     173, 230, 108,  55, 186, 152,  35, 198,
      78, 100, 243, 221, 195, 194,  25, 136,
-    113,   1,   0,   0,  58,   0,   0,   0,
+    145,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   1,   0,   0,   7,   0,   0,   0,
+    133,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     222, 253, 173, 230, 173, 195, 109, 149,
     108, 126, 146,  47, 200,  13, 165, 195,
-     89,   1,   0,   0,  74,   0,   0,   0,
+    121,   1,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   1,   0,   0,   7,   0,   0,   0,
+    113,   1,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     200, 222,   2,  60, 198, 229, 199, 213,
      24, 113, 114, 156,  61,  22, 215, 186,
-     69,   1,   0,   0,  82,   0,   0,   0,
+    101,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     61,   1,   0,   0,   7,   0,   0,   0,
+     93,   1,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      88, 232,  31,   7, 142,  78, 184, 207,
     205,  14, 108,  79, 114,  44,  27, 189,
-     49,   1,   0,   0,  98,   0,   0,   0,
+     81,   1,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   1,   0,   0,   7,   0,   0,   0,
+     73,   1,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     241,  29, 182,  72, 251, 193, 162, 140,
     110, 191,  69, 128,  64,  89, 134, 144,
-     29,   1,   0,   0,  90,   0,   0,   0,
+     61,   1,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   1,   0,   0,   7,   0,   0,   0,
+     53,   1,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     123, 240,  70,  46, 187, 232,  59, 156,
     191, 209,  67, 139, 131,  75,  74, 160,
-      9,   1,   0,   0,  66,   0,   0,   0,
+     41,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    253,   0,   0,   0,   7,   0,   0,   0,
+     29,   1,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     127, 255, 188,  94, 139, 168, 250, 190,
     187, 110,  75,  14, 169, 100,  33, 160,
-    241,   0,   0,   0,  74,   0,   0,   0,
+     17,   1,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    233,   0,   0,   0,   7,   0,   0,   0,
+      9,   1,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
     155,  29, 186, 219,  92, 208,  16, 207,
     134, 248,  32, 171, 101, 153,  39, 162,
-    221,   0,   0,   0,  42,   0,   0,   0,
+    253,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    209,   0,   0,   0,   7,   0,   0,   0,
+    241,   0,   0,   0,   7,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
      97, 245,  86, 140,   2,  77, 127, 236,
     173, 209, 134,  96,  70, 131, 144, 198,
-    197,   0,   0,   0,  66,   0,   0,   0,
+    229,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    185,   0,   0,   0,   7,   0,   0,   0,
+    217,   0,   0,   0,   7,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
     216, 230,  21, 151, 197,  42,  33, 135,
     144,   4, 164, 122,  57, 120, 182, 141,
-    173,   0,   0,   0,  90,   0,   0,   0,
+    205,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    165,   0,   0,   0,   7,   0,   0,   0,
+    197,   0,   0,   0,   7,   0,   0,   0,
      10,   0,   0,   0,   0,   0,   0,   0,
      89,  17, 162,  15,  27, 152, 236, 133,
     141,  66,  42, 150,  54, 140, 149, 144,
-    153,   0,   0,   0,  42,   0,   0,   0,
+    185,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    141,   0,   0,   0,   7,   0,   0,   0,
+    173,   0,   0,   0,   7,   0,   0,   0,
      11,   0,   0,   0,   0,   0,   0,   0,
     156, 236, 158,  22,  79, 168, 210, 188,
     149, 254,  76,  65, 114, 108,  95, 140,
-    129,   0,   0,   0, 138,   0,   0,   0,
+    161,   0,   0,   0, 138,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    125,   0,   0,   0,   7,   0,   0,   0,
+    157,   0,   0,   0,   7,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+    204,  65, 225, 141,  94,   9, 203, 215,
+    102, 238,  10,  61,  28, 112, 200, 232,
+    145,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    137,   0,   0,   0,   7,   0,   0,   0,
     103, 111, 115, 115, 105, 112,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      97, 110, 110, 111, 117, 110,  99, 101,
@@ -502,6 +510,9 @@
      86, 101, 114, 115, 105, 111, 110, 115,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    108, 105, 109, 105, 116,  83, 104,  97,
+    114, 101, 115,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_8625dd80189baf94 = b_8625dd80189baf94.words;
@@ -530,12 +541,14 @@
   &s_cf10d05cdbba1d9b,
   &s_cfb84e8e071fe858,
   &s_d5c7e5c63c02dec8,
+  &s_d7cb095e8de141cc,
+  &s_e8c8701c3d0aee66,
   &s_ec7f4d028c56f561,
 };
-static const uint16_t m_8625dd80189baf94[] = {1, 3, 2, 9, 0, 4, 10, 11, 8, 5, 6, 7};
+static const uint16_t m_8625dd80189baf94[] = {1, 3, 2, 9, 0, 12, 4, 10, 11, 8, 5, 6, 7};
 const ::capnp::_::RawSchema s_8625dd80189baf94 = {
-  0x8625dd80189baf94, b_8625dd80189baf94.words, 145, d_8625dd80189baf94, m_8625dd80189baf94,
-  24, 12, nullptr, nullptr, nullptr, { &s_8625dd80189baf94, nullptr, nullptr, 0, 0, nullptr }
+  0x8625dd80189baf94, b_8625dd80189baf94.words, 156, d_8625dd80189baf94, m_8625dd80189baf94,
+  26, 13, nullptr, nullptr, nullptr, { &s_8625dd80189baf94, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<62> b_c62398ba376ce6ad = {
@@ -2090,6 +2103,139 @@
   0, 2, i_8c5f6c72414cfe95, nullptr, nullptr, { &s_8c5f6c72414cfe95, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_d7cb095e8de141cc = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    204,  65, 225, 141,  94,   9, 203, 215,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  26,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    108, 105, 109, 105, 116,  83, 104,  97,
+    114, 101, 115,  36,  80,  97, 114,  97,
+    109, 115,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    104, 108,  99,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 115, 107,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d7cb095e8de141cc = b_d7cb095e8de141cc.words;
+#if !CAPNP_LITE
+static const uint16_t m_d7cb095e8de141cc[] = {1, 0};
+static const uint16_t i_d7cb095e8de141cc[] = {0, 1};
+const ::capnp::_::RawSchema s_d7cb095e8de141cc = {
+  0xd7cb095e8de141cc, b_d7cb095e8de141cc.words, 48, nullptr, m_d7cb095e8de141cc,
+  0, 2, i_d7cb095e8de141cc, nullptr, nullptr, { &s_d7cb095e8de141cc, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<63> b_e8c8701c3d0aee66 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    102, 238,  10,  61,  28, 112, 200, 232,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    108, 105, 109, 105, 116,  83, 104,  97,
+    114, 101, 115,  36,  82, 101, 115, 117,
+    108, 116, 115,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+    104, 108,  99,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 110, 115, 119, 101, 114,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 100, 101, 114,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_e8c8701c3d0aee66 = b_e8c8701c3d0aee66.words;
+#if !CAPNP_LITE
+static const uint16_t m_e8c8701c3d0aee66[] = {1, 0, 2};
+static const uint16_t i_e8c8701c3d0aee66[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_e8c8701c3d0aee66 = {
+  0xe8c8701c3d0aee66, b_e8c8701c3d0aee66.words, 63, nullptr, m_e8c8701c3d0aee66,
+  0, 3, i_e8c8701c3d0aee66, nullptr, nullptr, { &s_e8c8701c3d0aee66, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<63> b_c73336d71113a4e9 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     233, 164,  19,  17, 215,  54,  51, 199,
@@ -4572,6 +4718,16 @@
       "peer.capnp:Peer", "softwareVersions",
       0x8625dd80189baf94ull, 11);
 }
+::capnp::Request< ::ebonylift::wire::Peer::LimitSharesParams,  ::ebonylift::wire::Peer::LimitSharesResults>
+Peer::Client::limitSharesRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::ebonylift::wire::Peer::LimitSharesParams,  ::ebonylift::wire::Peer::LimitSharesResults>(
+      0x8625dd80189baf94ull, 12, sizeHint);
+}
+::kj::Promise<void> Peer::Server::limitShares(LimitSharesContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "limitShares",
+      0x8625dd80189baf94ull, 12);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -4658,6 +4814,12 @@
              ::ebonylift::wire::Peer::SoftwareVersionsParams,  ::ebonylift::wire::Peer::SoftwareVersionsResults>(context)),
         false
       };
+    case 12:
+      return {
+        limitShares(::capnp::Capability::Server::internalGetTypedContext<
+             ::ebonylift::wire::Peer::LimitSharesParams,  ::ebonylift::wire::Peer::LimitSharesResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -4865,6 +5027,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::SoftwareVersionsResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::LimitSharesParams
+constexpr uint16_t Peer::LimitSharesParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::LimitSharesParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::LimitSharesParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::LimitSharesParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::LimitSharesResults
+constexpr uint16_t Peer::LimitSharesResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::LimitSharesResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::LimitSharesResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::LimitSharesResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Stream
 constexpr uint16_t Stream::_capnpPrivate::dataWordSize;
 constexpr uint16_t Stream::_capnpPrivate::pointerCount;
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -49,6 +49,8 @@
 CAPNP_DECLARE_SCHEMA(90958c36962a428d);
 CAPNP_DECLARE_SCHEMA(bcd2a84f169eec9c);
 CAPNP_DECLARE_SCHEMA(8c5f6c72414cfe95);
+CAPNP_DECLARE_SCHEMA(d7cb095e8de141cc);
+CAPNP_DECLARE_SCHEMA(e8c8701c3d0aee66);
 CAPNP_DECLARE_SCHEMA(c73336d71113a4e9);
 CAPNP_DECLARE_SCHEMA(e3261d789f216c7d);
 enum class WorkListKind_e3261d789f216c7d: uint16_t {
@@ -210,6 +212,8 @@
   struct RoomResults;
   struct SoftwareVersionsParams;
   struct SoftwareVersionsResults;
+  struct LimitSharesParams;
+  struct LimitSharesResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -579,6 +583,36 @@
   };
 };
 
+struct Peer::LimitSharesParams {
+  LimitSharesParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d7cb095e8de141cc, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::LimitSharesResults {
+  LimitSharesResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8c8701c3d0aee66, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Stream {
   Stream() = delete;
 
@@ -1343,6 +1377,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::ebonylift::wire::Peer::SoftwareVersionsParams,  ::ebonylift::wire::Peer::SoftwareVersionsResults> softwareVersionsRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonylift::wire::Peer::LimitSharesParams,  ::ebonylift::wire::Peer::LimitSharesResults> limitSharesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1407,6 +1443,10 @@
   typedef  ::ebonylift::wire::Peer::SoftwareVersionsResults SoftwareVersionsResults;
   typedef ::capnp::CallContext<SoftwareVersionsParams, SoftwareVersionsResults> SoftwareVersionsContext;
   virtual ::kj::Promise<void> softwareVersions(SoftwareVersionsContext context);
+  typedef  ::ebonylift::wire::Peer::LimitSharesParams LimitSharesParams;
+  typedef  ::ebonylift::wire::Peer::LimitSharesResults LimitSharesResults;
+  typedef ::capnp::CallContext<LimitSharesParams, LimitSharesResults> LimitSharesContext;
+  virtual ::kj::Promise<void> limitShares(LimitSharesContext context);
 
   inline  ::ebonylift::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3490,6 +3530,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::LimitSharesParams::Reader {
+public:
+  typedef LimitSharesParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc() const;
+
+  inline bool hasAsk() const;
+  inline  ::capnp::Data::Reader getAsk() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::LimitSharesParams::Builder {
+public:
+  typedef LimitSharesParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc();
+  inline void setHlc( ::uint64_t value);
+
+  inline bool hasAsk();
+  inline  ::capnp::Data::Builder getAsk();
+  inline void setAsk( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initAsk(unsigned int size);
+  inline void adoptAsk(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownAsk();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::LimitSharesParams::Pipeline {
+public:
+  typedef LimitSharesParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::LimitSharesResults::Reader {
+public:
+  typedef LimitSharesResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc() const;
+
+  inline bool hasAnswer() const;
+  inline  ::capnp::Data::Reader getAnswer() const;
+
+  inline bool hasLeader() const;
+  inline  ::capnp::Text::Reader getLeader() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::LimitSharesResults::Builder {
+public:
+  typedef LimitSharesResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHlc();
+  inline void setHlc( ::uint64_t value);
+
+  inline bool hasAnswer();
+  inline  ::capnp::Data::Builder getAnswer();
+  inline void setAnswer( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
+  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
+
+  inline bool hasLeader();
+  inline  ::capnp::Text::Builder getLeader();
+  inline void setLeader( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeader(unsigned int size);
+  inline void adoptLeader(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeader();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::LimitSharesResults::Pipeline {
+public:
+  typedef LimitSharesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Stream::Reader {
 public:
   typedef Stream Reads;
@@ -7057,6 +7279,136 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Peer::LimitSharesParams::Reader::getHlc() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::LimitSharesParams::Builder::getHlc() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::LimitSharesParams::Builder::setHlc( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::LimitSharesParams::Reader::hasAsk() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::LimitSharesParams::Builder::hasAsk() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Peer::LimitSharesParams::Reader::getAsk() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Peer::LimitSharesParams::Builder::getAsk() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::LimitSharesParams::Builder::setAsk( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Peer::LimitSharesParams::Builder::initAsk(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::LimitSharesParams::Builder::adoptAsk(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Peer::LimitSharesParams::Builder::disownAsk() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::LimitSharesResults::Reader::getHlc() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::LimitSharesResults::Builder::getHlc() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::LimitSharesResults::Builder::setHlc( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::LimitSharesResults::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::LimitSharesResults::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Peer::LimitSharesResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Peer::LimitSharesResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::LimitSharesResults::Builder::setAnswer( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Peer::LimitSharesResults::Builder::initAnswer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::LimitSharesResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Peer::LimitSharesResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::LimitSharesResults::Reader::hasLeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::LimitSharesResults::Builder::hasLeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::LimitSharesResults::Reader::getLeader() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::LimitSharesResults::Builder::getLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::LimitSharesResults::Builder::setLeader( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::LimitSharesResults::Builder::initLeader(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::LimitSharesResults::Builder::adoptLeader(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::LimitSharesResults::Builder::disownLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Stream::Reader::getStream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/adapters/peer_server.cc
+++ b/src/adapters/peer_server.cc
@@ -165,6 +165,18 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> limitShares(LimitSharesContext context) override {
+    auto params = context.getParams();
+    ProcessClock().Receive(params.getHlc());
+    LimitSharesReply reply =
+        handler_->OnPeerLimitShares(session_->host, ToStdString(params.getAsk()));
+    auto results = context.getResults();
+    results.setHlc(ProcessClock().Now());
+    if (reply.answer) results.setAnswer(ToData(*reply.answer));
+    results.setLeader(reply.leader.value());
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> timeline(TimelineContext context) override {
     auto params = context.getParams();
     ProcessClock().Receive(params.getHlc());
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -637,6 +637,23 @@
                                            parse_response, std::move(done));
 }
 
+void Rpc::LimitShares(const HostId& to, const std::string& ask, Duration timeout,
+                      std::function<void(std::optional<LimitSharesReply>)> done) {
+  std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, ask.size());
+  if (connection == nullptr) return impl_->CompleteWithoutResult(std::move(done));
+  auto request = KJ_ASSERT_NONNULL(connection->client).limitSharesRequest();
+  request.setHlc(ProcessClock().Now());
+  request.setAsk(ToData(ask));
+  auto parse_response = [](auto& response) {
+    LimitSharesReply reply;
+    if (response.hasAnswer()) reply.answer = ToStdString(response.getAnswer());
+    reply.leader = HostId(ToStdString(response.getLeader()));
+    return reply;
+  };
+  impl_->Call<LimitSharesReply>(connection, kj::mv(request), timeout, false, parse_response,
+                                std::move(done));
+}
+
 void Rpc::Timeline(const HostId& to, HlcStamp since, const std::string& request_id, size_t limit,
                    Duration timeout, std::function<void(std::optional<TimelinePage>)> done) {
   std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, 0);
--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -98,6 +98,12 @@
   bool more = false;          // newer events exist beyond the limit
 };
 
+// The answer to a request for shares of limits; both messages are those of core/limit_shares.h.
+struct LimitSharesReply {
+  std::optional<std::string> answer;  // absent: this host does not allocate limits
+  HostId leader;                      // without an answer: the host that may; empty: unknown
+};
+
 // Handles messages from logged-in peers. All methods are called on the control thread. An `answer`
 // callback may be called after the method has returned, at most once; the calling peer has its own
 // timeout.
@@ -135,6 +141,8 @@
   virtual void OnPeerStreams(const std::vector<StreamRecord>& records) = 0;
   virtual std::optional<StreamOrigin> OnPeerFindStream(uint64_t stream) = 0;
   virtual std::set<std::string> OnPeerFindVersions(const std::string& served) = 0;
+  // A request for shares of limits of workspaces.
+  virtual LimitSharesReply OnPeerLimitShares(const HostId& from, const std::string& ask) = 0;
   // A peer logged in on an incoming connection.
   virtual void OnPeerLogin(const HostId& host, uint64_t incarnation) = 0;
   // An outgoing connection to the peer has logged in, or was lost.
@@ -209,6 +217,10 @@
   // one if it does not know the stream.
   void FindStream(const HostId& to, uint64_t stream, Duration timeout,
                   std::function<void(std::optional<std::optional<StreamOrigin>>)> done);
+  // Asks for shares of limits of workspaces. The result of `done` is empty if the peer did not
+  // answer, or is of a release without these.
+  void LimitShares(const HostId& to, const std::string& ask, Duration timeout,
+                   std::function<void(std::optional<LimitSharesReply>)> done);
   // Requests the events after `since`, or only those of one request if `request_id` is not empty.
   void Timeline(const HostId& to, HlcStamp since, const std::string& request_id, size_t limit,
                 Duration timeout, std::function<void(std::optional<TimelinePage>)> done);
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -49,6 +49,9 @@
   kForwardRejected = 210,
   kResidencyViolationRefused = 211,
   kStreamTakenUp = 212,
+  kLimitLeaseLost = 217,
+  kLimitAllocatorChanged = 218,
+  kLimitAllocationStarted = 219,
 
   kServerAnnounced = 300,
   kServerExpired = 301,
--- a/src/daemon/config_replica.cc
+++ b/src/daemon/config_replica.cc
@@ -303,6 +303,9 @@
 
 std::optional<HostId> ConfigReplica::Leader() const { return impl_->locator.Leader(); }
 bool ConfigReplica::IsLeader() const { return impl_->IsLeader(); }
+bool ConfigReplica::HoldsLease(Time now) const {
+  return impl_->IsLeader() && LeaseValid(*impl_->consensus.state(), now);
+}
 uint64_t ConfigReplica::term() const {
   const Consensus* state = impl_->consensus.state();
   return state != nullptr ? state->hard_state.term : 0;
--- a/src/daemon/config_replica.h
+++ b/src/daemon/config_replica.h
@@ -122,6 +122,8 @@
   // The leader as far as this host knows.
   std::optional<HostId> Leader() const;
   bool IsLeader() const;
+  // Whether this host is the leader and no other host can be.
+  bool HoldsLease(Time now) const;
   uint64_t term() const;
 
   // The voters in the newest membership of the consensus that this host knows.
--- a/src/daemon/control.cc
+++ b/src/daemon/control.cc
@@ -106,6 +106,10 @@
     Post([report = std::move(report)](ControlLoop* loop) { loop->BroadcastRoom(report); });
   }
 
+  void AskForLimits() override {
+    Post([](ControlLoop* loop) { loop->AskForLimits(); });
+  }
+
   void ShareStreams(std::map<HostId, std::vector<StreamRecord>> by_holder) override {
     Post([by_holder = std::move(by_holder)](ControlLoop* loop) { loop->ShareStreams(by_holder); });
   }
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -25,6 +25,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "core/limit_shares.h"
 #include "core/membership.h"
 #include "core/registry.h"
 #include "ports/control_port.h"
@@ -101,6 +102,12 @@
   std::function<std::vector<RoomReport>()> known_room_reports;
   std::function<std::optional<StreamOrigin>(uint64_t stream)> find_stream;
 
+  // Limits of workspaces (core/limit_shares.h). Called on the control thread; null: none are asked
+  // for. The first returns the request to send now, if any; the second gets its answer, or nullopt.
+  std::function<std::optional<LimitAsk>(Time now)> take_limit_ask;
+  std::function<void(const std::optional<LimitAnswer>& answer, Time sent)> on_limit_answer;
+  LimitTolerance limit_tolerance;
+
   // Called on the control thread every kControlStatsInterval.
   std::function<void(const ControlStats& stats)> on_stats;
 
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -52,6 +52,7 @@
       stop_(kj::newPromiseAndFulfiller<void>()),
       tasks_(*this) {
   work_exchange_.self = options->self.host;
+  limit_allocator_.tolerance = options->limit_tolerance;
 }
 
 void ControlLoop::Start() {
@@ -177,6 +178,8 @@
   if (options_->pause_expiry_when_isolated) SchedulePublish(kIsolationGrace / 2);
   replica_.Tick(now);
   config_proposer_.RetryWaiting();
+  UpdateLimitAllocator(now);
+  AskForLimits();
   disk_was_lost_ = disk_was_lost_ || replica_.DiskLost();
   if (replica_.DiskConfirmed() != published_disk_confirmed_) SchedulePublish(kPublishInterval);
   gossip_.SendProbes(now);
@@ -393,6 +396,91 @@
   for (const HostId& host : gossip_.PeersWhere(shares_servers)) rpc_.RoomReports(host, {report});
 }
 
+// ---- limits of workspaces ----
+
+void ControlLoop::UpdateLimitAllocator(Time now) {
+  bool was_active = limit_allocator_.active_since != Time();
+  bool active = replica_.HoldsLease(now);
+  TickLimitAllocator(&limit_allocator_, active, now);
+  if (active == was_active) return;
+  LogEvent(EventId::kLimitAllocationStarted,
+           {{"active", active ? "1" : "0"}, {"term", std::to_string(replica_.term())}});
+}
+
+// The leader, if this host knows it and is connected to it; otherwise a connected voter, which may
+// name the leader. Empty if there is none.
+HostId ControlLoop::LimitAllocatorHost() {
+  const HostId& self = options_->self.host;
+  for (const HostId& host : {limit_leader_hint_, replica_.Leader().value_or(HostId())}) {
+    if (!host.empty() && host != self && rpc_.IsConnected(host)) return host;
+  }
+  std::vector<HostId> voters = replica_.Voters();
+  for (size_t i = 0; i < voters.size(); ++i) {
+    const HostId& voter = voters[next_limit_voter_++ % voters.size()];
+    if (voter != self && rpc_.IsConnected(voter)) return voter;
+  }
+  return HostId();
+}
+
+void ControlLoop::AskForLimits() {
+  if (!options_->take_limit_ask) return;
+  Time now = SteadyNow();
+  std::optional<LimitAsk> ask = options_->take_limit_ask(now);
+  if (!ask) return;
+  UpdateLimitAllocator(now);
+  if (limit_allocator_.active_since != Time()) {
+    OnLimitReply(options_->self.host,
+                 AllocateLimits(&limit_allocator_, options_->self.host, *ask, now), now);
+    return;
+  }
+  HostId to = LimitAllocatorHost();
+  if (to.empty()) return OnLimitReply(to, std::nullopt, now);
+  SendLimitAsk(to, EncodeLimitAsk(*ask), now, /*may_redirect=*/true);
+}
+
+void ControlLoop::SendLimitAsk(const HostId& to, const std::string& ask, Time sent,
+                               bool may_redirect) {
+  rpc_.LimitShares(to, ask, kLimitAskTimeout, [=](const std::optional<LimitSharesReply>& reply) {
+    if (reply && reply->answer) {
+      limit_leader_hint_ = to;
+      return OnLimitReply(to, DecodeLimitAnswer(*reply->answer), sent);
+    }
+    limit_leader_hint_ = reply ? reply->leader : HostId();
+    bool redirect = may_redirect && !limit_leader_hint_.empty() && limit_leader_hint_ != to &&
+                    rpc_.IsConnected(limit_leader_hint_);
+    if (redirect) return SendLimitAsk(limit_leader_hint_, ask, sent, /*may_redirect=*/false);
+    OnLimitReply(to, std::nullopt, sent);
+  });
+}
+
+void ControlLoop::OnLimitReply(const HostId& from, const std::optional<LimitAnswer>& answer,
+                               Time sent) {
+  if (limits_answered_ && !answer) LogEvent(EventId::kLimitLeaseLost, {{"host", from.value()}});
+  limits_answered_ = answer.has_value();
+  if (answer && from != last_limit_allocator_) {
+    LogEvent(EventId::kLimitAllocatorChanged,
+             {{"allocator", from.value()}, {"previous", last_limit_allocator_.value()}});
+    last_limit_allocator_ = from;
+  }
+  if (options_->on_limit_answer) options_->on_limit_answer(answer, sent);
+}
+
+LimitSharesReply ControlLoop::OnPeerLimitShares(const HostId& from, const std::string& ask) {
+  Time now = SteadyNow();
+  UpdateLimitAllocator(now);
+  LimitSharesReply reply;
+  if (limit_allocator_.active_since == Time()) {
+    reply.leader = replica_.Leader().value_or(HostId());
+    if (reply.leader == options_->self.host) reply.leader = HostId();
+    return reply;
+  }
+  std::optional<LimitAsk> request = DecodeLimitAsk(ask);
+  LimitAnswer answer;
+  if (request) answer = AllocateLimits(&limit_allocator_, from, *request, now);
+  reply.answer = EncodeLimitAnswer(answer);
+  return reply;
+}
+
 // ---- origins of streams ----
 
 void ControlLoop::ShareStreams(const std::map<HostId, std::vector<StreamRecord>>& by_holder) {
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -29,6 +29,7 @@
 #include "base/event.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "core/limit_allocator.h"
 #include "core/work_exchange.h"
 #include "daemon/announcement_relay.h"
 #include "daemon/config_lag.h"
@@ -95,6 +96,8 @@
                   const std::function<void(const StreamSearch&)>& done);
   void FindVersions(const std::vector<HostId>& hosts, const std::string& served,
                     const std::function<void(const VersionSearch&)>& done);
+  // Sends the request for shares of limits that is due, if any.
+  void AskForLimits();
   void StartDrain() { gossip_.StartDrain(); }
   void UpdateOverloaded(bool overloaded) { gossip_.UpdateOverloaded(overloaded); }
   ConfigReplica* replica() { return &replica_; }
@@ -137,6 +140,7 @@
   std::optional<StreamOrigin> OnPeerFindStream(uint64_t stream) override {
     return options_->find_stream ? options_->find_stream(stream) : std::nullopt;
   }
+  LimitSharesReply OnPeerLimitShares(const HostId& from, const std::string& ask) override;
   void OnPeerLogin(const HostId& host, uint64_t incarnation) override {
     servers_.OnLogin(host, incarnation);
   }
@@ -161,6 +165,10 @@
   void OnRevisionChanged();
   void UpdateConfigLag(Time now);
   void ReportStats(Time now);
+  void UpdateLimitAllocator(Time now);
+  HostId LimitAllocatorHost();
+  void SendLimitAsk(const HostId& to, const std::string& ask, Time sent, bool may_redirect);
+  void OnLimitReply(const HostId& from, const std::optional<LimitAnswer>& answer, Time sent);
   void SchedulePublish(Duration interval) { publish_timer_.Schedule(interval); }
   void RunAfter(Duration delay, std::function<void()> fn);
   void PublishNow();
@@ -182,6 +190,11 @@
   SuspectHistory suspect_history_;
   Time next_summary_;
   ConfigLag config_lag_;
+  LimitAllocator limit_allocator_;
+  HostId limit_leader_hint_;  // from an answer; empty: none
+  size_t next_limit_voter_ = 0;
+  HostId last_limit_allocator_;  // that answered last
+  bool limits_answered_ = true;  // the last request for shares
   Time next_stats_;
   Time last_tick_;
   Duration max_tick_delay_{0};  // since the last report
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/event.h"
+#include "base/hash.h"
 #include "core/request_rate.h"
 
 namespace ebonylift {
@@ -29,6 +30,14 @@
   return choice;
 }
 
+// The number of hosts that take requests of callers, also of those that cannot be reached now: they
+// may use their reserve.
+uint32_t HostsThatShareLimits(const RoutingView& view) {
+  auto takes_requests = [](const HostEntry& host) { return !host.caller_address.empty(); };
+  auto count = std::count_if(view.hosts.begin(), view.hosts.end(), takes_requests);
+  return static_cast<uint32_t>(count > 0 ? count : std::max<int64_t>(1, view.hosts.size()));
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(ControlPort* control, RoutingPolicy policy,
@@ -549,6 +558,69 @@
                              now);
 }
 
+void Dispatcher::SetLimitTolerance(const LimitTolerance& tolerance) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  limits_.tolerance = tolerance;
+}
+
+LimitVerdict Dispatcher::AdmitToLimit(const WorkspaceConfig& workspace, double cost, Time arrived,
+                                      bool first, Time now) {
+  LimitVerdict verdict;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    verdict =
+        ebonylift::AdmitToLimit(&limits_, workspace.id, workspace.limit, cost, arrived, first, now);
+  }
+  if (verdict.ask_now) control_->AskForLimits();
+  return verdict;
+}
+
+void Dispatcher::RefundToLimit(const WorkspaceId& workspace, double cost, Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ebonylift::RefundToLimit(&limits_, workspace, cost, now);
+}
+
+std::optional<LimitAsk> Dispatcher::TakeLimitAsk(Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return ebonylift::TakeLimitAsk(&limits_, now);
+}
+
+void Dispatcher::CancelLimitWait(const WorkspaceId& workspace, double cost) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ebonylift::CancelLimitWait(&limits_, workspace, cost);
+}
+
+void Dispatcher::OnLimitAnswer(const std::optional<LimitAnswer>& answer, Time sent, Time now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (answer) {
+    ebonylift::OnLimitAnswer(&limits_, *answer, sent, now);
+  } else {
+    OnNoLimitAnswer(&limits_, sent);
+  }
+}
+
+std::vector<LimitState> Dispatcher::LimitStates(Time now) const {
+  std::vector<LimitState> states;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& [id, share] : limits_.workspaces) {
+      LimitState state{id, share.admitted_count, share.refused_count, 0, Duration(-1)};
+      bool leased = share.leased && now < share.expires;
+      if (leased) state.rate = share.share * share.limit.per_s;
+      if (leased) state.lease_age = now - share.leased_at;
+      states.push_back(std::move(state));
+    }
+  }
+  auto more_requests = [](const LimitState& a, const LimitState& b) {
+    return a.admitted + a.refused > b.admitted + b.refused;
+  };
+  size_t count = std::min(states.size(), kMaxReportedLimits);
+  std::partial_sort(states.begin(), states.begin() + static_cast<int64_t>(count), states.end(),
+                    more_requests);
+  states.resize(count);
+  return states;
+}
+
 void Dispatcher::OnView(std::shared_ptr<const RoutingView> view, Time now) {
   ReadyCallbacks ready_callbacks;
   {
@@ -556,6 +628,9 @@
     view_ = std::move(view);
     StartLearning(routing_state_, *view_, now);
     OnNewView(routing_state_, *view_, now);
+    limits_.hosts = HostsThatShareLimits(*view_);
+    limits_.revision = view_->config->revision;
+    limits_.seed = Hash64(view_->self.host.value());
     PlaceQueued(now, &ready_callbacks);
   }
   RunCallbacks(std::move(ready_callbacks));
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "core/admission.h"
+#include "core/limit_shares.h"
 #include "core/poison.h"
 #include "core/proven_contents.h"
 #include "core/retry.h"
@@ -52,6 +53,16 @@
   size_t suspects = 0;
 };
 
+// The state of the limit of one workspace, for metrics.
+struct LimitState {
+  WorkspaceId workspace;
+  uint64_t admitted = 0;  // requests
+  uint64_t refused = 0;
+  double rate = 0;         // cost per second that this host may admit
+  Duration lease_age{-1};  // negative: no lease
+};
+constexpr size_t kMaxReportedLimits = 64;
+
 // How requests with suspected content (core/poison.h) run until they complete or are condemned.
 enum class SuspectPlacement {
   kAlone,     // only on servers without other work
@@ -163,6 +174,18 @@
   RetryDecision MayRetry(const TeamId& team, const RetryState& retry_state, Run outcome,
                          Time deadline, Time now);
 
+  // Limits of workspaces; see core/limit_shares.h.
+  void SetLimitTolerance(const LimitTolerance& tolerance);
+  LimitVerdict AdmitToLimit(const WorkspaceConfig& workspace, double cost, Time arrived, bool first,
+                            Time now);
+  void CancelLimitWait(const WorkspaceId& workspace, double cost);
+  void RefundToLimit(const WorkspaceId& workspace, double cost, Time now);
+  std::optional<LimitAsk> TakeLimitAsk(Time now);
+  void OnLimitAnswer(const std::optional<LimitAnswer>& answer, Time sent, Time now);
+  // Returns the state of at most kMaxReportedLimits limited workspaces, those with the most
+  // requests.
+  std::vector<LimitState> LimitStates(Time now) const;
+
   // Installs a new routing view and places queued requests.
   void OnView(std::shared_ptr<const RoutingView> view, Time now);
 
@@ -227,6 +250,7 @@
   PoisonState poison_;       // of whole requests
   PoisonState part_poison_;  // of parts of prompts
   ProvenContents proven_parts_;
+  LimitShares limits_;
   std::shared_ptr<const RoutingView> view_;
   std::unordered_map<QueueId, WaitingRequest> waiting_;
   std::atomic<uint64_t> last_queue_id_{0};
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -18,6 +18,7 @@
 // While holders do not answer, because this host has just started or they have just ended, the
 // search goes on for this long.
 constexpr Duration kMaxOriginSearchTime = milliseconds(1500);
+constexpr Duration kLimitWaitInterval = milliseconds(20);
 
 }  // namespace
 
@@ -125,7 +126,41 @@
     context_.metrics->CountRequest(spec_.traffic_class);
     const TeamConfig& team = spec_.view->config->teams.at(spec_.team);
     context_.dispatcher->CountRequest(RetryBudgetKey(), team.limits.retry_percent);
+    // Forwarded requests were counted by the host that the caller is connected to.
+    if (spec_.workspace != nullptr && spec_.workspace->limit.per_s > 0) {
+      AdmitToLimit(/*first=*/true);
+      return;
+    }
+  }
+  StartStages();
+}
+
+// Charges the request to the limit of its workspace, or refuses it. A request waits if a share of
+// the limit is on its way.
+void Exchange::AdmitToLimit(bool first) {
+  if (EndIfCallerLeft()) return;
+  const WorkspaceConfig& workspace = *spec_.workspace;
+  double cost = LimitCost(workspace.limit, spec_.dialect_request.prompt_tokens,
+                          spec_.dialect_request.max_output_tokens);
+  waiting_charge_.reset();
+  LimitVerdict verdict =
+      context_.dispatcher->AdmitToLimit(workspace, cost, spec_.arrived, first, SteadyNow());
+  switch (verdict.decision) {
+    case LimitDecision::kWait:
+      waiting_charge_ = LimitCharge{workspace.id, cost};
+      RunAfter(kLimitWaitInterval, [](Exchange* current) { current->AdmitToLimit(false); });
+      return;
+    case LimitDecision::kRefused:
+      Refuse(ErrorKind::kRateLimited, "the workspace exceeded its limit", verdict.retry_after);
+      return;
+    case LimitDecision::kAdmitted:
+      limit_charge_ = LimitCharge{workspace.id, cost};
+      StartStages();
+      return;
   }
+}
+
+void Exchange::StartStages() {
   if (NeedsKeyClaim()) {
     ClaimKey();
   } else if (TakesUpStream()) {
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -86,6 +86,14 @@
   void EndLargestResponse();
 
  private:
+  // The cost of the request that was charged to the limit of its workspace.
+  struct LimitCharge {
+    WorkspaceId workspace;
+    double cost = 0;
+  };
+
+  void AdmitToLimit(bool first);
+  void StartStages();
   // Stages: claim of the key, placement, queueing and dispatch.
   void ClaimKey();
   void OnClaim(const ClaimResult& result, std::optional<ErrorKind> error);
@@ -180,7 +188,9 @@
   uint64_t step_number_ = 0;
   asio::steady_timer liveness_timer_;
 
-  bool admitted_ = false;            // holds one of the team's concurrency slots
+  bool admitted_ = false;                      // holds one of the team's concurrency slots
+  std::optional<LimitCharge> waiting_charge_;  // set while the request waits for a share
+  std::optional<LimitCharge> limit_charge_;
   std::optional<QueueId> queue_id_;  // set while the request is in the dispatcher's queue
   bool finished_ = false;
   bool to_key_owner_ = false;  // the open attempt goes to the host that owns the idempotency key
--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -457,6 +457,12 @@
   if (queue_id_) context_.dispatcher->Remove(*queue_id_);
   claim_.Resolve(RequestRun(attempts_));
   if (admitted_) context_.dispatcher->Release(spec_.team);
+  if (waiting_charge_) {
+    context_.dispatcher->CancelLimitWait(waiting_charge_->workspace, waiting_charge_->cost);
+  }
+  if (limit_charge_ && RequestRun(attempts_) == ebonylift::Run::kNotRun) {
+    context_.dispatcher->RefundToLimit(limit_charge_->workspace, limit_charge_->cost, SteadyNow());
+  }
   // Erased later, because the calling methods still use this object after Finish() returns.
   asio::post(*context_.io, [table = context_.table, id = id_] { table->Erase(id); });
 }
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -97,6 +97,7 @@
         control_.get(), ParseRoutingPolicy(settings_.routing_policy).value(),
         options_.dialect == nullptr ? SuspectPlacement::kAlone : SuspectPlacement::kAnywhere,
         seed());
+    dispatcher_->SetLimitTolerance(settings_.limit_tolerance);
     dispatcher_->RestoreCondemned(
         condemned_->Load(WallNow()),
         [this](const KnownSuspect& condemned) { condemned_->Add(condemned, WallNow()); },
@@ -171,6 +172,15 @@
     options.find_stream = [this](uint64_t stream) {
       return stream_origins_.Find(stream, SteadyNow());
     };
+    options.limit_tolerance = settings_.limit_tolerance;
+    options.take_limit_ask = [this](Time now) {
+      Dispatcher* dispatcher = control_dispatcher_;
+      return dispatcher == nullptr ? std::nullopt : dispatcher->TakeLimitAsk(now);
+    };
+    options.on_limit_answer = [this](const std::optional<LimitAnswer>& answer, Time sent) {
+      Dispatcher* dispatcher = control_dispatcher_;
+      if (dispatcher != nullptr) dispatcher->OnLimitAnswer(answer, sent, SteadyNow());
+    };
     options.on_stats = [this](const ControlStats& stats) {
       metrics_.SetPeerBytes(stats.sent_bytes, stats.received_bytes, stats.unsent_bytes);
       metrics_.SetConfigBehind(stats.config_behind);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -13,6 +13,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "core/limit_shares.h"
 #include "core/registry.h"
 #include "ports/views.h"
 
@@ -65,6 +66,8 @@
   // one in this time gets a response that tells it to close the connection.
   Duration idle_grace = seconds(3);
   Duration orderer_lease = seconds(300);
+  // How far all hosts together may exceed limits of workspaces; see core/limit_shares.h.
+  LimitTolerance limit_tolerance;
 };
 
 // A setting whose value is invalid.
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -142,6 +142,10 @@
   // Tells the other hosts that send to the server.
   virtual void ReportRoom(RoomReport report) = 0;
 
+  // Asks for shares of limits of workspaces without waiting for the next regular time; see
+  // ControlOptions::take_limit_ask.
+  virtual void AskForLimits() = 0;
+
   // Sends streams that began at this host to the hosts that keep their origins.
   virtual void ShareStreams(std::map<HostId, std::vector<StreamRecord>> by_holder) = 0;
 
--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -192,6 +192,59 @@
   BOOST_TEST(client.calls.size() == 1u);
 }
 
+// Guards against work above the limit of a workspace, against a refusal while the share of the
+// limit is on its way, and against work that is lost for the workspace although it has not run.
+BOOST_AUTO_TEST_CASE(LimitOfAWorkspaceIsKept) {
+  WorkspaceConfig workspace;
+  workspace.id = WorkspaceId("w");
+  // This host may admit one request without a lease.
+  workspace.limit = {/*per_s=*/0.001, /*burst=*/1 / kOwnBurst, LimitUnit::kRequests, 1};
+  auto limited = [&] {
+    RequestSpec spec = Spec();
+    spec.workspace = &workspace;
+    return spec;
+  };
+  auto answer = [&](double granted) {
+    std::optional<LimitAsk> ask;
+    Time sent;
+    auto is_due = [&] {
+      if (!ask) {
+        sent = SteadyNow();
+        ask = dispatcher.TakeLimitAsk(sent);
+      }
+      return ask.has_value();
+    };
+    RunUntil(is_due, "a share is asked for");
+    BOOST_REQUIRE(ask->rows.size() == 1u);
+    BOOST_TEST(ask->rows[0].wanted == 1);
+    LimitGrant grant;
+    grant.grant = granted;
+    dispatcher.OnLimitAnswer(LimitAnswer{grant}, sent, SteadyNow());
+  };
+  RequestSpec late = limited();
+  late.deadline = SteadyNow();
+  BOOST_TEST(Start(late)->sent_status == 504);
+  Start(limited());
+  BOOST_TEST(client.calls.size() == 1u);
+  EndCall(0);
+
+  std::shared_ptr<FakeResponder> waiting = Start(limited());
+  BOOST_TEST(control.limit_asks > 0);
+  answer(1);
+  RunUntil([&] { return client.calls.size() == 2; }, "the granted request runs");
+  EndCall(1);
+
+  std::shared_ptr<FakeResponder> refused = Start(limited());
+  answer(0);
+  RunUntil([&] { return refused->sent_status != 0; }, "the request is refused");
+  BOOST_TEST(refused->sent_status == 429);
+  BOOST_TEST(refused->text.find("not_run") != std::string::npos, refused->text);
+  RequestSpec forwarded = limited();
+  forwarded.forwarded = true;
+  Start(forwarded);
+  BOOST_TEST(client.calls.size() == 3u);
+}
+
 // Guards against requests that come late in a planned stop and are cut at its end, also those that
 // another host forwards; and against refusals of those that end in time.
 BOOST_AUTO_TEST_CASE(LateRequestOfADrainIsRefused) {
--- a/tests/support/fake_control.h
+++ b/tests/support/fake_control.h
@@ -36,6 +36,7 @@
   void Status(std::function<void(StatusJson)> /*done*/) override {}
   void ShareWork(std::vector<ServerWork> /*work*/) override {}
   void ReportRoom(RoomReport report) override { room_reports.push_back(std::move(report)); }
+  void AskForLimits() override { ++limit_asks; }
   void ShareStreams(std::map<HostId, std::vector<StreamRecord>> /*by_holder*/) override {}
   void FindStream(std::vector<HostId> /*hosts*/, uint64_t /*stream*/,
                   std::function<void(const StreamSearch&)> done) override {
@@ -57,6 +58,7 @@
   std::set<std::string> known_versions;  // of all other hosts, for every service
   std::shared_ptr<const RoutingView> view;
   mutable int reads = 0;
+  int limit_asks = 0;
 };
 
 }  // namespace ebonylift::test
