--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
+#include <mutex>
 #include <sstream>
 #include <vector>
 
@@ -130,7 +132,36 @@
     return result;
   }
 
+  // Gauges of the limit of one workspace, in the order of `limit_families`.
+  static constexpr size_t kLimitGauges = 4;
+  using LimitSeries = std::array<prometheus::Gauge*, kLimitGauges>;
+
+  prometheus::Family<prometheus::Gauge>* LimitFamily(const char* name, const char* help) {
+    return &prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+  }
+  LimitSeries AddLimit(const WorkspaceId& workspace) {
+    LimitSeries series{};
+    for (size_t i = 0; i < kLimitGauges; ++i) {
+      series[i] = &limit_families[i]->Add({{"workspace", workspace.value()}});
+    }
+    return series;
+  }
+  void RemoveLimit(const LimitSeries& series) {
+    for (size_t i = 0; i < kLimitGauges; ++i) limit_families[i]->Remove(series[i]);
+  }
+
   prometheus::Registry registry;
+  std::array<prometheus::Family<prometheus::Gauge>*, kLimitGauges> limit_families = {
+      LimitFamily("ebonylift_limit_admitted_requests",
+                  "Requests within the limit of the workspace since it became active here."),
+      LimitFamily("ebonylift_limit_refused_requests",
+                  "Requests over the limit of the workspace since it became active here."),
+      LimitFamily("ebonylift_limit_rate",
+                  "Part of the limit of the workspace that this host may use, per second."),
+      LimitFamily("ebonylift_limit_lease_age_seconds",
+                  "Age of the lease of the limit of the workspace; -1: none.")};
+  std::mutex limits_mutex;  // guards `limits`
+  std::map<WorkspaceId, LimitSeries> limits;
   PerTrafficClass<prometheus::Counter> requests =
       Counters("ebonylift_requests_total", "Requests accepted for processing.");
   std::vector<prometheus::Counter*> errors = ErrorCounters(
@@ -270,6 +301,24 @@
   families_->peer_unsent->Set(static_cast<double>(unsent));
 }
 
+void Metrics::SetLimits(const std::vector<LimitState>& states) {
+  std::lock_guard<std::mutex> lock(families_->limits_mutex);
+  std::map<WorkspaceId, Families::LimitSeries> previous = std::move(families_->limits);
+  families_->limits.clear();
+  for (const LimitState& state : states) {
+    auto found = previous.find(state.workspace);
+    Families::LimitSeries series =
+        found != previous.end() ? found->second : families_->AddLimit(state.workspace);
+    if (found != previous.end()) previous.erase(found);
+    series[0]->Set(static_cast<double>(state.admitted));
+    series[1]->Set(static_cast<double>(state.refused));
+    series[2]->Set(state.rate);
+    series[3]->Set(state.lease_age < Duration(0) ? -1 : ToSeconds(state.lease_age));
+    families_->limits[state.workspace] = series;
+  }
+  for (const auto& [workspace, series] : previous) families_->RemoveLimit(series);
+}
+
 void Metrics::SetDescriptorConflicts(uint64_t conflicts) {
   families_->descriptor_conflicts->Set(static_cast<double>(conflicts));
 }
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -4,17 +4,20 @@
 // The metrics of one daemon, exported in the Prometheus text format.
 //
 // Labels take values only from closed sets such as traffic classes and error kinds, never teams or
-// regions, so the number of time series is fixed. All methods are thread safe. The Count, Add and
+// regions, so the number of time series is fixed; except for at most kMaxReportedLimits workspaces
+// whose limit is in use. All methods are thread safe. The Count, Add and
 // Observe methods allocate nothing.
 
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "adapters/http_client.h"
 #include "base/error.h"
 #include "base/event.h"
 #include "base/time.h"
+#include "core/limit_shares.h"
 #include "ports/views.h"
 
 namespace ebonylift {
@@ -81,6 +84,9 @@
   // IP headers, and those of the sent bytes that are not yet written out.
   void SetPeerBytes(uint64_t sent, uint64_t received, uint64_t unsent);
   void SetDescriptorConflicts(uint64_t conflicts);
+  // Sets the limits of workspaces. The series of workspaces that are not among `states` are
+  // removed.
+  void SetLimits(const std::vector<LimitState>& states);
 
   // Returns all metrics in the Prometheus text format, version 0.0.4.
   std::string Render() const;
--- a/src/core/limit_shares.cc
+++ b/src/core/limit_shares.cc
@@ -243,6 +243,8 @@
 bool IsDue(const WorkspaceShare& share, Time now) {
   if (now - share.used > kActiveTime) return false;
   if (share.ask_is_due || share.wanted > 0) return true;
+  // Without a share, work is asked for when a request needs it.
+  if (share.share == 0 && !share.limit_reached) return false;
   Duration interval = share.limit_reached ? kReachedRenewalInterval : kRenewalInterval;
   if (now - share.asked >= interval) return true;
   double demand = Demand(share, now);
@@ -477,6 +479,25 @@
   }
 }
 
+std::vector<LimitState> LimitStates(const LimitShares& shares, Time now) {
+  std::vector<LimitState> states;
+  for (const auto& [id, share] : shares.workspaces) {
+    LimitState state{id, share.admitted_count, share.refused_count, 0, Duration(-1)};
+    bool leased = share.leased && now < share.expires;
+    if (leased) state.rate = share.share * share.limit.per_s;
+    if (leased) state.lease_age = now - share.leased_at;
+    states.push_back(std::move(state));
+  }
+  auto more_requests = [](const LimitState& a, const LimitState& b) {
+    return a.admitted + a.refused > b.admitted + b.refused;
+  };
+  size_t count = std::min(states.size(), kMaxReportedLimits);
+  std::partial_sort(states.begin(), states.begin() + static_cast<int64_t>(count), states.end(),
+                    more_requests);
+  states.resize(count);
+  return states;
+}
+
 void OnNoLimitAnswer(LimitShares* shares, Time sent) {
   if (sent != shares->sent || sent == Time()) return;
   shares->sent = Time();
--- a/src/core/limit_shares.h
+++ b/src/core/limit_shares.h
@@ -147,6 +147,16 @@
   Time next_scan;
 };
 
+// The state of the limit of one workspace, for metrics.
+struct LimitState {
+  WorkspaceId workspace;
+  uint64_t admitted = 0;  // requests since the workspace had none for kIdleLimitLifetime
+  uint64_t refused = 0;
+  double rate = 0;         // cost per second that this host may admit
+  Duration lease_age{-1};  // negative: no lease
+};
+constexpr size_t kMaxReportedLimits = 64;
+
 enum class LimitDecision { kAdmitted, kWait, kRefused };
 
 struct LimitVerdict {
@@ -177,6 +187,9 @@
 void OnLimitAnswer(LimitShares* shares, const LimitAnswer& answer, Time sent, Time now);
 void OnNoLimitAnswer(LimitShares* shares, Time sent);
 
+// Returns the workspaces with the most requests, at most kMaxReportedLimits.
+std::vector<LimitState> LimitStates(const LimitShares& shares, Time now);
+
 }  // namespace ebonylift
 
 #endif  // EBONYLIFT_CORE_LIMIT_SHARES_H_
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -600,25 +600,8 @@
 }
 
 std::vector<LimitState> Dispatcher::LimitStates(Time now) const {
-  std::vector<LimitState> states;
-  {
-    std::lock_guard<std::mutex> lock(mutex_);
-    for (const auto& [id, share] : limits_.workspaces) {
-      LimitState state{id, share.admitted_count, share.refused_count, 0, Duration(-1)};
-      bool leased = share.leased && now < share.expires;
-      if (leased) state.rate = share.share * share.limit.per_s;
-      if (leased) state.lease_age = now - share.leased_at;
-      states.push_back(std::move(state));
-    }
-  }
-  auto more_requests = [](const LimitState& a, const LimitState& b) {
-    return a.admitted + a.refused > b.admitted + b.refused;
-  };
-  size_t count = std::min(states.size(), kMaxReportedLimits);
-  std::partial_sort(states.begin(), states.begin() + static_cast<int64_t>(count), states.end(),
-                    more_requests);
-  states.resize(count);
-  return states;
+  std::lock_guard<std::mutex> lock(mutex_);
+  return ebonylift::LimitStates(limits_, now);
 }
 
 void Dispatcher::OnView(std::shared_ptr<const RoutingView> view, Time now) {
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -53,16 +53,6 @@
   size_t suspects = 0;
 };
 
-// The state of the limit of one workspace, for metrics.
-struct LimitState {
-  WorkspaceId workspace;
-  uint64_t admitted = 0;  // requests
-  uint64_t refused = 0;
-  double rate = 0;         // cost per second that this host may admit
-  Duration lease_age{-1};  // negative: no lease
-};
-constexpr size_t kMaxReportedLimits = 64;
-
 // How requests with suspected content (core/poison.h) run until they complete or are condemned.
 enum class SuspectPlacement {
   kAlone,     // only on servers without other work
@@ -182,8 +172,6 @@
   void RefundToLimit(const WorkspaceId& workspace, double cost, Time now);
   std::optional<LimitAsk> TakeLimitAsk(Time now);
   void OnLimitAnswer(const std::optional<LimitAnswer>& answer, Time sent, Time now);
-  // Returns the state of at most kMaxReportedLimits limited workspaces, those with the most
-  // requests.
   std::vector<LimitState> LimitStates(Time now) const;
 
   // Installs a new routing view and places queued requests.
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -392,6 +392,7 @@
       next_records_tick_ = now + kRecordsTickPeriod;
       options_.records->Tick(WallNow());
       options_.stream_origins->RecordVersions(*view, now);
+      options_.metrics->SetLimits(options_.dispatcher->LimitStates(now));
     }
     if (!options_.settings.directory_address.empty() && now >= next_directory_publish_) {
       next_directory_publish_ = now + kDirectoryPublishPeriod;
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -137,6 +137,8 @@
   Duration period = milliseconds(500);  // between probes
   std::function<void(const SuspectReport&)> on_suspect_report;
   std::function<std::vector<SuspectReport>()> known_suspects;
+  std::function<std::optional<LimitAsk>(Time now)> take_limit_ask;
+  std::function<void(const std::optional<LimitAnswer>& answer, Time sent)> on_limit_answer;
   std::shared_ptr<ControlPort> port;
 };
 
@@ -164,6 +166,8 @@
     options.cluster_key = host.key;
     options.on_suspect_report = host.on_suspect_report;
     options.known_suspects = host.known_suspects;
+    options.take_limit_ask = host.take_limit_ask;
+    options.on_limit_answer = host.on_limit_answer;
     options.data_folder = host.data_folder;
     options.membership.period = host.period;
     for (const TestHost& peer : hosts_) {
@@ -710,6 +714,43 @@
       [&]() { return !PutTo(cluster.port(3), RegionPut("r2", "put-3", 0)).error.has_value(); }));
 }
 
+// Guards against requests for shares of limits that do not find the leader, from a host outside the
+// voters, and against no word to the host when there is none.
+BOOST_AUTO_TEST_CASE(SharesOfLimitsComeFromTheLeader) {
+  TempFolder folder;
+  std::vector<TestHost> hosts = {MakeHost("a"), MakeHost("b"), MakeHost("c"), MakeHost("e")};
+  for (size_t i : {0, 1, 2}) {
+    hosts[i].voter = true;
+    hosts[i].data_folder = folder.path() + "/" + hosts[i].id;
+  }
+  std::atomic<bool> pending{false};
+  std::atomic<uint64_t> answers{0};
+  std::atomic<uint64_t> failures{0};
+  std::atomic<bool> has_share{false};
+  hosts[3].take_limit_ask = [&](Time now) -> std::optional<LimitAsk> {
+    if (pending.exchange(true)) return std::nullopt;
+    LimitAsk ask;
+    ask.sequence = static_cast<uint64_t>(now.time_since_epoch().count());
+    LimitDemand row{LimitKey(WorkspaceId("w")), 100, 0, 1, 0, {}};
+    row.limit = WorkspaceLimit{1000, 1000, LimitUnit::kRequests, 1};
+    ask.rows.push_back(row);
+    return ask;
+  };
+  hosts[3].on_limit_answer = [&](const std::optional<LimitAnswer>& answer, Time /*sent*/) {
+    pending = false;
+    ++(answer ? answers : failures);
+    if (answer && answer->size() == 1 && answer->front().share > 0) has_share = true;
+  };
+  Cluster cluster(std::move(hosts));
+  BOOST_TEST(WaitFor([&] { return answers > 0; }));
+  // A new leader first waits for the leases of the previous one to end.
+  BOOST_TEST(WaitFor([&] { return has_share.load(); }));
+  for (size_t i : {0, 1, 2}) cluster.Stop(i);
+  uint64_t before = failures;
+  BOOST_TEST(WaitFor([&] { return failures > before + 1; }));
+  cluster.Stop(3);
+}
+
 // Guards against hosts that learn of a revision only by a probe, because the leader does not tell
 // them: with probes a minute apart, a host that is not connected to the leader would wait so long.
 BOOST_AUTO_TEST_CASE(RevisionIsPassedOnByOtherHosts) {
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -122,4 +122,15 @@
   BOOST_TEST(HasLine(text, R"(ebonylift_token_gap_seconds_count{class="check"} 80000)"));
 }
 
+// Guards against series of workspaces that are never removed.
+BOOST_AUTO_TEST_CASE(LimitsOfIdleWorkspacesAreRemoved) {
+  Metrics metrics;
+  metrics.SetLimits({{WorkspaceId("a"), 5, 2, 70.5, seconds(1)}, {WorkspaceId("b"), 1, 0, 0}});
+  BOOST_TEST(HasLine(metrics.Render(), R"(ebonylift_limit_rate{workspace="a"} 70.5)"));
+  BOOST_TEST(HasLine(metrics.Render(), R"(ebonylift_limit_lease_age_seconds{workspace="b"} -1)"));
+  metrics.SetLimits({{WorkspaceId("b"), 3, 1, 0}});
+  BOOST_TEST(HasLine(metrics.Render(), R"(ebonylift_limit_refused_requests{workspace="b"} 1)"));
+  BOOST_TEST(metrics.Render().find(R"(workspace="a")") == std::string::npos);
+}
+
 }  // namespace ebonylift
--- a/tests/platform_settings_test.cc
+++ b/tests/platform_settings_test.cc
@@ -31,6 +31,8 @@
 bounds:
   grace_s: 8
   ttl_max_s: 5
+  quota_overshoot: 0.1
+  quota_slack: 140000
 a_key_that_is_new: [1, {b: 2}]
 )";
 
@@ -51,6 +53,8 @@
   BOOST_TEST(host.gateway.peers[0].rpc_address == "10.2.0.30:7660");
   BOOST_TEST(host.gateway.first_start);
   BOOST_TEST((host.gateway.drain_timeout == milliseconds(7'500)));
+  BOOST_TEST(host.gateway.limit_tolerance.overshoot == 0.1);
+  BOOST_TEST(host.gateway.limit_tolerance.slack == 140'000);
   BOOST_TEST(host.operator_address == "10.1.0.38:8146");
   BOOST_TEST(host.caller_address.empty());
   BOOST_TEST(host.domains.at(DomainId("centro-a")).value() == "centro");
@@ -78,6 +82,13 @@
     ParseHostSettings(file, &issues);
     BOOST_TEST(!issues.empty(), file);
   }
+  for (const char* value : {"-0.1", ".nan", ".inf"}) {
+    std::vector<SettingIssue> bound_issues;
+    std::string file(kFile);
+    file.replace(file.find("0.1\n  quota_slack"), 3, value);
+    ParseHostSettings(file, &bound_issues);
+    BOOST_TEST(bound_issues.size() == 1u, value);
+  }
   std::vector<SettingIssue> issues;
   ReadHostSettings("/no/such/file", &issues);
   BOOST_TEST(!issues.empty());
