--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -6,7 +6,8 @@
 // Labels take values only from closed sets such as traffic classes and error kinds, never teams or
 // regions, so the number of time series is fixed. Only the workspaces of the configuration are
 // labels, at most kMaxWorkspaceLabels of them, and of models and services only kMaxModelLabels have
-// series of their own. All methods are thread safe. The Count, Add and Observe methods allocate
+// series of their own. The limits of at most kMaxReportedLimits workspaces are
+// reported. All methods are thread safe. The Count, Add and Observe methods allocate
 // nothing, except for the first late answer of a model.
 
 #include <cstdint>
@@ -20,6 +21,7 @@
 #include "base/time.h"
 #include "core/hedging.h"
 #include "core/lateness.h"
+#include "core/limit_shares.h"
 #include "ports/views.h"
 
 namespace ebonylift {
@@ -116,6 +118,9 @@
   // IP headers, and those of the sent bytes that are not yet written out.
   void SetPeerBytes(uint64_t sent, uint64_t received, uint64_t unsent);
   void SetDescriptorConflicts(uint64_t conflicts);
+  // Sets the limits of workspaces. The series of workspaces that are not among `states` are
+  // removed.
+  void SetLimits(const std::vector<LimitState>& states);
 
   // Returns all metrics in the Prometheus text format, version 0.0.4.
   std::string Render() const;
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -21,6 +21,7 @@
 
 #include "core/admission.h"
 #include "core/hedging.h"
+#include "core/limit_shares.h"
 #include "core/poison.h"
 #include "core/proven_contents.h"
 #include "core/retry.h"
@@ -190,6 +191,16 @@
   HedgePlacement PlaceHedge(RouteQuery query, const RoutingView& view, const TeamId& budget,
                             const RetryState& retry_state, Time now);
 
+  // Limits of workspaces; see core/limit_shares.h.
+  void SetLimitTolerance(const LimitTolerance& tolerance);
+  LimitVerdict AdmitToLimit(const WorkspaceConfig& workspace, double cost, Time arrived, bool first,
+                            Time now);
+  void CancelLimitWait(const WorkspaceId& workspace, double cost);
+  void RefundToLimit(const WorkspaceId& workspace, double cost, Time now);
+  std::optional<LimitAsk> TakeLimitAsk(Time now);
+  void OnLimitAnswer(const std::optional<LimitAnswer>& answer, Time sent, Time now);
+  std::vector<LimitState> LimitStates(Time now) const;
+
   // Installs a new routing view and places queued requests.
   void OnView(std::shared_ptr<const RoutingView> view, Time now);
 
@@ -256,6 +267,7 @@
   PoisonState poison_;       // of whole requests
   PoisonState part_poison_;  // of parts of prompts
   ProvenContents proven_parts_;
+  LimitShares limits_;
   std::shared_ptr<const RoutingView> view_;
   std::unordered_map<QueueId, WaitingRequest> waiting_;
   std::atomic<uint64_t> last_queue_id_{0};
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -13,6 +13,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "core/limit_shares.h"
 #include "core/registry.h"
 #include "ports/views.h"
 
@@ -71,6 +72,8 @@
   // Hedges per 100 requests and their prompt tokens per 100; 0: requests are not hedged. The
   // configuration path /deployment/hedging goes before it.
   int hedge_percent = 0;
+  // How far all hosts together may exceed limits of workspaces; see core/limit_shares.h.
+  LimitTolerance limit_tolerance;
 };
 
 // A setting whose value is invalid.
