Messages and bytes between daemons are counted by flow

The metrics knew only the bytes of all flows together, so it was not known what makes the control traffic of a control host grow faster than the deployment.

The packed stream of a connection reads the header of each RPC message and counts its frame towards the flow of its call; answers and ends of calls count towards the flow of the call they belong to. New metrics ebonylift_peer_messages_total and ebonylift_peer_bytes_total by flow and direction. Nothing is allocated for a message. The handling time is not measured.

--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -104,6 +104,42 @@
     return result;
   }
 
+  struct FlowCounters {
+    std::array<prometheus::Counter*, kPeerFlowCount> messages{};
+    std::array<prometheus::Counter*, kPeerFlowCount> bytes{};
+  };
+
+  FlowCounters PeerFlowCounters(const char* direction) {
+    auto& messages = prometheus::BuildCounter()
+                         .Name("ebonylift_peer_messages_total")
+                         .Help("RPC messages exchanged with other daemons, by flow.")
+                         .Register(registry);
+    auto& bytes = prometheus::BuildCounter()
+                      .Name("ebonylift_peer_bytes_total")
+                      .Help("Bytes of the RPC messages exchanged with other daemons, by flow.")
+                      .Register(registry);
+    FlowCounters counters;
+    for (size_t i = 0; i < kPeerFlowCount; ++i) {
+      const char* flow = PeerFlowName(static_cast<PeerFlow>(i));
+      counters.messages[i] = &messages.Add({{"flow", flow}, {"direction", direction}});
+      counters.bytes[i] = &bytes.Add({{"flow", flow}, {"direction", direction}});
+    }
+    return counters;
+  }
+
+  // Raises a counter to a total that is counted elsewhere.
+  static void Raise(prometheus::Counter* counter, uint64_t total) {
+    counter->Increment(std::max(0.0, static_cast<double>(total) - counter->Value()));
+  }
+
+  static void RaiseAll(const std::array<FlowCount, kPeerFlowCount>& totals,
+                       FlowCounters* counters) {
+    for (size_t i = 0; i < kPeerFlowCount; ++i) {
+      Raise(counters->messages[i], totals[i].messages);
+      Raise(counters->bytes[i], totals[i].bytes);
+    }
+  }
+
   prometheus::Gauge* LogDropGauge(const char* reason) {
     return &prometheus::BuildGauge()
                 .Name("ebonylift_log_lines_dropped")
@@ -185,6 +221,8 @@
   prometheus::Gauge* peer_unsent =
       Gauge("ebonylift_peer_unsent_bytes",
             "Message bytes to other daemons that are not yet written to their connections.");
+  FlowCounters sent_flows = PeerFlowCounters("sent");
+  FlowCounters received_flows = PeerFlowCounters("received");
   prometheus::Gauge* descriptor_conflicts =
       Gauge("ebonylift_descriptor_conflicts",
             "Descriptors used by two parts of the process at once, since the process started.");
@@ -270,6 +308,11 @@
   families_->peer_unsent->Set(static_cast<double>(unsent));
 }
 
+void Metrics::SetPeerFlows(const FlowCounts& flows) {
+  Families::RaiseAll(flows.sent, &families_->sent_flows);
+  Families::RaiseAll(flows.received, &families_->received_flows);
+}
+
 void Metrics::SetDescriptorConflicts(uint64_t conflicts) {
   families_->descriptor_conflicts->Set(static_cast<double>(conflicts));
 }
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "adapters/http_client.h"
+#include "adapters/peer_flows.h"
 #include "base/error.h"
 #include "base/event.h"
 #include "base/time.h"
@@ -80,6 +81,8 @@
   // Sets the message bytes exchanged with other daemons since the process started, without TCP and
   // IP headers, and those of the sent bytes that are not yet written out.
   void SetPeerBytes(uint64_t sent, uint64_t received, uint64_t unsent);
+  // Sets the messages exchanged with other daemons since the process started, by flow.
+  void SetPeerFlows(const FlowCounts& flows);
   void SetDescriptorConflicts(uint64_t conflicts);
 
   // Returns all metrics in the Prometheus text format, version 0.0.4.
--- a/src/adapters/packed_stream.cc
+++ b/src/adapters/packed_stream.cc
@@ -36,18 +36,6 @@
   return bytes + SegmentTableBytes(segments);
 }
 
-void AppendFrame(Segments segments, kj::VectorOutputStream* out) {
-  kj::VectorOutputStream packed;
-  capnp::writePackedMessage(packed, segments);
-  kj::ArrayPtr<kj::byte> bytes = packed.getArray();
-  uint32_t header = kPackedFrameFlag | static_cast<uint32_t>(bytes.size());
-  kj::byte little_endian[kHeaderBytes];
-  for (size_t i = 0; i < kHeaderBytes; ++i)
-    little_endian[i] = static_cast<kj::byte>(header >> (8 * i));
-  out->write(little_endian, kHeaderBytes);
-  out->write(bytes.begin(), bytes.size());
-}
-
 kj::Promise<void> WriteAll(kj::AsyncIoStream& stream, kj::Own<kj::VectorOutputStream> out) {
   kj::ArrayPtr<kj::byte> bytes = out->getArray();
   return stream.write(bytes.begin(), bytes.size()).attach(kj::mv(out));
@@ -78,6 +66,19 @@
 
 }  // namespace
 
+size_t WritePackedFrame(Segments segments, kj::VectorOutputStream* out) {
+  kj::VectorOutputStream packed;
+  capnp::writePackedMessage(packed, segments);
+  kj::ArrayPtr<kj::byte> bytes = packed.getArray();
+  uint32_t header = kPackedFrameFlag | static_cast<uint32_t>(bytes.size());
+  kj::byte little_endian[kHeaderBytes];
+  for (size_t i = 0; i < kHeaderBytes; ++i)
+    little_endian[i] = static_cast<kj::byte>(header >> (8 * i));
+  out->write(little_endian, kHeaderBytes);
+  out->write(bytes.begin(), bytes.size());
+  return kHeaderBytes + bytes.size();
+}
+
 PackedStream::PackedStream(kj::AsyncIoStream& stream, ByteCounts* counts)
     : stream_(stream), plain_stream_(stream), counts_(counts) {}
 
@@ -109,10 +110,12 @@
   auto packed = kj::heapArray<kj::byte>(packed_bytes);
   auto* begin = packed.begin();
   return stream_.read(begin, packed_bytes).then([this, options, packed = kj::mv(packed)]() mutable {
-    counts_->received += kHeaderBytes + packed.size();
+    size_t bytes = kHeaderBytes + packed.size();
+    counts_->received += bytes;
     auto input = kj::heap<kj::ArrayInputStream>(packed);
     auto reader = kj::heap<capnp::PackedMessageReader>(*input, options);
     kj::Own<capnp::MessageReader> message = reader.attach(kj::mv(input), kj::mv(packed));
+    CountReceived(*message, bytes);
     return Message(capnp::MessageReaderAndFds{kj::mv(message), nullptr});
   });
 }
@@ -124,7 +127,9 @@
   auto read = capnp::tryReadMessage(*input, options);
   return read.attach(kj::mv(input)).then([this](kj::Maybe<kj::Own<capnp::MessageReader>>&& read) {
     KJ_IF_MAYBE (message, read) {
-      counts_->received += PlainMessageBytes(**message);
+      uint64_t bytes = PlainMessageBytes(**message);
+      counts_->received += bytes;
+      CountReceived(**message, bytes);
       return Message(capnp::MessageReaderAndFds{kj::mv(*message), nullptr});
     }
     return Message(nullptr);
@@ -134,6 +139,7 @@
 kj::Promise<void> PackedStream::writeMessage(kj::ArrayPtr<const int> fds, Segments segments) {
   if (send_plain_) {
     counts_->sent += PlainMessageBytes(segments);
+    CountSent(segments, PlainMessageBytes(segments));
     return plain_stream_.writeMessage(fds, segments);
   }
   auto out = kj::heap<kj::VectorOutputStream>();
@@ -143,7 +149,10 @@
 
 kj::Promise<void> PackedStream::writeMessages(kj::ArrayPtr<Segments> messages) {
   if (send_plain_) {
-    for (Segments segments : messages) counts_->sent += PlainMessageBytes(segments);
+    for (Segments segments : messages) {
+      counts_->sent += PlainMessageBytes(segments);
+      CountSent(segments, PlainMessageBytes(segments));
+    }
     return plain_stream_.writeMessages(messages);
   }
   auto out = kj::heap<kj::VectorOutputStream>();
@@ -151,6 +160,23 @@
   return WriteCounted(kj::mv(out));
 }
 
+void PackedStream::CountSent(Segments segments, size_t bytes) {
+  capnp::SegmentArrayMessageReader message(segments);
+  FlowCount& count = counts_->flows.sent[static_cast<size_t>(flows_.OnSent(message))];
+  ++count.messages;
+  count.bytes += bytes;
+}
+
+void PackedStream::CountReceived(capnp::MessageReader& message, size_t bytes) {
+  FlowCount& count = counts_->flows.received[static_cast<size_t>(flows_.OnReceived(message))];
+  ++count.messages;
+  count.bytes += bytes;
+}
+
+void PackedStream::AppendFrame(Segments segments, kj::VectorOutputStream* out) {
+  CountSent(segments, WritePackedFrame(segments, out));
+}
+
 kj::Promise<void> PackedStream::WriteCounted(kj::Own<kj::VectorOutputStream> out) {
   size_t bytes = out->getArray().size();
   counts_->sent += bytes;
--- a/src/adapters/packed_stream.h
+++ b/src/adapters/packed_stream.h
@@ -22,6 +22,8 @@
 
 #include <cstdint>
 
+#include "adapters/peer_flows.h"
+
 namespace ebonylift {
 
 // The bit of a frame header that marks a packed message.
@@ -32,8 +34,13 @@
   uint64_t sent = 0;  // includes `unsent`
   uint64_t received = 0;
   uint64_t unsent = 0;  // of messages whose writing has begun and not ended
+  FlowCounts flows;
 };
 
+// Appends the frame of a message to `out` and returns its size.
+size_t WritePackedFrame(kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments,
+                        kj::VectorOutputStream* out);
+
 class PackedStream final : public capnp::MessageStream {
  public:
   using capnp::MessageStream::tryReadMessage;
@@ -57,6 +64,12 @@
  private:
   using Message = kj::Maybe<capnp::MessageReaderAndFds>;
 
+  void CountSent(kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments, size_t bytes);
+  void CountReceived(capnp::MessageReader& message, size_t bytes);
+
+  // Packs a message and counts it towards its flow.
+  void AppendFrame(kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments,
+                   kj::VectorOutputStream* out);
   // Writes packed frames and counts them.
   kj::Promise<void> WriteCounted(kj::Own<kj::VectorOutputStream> out);
 
@@ -68,6 +81,7 @@
   kj::AsyncIoStream& stream_;
   capnp::AsyncIoMessageStream plain_stream_;
   ByteCounts* counts_;
+  FlowTracker flows_;
   uint32_t header_buffer_ = 0;  // the first four bytes of the message being read, as received
   bool send_plain_ = false;     // a plain message has arrived
 };
--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -477,6 +477,38 @@
   return work;
 }
 
+void WriteWorkCall(WorkListKind kind, const std::vector<ServerWork>& work,
+                   wire::Peer::WorkParams::Builder out) {
+  out.setKind(WriteWorkListKind(kind));
+  auto rows = out.initRows(static_cast<uint32_t>(work.size()));
+  for (uint32_t i = 0; i < rows.size(); ++i) WriteServerWork(work[i], rows[i]);
+}
+
+void WriteAnnounceCall(const std::vector<RelayedAnnouncement>& announcements, Time now,
+                       wire::Peer::AnnounceParams::Builder out) {
+  std::vector<const RelayedAnnouncement*> full;
+  std::vector<ServerRefresh> refreshes;
+  for (const RelayedAnnouncement& relayed : announcements) {
+    if (!relayed.refresh) {
+      full.push_back(&relayed);
+      continue;
+    }
+    ServerRefresh refresh;
+    refresh.key = AnnouncementKey(relayed.announcement);
+    refresh.seq = relayed.announcement.seq;
+    refresh.load = relayed.announcement.load;
+    refresh.age = relayed.age;
+    refreshes.push_back(refresh);
+  }
+  out.setSentAtMicros(now.time_since_epoch().count());
+  auto rows = out.initAnnouncements(static_cast<uint32_t>(full.size()));
+  for (uint32_t i = 0; i < rows.size(); ++i) {
+    WriteAnnouncement(full[i]->announcement, rows[i].initAnnouncement());
+    rows[i].setAgeMicros(static_cast<uint64_t>(std::max<int64_t>(0, full[i]->age.count())));
+  }
+  out.setRefreshes(ToData(WriteRefreshes(refreshes)));
+}
+
 void WriteRoomReport(const RoomReport& report, wire::RoomReport::Builder out) {
   out.setServer(report.server.value());
   out.setIncarnation(report.incarnation);
--- a/src/adapters/peer_codec.h
+++ b/src/adapters/peer_codec.h
@@ -42,6 +42,12 @@
 // A limit that is not a valid number is ignored.
 ServerWork ReadServerWork(wire::ServerWork::Reader in);
 
+// Fill in the parameters of the calls except `hlc`.
+void WriteWorkCall(WorkListKind kind, const std::vector<ServerWork>& work,
+                   wire::Peer::WorkParams::Builder out);
+void WriteAnnounceCall(const std::vector<RelayedAnnouncement>& announcements, Time now,
+                       wire::Peer::AnnounceParams::Builder out);
+
 void WriteRoomReport(const RoomReport& report, wire::RoomReport::Builder out);
 // Returns a report of a server that is not brittle if the number of rejections is not valid.
 RoomReport ReadRoomReport(wire::RoomReport::Reader in);
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -452,6 +452,8 @@
 
 uint64_t Rpc::received_bytes() const { return impl_->byte_counts.received; }
 
+const FlowCounts& Rpc::flows() const { return impl_->byte_counts.flows; }
+
 uint32_t Rpc::port() const { return impl_->port; }
 
 bool Rpc::IsConnected(const HostId& host) const {
@@ -489,29 +491,9 @@
                    std::function<void(std::optional<std::vector<uint64_t>>)> done) {
   std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, 0);
   if (connection == nullptr) return;
-  std::vector<const RelayedAnnouncement*> full;
-  std::vector<ServerRefresh> refreshes;
-  for (const RelayedAnnouncement& relayed : announcements) {
-    if (!relayed.refresh) {
-      full.push_back(&relayed);
-      continue;
-    }
-    ServerRefresh refresh;
-    refresh.key = AnnouncementKey(relayed.announcement);
-    refresh.seq = relayed.announcement.seq;
-    refresh.load = relayed.announcement.load;
-    refresh.age = relayed.age;
-    refreshes.push_back(refresh);
-  }
   auto request = KJ_ASSERT_NONNULL(connection->client).announceRequest();
   request.setHlc(ProcessClock().Now());
-  request.setSentAtMicros(SteadyNow().time_since_epoch().count());
-  auto rows = request.initAnnouncements(static_cast<uint32_t>(full.size()));
-  for (uint32_t i = 0; i < rows.size(); ++i) {
-    WriteAnnouncement(full[i]->announcement, rows[i].initAnnouncement());
-    rows[i].setAgeMicros(static_cast<uint64_t>(std::max<int64_t>(0, full[i]->age.count())));
-  }
-  request.setRefreshes(ToData(WriteRefreshes(refreshes)));
+  WriteAnnounceCall(announcements, SteadyNow(), request);
   auto parse_response = [](auto& response) {
     std::vector<uint64_t> unknown;
     for (uint64_t key : response.getUnknown()) unknown.push_back(key);
@@ -574,9 +556,7 @@
   if (connection == nullptr) return;
   auto request = KJ_ASSERT_NONNULL(connection->client).workRequest();
   request.setHlc(ProcessClock().Now());
-  request.setKind(WriteWorkListKind(kind));
-  auto rows = request.initRows(static_cast<uint32_t>(work.size()));
-  for (uint32_t i = 0; i < rows.size(); ++i) WriteServerWork(work[i], rows[i]);
+  WriteWorkCall(kind, work, request);
   impl_->Call<bool>(
       connection, kj::mv(request), kNotificationTimeout, true, [](auto&) { return true; }, nullptr);
 }
--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -41,6 +41,7 @@
 #include <string>
 #include <vector>
 
+#include "adapters/peer_flows.h"
 #include "base/event.h"
 #include "base/ids.h"
 #include "base/time.h"
@@ -170,6 +171,8 @@
   // Of the sent bytes, those of messages that are not yet written out.
   uint64_t unsent_bytes() const;
   uint64_t received_bytes() const;
+  // The same messages by flow.
+  const FlowCounts& flows() const;
 
   bool IsConnected(const HostId& host) const;
   std::vector<HostId> Connected() const;
--- a/src/daemon/announcement_relay.cc
+++ b/src/daemon/announcement_relay.cc
@@ -15,7 +15,7 @@
 
 void AnnouncementRelay::Flush() {
   if (pending_.empty()) return;
-  Time now = SteadyNow();
+  Time now = options_.now();
   std::vector<RelayedAnnouncement> batch;
   for (PendingRelay& pending : pending_) {
     batch.push_back({std::move(pending.announcement), now - pending.received, pending.refresh});
@@ -66,7 +66,7 @@
       servers.push_back(&entry->second.server);
     }
   }
-  SendFull(host, servers, SteadyNow());
+  SendFull(host, servers, options_.now());
 }
 
 void AnnouncementRelay::SendAll(const HostId& host, Time now) {
--- a/src/daemon/announcement_relay.h
+++ b/src/daemon/announcement_relay.h
@@ -49,6 +49,7 @@
         send;
     // Calls `fn` on the control thread after `delay`.
     std::function<void(Duration delay, std::function<void()> fn)> run_after;
+    std::function<Time()> now = SteadyNow;
   };
 
   explicit AnnouncementRelay(Options options) : options_(std::move(options)) {}
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -23,6 +23,7 @@
 #include <string>
 #include <vector>
 
+#include "adapters/peer_flows.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "core/membership.h"
@@ -52,6 +53,7 @@
   uint64_t sent_bytes = 0;
   uint64_t received_bytes = 0;
   uint64_t unsent_bytes = 0;
+  FlowCounts flows;  // the sent and received messages by flow
   // For how long this host has known of a configuration revision that is not in force on it.
   Duration config_behind{0};
   // The largest delay of a periodic task of the control thread since the last report.
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -198,6 +198,7 @@
   stats.sent_bytes = rpc_.sent_bytes();
   stats.received_bytes = rpc_.received_bytes();
   stats.unsent_bytes = rpc_.unsent_bytes();
+  stats.flows = rpc_.flows();
   stats.config_behind = config_lag_.Behind(now);
   stats.max_tick_delay = std::exchange(max_tick_delay_, Duration(0));
   options_->on_stats(stats);
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -173,6 +173,7 @@
     };
     options.on_stats = [this](const ControlStats& stats) {
       metrics_.SetPeerBytes(stats.sent_bytes, stats.received_bytes, stats.unsent_bytes);
+      metrics_.SetPeerFlows(stats.flows);
       metrics_.SetConfigBehind(stats.config_behind);
       metrics_.SetControlDelay(stats.max_tick_delay);
     };
--- a/tests/packed_stream_test.cc
+++ b/tests/packed_stream_test.cc
@@ -5,6 +5,7 @@
 #include <kj/async-io.h>
 
 #include <boost/test/included/unit_test.hpp>
+#include <functional>
 #include <set>
 #include <string>
 
@@ -54,6 +55,47 @@
   BOOST_TEST(remote_counts.sent == 0u);
 }
 
+// Guards against answers and ends of calls that are counted for no flow or for a flow of the other
+// direction, where the same question ids are in use.
+BOOST_FIXTURE_TEST_CASE(CallsAndTheirAnswersCountTowardsTheirFlow, StreamPairFixture) {
+  auto send = [this](capnp::MessageStream& from, capnp::MessageStream& to,
+                     const std::function<void(capnp::rpc::Message::Builder)>& fill) {
+    capnp::MallocMessageBuilder message;
+    fill(message.initRoot<capnp::rpc::Message>());
+    auto write = from.writeMessage(message).eagerlyEvaluate(nullptr);
+    to.readMessage(ReaderLimits()).wait(io.waitScope);
+    write.wait(io.waitScope);
+  };
+  auto call = [](uint16_t method, WorkListKind kind) {
+    return [method, kind](capnp::rpc::Message::Builder message) {
+      auto out = message.initCall();
+      out.setQuestionId(1);
+      out.setInterfaceId(capnp::typeId<wire::Peer>());
+      out.setMethodId(method);
+      auto params = out.initParams().getContent().initAs<wire::Peer::WorkParams>();
+      if (method == 7) params.setKind(WriteWorkListKind(kind));
+    };
+  };
+  send(local, remote, call(7, WorkListKind::kOfOthers));
+  send(remote, local, call(0, WorkListKind::kOwn));
+  send(remote, local, [](auto message) { message.initReturn().setAnswerId(1); });
+  send(local, remote, [](auto message) { message.initReturn().setAnswerId(1); });
+  send(local, remote, [](auto message) { message.initFinish().setQuestionId(1); });
+  auto messages = [](const std::array<FlowCount, kPeerFlowCount>& counts, PeerFlow flow) {
+    return counts[static_cast<size_t>(flow)].messages;
+  };
+  const FlowCounts& here = local_counts.flows;
+  const FlowCounts& there = remote_counts.flows;
+  BOOST_TEST(messages(here.sent, PeerFlow::kWorkSums) == 2u);
+  BOOST_TEST(messages(here.received, PeerFlow::kWorkSums) == 1u);
+  BOOST_TEST(messages(here.sent, PeerFlow::kGossip) == 1u);
+  BOOST_TEST(messages(there.received, PeerFlow::kWorkSums) == 2u);
+  BOOST_TEST(messages(there.sent, PeerFlow::kGossip) == 1u);
+  uint64_t bytes = 0;
+  for (const FlowCount& count : here.sent) bytes += count.bytes;
+  BOOST_TEST(bytes == local_counts.sent);
+}
+
 // Guards against a peer that knows only the plain encoding being unable to exchange messages.
 BOOST_FIXTURE_TEST_CASE(PlainPeerReceivesPlainMessages, StreamPairFixture) {
   capnp::AsyncIoMessageStream plain(*pipe.ends[0]);
