--- a/bench/control_flows_bench.cc
+++ b/bench/control_flows_bench.cc
@@ -40,6 +40,7 @@
 #include "core/membership.h"
 #include "core/registry.h"
 #include "core/work_exchange.h"
+#include "core/work_rows.h"
 #include "daemon/announcement_relay.h"
 #include "peer.capnp.h"
 
@@ -87,6 +88,9 @@
   Membership membership;
   Registry registry;
   WorkExchange work;
+  std::map<std::pair<HostId, WorkListKind>, WorkEncoder> encoders;
+  std::map<std::pair<HostId, WorkListKind>, WorkDecoder> decoders;
+  std::map<HostId, AliveKeys> alive_keys;
   std::unique_ptr<AnnouncementRelay> relay;
   std::vector<Timer> timers;
   std::vector<Request> requests;
@@ -248,6 +252,12 @@
       host->timers.push_back({now_ + delay, std::move(fn)});
     };
     options.now = [this]() { return now_; };
+    options.understands_alive_sets = [](const HostId&) { return true; };
+    options.send_alive_set = [this, host](
+                                 const HostId& to, const std::string& set,
+                                 const std::function<void(std::optional<AliveReply>)>& done) {
+      SendAliveSet(host, by_id_.at(to), set, done);
+    };
     return options;
   }
 
@@ -356,6 +366,20 @@
     if (done) done(unknown);
   }
 
+  void SendAliveSet(Host* from, Host* to, const std::string& bytes,
+                    const std::function<void(std::optional<AliveReply>)>& done) {
+    AliveReply reply;
+    std::optional<AliveSet> set = ReadAliveSet(&to->alive_keys[from->entry.id], bytes);
+    reply.gap = !set;
+    for (uint64_t key : set ? set->keys : std::vector<uint64_t>()) {
+      if (!OnAlive(&to->registry, key, set->age, now_)) reply.unknown.push_back(key);
+    }
+    Call<wire::Peer::AnnounceParams, wire::Peer::AnnounceResults>(
+        from, to, 1, [&](auto params) { WriteAliveCall(bytes, now_, params); },
+        [&](auto results) { results.initUnknown(static_cast<uint32_t>(reply.unknown.size())); });
+    done(reply);
+  }
+
   void UpdateRequests(Host* host) {
     if (!host->is_control) {
       const std::vector<int>& servers = region_servers_.at(host->entry.region);
@@ -422,10 +446,14 @@
     SetOwnWork(&host->work, WorkOf(*host));
     for (WorkMessage& message : TakeWorkMessages(&host->work, now_)) {
       Host* to = by_id_.at(message.to);
+      std::string changes =
+          EncodeWork(&host->encoders[{message.to, message.kind}], message.work, now_);
       Call<wire::Peer::WorkParams, wire::Peer::WorkResults>(
-          host, to, 7, [&](auto params) { WriteWorkCall(message.kind, message.work, params); },
+          host, to, 7, [&](auto params) { WriteWorkChangesCall(message.kind, changes, params); },
           [](auto) {});
-      OnWorkList(&to->work, host->entry.id, message.kind, std::move(message.work), now_);
+      std::optional<std::vector<ServerWork>> work =
+          DecodeWork(&to->decoders[{host->entry.id, message.kind}], changes, now_);
+      OnWorkList(&to->work, host->entry.id, message.kind, std::move(work.value()), now_);
     }
   }
 
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -12,9 +12,10 @@
 
   # `mac` is the HMAC with the cluster key over the label "login", the nonce, the id of the host
   # that is logged in to, the own id and the incarnation. `nonce` is the caller's; `proof` is the
-  # HMAC over the label "proof", that nonce and the id of the answering host.
+  # HMAC over the label "proof", that nonce and the id of the answering host. `features` are the bits
+  # of PeerFeature in adapters/rpc.h that the answering host has.
   login @1 (hlc :UInt64, host :Text, incarnation :UInt64, mac :Text, nonce :Text)
-      -> (hlc :UInt64, peer :Peer, proof :Text);
+      -> (hlc :UInt64, peer :Peer, proof :Text, features :UInt32);
 }
 
 interface Peer {
@@ -26,8 +27,11 @@
   # `refreshes` are announcements of which only the order and the load changed, in the encoding of
   # WriteRefreshes(). `unknown` are the keys of refreshes that the receiver cannot apply; the caller
   # then sends these servers in full.
-  announce @1 (hlc :UInt64, sentAtMicros :Int64, announcements :List(Relayed), refreshes :Data)
-      -> (hlc :UInt64, unknown :List(UInt64));
+  # `alive` is an alive set of core/alive_sets.h, for receivers with PeerFeature::kAliveSets; `gap`
+  # tells that the receiver lacks keys of it.
+  announce @1 (hlc :UInt64, sentAtMicros :Int64, announcements :List(Relayed), refreshes :Data,
+               alive :Data)
+      -> (hlc :UInt64, unknown :List(UInt64), gap :Bool);
 
   # An opaque consensus message between voters.
   consensus @2 (hlc :UInt64, message :Data) -> (hlc :UInt64);
@@ -45,7 +49,10 @@
       -> (hlc :UInt64, events :List(EventEntry), more :Bool);
 
   # Work at the backend servers that both send work to; replaces the list of this kind before.
-  work @7 (hlc :UInt64, rows :List(ServerWork), kind :WorkListKind) -> (hlc :UInt64);
+  # For receivers with PeerFeature::kWorkRows, `changes` of core/work_rows.h stand for `rows`; `gap`
+  # tells that the receiver lacks a message before.
+  work @7 (hlc :UInt64, rows :List(ServerWork), kind :WorkListKind, changes :Data)
+      -> (hlc :UInt64, gap :Bool);
 
   # Streams that began at the caller, for the receiver to keep.
   streams @8 (hlc :UInt64, rows :List(Stream)) -> (hlc :UInt64);
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -171,7 +171,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(92cd161fceb8ff7f, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(92cd161fceb8ff7f, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -257,7 +257,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(956dc3ade6adfdde, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(956dc3ade6adfdde, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -272,7 +272,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c3a50dc82f927e6c, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c3a50dc82f927e6c, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -437,7 +437,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cf10d05cdbba1d9b, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(cf10d05cdbba1d9b, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -452,7 +452,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a2279965ab20f886, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a2279965ab20f886, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1226,6 +1226,8 @@
   inline bool hasProof() const;
   inline  ::capnp::Text::Reader getProof() const;
 
+  inline  ::uint32_t getFeatures() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1273,6 +1275,9 @@
   inline void adoptProof(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownProof();
 
+  inline  ::uint32_t getFeatures();
+  inline void setFeatures( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1635,6 +1640,9 @@
   inline bool hasRefreshes() const;
   inline  ::capnp::Data::Reader getRefreshes() const;
 
+  inline bool hasAlive() const;
+  inline  ::capnp::Data::Reader getAlive() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1683,6 +1691,13 @@
   inline void adoptRefreshes(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownRefreshes();
 
+  inline bool hasAlive();
+  inline  ::capnp::Data::Builder getAlive();
+  inline void setAlive( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initAlive(unsigned int size);
+  inline void adoptAlive(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownAlive();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1731,6 +1746,8 @@
   inline bool hasUnknown() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnknown() const;
 
+  inline bool getGap() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1770,6 +1787,9 @@
   inline void adoptUnknown(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownUnknown();
 
+  inline bool getGap();
+  inline void setGap(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2682,6 +2702,9 @@
 
   inline  ::ebonylift::wire::WorkListKind getKind() const;
 
+  inline bool hasChanges() const;
+  inline  ::capnp::Data::Reader getChanges() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2723,6 +2746,13 @@
   inline  ::ebonylift::wire::WorkListKind getKind();
   inline void setKind( ::ebonylift::wire::WorkListKind value);
 
+  inline bool hasChanges();
+  inline  ::capnp::Data::Builder getChanges();
+  inline void setChanges( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initChanges(unsigned int size);
+  inline void adoptChanges(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownChanges();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2768,6 +2798,8 @@
 
   inline  ::uint64_t getHlc() const;
 
+  inline bool getGap() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2799,6 +2831,9 @@
   inline  ::uint64_t getHlc();
   inline void setHlc( ::uint64_t value);
 
+  inline bool getGap();
+  inline void setGap(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5878,6 +5913,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Gate::LoginResults::Reader::getFeatures() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Gate::LoginResults::Builder::getFeatures() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Gate::LoginResults::Builder::setFeatures( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -6152,6 +6201,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::AnnounceParams::Reader::hasAlive() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AnnounceParams::Builder::hasAlive() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Peer::AnnounceParams::Reader::getAlive() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Peer::AnnounceParams::Builder::getAlive() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::AnnounceParams::Builder::setAlive( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Peer::AnnounceParams::Builder::initAlive(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::AnnounceParams::Builder::adoptAlive(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Peer::AnnounceParams::Builder::disownAlive() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Peer::AnnounceResults::Reader::getHlc() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6204,6 +6287,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::AnnounceResults::Reader::getGap() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::AnnounceResults::Builder::getGap() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Peer::AnnounceResults::Builder::setGap(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Peer::ConsensusParams::Reader::getHlc() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6738,6 +6835,40 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::WorkParams::Reader::hasChanges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::WorkParams::Builder::hasChanges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Peer::WorkParams::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Peer::WorkParams::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::WorkParams::Builder::setChanges( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Peer::WorkParams::Builder::initChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::WorkParams::Builder::adoptChanges(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Peer::WorkParams::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Peer::WorkResults::Reader::getHlc() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6752,6 +6883,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::WorkResults::Reader::getGap() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::WorkResults::Builder::getGap() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Peer::WorkResults::Builder::setGap(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Peer::StreamsParams::Reader::getHlc() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/adapters/peer_codec.cc
+++ b/src/adapters/peer_codec.cc
@@ -9,6 +9,7 @@
 
 #include "adapters/kj_types.h"
 #include "core/registry.h"
+#include "core/varint.h"
 
 namespace ebonylift {
 namespace {
@@ -57,42 +58,6 @@
 constexpr size_t kAnnouncementKeyBytes = 6;
 // Ages received from a peer are clamped to one hour.
 constexpr uint64_t kMaxAgeMillis = 3'600'000;
-constexpr int kVarintBits = 7;
-constexpr int kMaxVarintShift = 63;
-
-void AppendVarint(uint64_t value, std::string* out) {
-  while (value >= (1u << kVarintBits)) {
-    out->push_back(static_cast<char>(value | (1u << kVarintBits)));
-    value >>= kVarintBits;
-  }
-  out->push_back(static_cast<char>(value));
-}
-
-// Decodes a varint and removes it from the front of `bytes`. Returns nullopt if it is malformed.
-std::optional<uint64_t> ConsumeVarint(std::string_view* bytes) {
-  uint64_t value = 0;
-  for (int shift = 0; shift <= kMaxVarintShift && !bytes->empty(); shift += kVarintBits) {
-    auto byte = static_cast<unsigned char>(bytes->front());
-    bytes->remove_prefix(1);
-    value |= static_cast<uint64_t>(byte & ((1u << kVarintBits) - 1)) << shift;
-    if ((byte >> kVarintBits) == 0) return value;
-  }
-  return std::nullopt;
-}
-
-// A text is encoded as its length and its bytes.
-void AppendText(const std::string& text, std::string* out) {
-  AppendVarint(text.size(), out);
-  *out += text;
-}
-
-std::optional<std::string> ConsumeText(std::string_view* bytes) {
-  std::optional<uint64_t> length = ConsumeVarint(bytes);
-  if (!length || *length > bytes->size()) return std::nullopt;
-  std::string text(bytes->substr(0, *length));
-  bytes->remove_prefix(*length);
-  return text;
-}
 
 uint64_t ClampToUnsigned(int64_t value) { return value < 0 ? 0 : static_cast<uint64_t>(value); }
 
@@ -484,6 +449,17 @@
   for (uint32_t i = 0; i < rows.size(); ++i) WriteServerWork(work[i], rows[i]);
 }
 
+void WriteWorkChangesCall(WorkListKind kind, const std::string& changes,
+                          wire::Peer::WorkParams::Builder out) {
+  out.setKind(WriteWorkListKind(kind));
+  out.setChanges(ToData(changes));
+}
+
+void WriteAliveCall(const std::string& set, Time now, wire::Peer::AnnounceParams::Builder out) {
+  out.setSentAtMicros(now.time_since_epoch().count());
+  out.setAlive(ToData(set));
+}
+
 void WriteAnnounceCall(const std::vector<RelayedAnnouncement>& announcements, Time now,
                        wire::Peer::AnnounceParams::Builder out) {
   std::vector<const RelayedAnnouncement*> full;
--- a/src/adapters/peer_codec.h
+++ b/src/adapters/peer_codec.h
@@ -45,6 +45,9 @@
 // Fill in the parameters of the calls except `hlc`.
 void WriteWorkCall(WorkListKind kind, const std::vector<ServerWork>& work,
                    wire::Peer::WorkParams::Builder out);
+void WriteWorkChangesCall(WorkListKind kind, const std::string& changes,
+                          wire::Peer::WorkParams::Builder out);
+void WriteAliveCall(const std::string& set, Time now, wire::Peer::AnnounceParams::Builder out);
 void WriteAnnounceCall(const std::vector<RelayedAnnouncement>& announcements, Time now,
                        wire::Peer::AnnounceParams::Builder out);
 
--- a/src/adapters/peer_server.cc
+++ b/src/adapters/peer_server.cc
@@ -19,8 +19,8 @@
 // Passes the calls of a logged-in peer to the handler.
 class PeerServer final : public wire::Peer::Server {
  public:
-  PeerServer(RpcHandler* handler, std::shared_ptr<Session> session)
-      : handler_(handler), session_(std::move(session)) {}
+  PeerServer(RpcHandler* handler, std::shared_ptr<Session> session, uint32_t features)
+      : handler_(handler), session_(std::move(session)), features_(features) {}
 
   kj::Promise<void> gossip(GossipContext context) override {
     auto params = context.getParams();
@@ -44,21 +44,18 @@
   kj::Promise<void> announce(AnnounceContext context) override {
     auto params = context.getParams();
     ProcessClock().Receive(params.getHlc());
-    std::vector<RelayedAnnouncement> announcements;
-    for (wire::Relayed::Reader row : params.getAnnouncements()) {
-      RelayedAnnouncement relayed;
-      relayed.announcement = ReadAnnouncement(row.getAnnouncement());
-      relayed.age = Duration(static_cast<int64_t>(std::min<uint64_t>(
-          row.getAgeMicros(), static_cast<uint64_t>(seconds(3600).count()) * 1'000'000)));
-      announcements.push_back(std::move(relayed));
+    AliveReply reply;
+    if (Has(PeerFeature::kAliveSets) && params.hasAlive()) {
+      reply = handler_->OnPeerAlive(session_->host, Duration(params.getSentAtMicros()),
+                                    ToStdString(params.getAlive()));
+    } else {
+      reply.unknown = ReadAnnouncements(params);
     }
-    std::vector<uint64_t> unknown =
-        handler_->OnPeerAnnounce(session_->host, Duration(params.getSentAtMicros()), announcements,
-                                 ReadRefreshes(ToStdString(params.getRefreshes())));
     auto results = context.getResults();
     results.setHlc(ProcessClock().Now());
-    auto keys = results.initUnknown(static_cast<uint32_t>(unknown.size()));
-    for (uint32_t i = 0; i < keys.size(); ++i) keys.set(i, unknown[i]);
+    results.setGap(reply.gap);
+    auto keys = results.initUnknown(static_cast<uint32_t>(reply.unknown.size()));
+    for (uint32_t i = 0; i < keys.size(); ++i) keys.set(i, reply.unknown[i]);
     return kj::READY_NOW;
   }
 
@@ -113,11 +110,17 @@
   kj::Promise<void> work(WorkContext context) override {
     auto params = context.getParams();
     ProcessClock().Receive(params.getHlc());
-    std::vector<ServerWork> work;
-    for (wire::ServerWork::Reader row : params.getRows()) work.push_back(ReadServerWork(row));
     std::optional<WorkListKind> kind = ReadWorkListKind(params.getKind());
-    if (kind) handler_->OnPeerWorkList(session_->host, *kind, std::move(work));
+    bool gap = false;
+    if (kind && Has(PeerFeature::kWorkRows) && params.hasChanges()) {
+      gap = !handler_->OnPeerWorkChanges(session_->host, *kind, ToStdString(params.getChanges()));
+    } else if (kind) {
+      std::vector<ServerWork> work;
+      for (wire::ServerWork::Reader row : params.getRows()) work.push_back(ReadServerWork(row));
+      handler_->OnPeerWorkList(session_->host, *kind, std::move(work));
+    }
     context.getResults().setHlc(ProcessClock().Now());
+    context.getResults().setGap(gap);
     return kj::READY_NOW;
   }
 
@@ -179,8 +182,27 @@
   }
 
  private:
+  // A host without a feature ignores its fields, as the releases before it do.
+  bool Has(PeerFeature feature) const { return (features_ & static_cast<uint32_t>(feature)) != 0; }
+
+  // Returns the keys of the refreshes that are not known.
+  std::vector<uint64_t> ReadAnnouncements(wire::Peer::AnnounceParams::Reader params) {
+    std::vector<RelayedAnnouncement> announcements;
+    for (wire::Relayed::Reader row : params.getAnnouncements()) {
+      RelayedAnnouncement relayed;
+      relayed.announcement = ReadAnnouncement(row.getAnnouncement());
+      relayed.age = Duration(static_cast<int64_t>(std::min<uint64_t>(
+          row.getAgeMicros(), static_cast<uint64_t>(seconds(3600).count()) * 1'000'000)));
+      announcements.push_back(std::move(relayed));
+    }
+    return handler_->OnPeerAnnounce(session_->host, Duration(params.getSentAtMicros()),
+                                    announcements,
+                                    ReadRefreshes(ToStdString(params.getRefreshes())));
+  }
+
   RpcHandler* handler_;
   std::shared_ptr<Session> session_;
+  uint32_t features_;
 };
 
 // The bootstrap interface of an incoming connection, on which the peer logs in.
@@ -224,7 +246,8 @@
     results.setHlc(ProcessClock().Now());
     results.setProof(
         ProofMac(options_->cluster_key, ToStdString(params.getNonce()), options_->self.value()));
-    results.setPeer(kj::heap<PeerServer>(handler_, session_));
+    results.setFeatures(options_->features);
+    results.setPeer(kj::heap<PeerServer>(handler_, session_, options_->features));
     return kj::READY_NOW;
   }
 
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -87,6 +87,7 @@
   kj::Own<capnp::RpcSystem<VatId>> system;
   kj::Maybe<wire::Peer::Client> client;       // set once logged in
   kj::Own<kj::PromiseFulfiller<void>> close;  // fulfilled to close the connection
+  uint32_t features = 0;                      // of the peer
   int pending_calls = 0;
   int consecutive_timeouts = 0;  // counted timeouts since the last response
 };
@@ -351,6 +352,7 @@
           ThrowCallFailed("wrong proof");
         }
         ProcessClock().Receive(r.getHlc());
+        connection->features = r.getFeatures();
         connection->client = r.getPeer();
       });
 }
@@ -461,6 +463,12 @@
   return it != impl_->peers.end() && it->second.connection != nullptr;
 }
 
+bool Rpc::Understands(const HostId& host, PeerFeature feature) const {
+  auto it = impl_->peers.find(host);
+  if (it == impl_->peers.end() || it->second.connection == nullptr) return false;
+  return (it->second.connection->features & static_cast<uint32_t>(feature)) != 0;
+}
+
 std::vector<HostId> Rpc::Connected() const {
   std::vector<HostId> hosts;
   for (const auto& [host, peer] : impl_->peers) {
@@ -561,6 +569,35 @@
       connection, kj::mv(request), kNotificationTimeout, true, [](auto&) { return true; }, nullptr);
 }
 
+void Rpc::WorkChanges(const HostId& to, WorkListKind kind, const std::string& changes,
+                      std::function<void(std::optional<bool>)> done) {
+  std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, changes.size());
+  if (connection == nullptr) return impl_->CompleteWithoutResult(std::move(done));
+  auto request = KJ_ASSERT_NONNULL(connection->client).workRequest();
+  request.setHlc(ProcessClock().Now());
+  WriteWorkChangesCall(kind, changes, request);
+  impl_->Call<bool>(
+      connection, kj::mv(request), kNotificationTimeout, true,
+      [](auto& response) { return !response.getGap(); }, std::move(done));
+}
+
+void Rpc::Alive(const HostId& to, const std::string& set,
+                std::function<void(std::optional<AliveReply>)> done) {
+  std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, set.size());
+  if (connection == nullptr) return impl_->CompleteWithoutResult(std::move(done));
+  auto request = KJ_ASSERT_NONNULL(connection->client).announceRequest();
+  request.setHlc(ProcessClock().Now());
+  WriteAliveCall(set, SteadyNow(), request);
+  auto parse_response = [](auto& response) {
+    AliveReply reply;
+    for (uint64_t key : response.getUnknown()) reply.unknown.push_back(key);
+    reply.gap = response.getGap();
+    return reply;
+  };
+  impl_->Call<AliveReply>(connection, kj::mv(request), kNotificationTimeout, true, parse_response,
+                          std::move(done));
+}
+
 void Rpc::RoomReports(const HostId& to, const std::vector<RoomReport>& reports) {
   std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, 0);
   if (connection == nullptr) return;
--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -57,6 +57,15 @@
 constexpr size_t kMaxPayloadBytes = kMaxMessageBytes - (1 << 16);
 constexpr size_t kMaxConnections = 1024;  // incoming
 
+// What a host understands beyond the first release, as bits of a number that it sends with the
+// answer to a login. Hosts without a feature are sent the earlier form.
+enum class PeerFeature : uint32_t {
+  kWorkRows = 1,   // lists of work as changes; see core/work_rows.h
+  kAliveSets = 2,  // see core/alive_sets.h
+};
+constexpr uint32_t kAllPeerFeatures =
+    static_cast<uint32_t>(PeerFeature::kWorkRows) | static_cast<uint32_t>(PeerFeature::kAliveSets);
+
 struct RpcPeer {
   HostId host;
   std::string address;
@@ -80,9 +89,10 @@
   Duration login_timeout = seconds(3);
   Duration min_backoff = milliseconds(100);
   Duration max_backoff = seconds(5);
-  size_t max_queued_bytes = 16 << 20;  // unsent, for each peer
-  int max_calls = 256;                 // pending, for each peer
-  int max_consecutive_timeouts = 3;    // until the connection is reopened
+  uint32_t features = kAllPeerFeatures;  // that this host tells its peers
+  size_t max_queued_bytes = 16 << 20;    // unsent, for each peer
+  int max_calls = 256;                   // pending, for each peer
+  int max_consecutive_timeouts = 3;      // until the connection is reopened
 };
 
 // An announcement of a backend server that a host passes on to its peers.
@@ -94,6 +104,12 @@
   bool refresh = false;
 };
 
+// The answer to an alive set.
+struct AliveReply {
+  std::vector<uint64_t> unknown;  // keys of servers that are not known or not live
+  bool gap = false;               // keys are missing, so the set was not read
+};
+
 struct TimelinePage {
   std::vector<Event> events;  // oldest first
   bool more = false;          // newer events exist beyond the limit
@@ -117,6 +133,8 @@
   virtual std::vector<uint64_t> OnPeerAnnounce(
       const HostId& from, Duration sent_at, const std::vector<RelayedAnnouncement>& announcements,
       const std::vector<ServerRefresh>& refreshes) = 0;
+  // An alive set (core/alive_sets.h) that was sent at `sent_at` by the sender's steady clock.
+  virtual AliveReply OnPeerAlive(const HostId& from, Duration sent_at, const std::string& set) = 0;
   // `message` is an opaque consensus message.
   virtual void OnPeerConsensus(const HostId& from, const std::string& message) = 0;
   // Returns the configuration changes after `revision`, or the part of a snapshot that starts at
@@ -132,6 +150,9 @@
   // `work` replaces the list of this kind received from this peer before.
   virtual void OnPeerWorkList(const HostId& from, WorkListKind kind,
                               std::vector<ServerWork> work) = 0;
+  // The same as changes of that list (core/work_rows.h). Returns false if they cannot be applied.
+  virtual bool OnPeerWorkChanges(const HostId& from, WorkListKind kind,
+                                 const std::string& changes) = 0;
   virtual void OnPeerRoomReports(const std::vector<RoomReport>& reports) = 0;
   virtual void OnPeerStreams(const std::vector<StreamRecord>& records) = 0;
   virtual std::optional<StreamOrigin> OnPeerFindStream(uint64_t stream) = 0;
@@ -175,6 +196,8 @@
   const FlowCounts& flows() const;
 
   bool IsConnected(const HostId& host) const;
+  // Whether the peer is connected and has the feature.
+  bool Understands(const HostId& host, PeerFeature feature) const;
   std::vector<HostId> Connected() const;
 
   // Probes `to` and exchanges membership rows. If `target` is not empty, `to` probes that host, and
@@ -200,6 +223,13 @@
   // Sends work on the backend servers that both hosts use. It replaces the list of this kind sent
   // before.
   void Work(const HostId& to, WorkListKind kind, const std::vector<ServerWork>& work);
+  // Sends changes of such a list. The result of `done` is false if the peer cannot apply them, and
+  // empty if it did not answer. Precondition: the peer understands PeerFeature::kWorkRows.
+  void WorkChanges(const HostId& to, WorkListKind kind, const std::string& changes,
+                   std::function<void(std::optional<bool>)> done);
+  // Sends an alive set. Precondition: the peer understands PeerFeature::kAliveSets.
+  void Alive(const HostId& to, const std::string& set,
+             std::function<void(std::optional<AliveReply>)> done);
   // Tells what answers of brittle servers showed.
   void RoomReports(const HostId& to, const std::vector<RoomReport>& reports);
   // Sends streams that began at this host.
--- a/src/core/registry.cc
+++ b/src/core/registry.cc
@@ -45,11 +45,13 @@
   registry->by_key[key] = announcement.id;
 }
 
-void UpdateEntry(RegistryEntry* entry, const Announcement& announcement, Duration max_ttl,
-                 Time sent, Time now) {
+void UpdateEntry(RegistryEntry* entry, const Announcement& announcement, bool same_key,
+                 Duration max_ttl, Time sent, Time now) {
   bool same_incarnation =
       entry->live && entry->server.announced.incarnation == announcement.incarnation;
   if (!same_incarnation) entry->server.first_seen = now;
+  // An alive set may have told of a later announcement than this one, which has a lower seq.
+  if (same_incarnation && same_key) sent = std::max(sent, entry->server.reported_at);
   entry->server.announced = announcement;
   entry->server.reported_at = sent;
   entry->server.expires_at = sent + std::clamp(announcement.ttl, Duration(0), max_ttl);
@@ -148,8 +150,10 @@
   }
   bool was_live = it->second.live;
   uint64_t old_incarnation = it->second.server.announced.incarnation;
+  uint64_t old_key = it->second.key;
   UpdateKey(registry, &it->second, announcement);
-  UpdateEntry(&it->second, announcement, registry->max_ttl, now - std::max(age, Duration(0)), now);
+  UpdateEntry(&it->second, announcement, it->second.key == old_key, registry->max_ttl,
+              now - std::max(age, Duration(0)), now);
   if (it->second.live) registry->last_accepted_at = std::max(registry->last_accepted_at, now);
   if (announcement.leaving)
     return was_live ? AnnounceResult::kLeaving : AnnounceResult::kLeavingNotLive;
@@ -159,6 +163,24 @@
                                                      : AnnounceResult::kNewIncarnation;
 }
 
+bool OnAlive(Registry* registry, uint64_t key, Duration age, Time now) {
+  auto id = registry->by_key.find(key);
+  if (id == registry->by_key.end()) return false;
+  auto entry = registry->entries.find(id->second);
+  if (entry == registry->entries.end() || entry->second.key != key || !entry->second.live) {
+    return false;
+  }
+  BackendServer& server = entry->second.server;
+  Time sent = now - std::max(age, Duration(0));
+  if (sent <= server.reported_at) return true;
+  server.reported_at = sent;
+  server.expires_at = sent + std::clamp(server.announced.ttl, Duration(0), registry->max_ttl);
+  if (now < server.expires_at) {
+    registry->last_accepted_at = std::max(registry->last_accepted_at, now);
+  }
+  return true;
+}
+
 std::vector<ServerId> Expire(Registry* registry, Time now) {
   if (registry->pause_expiry_when_isolated) now = std::min(now, registry->last_accepted_at);
   std::vector<ServerId> expired;
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -96,6 +96,10 @@
 // key. Does not change the registry.
 std::optional<Announcement> ExpandRefresh(const Registry& registry, const ServerRefresh& refresh);
 
+// Records that the live server with this key announced itself again, without any change, `age` ago.
+// Its seq stays as it is. Returns false if no live server has the key.
+bool OnAlive(Registry* registry, uint64_t key, Duration age, Time now);
+
 // Marks the servers whose ttl has passed as expired and returns them; see
 // `pause_expiry_when_isolated`. Erases entries that ended at least kEndedEntryRetention ago.
 std::vector<ServerId> Expire(Registry* registry, Time now);
--- a/src/daemon/announcement_relay.h
+++ b/src/daemon/announcement_relay.h
@@ -8,19 +8,26 @@
 // changes only the load of its server waits longer and is sent as a ServerRefresh. A host that
 // lacks the full announcement answers with its key and is then sent the full one.
 //
+// An announcement that changes nothing at all, because its server names no load, is sent to hosts
+// that understand alive sets (core/alive_sets.h) as a bit. If the host reports a gap or does not
+// answer, its next set has all keys; after a gap it is sent the refreshes at once.
+//
 // Not thread safe: all methods and callbacks run on the control thread. Memory: at most
-// kMaxRelayBatch announcements that wait to be sent.
+// kMaxRelayBatch announcements that wait to be sent, and what core/alive_sets.h states.
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
 #include "adapters/rpc.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "core/alive_sets.h"
 #include "core/membership.h"
 #include "core/registry.h"
 
@@ -50,9 +57,16 @@
     // Calls `fn` on the control thread after `delay`.
     std::function<void(Duration delay, std::function<void()> fn)> run_after;
     std::function<Time()> now = SteadyNow;
+    // Rpc::Understands() and Rpc::Alive(). Null: no host understands alive sets.
+    std::function<bool(const HostId& host)> understands_alive_sets;
+    std::function<void(const HostId& to, const std::string& set,
+                       std::function<void(std::optional<AliveReply>)> done)>
+        send_alive_set;
+    uint64_t incarnation =
+        0;  // of this process; the numbers of alive sets differ between processes
   };
 
-  explicit AnnouncementRelay(Options options) : options_(std::move(options)) {}
+  explicit AnnouncementRelay(Options options);
   AnnouncementRelay(const AnnouncementRelay&) = delete;
   AnnouncementRelay& operator=(const AnnouncementRelay&) = delete;
 
@@ -67,6 +81,9 @@
   // to wait for the next announcements.
   void SendAll(const HostId& host, Time now);
 
+  // A connection to the host was lost, so alive sets may have been lost.
+  void OnDisconnected(const HostId& host) { known_keys_.erase(host); }
+
   // Returns whether the host keeps track of the same backend servers as this one.
   bool SharesServersWith(const Identity& host) const;
 
@@ -77,14 +94,20 @@
     bool refresh = false;
   };
 
+  void ScheduleFlush(Duration delay);
   void Flush();
+  void SendAliveSet(const HostId& host, const std::vector<RelayedAnnouncement>& batch);
   void SendBatch(const HostId& host, const std::vector<RelayedAnnouncement>& batch);
   void SendUnknown(const HostId& host, const std::vector<uint64_t>& keys);
   void SendFull(const HostId& host, const std::vector<const BackendServer*>& servers, Time now);
 
   Options options_;
   std::vector<PendingRelay> pending_;
-  Duration flush_delay_{0};  // delay of the scheduled flush, while `pending_` is not empty
+  Duration flush_delay_{0};   // delay of the scheduled flush, while `pending_` is not empty
+  uint64_t flush_count_ = 0;  // a timer that was set before the last flush does nothing
+  AliveNumbering numbering_;
+  // How many keys of the numbering each host was sent, and of which generation.
+  std::map<HostId, std::pair<uint64_t, size_t>> known_keys_;
 };
 
 }  // namespace ebonylift
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "adapters/peer_flows.h"
+#include "adapters/rpc.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "core/membership.h"
@@ -83,7 +84,8 @@
   // True: ShareWork() is called, because the backend servers do not report their load.
   bool share_work = false;
   std::string cluster_key;
-  std::string data_folder;  // empty: no disk
+  uint32_t peer_features = kAllPeerFeatures;  // PeerFeature; fewer in tests of mixed releases
+  std::string data_folder;                    // empty: no disk
   MembershipParams membership;
 
   // Called on the control thread for each suspect that another host reports.
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -1,6 +1,7 @@
 #include "daemon/control_loop.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -91,6 +92,14 @@
                       std::function<void(AnnouncementRelay::UnknownKeys)> done) {
     rpc_.Announce(to, batch, std::move(done));
   };
+  relay.understands_alive_sets = [this](const HostId& host) {
+    return rpc_.Understands(host, PeerFeature::kAliveSets);
+  };
+  relay.send_alive_set = [this](const HostId& to, const std::string& set,
+                                std::function<void(std::optional<AliveReply>)> done) {
+    rpc_.Alive(to, set, std::move(done));
+  };
+  relay.incarnation = options_->incarnation;
   relay.run_after = [this](Duration delay, std::function<void()> fn) {
     RunAfter(delay, std::move(fn));
   };
@@ -342,10 +351,23 @@
   for (const SuspectReport& report : reports) options_->on_suspect_report(report);
 }
 
+void ControlLoop::OnPeerLogin(const HostId& host, uint64_t incarnation) {
+  servers_.OnLogin(host, incarnation);
+  // The host sends complete lists first.
+  for (auto it = work_decoders_.begin(); it != work_decoders_.end();) {
+    it = it->first.first == host ? work_decoders_.erase(it) : std::next(it);
+  }
+}
+
 void ControlLoop::OnPeerConnection(const HostId& host, bool connected) {
   Time now = SteadyNow();
   OnConnection(gossip_.mutable_membership(), host, connected, now);
   gossip_.HandleChanges();
+  if (!connected) relay_.OnDisconnected(host);
+  // Messages of the last connection may have been lost.
+  for (auto& [key, encoder] : work_encoders_) {
+    if (key.first == host) ResetEncoder(&encoder);
+  }
   if (!connected) return;
   gossip_.Push(host);
   auto it = gossip_.membership().hosts.find(host);
@@ -373,7 +395,7 @@
   Time now = SteadyNow();
   SetOwnWork(&work_exchange_, std::move(work));
   for (const WorkMessage& message : TakeWorkMessages(&work_exchange_, now)) {
-    rpc_.Work(message.to, message.kind, message.work);
+    SendWork(message, now);
   }
   if (work_exchange_.collector == previous) return;
   LogEvent(EventId::kWorkCollectorChanged,
@@ -388,6 +410,26 @@
   SchedulePublish(kPublishInterval);
 }
 
+void ControlLoop::SendWork(const WorkMessage& message, Time now) {
+  if (!rpc_.Understands(message.to, PeerFeature::kWorkRows)) {
+    return rpc_.Work(message.to, message.kind, message.work);
+  }
+  std::pair<HostId, WorkListKind> key(message.to, message.kind);
+  rpc_.WorkChanges(message.to, message.kind, EncodeWork(&work_encoders_[key], message.work, now),
+                   [this, key](std::optional<bool> applied) {
+                     if (!applied.value_or(false)) ResetEncoder(&work_encoders_[key]);
+                   });
+}
+
+bool ControlLoop::OnPeerWorkChanges(const HostId& from, WorkListKind kind,
+                                    const std::string& changes) {
+  std::optional<std::vector<ServerWork>> work =
+      DecodeWork(&work_decoders_[{from, kind}], changes, SteadyNow());
+  if (!work) return false;
+  OnPeerWorkList(from, kind, std::move(*work));
+  return true;
+}
+
 // Sent without delay, as each request that another host sends meanwhile may be turned away, too.
 void ControlLoop::BroadcastRoom(const RoomReport& report) {
   auto shares_servers = [this](const Identity& host) { return relay_.SharesServersWith(host); };
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -22,6 +22,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "adapters/rpc.h"
@@ -30,6 +31,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "core/work_exchange.h"
+#include "core/work_rows.h"
 #include "daemon/announcement_relay.h"
 #include "daemon/config_lag.h"
 #include "daemon/config_proposer.h"
@@ -109,6 +111,9 @@
                                        const std::vector<ServerRefresh>& refreshes) override {
     return servers_.RegisterRelayed(from, sent_at, announcements, refreshes);
   }
+  AliveReply OnPeerAlive(const HostId& from, Duration sent_at, const std::string& set) override {
+    return servers_.RegisterAlive(from, sent_at, set);
+  }
   void OnPeerConsensus(const HostId& from, const std::string& message) override {
     replica_.OnMessage(from, message);
   }
@@ -124,6 +129,8 @@
     return ReadTimelinePage(since, request_id, limit);
   }
   void OnPeerWorkList(const HostId& from, WorkListKind kind, std::vector<ServerWork> work) override;
+  bool OnPeerWorkChanges(const HostId& from, WorkListKind kind,
+                         const std::string& changes) override;
   std::set<std::string> OnPeerFindVersions(const std::string& served) override {
     return options_->find_versions ? options_->find_versions(served) : std::set<std::string>();
   }
@@ -137,9 +144,7 @@
   std::optional<StreamOrigin> OnPeerFindStream(uint64_t stream) override {
     return options_->find_stream ? options_->find_stream(stream) : std::nullopt;
   }
-  void OnPeerLogin(const HostId& host, uint64_t incarnation) override {
-    servers_.OnLogin(host, incarnation);
-  }
+  void OnPeerLogin(const HostId& host, uint64_t incarnation) override;
   void OnPeerConnection(const HostId& host, bool connected) override;
 
   void taskFailed(kj::Exception&& e) override {
@@ -158,6 +163,7 @@
   void OnTick(Time now);
   void ReportDomainSummaries(Time now);
   void SendSuspects();
+  void SendWork(const WorkMessage& message, Time now);
   void OnRevisionChanged();
   void UpdateConfigLag(Time now);
   void ReportStats(Time now);
@@ -175,6 +181,9 @@
   MembershipGossip gossip_;
   AnnouncementRelay relay_;
   WorkExchange work_exchange_;
+  // By the other host and the kind of list. An encoder is reset when a message may have been lost.
+  std::map<std::pair<HostId, WorkListKind>, WorkEncoder> work_encoders_;
+  std::map<std::pair<HostId, WorkListKind>, WorkDecoder> work_decoders_;
   ConfigProposer config_proposer_;
   ConfigPuller config_puller_;
   VoterMaintenance voter_maintenance_;
--- a/src/daemon/control_options.cc
+++ b/src/daemon/control_options.cc
@@ -50,6 +50,7 @@
   rpc.listen_address = options.peer_address;
   rpc.cluster_key = options.cluster_key;
   rpc.open = options.find_hosts;
+  rpc.features = options.peer_features;
   if (options.find_hosts) {
     rpc.max_backoff = kDiscoveryMaxBackoff;
     rpc.quick_connect_timeout = kDiscoveryConnectTimeout;
--- a/src/daemon/server_registration.cc
+++ b/src/daemon/server_registration.cc
@@ -93,6 +93,23 @@
   return unknown;
 }
 
+AliveReply ServerRegistration::RegisterAlive(const HostId& from, Duration sent_at,
+                                             const std::string& bytes) {
+  AliveReply reply;
+  std::optional<AliveSet> set = ReadAliveSet(&alive_keys_[from], bytes);
+  if (!set) {
+    reply.gap = true;
+    return reply;
+  }
+  Time now = SteadyNow();
+  Duration age = set->age + QueueingDelay(&transit_delay_meters_[from], sent_at, now);
+  for (uint64_t key : set->keys) {
+    if (!OnAlive(&registry_, key, age, now)) reply.unknown.push_back(key);
+  }
+  schedule_publish_(kLoadPublishInterval);
+  return reply;
+}
+
 void ServerRegistration::OnLogin(const HostId& host, uint64_t incarnation) {
   TransitDelayMeter& meter = transit_delay_meters_[host];
   if (meter.incarnation == incarnation) return;
--- a/src/daemon/server_registration.h
+++ b/src/daemon/server_registration.h
@@ -12,12 +12,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <utility>
 #include <vector>
 
 #include "adapters/rpc.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "core/alive_sets.h"
 #include "core/registry.h"
 #include "daemon/server_snapshot.h"
 #include "ports/journal.h"
@@ -60,6 +62,9 @@
                                         const std::vector<RelayedAnnouncement>& announcements,
                                         const std::vector<ServerRefresh>& refreshes);
 
+  // Registers an alive set of `from`; see RpcHandler::OnPeerAlive().
+  AliveReply RegisterAlive(const HostId& from, Duration sent_at, const std::string& set);
+
   // Records that a host logged in, which relays announcements from then on.
   void OnLogin(const HostId& host, uint64_t incarnation);
 
@@ -74,6 +79,7 @@
   ServerSnapshot snapshot_;
   SchedulePublish schedule_publish_;
   std::map<HostId, TransitDelayMeter> transit_delay_meters_;
+  std::map<HostId, AliveKeys> alive_keys_;
 };
 
 }  // namespace ebonylift
--- a/tests/announcement_relay_test.cc
+++ b/tests/announcement_relay_test.cc
@@ -2,6 +2,7 @@
 #include "daemon/announcement_relay.h"
 
 #include <boost/test/included/unit_test.hpp>
+#include <memory>
 #include <string>
 
 #include "daemon/server_registration.h"
@@ -86,6 +87,95 @@
   BOOST_TEST(sent.size() == 1);
 }
 
+// Guards against a left over timer that sends later announcements early: each such timer would make
+// another one, and batches would become ever smaller.
+BOOST_FIXTURE_TEST_CASE(TimerOfAnEarlierFlushDoesNotSend, Fixture) {
+  relay.Add(MakeAnnouncement("s1"), SteadyNow(), true);
+  relay.Add(MakeAnnouncement("s2"), SteadyNow(), false);
+  timers[1].fn();
+  relay.Add(MakeAnnouncement("s3"), SteadyNow(), true);
+  timers[0].fn();
+  BOOST_TEST(sent.size() == 1);
+  BOOST_REQUIRE_EQUAL(timers.size(), 3);
+  timers[2].fn();
+  BOOST_TEST(sent.size() == 2);
+}
+
+// A relay whose peers understand alive sets.
+struct AliveFixture : Fixture {
+  struct Set {
+    std::string bytes;
+    std::function<void(std::optional<AliveReply>)> done;
+  };
+  std::vector<Set> sets;
+  std::unique_ptr<AnnouncementRelay> alive_relay;
+  AliveKeys receiver;
+
+  AliveFixture() {
+    AnnouncementRelay::Options options = MakeOptions();
+    options.incarnation = 5;
+    options.understands_alive_sets = [](const HostId&) { return true; };
+    options.send_alive_set = [this](const HostId&, const std::string& bytes,
+                                    std::function<void(std::optional<AliveReply>)> done) {
+      sets.push_back({bytes, std::move(done)});
+    };
+    alive_relay = std::make_unique<AnnouncementRelay>(std::move(options));
+  }
+
+  static Announcement Unloaded(const std::string& id, uint64_t seq = 1) {
+    Announcement announcement = MakeAnnouncement(id, seq);
+    announcement.capabilities = {kNoLoadReports};
+    return announcement;
+  }
+
+  // Relays refreshes and returns the set that is sent.
+  std::string Relay(const std::vector<std::string>& ids) {
+    for (const std::string& id : ids) alive_relay->Add(Unloaded(id), SteadyNow(), true);
+    timers.back().fn();
+    return sets.empty() ? "" : sets.back().bytes;
+  }
+};
+
+// Guards against a load report, a new server or a change that is reduced to a bit.
+BOOST_FIXTURE_TEST_CASE(OnlyAnnouncementsThatSayNothingNewBecomeBits, AliveFixture) {
+  alive_relay->Add(MakeAnnouncement("loaded"), SteadyNow(), true);
+  alive_relay->Add(Unloaded("changed"), SteadyNow(), false);
+  alive_relay->Add(Unloaded("same"), SteadyNow() - milliseconds(300), true);
+  timers.back().fn();
+  BOOST_REQUIRE_EQUAL(sent.size(), 1);
+  BOOST_TEST(sent[0].batch.size() == 2);
+  BOOST_REQUIRE_EQUAL(sets.size(), 1);
+  auto set = ReadAliveSet(&receiver, sets[0].bytes);
+  BOOST_REQUIRE(set.has_value());
+  BOOST_TEST(set->keys == std::vector<uint64_t>{AnnouncementKey(Unloaded("same"))});
+  BOOST_TEST((set->age >= milliseconds(300)));
+}
+
+// Guards against servers that expire at a host that missed a message: after a gap it gets the
+// refreshes at once, and the next set has all keys. Servers that it does not know are sent in full.
+BOOST_FIXTURE_TEST_CASE(LostSetIsRepaired, AliveFixture) {
+  Register(Unloaded("s1"));
+  Relay({"s1"});  // lost
+  std::string second = Relay({"s1", "s2"});
+  BOOST_TEST(!ReadAliveSet(&receiver, second).has_value());
+  sets.back().done(AliveReply{{}, true});
+  BOOST_REQUIRE_EQUAL(sent.size(), 1);
+  BOOST_TEST(sent[0].batch.size() == 2);
+  BOOST_TEST(sent[0].batch[0].refresh);
+  BOOST_TEST(ReadAliveSet(&receiver, Relay({"s2"})).has_value());
+  sets.back().done(AliveReply{{AnnouncementKey(Unloaded("s1"))}, false});
+  BOOST_REQUIRE_EQUAL(sent.size(), 2);
+  BOOST_TEST(!sent[1].batch[0].refresh);
+  // Not answered, or the connection was lost: the host may have nothing.
+  Relay({"s1"});
+  sets.back().done(std::nullopt);
+  receiver = AliveKeys();
+  BOOST_TEST(ReadAliveSet(&receiver, Relay({"s2"})).has_value());
+  alive_relay->OnDisconnected(HostId("h2"));
+  receiver = AliveKeys();
+  BOOST_TEST(ReadAliveSet(&receiver, Relay({"s2"})).has_value());
+}
+
 // Guards against a timer for every announcement.
 BOOST_FIXTURE_TEST_CASE(LoadReportJoinsTheScheduledMessage, Fixture) {
   relay.Add(MakeAnnouncement("s1"), SteadyNow(), false);
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -133,6 +133,7 @@
   uint64_t incarnation = 1;
   std::string data_folder;
   bool voter = false;
+  uint32_t peer_features = kAllPeerFeatures;
   std::set<std::string> strangers;      // hosts to which it does not connect
   Duration period = milliseconds(500);  // between probes
   std::function<void(const SuspectReport&)> on_suspect_report;
@@ -166,6 +167,7 @@
     options.known_suspects = host.known_suspects;
     options.data_folder = host.data_folder;
     options.membership.period = host.period;
+    options.peer_features = host.peer_features;
     for (const TestHost& peer : hosts_) {
       if (peer.voter) options.voters.emplace_back(peer.id);
       bool connects = peer.id != host.id && host.strangers.count(peer.id) == 0;
@@ -352,6 +354,50 @@
   BOOST_TEST(StatusText(cluster.port(0)).find("\"server\":\"s1\"") != std::string::npos);
 }
 
+// Guards against hosts of the previous release that are sent what they do not understand, and
+// against a host that restarted and is sent changes of lists that it does not have.
+BOOST_AUTO_TEST_CASE(HostsOfBothReleasesLearnOfWorkAndLiveServers) {
+  Cluster cluster({MakeHost("a"), MakeHost("b"), MakeHost("c")});
+  cluster.Stop(1);
+  cluster.host(1).peer_features = 0;
+  cluster.Start(1);
+  BOOST_TEST_REQUIRE(WaitFor([&]() {
+    return SeesAlive(cluster.port(0), "b") && SeesAlive(cluster.port(0), "c") &&
+           SeesAlive(cluster.port(1), "a") && SeesAlive(cluster.port(2), "a");
+  }));
+  Announcement announcement = MakeAnnouncement("s1", 1, 1);
+  announcement.capabilities = {kNoLoadReports};
+  uint64_t seq = 0;
+  int in_flight = 0;
+  // Announces the server again and changes its work, until a view of `host` has the work.
+  auto learns_of_work = [&](size_t host) {
+    return WaitFor([&]() {
+      announcement.seq = ++seq;
+      AnnounceTo(cluster.port(0), announcement);
+      in_flight = in_flight % 1'000 + 1;
+      cluster.port(0)->ShareWork({{announcement.id, in_flight, 0, std::nullopt}});
+      std::this_thread::sleep_for(milliseconds(100));
+      for (const BackendServer& server : cluster.port(host)->View()->servers) {
+        if (server.other_hosts_requests > in_flight / 2) return true;
+      }
+      return false;
+    });
+  };
+  // Longer than the time to live, of which the full announcement alone would not remind.
+  for (int i = 0; i < 30; ++i) {
+    BOOST_TEST_REQUIRE(learns_of_work(1));
+    BOOST_TEST_REQUIRE(learns_of_work(2));
+  }
+  BOOST_TEST(HasServer(cluster.port(1), "s1"));
+  BOOST_TEST(HasServer(cluster.port(2), "s1"));
+  cluster.Stop(2);
+  cluster.host(2).incarnation = 2;
+  cluster.Start(2);
+  BOOST_TEST(learns_of_work(2));
+  BOOST_TEST(WaitFor(
+      [&]() { return !HasServer(cluster.port(1), "s1") && !HasServer(cluster.port(2), "s1"); }));
+}
+
 // Guards against a load report that other hosts do not apply, and against a changed announcement
 // that is relayed as if only its load had changed.
 BOOST_AUTO_TEST_CASE(LoadAndChangesReachTheOtherHost) {
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -278,4 +278,27 @@
   BOOST_TEST(expired[0].value() == "a");
 }
 
+// Guards against a server that expires although its host was told that it lives, against one that
+// comes back after it left, and against a late announcement that shortens its life.
+BOOST_AUTO_TEST_CASE(AliveServerLivesOn) {
+  Registry registry = EmptyRegistry();
+  registry.max_ttl = milliseconds(2000);
+  Announcement announcement = MakeAnnouncement("s1", 1, 1);
+  OnAnnouncement(&registry, announcement, Duration(0), At(0));
+  uint64_t key = AnnouncementKey(announcement);
+  BOOST_TEST(OnAlive(&registry, key, milliseconds(500), At(1900)));
+  BOOST_TEST(Expire(&registry, At(3300)).empty());
+  announcement.seq = 2;
+  OnAnnouncement(&registry, announcement, milliseconds(1800), At(1950));
+  BOOST_TEST(Expire(&registry, At(3300)).empty());
+  BOOST_TEST(OnAlive(&registry, key, milliseconds(3000), At(3350)));  // older than what is known
+  BOOST_TEST(Expire(&registry, At(3400)).size() == 1u);
+  BOOST_TEST(!OnAlive(&registry, key, Duration(0), At(3500)));
+  OnAnnouncement(&registry, MakeAnnouncement("s1", 1, 3), Duration(0), At(3600));
+  BOOST_TEST(OnAlive(&registry, key, Duration(0), At(3700)));
+  OnLeave(&registry, announcement.id, 1, At(3800));
+  BOOST_TEST(!OnAlive(&registry, key, Duration(0), At(3900)));
+  BOOST_TEST(LiveServers(registry, At(3900)).empty());
+}
+
 }  // namespace ebonylift
