--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "adapters/http_client.h"
+#include "adapters/peer_flows.h"
 #include "base/error.h"
 #include "base/event.h"
 #include "base/time.h"
@@ -117,6 +118,8 @@
   // Sets the message bytes exchanged with other daemons since the process started, without TCP and
   // IP headers, and those of the sent bytes that are not yet written out.
   void SetPeerBytes(uint64_t sent, uint64_t received, uint64_t unsent);
+  // Sets the messages exchanged with other daemons since the process started, by flow.
+  void SetPeerFlows(const FlowCounts& flows);
   void SetDescriptorConflicts(uint64_t conflicts);
   // Sets the limits of workspaces. The series of workspaces that are not among `states` are
   // removed.
--- a/src/adapters/rpc.cc
+++ b/src/adapters/rpc.cc
@@ -87,6 +87,7 @@
   kj::Own<capnp::RpcSystem<VatId>> system;
   kj::Maybe<wire::Peer::Client> client;       // set once logged in
   kj::Own<kj::PromiseFulfiller<void>> close;  // fulfilled to close the connection
+  uint32_t features = 0;                      // of the peer
   int pending_calls = 0;
   int consecutive_timeouts = 0;  // counted timeouts since the last response
 };
@@ -351,6 +352,7 @@
           ThrowCallFailed("wrong proof");
         }
         ProcessClock().Receive(r.getHlc());
+        connection->features = r.getFeatures();
         connection->client = r.getPeer();
       });
 }
@@ -452,6 +454,8 @@
 
 uint64_t Rpc::received_bytes() const { return impl_->byte_counts.received; }
 
+const FlowCounts& Rpc::flows() const { return impl_->byte_counts.flows; }
+
 uint32_t Rpc::port() const { return impl_->port; }
 
 bool Rpc::IsConnected(const HostId& host) const {
@@ -459,6 +463,12 @@
   return it != impl_->peers.end() && it->second.connection != nullptr;
 }
 
+bool Rpc::Understands(const HostId& host, PeerFeature feature) const {
+  auto it = impl_->peers.find(host);
+  if (it == impl_->peers.end() || it->second.connection == nullptr) return false;
+  return (it->second.connection->features & static_cast<uint32_t>(feature)) != 0;
+}
+
 std::vector<HostId> Rpc::Connected() const {
   std::vector<HostId> hosts;
   for (const auto& [host, peer] : impl_->peers) {
@@ -489,29 +499,9 @@
                    std::function<void(std::optional<std::vector<uint64_t>>)> done) {
   std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, 0);
   if (connection == nullptr) return;
-  std::vector<const RelayedAnnouncement*> full;
-  std::vector<ServerRefresh> refreshes;
-  for (const RelayedAnnouncement& relayed : announcements) {
-    if (!relayed.refresh) {
-      full.push_back(&relayed);
-      continue;
-    }
-    ServerRefresh refresh;
-    refresh.key = AnnouncementKey(relayed.announcement);
-    refresh.seq = relayed.announcement.seq;
-    refresh.load = relayed.announcement.load;
-    refresh.age = relayed.age;
-    refreshes.push_back(refresh);
-  }
   auto request = KJ_ASSERT_NONNULL(connection->client).announceRequest();
   request.setHlc(ProcessClock().Now());
-  request.setSentAtMicros(SteadyNow().time_since_epoch().count());
-  auto rows = request.initAnnouncements(static_cast<uint32_t>(full.size()));
-  for (uint32_t i = 0; i < rows.size(); ++i) {
-    WriteAnnouncement(full[i]->announcement, rows[i].initAnnouncement());
-    rows[i].setAgeMicros(static_cast<uint64_t>(std::max<int64_t>(0, full[i]->age.count())));
-  }
-  request.setRefreshes(ToData(WriteRefreshes(refreshes)));
+  WriteAnnounceCall(announcements, SteadyNow(), request);
   auto parse_response = [](auto& response) {
     std::vector<uint64_t> unknown;
     for (uint64_t key : response.getUnknown()) unknown.push_back(key);
@@ -574,13 +564,40 @@
   if (connection == nullptr) return;
   auto request = KJ_ASSERT_NONNULL(connection->client).workRequest();
   request.setHlc(ProcessClock().Now());
-  request.setKind(WriteWorkListKind(kind));
-  auto rows = request.initRows(static_cast<uint32_t>(work.size()));
-  for (uint32_t i = 0; i < rows.size(); ++i) WriteServerWork(work[i], rows[i]);
+  WriteWorkCall(kind, work, request);
   impl_->Call<bool>(
       connection, kj::mv(request), kNotificationTimeout, true, [](auto&) { return true; }, nullptr);
 }
 
+void Rpc::WorkChanges(const HostId& to, WorkListKind kind, const std::string& changes,
+                      std::function<void(std::optional<bool>)> done) {
+  std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, changes.size());
+  if (connection == nullptr) return impl_->CompleteWithoutResult(std::move(done));
+  auto request = KJ_ASSERT_NONNULL(connection->client).workRequest();
+  request.setHlc(ProcessClock().Now());
+  WriteWorkChangesCall(kind, changes, request);
+  impl_->Call<bool>(
+      connection, kj::mv(request), kNotificationTimeout, true,
+      [](auto& response) { return !response.getGap(); }, std::move(done));
+}
+
+void Rpc::Alive(const HostId& to, const std::string& set,
+                std::function<void(std::optional<AliveReply>)> done) {
+  std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, set.size());
+  if (connection == nullptr) return impl_->CompleteWithoutResult(std::move(done));
+  auto request = KJ_ASSERT_NONNULL(connection->client).announceRequest();
+  request.setHlc(ProcessClock().Now());
+  WriteAliveCall(set, SteadyNow(), request);
+  auto parse_response = [](auto& response) {
+    AliveReply reply;
+    for (uint64_t key : response.getUnknown()) reply.unknown.push_back(key);
+    reply.gap = response.getGap();
+    return reply;
+  };
+  impl_->Call<AliveReply>(connection, kj::mv(request), kNotificationTimeout, true, parse_response,
+                          std::move(done));
+}
+
 void Rpc::RoomReports(const HostId& to, const std::vector<RoomReport>& reports) {
   std::shared_ptr<OutgoingConnection> connection = impl_->UsableConnection(to, 0);
   if (connection == nullptr) return;
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -23,6 +23,8 @@
 #include <string>
 #include <vector>
 
+#include "adapters/peer_flows.h"
+#include "adapters/rpc.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "core/limit_shares.h"
@@ -53,6 +55,7 @@
   uint64_t sent_bytes = 0;
   uint64_t received_bytes = 0;
   uint64_t unsent_bytes = 0;
+  FlowCounts flows;  // the sent and received messages by flow
   // For how long this host has known of a configuration revision that is not in force on it.
   Duration config_behind{0};
   // The largest delay of a periodic task of the control thread since the last report.
@@ -83,7 +86,8 @@
   bool share_work = false;
   Duration revoke_keys_after{0};  // see Settings
   std::string cluster_key;
-  std::string data_folder;  // empty: no disk
+  uint32_t peer_features = kAllPeerFeatures;  // PeerFeature; fewer in tests of mixed releases
+  std::string data_folder;                    // empty: no disk
   MembershipParams membership;
 
   // Called on the control thread for each suspect that another host reports.
