--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -149,9 +149,6 @@
     return options_->find_stream ? options_->find_stream(stream) : std::nullopt;
   }
   LimitSharesReply OnPeerLimitShares(const HostId& from, const std::string& ask) override;
-  void OnPeerLogin(const HostId& host, uint64_t incarnation) override {
-    servers_.OnLogin(host, incarnation);
-  }
   void OnPeerLogin(const HostId& host, uint64_t incarnation) override;
   void OnPeerConnection(const HostId& host, bool connected) override;
 
