Several collectors share a large failure domain

A collector sends the work of the whole region to each host of its failure domain, so its cost grew with the square of the hosts, and it was always the control host.

A failure domain has one collector for eight other hosts, the best-ranked ones first, so the control host is one of them. Hosts spread over them by hash; those of a lost one move only. All of them exchange their sums, as collectors that disagreed did before, so work is known after the same three intervals. A host of the previous release collects only if it is the best, because it does not send its sums to all others; the answer to a login tells (PeerFeature::kSharedCollectors).

--- a/src/adapters/rpc.h
+++ b/src/adapters/rpc.h
@@ -60,11 +60,13 @@
 // What a host understands beyond the first release, as bits of a number that it sends with the
 // answer to a login. Hosts without a feature are sent the earlier form.
 enum class PeerFeature : uint32_t {
-  kWorkRows = 1,   // lists of work as changes; see core/work_rows.h
-  kAliveSets = 2,  // see core/alive_sets.h
+  kWorkRows = 1,          // lists of work as changes; see core/work_rows.h
+  kAliveSets = 2,         // see core/alive_sets.h
+  kSharedCollectors = 4,  // a failure domain may have several collectors; see core/work_exchange.h
 };
-constexpr uint32_t kAllPeerFeatures =
-    static_cast<uint32_t>(PeerFeature::kWorkRows) | static_cast<uint32_t>(PeerFeature::kAliveSets);
+constexpr uint32_t kAllPeerFeatures = static_cast<uint32_t>(PeerFeature::kWorkRows) |
+                                      static_cast<uint32_t>(PeerFeature::kAliveSets) |
+                                      static_cast<uint32_t>(PeerFeature::kSharedCollectors);
 
 struct RpcPeer {
   HostId host;
--- a/src/core/work_exchange.cc
+++ b/src/core/work_exchange.cc
@@ -23,6 +23,11 @@
   return {TakesCallers(host), Hash64(host.id.value()), host.id};
 }
 
+// How many hosts of a failure domain with `hosts` hosts collect.
+size_t CollectorCount(size_t hosts) {
+  return std::max<size_t>(1, (hosts + kMaxCollectorMembers - 2) / kMaxCollectorMembers);
+}
+
 // Ignores limits, whose age always differs; they are sent with the next refresh.
 bool SameWork(const std::vector<ServerWork>& a, const std::vector<ServerWork>& b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(),
@@ -201,26 +206,39 @@
 }  // namespace
 
 WorkRoster MakeWorkRoster(const std::vector<HostEntry>& hosts, const Identity& self,
-                          ServerScope scope) {
+                          ServerScope scope, const std::function<bool(const HostId&)>& shares) {
   WorkRoster roster;
-  std::vector<CollectorRank> own;
-  std::map<DomainId, CollectorRank> others;
+  std::map<DomainId, std::vector<CollectorRank>> domains;
   for (const HostEntry& host : hosts) {
     if (!InScope(self, scope, host.domain, host.region)) continue;
     if (host.id != self.host && host.status != HostStatus::kFailed) roster.peers.push_back(host.id);
-    if (!MayCollect(host)) continue;
-    CollectorRank rank = RankCollector(host);
-    if (host.domain == self.domain) {
-      own.push_back(rank);
-      continue;
-    }
-    auto [best, added] = others.try_emplace(host.domain, rank);
-    if (!added && rank < best->second) best->second = rank;
+    if (MayCollect(host)) domains[host.domain].push_back(RankCollector(host));
   }
-  std::sort(own.begin(), own.end());
-  for (const CollectorRank& rank : own) roster.collectors.push_back(std::get<HostId>(rank));
-  for (const auto& [domain, rank] : others) {
-    roster.other_collectors.push_back(std::get<HostId>(rank));
+  for (auto& [domain, ranks] : domains) {
+    std::sort(ranks.begin(), ranks.end());
+    auto end =
+        std::stable_partition(ranks.begin() + 1, ranks.end(), [&](const CollectorRank& rank) {
+          const HostId& host = std::get<HostId>(rank);
+          return !shares || host == self.host || shares(host);
+        });
+    auto sharing = static_cast<size_t>(end - ranks.begin());
+    size_t count = std::min(CollectorCount(ranks.size()), sharing);
+    bool is_own = domain == self.domain;
+    for (size_t i = 0; i < ranks.size(); ++i) {
+      const HostId& host = std::get<HostId>(ranks[i]);
+      if (is_own) roster.collectors.push_back(host);
+      bool exchanges = i < count && (!is_own || count > 1);
+      if (exchanges && host != self.host) roster.other_collectors.push_back(host);
+    }
+    if (!is_own) continue;
+    // A collector collects for itself. The others spread over the collectors, and only those of one
+    // that is lost choose another one.
+    auto preference = [&self](const HostId& collector) {
+      return collector == self.host ? 0 : Hash64(collector.value(), Hash64(self.host.value())) | 1;
+    };
+    auto chosen = roster.collectors.begin() + static_cast<std::ptrdiff_t>(count);
+    std::sort(roster.collectors.begin(), chosen,
+              [&](const HostId& a, const HostId& b) { return preference(a) < preference(b); });
   }
   return roster;
 }
--- a/src/core/work_exchange.h
+++ b/src/core/work_exchange.h
@@ -12,14 +12,15 @@
 // new work after two or three times kWorkInterval.
 //
 // Hosts rank the collectors of a failure domain alike: first those that take no requests of
-// callers, because they have time. A host that hears nothing from its collector for
-// kCollectorTimeout uses the next one for kCollectorRetryInterval. A host collects for whoever
-// sends it a list, so hosts need not agree: several collectors of one failure domain exchange their
-// sums, too.
+// callers, because they have time. In a large failure domain the first ones share its hosts. A host
+// that hears nothing from its collector for kCollectorTimeout uses the next one for
+// kCollectorRetryInterval. A host collects for whoever sends it a list, so hosts need not agree:
+// several collectors of one failure domain exchange their sums, too.
 //
 // Not thread safe. Memory: that of PeerWork, and a time for each host.
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -33,6 +34,9 @@
 
 // With more hosts that share servers, direct lists would be older than those of a collector.
 constexpr size_t kMaxDirectWorkPeers = 8;
+// A collector sends the work of the whole region to each of its members, so its cost would grow
+// with the square of the hosts. A failure domain has one collector for this many other hosts.
+constexpr size_t kMaxCollectorMembers = 8;
 constexpr Duration kWorkInterval = milliseconds(100);
 // An unchanged list or sum is sent again after this time, before it expires; see kPeerWorkTtl.
 constexpr Duration kWorkRefreshInterval = milliseconds(400);
@@ -49,12 +53,16 @@
 struct WorkRoster {
   std::vector<HostId> peers;       // that send work to the same servers; without this host
   std::vector<HostId> collectors;  // of the own failure domain, best first; may include this host
-  std::vector<HostId> other_collectors;  // the best of each other failure domain
+  // Those that the hosts of each other failure domain use, and of the own one, if it has several.
+  std::vector<HostId> other_collectors;
 };
 
-// Returns the roster of `self`, which sends work to the servers in `scope`.
+// Returns the roster of `self`, which sends work to the servers in `scope`. `shares` tells which
+// other hosts know that a failure domain may have several collectors; null: all. Others are
+// collectors only if they are the best, because they do not exchange sums with all collectors.
 WorkRoster MakeWorkRoster(const std::vector<HostEntry>& hosts, const Identity& self,
-                          ServerScope scope);
+                          ServerScope scope,
+                          const std::function<bool(const HostId&)>& shares = nullptr);
 
 struct WorkExchange {
   HostId self;
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -226,7 +226,11 @@
   ApplyOthersWork(work_exchange_, SteadyNow(), &view->servers);
   if (options_->share_work) view->work_known_at = WorkKnownAt(work_exchange_, SteadyNow());
   view->hosts = HostEntries(gossip_.membership());
-  work_exchange_.roster = MakeWorkRoster(view->hosts, options_->self, options_->server_scope);
+  auto shares = [this](const HostId& host) {
+    return rpc_.Understands(host, PeerFeature::kSharedCollectors);
+  };
+  work_exchange_.roster =
+      MakeWorkRoster(view->hosts, options_->self, options_->server_scope, shares);
   view->summaries = Summaries(gossip_.membership());
   // A voter gets a configuration only after its peers have said whether they know its disk, so a
   // view with a configuration also has the final value of `disk_was_lost`.
