Error answers of hedged requests: services, rejections and wrong servers

Cause: by reading. A 5xx of a plain service was passed on although the hedge was still open; a hedge that was rejected with a 4xx counted as a failure of its server and towards its ejection; an answer of another server at the address withheld hedges for a second. Measured: exchange_hedge_test fails without the first (HedgeGoesOnWhenTheFirstAttemptFails); it, exchange_test and settings_test pass. The other two have no test.

--- a/src/daemon/exchange_end.cc
+++ b/src/daemon/exchange_end.cc
@@ -165,7 +165,8 @@
   open_attempt_.reached_server = result.outcome != CallOutcome::kNotConnected;
   open_attempt_.refused =
       result.outcome == CallOutcome::kComplete && run == ebonylift::Run::kNotRun;
-  if (open_attempt_.server && open_attempt_.refused && IsHedgingOn(HedgeLimits()))
+  bool turned_away = open_attempt_.refused && relay_.kind() != ResponseKind::kWrongServer;
+  if (open_attempt_.server && turned_away && IsHedgingOn(HedgeLimits()))
     context_.dispatcher->OnTurnedAway(ServedName(*spec_.route), SteadyNow());
   bool begun = relay_.begun();
   if (begun && spec_.dialect == nullptr && TryResumeOnSameServer()) return;
--- a/src/daemon/exchange_hedge.cc
+++ b/src/daemon/exchange_hedge.cc
@@ -216,12 +216,17 @@
   RecordPathFailure(hedge.open, result);
   bool connection_lost = result.outcome == CallOutcome::kFailed && hedge.open.call == 0;
   if (connection_lost) ProbeLostServer(hedge.open);
-  bool refused = result.outcome == CallOutcome::kComplete && run == ebonylift::Run::kNotRun;
-  if (refused) context_.dispatcher->OnTurnedAway(ServedName(*spec_.route), SteadyNow());
+  bool turned_away = result.outcome == CallOutcome::kComplete && run == ebonylift::Run::kNotRun &&
+                     hedge.kind != ResponseKind::kWrongServer;
+  if (turned_away) context_.dispatcher->OnTurnedAway(ServedName(*spec_.route), SteadyNow());
   if (hedge.open.call != 0) context_.client->Cancel(hedge.open.call);
+  // A server that rejects the request as invalid has not failed.
+  bool is_rejection = result.outcome == CallOutcome::kComplete && run != ebonylift::Run::kNotRun &&
+                      hedge.kind == ResponseKind::kAnswer && hedge.status < 500 &&
+                      hedge.status != 429;
   OnFailure(attempts_, hedge.open.number, run);
   failed_servers_.push_back(*hedge.open.server);
-  EndPlacement(hedge.open, ClassifyFailure(result, hedge.kind));
+  EndPlacement(hedge.open, is_rejection ? ServerOutcome::kOk : ClassifyFailure(result, hedge.kind));
 }
 
 // Cancels the hedge. Does nothing if there is none.
--- a/src/daemon/exchange_run.cc
+++ b/src/daemon/exchange_run.cc
@@ -462,9 +462,10 @@
     OnDialectResponse();
     return;
   }
-  bool is_model = spec_.route->kind == ServerKind::kModel;
+  // The error of a service is its answer, unless another attempt may give a better one.
+  bool may_fail = spec_.route->kind == ServerKind::kModel || hedge_;
   bool refused = relay_.status() >= 500 || relay_.status() == 429;
-  if (is_model && refused && !open_attempt_.forwarding) {
+  if (may_fail && refused && !open_attempt_.forwarding) {
     // Only this header of the backend server proves that the work did not start.
     bool not_run = FindHeader(relay_.headers(), "x-ebonylift-run") == "not_run";
     OnAttemptFailed(
--- a/tests/exchange_hedge_test.cc
+++ b/tests/exchange_hedge_test.cc
@@ -195,6 +195,17 @@
   const CallResult refused{CallOutcome::kNotConnected, 0, "refused", false};
   for (bool answers_error : {true, false}) {
     NativeFixture f;
+    // The error of a service is an answer if there is no other attempt.
+    f.ChangeRoute([](RouteConfig* route) {
+      route->kind = ServerKind::kService;
+      route->service = "x";
+    });
+    f.ChangeView([](RoutingView* view) {
+      for (BackendServer& server : view->servers) {
+        server.announced.kind = ServerKind::kService;
+        server.announced.services = {"x"};
+      }
+    });
     std::shared_ptr<FakeResponder> caller = f.StartHedged(f.Spec());
     if (answers_error) {
       f.client.calls[0].on_headers(500, f.headers);
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -47,6 +47,7 @@
       {"traffic_threads", [](Settings* s) { s->traffic_threads = 0; }},
       {"drain_timeout_s", [](Settings* s) { s->drain_timeout = seconds(0); }},
       {"orderer_lease_ms", [](Settings* s) { s->orderer_lease = milliseconds(1999); }},
+      {"hedge_percent", [](Settings* s) { s->hedge_percent = 101; }},
       {"voters", [](Settings* s) { s->voters.clear(); }},
       {"voters", [](Settings* s) { s->voters = {HostId("unknown")}; }},
       {"data_dir", [](Settings* s) { s->data_dir = ""; }},
