Hedging test with real processes: more slow answers than 1 in 100

Cause: the p99 without hedges was at the edge of the slow answers, 99 ms in one of four runs and 200 ms in the others, so that the check of the ratio was close to failing (71 ms with hedges). Change: four callers and slow periods of 100 in 220 ms, so that 2 to 3 in 100 answers are slow. The limit is checked against the requests since hedges were switched on.

--- a/tests/integration/hedging_test.cc
+++ b/tests/integration/hedging_test.cc
@@ -17,14 +17,16 @@
 namespace {
 
 constexpr int kServices = 10;
-constexpr int kCallers = 6;
+constexpr int kCallers = 4;
 constexpr Duration kServiceTime = milliseconds(20);
-// One or two requests come in this time, as the service then looks busy.
+// About one request comes in this time, as the service then looks busy: 2 to 3 in 100 of all, so
+// that the p99 is one of them and the p95, the delay of hedges, is not.
 constexpr Duration kSlowTime = milliseconds(100);
-constexpr Duration kSoundTime = milliseconds(200);
+constexpr Duration kSoundTime = milliseconds(120);
 constexpr Duration kWarmUp = seconds(3);
 constexpr Duration kMeasured = seconds(8);
 constexpr int kPercent = 10;
+constexpr char kRequests[] = "ebonylift_requests_total{class=\"interactive\"}";
 
 ClusterSpec HedgingSpec() {
   ClusterSpec spec = SmallSpec(1, 1);
@@ -104,6 +106,7 @@
   SlowPeriods slow(cluster);
   std::vector<Duration> without = Measure(cluster);
   BOOST_TEST(Metric(cluster, "ebonylift_hedges_sent_total") == 0);
+  double requests_before = Metric(cluster, kRequests);
 
   cluster.PutConfig("/deployment/hedging", {{"max_request_percent", kPercent}});
   cluster.WaitSameRevision(seconds(5));
@@ -116,8 +119,8 @@
                                  << QuantileMs(with, 0.5) << " ms, p99 " << QuantileMs(with, 0.99)
                                  << " ms, " << sent << " hedges, " << won << " won");
   BOOST_TEST(won > 0);
-  BOOST_TEST(sent * 100 <=
-             Metric(cluster, "ebonylift_requests_total{class=\"interactive\"}") * kPercent);
+  double requests = Metric(cluster, kRequests) - requests_before;
+  BOOST_TEST(sent * 100 <= requests * kPercent);
   BOOST_TEST(QuantileMs(with, 0.99) * 10 < QuantileMs(without, 0.99) * 8);
 }
 
