--- a/tests/exchange_hedge_test.cc
+++ b/tests/exchange_hedge_test.cc
@@ -330,6 +330,23 @@
   }
 }
 
+// Guards against hedges in the first second after a request waited in the local queue.
+BOOST_FIXTURE_TEST_CASE(QueueWithholdsHedges, NativeFixture) {
+  auto set_running = [this](int running) {
+    ChangeView([running](RoutingView* view) {
+      for (BackendServer& server : view->servers) server.announced.load.running = running;
+    });
+  };
+  Start(Spec());
+  set_running(100);
+  Start(Spec());
+  BOOST_REQUIRE(dispatcher.Stats().queued == 1u);
+  set_running(0);
+  RunFor(kNoHedge);
+  BOOST_TEST(client.calls.size() == 2u);
+  BOOST_TEST(Metric("ebonylift_hedges_withheld_total{reason=\"queue\"}") == 2);
+}
+
 // Guards against a stream that goes on at another software version than that of its first event,
 // which here came from the hedge.
 BOOST_FIXTURE_TEST_CASE(VersionOfTheFirstEventIsBinding, HedgeFixture<ResumableService>) {
