--- a/tests/exchange_hedge_test.cc
+++ b/tests/exchange_hedge_test.cc
@@ -195,6 +195,17 @@
   const CallResult refused{CallOutcome::kNotConnected, 0, "refused", false};
   for (bool answers_error : {true, false}) {
     NativeFixture f;
+    // The error of a service is an answer if there is no other attempt.
+    f.ChangeRoute([](RouteConfig* route) {
+      route->kind = ServerKind::kService;
+      route->service = "x";
+    });
+    f.ChangeView([](RoutingView* view) {
+      for (BackendServer& server : view->servers) {
+        server.announced.kind = ServerKind::kService;
+        server.announced.services = {"x"};
+      }
+    });
     std::shared_ptr<FakeResponder> caller = f.StartHedged(f.Spec());
     if (answers_error) {
       f.client.calls[0].on_headers(500, f.headers);
@@ -319,6 +330,23 @@
   }
 }
 
+// Guards against hedges in the first second after a request waited in the local queue.
+BOOST_FIXTURE_TEST_CASE(QueueWithholdsHedges, NativeFixture) {
+  auto set_running = [this](int running) {
+    ChangeView([running](RoutingView* view) {
+      for (BackendServer& server : view->servers) server.announced.load.running = running;
+    });
+  };
+  Start(Spec());
+  set_running(100);
+  Start(Spec());
+  BOOST_REQUIRE(dispatcher.Stats().queued == 1u);
+  set_running(0);
+  RunFor(kNoHedge);
+  BOOST_TEST(client.calls.size() == 2u);
+  BOOST_TEST(Metric("ebonylift_hedges_withheld_total{reason=\"queue\"}") == 2);
+}
+
 // Guards against a stream that goes on at another software version than that of its first event,
 // which here came from the hedge.
 BOOST_FIXTURE_TEST_CASE(VersionOfTheFirstEventIsBinding, HedgeFixture<ResumableService>) {
