--- a/src/base/hash.cc
+++ b/src/base/hash.cc
@@ -1,13 +1,14 @@
 #include "base/hash.h"
 
 #include <openssl/crypto.h>
+#include <openssl/evp.h>
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
-#include <openssl/sha.h>
 #include <xxhash.h>
 
 #include <algorithm>
 #include <array>
+#include <memory>
 #include <stdexcept>
 #include <vector>
 
@@ -45,7 +46,10 @@
 
 std::optional<std::string> DecodeHex(std::string_view text) {
   if (text.size() % 2 != 0) return std::nullopt;
-  auto digit = [](char c) { return static_cast<int>(std::string_view(kDigits).find(c)); };
+  auto digit = [](char c) {
+    if (c >= '0' && c <= '9') return c - '0';
+    return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+  };
   std::string bytes;
   bytes.reserve(text.size() / 2);
   for (size_t i = 0; i < text.size(); i += 2) {
@@ -68,9 +72,18 @@
   return ~crc;
 }
 
+// SHA256() of OpenSSL looks its implementation up, under locks, in each call, which takes longer
+// than the digest of a short text. So each thread keeps a context.
 Sha256Digest Sha256(std::string_view data) {
+  static EVP_MD* const algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+  using Context = std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)>;
+  thread_local const Context context(EVP_MD_CTX_new(), EVP_MD_CTX_free);
   Sha256Digest digest;
-  SHA256(reinterpret_cast<const unsigned char*>(data.data()), data.size(), digest.bytes.data());
+  bool done = algorithm != nullptr && context != nullptr &&
+              EVP_DigestInit_ex2(context.get(), algorithm, nullptr) == 1 &&
+              EVP_DigestUpdate(context.get(), data.data(), data.size()) == 1 &&
+              EVP_DigestFinal_ex(context.get(), digest.bytes.data(), nullptr) == 1;
+  if (!done) throw std::runtime_error("SHA-256 failed");
   return digest;
 }
 
--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -5,8 +5,6 @@
 
 #include <array>
 #include <cstdint>
-#include <cstring>
-#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,7 +26,7 @@
 // SHA-256 in lower-case hexadecimal.
 std::string Sha256Hex(std::string_view data);
 
-// A SHA-256 digest, which std::hash and the comparison operators accept.
+// A SHA-256 digest.
 struct Sha256Digest {
   std::array<unsigned char, 32> bytes{};
   friend bool operator==(const Sha256Digest& a, const Sha256Digest& b) {
@@ -38,6 +36,7 @@
   friend bool operator<(const Sha256Digest& a, const Sha256Digest& b) { return a.bytes < b.bytes; }
 };
 
+// Throws std::runtime_error if the cryptographic library fails.
 Sha256Digest Sha256(std::string_view data);
 
 // In lower-case hexadecimal.
@@ -59,16 +58,4 @@
 
 }  // namespace ebonylift
 
-namespace std {
-template <>
-struct hash<ebonylift::Sha256Digest> {
-  // The bytes of a digest are evenly distributed.
-  size_t operator()(const ebonylift::Sha256Digest& digest) const {
-    size_t value = 0;
-    memcpy(&value, digest.bytes.data(), sizeof(value));
-    return value;
-  }
-};
-}  // namespace std
-
 #endif  // EBONYLIFT_BASE_HASH_H_
--- a/src/core/workspaces.cc
+++ b/src/core/workspaces.cc
@@ -127,22 +127,16 @@
                   limit.unit, limit.plain_cost);
 }
 
-// Sets the entry if it differs, so that the map shares as much as possible with its source.
-template <typename Key>
-void SetEntry(SharedMap<Key, WorkspaceTable::Entry>* map, const Key& key,
-              const WorkspaceTable::Entry& entry) {
-  auto found = map->find(key);
-  if (found == map->end() || found->second != entry) (*map)[key] = entry;
-}
-
-template <typename Key>
-void EraseOthers(SharedMap<Key, WorkspaceTable::Entry>* map, const std::set<Key>& kept) {
-  if (map->size() == kept.size()) return;
-  std::vector<Key> removed;
-  for (const auto& [key, entry] : *map) {
-    if (kept.count(key) == 0) removed.push_back(key);
+// Removes the workspaces that are not in the list.
+void EraseOthers(SharedMap<WorkspaceId, WorkspaceEntry>* by_id, const Json& list) {
+  if (by_id->size() == list.size()) return;
+  std::set<WorkspaceId> kept;
+  for (const Json& json : list) kept.emplace(json.at("name").get<std::string>());
+  std::vector<WorkspaceId> removed;
+  for (const auto& [id, entry] : *by_id) {
+    if (kept.count(id) == 0) removed.push_back(id);
   }
-  for (const Key& key : removed) map->erase(key);
+  for (const WorkspaceId& id : removed) by_id->erase(id);
 }
 
 }  // namespace
@@ -166,35 +160,67 @@
 
 WorkspaceTable ParseWorkspaces(const Json& list, const WorkspaceTable* previous) {
   WorkspaceTable table;
-  if (previous != nullptr) table = *previous;
-  std::set<WorkspaceId> ids;
-  std::set<Sha256Digest> keys;
+  if (previous != nullptr) table.by_id = previous->by_id;
+  std::vector<WorkspaceKeys::Key> keys;
   for (const Json& json : list) {
     WorkspaceConfig workspace = ParseWorkspace(json);
-    ids.insert(workspace.id);
-    WorkspaceTable::Entry entry;
+    WorkspaceEntry entry;
     auto known = table.by_id.find(workspace.id);
     if (known != table.by_id.end() && Fields(*known->second) == Fields(workspace)) {
       entry = known->second;
     } else {
       entry = std::make_shared<const WorkspaceConfig>(std::move(workspace));
+      table.by_id[entry->id] = entry;
     }
-    SetEntry(&table.by_id, entry->id, entry);
     for (const Json& key : json.at("key_digests")) {
       // Validated documents have no other keys.
-      Sha256Digest digest = ParseSha256Hex(key.get_ref<const std::string&>()).value();
-      keys.insert(digest);
-      SetEntry(&table.by_key, digest, entry);
+      keys.push_back({ParseSha256Hex(key.get_ref<const std::string&>()).value(), entry});
     }
   }
-  EraseOthers(&table.by_id, ids);
-  EraseOthers(&table.by_key, keys);
+  EraseOthers(&table.by_id, list);
+  const WorkspaceKeys none;
+  table.by_key = WorkspaceKeys(std::move(keys), previous == nullptr ? none : previous->by_key);
   return table;
 }
 
 const WorkspaceConfig* FindWorkspace(const WorkspaceTable& table, const Sha256Digest& key) {
-  auto found = table.by_key.find(key);
-  return found == table.by_key.end() ? nullptr : found->second.get();
+  return table.by_key.Find(key);
+}
+
+WorkspaceKeys::WorkspaceKeys(std::vector<Key> keys, const WorkspaceKeys& previous) {
+  if (keys.empty()) return;
+  std::stable_sort(keys.begin(), keys.end(),
+                   [](const Key& a, const Key& b) { return a.digest < b.digest; });
+  auto same_digest = [](const Key& a, const Key& b) { return a.digest == b.digest; };
+  keys.erase(std::unique(keys.begin(), keys.end(), same_digest), keys.end());
+  size_ = keys.size();
+  lists_.resize(kLists);
+  for (auto begin = keys.begin(); begin != keys.end();) {
+    size_t index = ListIndex(begin->digest);
+    auto end = std::find_if(begin, keys.end(),
+                            [index](const Key& key) { return ListIndex(key.digest) != index; });
+    List list(begin, end);
+    bool shared = !previous.lists_.empty() && previous.lists_[index] != nullptr &&
+                  *previous.lists_[index] == list;
+    lists_[index] = shared ? previous.lists_[index] : std::make_shared<const List>(std::move(list));
+    begin = end;
+  }
+}
+
+const WorkspaceConfig* WorkspaceKeys::Find(const Sha256Digest& digest) const {
+  if (lists_.empty()) return nullptr;
+  const std::shared_ptr<const List>& list = lists_[ListIndex(digest)];
+  if (list == nullptr) return nullptr;
+  auto found = std::lower_bound(
+      list->begin(), list->end(), digest,
+      [](const Key& key, const Sha256Digest& value) { return key.digest < value; });
+  return found != list->end() && found->digest == digest ? found->workspace.get() : nullptr;
+}
+
+// The first 12 bits of the digest.
+size_t WorkspaceKeys::ListIndex(const Sha256Digest& digest) {
+  static_assert(kLists == 1 << 12);
+  return static_cast<size_t>(digest.bytes[0]) << 4 | digest.bytes[1] >> 4;
 }
 
 }  // namespace ebonylift
--- a/src/core/workspaces.h
+++ b/src/core/workspaces.h
@@ -9,7 +9,7 @@
 //     "limit": {"per_s", "burst", "unit": "requests"|"tokens", "plain_cost"}}]
 //
 // A key is only known by its digest, so neither a table nor an error message contains one. All
-// functions are pure and thread-safe. Memory: 28,000 workspaces of two keys take about 15 MB; a
+// functions are pure and thread-safe. Memory: 28,000 workspaces of two keys take about 11 MB; a
 // table shares with the previous one what is equal in both.
 
 #include <memory>
@@ -28,10 +28,41 @@
 constexpr double kMaxWorkspaceLimit = 1e12;  // of all numbers of a limit
 constexpr int kMaxWorkspaceRank = 1'000'000;
 
+using WorkspaceEntry = std::shared_ptr<const WorkspaceConfig>;
+
+// Finds workspaces by the digests of their keys. Immutable; a copy shares the entries. They are
+// distributed by the first bits of the digest over sorted lists of a few entries each, so that a
+// search reads two or three places in memory, and tables share the lists that are equal.
+class WorkspaceKeys {
+ public:
+  struct Key {
+    Sha256Digest digest;
+    WorkspaceEntry workspace;
+    friend bool operator==(const Key& a, const Key& b) {
+      return a.digest == b.digest && a.workspace == b.workspace;
+    }
+  };
+
+  WorkspaceKeys() = default;
+  // Of several equal digests the first is kept. Shares with `previous`.
+  WorkspaceKeys(std::vector<Key> keys, const WorkspaceKeys& previous);
+
+  // Returns null if there is no such key.
+  const WorkspaceConfig* Find(const Sha256Digest& digest) const;
+  size_t size() const { return size_; }
+
+ private:
+  using List = std::vector<Key>;
+  static constexpr size_t kLists = 4096;
+  static size_t ListIndex(const Sha256Digest& digest);
+
+  std::vector<std::shared_ptr<const List>> lists_;  // null: no keys
+  size_t size_ = 0;
+};
+
 struct WorkspaceTable {
-  using Entry = std::shared_ptr<const WorkspaceConfig>;
-  SharedMap<WorkspaceId, Entry> by_id;
-  SharedMap<Sha256Digest, Entry> by_key;
+  SharedMap<WorkspaceId, WorkspaceEntry> by_id;
+  WorkspaceKeys by_key;
 
   // Whether the document has no workspaces, so that callers need no keys.
   bool empty() const { return by_id.empty(); }
