A host that hears from no majority of the voters asks others who they are

Cause: hosts that are no voters learn the voters with each pull of the configuration. If these were replaced and no change followed, fail_closed would refuse all keys for good. Change: after half of revoke_ms without a majority, the host pulls from another one that has its revision, at most once in that time; the answer names the voters.

--- a/src/core/control_contact.cc
+++ b/src/core/control_contact.cc
@@ -41,6 +41,26 @@
   return heard_at == Time() ? Time() : heard_at + contact.revoke_after;
 }
 
+std::optional<HostId> HostToAskForVoters(ControlContact* contact, const Membership& membership,
+                                         const std::vector<HostId>& voters,
+                                         const std::vector<HostId>& connected, Time now,
+                                         std::mt19937_64& rng) {
+  if (contact->revoke_after <= Duration(0)) return std::nullopt;
+  Duration silence = contact->revoke_after / kAskAllDivisor;
+  Time valid_until = KeysValidUntil(*contact, membership, voters, now);
+  if (valid_until - contact->revoke_after + silence > now) return std::nullopt;
+  if (now - contact->voters_asked_at < silence) return std::nullopt;
+  std::vector<HostId> candidates;
+  for (const HostId& id : connected) {
+    auto host = membership.hosts.find(id);
+    bool current = host != membership.hosts.end() && host->second.revision >= membership.revision;
+    if (current) candidates.push_back(id);
+  }
+  if (candidates.empty()) return std::nullopt;
+  contact->voters_asked_at = now;
+  return candidates[rng() % candidates.size()];
+}
+
 std::vector<HostId> VotersToAsk(ControlContact* contact, const Membership& membership,
                                 const std::vector<HostId>& voters, Time now) {
   std::vector<HostId> due;
--- a/src/core/control_contact.h
+++ b/src/core/control_contact.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <vector>
 
 #include "base/ids.h"
@@ -24,6 +25,7 @@
 struct ControlContact {
   Duration revoke_after{0};         // 0: keys stay valid without word from the voters
   std::map<HostId, Time> asked_at;  // of the current voters
+  Time voters_asked_at;             // when another host was last asked which hosts are voters
 };
 
 // Returns the end of the time in which keys are accepted: Time::max() if `revoke_after` is 0, and
@@ -36,6 +38,14 @@
 std::vector<HostId> VotersToAsk(ControlContact* contact, const Membership& membership,
                                 const std::vector<HostId>& voters, Time now);
 
+// Returns the host to ask for the current voters, because a majority of the known ones is silent
+// and they may have been replaced: one of `connected` that has at least this host's revision of the
+// configuration. Records that it is asked. Returns nullopt if that is not due.
+std::optional<HostId> HostToAskForVoters(ControlContact* contact, const Membership& membership,
+                                         const std::vector<HostId>& voters,
+                                         const std::vector<HostId>& connected, Time now,
+                                         std::mt19937_64& rng);
+
 }  // namespace ebonylift
 
 #endif  // EBONYLIFT_CORE_CONTROL_CONTACT_H_
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -20,6 +20,7 @@
 constexpr Duration kTimelineTimeout = seconds(2);
 // Three round trips between regions.
 constexpr Duration kFindStreamTimeout = milliseconds(350);
+constexpr Duration kAskForVotersTimeout = seconds(1);
 // The leader tells at most this many hosts of a new revision at once.
 constexpr size_t kMaxLeaderPushes = 128;
 // Every other host that gets a revision tells so many more. With probes alone, what the leader did
@@ -304,6 +305,20 @@
   if (lag && options_->on_config_lag) options_->on_config_lag(*lag);
 }
 
+// Pulls the configuration, whose answer names the voters.
+void ControlLoop::AskForVoters(const HostId& host) {
+  rpc_.ConfigSince(host, replica_.revision(), replica_.pull_offset(host), kAskForVotersTimeout,
+                   [this, host](const std::optional<std::string>& data) {
+                     if (!data) return;
+                     try {
+                       replica_.ApplyPullResponse(*data, host);
+                     } catch (const Error& error) {
+                       LogEvent(EventId::kPeerMessageRefused,
+                                {{"host", host.value()}, {"reason", error.what()}});
+                     }
+                   });
+}
+
 void ControlLoop::UpdateControlContact(Time now) {
   if (control_contact_.revoke_after <= Duration(0)) return;
   constexpr int kPublishDivisor = 8;
@@ -311,6 +326,9 @@
   for (const HostId& host : VotersToAsk(&control_contact_, gossip_.membership(), voters, now)) {
     gossip_.Push(host);
   }
+  std::optional<HostId> informed = HostToAskForVoters(&control_contact_, gossip_.membership(),
+                                                      voters, rpc_.Connected(), now, rng_);
+  if (informed && !replica_.in_snapshot()) AskForVoters(*informed);
   Time valid_until = KeysValidUntil(control_contact_, gossip_.membership(), voters, now);
   Duration gained = valid_until - published_keys_valid_until_;
   bool accepted = valid_until > now;
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -162,6 +162,7 @@
   void OnRevisionChanged();
   void UpdateConfigLag(Time now);
   void UpdateControlContact(Time now);
+  void AskForVoters(const HostId& host);
   void ReportStats(Time now);
   void SchedulePublish(Duration interval) { publish_timer_.Schedule(interval); }
   void RunAfter(Duration delay, std::function<void()> fn);
--- a/tests/control_contact_test.cc
+++ b/tests/control_contact_test.cc
@@ -65,4 +65,23 @@
   BOOST_TEST(Asked(kStart + seconds(100)) == 0u);
 }
 
+// Guards against a host that refuses keys for good because it knows only voters that were replaced,
+// and against an answer from a host with an older configuration.
+BOOST_FIXTURE_TEST_CASE(OtherHostsAreAskedForTheVoters, Fixture) {
+  std::mt19937_64 rng(1);
+  auto asked = [&](Time now) {
+    return HostToAskForVoters(&contact, membership, voters, {HostId("g2"), HostId("g3")}, now, rng);
+  };
+  membership.revision = 7;
+  membership.hosts[HostId("g2")].revision = 6;
+  BOOST_TEST(!asked(kStart).has_value());
+  membership.hosts[HostId("g3")].revision = 7;
+  BOOST_TEST((asked(kStart) == HostId("g3")));
+  BOOST_TEST(!asked(kStart + milliseconds(1'900)).has_value());
+  BOOST_TEST((asked(kStart + seconds(2)) == HostId("g3")));
+  for (const char* id : {"v1", "v2", "v3"}) Hear(id, kStart + seconds(4));
+  BOOST_TEST(!asked(kStart + seconds(5)).has_value());
+  BOOST_TEST(asked(kStart + seconds(7)).has_value());
+}
+
 }  // namespace ebonylift
