Open routes need a boolean; texts without tenants keep literals that look sealed

Cause: allow_anonymous of another type was reported under the name of the stored field, and a text without keys that had a sealed literal was returned with that literal unsealed.

--- a/tests/platform_messages_test.cc
+++ b/tests/platform_messages_test.cc
@@ -200,6 +200,11 @@
     BOOST_TEST(!config.route_configs.at(RouteId("r1/s")).open);
     BOOST_TEST(config.route_configs.at(RouteId("r2/t")).open);
   }
+  json no_tenants = with_sealed;
+  no_tenants.erase("tenants");
+  const std::string text = no_tenants.dump();
+  ConfigurationDocument document = ParseConfiguration(text, kDomainRegions, kSealer);
+  BOOST_TEST(OriginalConfigurationText(document.value, kSealer) == text);
   // Differences between versions stay small only if the same key is always sealed alike.
   BOOST_TEST(ParseConfiguration(plain, kDomainRegions, kSealer).value ==
              ParseConfiguration(plain, kDomainRegions, kSealer).value);
@@ -229,6 +234,16 @@
   }
 }
 
+// Guards against a route that is open because the value of its flag was misread.
+BOOST_AUTO_TEST_CASE(OpenRoutesNeedABoolean) {
+  json configuration = Configuration();
+  configuration["routes"][0]["allow_anonymous"] = "false";
+  BOOST_CHECK_THROW(ParseConfiguration(configuration.dump(), kDomainRegions, kSealer), Error);
+  configuration["routes"][0]["allow_anonymous"] = nullptr;
+  json value = json::parse(ParseConfiguration(configuration.dump(), kDomainRegions, kSealer).value);
+  BOOST_TEST(!ParseIngress(value).route_configs.at(RouteId("r1/s")).open);
+}
+
 // Guards against a rate in the wrong unit, and against rejecting a configuration whose engine
 // description is incomplete.
 BOOST_AUTO_TEST_CASE(ConvertsLinkSpeedToFetchTokensPerSecond) {
