--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -172,6 +172,7 @@
   void OnRevisionChanged();
   void UpdateConfigLag(Time now);
   void UpdateControlContact(Time now);
+  void AskForVoters(const HostId& host);
   void ReportStats(Time now);
   void UpdateLimitAllocator(Time now);
   HostId LimitAllocatorHost();
