--- a/src/core/limit_shares.cc
+++ b/src/core/limit_shares.cc
@@ -22,6 +22,8 @@
 constexpr Duration kRenewalInterval = seconds(3);
 // While the limit is reached, shares follow the demand more closely.
 constexpr Duration kReachedRenewalInterval = seconds(1);
+// Between two searches for workspaces to ask for, unless a request needs one.
+constexpr Duration kScanInterval = milliseconds(100);
 constexpr Duration kAskJitter = milliseconds(60);
 constexpr Duration kSilentRetryInterval = milliseconds(500);
 constexpr double kGrownDemand = 1.25;  // relative to the demand that was last sent
@@ -34,6 +36,8 @@
 // Values in messages: 0, or the logarithm in 1/1023 of an octave.
 constexpr double kLogSteps = 1023;
 constexpr double kMinLog = -20;
+// The smallest part of a request that is missing makes its grant useless.
+constexpr double kRoundUp = 1.001;
 
 double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -150,6 +154,7 @@
     Fill(shares, share, share->expires);
     share->leased = false;
     share->share = 0;
+    share->limit_reached = false;  // may have changed since
   }
   Fill(shares, share, now);
   if (now >= share->grant_expires) share->grant = 0;
@@ -265,7 +270,7 @@
   }
   row.cost = share->cost;
   row.held = share->share;
-  row.wanted = share->wanted;
+  row.wanted = RoundForMessage(kRoundUp * share->wanted);
   if (!share->limit_known) row.limit = share->limit;
   share->asked = now;
   share->asked_demand = row.demand;
@@ -273,6 +278,14 @@
   return row;
 }
 
+// The rows that may be sent now.
+double RowCredit(const LimitShares& shares, Time now) {
+  // The epoch, before the first message, is long ago.
+  double elapsed = Seconds(std::min<Duration>(now - shares.last_sent, kIdleLimitLifetime));
+  double credit = shares.row_credit + elapsed * kMaxLimitRowsPerSecond;
+  return std::min(credit, static_cast<double>(kMaxLimitRows));
+}
+
 // Removes workspaces without requests and returns those to ask for, at most kMaxLimitRows.
 std::vector<WorkspaceShare*> DueShares(LimitShares* shares, Time now) {
   std::vector<WorkspaceShare*> due;
@@ -292,7 +305,7 @@
     return a->id < b->id;
   };
   std::sort(due.begin(), due.end(), more_urgent);
-  if (due.size() > kMaxLimitRows) due.resize(kMaxLimitRows);
+  due.resize(std::min(due.size(), static_cast<size_t>(RowCredit(*shares, now))));
   return due;
 }
 
@@ -420,8 +433,9 @@
     verdict.decision = LimitDecision::kRefused;
     verdict.retry_after = RetryAfter(*shares, *share, cost);
   }
-  bool may_send = shares->sent == Time() && now - shares->last_sent >= AskInterval(*shares);
-  verdict.ask_now = may_send && IsDue(*share, now);
+  if (!IsDue(*share, now)) return verdict;
+  shares->next_scan = std::min(shares->next_scan, now);
+  verdict.ask_now = shares->sent == Time() && now - shares->last_sent >= AskInterval(*shares);
   return verdict;
 }
 
@@ -446,12 +460,15 @@
     OnNoLimitAnswer(shares, shares->sent);
   }
   if (now - shares->last_sent < AskInterval(*shares)) return std::nullopt;
+  if (now < shares->next_scan) return std::nullopt;
+  shares->next_scan = now + kScanInterval;
   std::vector<WorkspaceShare*> due = DueShares(shares, now);
   if (due.empty()) return std::nullopt;
   LimitAsk ask;
   ask.sequence = static_cast<uint64_t>(now.time_since_epoch().count());
   ask.revision = shares->revision;
   ask.hosts = shares->hosts;
+  shares->row_credit = RowCredit(*shares, now) - static_cast<double>(due.size());
   shares->sent = now;
   shares->last_sent = now;
   shares->sent_rows.clear();
--- a/src/core/limit_shares.h
+++ b/src/core/limit_shares.h
@@ -40,12 +40,14 @@
 constexpr Duration kMinLimitAskInterval = milliseconds(200);
 // After this time an answer is not waited for, and ignored if it arrives.
 constexpr Duration kLimitAskTimeout = seconds(1);
-// Three round trips between regions, with the interval between two messages.
-constexpr Duration kMaxLimitWait = milliseconds(400);
+// The longest interval between two messages and two round trips between regions.
+constexpr Duration kMaxLimitWait = milliseconds(500);
 constexpr Duration kIdleLimitLifetime = seconds(60);
 constexpr size_t kMaxLimitedWorkspaces = 20'000;
 // Bounds a message to about 13 KB.
 constexpr size_t kMaxLimitRows = 400;
+// Bounds the messages of a host to 2 KB/s. The workspaces with requests that wait come first.
+constexpr double kMaxLimitRowsPerSecond = 100;
 
 // How far all hosts together may exceed a limit.
 struct LimitTolerance {
@@ -141,10 +143,11 @@
   // The request on its way; `sent` is the epoch if there is none.
   Time sent;
   Time last_sent;
-  std::vector<std::pair<WorkspaceId, double>> sent_rows;  // with the `wanted` sent
+  double row_credit = static_cast<double>(kMaxLimitRows);  // rows that may be sent now
+  std::vector<std::pair<WorkspaceId, double>> sent_rows;   // with the `wanted` sent
   Time answered_ask;    // when the last request that was answered was sent
   bool silent = false;  // the last request was not answered
-  Time next_scan;
+  Time next_scan;       // for workspaces to ask for
 };
 
 // The state of the limit of one workspace, for metrics.
--- a/tests/limit_shares_test.cc
+++ b/tests/limit_shares_test.cc
@@ -356,6 +356,26 @@
   BOOST_TEST((admit() == LimitDecision::kAdmitted));
 }
 
+// Guards against grants that are too small by the rounding of messages, which admit nothing.
+BOOST_AUTO_TEST_CASE(GrantIsEnoughForTheRequestThatWaits) {
+  for (double cost : {1.0, 370.0, 1001.0, 77'777.0}) {
+    LimitShares shares;
+    const WorkspaceLimit limit{100, 0, LimitUnit::kTokens, 1};
+    Time now = kStart;
+    auto admit = [&](bool first) {
+      return AdmitToLimit(&shares, kWorkspace, limit, cost, kStart, first, now).decision;
+    };
+    BOOST_TEST((admit(true) == LimitDecision::kWait));
+    std::optional<LimitAsk> ask = TakeLimitAsk(&shares, now);
+    BOOST_REQUIRE(ask.has_value());
+    LimitGrant grant;
+    grant.grant = DecodeLimitAsk(EncodeLimitAsk(*ask))->rows[0].wanted;
+    now += kFarDelay;
+    OnLimitAnswer(&shares, *DecodeLimitAnswer(EncodeLimitAnswer({grant})), kStart, now);
+    BOOST_TEST((admit(false) == LimitDecision::kAdmitted));
+  }
+}
+
 // Guards against messages that lose values, and against a crash by malformed ones.
 BOOST_AUTO_TEST_CASE(MessagesKeepTheirValues) {
   for (double value : {0.0, 1e-5, 0.31, 1.0, 77.5, 1e12}) {
