--- a/src/core/work_exchange.h
+++ b/src/core/work_exchange.h
@@ -36,7 +36,7 @@
 constexpr size_t kMaxDirectWorkPeers = 8;
 // A collector sends the work of the whole region to each of its members, so its cost would grow
 // with the square of the hosts. A failure domain has one collector for this many other hosts.
-constexpr size_t kMaxCollectorMembers = 8;
+constexpr size_t kMaxCollectorMembers = 16;
 constexpr Duration kWorkInterval = milliseconds(100);
 // An unchanged list or sum is sent again after this time, before it expires; see kPeerWorkTtl.
 constexpr Duration kWorkRefreshInterval = milliseconds(400);
