--- a/src/core/routing_record.cc
+++ b/src/core/routing_record.cc
@@ -241,7 +241,7 @@
     ServerSpeed& speed = routing_state.speeds[choice.server];
     SetIncarnation(&speed, choice.incarnation);
     // The rate is that of a server of the mean speed.
-    *sample /= MeanSpeed(speed, now);
+    *sample /= SteadySpeed(speed, now);
     OnPromptRead(&speed, &routing_state.speed_baselines[served], TokensRead(choice),
                  now - dispatched_at, now);
   }
@@ -266,7 +266,7 @@
   std::optional<double> sample = RateSample(choice, dispatched_at, now);
   if (rate == routing_state.prefill_rates.end() || !sample) return;
   auto speed = routing_state.speeds.find(choice.server);
-  if (speed != routing_state.speeds.end()) *sample /= MeanSpeed(speed->second, now);
+  if (speed != routing_state.speeds.end()) *sample /= SteadySpeed(speed->second, now);
   *sample = std::max(*sample, kDefaultPrefillTokensPerSecond);
   // The sample is an upper bound, so it says nothing if it is above the rate.
   if (*sample >= rate->second) return;
