Estimates of other hosts add up over time, and own ones are sent for half a second

Cause: rows were sent until 2 s after the last answer of a server, two to three times as many as rows with work. Sending them for 0.5 s instead left the receivers with the few hosts of one list.

Change: a receiver adds up what successive lists show, each estimate about once. Tests of the codec and of unchanged choices among equal servers.

--- a/src/core/server_speed.cc
+++ b/src/core/server_speed.cc
@@ -91,11 +91,12 @@
   if (observed.weight <= 0 || observed.incarnation != IncarnationTag(speed->incarnation)) return;
   double log_factor = std::log(ClampFactor(observed.factor));
   double known = WeightAt(speed->others, now);
-  // A list shows the same estimates again and again, so their weights must not add up. It may also
-  // lack those of hosts that have nothing at the server now.
-  double share = known <= 0 ? 1 : 0.5 * observed.weight / (known + observed.weight);
-  speed->others.log_factor += share * (log_factor - speed->others.log_factor);
-  speed->others.weight = std::max(known, observed.weight);
+  // Lists show different hosts over time, so what they show is added up; but each shows the same
+  // estimates as the one before for about kOthersSpeedRepeat, so each adds a part only.
+  double repeats = Seconds(now - speed->others.updated_at) / Seconds(kOthersSpeedRepeat);
+  double added = observed.weight * (known <= 0 ? 1 : std::clamp(repeats, 0.0, 1.0));
+  speed->others.log_factor += added / (known + added) * (log_factor - speed->others.log_factor);
+  speed->others.weight = std::min(known + added, kMaxSpeedWeight);
   speed->others.updated_at = now;
   speed->others_recent = std::log(ClampFactor(observed.recent));
   speed->others_recent_at = now;
--- a/src/core/server_speed.h
+++ b/src/core/server_speed.h
@@ -56,8 +56,11 @@
 constexpr double kMinSpeed = 0.2;
 constexpr double kMaxSpeed = 5;
 constexpr double kLoggedSpeedChange = 0.25;
-// An own estimate is sent for this long after its last sample.
-constexpr Duration kSpeedShareTime = seconds(2);
+// An own estimate is sent for this long after its last sample: longer than kWorkRefreshInterval in
+// core/work_exchange.h. Others keep it, so sending it once is enough.
+constexpr Duration kSpeedShareTime = milliseconds(500);
+// For about this long, the time of an answer and kSpeedShareTime, lists repeat an estimate.
+constexpr Duration kOthersSpeedRepeat = seconds(2);
 // The weight of the newest sample in the mean of a model.
 constexpr double kBaselineSmoothing = 0.005;
 
--- a/tests/server_speed_test.cc
+++ b/tests/server_speed_test.cc
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE server_speed
 #include "core/server_speed.h"
 
+#include <capnp/message.h>
+
 #include <algorithm>
 #include <boost/test/included/unit_test.hpp>
 #include <cmath>
@@ -8,6 +10,7 @@
 #include <random>
 #include <utility>
 
+#include "adapters/peer_codec.h"
 #include "core/lateness.h"
 #include "core/peer_work.h"
 #include "core/routing.h"
@@ -87,7 +90,6 @@
 // Guards against the speed of a process that is gone, also if another host still sends it.
 BOOST_AUTO_TEST_CASE(NewIncarnationIsAverage) {
   ServerSpeed speed;
-  SpeedBaseline baseline;
   SetIncarnation(&speed, 1);
   ObservedSpeed observed{0.5, 100, 1, IncarnationTag(1)};
   OnOthersSpeed(&speed, observed, kStart);
@@ -129,6 +131,23 @@
   BOOST_TEST(SpeedFromByte(SpeedToByte(1)) == 1.0);
 }
 
+// Guards against factors that are lost or misread on their way, also from a host that sends none.
+BOOST_AUTO_TEST_CASE(SpeedsPassInWorkLists) {
+  capnp::MallocMessageBuilder message;
+  auto row = message.initRoot<wire::ServerWork>();
+  ServerWork work{ServerId("s"), 1, 0, std::nullopt, std::nullopt};
+  WriteServerWork(work, row);
+  BOOST_TEST(!ReadServerWork(row.asReader()).speed.has_value());
+  work.speed = ObservedSpeed{0.6, 1'000, 0.4, 7};
+  WriteServerWork(work, row);
+  std::optional<ObservedSpeed> read = ReadServerWork(row.asReader()).speed;
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(std::abs(read->factor / 0.6 - 1) < 0.012);
+  BOOST_TEST(std::abs(read->recent / 0.4 - 1) < 0.012);
+  BOOST_TEST(read->weight == 255);
+  BOOST_TEST(read->incarnation == 7);
+}
+
 // Guards against an answer that is counted under a cause that did not make it late.
 BOOST_AUTO_TEST_CASE(CauseOfLatenessIsTheFirstMissedTarget) {
   RouteConfig route;
@@ -449,6 +468,63 @@
 
 }  // namespace
 
+// Guards against choices that change by factors which differ from the mean by noise only.
+BOOST_AUTO_TEST_CASE(EqualServersAreChosenAsBefore) {
+  RouteConfig route;
+  route.kind = ServerKind::kService;
+  route.service = "m";
+  route.regions = {RegionId("este")};
+  route.max_event_gap = milliseconds(100);
+  RoutingView view;
+  view.config = std::make_shared<ConfigView>();
+  view.self = {HostId("h"), RegionId("este"), DomainId("este-a")};
+  RoutingState learned;
+  RoutingState plain;
+  for (int i = 0; i < 20; ++i) {
+    BackendServer server;
+    server.announced.id = ServerId("s" + std::to_string(i + 10));
+    server.announced.incarnation = 1;
+    server.announced.kind = ServerKind::kService;
+    server.announced.services = {"m"};
+    server.announced.domain = view.self.domain;
+    server.announced.region = view.self.region;
+    server.announced.load.slots = 64;
+    server.announced.load.running = i % 5;
+    server.first_seen = kStart - seconds(100);
+    server.expires_at = kStart + seconds(100);
+    view.servers.push_back(server);
+    ServerSpeed& speed = learned.speeds[server.announced.id];
+    SetIncarnation(&speed, 1);
+    OnOthersSpeed(&speed, {i % 2 == 0 ? 0.92 : 1.08, 100, 1, IncarnationTag(1)}, kStart);
+  }
+  learned.speed_baselines["m"].event_gap = {std::log(kGapSeconds), 100};
+  for (RoutingState* state : {&learned, &plain}) state->prefill_rates["m"] = 20'000;
+  RouteQuery query;
+  query.route = &route;
+  query.allowed_regions = route.regions;
+  query.prompt_tokens = 12'000;
+  query.expected_events = 42;
+  query.deadline = kStart + seconds(12);
+  query.first_byte_deadline = kStart + milliseconds(1'200);
+  auto choose = [&](const RoutingState& state, uint64_t seed) {
+    std::mt19937_64 rng(seed);
+    return Choose(query, view, state, kStart, rng).server;
+  };
+  for (uint64_t seed = 0; seed < 100; ++seed) {
+    BOOST_TEST(choose(learned, seed).value() == choose(plain, seed).value());
+  }
+  // One that differs by more is seen.
+  ServerSpeed slow;
+  SetIncarnation(&slow, 1);
+  OnOthersSpeed(&slow, {0.3, 200, 1, IncarnationTag(1)}, kStart);
+  learned.speeds[view.servers[0].announced.id] = slow;
+  int chosen = 0;
+  for (uint64_t seed = 0; seed < 200; ++seed) {
+    chosen += choose(learned, seed) == view.servers[0].announced.id ? 1 : 0;
+  }
+  BOOST_TEST(chosen == 0);
+}
+
 // Guards against placement that ignores the speed of servers: slow ones get as much as fast ones,
 // and answers are late there while fast ones have room.
 BOOST_AUTO_TEST_CASE(UnequalServersAnswerInTime) {
