Below the limit, a share of two requests is enough

Cause: with few or large requests, hosts had no share and each request waited for its grant, also while the limit was not reached.

Change: the bucket must hold ten requests only while the limit is reached.

--- a/src/core/limit_allocator.cc
+++ b/src/core/limit_allocator.cc
@@ -5,8 +5,11 @@
 namespace ebonylift {
 namespace {
 
-// A bucket that holds less than this many of the largest requests of its host wastes work.
+// A bucket that holds less than this many of the largest requests of its host wastes work when the
+// limit is reached.
 constexpr double kMinBucketRequests = 10;
+// Below the limit nothing is lost by that, and a request that the bucket takes need not wait.
+constexpr double kMinBucketRequestsBelowLimit = 2;
 constexpr double kHeadroom = 1.1;     // relative to the demand of a host
 constexpr double kDividedRest = 0.5;  // of what is left; the pool keeps the other half
 constexpr Duration kCleanupInterval = seconds(1);
@@ -93,7 +96,9 @@
 bool IsUseful(const LimitAllocator& allocator, const WorkspacePool& pool, const LimitDemand& row,
               double share, uint32_t hosts) {
   double burst = EffectiveBurst(pool.limit, allocator.tolerance);
-  return (share * kLeasedBurst + kOwnBurst / hosts) * burst >= kMinBucketRequests * row.cost;
+  bool reached = kHeadroom * pool.demand >= pool.limit.per_s;
+  double requests = reached ? kMinBucketRequests : kMinBucketRequestsBelowLimit;
+  return (share * kLeasedBurst + kOwnBurst / hosts) * burst >= requests * row.cost;
 }
 
 // Takes work for the requests that wait from the pool.
