--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -185,7 +185,7 @@
   TeamId team;
   const RouteConfig* route = nullptr;
   TrafficClass traffic_class = TrafficClass::kInteractive;
-  int rank = 0;  // of the workspace or, if that has none, of the route; 0 is the most urgent
+  RequestRank rank;
   // Leaves room for more urgent requests; see core/urgent_demand.h.
   bool yields_to_urgent = false;
   std::vector<RegionId> allowed_regions;  // see AllowedRegions()
--- a/src/core/urgent_demand.cc
+++ b/src/core/urgent_demand.cc
@@ -23,7 +23,8 @@
 
 }  // namespace
 
-void OnDemand(UrgentDemand* demand, int rank, Duration target, int64_t prompt_tokens, Time now) {
+void OnDemand(UrgentDemand* demand, const RequestRank& rank, Duration target, int64_t prompt_tokens,
+              Time now) {
   double target_s = std::chrono::duration<double>(target).count();
   auto tokens = static_cast<double>(prompt_tokens);
   auto [entry, first] = demand->try_emplace(rank, RankDemand{target_s, tokens, now});
@@ -37,11 +38,11 @@
   known.seen_at = now;
 }
 
-std::optional<double> MaxWaitBehindUrgent(const UrgentDemand& demand, int rank, double tokens_per_s,
-                                          Time now) {
+std::optional<double> MaxWaitBehindUrgent(const UrgentDemand& demand, const RequestRank& rank,
+                                          double tokens_per_s, Time now) {
   std::optional<double> wait_s;
   for (const auto& [urgent_rank, urgent] : demand) {
-    if (urgent_rank >= rank) break;
+    if (!(urgent_rank < rank)) break;
     if (!IsRecent(urgent, now)) continue;
     double bearable_s = urgent.target_s - urgent.prompt_tokens / tokens_per_s;
     double share_s = std::max(0.0, kLessUrgentShare * bearable_s);
--- a/src/core/urgent_demand.h
+++ b/src/core/urgent_demand.h
@@ -18,6 +18,7 @@
 #include <optional>
 
 #include "base/time.h"
+#include "ports/views.h"
 
 namespace ebonylift {
 
@@ -35,15 +36,16 @@
 };
 
 // Of the requests for one model or service, by rank.
-using UrgentDemand = std::map<int, RankDemand>;
+using UrgentDemand = std::map<RequestRank, RankDemand>;
 
 // Records a request with a first-byte target.
-void OnDemand(UrgentDemand* demand, int rank, Duration target, int64_t prompt_tokens, Time now);
+void OnDemand(UrgentDemand* demand, const RequestRank& rank, Duration target, int64_t prompt_tokens,
+              Time now);
 
 // Returns the longest wait for prompts ahead, in seconds, that a request of this rank may find, if
 // servers read prompts at `tokens_per_s`; nullopt if no more urgent requests arrive.
-std::optional<double> MaxWaitBehindUrgent(const UrgentDemand& demand, int rank, double tokens_per_s,
-                                          Time now);
+std::optional<double> MaxWaitBehindUrgent(const UrgentDemand& demand, const RequestRank& rank,
+                                          double tokens_per_s, Time now);
 
 }  // namespace ebonylift
 
--- a/src/daemon/attempt_call.cc
+++ b/src/daemon/attempt_call.cc
@@ -14,7 +14,7 @@
   AttemptParameters attempt;
   if (open.server) attempt.server = *open.server;
   attempt.time_left = RemainingTime(spec, now);
-  attempt.rank = EffectiveRank(spec);
+  attempt.rank = RankOf(spec);
   attempt.has_workspaces = HasWorkspaces(*spec.view->config);
   if (spec.workspace != nullptr) attempt.workspace = spec.workspace->id;
   attempt.last_event_id = last_event_id;
--- a/src/daemon/dialect.h
+++ b/src/daemon/dialect.h
@@ -47,9 +47,9 @@
 
 // Per-attempt values that the dialect writes into the headers of an outgoing request.
 struct AttemptParameters {
-  ServerId server;            // empty if the attempt is forwarded through another host
-  Duration time_left{0};      // time until the request's deadline
-  int rank = 0;               // EffectiveRank(); 0 is the most urgent
+  ServerId server;        // empty if the attempt is forwarded through another host
+  Duration time_left{0};  // time until the request's deadline
+  RequestRank rank;
   std::string fetch_from;     // address of a server that caches a longer prefix; empty if none
   std::string last_event_id;  // id of the event to resume after; empty: keep the caller's header
   // The configuration has workspaces: the key of the caller is not passed on, and the backend
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -114,7 +114,8 @@
     Refuse(ErrorKind::kDraining, "");
     return;
   }
-  if (MustShed(*context_.load_shedding, {EffectiveRank(spec_) == 0, spec_.forwarded})) {
+  if (MustShed(*context_.load_shedding,
+               {spec_.traffic_class == TrafficClass::kInteractive, spec_.forwarded})) {
     Refuse(ErrorKind::kOverloaded, "this host is short of processor time");
     return;
   }
@@ -380,7 +381,7 @@
   query.team = spec_.team;
   query.route = spec_.route;
   query.traffic_class = spec_.traffic_class;
-  query.rank = EffectiveRank(spec_);
+  query.rank = RankOf(spec_);
   query.yields_to_urgent = HasWorkspaces(*spec_.view->config);
   query.allowed_regions = spec_.allowed_regions;
   query.prompt_tokens = spec_.prompt_tokens;
--- a/src/daemon/ingress_request.cc
+++ b/src/daemon/ingress_request.cc
@@ -107,7 +107,8 @@
   spec->traffic_class = route.traffic_class;
   if (workspace != nullptr) {
     KeepCommon(&spec->allowed_regions, workspace->regions);
-    if (workspace->rank) spec->traffic_class = TrafficClassOfRank(*workspace->rank);
+    if (workspace->rank.value_or(kUrgentRank) != kUrgentRank)
+      spec->traffic_class = TrafficClass::kCheck;
   }
   spec->idempotent = route.idempotent;
   spec->view = std::move(view);
--- a/src/daemon/request.cc
+++ b/src/daemon/request.cc
@@ -244,9 +244,9 @@
   return kept;
 }
 
-int EffectiveRank(const RequestSpec& spec) {
-  bool own = spec.workspace != nullptr && spec.workspace->rank.has_value();
-  return own ? *spec.workspace->rank : spec.route->rank;
+RequestRank RankOf(const RequestSpec& spec) {
+  int workspace = spec.workspace == nullptr ? 0 : spec.workspace->rank.value_or(0);
+  return {workspace, spec.route->rank};
 }
 
 const std::string& BodyHash(RequestSpec* spec) {
--- a/src/daemon/request.h
+++ b/src/daemon/request.h
@@ -94,8 +94,8 @@
 // Thread safe.
 HttpHeaders EndToEndHeaders(const HttpHeaders& headers, HeaderSet set = HeaderSet::kEndToEnd);
 
-// Returns the rank of the request's workspace or, if that has none, of its route. Thread safe.
-int EffectiveRank(const RequestSpec& spec);
+// Thread safe.
+RequestRank RankOf(const RequestSpec& spec);
 
 // Returns the SHA-256 of the body in hex. Computed on the first call and cached in the spec.
 const std::string& BodyHash(RequestSpec* spec);
--- a/src/ports/views.h
+++ b/src/ports/views.h
@@ -101,10 +101,23 @@
 struct WorkspaceConfig {
   WorkspaceId id;
   std::vector<RegionId> regions;  // where the data of its requests may go; never empty
-  std::optional<int> rank;        // replaces the rank of the route
+  std::optional<int> rank;        // goes before the rank of the route; 0 if it has none
   WorkspaceLimit limit;
 };
 
+// How urgent a request is: the rank of its workspace goes before that of its route. Lower ones are
+// more urgent.
+struct RequestRank {
+  int workspace = 0;
+  int route = 0;
+  friend bool operator==(const RequestRank& a, const RequestRank& b) {
+    return std::tie(a.workspace, a.route) == std::tie(b.workspace, b.route);
+  }
+  friend bool operator<(const RequestRank& a, const RequestRank& b) {
+    return std::tie(a.workspace, a.route) < std::tie(b.workspace, b.route);
+  }
+};
+
 struct OperatorConfig {
   std::string name;
   std::string token_sha256;
--- a/tests/exchange_workspace_test.cc
+++ b/tests/exchange_workspace_test.cc
@@ -172,11 +172,12 @@
   BOOST_TEST(Parse(Look("k1")).workspace == nullptr);
 }
 
-// Guards against the rank of the route where the workspace has another.
-BOOST_FIXTURE_TEST_CASE(RankOfTheWorkspaceReplacesThatOfTheRoute, WorkspaceFixture) {
+// Guards against requests of a less urgent workspace that count as urgent because their route is.
+BOOST_FIXTURE_TEST_CASE(RankOfTheWorkspaceGoesBeforeThatOfTheRoute, WorkspaceFixture) {
   SetWorkspaces({{"acme", "k1", "este", 3}});
   RequestSpec spec = Parse(Look("k1"));
-  BOOST_TEST(EffectiveRank(spec) == 3);
+  BOOST_TEST(RankOf(spec).workspace == 3);
+  BOOST_TEST((RequestRank{0, 9} < RankOf(spec)));
   BOOST_TEST((spec.traffic_class == TrafficClass::kCheck));
 }
 
--- a/tests/unseen_work_test.cc
+++ b/tests/unseen_work_test.cc
@@ -190,7 +190,7 @@
     ++result_.asked[request.urgent ? 1 : 0];
     RouteQuery query;
     query.route = request.urgent ? &urgent_route_ : &route_;
-    query.rank = query.route->rank;
+    query.rank = {0, query.route->rank};
     query.yields_to_urgent = load_.urgent_share > 0;
     query.allowed_regions = route_.regions;
     query.prompt_tokens = request.tokens;
