Limits: the rest of a limit is divided among all hosts, not among those that have asked

Cause: when callers arrived at all hosts at once, the first hosts to ask got up to half of the limit each, which they kept until their next request after 3 s. The others had no share, and nothing flowed into the pool that grants single requests. Change: the part of the rest counts all known hosts.

--- a/src/core/limit_allocator.cc
+++ b/src/core/limit_allocator.cc
@@ -82,13 +82,16 @@
   return pool;
 }
 
-// The share that the demand of the host entitles it to.
-double TargetShare(const WorkspacePool& pool, double demand) {
+// The share that the demand of the host entitles it to. The rest is divided among all hosts, not
+// among those that have asked: the first ones to ask would get most of it, and keep it until their
+// next request, while the others have nothing.
+double TargetShare(const WorkspacePool& pool, double demand, uint32_t hosts) {
   double limit = pool.limit.per_s;
   if (!(limit > 0)) return 0;
   if (kHeadroom * pool.demand >= limit) return demand / pool.demand;
   double rest = limit - kHeadroom * pool.demand;
-  double part = kDividedRest * rest / static_cast<double>(pool.hosts.size());
+  double part =
+      kDividedRest * rest / std::max<double>(hosts, static_cast<double>(pool.hosts.size()));
   return (kHeadroom * demand + part) / limit;
 }
 
@@ -139,7 +142,7 @@
     return grant;
   }
   double available = std::max(0.0, 1 - (pool->shares - row.held));
-  double share = RoundForMessage(std::min(available, TargetShare(*pool, row.demand)));
+  double share = RoundForMessage(std::min(available, TargetShare(*pool, row.demand, hosts)));
   if (!IsUseful(*allocator, *pool, row, share, hosts)) share = 0;
   grant.share = share;
   double counted = std::max(row.held, share);
--- a/tests/limit_shares_test.cc
+++ b/tests/limit_shares_test.cc
@@ -252,6 +252,27 @@
   }
 }
 
+// Guards against the hosts that ask first taking what others need when callers arrive at all of
+// them at once, as after a pause: until the next request of the first ones, after 3 s, a tenth to
+// a quarter of the requests were admitted.
+BOOST_AUTO_TEST_CASE(AllHostsGetSharesWhenCallersArriveAtOnce) {
+  constexpr Duration kPause = seconds(12);
+  for (double per_s : {100'000.0, 400'000.0, 2'800'000.0}) {
+    Fleet fleet(69, 2'400, {0.1, 140'000});
+    fleet.limit.per_s = per_s;
+    fleet.limit.burst = per_s;
+    fleet.offered = [=](size_t host, Duration since) {
+      double uneven = host % 3 == 0 ? 2 : 0.5;
+      return since < kPause ? 0.0 : 0.55 * per_s / 69 * uneven;
+    };
+    fleet.Run(kPause);
+    size_t from = fleet.Bin();
+    fleet.Run(seconds(4));
+    BOOST_TEST(fleet.Used(from) >= 0.95, "limit " << per_s);
+    BOOST_TEST(fleet.WorstWindow() <= 1.0, "limit " << per_s);
+  }
+}
+
 // Guards against two hosts that use the same part of the limit while machines or links fail.
 BOOST_AUTO_TEST_CASE(FailuresDoNotExceedTheLimit) {
   using Fault = std::function<void(Fleet*)>;
