After a read of the whole change: limits are a flow of their own in the metrics, less work under the lock of the dispatcher, comments

Requests for shares of limits were counted as other messages. The busiest limits are chosen before their names are copied. A limit cost of 0 no longer divides 0 by 0.

--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -3,12 +3,11 @@
 
 // The metrics of one daemon, exported in the Prometheus text format.
 //
-// Labels take values only from closed sets such as traffic classes and error kinds, never teams or
-// regions, so the number of time series is fixed. Only the workspaces of the configuration are
-// labels, at most kMaxWorkspaceLabels of them, and of models and services only kMaxModelLabels have
-// series of their own. The limits of at most kMaxReportedLimits workspaces are
-// reported. All methods are thread safe. The Count, Add and Observe methods allocate
-// nothing, except for the first late answer of a model.
+// Labels take values from closed sets such as traffic classes and error kinds, never teams or
+// regions. The exceptions are bounded: at most kMaxWorkspaceLabels workspaces of the configuration,
+// kMaxModelLabels models and services, and the limits of kMaxReportedLimits workspaces. All methods
+// are thread safe. The Count, Add and Observe methods allocate nothing, except for the first late
+// answer of a model.
 
 #include <cstdint>
 #include <memory>
--- a/src/adapters/peer_flows.cc
+++ b/src/adapters/peer_flows.cc
@@ -56,6 +56,8 @@
       return PeerFlow::kRoom;
     case 11:
       return PeerFlow::kVersions;
+    case 12:
+      return PeerFlow::kLimits;
     default:
       return PeerFlow::kOther;
   }
@@ -75,9 +77,10 @@
 
 const char* PeerFlowName(PeerFlow flow) {
   static constexpr std::array<const char*, kPeerFlowCount> kNames = {
-      "gossip",   "announcements", "refreshes",   "consensus", "config_pulls",   "puts",
-      "suspects", "timeline",      "work_direct", "work_own",  "work_collected", "work_sums",
-      "streams",  "find_stream",   "room",        "versions",  "login",          "other"};
+      "gossip",         "announcements", "refreshes", "consensus",   "config_pulls",
+      "puts",           "suspects",      "timeline",  "work_direct", "work_own",
+      "work_collected", "work_sums",     "streams",   "find_stream", "room",
+      "versions",       "limits",        "login",     "other"};
   return kNames[static_cast<size_t>(flow)];
 }
 
--- a/src/adapters/peer_flows.h
+++ b/src/adapters/peer_flows.h
@@ -22,7 +22,7 @@
 enum class PeerFlow : uint8_t {
   kGossip,
   kAnnouncements,  // with at least one full announcement
-  kRefreshes,      // announcements of which only the load or the time changed
+  kRefreshes,      // announcements of which only the load or the time changed, also as alive sets
   kConsensus,
   kConfigPulls,
   kPuts,
@@ -36,6 +36,7 @@
   kFindStream,
   kRoom,
   kVersions,
+  kLimits,
   kLogin,
   kOther,
 };
--- a/src/base/seal.h
+++ b/src/base/seal.h
@@ -3,9 +3,10 @@
 
 // Encrypts short secrets that are stored within documents.
 //
-// AES-256-SIV with a key that is derived from a passphrase. It is deterministic, so that equal
-// documents stay equal, and reveals only which secrets are equal and how long they are. It protects
-// a secret from a reader of the documents who does not know the passphrase.
+// AES-256-SIV with a key that is derived from a passphrase. The derivation is not stretched, so the
+// passphrase must have the entropy of a random key; with a public one (platform/settings.cc),
+// sealing only keeps secrets from being read by chance. It is deterministic, so that equal
+// documents stay equal, and reveals which secrets are equal and how long they are.
 
 #include <array>
 #include <optional>
--- a/src/core/limit_allocator.cc
+++ b/src/core/limit_allocator.cc
@@ -133,7 +133,6 @@
   pool->demand += row.demand - own.demand;
   own.share = row.held;
   own.demand = row.demand;
-  own.cost = row.cost;
   own.expires = now + kLimitLeaseLifetime;
   LimitGrant grant;
   grant.share = row.held;
--- a/src/core/limit_allocator.h
+++ b/src/core/limit_allocator.h
@@ -30,7 +30,6 @@
 
 struct HostShare {
   double demand = 0;
-  double cost = 0;
   double share = 0;  // the most that the host may hold
   Time expires;
 };
--- a/src/core/limit_shares.cc
+++ b/src/core/limit_shares.cc
@@ -168,6 +168,7 @@
   double demand = std::max(0.0, share.demand - share.wanted) / kDemandSeconds;
   double active = std::max(kMinDemandSeconds, Seconds(now - share.active_since));
   demand /= 1 - std::exp(-active / kDemandSeconds);
+  if (!(demand > 0)) return 0;
   // A dense flow that stops has moved to another host, which needs the share now.
   Duration silence = std::max<Duration>(
       kMinSilence, Duration(static_cast<int64_t>(kMissedRequests * 1e6 * share.cost /
@@ -497,21 +498,26 @@
 }
 
 std::vector<LimitState> LimitStates(const LimitShares& shares, Time now) {
+  std::vector<const WorkspaceShare*> busiest;
+  busiest.reserve(shares.workspaces.size());
+  for (const auto& [id, share] : shares.workspaces) busiest.push_back(&share);
+  auto more_requests = [](const WorkspaceShare* a, const WorkspaceShare* b) {
+    uint64_t of_a = a->admitted_count + a->refused_count;
+    uint64_t of_b = b->admitted_count + b->refused_count;
+    return of_a != of_b ? of_a > of_b : a->id < b->id;
+  };
+  size_t count = std::min(busiest.size(), kMaxReportedLimits);
+  std::partial_sort(busiest.begin(), busiest.begin() + static_cast<int64_t>(count), busiest.end(),
+                    more_requests);
+  busiest.resize(count);
   std::vector<LimitState> states;
-  for (const auto& [id, share] : shares.workspaces) {
-    LimitState state{id, share.admitted_count, share.refused_count, 0, Duration(-1)};
-    bool leased = share.leased && now < share.expires;
-    if (leased) state.rate = share.share * share.limit.per_s;
-    if (leased) state.lease_age = now - share.leased_at;
+  for (const WorkspaceShare* share : busiest) {
+    LimitState state{share->id, share->admitted_count, share->refused_count, 0, Duration(-1)};
+    bool leased = share->leased && now < share->expires;
+    if (leased) state.rate = share->share * share->limit.per_s;
+    if (leased) state.lease_age = now - share->leased_at;
     states.push_back(std::move(state));
   }
-  auto more_requests = [](const LimitState& a, const LimitState& b) {
-    return a.admitted + a.refused > b.admitted + b.refused;
-  };
-  size_t count = std::min(states.size(), kMaxReportedLimits);
-  std::partial_sort(states.begin(), states.begin() + static_cast<int64_t>(count), states.end(),
-                    more_requests);
-  states.resize(count);
   return states;
 }
 
--- a/src/core/server_speed.h
+++ b/src/core/server_speed.h
@@ -28,8 +28,10 @@
 
 namespace ebonylift {
 
-// Model engines decode this many tokens for each event of a stream, one in each step. Between two
-// steps they read at most kPromptChunkTokens of waiting prompts.
+// What is assumed of model engines. With other engines, speeds stay relative to the mean, but the
+// expected durations of answers are less exact. They decode this many tokens for each event of a
+// stream, one in each step. Between two steps they read at most kPromptChunkTokens of waiting
+// prompts.
 constexpr int64_t kTokensPerEvent = 9;
 constexpr double kPromptChunkTokens = 2'048;
 // Each running request prolongs a decode step by this share of the duration of a step with none.
--- a/src/core/work_rows.cc
+++ b/src/core/work_rows.cc
@@ -5,12 +5,15 @@
 #include <cstring>
 #include <utility>
 
+#include "core/registry.h"
 #include "core/server_speed.h"
 #include "core/varint.h"
 
 namespace ebonylift {
 namespace {
 
+static_assert(kMaxWorkRows >= 2 * kMaxServers);
+
 // Bits of the first number of a message.
 constexpr uint64_t kComplete = 1;  // the receiver forgets all rows
 constexpr uint64_t kDense = 2;     // has the requests of all servers
--- a/src/core/work_rows.h
+++ b/src/core/work_rows.h
@@ -24,7 +24,8 @@
 
 namespace ebonylift {
 
-// Rows keep their numbers until this many are in use, and are then numbered anew.
+// Rows are numbered anew when they and those of the next list, which may all be new, could exceed
+// this. At least twice the servers of a host, as otherwise each message could be a complete list.
 constexpr size_t kMaxWorkRows = 8192;
 
 // A row as both sides know it. Limits have the time at which they were seen, so that a row does not
--- a/src/core/workspaces.h
+++ b/src/core/workspaces.h
@@ -74,7 +74,7 @@
 
 // Returns no issues if the list is valid. Besides missing and ill-typed keys, reports a workspace
 // without a name, with an invalid one or with that of another, a key of two workspaces, and numbers
-// that are out of range. Reports at most kMaxWorkspaceIssues.
+// that are out of range. Reports at most 20.
 std::vector<SchemaIssue> ValidateWorkspaces(const nlohmann::json& list);
 
 // Parses the list; shares with `previous`, which may be null and must outlive the call, what is
@@ -83,7 +83,8 @@
 WorkspaceTable ParseWorkspaces(const nlohmann::json& list, const WorkspaceTable* previous);
 
 // Returns the workspace that the key with this digest belongs to, or null if there is none. The
-// pointer is valid as long as the table. The time does not depend on the key.
+// pointer is valid as long as the table. The time depends on the digest only, from which the
+// key cannot be guessed.
 const WorkspaceConfig* FindWorkspace(const WorkspaceTable& table, const Sha256Digest& key);
 
 }  // namespace ebonylift
--- a/src/daemon/announcement_relay.h
+++ b/src/daemon/announcement_relay.h
@@ -62,8 +62,8 @@
     std::function<void(const HostId& to, const std::string& set,
                        std::function<void(std::optional<AliveReply>)> done)>
         send_alive_set;
-    uint64_t incarnation =
-        0;  // of this process; the numbers of alive sets differ between processes
+    // Of this process. The numbers of alive sets differ between processes.
+    uint64_t incarnation = 0;
   };
 
   explicit AnnouncementRelay(Options options);
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -343,9 +343,11 @@
   for (const HostId& host : VotersToAsk(&control_contact_, gossip_.membership(), voters, now)) {
     gossip_.Push(host);
   }
-  std::optional<HostId> informed = HostToAskForVoters(&control_contact_, gossip_.membership(),
-                                                      voters, rpc_.Connected(), now, rng_);
-  if (informed && !replica_.in_snapshot()) AskForVoters(*informed);
+  if (!replica_.in_snapshot()) {
+    std::optional<HostId> informed = HostToAskForVoters(&control_contact_, gossip_.membership(),
+                                                        voters, rpc_.Connected(), now, rng_);
+    if (informed) AskForVoters(*informed);
+  }
   Time valid_until = KeysValidUntil(control_contact_, gossip_.membership(), voters, now);
   Duration gained = valid_until - published_keys_valid_until_;
   bool accepted = valid_until > now;
