Less urgent requests keep some room

Cause: under overload the measured prefill rate falls until the urgent requests would be late even at an idle server; then less urgent ones found no room at all and were refused while servers were idle. Change: such urgent requests no longer hold room, and others may always wait for 100 ms.

--- a/src/core/urgent_demand.cc
+++ b/src/core/urgent_demand.cc
@@ -45,7 +45,9 @@
     if (!(urgent_rank < rank)) break;
     if (!IsRecent(urgent, now)) continue;
     double bearable_s = urgent.target_s - urgent.prompt_tokens / tokens_per_s;
-    double share_s = std::max(0.0, kLessUrgentShare * bearable_s);
+    // Urgent requests that are late even at an idle server gain nothing from the room of others.
+    if (bearable_s <= 0) continue;
+    double share_s = std::max(kMinLessUrgentWait, kLessUrgentShare * bearable_s);
     wait_s = std::min(wait_s.value_or(share_s), share_s);
   }
   return wait_s;
--- a/src/core/urgent_demand.h
+++ b/src/core/urgent_demand.h
@@ -26,6 +26,8 @@
 constexpr Duration kUrgentDemandTime = seconds(2);
 // The share of the wait that urgent requests can bear up to which less urgent ones fill a server.
 constexpr double kLessUrgentShare = 0.5;
+// In seconds. Less urgent requests may always wait this long, so that no server becomes idle.
+constexpr double kMinLessUrgentWait = 0.1;
 constexpr size_t kMaxUrgentRanks = 16;
 
 // The requests of one rank, exponentially averaged.
--- a/tests/unseen_work_test.cc
+++ b/tests/unseen_work_test.cc
@@ -341,6 +341,20 @@
   }
 }
 
+// Guards against less urgent requests that are all refused, because servers are too slow for the
+// urgent ones, and against servers that become idle.
+BOOST_AUTO_TEST_CASE(LessUrgentRequestsKeepSomeRoom) {
+  UrgentDemand demand;
+  OnDemand(&demand, {0, 0}, seconds(1), 12'000, kStart);
+  BOOST_TEST(!MaxWaitBehindUrgent(demand, {0, 2}, 8'000, kStart).has_value());
+  std::optional<double> wait_s = MaxWaitBehindUrgent(demand, {0, 2}, 12'500, kStart);
+  BOOST_REQUIRE(wait_s.has_value());
+  BOOST_TEST(*wait_s == kMinLessUrgentWait);
+  BOOST_TEST(!MaxWaitBehindUrgent(demand, {0, 0}, 12'500, kStart).has_value());
+  BOOST_TEST(MaxWaitBehindUrgent(demand, {1, 0}, 12'500, kStart).has_value());
+  BOOST_TEST(!MaxWaitBehindUrgent(demand, {0, 2}, 12'500, kStart + kUrgentDemandTime).has_value());
+}
+
 // Guards against a level that is not the one to which a volume fills unequal vessels.
 BOOST_AUTO_TEST_CASE(VolumeFillsTheEmptiestFirst) {
   BOOST_TEST(FillLevel({}, 5) == 0);
