A folded first line in a response no longer ends the process

What callers saw: nothing yet. A backend server whose response head begins with a folded line (a blank before the name) ends the gateway that reads it, with all requests that it holds, if the handle of the call had read another response before.

Cause: libcurl 7.88 keeps a pointer to the last header of a handle's previous response. The next call frees the headers but not the pointer, and a folded first line is appended to the header it points to. valgrind: invalid read inside a block that was freed by the call before.

Change: a handle is used for one call only. Handles were kept to save an allocation.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -37,7 +37,6 @@
 namespace {
 
 constexpr long kMaxIdleConnections = 1024;
-constexpr size_t kMaxPooledHandles = 256;
 // libcurl 7.88 limits the length of a header line but not the number of lines.
 constexpr size_t kMaxResponseHeaderBytes = 256 << 10;
 
@@ -159,7 +158,6 @@
   std::vector<std::function<void()>> deferred_;
   std::unordered_map<CallId, std::unique_ptr<CallState>> calls_;
   std::unordered_map<curl_socket_t, std::shared_ptr<PolledSocket>> sockets_;
-  std::vector<CURL*> handle_pool_;
 };
 
 CurlClient::CurlClient(asio::io_context& io, std::string source_address)
@@ -179,8 +177,6 @@
   if (!multi_) return;
   deferred_.clear();
   while (!calls_.empty()) RemoveCall(calls_.begin()->first);
-  for (CURL* easy : handle_pool_) curl_easy_cleanup(easy);
-  handle_pool_.clear();
   while (!sockets_.empty()) StopPolling(sockets_.begin()->first);
   curl_multi_cleanup(multi_);
   multi_ = nullptr;
@@ -235,12 +231,9 @@
   auto it = calls_.find(id);
   if (it == calls_.end()) return;
   CallState& call = *it->second;
-  if (handle_pool_.empty()) {
-    call.easy = curl_easy_init();
-  } else {
-    call.easy = handle_pool_.back();
-    handle_pool_.pop_back();
-  }
+  // A handle is used for one call only: libcurl 7.88 keeps a pointer to the last header of the
+  // previous response, which it follows if the next response begins with a folded line.
+  call.easy = curl_easy_init();
   ConfigureHandle(call);
   call.last_byte = SteadyNow();
   if (call.request.idle_timeout.count() > 0) StartIdleTimer(call, call.request.idle_timeout);
@@ -542,12 +535,7 @@
   call->idle_timer.reset();
   if (call->easy) {
     curl_multi_remove_handle(multi_, call->easy);
-    curl_easy_reset(call->easy);
-    if (handle_pool_.size() < kMaxPooledHandles) {
-      handle_pool_.push_back(call->easy);
-    } else {
-      curl_easy_cleanup(call->easy);
-    }
+    curl_easy_cleanup(call->easy);
     call->easy = nullptr;
   }
   curl_slist_free_all(call->request_headers);
