A response whose head is damaged where it gives the body's length is not an answer

What callers saw: a complete 200 with a body that is not the server's, after a head with a damaged Content-Length or Transfer-Encoding or with a line that is no header field.

Cause: the client left the framing to libcurl, which is lenient. It reads the digits at the start of a Content-Length ("4x" is 4, "0x4" is 0), takes the last of several, ignores one that overflows or that a Transfer-Encoding stands beside, accepts unknown places of "chunked", and appends a folded line to the field before. A length that is ignored lets the body end with the connection.

Change: adapters/http_response_head reads the head line by line and refuses what RFC 9112 does not define, before the head reaches anyone.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "adapters/http_headers.h"
+#include "adapters/http_response_head.h"
 #include "base/descriptor_claim.h"
 
 namespace ebonylift {
@@ -83,10 +84,8 @@
   HttpCall request;
   CURL* easy = nullptr;
   curl_slist* request_headers = nullptr;
-  int status = 0;
-  HttpHeaders response_headers;
+  ReceivedHead head;
   size_t response_header_bytes = 0;
-  bool headers_complete = false;  // received the empty line after the headers of the final response
   bool body_received = false;
   bool paused = false;
   bool cancelled = false;
@@ -95,20 +94,6 @@
   std::unique_ptr<asio::steady_timer> idle_timer;
 };
 
-// Returns 200 for "HTTP/1.1 200 OK", and 0 for a line that is not a status line.
-int ParseStatus(std::string_view line) {
-  if (line.substr(0, 5) != "HTTP/") return 0;
-  size_t space = line.find(' ');
-  if (space == std::string_view::npos) return 0;
-  return atoi(std::string(line.substr(space + 1, 3)).c_str());
-}
-
-std::string_view Trim(std::string_view text) {
-  size_t first = text.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) return {};
-  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
-}
-
 // Implements HttpClient. Pending Asio handlers hold weak references, so they may outlive it.
 class CurlClient : public std::enable_shared_from_this<CurlClient> {
  public:
@@ -312,23 +297,14 @@
     call.error = "response headers or trailers exceed the size limit";
     return 0;
   }
-  if (call.headers_complete) return bytes;  // trailer fields are ignored
-  std::string_view line = Trim({data, bytes});
-  if (int status = ParseStatus(line)) {
-    call.status = status;
-    call.response_headers.clear();
-    return bytes;
-  }
-  if (!line.empty()) {
-    size_t colon = line.find(':');
-    if (colon == std::string_view::npos) return bytes;
-    call.response_headers.emplace_back(Trim(line.substr(0, colon)), Trim(line.substr(colon + 1)));
-    return bytes;
+  if (call.head.complete) return bytes;  // trailer fields are ignored
+  if (const char* error = AddHeadLine({data, bytes}, &call.head)) {
+    call.error = error;
+    return 0;
   }
-  if (call.status < 200) return bytes;  // interim (1xx) response
-  call.headers_complete = true;
+  if (!call.head.complete) return bytes;
   try {
-    if (call.request.on_headers) call.request.on_headers(call.status, call.response_headers);
+    if (call.request.on_headers) call.request.on_headers(call.head.status, call.head.headers);
   } catch (const std::exception& error) {
     call.error = error.what();
     return 0;
@@ -490,10 +466,10 @@
 // closed, the request therefore counts as written, whatever the result of the retry.
 CallResult CurlClient::MakeResult(const CallState& call, CURLcode code) {
   CallResult result;
-  result.status = call.status;
+  result.status = call.head.status;
   result.body_received = call.body_received;
   // If the connection ends within the headers, libcurl accepts them without the final empty line.
-  if (code == CURLE_OK && (call.headers_complete || call.request.connect_only)) {
+  if (code == CURLE_OK && (call.head.complete || call.request.connect_only)) {
     result.outcome = CallOutcome::kComplete;
     return result;
   }
@@ -506,7 +482,7 @@
   curl_easy_getinfo(call.easy, CURLINFO_REQUEST_SIZE, &bytes_written);
   curl_easy_getinfo(call.easy, CURLINFO_CONNECT_TIME_T, &connect_us);
   curl_easy_getinfo(call.easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
-  if (bytes_written > 0 || call.status > 0) {
+  if (bytes_written > 0 || call.head.status > 0) {
     bool timed_out = code == CURLE_OPERATION_TIMEDOUT;
     result.outcome = timed_out ? CallOutcome::kTimedOut : CallOutcome::kFailed;
   } else {
--- /dev/null
+++ b/src/adapters/http_response_head.cc
@@ -0,0 +1,116 @@
+#include "adapters/http_response_head.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "adapters/http_headers.h"
+
+namespace ebonylift {
+namespace {
+
+constexpr std::string_view kLineBreak = "\r\n";
+constexpr std::string_view kBlanks = " \t";
+
+struct Field {
+  std::string name;
+  std::string value;
+};
+
+bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+
+std::string_view TrimBlanks(std::string_view text) {
+  size_t first = text.find_first_not_of(kBlanks);
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
+}
+
+// A folded line, which continues the field of the line before, begins with a blank and is not a
+// field. A gateway may refuse a response with such a line (RFC 9112, section 5.2).
+bool ParseField(std::string_view line, Field* field) {
+  size_t colon = line.find(':');
+  if (colon == 0 || colon == std::string_view::npos) return false;
+  if (kBlanks.find(line[0]) != std::string_view::npos) return false;
+  field->name = line.substr(0, colon);
+  field->value = TrimBlanks(line.substr(colon + 1));
+  return true;
+}
+
+// Returns 0 if the line is not a status line.
+int ParseStatus(std::string_view line) {
+  if (line.substr(0, 5) != "HTTP/") return 0;
+  size_t space = line.find(' ');
+  if (space == std::string_view::npos) return 0;
+  return atoi(std::string(line.substr(space + 1, 3)).c_str());
+}
+
+const char* AddStatusLine(std::string_view line, ReceivedHead* head) {
+  int status = ParseStatus(line);
+  if (status == 0) return "the status line of the response is malformed";
+  head->status = status;
+  head->in_fields = true;
+  head->http_1_0 = line.substr(0, 8) == "HTTP/1.0";
+  return nullptr;
+}
+
+bool IsLength(const std::string& value) {
+  int64_t length = 0;
+  const char* end = value.data() + value.size();
+  std::from_chars_result result = std::from_chars(value.data(), end, length);
+  return result.ec == std::errc() && result.ptr == end && IsDigit(value[0]);
+}
+
+// Records what the field says of the body's length.
+const char* AddFraming(const Field& field, ReceivedHead* head) {
+  if (EqualsIgnoreCase(field.name, "content-length")) {
+    if (head->has_length) return "the response has several Content-Length fields";
+    if (!IsLength(field.value)) return "the Content-Length of the response is malformed";
+    head->has_length = true;
+  } else if (EqualsIgnoreCase(field.name, "transfer-encoding")) {
+    if (head->chunked) return "the response has several Transfer-Encoding fields";
+    // Without the request for it, a server applies no other coding.
+    if (!EqualsIgnoreCase(field.value, "chunked"))
+      return "the Transfer-Encoding of the response is not chunked";
+    head->chunked = true;
+  }
+  return nullptr;
+}
+
+const char* AddField(std::string_view line, ReceivedHead* head) {
+  Field field;
+  if (!ParseField(line, &field)) return "a line of the response head is not a field";
+  const char* error = AddFraming(field, head);
+  if (error == nullptr) head->headers.emplace_back(std::move(field.name), std::move(field.value));
+  return error;
+}
+
+const char* EndHead(ReceivedHead* head) {
+  bool interim = head->status < 200;
+  if (head->chunked && head->has_length)
+    return "the response has both Content-Length and Transfer-Encoding";
+  if (head->chunked && (head->http_1_0 || interim || head->status == 204))
+    return "a response of this kind cannot have a Transfer-Encoding";
+  if (head->has_length && interim) return "an interim response cannot have a Content-Length";
+  if (interim) {
+    int status = head->status;
+    *head = ReceivedHead();
+    head->status = status;
+  } else {
+    head->complete = true;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+const char* AddHeadLine(std::string_view line, ReceivedHead* head) {
+  if (line.size() < kLineBreak.size() || line.substr(line.size() - kLineBreak.size()) != kLineBreak)
+    return "a line of the response head does not end with CR LF";
+  line.remove_suffix(kLineBreak.size());
+  if (!head->in_fields) return AddStatusLine(line, head);
+  return line.empty() ? EndHead(head) : AddField(line, head);
+}
+
+}  // namespace ebonylift
--- a/tests/exchange_faulty_server_test.cc
+++ b/tests/exchange_faulty_server_test.cc
@@ -115,6 +115,25 @@
   }
 }
 
+// Guards against a body that is not the server's and looks complete: the head is spoilt where it
+// tells the body's length, so the body is cut short or ends with the connection.
+BOOST_AUTO_TEST_CASE(SpoiltHeadIsNoAnswer) {
+  for (const char* lines : {"Content-Length: 4x\r\n", "Content-Length: 99999999999999999999\r\n",
+                            "Content-Length: 4\r\n: 12\r\n", "Content-Length: 4\r\n folded\r\n",
+                            "Transfer-Encoding: identity\r\n"}) {
+    for (const std::string& head : {kSealedHead, kStreamHead}) {
+      FaultyServerFixture f(false);
+      std::shared_ptr<FakeResponder> caller = f.Start(f.LookSpec());
+      f.AwaitRequest(f.first, 0);
+      f.first.peers[0]->Send(head + lines + "\r\nid: 1\ndata: a\n\n");
+      f.first.peers[0]->Close();
+      f.RunUntil([&] { return f.Ended(*caller); }, "the exchange ends");
+      BOOST_TEST(caller->sent_status == 502, lines);
+      BOOST_TEST(!caller->ended, lines);
+    }
+  }
+}
+
 // Guards against a refusal of an earlier request that is written once more on a kept connection and
 // counts as that of the next request, whose caller is told that it has not run.
 BOOST_AUTO_TEST_CASE(EarlierRefusalIsNotThatOfTheNextRequest) {
--- a/tests/http_client_faulty_server_test.cc
+++ b/tests/http_client_faulty_server_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE http_client_faulty_server
 #include <boost/test/included/unit_test.hpp>
 #include <string>
+#include <vector>
 
 #include "tests/support/http_fixture.h"
 
@@ -10,6 +11,7 @@
 namespace {
 
 const std::string kOk = "HTTP/1.1 200 OK\r\n";
+const std::string kChunked = kOk + "Transfer-Encoding: chunked\r\n\r\n";
 
 struct Fixture : HttpFixture {
   // Fetches from a server that sends `response` and then closes the connection.
@@ -51,6 +53,94 @@
   }
 }
 
+// Guards against a body that is cut short, or goes on to the end of the connection, because the
+// fields that tell its length are spoilt.
+BOOST_AUTO_TEST_CASE(SpoiltLengthIsNoResponse) {
+  for (const char* fields : {"Content-Length:",
+                             "Content-Length: x",
+                             "Content-Length: 1x",
+                             "Content-Length: 0x4",
+                             "Content-Length: -4",
+                             "Content-Length: +4",
+                             "Content-Length: 1 2",
+                             "Content-Length: 1,2",
+                             "Content-Length: 4, 4",
+                             "Content-Length: 1.0",
+                             "Content-Length: 99999999999999999999",
+                             "Content-Length: 9223372036854775808",
+                             "Content-Length: 1\r\nContent-Length: 4",
+                             "Content-Length: 4\r\nContent-Length: 1",
+                             "Content-Length: 4\r\nContent-Length: 4",
+                             "Transfer-Encoding:",
+                             "Transfer-Encoding: chunke",
+                             "Transfer-Encoding: chunkedx",
+                             "Transfer-Encoding: identity",
+                             "Transfer-Encoding: chunked, chunked",
+                             "Transfer-Encoding: gzip, chunked",
+                             "Transfer-Encoding: chunked, identity",
+                             "Transfer-Encoding: chunked;q=1",
+                             "Transfer-Encoding: identity\r\nContent-Length: 4",
+                             "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                             "Transfer-Encoding: chunked\r\nContent-Length: 4",
+                             "Content-Length: 4\r\nTransfer-Encoding: chunked"}) {
+    bool chunks = std::string(fields).find("chunked") != std::string::npos;
+    CheckNoResponse(kOk + fields + "\r\n\r\n" + (chunks ? "4\r\nbody\r\n0\r\n\r\n" : "body"));
+  }
+  CheckNoResponse("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+  // An interim response has no body, so its length would be that of the next response.
+  for (const char* field : {"Content-Length: 1", "Transfer-Encoding: chunked"}) {
+    CheckNoResponse("HTTP/1.1 103 Early Hints\r\n" + std::string(field) + "\r\n\r\n" + kOk +
+                    "\r\nbody");
+  }
+  CheckNoResponse("HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+}
+
+// Guards against a head in which a line was lost or spoilt: it may have told the body's length.
+BOOST_AUTO_TEST_CASE(LineThatIsNoFieldIsNoResponse) {
+  for (const char* line :
+       {"Content-Length", "garbage", "garbage without a colon", ": value", " Content-Length: 1",
+        "\tContent-Length: 1", "x: a\r\n Content-Length: 1", "x: a\r\n\tb", " ", "\t",
+        "HTTP/1.1 200 OK", "HTTP/1.1 500 Error"}) {
+    CheckNoResponse(kOk + line + "\r\n\r\nbody");
+    CheckNoResponse(kOk + "Content-Length: 4\r\n" + line + "\r\n\r\nbody");
+  }
+  CheckNoResponse(kOk + "Content-Length: 4\n\r\nbody");
+  CheckNoResponse("HTTP/1.1 200 OK\nContent-Length: 4\r\n\r\nbody");
+  CheckNoResponse(kOk + "Content-Length: 4\r\n\nbody");
+}
+
+// Guards against rules for responses that sound servers do not meet.
+BOOST_AUTO_TEST_CASE(UnusualResponsesAreComplete) {
+  const std::vector<std::string> responses = {
+      "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+      "HTTP/1.1 200\r\nContent-Length: 4\r\n\r\nbody",
+      "HTTP/1.1 200 \r\nContent-Length: 4\r\n\r\nbody",
+      "HTTP/1.1 299 Caf\xc3\xa9, \"so so\"\r\nContent-Length: 4\r\n\r\nbody",
+      kOk + "Content-Length:4\r\n\r\nbody",
+      kOk + "CONTENT-LENGTH: \t 004 \t\r\n\r\nbody",
+      kOk + "Transfer-Encoding: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+      kOk + "x:\r\nx-utf8: \xc3\xa4\r\nx-colons: a:b: c\r\n!#$%&'*+-.^_`|~09: t\tt\r\n\r\nbody",
+      kOk + "x-content-length: 1\r\ncontent-length-x: 1\r\n\r\nbody",
+      kChunked + "04\r\nbody\r\n000\r\n\r\n",
+      kChunked + "1;a=\"b;c\"\r\nb\r\n3 ; x\r\nody\r\n0\r\nx: y\r\n\r\n",
+      kChunked + "1\r\nb\r\n1\r\no\r\n1\r\nd\r\n1\r\ny\r\n0\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" + kOk +
+          "Content-Length: 4\r\n\r\nbody"};
+  for (const std::string& response : responses) {
+    Reply reply = FetchResponse(response);
+    BOOST_TEST_CONTEXT("response " << response) {
+      BOOST_TEST(reply.result.outcome == CallOutcome::kComplete, reply.result.error);
+      BOOST_TEST(reply.on_headers_calls == 1);
+      BOOST_TEST(reply.body == "body");
+    }
+  }
+  for (const char* head :
+       {"HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n"}) {
+    BOOST_TEST(FetchResponse(head).result.outcome == CallOutcome::kComplete, head);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebonylift::test
