A response with a blank or a control byte in a field is not an answer

What callers saw: an answer with a line like "X Y: 1" passed on, or with a body that is not the server's after "Content-Length : 4", which was taken for a field of another name.

Cause: any text before the first colon was a field name, and any bytes after it a value.

Change: a name is a token and a value is text (RFC 9110, section 5). What is passed on is therefore well-formed, too.

The new rows of exchange_faulty_server_test SpoiltHeadIsNoAnswer failed before, at the caller.

--- a/src/adapters/http_response_head.cc
+++ b/src/adapters/http_response_head.cc
@@ -21,6 +21,27 @@
 
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
+bool IsLetter(char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z'); }
+
+// The characters of a field name (RFC 9110, section 5.6.2). A blank is not one of them.
+bool IsTokenChar(char c) {
+  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
+  return IsDigit(c) || IsLetter(c) || kSymbols.find(c) != std::string_view::npos;
+}
+
+// Bytes from 128 on are allowed in field values and reason phrases.
+bool IsTextChar(char c) {
+  auto byte = static_cast<unsigned char>(c);
+  constexpr unsigned char kDelete = 127;
+  return c == '\t' || (byte >= ' ' && byte != kDelete);
+}
+
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenChar);
+}
+
+bool IsText(std::string_view text) { return std::all_of(text.begin(), text.end(), IsTextChar); }
+
 std::string_view TrimBlanks(std::string_view text) {
   size_t first = text.find_first_not_of(kBlanks);
   if (first == std::string_view::npos) return {};
@@ -31,10 +52,12 @@
 // field. A gateway may refuse a response with such a line (RFC 9112, section 5.2).
 bool ParseField(std::string_view line, Field* field) {
   size_t colon = line.find(':');
-  if (colon == 0 || colon == std::string_view::npos) return false;
-  if (kBlanks.find(line[0]) != std::string_view::npos) return false;
-  field->name = line.substr(0, colon);
-  field->value = TrimBlanks(line.substr(colon + 1));
+  if (colon == std::string_view::npos) return false;
+  std::string_view name = line.substr(0, colon);
+  std::string_view value = line.substr(colon + 1);
+  if (!IsToken(name) || !IsText(value)) return false;
+  field->name = name;
+  field->value = TrimBlanks(value);
   return true;
 }
 
--- a/tests/exchange_faulty_server_test.cc
+++ b/tests/exchange_faulty_server_test.cc
@@ -116,11 +116,15 @@
 }
 
 // Guards against a body that is not the server's and looks complete: the head is spoilt where it
-// tells the body's length, so the body is cut short or ends with the connection.
+// tells the body's length, so the body is cut short or ends with the connection. Also against a
+// spoilt line that is passed on.
 BOOST_AUTO_TEST_CASE(SpoiltHeadIsNoAnswer) {
-  for (const char* lines : {"Content-Length: 4x\r\n", "Content-Length: 99999999999999999999\r\n",
-                            "Content-Length: 4\r\n: 12\r\n", "Content-Length: 4\r\n folded\r\n",
-                            "Transfer-Encoding: identity\r\n"}) {
+  for (const char* lines :
+       {"Content-Length: 4x\r\n", "Content-Length: 99999999999999999999\r\n",
+        "Content-Length: 4\r\n: 12\r\n", "Content-Length: 4\r\n folded\r\n",
+        "Transfer-Encoding: identity\r\n", "Content-Length : 4\r\n",
+        "Content-Length: 15\r\nX Y: 1\r\n", "Content-Length: 14\r\nX\x01: 1\r\n",
+        "Content-Length: 15\r\nX: \x01\r\n"}) {
     for (const std::string& head : {kSealedHead, kStreamHead}) {
       FaultyServerFixture f(false);
       std::shared_ptr<FakeResponder> caller = f.Start(f.LookSpec());
--- a/tests/http_client_faulty_server_test.cc
+++ b/tests/http_client_faulty_server_test.cc
@@ -109,6 +109,32 @@
   CheckNoResponse(kOk + "Content-Length: 4\r\n\nbody");
 }
 
+// Guards against a field with a blank or a control byte in its name: it is passed on, or its value
+// is ignored although it tells the body's length. A control byte in a value was spoilt on the way,
+// too.
+BOOST_AUTO_TEST_CASE(SpoiltFieldIsNoResponse) {
+  std::vector<std::string> names = {"Content-Length ",
+                                    "Content-Length\t",
+                                    "Content Length",
+                                    "Content-Length\x01",
+                                    "Content\x7f-Length",
+                                    "Content-L\rength",
+                                    "Transfer-Encoding ",
+                                    "X(Y)",
+                                    "x\"y",
+                                    "x\xc3\xa4",
+                                    "x/y"};
+  names.push_back("Content-" + std::string(1, '\0') + "Length");
+  for (const std::string& name : names) {
+    CheckNoResponse(kOk + name + ": 4\r\n\r\nbody");
+    CheckNoResponse(kOk + "Content-Length: 4\r\n" + name + ": 4\r\n\r\nbody");
+  }
+  for (const char* value : {"a\rb", "a\nb", "a\x01", "a\x7f", "\x1b[0m"}) {
+    CheckNoResponse(kOk + "Content-Length: 4\r\nx: " + value + "\r\n\r\nbody");
+  }
+  CheckNoResponse(kOk + "Content-Length: 4\r\nx: a" + std::string(1, '\0') + "b\r\n\r\nbody");
+}
+
 // Guards against rules for responses that sound servers do not meet.
 BOOST_AUTO_TEST_CASE(UnusualResponsesAreComplete) {
   const std::vector<std::string> responses = {
