A response with a status outside the protocol is not an answer

What callers saw: an answer with status 600 or 999, or a 200 after "HTTP/1.1 200x", "HTTP/2 200" or a control byte in the reason phrase. The reported status 000 did not reach callers: libcurl refuses it.

Cause: the status was the number after the first blank, whatever stood around it. The bodies of 101 and of lines that the client did not take for a status line were delivered without a head, and ended the hedge of a request.

Change: the status line is parsed as RFC 9112 defines it, for HTTP/1.0 and HTTP/1.1 and a status of 100 to 599; 101 is refused, as no request asks for it.

--- a/src/adapters/http_response_head.cc
+++ b/src/adapters/http_response_head.cc
@@ -61,20 +61,28 @@
   return true;
 }
 
-// Returns 0 if the line is not a status line.
-int ParseStatus(std::string_view line) {
-  if (line.substr(0, 5) != "HTTP/") return 0;
-  size_t space = line.find(' ');
-  if (space == std::string_view::npos) return 0;
-  return atoi(std::string(line.substr(space + 1, 3)).c_str());
-}
-
+// Parses "HTTP/1.1 200 OK". The reason phrase and the space before it may be missing.
 const char* AddStatusLine(std::string_view line, ReceivedHead* head) {
-  int status = ParseStatus(line);
-  if (status == 0) return "the status line of the response is malformed";
+  constexpr std::string_view kVersion = "HTTP/1.";  // the minor version, 0 or 1, follows
+  constexpr size_t kStatusOffset = kVersion.size() + 2;
+  constexpr size_t kReasonOffset = kStatusOffset + 3;
+  constexpr const char* kMalformed = "the status line of the response is malformed";
+  bool has_version = line.size() >= kReasonOffset && line.substr(0, kVersion.size()) == kVersion &&
+                     (line[kVersion.size()] == '0' || line[kVersion.size()] == '1') &&
+                     line[kStatusOffset - 1] == ' ';
+  if (!has_version) return kMalformed;
+  std::string_view digits = line.substr(kStatusOffset, kReasonOffset - kStatusOffset);
+  std::string_view reason = line.substr(kReasonOffset);
+  if (!std::all_of(digits.begin(), digits.end(), IsDigit)) return kMalformed;
+  if (!reason.empty() && (reason[0] != ' ' || !IsText(reason))) return kMalformed;
+  int status = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), status);
+  if (status < 100 || status > 599) return "the status of the response is outside 100 to 599";
+  // No request asks for another protocol.
+  if (status == 101) return "the response switches to another protocol";
   head->status = status;
   head->in_fields = true;
-  head->http_1_0 = line.substr(0, 8) == "HTTP/1.0";
+  head->http_1_0 = line[kVersion.size()] == '0';
   return nullptr;
 }
 
--- a/tests/http_client_faulty_server_test.cc
+++ b/tests/http_client_faulty_server_test.cc
@@ -135,6 +135,24 @@
   CheckNoResponse(kOk + "Content-Length: 4\r\nx: a" + std::string(1, '\0') + "b\r\n\r\nbody");
 }
 
+// Guards against a status that no response can have.
+BOOST_AUTO_TEST_CASE(StatusOutsideTheProtocolIsNoResponse) {
+  for (const char* line :
+       {"HTTP/1.1 000 OK",  "HTTP/1.1 099 OK",  "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 600 OK",  "HTTP/1.1 999 OK",  "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK",  "HTTP/1.1 200x OK",
+        "HTTP/1.1 -20 OK",  "HTTP/1.1  200 OK", "HTTP/1.1 \x01",
+        "HTTP/1.1 OK",      "HTTP/1.1",         "HTTP/1.1 200 O\x01K",
+        "HTTP/1.7 200 OK",  "HTTP/1.x 200 OK",  "HTTP/2 200 OK",
+        "HTTP/2.0 200 OK",  "HTTP/3 200",       "HTTP/11 200 OK",
+        "http/1.1 200 OK",  " HTTP/1.1 200 OK", "HTTP 200 OK",
+        "RTSP/1.0 200 OK"}) {
+    CheckNoResponse(std::string(line) + "\r\nContent-Length: 4\r\n\r\nbody");
+    CheckNoResponse("HTTP/1.1 100 Continue\r\n\r\n" + std::string(line) +
+                    "\r\nContent-Length: 4\r\n\r\nbody");
+  }
+}
+
 // Guards against rules for responses that sound servers do not meet.
 BOOST_AUTO_TEST_CASE(UnusualResponsesAreComplete) {
   const std::vector<std::string> responses = {
