A chunk whose size is damaged fails the response

What callers saw: not reported. A chunk size "0x9" before an event ended the body: the event counted as a trailer field, and an empty body as complete.

Cause: libcurl reads the hexadecimal digits at the start of the line and ignores the rest, and accepts any text as trailer. It is the same leniency as with heads, in the body.

Change: libcurl passes chunked bodies on undecoded, and adapters/chunked_body decodes them as RFC 9112 defines them, with bounds on what it holds. A response with chunks is complete after the last one.

PausedChunkedBodyIsDeliveredOnce fails (no byte arrives) without the line that restores the decoder when the reader pauses.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "adapters/chunked_body.h"
 #include "adapters/http_headers.h"
 #include "adapters/http_response_head.h"
 #include "base/descriptor_claim.h"
@@ -86,6 +87,7 @@
   curl_slist* request_headers = nullptr;
   ReceivedHead head;
   size_t response_header_bytes = 0;
+  ChunkedBody chunked_body;  // if the head says that the body is chunked
   bool body_received = false;
   bool paused = false;
   bool cancelled = false;
@@ -94,6 +96,14 @@
   std::unique_ptr<asio::steady_timer> idle_timer;
 };
 
+// Whether a response that libcurl takes for complete is complete. If the connection ends within the
+// headers, libcurl accepts them without the final empty line.
+bool IsComplete(const CallState& call) {
+  if (!call.head.complete) return false;
+  bool has_chunks = call.head.chunked && call.head.status != 304 && call.request.method != "HEAD";
+  return !has_chunks || call.chunked_body.next == ChunkedBodyPart::kEnd;
+}
+
 // Implements HttpClient. Pending Asio handlers hold weak references, so they may outlive it.
 class CurlClient : public std::enable_shared_from_this<CurlClient> {
  public:
@@ -259,6 +269,8 @@
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &call);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlClient::OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call);
+  // libcurl ignores what follows the digits of a chunk's size, so chunks are decoded by OnBody().
+  curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
 
   bool sends_body = !request.body.empty() || request.method == "POST" || request.method == "PUT" ||
                     request.method == "PATCH";
@@ -294,10 +306,9 @@
   call.last_byte = SteadyNow();
   call.response_header_bytes += bytes;
   if (call.response_header_bytes > kMaxResponseHeaderBytes) {
-    call.error = "response headers or trailers exceed the size limit";
+    call.error = "response headers exceed the size limit";
     return 0;
   }
-  if (call.head.complete) return bytes;  // trailer fields are ignored
   if (const char* error = AddHeadLine({data, bytes}, &call.head)) {
     call.error = error;
     return 0;
@@ -312,21 +323,35 @@
   return call.cancelled ? 0 : bytes;
 }
 
-size_t CurlClient::OnBody(char* data, size_t size, size_t count, void* user_data) {
+size_t CurlClient::OnBody(char* bytes_received, size_t size, size_t count, void* user_data) {
   CallState& call = *static_cast<CallState*>(user_data);
   size_t bytes = size * count;
   if (call.cancelled) return 0;
   call.last_byte = SteadyNow();
-  call.body_received = call.body_received || bytes > 0;
+  std::string_view data(bytes_received, bytes);
+  ChunkedBody decoded_before;
+  std::string decoded;
+  if (call.head.chunked) {
+    decoded_before = call.chunked_body;
+    if (const char* error = DecodeChunks(data, &call.chunked_body, &decoded)) {
+      call.error = error;
+      return 0;
+    }
+    data = decoded;
+  }
+  if (data.empty()) return bytes;
+  call.body_received = true;
   bool keep_reading = true;
   try {
-    if (call.request.on_data) keep_reading = call.request.on_data({data, bytes});
+    if (call.request.on_data) keep_reading = call.request.on_data(data);
   } catch (const std::exception& error) {
     call.error = error.what();
     return 0;
   }
   if (call.cancelled) return 0;
   if (keep_reading) return bytes;
+  // libcurl delivers the same bytes again.
+  call.chunked_body = std::move(decoded_before);
   call.paused = true;
   return CURL_WRITEFUNC_PAUSE;
 }
@@ -468,13 +493,12 @@
   CallResult result;
   result.status = call.head.status;
   result.body_received = call.body_received;
-  // If the connection ends within the headers, libcurl accepts them without the final empty line.
-  if (code == CURLE_OK && (call.head.complete || call.request.connect_only)) {
+  if (code == CURLE_OK && (IsComplete(call) || call.request.connect_only)) {
     result.outcome = CallOutcome::kComplete;
     return result;
   }
   result.error = !call.error.empty() ? call.error
-                 : code == CURLE_OK  ? "connection closed before the response headers were complete"
+                 : code == CURLE_OK  ? "connection closed before the response was complete"
                                      : curl_easy_strerror(code);
   long bytes_written = 0;
   curl_off_t connect_us = 0;
--- a/src/adapters/http_response_head.cc
+++ b/src/adapters/http_response_head.cc
@@ -40,8 +40,6 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenChar);
 }
 
-bool IsText(std::string_view text) { return std::all_of(text.begin(), text.end(), IsTextChar); }
-
 std::string_view TrimBlanks(std::string_view text) {
   size_t first = text.find_first_not_of(kBlanks);
   if (first == std::string_view::npos) return {};
@@ -55,7 +53,7 @@
   if (colon == std::string_view::npos) return false;
   std::string_view name = line.substr(0, colon);
   std::string_view value = line.substr(colon + 1);
-  if (!IsToken(name) || !IsText(value)) return false;
+  if (!IsToken(name) || !IsHeaderText(value)) return false;
   field->name = name;
   field->value = TrimBlanks(value);
   return true;
@@ -74,7 +72,7 @@
   std::string_view digits = line.substr(kStatusOffset, kReasonOffset - kStatusOffset);
   std::string_view reason = line.substr(kReasonOffset);
   if (!std::all_of(digits.begin(), digits.end(), IsDigit)) return kMalformed;
-  if (!reason.empty() && (reason[0] != ' ' || !IsText(reason))) return kMalformed;
+  if (!reason.empty() && (reason[0] != ' ' || !IsHeaderText(reason))) return kMalformed;
   int status = 0;
   std::from_chars(digits.data(), digits.data() + digits.size(), status);
   if (status < 100 || status > 599) return "the status of the response is outside 100 to 599";
@@ -136,6 +134,15 @@
 
 }  // namespace
 
+bool IsFieldLine(std::string_view line) {
+  Field field;
+  return ParseField(line, &field);
+}
+
+bool IsHeaderText(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), IsTextChar);
+}
+
 const char* AddHeadLine(std::string_view line, ReceivedHead* head) {
   if (line.size() < kLineBreak.size() || line.substr(line.size() - kLineBreak.size()) != kLineBreak)
     return "a line of the response head does not end with CR LF";
--- a/src/adapters/http_response_head.h
+++ b/src/adapters/http_response_head.h
@@ -30,6 +30,12 @@
 // for logs. Precondition: the head is not complete.
 const char* AddHeadLine(std::string_view line, ReceivedHead* head);
 
+// Returns whether the line, without its line break, is a header or trailer field.
+bool IsFieldLine(std::string_view line);
+
+// Returns whether the text is without control bytes but tabs.
+bool IsHeaderText(std::string_view text);
+
 }  // namespace ebonylift
 
 #endif  // EBONYLIFT_ADAPTERS_HTTP_RESPONSE_HEAD_H_
--- a/tests/http_client_faulty_server_test.cc
+++ b/tests/http_client_faulty_server_test.cc
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE http_client_faulty_server
 #include <boost/test/included/unit_test.hpp>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "tests/support/http_fixture.h"
@@ -15,10 +17,11 @@
 
 struct Fixture : HttpFixture {
   // Fetches from a server that sends `response` and then closes the connection.
-  Reply FetchResponse(const std::string& response) {
+  Reply FetchResponse(const std::string& response, const char* method = "GET") {
     RawServer raw(io);
     Reply reply;
     HttpCall call = Get(raw.Url());
+    call.method = method;
     call.new_connection = true;
     Start(std::move(call), &reply);
     RunUntil([&] { return raw.PeerReceived(0, "\r\n\r\n"); }, "the request arrives");
@@ -153,6 +156,62 @@
   }
 }
 
+// Guards against a body that is cut short because the size of a chunk is spoilt.
+BOOST_AUTO_TEST_CASE(SpoiltChunkFailsTheCall) {
+  for (const char* chunks : {"0x9\r\ndata: a\r\n\r\n0\r\n\r\n",
+                             "0x4\r\nbody\r\n0\r\n\r\n",
+                             "4x\r\nbody\r\n0\r\n\r\n",
+                             "0body\r\n\r\n",
+                             "4 x\r\nbody\r\n0\r\n\r\n",
+                             "4\nbody\r\n0\r\n\r\n",
+                             "4\r\nbody\n0\r\n\r\n",
+                             "4\r\nbody0\r\n\r\n",
+                             "4\r\nbodybody\r\n0\r\n\r\n",
+                             "\r\n4\r\nbody\r\n0\r\n\r\n",
+                             ";x\r\nbody\r\n0\r\n\r\n",
+                             "+4\r\nbody\r\n0\r\n\r\n",
+                             "-4\r\nbody\r\n0\r\n\r\n",
+                             "ffffffffffffffff\r\nbody",
+                             "10000000000000000\r\nbody",
+                             "4\r\nbody\r\n0x\r\n\r\n",
+                             "4\r\nbody\r\n0\n\r\n",
+                             "4;a\x01\r\nbody\r\n0\r\n\r\n",
+                             "4\r\nbody\r\n0\r\ngarbage\r\n\r\n",
+                             "4\r\nbody\r\n0\r\nx y: z\r\n\r\n",
+                             "4\r\nbody\r\n0\r\nx: y\n\r\n"}) {
+    Reply reply = FetchResponse(kChunked + chunks);
+    BOOST_TEST_CONTEXT("chunks " << chunks) {
+      BOOST_TEST(reply.result.outcome == CallOutcome::kFailed);
+      BOOST_TEST(!reply.result.error.empty());
+    }
+  }
+}
+
+// Guards against bytes of a chunked body that are lost or come twice when its reader pauses.
+BOOST_AUTO_TEST_CASE(PausedChunkedBodyIsDeliveredOnce) {
+  RawServer raw(io);
+  Reply reply;
+  bool reading = false;
+  HttpCall call = Get(raw.Url());
+  call.on_data = [&](std::string_view data) {
+    if (reading) reply.body.append(data);
+    return std::exchange(reading, false);
+  };
+  CallId id = Start(std::move(call), &reply);
+  RunUntil([&] { return raw.PeerReceived(0, "\r\n\r\n"); }, "the request arrives");
+  for (const char* bytes : {"", "4\r\nab", "cd\r", "\n2\r\nef\r\n1", "\r\ng\r\n0\r\n", "\r\n"}) {
+    raw.peers[0]->Send((*bytes == 0 ? kChunked : "") + bytes);
+    RunFor(milliseconds(5));
+  }
+  for (int i = 0; i < 100 && !reply.done; ++i) {
+    reading = true;
+    client->Resume(id);
+    RunFor(milliseconds(5));
+  }
+  BOOST_TEST(reply.result.outcome == CallOutcome::kComplete);
+  BOOST_TEST(reply.body == "abcdefg");
+}
+
 // Guards against rules for responses that sound servers do not meet.
 BOOST_AUTO_TEST_CASE(UnusualResponsesAreComplete) {
   const std::vector<std::string> responses = {
@@ -180,9 +239,11 @@
   }
   for (const char* head :
        {"HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n"}) {
+        "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
     BOOST_TEST(FetchResponse(head).result.outcome == CallOutcome::kComplete, head);
   }
+  BOOST_TEST(FetchResponse(kChunked, "HEAD").result.outcome == CallOutcome::kComplete);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
