A success that ends with its connection during the upload is not complete

What callers saw: a part of a body as a complete answer. A backend server answered a long upload at once with a 200 without a length, wrote part of the body and closed the connection. The operating system answers the rest of the upload with a reset, but the client has read the end of the connection before.

Cause: libcurl takes the end of the connection for the end of the body also while it still writes the request, and then stops writing.

Change: such a response is complete only if the request was written to its end, as a server that has not read the request has not answered it. Errors are as before: a server may refuse an upload that it has not read. What the kernel has yet to send counts as written.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -96,12 +96,35 @@
   std::unique_ptr<asio::steady_timer> idle_timer;
 };
 
-// Whether a response that libcurl takes for complete is complete. If the connection ends within the
-// headers, libcurl accepts them without the final empty line.
-bool IsComplete(const CallState& call) {
-  if (!call.head.complete) return false;
-  bool has_chunks = call.head.chunked && call.head.status != 304 && call.request.method != "HEAD";
-  return !has_chunks || call.chunked_body.next == ChunkedBodyPart::kEnd;
+// Whether the response may have a body.
+bool HasBody(const CallState& call) {
+  int status = call.head.status;
+  return call.request.method != "HEAD" && status != 204 && status != 304;
+}
+
+// Whether the request was written up to its end. What the kernel has yet to send counts as written.
+bool IsRequestWritten(const CallState& call) {
+  curl_off_t bytes = 0;
+  curl_easy_getinfo(call.easy, CURLINFO_SIZE_UPLOAD_T, &bytes);
+  return static_cast<size_t>(bytes) >= call.request.body.size();
+}
+
+// Returns nullptr if the response, which libcurl takes for complete, is complete. Otherwise returns
+// what is missing, for logs.
+const char* MissingPart(const CallState& call) {
+  if (call.request.connect_only) return nullptr;
+  // If the connection ends within the headers, libcurl accepts them without the final empty line.
+  if (!call.head.complete) return "connection closed before the response headers were complete";
+  if (!HasBody(call) || call.head.has_length) return nullptr;
+  if (call.head.chunked) {
+    bool ended = call.chunked_body.next == ChunkedBodyPart::kEnd;
+    return ended ? nullptr : "connection closed before the last chunk of the response";
+  }
+  // The server has not read the request, so the end of the connection does not show that it wrote
+  // all of a successful response. An error may be all that it has to say.
+  bool succeeded = call.head.status < 300;
+  return succeeded && !IsRequestWritten(call) ? "connection closed while the request was written"
+                                              : nullptr;
 }
 
 // Implements HttpClient. Pending Asio handlers hold weak references, so they may outlive it.
@@ -493,12 +516,13 @@
   CallResult result;
   result.status = call.head.status;
   result.body_received = call.body_received;
-  if (code == CURLE_OK && (IsComplete(call) || call.request.connect_only)) {
+  const char* missing = MissingPart(call);
+  if (code == CURLE_OK && missing == nullptr) {
     result.outcome = CallOutcome::kComplete;
     return result;
   }
   result.error = !call.error.empty() ? call.error
-                 : code == CURLE_OK  ? "connection closed before the response was complete"
+                 : code == CURLE_OK  ? missing
                                      : curl_easy_strerror(code);
   long bytes_written = 0;
   curl_off_t connect_us = 0;
--- a/tests/http_client_faulty_server_test.cc
+++ b/tests/http_client_faulty_server_test.cc
@@ -212,6 +212,38 @@
   BOOST_TEST(reply.body == "abcdefg");
 }
 
+// Guards against a partial body that looks complete: the server answers while the request is still
+// being written, without a length, and resets the connection. After a close, the reset follows the
+// end of the connection.
+BOOST_AUTO_TEST_CASE(ResetDuringTheUploadIsNoEndOfTheBody) {
+  enum class End { kReset, kCloseUnread, kClose };
+  const std::string upload(8 << 20, 'u');
+  std::string buffer(64 << 10, ' ');
+  for (End end : {End::kReset, End::kCloseUnread, End::kClose}) {
+    for (Duration pause : {milliseconds(0), milliseconds(1), milliseconds(20)}) {
+      asio::ip::tcp::acceptor acceptor(
+          io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+      asio::ip::tcp::socket peer(io);
+      acceptor.async_accept(peer, [](const asio::error_code&) {});
+      Reply reply;
+      HttpCall call =
+          Post("http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), upload);
+      call.new_connection = true;
+      Start(std::move(call), &reply);
+      RunUntil([&] { return peer.is_open() && peer.available() > 0; }, "the upload begins");
+      asio::write(peer, asio::buffer(kOk + "\r\npart"));
+      RunFor(pause);
+      if (end == End::kReset) peer.set_option(asio::socket_base::linger(true, 0));
+      while (end == End::kClose && peer.available() > 0) peer.read_some(asio::buffer(buffer));
+      peer.close();
+      RunUntil([&] { return reply.done; }, "the call is done");
+      BOOST_TEST(reply.result.outcome == CallOutcome::kFailed,
+                 "end " << static_cast<int>(end) << " after " << ToMillis(pause) << " ms");
+      BOOST_TEST(!reply.result.error.empty());
+    }
+  }
+}
+
 // Guards against rules for responses that sound servers do not meet.
 BOOST_AUTO_TEST_CASE(UnusualResponsesAreComplete) {
   const std::vector<std::string> responses = {
@@ -244,6 +276,18 @@
     BOOST_TEST(FetchResponse(head).result.outcome == CallOutcome::kComplete, head);
   }
   BOOST_TEST(FetchResponse(kChunked, "HEAD").result.outcome == CallOutcome::kComplete);
+  for (size_t upload : {size_t{0}, size_t{4}, size_t{8} << 20}) {
+    RawServer raw(io);
+    Reply reply;
+    Start(Post(raw.Url(), std::string(upload, 'u')), &reply);
+    RunUntil([&] { return raw.PeerReceived(0, "\r\n\r\n" + std::string(upload, 'u')); },
+             "the upload arrives");
+    raw.peers[0]->Send(kOk + "\r\nbody");
+    raw.peers[0]->Close();
+    RunUntil([&] { return reply.done; }, "the call is done");
+    BOOST_TEST(reply.result.outcome == CallOutcome::kComplete, upload << " bytes");
+    BOOST_TEST(reply.body == "body");
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
