--- a/src/adapters/chunked_body.cc
+++ b/src/adapters/chunked_body.cc
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <charconv>
 #include <limits>
+#include <utility>
 
 #include "adapters/http_response_head.h"
 
 namespace ebonylift {
 namespace {
 
-constexpr std::string_view kLineBreak = "\r\n";
 constexpr size_t kMaxSizeLineBytes = 4 << 10;
 constexpr size_t kMaxTrailerBytes = 256 << 10;
 
@@ -70,11 +70,9 @@
   body->line.append(data->substr(0, taken));
   data->remove_prefix(taken);
   if (line_feed == std::string_view::npos) return nullptr;
-  std::string line = std::move(body->line);
-  body->line.clear();
-  if (line.size() < kLineBreak.size() || line[line.size() - kLineBreak.size()] != kLineBreak[0])
-    return "a line of a chunked body does not end with CR LF";
-  line.resize(line.size() - kLineBreak.size());
+  const std::string complete = std::exchange(body->line, std::string());
+  std::string_view line = complete;
+  if (!RemoveLineBreak(&line)) return "a line of a chunked body does not end with CR LF";
   return AddLine(line, body);
 }
 
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -120,10 +120,10 @@
     bool ended = call.chunked_body.next == ChunkedBodyPart::kEnd;
     return ended ? nullptr : "connection closed before the last chunk of the response";
   }
-  // The server has not read the request, so the end of the connection does not show that it wrote
-  // all of a successful response. An error may be all that it has to say.
+  // A server that has not read the request has not answered it, so the end of the connection does
+  // not show that a success is complete. An error may be sent without reading the request.
   bool succeeded = call.head.status < 300;
-  return succeeded && !IsRequestWritten(call) ? "connection closed while the request was written"
+  return succeeded && !IsRequestWritten(call) ? "connection closed before the request was written"
                                               : nullptr;
 }
 
@@ -346,27 +346,27 @@
   return call.cancelled ? 0 : bytes;
 }
 
-size_t CurlClient::OnBody(char* bytes_received, size_t size, size_t count, void* user_data) {
+size_t CurlClient::OnBody(char* data, size_t size, size_t count, void* user_data) {
   CallState& call = *static_cast<CallState*>(user_data);
   size_t bytes = size * count;
   if (call.cancelled) return 0;
   call.last_byte = SteadyNow();
-  std::string_view data(bytes_received, bytes);
+  std::string_view body(data, bytes);
   ChunkedBody decoded_before;
   std::string decoded;
   if (call.head.chunked) {
     decoded_before = call.chunked_body;
-    if (const char* error = DecodeChunks(data, &call.chunked_body, &decoded)) {
+    if (const char* error = DecodeChunks(body, &call.chunked_body, &decoded)) {
       call.error = error;
       return 0;
     }
-    data = decoded;
+    body = decoded;
   }
-  if (data.empty()) return bytes;
+  if (body.empty()) return bytes;
   call.body_received = true;
   bool keep_reading = true;
   try {
-    if (call.request.on_data) keep_reading = call.request.on_data(data);
+    if (call.request.on_data) keep_reading = call.request.on_data(body);
   } catch (const std::exception& error) {
     call.error = error.what();
     return 0;
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -18,6 +18,8 @@
 
 using CallId = uint64_t;
 
+// A response that RFC 9112 does not define is kFailed, and nothing of a malformed head is passed
+// on.
 enum class CallOutcome {
   kComplete,        // the complete response was received
   kNotConnected,    // no connection was established, so nothing was sent
--- a/src/adapters/http_response_head.cc
+++ b/src/adapters/http_response_head.cc
@@ -11,8 +11,7 @@
 namespace ebonylift {
 namespace {
 
-constexpr std::string_view kLineBreak = "\r\n";
-constexpr std::string_view kBlanks = " \t";
+constexpr std::string_view kWhitespace = " \t";
 
 struct Field {
   std::string name;
@@ -23,7 +22,7 @@
 
 bool IsLetter(char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z'); }
 
-// The characters of a field name (RFC 9110, section 5.6.2). A blank is not one of them.
+// The characters of a field name (RFC 9110, section 5.6.2). Whitespace is not among them.
 bool IsTokenChar(char c) {
   constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
   return IsDigit(c) || IsLetter(c) || kSymbols.find(c) != std::string_view::npos;
@@ -40,13 +39,13 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenChar);
 }
 
-std::string_view TrimBlanks(std::string_view text) {
-  size_t first = text.find_first_not_of(kBlanks);
+std::string_view TrimWhitespace(std::string_view text) {
+  size_t first = text.find_first_not_of(kWhitespace);
   if (first == std::string_view::npos) return {};
-  return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
+  return text.substr(first, text.find_last_not_of(kWhitespace) - first + 1);
 }
 
-// A folded line, which continues the field of the line before, begins with a blank and is not a
+// A folded line, which continues the field of the line before, begins with whitespace and is not a
 // field. A gateway may refuse a response with such a line (RFC 9112, section 5.2).
 bool ParseField(std::string_view line, Field* field) {
   size_t colon = line.find(':');
@@ -55,7 +54,7 @@
   std::string_view value = line.substr(colon + 1);
   if (!IsToken(name) || !IsHeaderText(value)) return false;
   field->name = name;
-  field->value = TrimBlanks(value);
+  field->value = TrimWhitespace(value);
   return true;
 }
 
@@ -99,7 +98,7 @@
     head->has_length = true;
   } else if (EqualsIgnoreCase(field.name, "transfer-encoding")) {
     if (head->chunked) return "the response has several Transfer-Encoding fields";
-    // Without the request for it, a server applies no other coding.
+    // No request of this client accepts another coding.
     if (!EqualsIgnoreCase(field.value, "chunked"))
       return "the Transfer-Encoding of the response is not chunked";
     head->chunked = true;
@@ -134,6 +133,14 @@
 
 }  // namespace
 
+bool RemoveLineBreak(std::string_view* line) {
+  constexpr std::string_view kLineBreak = "\r\n";
+  if (line->size() < kLineBreak.size()) return false;
+  if (line->substr(line->size() - kLineBreak.size()) != kLineBreak) return false;
+  line->remove_suffix(kLineBreak.size());
+  return true;
+}
+
 bool IsFieldLine(std::string_view line) {
   Field field;
   return ParseField(line, &field);
@@ -144,9 +151,7 @@
 }
 
 const char* AddHeadLine(std::string_view line, ReceivedHead* head) {
-  if (line.size() < kLineBreak.size() || line.substr(line.size() - kLineBreak.size()) != kLineBreak)
-    return "a line of the response head does not end with CR LF";
-  line.remove_suffix(kLineBreak.size());
+  if (!RemoveLineBreak(&line)) return "a line of the response head does not end with CR LF";
   if (!head->in_fields) return AddStatusLine(line, head);
   return line.empty() ? EndHead(head) : AddField(line, head);
 }
--- a/src/adapters/http_response_head.h
+++ b/src/adapters/http_response_head.h
@@ -30,6 +30,9 @@
 // for logs. Precondition: the head is not complete.
 const char* AddHeadLine(std::string_view line, ReceivedHead* head);
 
+// Removes CR LF from the end of the line. Returns false if the line does not end with it.
+bool RemoveLineBreak(std::string_view* line);
+
 // Returns whether the line, without its line break, is a header or trailer field.
 bool IsFieldLine(std::string_view line);
 
--- a/tests/exchange_faulty_server_test.cc
+++ b/tests/exchange_faulty_server_test.cc
@@ -115,10 +115,10 @@
   }
 }
 
-// Guards against a body that is not the server's and looks complete: the head is spoilt where it
-// tells the body's length, so the body is cut short or ends with the connection. Also against a
-// spoilt line that is passed on.
-BOOST_AUTO_TEST_CASE(SpoiltHeadIsNoAnswer) {
+// Guards against a body that is not the server's and looks complete: the head is malformed where
+// it gives the body's length, so the body is cut short or ends with the connection. Also against a
+// malformed line that is passed on.
+BOOST_AUTO_TEST_CASE(MalformedHeadIsNoAnswer) {
   for (const char* lines :
        {"Content-Length: 4x\r\n", "Content-Length: 99999999999999999999\r\n",
         "Content-Length: 4\r\n: 12\r\n", "Content-Length: 4\r\n folded\r\n",
--- a/tests/http_client_faulty_server_test.cc
+++ b/tests/http_client_faulty_server_test.cc
@@ -57,8 +57,8 @@
 }
 
 // Guards against a body that is cut short, or goes on to the end of the connection, because the
-// fields that tell its length are spoilt.
-BOOST_AUTO_TEST_CASE(SpoiltLengthIsNoResponse) {
+// fields that give its length are malformed.
+BOOST_AUTO_TEST_CASE(MalformedLengthIsRejected) {
   for (const char* fields : {"Content-Length:",
                              "Content-Length: x",
                              "Content-Length: 1x",
@@ -98,8 +98,8 @@
   CheckNoResponse("HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
 }
 
-// Guards against a head in which a line was lost or spoilt: it may have told the body's length.
-BOOST_AUTO_TEST_CASE(LineThatIsNoFieldIsNoResponse) {
+// Guards against a head in which a line was damaged: it may have given the body's length.
+BOOST_AUTO_TEST_CASE(LineThatIsNoFieldIsRejected) {
   for (const char* line :
        {"Content-Length", "garbage", "garbage without a colon", ": value", " Content-Length: 1",
         "\tContent-Length: 1", "x: a\r\n Content-Length: 1", "x: a\r\n\tb", " ", "\t",
@@ -112,10 +112,10 @@
   CheckNoResponse(kOk + "Content-Length: 4\r\n\nbody");
 }
 
-// Guards against a field with a blank or a control byte in its name: it is passed on, or its value
-// is ignored although it tells the body's length. A control byte in a value was spoilt on the way,
+// Guards against a field with whitespace or a control byte in its name: it is passed on, or its
+// value is ignored although it gives the body's length. A control byte in a value shows damage,
 // too.
-BOOST_AUTO_TEST_CASE(SpoiltFieldIsNoResponse) {
+BOOST_AUTO_TEST_CASE(MalformedFieldIsRejected) {
   std::vector<std::string> names = {"Content-Length ",
                                     "Content-Length\t",
                                     "Content Length",
@@ -139,7 +139,7 @@
 }
 
 // Guards against a status that no response can have.
-BOOST_AUTO_TEST_CASE(StatusOutsideTheProtocolIsNoResponse) {
+BOOST_AUTO_TEST_CASE(InvalidStatusIsRejected) {
   for (const char* line :
        {"HTTP/1.1 000 OK",  "HTTP/1.1 099 OK",  "HTTP/1.1 101 Switching Protocols",
         "HTTP/1.1 600 OK",  "HTTP/1.1 999 OK",  "HTTP/1.1 20 OK",
@@ -156,8 +156,8 @@
   }
 }
 
-// Guards against a body that is cut short because the size of a chunk is spoilt.
-BOOST_AUTO_TEST_CASE(SpoiltChunkFailsTheCall) {
+// Guards against a body that is cut short because the size of a chunk is malformed.
+BOOST_AUTO_TEST_CASE(MalformedChunkFailsTheCall) {
   for (const char* chunks : {"0x9\r\ndata: a\r\n\r\n0\r\n\r\n",
                              "0x4\r\nbody\r\n0\r\n\r\n",
                              "4x\r\nbody\r\n0\r\n\r\n",
@@ -215,7 +215,7 @@
 // Guards against a partial body that looks complete: the server answers while the request is still
 // being written, without a length, and resets the connection. After a close, the reset follows the
 // end of the connection.
-BOOST_AUTO_TEST_CASE(ResetDuringTheUploadIsNoEndOfTheBody) {
+BOOST_AUTO_TEST_CASE(ResetDuringTheUploadDoesNotEndTheBody) {
   enum class End { kReset, kCloseUnread, kClose };
   const std::string upload(8 << 20, 'u');
   std::string buffer(64 << 10, ' ');
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -143,10 +143,10 @@
   SetMode(portals, ReplicaMode::kWrongAttemptId);
   TestResponse foreign = platform.Request("este-a", "POST", "/post/1", "x1");
   BOOST_TEST(foreign.status == 502);
-  // Nor does one with a spoilt head.
-  SetMode(portals, ReplicaMode::kSpoiltHead);
-  TestResponse spoilt = platform.Request("este-a", "POST", "/post/1", "b1");
-  BOOST_TEST(spoilt.status == 502);
+  // Nor does one with a malformed head.
+  SetMode(portals, ReplicaMode::kMalformedHead);
+  TestResponse malformed = platform.Request("este-a", "POST", "/post/1", "b1");
+  BOOST_TEST(malformed.status == 502);
   BOOST_TEST(Runs(portals, "b1") == 1u);
 }
 
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -309,7 +309,7 @@
   if (mode == ReplicaMode::kWrongAttemptId) request_id = "another";
   HttpHeaders headers = {{"Attempt-Id", request_id}, {"Server-Seal", id()}};
   AddNotices(&headers);
-  if (mode == ReplicaMode::kSpoiltHead) headers.emplace_back("Server Note", "1");
+  if (mode == ReplicaMode::kMalformedHead) headers.emplace_back("Server Note", "1");
   int status = mode == ReplicaMode::kFail ? 500 : 200;
   responder->Send(status, headers, request.method + " " + request.path + " " + request.body);
 }
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -33,7 +33,7 @@
   kBreakStream,     // closes the connection in the middle of the third event of a stream
   kWrongAttemptId,  // answers with the Attempt-Id of another request
   kNotFound,        // answers 404 with a body that looks like an event
-  kSpoiltHead,      // runs the request and answers with a blank in the name of a header field
+  kMalformedHead,   // runs the request and answers with a space in the name of a header field
 };
 
 // What a replica does with the requests of hosts to which it has no path.
