The HTTP client uses StatusForbidsBody()

HasBody() repeated the statuses without a body that http_response_text already names for the server. No behaviour changes: the status of a complete head is never below 200.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -16,6 +16,7 @@
 #include "adapters/chunked_body.h"
 #include "adapters/http_headers.h"
 #include "adapters/http_response_head.h"
+#include "adapters/http_response_text.h"
 #include "base/descriptor_claim.h"
 
 namespace ebonylift {
@@ -98,8 +99,7 @@
 
 // Whether the response may have a body.
 bool HasBody(const CallState& call) {
-  int status = call.head.status;
-  return call.request.method != "HEAD" && status != 204 && status != 304;
+  return call.request.method != "HEAD" && !StatusForbidsBody(call.head.status);
 }
 
 // Whether the request was written up to its end. What the kernel has yet to send counts as written.
