--- a/review/harness-2/deployment.cc
+++ b/review/harness-2/deployment.cc
@@ -31,7 +31,7 @@
 constexpr int kDirectoryOffset = 21;
 constexpr int kCallerOffset = 22;
 constexpr int kReadyOffset = 23;
-constexpr int kMetricsOffset = 24;
+constexpr int kMetricsPort = 9464;
 
 sockaddr_in Address(const std::string& ip, int port) {
   sockaddr_in address{};
@@ -525,8 +525,8 @@
         "127." + std::to_string(40 + random() % 180) + "." + std::to_string(random() % 250) + ".";
     base_port_ = 20000 + static_cast<int>(random() % 30000);
     bool all_free = true;
-    for (int offset :
-         {0, 1, kControlOffset, kDirectoryOffset, kCallerOffset, kReadyOffset, kMetricsOffset}) {
+    for (int offset : {0, 1, kControlOffset, kDirectoryOffset, kCallerOffset, kReadyOffset,
+                       kMetricsPort - base_port_}) {
       int fd = Listener(prefix_ + "1", base_port_ + offset);
       all_free = all_free && fd >= 0;
       if (fd >= 0) close(fd);
@@ -599,7 +599,8 @@
          "  ttl_max_s: 5\n";
   out.close();
   std::string settings = "EBONYLIFT_NODE_FILE=" + path;
-  std::string metrics = "--metrics_port=" + std::to_string(base_port_ + kMetricsOffset);
+  // The command of deploy/system.toml. Each process has an address of its own.
+  std::string metrics = "--metrics_port=" + std::to_string(kMetricsPort);
   std::string log = folder_ + "/" + process->name + ".log";
   pid_t pid = fork();
   if (pid == 0) {
@@ -608,8 +609,7 @@
     dup2(fd, 1);
     dup2(fd, 2);
     const char* program = "target/ebonylift-platform";
-    char* arguments[] = {const_cast<char*>(program), const_cast<char*>(metrics.c_str()),
-                         const_cast<char*>("--connect_from_own_ip"), nullptr};
+    char* arguments[] = {const_cast<char*>(program), const_cast<char*>(metrics.c_str()), nullptr};
     char* environment[] = {const_cast<char*>(settings.c_str()),
                            const_cast<char*>("PATH=/usr/bin:/bin"), const_cast<char*>("HOME=/tmp"),
                            const_cast<char*>("LANG=C"), nullptr};
