A stopping host logs when it leaves the lists of entry hosts and until when it takes requests

The log had the start and the end of a stop, so it could not tell a host that takes requests too long from one whose clock or signal was late, or from a caller that was early. Change: event 111, entry_list_left: how long the host waited for the others of its region, until when it takes requests that may outlast it, and the open requests. That time comes from a function (TakesLongRequestsUntil).

--- a/src/base/event.h
+++ b/src/base/event.h
@@ -35,6 +35,7 @@
   kStartFailed = 108,
   kDescriptorConflict = 109,
   kEventLoopDelayed = 110,
+  kEntryListLeft = 111,
 
   kRequestReceived = 200,
   kRequestDispatched = 201,
--- a/src/core/drain.cc
+++ b/src/core/drain.cc
@@ -3,14 +3,18 @@
 namespace ebonylift {
 namespace {
 
-// Requests that come in this part of the shutdown have the rest of it to end.
-constexpr double kEarlyShare = 1.0 / 3;
+// Requests that come in this part of the shutdown, one in so many, have the rest of it to end.
+constexpr int kEarlyDivisor = 3;
 
 }  // namespace
 
+Time TakesLongRequestsUntil(const DrainTimes& drain) {
+  return drain.began + (drain.ends - drain.began) / kEarlyDivisor;
+}
+
 bool MayTakeRequest(const DrainTimes& drain, Time deadline, Time now) {
   if (drain.began == Time() || deadline <= drain.ends) return true;
-  return now - drain.began < kEarlyShare * (drain.ends - drain.began);
+  return now < TakesLongRequestsUntil(drain);
 }
 
 }  // namespace ebonylift
--- a/src/core/drain.h
+++ b/src/core/drain.h
@@ -17,9 +17,12 @@
   Time ends;  // open requests are ended then
 };
 
+// Returns until when the host takes requests that may outlast the shutdown: early in it, as callers
+// use lists of hosts that are still valid. Pure and thread safe.
+Time TakesLongRequestsUntil(const DrainTimes& drain);
+
 // Returns whether the host takes a request that has arrived now and ends by `deadline`: one that
-// comes early in the shutdown, as callers use lists of hosts that are still valid, or that ends
-// before it. Pure and thread safe.
+// comes early in the shutdown, or that ends before it. Pure and thread safe.
 bool MayTakeRequest(const DrainTimes& drain, Time deadline, Time now);
 
 }  // namespace ebonylift
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -13,6 +13,7 @@
 #include "base/error.h"
 #include "base/event.h"
 #include "base/log_output.h"
+#include "core/drain.h"
 #include "core/entry_list.h"
 #include "daemon/condemned_store.h"
 #include "daemon/control.h"
@@ -220,8 +221,14 @@
       RunAfter(kPollInterval, [this] { LeaveWhenReplaced(); });
       return;
     }
+    DrainTimes drain{SteadyNow(), drain_started_ + settings_.drain_timeout};
+    LogEvent(
+        EventId::kEntryListLeft,
+        {{"waited_ms", std::to_string(ToMillis(SteadyNow() - drain_started_))},
+         {"takes_ms", std::to_string(ToMillis(TakesLongRequestsUntil(drain) - drain_started_))},
+         {"open", std::to_string(traffic_->open_requests())}});
     control_->StartDrain();
-    traffic_->BeginDrain({SteadyNow(), drain_started_ + settings_.drain_timeout});
+    traffic_->BeginDrain(drain);
     RunAfter(kDrainGrace, [this] {
       traffic_->StopAccepting();
       stopped_accepting_ = SteadyNow();
