A stop counts the time for late requests from its signal, also if it waits before it leaves

Cause: such a gateway waits up to 1.5 s before it leaves the lists of entry hosts, and counted the third of the stop in which it takes requests that may outlast it from the end of that wait, but the end of the stop from the signal. Evidence: entry_list_left: waited_ms=1506, takes_ms=3504 at the gateway that cut them; 0 and 2500 at the other one. So neither a late signal nor an early caller. Change: both times start at the signal. The wait is at most a fifth of the stop (1.5 s of 7.5 s, as before), so that a host with a short grace period does not refuse requests before it leaves. Why it works: what is taken now has two thirds of the stop, 5 s of 7.5 s, to end; the rest is refused as not run while its caller still has time. Tests: platform_stop_test LateRequestsOfAStopThatWaitsAreAnswered failed before (the request of 3.0 s was passed on and got 502 at the end of the stop) and passes; drain_times_test is new with its function.

--- a/src/core/drain.h
+++ b/src/core/drain.h
@@ -1,7 +1,7 @@
 #ifndef EBONYLIFT_CORE_DRAIN_H_
 #define EBONYLIFT_CORE_DRAIN_H_
 
-// Which requests a host takes while it shuts down.
+// Which requests a host takes while it shuts down, and when it leaves the lists of entry hosts.
 //
 // Callers go on using open connections until the host has ended. A request that is still running at
 // the end of the shutdown is cut, so one that comes late is refused as not run, and its caller can
@@ -11,12 +11,17 @@
 
 namespace ebonylift {
 
-// A shutdown of this host; both times are Time() before it begins.
+// A shutdown of this host; both times are Time() before the host leaves the lists of entry hosts.
 struct DrainTimes {
-  Time began;
-  Time ends;  // open requests are ended then
+  Time began;  // when the shutdown was requested, whether or not the host then waited for others
+  Time ends;   // open requests are ended then
 };
 
+// Returns how long a host whose shutdown takes `drain_timeout` at most may wait for other hosts
+// before it leaves the lists. It leaves early enough to take requests for a while after that. Pure
+// and thread safe.
+Duration MaxDrainDelay(Duration drain_timeout);
+
 // Returns until when the host takes requests that may outlast the shutdown: early in it, as callers
 // use lists of hosts that are still valid. Pure and thread safe.
 Time TakesLongRequestsUntil(const DrainTimes& drain);
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -29,10 +29,6 @@
 // A shutdown accepts connections for this long, because callers may hold a list of entry hosts that
 // is still valid and contains this host.
 constexpr Duration kDrainGrace = milliseconds(1500);
-// A shutdown begins so much later at most if all other hosts of the region that take requests are
-// restarting as well. Hosts that are restarted one after the other can be slow to end their open
-// requests, and callers would be sent to another region meanwhile.
-constexpr Duration kMaxDrainDelay = milliseconds(1500);
 constexpr Duration kPollInterval = milliseconds(20);
 // Time for the sockets to deliver the last responses after the last request has ended.
 constexpr Duration kFlushTime = milliseconds(200);
@@ -215,18 +211,20 @@
     LeaveWhenReplaced();
   }
 
+  // Leaves the lists of entry hosts. If all other hosts of the region that take requests are
+  // restarting as well, waits for a while, as callers would be sent to another region meanwhile.
   void LeaveWhenReplaced() {
-    bool may_wait = SteadyNow() - drain_started_ < kMaxDrainDelay;
+    Duration waited = SteadyNow() - drain_started_;
+    bool may_wait = waited < MaxDrainDelay(settings_.drain_timeout);
     if (may_wait && IsAwaitingReplacement(*control_->View())) {
       RunAfter(kPollInterval, [this] { LeaveWhenReplaced(); });
       return;
     }
-    DrainTimes drain{SteadyNow(), drain_started_ + settings_.drain_timeout};
-    LogEvent(
-        EventId::kEntryListLeft,
-        {{"waited_ms", std::to_string(ToMillis(SteadyNow() - drain_started_))},
-         {"takes_ms", std::to_string(ToMillis(TakesLongRequestsUntil(drain) - drain_started_))},
-         {"open", std::to_string(traffic_->open_requests())}});
+    DrainTimes drain{drain_started_, drain_started_ + settings_.drain_timeout};
+    Duration takes_long = TakesLongRequestsUntil(drain) - drain_started_;
+    LogEvent(EventId::kEntryListLeft, {{"waited_ms", std::to_string(ToMillis(waited))},
+                                       {"takes_ms", std::to_string(ToMillis(takes_long))},
+                                       {"open", std::to_string(traffic_->open_requests())}});
     control_->StartDrain();
     traffic_->BeginDrain(drain);
     RunAfter(kDrainGrace, [this] {
--- a/tests/support/platform_deployment.cc
+++ b/tests/support/platform_deployment.cc
@@ -486,8 +486,8 @@
       StartDaemon(WriteSettings(name, ip, zone, false, false), name);
 }
 
-void PlatformDeployment::TerminateGateway(const std::string& zone) {
-  gateways_[GatewayIndex(zone, 0)].Terminate();
+void PlatformDeployment::TerminateGateway(const std::string& zone, int number) {
+  gateways_[GatewayIndex(zone, number)].Terminate();
 }
 
 void PlatformDeployment::StopGateway(const std::string& zone) {
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -223,9 +223,9 @@
   // Of the gateway with this number in the zone.
   void KillGateway(const std::string& zone, int number = 0);
   void StartGateway(const std::string& zone, int number = 0);
-  // Of the first gateway of the zone. TerminateGateway() sends SIGTERM, StopGateway() SIGSTOP and
-  // ContinueGateway() SIGCONT.
-  void TerminateGateway(const std::string& zone);
+  // Sends SIGTERM.
+  void TerminateGateway(const std::string& zone, int number = 0);
+  // Of the first gateway of the zone. StopGateway() sends SIGSTOP and ContinueGateway() SIGCONT.
   void StopGateway(const std::string& zone);
   void ContinueGateway(const std::string& zone);
 
