A success that is reset just after the end of its connection is not complete

What callers saw: a server answers a long upload at once with a 200 without a length, sends part of the body, ends its sending side and resets the connection some milliseconds later with the upload unread; the caller gets the part as a complete answer. Cause: libcurl takes the end of the stream for the end of such an answer and closes the connection. The kernel does not report a reset that follows an end of stream to a read. That the request was written says nothing once the buffers of the two kernels hold all of it. Change: such a success (neither length nor chunks, to a request with a body) fails if bytes of the request are not acknowledged at the end of the stream, or if a reset follows within 50 ms, for which the socket is kept open (EndedConnection). It is complete so much later; its parts are passed on as before. Why it works: a server that has read all has acknowledged all, with the end of its stream at the latest, and its kernel does not reset. A server that closes with unread bytes resets. Not covered: a reset later than 50 ms after the end.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 #include <netinet/tcp.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <asio/posix/stream_descriptor.hpp>
@@ -14,6 +15,7 @@
 #include <vector>
 
 #include "adapters/chunked_body.h"
+#include "adapters/ended_connection.h"
 #include "adapters/http_headers.h"
 #include "adapters/http_response_head.h"
 #include "adapters/http_response_text.h"
@@ -42,6 +44,9 @@
 constexpr long kMaxIdleConnections = 1024;
 // libcurl 7.88 limits the length of a header line but not the number of lines.
 constexpr size_t kMaxResponseHeaderBytes = 256 << 10;
+// How long after the end of a response that only this end delimits a reset shows that the server
+// has not read the request. Such responses are complete so much later.
+constexpr Duration kResetTimeout = milliseconds(50);
 
 // Such text must not be sent in a header, as a line break would start another header.
 bool HasLineBreakOrNul(const std::string& text) {
@@ -95,6 +100,8 @@
   std::string error;
   Time last_byte;
   std::unique_ptr<asio::steady_timer> idle_timer;
+  // The connection of a response that ended with it, if AwaitsReset(); null before its end.
+  std::shared_ptr<EndedConnection> ended_connection;
 };
 
 // Whether the response may have a body.
@@ -102,6 +109,17 @@
   return call.request.method != "HEAD" && !StatusForbidsBody(call.head.status);
 }
 
+// Whether the body ends with the connection, as the head gives neither a length nor chunks.
+bool EndsWithConnection(const CallState& call) {
+  return call.head.complete && HasBody(call) && !call.head.has_length && !call.head.chunked;
+}
+
+// Whether the response may be cut short although its connection ended without an error: a server
+// that has not read the request has not answered it. An error may be sent without reading it.
+bool AwaitsReset(const CallState& call) {
+  return EndsWithConnection(call) && call.head.status < 300 && !call.request.body.empty();
+}
+
 // Whether the request was written up to its end. What the kernel has yet to send counts as written.
 bool IsRequestWritten(const CallState& call) {
   curl_off_t bytes = 0;
@@ -120,11 +138,16 @@
     bool ended = call.chunked_body.next == ChunkedBodyPart::kEnd;
     return ended ? nullptr : "connection closed before the last chunk of the response";
   }
-  // A server that has not read the request has not answered it, so the end of the connection does
-  // not show that a success is complete. An error may be sent without reading the request.
-  bool succeeded = call.head.status < 300;
-  return succeeded && !IsRequestWritten(call) ? "connection closed before the request was written"
-                                              : nullptr;
+  return AwaitsReset(call) && !IsRequestWritten(call)
+             ? "connection closed before the request was written"
+             : nullptr;
+}
+
+// Returns the call of a handle.
+CallState& CallOf(CURL* easy) {
+  char* call = nullptr;
+  curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
+  return *reinterpret_cast<CallState*>(call);
 }
 
 // Implements HttpClient. Pending Asio handlers hold weak references, so they may outlive it.
@@ -144,6 +167,7 @@
   static int OnSocket(CURL* easy, curl_socket_t fd, int what, void* client, void* socket);
   static int OnTimer(CURLM* multi, long timeout_ms, void* client);
   static int SetSocketOptions(void* call, curl_socket_t fd, curlsocktype purpose);
+  static int OnCloseSocket(void* client, curl_socket_t fd);
 
   void ConfigureHandle(CallState& call);
   void AddToMulti(CallId id);
@@ -160,7 +184,10 @@
   // Runs the deferred functions, then finishes the calls that libcurl reports as done.
   void RunDeferredAndFinishCalls();
   CallResult MakeResult(const CallState& call, CURLcode code);
+  // Ends the call, at once or when its connection shows whether the server had read the request.
   void FinishCall(CallState& call, CURLcode code);
+  void AwaitReset(CallState& call, const CallResult& result);
+  void EndCall(CallId id, const CallResult& result);
   std::unique_ptr<CallState> RemoveCall(CallId id);
   void StartIdleTimer(CallState& call, Duration delay);
   void OnIdleTimer(CallId id);
@@ -176,6 +203,7 @@
   std::vector<std::function<void()>> deferred_;
   std::unordered_map<CallId, std::unique_ptr<CallState>> calls_;
   std::unordered_map<curl_socket_t, std::shared_ptr<PolledSocket>> sockets_;
+  std::unordered_map<curl_socket_t, CallId> last_users_;  // of each open socket
 };
 
 CurlClient::CurlClient(asio::io_context& io, std::string source_address)
@@ -288,6 +316,9 @@
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &CurlClient::SetSocketOptions);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &call);
   }
+  // Connections keep these two when they are used again.
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CurlClient::OnCloseSocket);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlClient::OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &call);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlClient::OnBody);
@@ -390,12 +421,32 @@
   CurlClient& client = *static_cast<CurlClient*>(user_data);
   if (what == CURL_POLL_REMOVE) {
     client.StopPolling(fd);
-  } else if (asio::error_code error = client.StartPolling(fd, what & CURL_POLL_INOUT)) {
+    return 0;
+  }
+  client.last_users_[fd] = CallOf(easy).id;
+  if (asio::error_code error = client.StartPolling(fd, what & CURL_POLL_INOUT)) {
     client.FailUnpolledCall(easy, error);
   }
   return 0;
 }
 
+// Closes the socket, unless a call needs it to learn whether its response is complete.
+int CurlClient::OnCloseSocket(void* user_data, curl_socket_t fd) {
+  CurlClient& client = *static_cast<CurlClient*>(user_data);
+  auto user = client.last_users_.find(fd);
+  auto call =
+      user == client.last_users_.end() ? client.calls_.end() : client.calls_.find(user->second);
+  if (user != client.last_users_.end()) client.last_users_.erase(user);
+  if (call == client.calls_.end() || !AwaitsReset(*call->second)) return close(fd);
+  try {
+    call->second->ended_connection = std::make_shared<EndedConnection>(client.io_, fd);
+    return 0;
+  } catch (const std::system_error&) {
+    // The socket cannot be polled, so that only the end of its stream is known.
+    return close(fd);
+  }
+}
+
 asio::error_code CurlClient::StartPolling(curl_socket_t fd, int poll_mask) {
   std::shared_ptr<PolledSocket>& socket = sockets_[fd];
   if (!socket) {
@@ -418,10 +469,7 @@
 }
 
 void CurlClient::FailUnpolledCall(CURL* easy, const asio::error_code& error) {
-  char* user_data = nullptr;
-  curl_easy_getinfo(easy, CURLINFO_PRIVATE, &user_data);
-  CallId id = reinterpret_cast<CallState*>(user_data)->id;
-  RunOutsideLibcurl([this, id, reason = error.message()] {
+  RunOutsideLibcurl([this, id = CallOf(easy).id, reason = error.message()] {
     auto it = calls_.find(id);
     if (it == calls_.end()) return;
     it->second->error = "cannot poll the socket: " + reason;
@@ -503,9 +551,7 @@
   while (CURLMsg* message = multi_ ? curl_multi_info_read(multi_, &messages_left) : nullptr) {
     if (message->msg != CURLMSG_DONE) continue;
     CURLcode code = message->data.result;
-    char* user_data = nullptr;
-    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &user_data);
-    FinishCall(*reinterpret_cast<CallState*>(user_data), code);
+    FinishCall(CallOf(message->easy_handle), code);
   }
 }
 
@@ -546,7 +592,32 @@
 
 void CurlClient::FinishCall(CallState& call, CURLcode code) {
   CallResult result = MakeResult(call, code);
-  std::unique_ptr<CallState> finished = RemoveCall(call.id);
+  if (result.outcome == CallOutcome::kComplete && call.ended_connection) {
+    AwaitReset(call, result);
+  } else {
+    EndCall(call.id, result);
+  }
+}
+
+void CurlClient::AwaitReset(CallState& call, const CallResult& result) {
+  call.idle_timer.reset();
+  auto end = [this, id = call.id, result](const char* fault) {
+    CallResult known = result;
+    if (fault != nullptr) {
+      known.outcome = CallOutcome::kFailed;
+      known.error = fault;
+    }
+    EndCall(id, known);
+  };
+  if (const char* fault = call.ended_connection->UnreadFault()) {
+    end(fault);
+  } else {
+    call.ended_connection->AwaitReset(kResetTimeout, end);
+  }
+}
+
+void CurlClient::EndCall(CallId id, const CallResult& result) {
+  std::unique_ptr<CallState> finished = RemoveCall(id);
   if (!finished->cancelled && finished->request.on_done) finished->request.on_done(result);
 }
 
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -65,7 +65,9 @@
   std::function<void(int status, const HttpHeaders&)> on_headers;
   // Returns false to pause reading. After Resume() the same data is delivered again.
   std::function<bool(std::string_view)> on_data;
-  // Runs exactly once, after all other callbacks, unless the call was cancelled.
+  // Runs exactly once, after all other callbacks, unless the call was cancelled. If only the end of
+  // the connection ends a success, and the request has a body, this is 50 ms after that end: a
+  // reset in that time shows that the server has not read the request.
   std::function<void(const CallResult&)> on_done;
 };
 
--- a/tests/exchange_faulty_server_test.cc
+++ b/tests/exchange_faulty_server_test.cc
@@ -34,6 +34,10 @@
   void AwaitRequest(const RawServer& server, size_t connection) {
     RunUntil([&] { return server.PeerReceived(connection, "\r\n\r\n"); }, "the request arrives");
   }
+  void RunFor(Duration time) {
+    Time end = SteadyNow() + time;
+    RunUntil([&] { return SteadyNow() >= end; }, "the time has passed");
+  }
   static bool Ended(const FakeResponder& caller) {
     return caller.sent_status != 0 || caller.ended || caller.aborted;
   }
@@ -138,6 +142,28 @@
   }
 }
 
+// Guards against a part of an answer that a caller gets as a complete one: the server has not read
+// the upload, ends the answer with its connection, and resets that a moment later.
+BOOST_AUTO_TEST_CASE(AnswerThatIsResetAfterItsEndIsNotComplete) {
+  for (const std::string& head : {kSealedHead, kStreamHead}) {
+    FaultyServerFixture f(false);
+    f.first.reads = false;
+    RequestSpec spec = f.LookSpec();
+    spec.body = std::string(100 << 10, 'u');
+    std::shared_ptr<FakeResponder> caller = f.Start(spec);
+    f.RunUntil([&] { return !f.first.peers.empty() && f.first.peers[0]->socket.available() > 0; },
+               "the upload begins");
+    f.RunFor(milliseconds(20));  // the client writes what the buffers take
+    f.first.peers[0]->Send(head + "\r\nid: 1\ndata: a\n\n");
+    f.first.peers[0]->EndSending();
+    f.RunFor(milliseconds(5));
+    f.first.peers[0]->Reset();
+    f.RunUntil([&] { return f.Ended(*caller); }, "the exchange ends");
+    BOOST_TEST((caller->sent_status == 502 || caller->aborted), caller->sent_status);
+    BOOST_TEST(!caller->ended);
+  }
+}
+
 // Guards against a refusal of an earlier request that is written once more on a kept connection and
 // counts as that of the next request, whose caller is told that it has not run.
 BOOST_AUTO_TEST_CASE(EarlierRefusalIsNotThatOfTheNextRequest) {
--- a/tests/http_client_faulty_server_test.cc
+++ b/tests/http_client_faulty_server_test.cc
@@ -31,6 +31,26 @@
     return reply;
   }
 
+  // Sends `upload` to a server that does not read it, answers with a body without a length, ends
+  // its sending side and resets the connection after `pause`. Returns the time between these two.
+  Duration ResetAfterEnd(const std::string& upload, const char* body, Duration pause,
+                         Reply* reply) {
+    RawServer raw(io);
+    raw.reads = false;
+    Start(Post(raw.Url(), upload), reply);
+    RunUntil([&] { return !raw.peers.empty() && raw.peers[0]->socket.available() > 0; },
+             "the upload begins");
+    RunFor(milliseconds(20));  // the client writes what the buffers take
+    raw.peers[0]->Send(kOk + "\r\n" + body);
+    raw.peers[0]->EndSending();
+    Time ended = SteadyNow();
+    RunFor(pause);
+    raw.peers[0]->Reset();
+    Duration reset_after = SteadyNow() - ended;
+    RunUntil([&] { return reply->done; }, "the call is done");
+    return reset_after;
+  }
+
   // Checks that nothing of the response is passed on.
   void CheckNoResponse(const std::string& response) {
     Reply reply = FetchResponse(response);
@@ -244,6 +264,50 @@
   }
 }
 
+// Guards against a partial body that looks complete: the server has not read the request, ends its
+// sending side, and resets the connection a moment later. All of the request may stand in the
+// buffers of the two kernels.
+BOOST_AUTO_TEST_CASE(ResetAfterTheEndDoesNotCompleteTheBody) {
+  constexpr Duration kLatestReset = milliseconds(40);
+  for (size_t upload : {size_t{20} << 10, size_t{300} << 10, size_t{1} << 20, size_t{8} << 20}) {
+    for (const char* part : {"", "part"}) {
+      for (Duration pause : {milliseconds(0), milliseconds(5), milliseconds(20)}) {
+        Reply reply;
+        // Once more if this process did not run for so long that the reset was late.
+        while (ResetAfterEnd(std::string(upload, 'u'), part, pause, &reply) > kLatestReset) {
+          reply = Reply();
+        }
+        BOOST_TEST(reply.result.outcome == CallOutcome::kFailed,
+                   upload << " bytes, reset after " << ToMillis(pause) << " ms");
+        BOOST_TEST(!reply.result.error.empty());
+      }
+    }
+  }
+}
+
+// Guards against a call that ends twice, or never, when it is cancelled or its client is destroyed
+// while it waits for a reset.
+BOOST_AUTO_TEST_CASE(CancelledWhileItAwaitsAReset) {
+  for (bool destroys : {false, true}) {
+    RawServer raw(io);
+    Reply reply;
+    CallId id = Start(Post(raw.Url(), "upload"), &reply);
+    RunUntil([&] { return raw.PeerReceived(0, "upload"); }, "the upload arrives");
+    raw.peers[0]->Send(kOk + "\r\nbody");
+    raw.peers[0]->Close();
+    RunUntil([&] { return reply.body == "body"; }, "the body arrives");
+    RunFor(milliseconds(10));
+    BOOST_TEST(!reply.done);
+    if (destroys) {
+      client.reset();
+    } else {
+      client->Cancel(id);
+    }
+    RunFor(milliseconds(100));
+    BOOST_TEST(!reply.done);
+  }
+}
+
 // Guards against rules for responses that sound servers do not meet.
 BOOST_AUTO_TEST_CASE(UnusualResponsesAreComplete) {
   const std::vector<std::string> responses = {
--- a/tests/support/raw_tcp.h
+++ b/tests/support/raw_tcp.h
@@ -37,6 +37,11 @@
     asio::error_code ignored;
     socket.close(ignored);
   }
+  // Ends the sending side only.
+  void EndSending() {
+    asio::error_code ignored;
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  }
   // Closes with a TCP reset.
   void Reset() {
     asio::error_code ignored;
@@ -63,7 +68,7 @@
     acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
       if (error) return;
       peers.push_back(std::make_shared<RawPeer>(std::move(socket)));
-      peers.back()->Read();
+      if (reads) peers.back()->Read();
       Accept();
     });
   }
@@ -73,6 +78,7 @@
     return peers.size() > peer && peers[peer]->HasReceived(text);
   }
 
+  bool reads = true;  // whether it reads the connections that it accepts from now on
   asio::ip::tcp::acceptor acceptor;
   std::vector<std::shared_ptr<RawPeer>> peers;
 };
