Summaries of servers without load no longer expire before their next report

What callers saw: a gateway of a region without servers refuses all requests of one route for up to seconds (503 no_server, not run, no attempt), while the gateway beside the servers serves on. Cause: a summary without change is reported again after 30 s (summary_refresh), and routing used it for 30 s (kSummaryTtl), so it expired while the next report was on its way, and for half a minute more at hosts that missed one. Change: it is used for 90 s, as long as it is kept. Why it works: three reports fit into that time. Servers that are gone are reported at once, and only live hosts of their failure domain are used. Test: membership_test SummariesWithoutChangeDoNotExpire failed before (24,238 looks at an expired summary, the oldest of 61.4 s) and passes.

--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -74,7 +74,9 @@
 constexpr double kPrefixHashLoadFactor = 1.25;
 constexpr Duration kRegionRoundTrip = milliseconds(110);
 constexpr Duration kDomainRoundTrip = milliseconds(3);
-constexpr Duration kSummaryTtl = seconds(30);
+// Without change a summary is reported again after MembershipParams::summary_refresh, and a host
+// may miss a report.
+constexpr Duration kSummaryTtl = seconds(90);
 // The prefill rate until responses have been measured.
 constexpr double kDefaultPrefillTokensPerSecond = 8'000;
 constexpr double kPrefillRateSmoothing = 0.05;  // weight of the newest sample
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -7,6 +7,8 @@
 #include <queue>
 #include <set>
 
+#include "core/routing.h"
+
 namespace ebonylift {
 namespace {
 
@@ -617,6 +619,44 @@
   BOOST_TEST(Summaries(network.at(1, 1)).empty());
 }
 
+// Guards against a region that another one takes to be without servers, for seconds, twice a
+// minute: the summary of servers without load expires while its next report is on its way.
+BOOST_AUTO_TEST_CASE(SummariesWithoutChangeDoNotExpire) {
+  constexpr int kDomains = 6;
+  Network network(kDomains, 8);
+  network.Converge();
+  auto report = [&] {
+    auto stamp = static_cast<uint64_t>(network.now().time_since_epoch().count());
+    for (const HostId& id : network.ids()) {
+      Membership& state = network.state(id);
+      if (IsReporter(state))
+        ReportSummaries(&state, {Summary(state, "m1", 4, 0)}, stamp, network.now());
+    }
+  };
+  report();
+  network.Run(seconds(10));
+  const HostId reporter = Network::Id(0, 0);
+  Time stopped_at = network.now() + seconds(100);  // when the next report of this host is due
+  int expired = 0;
+  Duration oldest{0};
+  for (Time end = network.now() + seconds(200); network.now() < end;) {
+    if (network.now() >= stopped_at) network.SetRunning(reporter, false);
+    network.Run(milliseconds(100));
+    report();
+    for (const HostId& id : network.ids()) {
+      if (network.now() >= stopped_at && id == reporter) continue;
+      std::vector<DomainSummary> summaries = Summaries(network.state(id));
+      BOOST_TEST_REQUIRE(summaries.size() == static_cast<size_t>(kDomains));
+      for (const DomainSummary& summary : summaries) {
+        Duration age = network.now() - summary.reported_at;
+        oldest = std::max(oldest, age);
+        if (age > kSummaryTtl) ++expired;
+      }
+    }
+  }
+  BOOST_TEST(expired == 0, expired << " expired, the oldest was of " << ToMillis(oldest) << " ms");
+}
+
 // Guards against reporting a summary on every load change, and against reporting a large load
 // change or a changed number of servers late.
 BOOST_AUTO_TEST_CASE(SummaryReportsAreRateLimited) {
