Names and comments of the check for late resets and of the times of a stop

The two conditions of a success that ends with its connection are one function with that name; OnCloseSocket() looks up the call step by step; the claim on a descriptor stands where the other users of it have it.

--- a/src/adapters/ended_connection.cc
+++ b/src/adapters/ended_connection.cc
@@ -25,7 +25,7 @@
 }  // namespace
 
 EndedConnection::EndedConnection(asio::io_context& io, int fd)
-    : socket_(io, fd), timer_(io), claim_(fd, DescriptorUser::kClientSocket) {}
+    : socket_(io, fd), claim_(fd, DescriptorUser::kClientSocket), timer_(io) {}
 
 const char* EndedConnection::UnreadFault() {
   int fd = socket_.native_handle();
--- a/src/adapters/ended_connection.h
+++ b/src/adapters/ended_connection.h
@@ -1,7 +1,7 @@
 #ifndef EBONYLIFT_ADAPTERS_ENDED_CONNECTION_H_
 #define EBONYLIFT_ADAPTERS_ENDED_CONNECTION_H_
 
-// Tells whether the server of a connection that it has ended had read the request.
+// Tells whether a server that has ended a connection had read the request.
 //
 // A kernel resets a connection that is closed with unread data. If the server ends its sending side
 // first, the client reads the end of the stream as after any close, and the reset follows it.
@@ -29,7 +29,7 @@
   EndedConnection& operator=(const EndedConnection&) = delete;
 
   // Returns what shows that the server has not read all that was written, for logs; nullptr if
-  // nothing does.
+  // nothing does. Names a reset only once, as reading the error of a socket clears it.
   const char* UnreadFault();
 
   // Calls `done` with the result of UnreadFault() when the connection is reset or after `timeout`.
@@ -40,9 +40,8 @@
   void Finish();
 
   asio::posix::stream_descriptor socket_;
+  DescriptorClaim claim_;  // after socket_, so that it ends before the socket is closed
   asio::steady_timer timer_;
-  // Declared last, as it must be released before the socket is closed.
-  DescriptorClaim claim_;
   std::function<void(const char* fault)> done_;
 };
 
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -44,8 +44,8 @@
 constexpr long kMaxIdleConnections = 1024;
 // libcurl 7.88 limits the length of a header line but not the number of lines.
 constexpr size_t kMaxResponseHeaderBytes = 256 << 10;
-// How long after the end of a response that only this end delimits a reset shows that the server
-// has not read the request. Such responses are complete so much later.
+// A reset that comes so soon after the end of a response shows that the server has not read the
+// request. Responses for which that matters are complete so much later.
 constexpr Duration kResetTimeout = milliseconds(50);
 
 // Such text must not be sent in a header, as a line break would start another header.
@@ -100,7 +100,7 @@
   std::string error;
   Time last_byte;
   std::unique_ptr<asio::steady_timer> idle_timer;
-  // The connection of a response that ended with it, if AwaitsReset(); null before its end.
+  // Set when the connection has ended, if IsSuccessEndedByConnection().
   std::shared_ptr<EndedConnection> ended_connection;
 };
 
@@ -109,15 +109,13 @@
   return call.request.method != "HEAD" && !StatusForbidsBody(call.head.status);
 }
 
-// Whether the body ends with the connection, as the head gives neither a length nor chunks.
-bool EndsWithConnection(const CallState& call) {
-  return call.head.complete && HasBody(call) && !call.head.has_length && !call.head.chunked;
-}
-
-// Whether the response may be cut short although its connection ended without an error: a server
-// that has not read the request has not answered it. An error may be sent without reading it.
-bool AwaitsReset(const CallState& call) {
-  return EndsWithConnection(call) && call.head.status < 300 && !call.request.body.empty();
+// Whether the response is a success that only the end of its connection ends, to a request with a
+// body. It may be cut short although the connection ended without an error: a server that has not
+// read the request has not answered it. An error may be sent without reading the request.
+bool IsSuccessEndedByConnection(const CallState& call) {
+  bool ended_by_connection =
+      call.head.complete && HasBody(call) && !call.head.has_length && !call.head.chunked;
+  return ended_by_connection && call.head.status < 300 && !call.request.body.empty();
 }
 
 // Whether the request was written up to its end. What the kernel has yet to send counts as written.
@@ -138,7 +136,7 @@
     bool ended = call.chunked_body.next == ChunkedBodyPart::kEnd;
     return ended ? nullptr : "connection closed before the last chunk of the response";
   }
-  return AwaitsReset(call) && !IsRequestWritten(call)
+  return IsSuccessEndedByConnection(call) && !IsRequestWritten(call)
              ? "connection closed before the request was written"
              : nullptr;
 }
@@ -203,7 +201,7 @@
   std::vector<std::function<void()>> deferred_;
   std::unordered_map<CallId, std::unique_ptr<CallState>> calls_;
   std::unordered_map<curl_socket_t, std::shared_ptr<PolledSocket>> sockets_;
-  std::unordered_map<curl_socket_t, CallId> last_users_;  // of each open socket
+  std::unordered_map<curl_socket_t, CallId> last_users_;  // the last call of each open socket
 };
 
 CurlClient::CurlClient(asio::io_context& io, std::string source_address)
@@ -434,10 +432,11 @@
 int CurlClient::OnCloseSocket(void* user_data, curl_socket_t fd) {
   CurlClient& client = *static_cast<CurlClient*>(user_data);
   auto user = client.last_users_.find(fd);
-  auto call =
-      user == client.last_users_.end() ? client.calls_.end() : client.calls_.find(user->second);
-  if (user != client.last_users_.end()) client.last_users_.erase(user);
-  if (call == client.calls_.end() || !AwaitsReset(*call->second)) return close(fd);
+  if (user == client.last_users_.end()) return close(fd);
+  auto call = client.calls_.find(user->second);
+  client.last_users_.erase(user);
+  bool is_needed = call != client.calls_.end() && IsSuccessEndedByConnection(*call->second);
+  if (!is_needed) return close(fd);
   try {
     call->second->ended_connection = std::make_shared<EndedConnection>(client.io_, fd);
     return 0;
--- a/src/core/drain.cc
+++ b/src/core/drain.cc
@@ -5,11 +5,12 @@
 namespace ebonylift {
 namespace {
 
-// Requests that come in this part of the shutdown, one in so many, have the rest of it to end.
+// Requests that come in the first third of the shutdown have the rest of it to end.
 constexpr int kEarlyDivisor = 3;
-// Hosts that are restarted one after the other can be slow to end their open requests.
+// Hosts that are restarted one after the other can be slow to end their open requests. The wait for
+// them is at most a fifth of the shutdown, so that the host still takes requests when it leaves.
 constexpr Duration kMaxDrainDelay = milliseconds(1500);
-constexpr int kDelayDivisor = 5;  // of the shutdown; larger than kEarlyDivisor
+constexpr int kDelayDivisor = 5;
 
 }  // namespace
 
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -74,8 +74,8 @@
 constexpr double kPrefixHashLoadFactor = 1.25;
 constexpr Duration kRegionRoundTrip = milliseconds(110);
 constexpr Duration kDomainRoundTrip = milliseconds(3);
-// Without change a summary is reported again after MembershipParams::summary_refresh, and a host
-// may miss a report.
+// As long as MembershipParams::summary_lifetime. A summary without change is reported again after
+// `summary_refresh`, and a host may miss a report.
 constexpr Duration kSummaryTtl = seconds(90);
 // The prefill rate until responses have been measured.
 constexpr double kDefaultPrefillTokensPerSecond = 8'000;
