Exchange::RefreshView() builds the error of a removed route only to return it

It built the error and its text on each placement and each end of a wait, from the last read of an earlier change. No behaviour changes: exchange_test and ingress_test passed.

--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -429,20 +429,20 @@
 // the request arrived. Returns an error when the route no longer exists or the key of the caller
 // was withdrawn.
 std::optional<Error> Exchange::RefreshView() {
-  const Error removed(ErrorKind::kUnknownModel, "the route was removed");
+  auto removed = [] { return Error(ErrorKind::kUnknownModel, "the route was removed"); };
   std::shared_ptr<const RoutingView> view = context_.control->View();
   if (spec_.dialect != nullptr) {
     try {
-      if (!ResolveIngressRoute(&spec_, std::move(view), SteadyNow())) return removed;
+      if (!ResolveIngressRoute(&spec_, std::move(view), SteadyNow())) return removed();
       return std::nullopt;
     } catch (const Error& error) {
       return error;
     }
   }
   auto team = view->config->teams.find(spec_.team);
-  if (team == view->config->teams.end()) return removed;
+  if (team == view->config->teams.end()) return removed();
   auto route = team->second.routes.find(spec_.route->id);
-  if (route == team->second.routes.end()) return removed;
+  if (route == team->second.routes.end()) return removed();
   spec_.route = &route->second;
   spec_.allowed_regions = AllowedRegions(*view->config, *spec_.route);
   spec_.view = std::move(view);
