membership_test: the comment says when the reporter really stops

Reports are due each 30 s from the first; the host stops 110 s after it, between two of them, not when one is due. Only the comment changes; membership_test passed.

--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -636,7 +636,7 @@
   report();
   network.Run(seconds(10));
   const HostId reporter = Network::Id(0, 0);
-  Time stopped_at = network.now() + seconds(100);  // when the next report of this host is due
+  Time stopped_at = network.now() + seconds(100);  // between two reports of this host
   int expired = 0;
   Duration oldest{0};
   for (Time end = network.now() + seconds(200); network.now() < end;) {
