--- a/review/harness-3/stop.cc
+++ b/review/harness-3/stop.cc
@@ -12,9 +12,9 @@
 constexpr int kSlots = 6;
 constexpr int kMaxConnections = 96;
 constexpr int64_t kTimeoutMs = 10'000;  // of the route, and the deadline of the requests
-constexpr int kClients = 4;
+constexpr int kClients = 2;
 constexpr size_t kAnswerBytes = 8 << 20;
-constexpr int64_t kClientPace = 1'500'000;  // bytes a second: 5.6 s for an answer
+constexpr int64_t kClientPace = 1'250'000;  // bytes a second: 6.7 s for an answer
 constexpr int kStopAfterMs = 300;           // from the requests to the SIGTERM
 constexpr int kContactMs = 6'000;
 
